--- a/simulation/virtual_frames.cpp
+++ b/simulation/virtual_frames.cpp
@@ -21,47 +21,12 @@
   co_return std::nullopt;
 }
 
-VirtualFrameListener::VirtualFrameListener(VirtualNetwork& network, VirtualProcess& process,
-                                           Endpoint endpoint)
-    : network_(network),
-      process_(process),
-      endpoint_(std::move(endpoint)),
-      state_(std::make_shared<State>(process)) {}
-
-std::unique_ptr<VirtualFrameListener> VirtualFrameListener::listen(VirtualNetwork& network,
-                                                                   VirtualProcess& process,
-                                                                   const Endpoint& endpoint, Reason& reason) {
-  std::unique_ptr<VirtualFrameListener> listener(new VirtualFrameListener(network, process, endpoint));
-  const auto accept = [state = listener->state_](std::shared_ptr<StreamEnd> stream) {
-    state->accepted.push_back(std::move(stream));
-    state->waiter.resume();
-  };
-  if (network.listen(process, endpoint, accept)) return listener;
-  listener->state_->open = false;
-  reason = Reason{ReasonCode::kAlreadyExists, "listen", endpoint.to_string(), "the endpoint is taken"};
-  return nullptr;
-}
-
 Awaitable<std::shared_ptr<runtime::FrameConnection>> VirtualFrameListener::accept(Reason& reason) {
-  const auto state = state_;
-  while (state->accepted.empty() && state->open) co_await state->waiter.wait();
-  if (state->accepted.empty()) {
-    reason = Reason{ReasonCode::kCancelled, "accept", "", "the listener is closed"};
-    co_return nullptr;
-  }
-  auto stream = state->accepted.front();
-  state->accepted.pop_front();
+  auto stream = co_await streams_->accept(reason);
+  if (!stream) co_return nullptr;
   co_return std::make_shared<VirtualFrameConnection>(std::move(stream));
 }
 
-void VirtualFrameListener::close() {
-  if (!state_->open) return;
-  state_->open = false;
-  network_.stop_listening(process_, endpoint_);
-  for (const auto& stream : std::exchange(state_->accepted, {})) stream->close();
-  state_->waiter.resume();
-}
-
 Awaitable<std::shared_ptr<runtime::FrameConnection>> VirtualFrameNetwork::connect(Endpoint endpoint,
                                                                                   TimePoint deadline,
                                                                                   Reason& reason) {
@@ -72,7 +37,9 @@
 
 std::unique_ptr<runtime::FrameListener> VirtualFrameNetwork::listen(const Endpoint& endpoint,
                                                                     Reason& reason) {
-  return VirtualFrameListener::listen(network_, process_, endpoint, reason);
+  auto streams = VirtualStreamListener::listen(network_, process_, endpoint, reason);
+  if (!streams) return nullptr;
+  return std::make_unique<VirtualFrameListener>(std::move(streams));
 }
 
 }  // namespace cairnhollow::simulation
--- a/simulation/virtual_frames.h
+++ b/simulation/virtual_frames.h
@@ -5,7 +5,7 @@
 #include <memory>
 
 #include "runtime/network.h"
-#include "simulation/virtual_network.h"
+#include "simulation/virtual_stream_listener.h"
 
 namespace cairnhollow::simulation {
 
@@ -25,28 +25,15 @@
 
 class VirtualFrameListener : public runtime::FrameListener {
  public:
-  /// Null when the endpoint is taken.
-  static std::unique_ptr<VirtualFrameListener> listen(VirtualNetwork& network, VirtualProcess& process,
-                                                      const Endpoint& endpoint, Reason& reason);
-  ~VirtualFrameListener() override { VirtualFrameListener::close(); }
+  explicit VirtualFrameListener(std::unique_ptr<VirtualStreamListener> streams)
+      : streams_(std::move(streams)) {}
 
   Awaitable<std::shared_ptr<runtime::FrameConnection>> accept(Reason& reason) override;
-  void close() override;
-  [[nodiscard]] Endpoint endpoint() const override { return endpoint_; }
+  void close() override { streams_->close(); }
+  [[nodiscard]] Endpoint endpoint() const override { return streams_->endpoint(); }
 
  private:
-  struct State {
-    explicit State(VirtualProcess& process) : waiter(process) {}
-    std::deque<std::shared_ptr<StreamEnd>> accepted;
-    Suspension waiter;
-    bool open = true;
-  };
-  VirtualFrameListener(VirtualNetwork& network, VirtualProcess& process, Endpoint endpoint);
-
-  VirtualNetwork& network_;
-  VirtualProcess& process_;
-  Endpoint endpoint_;
-  std::shared_ptr<State> state_;
+  std::unique_ptr<VirtualStreamListener> streams_;
 };
 
 }  // namespace cairnhollow::simulation
--- a/simulation/virtual_runtime.cpp
+++ b/simulation/virtual_runtime.cpp
@@ -104,6 +104,7 @@
       faults_(faults),
       frames_(network, process),
       http_(network, process, [this](Awaitable<void> task) { spawn("http_connection", std::move(task)); }),
+      lines_(network, process),
       storage_(process, disk),
       random_(seed),
       logger_(process) {}
--- a/simulation/virtual_runtime.h
+++ b/simulation/virtual_runtime.h
@@ -9,6 +9,7 @@
 #include "runtime/runtime.h"
 #include "simulation/virtual_disk.h"
 #include "simulation/virtual_http.h"
+#include "simulation/virtual_lines.h"
 #include "simulation/virtual_network.h"
 
 namespace cairnhollow::simulation {
@@ -64,6 +65,7 @@
   void spawn(std::string_view name, Awaitable<void> task) override;
   runtime::Network& network() override { return frames_; }
   runtime::HttpTransport& http() override { return http_; }
+  runtime::LineTransport& lines() override { return lines_; }
   runtime::Storage& storage() override { return storage_; }
   runtime::Random& random() override { return random_; }
   runtime::Logger& logger() override { return logger_; }
@@ -76,6 +78,7 @@
   std::vector<std::string>& faults_;
   VirtualFrameNetwork frames_;
   VirtualHttpTransport http_;
+  VirtualLineTransport lines_;
   VirtualStorage storage_;
   VirtualRandom random_;
   VirtualLogger logger_;
--- /dev/null
+++ b/src/cli/settings_registered.cpp
@@ -0,0 +1,60 @@
+#include "cli/settings_registered.h"
+
+#include "cli/settings_limits.h"
+
+namespace cairnhollow::cli {
+
+namespace {
+
+constexpr Range<std::uint32_t> kPortRange{1, 65535};
+constexpr Range<std::uint32_t> kToleranceRange{0, 3};
+
+std::optional<Endpoint> read_optional_endpoint(SettingsReader& reader, const std::string& key) {
+  Endpoint endpoint;
+  reader.read(key, endpoint);
+  if (endpoint.address.empty()) return std::nullopt;
+  return endpoint;
+}
+
+}  // namespace
+
+FleetKind read_fleet_kind(SettingsReader& reader) {
+  const auto choice = reader.read_choice("fleet", {"declared", "registered"});
+  return choice == 1U ? FleetKind::kRegistered : FleetKind::kDeclared;
+}
+
+session::SessionProxySettings read_session_proxy_settings(SettingsReader& reader) {
+  session::SessionProxySettings settings;
+  std::uint32_t control_port = 0;
+  reader.read("node", settings.node, Presence::kRequired);
+  reader.read("zone", settings.zone, Presence::kRequired);
+  reader.read("session_endpoint", settings.session_endpoint, Presence::kRequired);
+  reader.read("readiness_endpoint", settings.readiness_endpoint, Presence::kRequired);
+  reader.read("seeds", settings.seeds, Presence::kRequired);
+  reader.read("control_port", control_port, kPortRange);
+  reader.read("session_limit", settings.session_limit, kConnectionRange);
+  reader.read("drain_limit", settings.drain_limit, kIntervalRange);
+  settings.metrics_endpoint = read_optional_endpoint(reader, "metrics_endpoint");
+  settings.control_port = static_cast<std::uint16_t>(control_port);
+  if (control_port == 0) reader.report("control_port", "is missing");
+  return settings;
+}
+
+control::registered::RegisteredControlSettings read_registered_control_settings(SettingsReader& reader) {
+  control::registered::RegisteredControlSettings settings;
+  reader.read("node", settings.node, Presence::kRequired);
+  reader.read("zone", settings.zone, Presence::kRequired);
+  reader.read("peer_endpoint", settings.peer_endpoint, Presence::kRequired);
+  reader.read("operator_endpoint", settings.operator_endpoint, Presence::kRequired);
+  reader.read("seeds", settings.seeds, Presence::kRequired);
+  reader.read("first_start", settings.first_start);
+  reader.read("promotion_endpoint", settings.promotion_endpoint, Presence::kRequired);
+  reader.read("lost_disks_tolerated", settings.lost_disks_tolerated, kToleranceRange);
+  reader.read("serving_lease", settings.serving_lease, kIntervalRange);
+  reader.read("election_timeout", settings.election_timeout, kIntervalRange);
+  reader.read("heartbeat_interval", settings.heartbeat_interval, kIntervalRange);
+  settings.metrics_endpoint = read_optional_endpoint(reader, "metrics_endpoint");
+  return settings;
+}
+
+}  // namespace cairnhollow::cli
--- /dev/null
+++ b/src/control/registered/control_node_directory.cpp
@@ -0,0 +1,38 @@
+#include "control/registered/control_node_directory.h"
+
+#include <algorithm>
+
+namespace cairnhollow::control::registered {
+
+namespace {
+
+void add_once(std::vector<Endpoint>& endpoints, const Endpoint& endpoint) {
+  if (std::find(endpoints.begin(), endpoints.end(), endpoint) == endpoints.end()) endpoints.push_back(endpoint);
+}
+
+}  // namespace
+
+std::vector<consensus::Member> ControlNodeDirectory::all_alive(TimePoint now) const {
+  std::vector<consensus::Member> members;
+  for (const auto& [node, presence] : presences_) {
+    if (now - presence.heard_at <= kPresenceLapse) members.push_back(presence.member);
+  }
+  return members;
+}
+
+std::vector<Endpoint> ControlNodeDirectory::endpoints() const {
+  std::vector<Endpoint> endpoints;
+  for (const auto& member : consensus_.status().members) add_once(endpoints, member.endpoint);
+  for (const auto& endpoint : told_) add_once(endpoints, endpoint);
+  for (const auto& endpoint : seeds_) add_once(endpoints, endpoint);
+  return endpoints;
+}
+
+std::vector<Endpoint> ControlNodeDirectory::serving_endpoints(TimePoint now) const {
+  std::vector<Endpoint> endpoints;
+  for (const auto& member : consensus_.status().members) add_once(endpoints, member.endpoint);
+  for (const auto& member : all_alive(now)) add_once(endpoints, member.endpoint);
+  return endpoints;
+}
+
+}  // namespace cairnhollow::control::registered
--- /dev/null
+++ b/src/control/registered/control_node_directory.h
@@ -0,0 +1,51 @@
+// The control nodes that this one knows of: members of the consensus group, those heard of lately, and seeds.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "consensus/consensus.h"
+#include "control/registered/knobs.h"
+
+namespace cairnhollow::control::registered {
+
+/// A node's name in the consensus group is its address: addresses are all that seeds say.
+inline NodeName consensus_name(const Endpoint& endpoint) { return NodeName(endpoint.address); }
+
+class ControlNodeDirectory {
+ public:
+  ControlNodeDirectory(std::vector<Endpoint> seeds, const consensus::Consensus& consensus)
+      : seeds_(std::move(seeds)), consensus_(consensus) {}
+
+  void note_presence(const consensus::Member& member, TimePoint now) {
+    presences_[member.node] = Presence{member, now};
+  }
+  /// Endpoints that a leader told of.
+  void note_endpoints(const std::vector<Endpoint>& endpoints) {
+    if (!endpoints.empty()) told_ = endpoints;
+  }
+  /// Who was heard within kPresenceLapse, by name.
+  [[nodiscard]] std::optional<consensus::Member> alive(const NodeName& node, TimePoint now) const {
+    const auto found = presences_.find(node);
+    if (found == presences_.end() || now - found->second.heard_at > kPresenceLapse) return std::nullopt;
+    return found->second.member;
+  }
+  [[nodiscard]] std::vector<consensus::Member> all_alive(TimePoint now) const;
+  /// Every endpoint worth asking, each once: members first, then what was told, seeds last.
+  [[nodiscard]] std::vector<Endpoint> endpoints() const;
+  /// Members and nodes heard lately; what followers are told.
+  [[nodiscard]] std::vector<Endpoint> serving_endpoints(TimePoint now) const;
+
+ private:
+  struct Presence {
+    consensus::Member member;
+    TimePoint heard_at{};
+  };
+  std::vector<Endpoint> seeds_;
+  std::vector<Endpoint> told_;
+  const consensus::Consensus& consensus_;
+  std::map<NodeName, Presence> presences_;
+};
+
+}  // namespace cairnhollow::control::registered
--- /dev/null
+++ b/src/control/registered/group_keeper.cpp
@@ -0,0 +1,291 @@
+#include "control/registered/group_keeper.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "control/registered/knobs.h"
+
+namespace cairnhollow::control::registered {
+
+using registry::GroupTerm;
+
+GroupKeeper::GroupKeeper(runtime::Runtime& runtime, consensus::Consensus& consensus,
+                         registry::FleetStateMachine& fleet, LeaderCalls& calls, LeaseKeeper& leases,
+                         GroupProber& prober, registry::PromotionCaller& promotions, NodeName node)
+    : runtime_(runtime),
+      consensus_(consensus),
+      fleet_(fleet),
+      calls_(calls),
+      leases_(leases),
+      prober_(prober),
+      promotions_(promotions),
+      node_(std::move(node)),
+      wake_(runtime) {}
+
+void GroupKeeper::start() { runtime_.spawn("group_keeper", run()); }
+
+void GroupKeeper::stop() {
+  stopping_ = true;
+  wake_.notify_all();
+}
+
+bool GroupKeeper::leads() const {
+  return !stopping_ && consensus_.status().state == consensus::ServerState::kLeader;
+}
+
+void GroupKeeper::note_suspicion(const registry::PrimarySuspicion& suspicion) {
+  suspicions_[suspicion.group] = Suspicion{suspicion, runtime_.now()};
+  if (leads()) look_at(suspicion.group);
+}
+
+Awaitable<void> GroupKeeper::run() {
+  while (!stopping_) {
+    if (leads()) {
+      for (const auto& group : fleet_.groups()) look_at(group.name);
+    }
+    co_await wake_.wait_until(runtime_.now() + kGroupTick);
+  }
+}
+
+std::optional<GroupTerm> GroupKeeper::term_of(const GroupName& group) const {
+  const GroupTerm* term = fleet_.find_term(group);
+  if (term == nullptr) return std::nullopt;
+  return *term;
+}
+
+bool GroupKeeper::has_successor(const GroupName& group, const BackendName& primary) const {
+  const auto members = fleet_.backends_of(group);
+  return std::any_of(members.begin(), members.end(), [&](const registry::BackendEntry& entry) {
+    return entry.name != primary && !entry.leaving;
+  });
+}
+
+void GroupKeeper::look_at(const GroupName& group) {
+  if (busy_.count(group) > 0) return;
+  const auto term = term_of(group);
+  if (!term) return begin(group, discover(group));
+  if (!term->open) return begin(group, fail_over(group));
+  const registry::BackendEntry* primary = fleet_.find_backend(term->primary);
+  const bool leaves = primary == nullptr || primary->leaving;
+  if (leaves && has_successor(group, term->primary)) return begin(group, hand_over(group));
+  const auto suspicion = suspicions_.find(group);
+  if (suspicion == suspicions_.end()) return;
+  const Suspicion suspected = suspicion->second;
+  const bool applies = suspected.said.term == term->term && suspected.said.backend == term->primary;
+  suspicions_.erase(suspicion);
+  if (applies && runtime_.now() - suspected.at < kSuspicionLapse)
+    begin(group, examine(group, suspected.said.commits_stall));
+}
+
+void GroupKeeper::begin(const GroupName& group, Awaitable<void> task) {
+  busy_.insert(group);
+  runtime_.spawn("group_task", run_task(group, std::move(task)));
+}
+
+Awaitable<void> GroupKeeper::run_task(GroupName group, Awaitable<void> task) {
+  co_await std::move(task);
+  busy_.erase(group);
+  wake_.notify_all();
+}
+
+void GroupKeeper::log(const char* event, const GroupTerm& term, const std::string& why) {
+  runtime_.logger().log(runtime::LogLevel::kInfo, event,
+                        {{"group", term.group.value},
+                         {"term", std::to_string(term.term)},
+                         {"primary", term.primary.value},
+                         {"epoch", std::to_string(term.epoch)},
+                         {"why", why}});
+}
+
+Awaitable<void> GroupKeeper::discover(GroupName group) {
+  const auto findings = co_await prober_.ask_all(fleet_.backends_of(group));
+  const MemberFinding* leader = nullptr;
+  for (const MemberFinding& member : findings) {
+    if (!member.status || !member.status->is_primary) continue;
+    if (leader == nullptr || member.status->term > leader->status->term) leader = &member;
+  }
+  if (leader != nullptr) {
+    GroupTerm none;
+    none.group = group;
+    co_await open(none, leader->entry.name, leader->status->term, "it leads already");
+  } else {
+    co_await runtime_.sleep_for(kFailoverRetry);
+  }
+}
+
+bool GroupKeeper::is_dead(const std::optional<session::BackendStatus>& status, const GroupTerm& term) const {
+  return !status || !status->is_primary || status->term != term.term;
+}
+
+Awaitable<void> GroupKeeper::examine(GroupName group, bool commits_stall) {
+  const auto term = term_of(group);
+  const registry::BackendEntry* primary = term ? fleet_.find_backend(term->primary) : nullptr;
+  if (primary == nullptr) co_return;
+  const registry::BackendEntry entry = *primary;
+  Reason reason;
+  bool dead = true;
+  for (int look = 0; look < kDeadLooks && dead; ++look) {
+    if (look > 0) co_await runtime_.sleep_for(kDeadLookPause);
+    const TimePoint deadline = runtime_.now() + kStatusTimeout;
+    const auto status = co_await prober_.ask(entry, deadline, reason);
+    const bool busy = !status && reason.code == ReasonCode::kOverloaded;
+    dead = !busy && is_dead(status, *term);
+  }
+  if (!dead && commits_stall) {
+    dead = co_await commits_stalled(group, *term);
+    if (dead) reason = Reason{ReasonCode::kDeadlineExceeded, "replicate", "", "its commits reach no replica"};
+  }
+  if (!dead || !leads()) {
+    log("primary_examined", *term, "it answers as primary");
+    co_return;
+  }
+  co_await close(*term, reason.failed() ? reason.to_string() : "it does not lead this term any more");
+}
+
+Awaitable<bool> GroupKeeper::commits_stalled(GroupName group, GroupTerm term) {
+  const TimePoint begun = runtime_.now();
+  std::optional<Position> first;
+  while (runtime_.now() - begun < kStallLimit) {
+    const auto findings = co_await prober_.ask_all(fleet_.backends_of(group));
+    Position primary;
+    Position furthest;
+    for (const MemberFinding& member : findings) {
+      if (!member.status) continue;
+      if (member.entry.name == term.primary) primary = member.status->received;
+      if (member.entry.name != term.primary) furthest = std::max(furthest, member.status->received);
+    }
+    if (!first) first = primary;
+    if (furthest >= *first) co_return false;
+    co_await runtime_.sleep_for(kFailoverRetry);
+  }
+  co_return true;
+}
+
+Awaitable<void> GroupKeeper::hand_over(GroupName group) {
+  const auto term = term_of(group);
+  if (!term) co_return;
+  const auto findings = co_await prober_.ask_all(fleet_.backends_of(group));
+  std::optional<Position> primary;
+  std::optional<Position> successor;
+  for (const MemberFinding& member : findings) {
+    if (!member.status) continue;
+    if (member.entry.name == term->primary) primary = member.status->received;
+    if (member.entry.name != term->primary && !member.entry.leaving)
+      successor = std::max(successor.value_or(Position{}), member.status->received);
+  }
+  const bool ready = successor && (!primary || successor->index + kHandOverLag >= primary->index);
+  if (ready && leads()) {
+    co_await close(*term, "the primary leaves");
+  } else {
+    co_await runtime_.sleep_for(kFailoverRetry);
+  }
+}
+
+Awaitable<bool> GroupKeeper::close(GroupTerm term, std::string why) {
+  log("group_closing", term, why);
+  Reason reason;
+  registry::Command command = registry::CloseGroup{term.group, term.epoch};
+  const bool closed = co_await calls_.submit(std::move(command), reason);
+  if (!closed) runtime_.logger().log(runtime::LogLevel::kWarning, "group_not_closed", reason, {{"group", term.group.value}});
+  co_return closed;
+}
+
+Awaitable<bool> GroupKeeper::open(GroupTerm closed, BackendName primary, std::uint64_t term, std::string why) {
+  Reason reason;
+  registry::Command command = registry::OpenGroup{closed.group, closed.epoch, term, primary};
+  const bool done = co_await calls_.submit(std::move(command), reason);
+  GroupTerm opened = closed;
+  opened.term = term;
+  opened.primary = primary;
+  log(done ? "group_opened" : "group_not_opened", opened, done ? why : reason.to_string());
+  co_return done;
+}
+
+Awaitable<bool> GroupKeeper::wait_closed(GroupTerm closed) {
+  CloseProgress progress = leases_.close_progress(closed.group, closed.epoch);
+  while (leads() && !progress.complete) {
+    co_await leases_.answered().wait_until(runtime_.now() + kDeadLookPause);
+    progress = leases_.close_progress(closed.group, closed.epoch);
+  }
+  co_return leads();
+}
+
+Awaitable<void> GroupKeeper::fail_over(GroupName group) {
+  const auto closed = term_of(group);
+  if (!closed || closed->open) co_return;
+  const bool quiet = co_await wait_closed(*closed);
+  if (!quiet) co_return;
+  PromotionFacts facts;
+  facts.closed = *closed;
+  const registry::GroupRule* rule = fleet_.find_group(group);
+  if (rule != nullptr) facts.synchronous_replicas = rule->synchronous_replicas;
+  facts.members = co_await prober_.ask_all(fleet_.backends_of(group));
+  const CloseProgress progress = leases_.close_progress(group, closed->epoch);
+  facts.all_acknowledgers_answered = progress.all_answered && fleet_.knows_all_acknowledgers(*closed);
+  facts.highest_acknowledged = progress.highest_acknowledged;
+  const PromotionChoice choice = choose_promotion(facts, true);
+  GroupTerm chosen = *closed;
+  chosen.primary = choice.backend;
+  log("promotion_chosen", chosen, choice.why);
+  if (!leads()) co_return;
+  if (choice.verdict == PromotionVerdict::kNotYet) {
+    co_await runtime_.sleep_for(kFailoverRetry);
+    co_return;
+  }
+  std::optional<std::uint64_t> term = choice.term;
+  if (choice.verdict == PromotionVerdict::kPromote) {
+    term.reset();
+    const bool ordered = co_await promote(*closed, choice.backend);
+    if (ordered) term = co_await wait_promoted(*closed, choice.backend);
+  }
+  if (!term) co_return;
+  const bool opened = co_await open(*closed, choice.backend, *term, choice.why);
+  if (opened && choice.backend != closed->primary)
+    runtime_.spawn("step_down", step_down(group, closed->primary, *term));
+}
+
+Awaitable<bool> GroupKeeper::promote(GroupTerm closed, BackendName backend) {
+  Reason reason;
+  const TimePoint asked = runtime_.now();
+  const auto confirmed = co_await consensus_.read_barrier(asked + kCommitTimeout, reason);
+  if (!confirmed || !leads() || runtime_.now() - asked > kPromotionFreshness) co_return false;
+  registry::PromotionOrder order{closed.group, backend, node_, consensus_.status().term};
+  const TimePoint deadline = runtime_.now() + kPromotionCallTimeout;
+  const bool taken = co_await promotions_.promote(order, deadline, reason);
+  GroupTerm chosen = closed;
+  chosen.primary = backend;
+  log(taken ? "promotion_ordered" : "promotion_unclear", chosen, taken ? "taken" : reason.to_string());
+  // Without a clear answer it may have been taken: the backend's own status tells.
+  co_return taken || reason.code != ReasonCode::kConflict;
+}
+
+Awaitable<std::optional<std::uint64_t>> GroupKeeper::wait_promoted(GroupTerm closed, BackendName backend) {
+  const TimePoint limit = runtime_.now() + kPromotionLimit;
+  Reason reason;
+  while (leads() && runtime_.now() < limit) {
+    const registry::BackendEntry* entry = fleet_.find_backend(backend);
+    if (entry == nullptr) co_return std::nullopt;
+    const registry::BackendEntry asked = *entry;
+    const auto status = co_await prober_.ask(asked, runtime_.now() + kStatusTimeout, reason);
+    if (status && status->is_primary && status->term > closed.term) co_return status->term;
+    co_await runtime_.sleep_for(kPromotionPoll);
+  }
+  co_return std::nullopt;
+}
+
+Awaitable<void> GroupKeeper::step_down(GroupName group, BackendName old_primary, std::uint64_t term) {
+  const TimePoint limit = runtime_.now() + kDemoteLimit;
+  while (leads() && runtime_.now() < limit) {
+    const auto current = term_of(group);
+    const registry::BackendEntry* entry = fleet_.find_backend(old_primary);
+    if (entry == nullptr || !current || current->term != term) co_return;
+    const registry::BackendEntry asked = *entry;
+    Reason reason;
+    const auto status = co_await prober_.demote(asked, term, runtime_.now() + kStatusTimeout, reason);
+    if (status && !status->is_primary) co_return;
+    co_await runtime_.sleep_for(kDemotePause);
+  }
+}
+
+}  // namespace cairnhollow::control::registered
--- /dev/null
+++ b/src/control/registered/group_keeper.h
@@ -0,0 +1,85 @@
+// Keeps one primary in each group of a registered fleet: finds the first, examines suspected ones, replaces dead
+// and leaving ones. Acts on the leader of the control nodes only.
+//
+// Order of a change of primary: close the group in the log, wait until no proxy can acknowledge anything of the
+// old term, compare the logs, promote, see it lead, open the group in the log, tell the old one to step down.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+
+#include "consensus/consensus.h"
+#include "control/registered/group_prober.h"
+#include "control/registered/lease_keeper.h"
+#include "control/registered/leader_calls.h"
+#include "registry/control_service.h"
+#include "registry/state_machine.h"
+#include "runtime/runtime.h"
+#include "runtime/signal.h"
+
+namespace cairnhollow::control::registered {
+
+/// What it refers to outlives it; it lives until the process ends.
+class GroupKeeper {
+ public:
+  GroupKeeper(runtime::Runtime& runtime, consensus::Consensus& consensus, registry::FleetStateMachine& fleet,
+              LeaderCalls& calls, LeaseKeeper& leases, GroupProber& prober,
+              registry::PromotionCaller& promotions, NodeName node);
+
+  void start();
+  void stop();
+  /// A proxy suspects a primary.
+  void note_suspicion(const registry::PrimarySuspicion& suspicion);
+
+ private:
+  struct Suspicion {
+    registry::PrimarySuspicion said;
+    TimePoint at{};
+  };
+  using TermPointer = const registry::GroupTerm*;
+
+  Awaitable<void> run();
+  void look_at(const GroupName& group);
+  void begin(const GroupName& group, Awaitable<void> task);
+  Awaitable<void> run_task(GroupName group, Awaitable<void> task);
+
+  /// A group without a term: whoever leads already is the first primary.
+  Awaitable<void> discover(GroupName group);
+  /// The primary is suspected.
+  Awaitable<void> examine(GroupName group, bool commits_stall);
+  /// The primary leaves: it is replaced once another backend has all of its log.
+  Awaitable<void> hand_over(GroupName group);
+  /// The group is closed: until it is open again.
+  Awaitable<void> fail_over(GroupName group);
+
+  [[nodiscard]] std::optional<registry::GroupTerm> term_of(const GroupName& group) const;
+  [[nodiscard]] bool has_successor(const GroupName& group, const BackendName& primary) const;
+  [[nodiscard]] bool is_dead(const std::optional<session::BackendStatus>& status,
+                             const registry::GroupTerm& term) const;
+  Awaitable<bool> commits_stalled(GroupName group, registry::GroupTerm term);
+  Awaitable<bool> close(registry::GroupTerm term, std::string why);
+  Awaitable<bool> open(registry::GroupTerm closed, BackendName primary, std::uint64_t term, std::string why);
+  Awaitable<bool> wait_closed(registry::GroupTerm closed);
+  Awaitable<bool> promote(registry::GroupTerm closed, BackendName backend);
+  Awaitable<std::optional<std::uint64_t>> wait_promoted(registry::GroupTerm closed, BackendName backend);
+  Awaitable<void> step_down(GroupName group, BackendName old_primary, std::uint64_t term);
+  [[nodiscard]] bool leads() const;
+  void log(const char* event, const registry::GroupTerm& term, const std::string& why);
+
+  runtime::Runtime& runtime_;
+  consensus::Consensus& consensus_;
+  registry::FleetStateMachine& fleet_;
+  LeaderCalls& calls_;
+  LeaseKeeper& leases_;
+  GroupProber& prober_;
+  registry::PromotionCaller& promotions_;
+  NodeName node_;
+  runtime::Signal wake_;
+  std::set<GroupName> busy_;
+  std::map<GroupName, Suspicion> suspicions_;
+  bool stopping_ = false;
+};
+
+}  // namespace cairnhollow::control::registered
--- /dev/null
+++ b/src/control/registered/group_prober.cpp
@@ -0,0 +1,72 @@
+#include "control/registered/group_prober.h"
+
+#include "control/registered/knobs.h"
+
+namespace cairnhollow::control::registered {
+
+struct GroupProber::Survey {
+  explicit Survey(runtime::Runtime& runtime) : done(runtime) {}
+  std::vector<MemberFinding> findings;
+  std::size_t unanswered = 0;
+  runtime::Signal done;
+};
+
+Awaitable<std::optional<session::BackendStatus>> GroupProber::ask(registry::BackendEntry entry,
+                                                                  TimePoint deadline, Reason& reason) {
+  session::BackendRequest request = session::AskStatus{};
+  co_return co_await run(std::move(entry), std::move(request), deadline, reason);
+}
+
+Awaitable<std::optional<session::BackendStatus>> GroupProber::demote(registry::BackendEntry entry,
+                                                                     std::uint64_t term, TimePoint deadline,
+                                                                     Reason& reason) {
+  session::BackendRequest request = session::Demote{term};
+  co_return co_await run(std::move(entry), std::move(request), deadline, reason);
+}
+
+Awaitable<std::optional<session::BackendStatus>> GroupProber::run(registry::BackendEntry entry,
+                                                                  session::BackendRequest request,
+                                                                  TimePoint deadline, Reason& reason) {
+  std::shared_ptr<session::BackendLink> link;
+  if (const auto idle = idle_.find(entry.name); idle != idle_.end()) {
+    link = idle->second;
+    idle_.erase(idle);
+  }
+  if (!link || !link->is_open()) {
+    std::optional<session::Refusal> refusal;
+    const session::BackendAddress address{entry.endpoint, entry.group, entry.name};
+    link = co_await dialer_.open(address, deadline, refusal, reason);
+  }
+  if (!link) co_return std::nullopt;
+  runtime::SendState sent = runtime::SendState::kNotSent;
+  const auto answer = co_await link->run(std::move(request), deadline, sent, reason);
+  if (!answer) co_return std::nullopt;
+  idle_[entry.name] = link;
+  if (answer->refusal) {
+    reason = Reason{ReasonCode::kOverloaded, "ask_status", link->peer(), session::refusal_name(*answer->refusal)};
+    co_return std::nullopt;
+  }
+  co_return link->read_status(*answer, reason);
+}
+
+Awaitable<void> GroupProber::ask_one(std::shared_ptr<Survey> survey, std::size_t place) {
+  Reason reason;
+  const registry::BackendEntry entry = survey->findings[place].entry;
+  const TimePoint deadline = runtime_.now() + kStatusTimeout;
+  const auto status = co_await ask(entry, deadline, reason);
+  survey->findings[place].status = status;
+  --survey->unanswered;
+  if (survey->unanswered == 0) survey->done.notify_all();
+}
+
+Awaitable<std::vector<MemberFinding>> GroupProber::ask_all(std::vector<registry::BackendEntry> entries) {
+  const auto survey = std::make_shared<Survey>(runtime_);
+  for (auto& entry : entries) survey->findings.push_back(MemberFinding{std::move(entry), std::nullopt});
+  survey->unanswered = survey->findings.size();
+  for (std::size_t place = 0; place < survey->findings.size(); ++place)
+    runtime_.spawn("group_probe", ask_one(survey, place));
+  while (survey->unanswered > 0) co_await survey->done.wait();
+  co_return survey->findings;
+}
+
+}  // namespace cairnhollow::control::registered
--- /dev/null
+++ b/src/control/registered/group_prober.h
@@ -0,0 +1,43 @@
+// Asks the backends of a group what they are, over links that are kept.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "control/registered/promotion_choice.h"
+#include "registry/state_machine.h"
+#include "runtime/runtime.h"
+#include "runtime/signal.h"
+#include "session/backend_link.h"
+
+namespace cairnhollow::control::registered {
+
+/// What it refers to outlives it; it lives until the process ends.
+class GroupProber {
+ public:
+  GroupProber(runtime::Runtime& runtime, session::BackendDialer& dialer) : runtime_(runtime), dialer_(dialer) {}
+
+  /// Empty when it does not answer by `deadline`.
+  Awaitable<std::optional<session::BackendStatus>> ask(registry::BackendEntry entry, TimePoint deadline,
+                                                       Reason& reason);
+  /// As ask(), after telling it to step down from any term below `term`.
+  Awaitable<std::optional<session::BackendStatus>> demote(registry::BackendEntry entry, std::uint64_t term,
+                                                          TimePoint deadline, Reason& reason);
+  /// All at once.
+  Awaitable<std::vector<MemberFinding>> ask_all(std::vector<registry::BackendEntry> entries);
+
+ private:
+  struct Survey;
+  Awaitable<std::optional<session::BackendStatus>> run(registry::BackendEntry entry,
+                                                       session::BackendRequest request, TimePoint deadline,
+                                                       Reason& reason);
+  Awaitable<void> ask_one(std::shared_ptr<Survey> survey, std::size_t place);
+
+  runtime::Runtime& runtime_;
+  session::BackendDialer& dialer_;
+  std::map<BackendName, std::shared_ptr<session::BackendLink>> idle_;
+};
+
+}  // namespace cairnhollow::control::registered
--- /dev/null
+++ b/src/control/registered/knobs.h
@@ -0,0 +1,54 @@
+// Limits and intervals of the registered fleet's control that operators do not set.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+#include "base/types.h"
+
+namespace cairnhollow::control::registered {
+
+/// Longest wait for a command to be committed, or for a quorum round, on behalf of a caller.
+inline constexpr Duration kCommitTimeout = std::chrono::milliseconds(800);
+/// Longest wait for a quorum round behind a lease.
+inline constexpr Duration kLeaseBarrierTimeout = std::chrono::milliseconds(500);
+/// How often a control node tells the leader that it lives.
+inline constexpr Duration kPresenceInterval = std::chrono::milliseconds(400);
+inline constexpr Duration kLeaderCallTimeout = std::chrono::milliseconds(700);
+/// A control node not heard for this long is not alive.
+inline constexpr Duration kPresenceLapse = std::chrono::milliseconds(1300);
+/// A voter not heard for this long is replaced where another node stands by.
+inline constexpr Duration kVoterLostAfter = std::chrono::milliseconds(2500);
+/// How long after its start a node waits for the consensus group to have all its voters.
+inline constexpr Duration kFormationPatience = std::chrono::seconds(6);
+inline constexpr Duration kVoterTick = std::chrono::milliseconds(250);
+inline constexpr Duration kVoterChangeLimit = std::chrono::seconds(10);
+/// A proxy whose lease ran out this long ago is forgotten.
+inline constexpr Duration kForgetProxyAfter = std::chrono::seconds(8);
+/// How often groups are looked at when nothing happens.
+inline constexpr Duration kGroupTick = std::chrono::milliseconds(250);
+/// Longest wait for a backend's status.
+inline constexpr Duration kStatusTimeout = std::chrono::milliseconds(300);
+/// Pause between looks at a group whose next primary can't be told yet.
+inline constexpr Duration kFailoverRetry = std::chrono::milliseconds(100);
+/// A suspicion counts for this long.
+inline constexpr Duration kSuspicionLapse = std::chrono::milliseconds(600);
+/// Looks in a row that must find a suspected primary dead.
+inline constexpr int kDeadLooks = 2;
+inline constexpr Duration kDeadLookPause = std::chrono::milliseconds(60);
+/// A primary whose commits stall while replicas are behind for this long is given up.
+inline constexpr Duration kStallLimit = std::chrono::milliseconds(900);
+/// A primary that leaves is given up once another backend lacks at most this many commits.
+inline constexpr std::uint64_t kHandOverLag = 8;
+/// Pause between questions whether a promoted backend leads.
+inline constexpr Duration kPromotionPoll = std::chrono::milliseconds(30);
+/// A promotion that is not seen by then is ordered again.
+inline constexpr Duration kPromotionLimit = std::chrono::seconds(3);
+inline constexpr Duration kPromotionCallTimeout = std::chrono::milliseconds(1000);
+/// A promotion is ordered only when the quorum round before it began at most this long ago.
+inline constexpr Duration kPromotionFreshness = std::chrono::milliseconds(200);
+/// An old primary is told to step down again and again for this long.
+inline constexpr Duration kDemoteLimit = std::chrono::seconds(30);
+inline constexpr Duration kDemotePause = std::chrono::milliseconds(500);
+
+}  // namespace cairnhollow::control::registered
--- /dev/null
+++ b/src/control/registered/leader_calls.cpp
@@ -0,0 +1,175 @@
+#include "control/registered/leader_calls.h"
+
+#include <algorithm>
+
+#include "wire/codec.h"
+
+namespace cairnhollow::control::registered {
+
+LeaderCalls::LeaderCalls(runtime::Runtime& runtime, consensus::Consensus& consensus,
+                         ControlNodeDirectory& directory, NodeName node, Endpoint own_endpoint)
+    : runtime_(runtime),
+      consensus_(consensus),
+      directory_(directory),
+      node_(std::move(node)),
+      own_endpoint_(std::move(own_endpoint)) {}
+
+bool LeaderCalls::leads() const { return consensus_.status().state == consensus::ServerState::kLeader; }
+
+std::optional<Endpoint> LeaderCalls::leader_endpoint() const {
+  const consensus::ConsensusStatus status = consensus_.status();
+  if (status.leader.empty()) return std::nullopt;
+  return Endpoint{status.leader.value, own_endpoint_.port};
+}
+
+Reason LeaderCalls::not_leader() const {
+  const NodeName leader = consensus_.status().leader;
+  return Reason{ReasonCode::kNotLeader, "find_leader", leader.value, "this control node does not lead"};
+}
+
+Awaitable<bool> LeaderCalls::submit(registry::Command command, Reason& reason) {
+  if (leads()) co_return co_await propose(std::move(command), reason);
+  co_return co_await submit_to_leader(std::move(command), reason);
+}
+
+Awaitable<bool> LeaderCalls::propose(registry::Command command, Reason& reason) {
+  registry::LoggedCommand logged{std::move(command)};
+  const TimePoint deadline = runtime_.now() + kCommitTimeout;
+  const auto index = co_await consensus_.propose(wire::encode(logged), deadline, reason);
+  co_return index.has_value();
+}
+
+Awaitable<bool> LeaderCalls::submit_to_leader(registry::Command command, Reason& reason) {
+  const auto leader = leader_endpoint();
+  if (!leader) {
+    reason = Reason{ReasonCode::kNoQuorum, "submit", "", "no leader is known here"};
+    co_return false;
+  }
+  registry::ControlCall request;
+  request.body = registry::SubmitCommand{std::move(command)};
+  const TimePoint deadline = runtime_.now() + kCommitTimeout;
+  const auto answer = co_await call(*leader, std::move(request), deadline, reason);
+  if (answer && answer->refusal) reason = *answer->refusal;
+  co_return answer && !answer->refusal;
+}
+
+Awaitable<void> LeaderCalls::close_at(std::shared_ptr<runtime::FrameConnection> connection, TimePoint deadline,
+                                      std::shared_ptr<bool> done) {
+  co_await runtime_.sleep_for(deadline - runtime_.now());
+  if (!*done) connection->close();
+}
+
+Awaitable<std::shared_ptr<runtime::FrameConnection>> LeaderCalls::connect(Endpoint endpoint, TimePoint deadline,
+                                                                          Reason& reason) {
+  auto connection = co_await runtime_.network().connect(endpoint, deadline, reason);
+  if (!connection) co_return nullptr;
+  wire::Hello hello;
+  hello.conversation = wire::Conversation::kLeader;
+  hello.node = node_;
+  hello.highest_version = hello.protocol_version;
+  const bool greeted = co_await connection->send(wire::encode(hello), reason);
+  if (!greeted) co_return nullptr;
+  co_return connection;
+}
+
+Awaitable<std::optional<registry::ControlAnswer>> LeaderCalls::call(Endpoint endpoint,
+                                                                    registry::ControlCall call,
+                                                                    TimePoint deadline, Reason& reason) {
+  std::shared_ptr<runtime::FrameConnection> connection;
+  const auto idle = std::find_if(idle_.begin(), idle_.end(),
+                                 [&](const Link& link) { return link.endpoint == endpoint; });
+  if (idle != idle_.end()) {
+    connection = idle->connection;
+    idle_.erase(idle);
+  } else {
+    connection = co_await connect(endpoint, deadline, reason);
+  }
+  if (!connection) co_return std::nullopt;
+  const auto done = std::make_shared<bool>(false);
+  runtime_.spawn("leader_call_limit", close_at(connection, deadline, done));
+  const bool sent = co_await connection->send(wire::encode(call), reason);
+  std::optional<std::string> frame;
+  if (sent) frame = co_await connection->receive(reason);
+  *done = true;
+  std::optional<registry::ControlAnswer> answer;
+  if (frame) answer = wire::decode<registry::ControlAnswer>(*frame, reason);
+  if (answer) {
+    idle_.push_back(Link{endpoint, connection});
+  } else {
+    connection->close();
+  }
+  co_return answer;
+}
+
+Awaitable<void> LeaderCalls::serve(std::shared_ptr<runtime::FrameConnection> connection) {
+  while (true) {
+    Reason reason;
+    const auto frame = co_await connection->receive(reason);
+    if (!frame) co_return;
+    auto request = wire::decode<registry::ControlCall>(*frame, reason);
+    if (!request) co_return;
+    const registry::ControlAnswer response = co_await answer(std::move(*request));
+    const bool sent = co_await connection->send(wire::encode(response), reason);
+    if (!sent) co_return;
+  }
+}
+
+Awaitable<registry::ControlAnswer> LeaderCalls::answer(registry::ControlCall call) {
+  registry::ControlAnswer response;
+  response.correlation = call.correlation;
+  if (!leads()) {
+    response.refusal = not_leader();
+    co_return response;
+  }
+  if (const auto* presence = std::get_if<registry::Presence>(&call.body)) {
+    directory_.note_presence(presence->sender, runtime_.now());
+    response.control_endpoints = directory_.serving_endpoints(runtime_.now());
+    co_return response;
+  }
+  Reason reason;
+  auto submit = std::get<registry::SubmitCommand>(std::move(call.body));
+  const bool done = co_await propose(std::move(submit.command), reason);
+  if (!done) response.refusal = reason;
+  co_return response;
+}
+
+void LeaderCalls::announce(consensus::Member self) {
+  runtime_.spawn("announce", run_announcements(std::move(self)));
+}
+
+Awaitable<void> LeaderCalls::run_announcements(consensus::Member self) {
+  while (!stopping_) {
+    if (leads()) {
+      directory_.note_presence(self, runtime_.now());
+    } else {
+      co_await announce_once(self);
+    }
+    co_await runtime_.sleep_for(kPresenceInterval);
+  }
+}
+
+Awaitable<void> LeaderCalls::announce_once(consensus::Member self) {
+  std::optional<Endpoint> target = leader_endpoint();
+  if (!target) target = hinted_leader_;
+  hinted_leader_.reset();
+  if (!target) {
+    const std::vector<Endpoint> endpoints = directory_.endpoints();
+    if (endpoints.empty()) co_return;
+    target = endpoints[next_endpoint_++ % endpoints.size()];
+  }
+  if (*target == own_endpoint_) co_return;
+  registry::ControlCall request;
+  request.body = registry::Presence{self};
+  Reason reason;
+  const TimePoint deadline = runtime_.now() + kLeaderCallTimeout;
+  const auto answer = co_await call(*target, std::move(request), deadline, reason);
+  if (!answer) co_return;
+  directory_.note_endpoints(answer->control_endpoints);
+  if (!answer->refusal) {
+    hinted_leader_ = target;
+  } else if (!answer->refusal->peer.empty()) {
+    hinted_leader_ = Endpoint{answer->refusal->peer, own_endpoint_.port};
+  }
+}
+
+}  // namespace cairnhollow::control::registered
--- /dev/null
+++ b/src/control/registered/lease_keeper.cpp
@@ -0,0 +1,211 @@
+#include "control/registered/lease_keeper.h"
+
+#include <algorithm>
+
+#include "wire/codec.h"
+
+namespace cairnhollow::control::registered {
+
+LeaseKeeper::LeaseKeeper(runtime::Runtime& runtime, consensus::Consensus& consensus,
+                         registry::FleetStateMachine& fleet, ControlNodeDirectory& directory,
+                         LeaderCalls& calls, Duration serving_lease)
+    : runtime_(runtime),
+      consensus_(consensus),
+      fleet_(fleet),
+      directory_(directory),
+      calls_(calls),
+      serving_lease_(serving_lease),
+      answered_(runtime) {}
+
+void LeaseKeeper::start() {
+  runtime_.spawn("lease_push", push_changes());
+  runtime_.spawn("lease_forget", forget_lapsed());
+}
+
+void LeaseKeeper::stop() {
+  stopping_ = true;
+  fleet_.changed().notify_all();
+  for (const auto& [id, follower] : followers_) follower->connection->close();
+}
+
+bool LeaseKeeper::leads() const { return consensus_.status().state == consensus::ServerState::kLeader; }
+
+void LeaseKeeper::watch_leadership() {
+  const consensus::ConsensusStatus status = consensus_.status();
+  if (status.state != consensus::ServerState::kLeader || status.term == led_term_) return;
+  led_term_ = status.term;
+  leads_since_ = runtime_.now();
+  lives_.clear();
+}
+
+Awaitable<void> LeaseKeeper::serve(std::shared_ptr<runtime::FrameConnection> connection, wire::Hello hello) {
+  const std::uint64_t id = next_follower_++;
+  auto follower = std::make_shared<Follower>();
+  follower->connection = connection;
+  follower->node = hello.node;
+  follower->zone = hello.zone;
+  followers_.emplace(id, follower);
+  while (!stopping_) {
+    Reason reason;
+    const auto frame = co_await connection->receive(reason);
+    if (!frame) break;
+    auto report = wire::decode<registry::ProxyReport>(*frame, reason);
+    if (!report) break;
+    runtime_.spawn("lease_report", take_report(follower, std::move(*report)));
+  }
+  followers_.erase(id);
+  connection->close();
+}
+
+Awaitable<void> LeaseKeeper::take_report(std::shared_ptr<Follower> follower, registry::ProxyReport report) {
+  watch_leadership();
+  const TimePoint received = runtime_.now();
+  follower->incarnation = report.incarnation;
+  if (!follower->admitted) follower->revision_sent = report.revision;
+  note_closed(*follower, report.closed);
+  for (const auto& suspicion : report.suspicions) {
+    if (on_suspicion_) on_suspicion_(suspicion);
+  }
+  Reason reason;
+  bool granted = leads();
+  if (!granted) {
+    const auto leader = calls_.leader_endpoint();
+    reason = Reason{ReasonCode::kNotLeader, "renew_lease", leader ? leader->address : "", "does not lead"};
+  }
+  if (granted) granted = co_await admit(follower, reason);
+  const std::uint64_t term = led_term_;
+  if (granted) {
+    const auto index = co_await consensus_.read_barrier(runtime_.now() + kLeaseBarrierTimeout, reason);
+    granted = index.has_value() && leads() && led_term_ == term;
+  }
+  if (granted) {
+    Life& life = lives_[follower->node];
+    if (life.incarnation != follower->incarnation) life = Life{follower->incarnation, {}, {}};
+    life.lease_until = std::max(life.lease_until, received + serving_lease_);
+    follower->admitted = true;
+  }
+  follower->answer_nonce = report.nonce;
+  follower->grant = granted;
+  follower->refusal.reset();
+  if (!granted) follower->refusal = reason;
+  flush(follower);
+}
+
+Awaitable<bool> LeaseKeeper::admit(std::shared_ptr<Follower> follower, Reason& reason) {
+  const auto held = fleet_.proxies().find(follower->node);
+  if (held != fleet_.proxies().end() && held->second.incarnation == follower->incarnation) co_return true;
+  registry::Command command =
+      registry::AdmitProxy{registry::AdmittedProxy{follower->node, follower->incarnation, follower->zone}};
+  co_return co_await calls_.submit(std::move(command), reason);
+}
+
+void LeaseKeeper::note_closed(const Follower& follower, const std::vector<registry::ClosedGroup>& closed) {
+  if (closed.empty()) return;
+  Life& life = lives_[follower.node];
+  if (life.incarnation != follower.incarnation) life = Life{follower.incarnation, {}, {}};
+  for (const auto& group : closed) {
+    registry::ClosedGroup& held = life.closed[group.group];
+    if (group.epoch >= held.epoch) held = group;
+  }
+  answered_.notify_all();
+}
+
+TimePoint LeaseKeeper::lease_bound(const NodeName& node, std::uint64_t incarnation) const {
+  TimePoint bound = leads_since_ + serving_lease_;
+  const auto life = lives_.find(node);
+  if (life != lives_.end() && life->second.incarnation == incarnation)
+    bound = std::max(bound, life->second.lease_until);
+  return bound;
+}
+
+CloseProgress LeaseKeeper::close_progress(const GroupName& group, std::uint64_t epoch) const {
+  CloseProgress progress;
+  progress.all_answered = true;
+  const TimePoint now = runtime_.now();
+  for (const auto& [node, proxy] : fleet_.proxies()) {
+    const auto life = lives_.find(node);
+    const bool same_life = life != lives_.end() && life->second.incarnation == proxy.incarnation;
+    const registry::ClosedGroup* closed = nullptr;
+    if (same_life) {
+      const auto found = life->second.closed.find(group);
+      if (found != life->second.closed.end() && found->second.epoch >= epoch) closed = &found->second;
+    }
+    if (closed != nullptr) {
+      progress.highest_acknowledged = std::max(progress.highest_acknowledged, closed->highest_acknowledged);
+      continue;
+    }
+    progress.all_answered = false;
+    if (now <= lease_bound(node, proxy.incarnation)) ++progress.waiting_for;
+  }
+  progress.complete = progress.waiting_for == 0;
+  return progress;
+}
+
+Awaitable<void> LeaseKeeper::push_changes() {
+  while (!stopping_) {
+    co_await fleet_.changed().wait();
+    for (const auto& [id, follower] : followers_) {
+      if (follower->admitted) flush(follower);
+    }
+  }
+}
+
+Awaitable<void> LeaseKeeper::forget_lapsed() {
+  while (!stopping_) {
+    co_await runtime_.sleep_for(kForgetProxyAfter / 4);
+    watch_leadership();
+    if (!leads()) continue;
+    const TimePoint now = runtime_.now();
+    std::optional<registry::ForgetProxy> lapsed;
+    for (const auto& [node, proxy] : fleet_.proxies()) {
+      if (now > lease_bound(node, proxy.incarnation) + kForgetProxyAfter)
+        lapsed = registry::ForgetProxy{node, proxy.incarnation};
+    }
+    if (!lapsed) continue;
+    runtime_.logger().log(runtime::LogLevel::kInfo, "proxy_forgotten", {{"proxy", lapsed->node.value}});
+    Reason reason;
+    registry::Command command = *lapsed;
+    co_await calls_.submit(std::move(command), reason);
+  }
+}
+
+bool LeaseKeeper::has_something_for(const Follower& follower) const {
+  return follower.answer_nonce > 0 || (follower.admitted && follower.revision_sent < fleet_.revision());
+}
+
+registry::ProxyUpdate LeaseKeeper::make_update(Follower& follower) {
+  registry::ProxyUpdate update;
+  update.nonce = std::exchange(follower.answer_nonce, 0);
+  if (update.nonce > 0 && follower.grant) update.lease = serving_lease_;
+  update.refusal = std::exchange(follower.refusal, std::nullopt);
+  if (!follower.admitted) return update;
+  if (follower.revision_sent < fleet_.revision()) {
+    update.delta = fleet_.delta_since(follower.revision_sent);
+    follower.revision_sent = fleet_.revision();
+  }
+  auto endpoints = directory_.serving_endpoints(runtime_.now());
+  if (endpoints != follower.endpoints_sent) {
+    follower.endpoints_sent = endpoints;
+    update.control_endpoints = std::move(endpoints);
+  }
+  return update;
+}
+
+void LeaseKeeper::flush(const std::shared_ptr<Follower>& follower) {
+  if (follower->sending || !has_something_for(*follower)) return;
+  follower->sending = true;
+  runtime_.spawn("lease_send", send_updates(follower));
+}
+
+Awaitable<void> LeaseKeeper::send_updates(std::shared_ptr<Follower> follower) {
+  bool sent = true;
+  while (sent && has_something_for(*follower)) {
+    const registry::ProxyUpdate update = make_update(*follower);
+    Reason reason;
+    sent = co_await follower->connection->send(wire::encode(update), reason);
+  }
+  follower->sending = false;
+  if (!sent) follower->connection->close();
+}
+
+}  // namespace cairnhollow::control::registered
--- /dev/null
+++ b/src/control/registered/lease_keeper.h
@@ -0,0 +1,99 @@
+// The leader's side of the proxies: serving leases, what changed, and who has answered the close of a group.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+#include "consensus/consensus.h"
+#include "control/registered/control_node_directory.h"
+#include "control/registered/leader_calls.h"
+#include "registry/messages.h"
+#include "registry/state_machine.h"
+#include "runtime/runtime.h"
+#include "runtime/signal.h"
+#include "wire/hello.h"
+
+namespace cairnhollow::control::registered {
+
+/// What the proxies said of a group that was closed.
+struct CloseProgress {
+  bool complete = false;      ///< each admitted proxy has answered, or its lease has surely run out
+  bool all_answered = false;  ///< each admitted proxy has answered
+  Position highest_acknowledged;
+  std::size_t waiting_for = 0;
+};
+
+/// What it refers to outlives it; it lives until the process ends.
+class LeaseKeeper {
+ public:
+  using OnSuspicion = std::function<void(const registry::PrimarySuspicion&)>;
+
+  LeaseKeeper(runtime::Runtime& runtime, consensus::Consensus& consensus, registry::FleetStateMachine& fleet,
+              ControlNodeDirectory& directory, LeaderCalls& calls, Duration serving_lease);
+
+  void start();
+  void stop();
+  void on_suspicion(OnSuspicion callback) { on_suspicion_ = std::move(callback); }
+  /// Serves one proxy's connection until it ends.
+  Awaitable<void> serve(std::shared_ptr<runtime::FrameConnection> connection, wire::Hello hello);
+
+  /// Invariant behind it: a lease granted by an earlier leader runs out within one serving lease of this
+  /// node's election, and one granted here when `lease_until` says.
+  [[nodiscard]] CloseProgress close_progress(const GroupName& group, std::uint64_t epoch) const;
+  /// Notified when a proxy has answered a close.
+  runtime::Signal& answered() { return answered_; }
+  [[nodiscard]] std::size_t followers() const { return followers_.size(); }
+
+ private:
+  struct Follower {
+    std::shared_ptr<runtime::FrameConnection> connection;
+    NodeName node;
+    ZoneName zone;
+    std::uint64_t incarnation = 0;
+    std::uint64_t revision_sent = 0;
+    bool admitted = false;  ///< has had a lease on this connection
+    bool sending = false;
+    std::uint64_t answer_nonce = 0;  ///< of the report to be answered next; 0: none
+    bool grant = false;              ///< with a lease
+    std::optional<Reason> refusal;
+    std::vector<Endpoint> endpoints_sent;
+  };
+  struct Life {
+    std::uint64_t incarnation = 0;
+    TimePoint lease_until{};
+    std::map<GroupName, registry::ClosedGroup> closed;
+  };
+
+  Awaitable<void> take_report(std::shared_ptr<Follower> follower, registry::ProxyReport report);
+  Awaitable<bool> admit(std::shared_ptr<Follower> follower, Reason& reason);
+  void note_closed(const Follower& follower, const std::vector<registry::ClosedGroup>& closed);
+  Awaitable<void> push_changes();
+  Awaitable<void> forget_lapsed();
+  /// Sends what the follower lacks, and goes on until it lacks nothing.
+  void flush(const std::shared_ptr<Follower>& follower);
+  Awaitable<void> send_updates(std::shared_ptr<Follower> follower);
+  [[nodiscard]] bool has_something_for(const Follower& follower) const;
+  registry::ProxyUpdate make_update(Follower& follower);
+  [[nodiscard]] bool leads() const;
+  void watch_leadership();
+  [[nodiscard]] TimePoint lease_bound(const NodeName& node, std::uint64_t incarnation) const;
+
+  runtime::Runtime& runtime_;
+  consensus::Consensus& consensus_;
+  registry::FleetStateMachine& fleet_;
+  ControlNodeDirectory& directory_;
+  LeaderCalls& calls_;
+  Duration serving_lease_;
+  OnSuspicion on_suspicion_;
+  runtime::Signal answered_;
+  std::map<std::uint64_t, std::shared_ptr<Follower>> followers_;
+  std::map<NodeName, Life> lives_;
+  std::uint64_t next_follower_ = 1;
+  std::uint64_t led_term_ = 0;
+  TimePoint leads_since_{};
+  bool stopping_ = false;
+};
+
+}  // namespace cairnhollow::control::registered
--- /dev/null
+++ b/src/control/registered/promotion_choice.h
@@ -0,0 +1,47 @@
+// Which backend may follow a primary that was given up, by what is proved of the logs. Pure: no I/O.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "registry/model.h"
+#include "session/backend_link.h"
+
+namespace cairnhollow::control::registered {
+
+/// One member of the group, as found after the group was closed.
+struct MemberFinding {
+  registry::BackendEntry entry;
+  std::optional<session::BackendStatus> status;  ///< empty: it did not answer
+};
+
+struct PromotionFacts {
+  registry::GroupTerm closed;           ///< the term that is given up
+  std::uint64_t synchronous_replicas = 0;
+  std::vector<MemberFinding> members;
+  /// Every proxy that may have acknowledged anything in that term has said its highest position.
+  bool all_acknowledgers_answered = false;
+  Position highest_acknowledged;  ///< of those that answered
+};
+
+enum class PromotionVerdict : std::uint8_t {
+  kPromote,   ///< `backend` holds every acknowledged commit
+  kReopen,    ///< `backend`, the old primary, leads as before and nobody else may follow yet
+  kAdopt,     ///< `backend` leads a higher term already, and holds every acknowledged commit
+  kNotYet,    ///< nobody can be shown to hold every acknowledged commit
+};
+
+struct PromotionChoice {
+  PromotionVerdict verdict = PromotionVerdict::kNotYet;
+  BackendName backend;
+  std::uint64_t term = 0;  ///< of kReopen and kAdopt
+  std::string why;         ///< for the log
+};
+
+/// Invariant: with one synchronous replica an acknowledged commit is on the primary and on a replica. So the
+/// furthest log holds it when all replicas were compared, or the old primary was, or when it reaches the highest
+/// position that any proxy acknowledged. `reopen_allowed`: the old primary was not given up for good.
+PromotionChoice choose_promotion(const PromotionFacts& facts, bool reopen_allowed);
+
+}  // namespace cairnhollow::control::registered
--- /dev/null
+++ b/src/control/registered/registered_control_node.cpp
@@ -0,0 +1,147 @@
+#include "control/registered/registered_control_node.h"
+
+#include <fmt/format.h>
+
+#include "consensus/raft.h"
+#include "control/connection_dispatcher.h"
+#include "control/registered/control_node_directory.h"
+#include "control/registered/group_keeper.h"
+#include "control/registered/group_prober.h"
+#include "control/registered/leader_calls.h"
+#include "control/registered/lease_keeper.h"
+#include "control/registered/registration_service.h"
+#include "control/registered/voter_keeper.h"
+#include "registry/state_machine.h"
+
+namespace cairnhollow::control::registered {
+
+namespace {
+
+std::vector<consensus::Member> first_members(const RegisteredControlSettings& settings) {
+  std::vector<consensus::Member> members;
+  bool is_seed = false;
+  for (const Endpoint& seed : settings.seeds) {
+    const Endpoint endpoint{seed.address, settings.peer_endpoint.port};
+    is_seed = is_seed || endpoint == settings.peer_endpoint;
+    consensus::Member member;
+    member.node = consensus_name(endpoint);
+    member.endpoint = endpoint;
+    members.push_back(std::move(member));
+  }
+  if (!settings.first_start || !is_seed) members.clear();
+  return members;
+}
+
+consensus::RaftSettings raft_settings(const RegisteredControlSettings& settings) {
+  consensus::RaftSettings raft;
+  raft.node = consensus_name(settings.peer_endpoint);
+  raft.initial_members = first_members(settings);
+  raft.zone = settings.zone;
+  raft.endpoint = settings.peer_endpoint;
+  raft.election_timeout = settings.election_timeout;
+  raft.heartbeat_interval = settings.heartbeat_interval;
+  return raft;
+}
+
+std::vector<Endpoint> seed_peers(const RegisteredControlSettings& settings) {
+  std::vector<Endpoint> peers;
+  for (const Endpoint& seed : settings.seeds) peers.push_back({seed.address, settings.peer_endpoint.port});
+  return peers;
+}
+
+/// The parts' coroutines refer to it until the process ends.
+class RegisteredControlNode : public runtime::Role {
+ public:
+  RegisteredControlNode(runtime::Runtime& runtime, RegisteredControlSettings settings, const ControlEdge& edge)
+      : runtime_(runtime),
+        settings_(std::move(settings)),
+        fleet_(runtime),
+        raft_(consensus::make_raft_node(runtime, fleet_, raft_settings(settings_))),
+        directory_(seed_peers(settings_), *raft_),
+        calls_(runtime, *raft_, directory_, settings_.node, settings_.peer_endpoint),
+        leases_(runtime, *raft_, fleet_, directory_, calls_, settings_.serving_lease),
+        dialer_(edge.make_dialer(runtime, settings_.node)),
+        prober_(runtime, *dialer_),
+        promotions_(edge.make_promotions(runtime, settings_.promotion_endpoint)),
+        groups_(runtime, *raft_, fleet_, calls_, leases_, prober_, *promotions_, settings_.node),
+        voters_(runtime, *raft_, directory_, settings_.lost_disks_tolerated),
+        registrations_(runtime, *raft_, fleet_, calls_, voters_),
+        operator_calls_(edge.make_operator_calls(registrations_)),
+        dispatcher_(runtime) {
+    leases_.on_suspicion([this](const registry::PrimarySuspicion& said) { groups_.note_suspicion(said); });
+  }
+
+  Awaitable<bool> start(Reason& reason) override {
+    const bool recovered = co_await raft_->start(reason);
+    if (!recovered) co_return false;
+    route_conversations();
+    leases_.start();
+    groups_.start();
+    voters_.start();
+    calls_.announce(own_member());
+    if (!dispatcher_.start(settings_.peer_endpoint, reason)) co_return false;
+    operator_server_ = runtime_.http().serve(settings_.operator_endpoint, *operator_calls_, reason);
+    co_return operator_server_ != nullptr;
+  }
+
+  Awaitable<void> drain() override {
+    operator_server_->stop_accepting();
+    dispatcher_.stop();
+    groups_.stop();
+    voters_.stop();
+    calls_.stop();
+    co_await raft_->stop();
+    leases_.stop();
+  }
+
+ private:
+  using Connection = std::shared_ptr<runtime::FrameConnection>;
+
+  void route_conversations() {
+    dispatcher_.route(wire::Conversation::kConsensus, [this](Connection connection, wire::Hello hello) {
+      return raft_->serve(std::move(connection), std::move(hello.node));
+    });
+    dispatcher_.route(wire::Conversation::kServing, [this](Connection connection, wire::Hello hello) {
+      return leases_.serve(std::move(connection), std::move(hello));
+    });
+    dispatcher_.route(wire::Conversation::kLeader, [this](Connection connection, wire::Hello /*hello*/) {
+      return calls_.serve(std::move(connection));
+    });
+  }
+
+  [[nodiscard]] consensus::Member own_member() const {
+    consensus::Member member;
+    member.node = consensus_name(settings_.peer_endpoint);
+    member.identity = raft_->identity();
+    member.endpoint = settings_.peer_endpoint;
+    member.zone = settings_.zone;
+    return member;
+  }
+
+  runtime::Runtime& runtime_;
+  RegisteredControlSettings settings_;
+  registry::FleetStateMachine fleet_;
+  std::unique_ptr<consensus::RaftNode> raft_;
+  ControlNodeDirectory directory_;
+  LeaderCalls calls_;
+  LeaseKeeper leases_;
+  std::unique_ptr<session::BackendDialer> dialer_;
+  GroupProber prober_;
+  std::unique_ptr<registry::PromotionCaller> promotions_;
+  GroupKeeper groups_;
+  VoterKeeper voters_;
+  RegistrationService registrations_;
+  std::unique_ptr<runtime::HttpHandler> operator_calls_;
+  ConnectionDispatcher dispatcher_;
+  std::unique_ptr<runtime::HttpServer> operator_server_;
+};
+
+}  // namespace
+
+std::unique_ptr<runtime::Role> make_registered_control_node(runtime::Runtime& runtime,
+                                                            RegisteredControlSettings settings,
+                                                            const ControlEdge& edge) {
+  return std::make_unique<RegisteredControlNode>(runtime, std::move(settings), edge);
+}
+
+}  // namespace cairnhollow::control::registered
--- /dev/null
+++ b/src/control/registered/registered_control_node.h
@@ -0,0 +1,28 @@
+// The control node of a registered fleet: consensus member or standby, leases of proxies, registrations, changes of
+// primary.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "control/registered/settings.h"
+#include "registry/control_service.h"
+#include "runtime/role.h"
+#include "runtime/runtime.h"
+#include "session/backend_link.h"
+
+namespace cairnhollow::control::registered {
+
+/// How the node speaks with the world around the fleet. Made once, at the start.
+struct ControlEdge {
+  std::function<std::unique_ptr<runtime::HttpHandler>(registry::ControlService&)> make_operator_calls;
+  std::function<std::unique_ptr<registry::PromotionCaller>(runtime::Runtime&, Endpoint)> make_promotions;
+  std::function<std::unique_ptr<session::BackendDialer>(runtime::Runtime&, NodeName)> make_dialer;
+};
+
+/// Creates a control node on `runtime`, which outlives it.
+std::unique_ptr<runtime::Role> make_registered_control_node(runtime::Runtime& runtime,
+                                                            RegisteredControlSettings settings,
+                                                            const ControlEdge& edge);
+
+}  // namespace cairnhollow::control::registered
--- /dev/null
+++ b/src/control/registered/registration_service.cpp
@@ -0,0 +1,81 @@
+#include "control/registered/registration_service.h"
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include "registry/validation.h"
+
+namespace cairnhollow::control::registered {
+
+using runtime::LogLevel;
+
+Awaitable<bool> RegistrationService::confirm(Reason& reason) {
+  const auto index = co_await consensus_.read_barrier(runtime_.now() + kCommitTimeout, reason);
+  co_return index.has_value();
+}
+
+bool RegistrationService::may_acknowledge(Reason& reason) const {
+  if (voters_.is_complete() || runtime_.now() > begun_ + kFormationPatience) return true;
+  reason = Reason{ReasonCode::kNoQuorum, "replace_document", "", "the consensus group is not complete yet"};
+  return false;
+}
+
+Awaitable<bool> RegistrationService::replace_document(registry::ConfigurationDocument document,
+                                                      Reason& reason) {
+  const std::string version = std::to_string(document.version);
+  const std::vector<std::string> faults = registry::find_faults(document);
+  if (!faults.empty()) {
+    reason = Reason{ReasonCode::kInvalidArgument, "replace_document", "", fmt::format("{}", fmt::join(faults, "; "))};
+    runtime_.logger().log(LogLevel::kInfo, "document_refused", reason, {{"version", version}});
+    co_return false;
+  }
+  if (!may_acknowledge(reason)) co_return false;
+  bool done = false;
+  if (document.version <= fleet_.document_version()) {
+    done = co_await confirm(reason);
+  } else {
+    registry::Command command = registry::ReplaceDocument{std::move(document)};
+    done = co_await calls_.submit(std::move(command), reason);
+  }
+  runtime_.logger().log(done ? LogLevel::kInfo : LogLevel::kWarning,
+                        done ? "document_acknowledged" : "document_not_acknowledged", reason,
+                        {{"version", version}, {"held", std::to_string(fleet_.document_version())}});
+  co_return done;
+}
+
+Awaitable<std::optional<std::string>> RegistrationService::read_document(Reason& reason) {
+  const bool confirmed = co_await confirm(reason);
+  if (!confirmed) co_return std::nullopt;
+  if (fleet_.document_version() > 0) co_return fleet_.document_text();
+  reason = Reason{ReasonCode::kNotFound, "read_document", "", "there is no document yet"};
+  co_return std::nullopt;
+}
+
+Awaitable<bool> RegistrationService::register_backend(registry::BackendEntry entry, bool /*says_primary*/,
+                                                      Reason& reason) {
+  const registry::BackendEntry* held = fleet_.find_backend(entry.name);
+  const bool old = held != nullptr && (held->same_facts(entry) || entry.sequence <= held->sequence);
+  // The old news is in the log already, so that it binds whoever serves.
+  if (old || fleet_.is_deregistered(entry.name)) co_return true;
+  const std::string name = entry.name.value;
+  const bool leaving = entry.leaving;
+  const std::string group = entry.group.value;
+  registry::Command command = registry::RegisterBackend{std::move(entry)};
+  const bool done = co_await calls_.submit(std::move(command), reason);
+  runtime_.logger().log(done ? LogLevel::kInfo : LogLevel::kWarning,
+                        done ? "backend_registered" : "backend_not_registered", reason,
+                        {{"backend", name}, {"group", group}, {"leaving", leaving ? "true" : "false"}});
+  co_return done;
+}
+
+Awaitable<bool> RegistrationService::deregister_backend(BackendName name, Reason& reason) {
+  if (fleet_.is_deregistered(name)) co_return true;
+  const std::string text = name.value;
+  registry::Command command = registry::DeregisterBackend{std::move(name)};
+  const bool done = co_await calls_.submit(std::move(command), reason);
+  runtime_.logger().log(done ? LogLevel::kInfo : LogLevel::kWarning,
+                        done ? "backend_deregistered" : "backend_not_deregistered", reason, {{"backend", text}});
+  co_return done;
+}
+
+}  // namespace cairnhollow::control::registered
--- /dev/null
+++ b/src/control/registered/registration_service.h
@@ -0,0 +1,39 @@
+// What operators and backends ask of any control node of a registered fleet.
+#pragma once
+
+#include "consensus/consensus.h"
+#include "control/registered/leader_calls.h"
+#include "control/registered/voter_keeper.h"
+#include "registry/control_service.h"
+#include "registry/state_machine.h"
+#include "runtime/runtime.h"
+
+namespace cairnhollow::control::registered {
+
+/// What it refers to outlives it.
+class RegistrationService : public registry::ControlService {
+ public:
+  RegistrationService(runtime::Runtime& runtime, consensus::Consensus& consensus,
+                      registry::FleetStateMachine& fleet, LeaderCalls& calls, const VoterKeeper& voters)
+      : runtime_(runtime), consensus_(consensus), fleet_(fleet), calls_(calls), voters_(voters), begun_(runtime.now()) {}
+
+  Awaitable<bool> replace_document(registry::ConfigurationDocument document, Reason& reason) override;
+  Awaitable<std::optional<std::string>> read_document(Reason& reason) override;
+  Awaitable<bool> register_backend(registry::BackendEntry entry, bool says_primary, Reason& reason) override;
+  Awaitable<bool> deregister_backend(BackendName name, Reason& reason) override;
+
+ private:
+  Awaitable<bool> confirm(Reason& reason);
+  /// The first voters alone might not keep what is acknowledged; for a while after the start the others are waited
+  /// for.
+  [[nodiscard]] bool may_acknowledge(Reason& reason) const;
+
+  runtime::Runtime& runtime_;
+  consensus::Consensus& consensus_;
+  registry::FleetStateMachine& fleet_;
+  LeaderCalls& calls_;
+  const VoterKeeper& voters_;
+  TimePoint begun_;
+};
+
+}  // namespace cairnhollow::control::registered
--- /dev/null
+++ b/src/control/registered/settings.h
@@ -0,0 +1,29 @@
+// Settings of a control node of a registered fleet.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "base/types.h"
+
+namespace cairnhollow::control::registered {
+
+struct RegisteredControlSettings {
+  NodeName node;
+  ZoneName zone;
+  Endpoint peer_endpoint;      ///< for the fleet's own processes; other nodes listen on the same port
+  Endpoint operator_endpoint;  ///< operators and backends
+  std::vector<Endpoint> seeds;  ///< control nodes to begin with; their addresses count, not their ports
+  /// The fleet starts for the first time: seeds form the consensus group.
+  bool first_start = false;
+  Endpoint promotion_endpoint;
+  /// Disks that may be lost at once; the consensus group keeps twice as many voters and one.
+  std::uint32_t lost_disks_tolerated = 1;
+  Duration serving_lease = std::chrono::seconds(2);
+  Duration election_timeout = std::chrono::milliseconds(500);
+  Duration heartbeat_interval = std::chrono::milliseconds(100);
+  std::optional<Endpoint> metrics_endpoint;
+};
+
+}  // namespace cairnhollow::control::registered
--- /dev/null
+++ b/src/control/registered/voter_keeper.cpp
@@ -0,0 +1,119 @@
+#include "control/registered/voter_keeper.h"
+
+#include <algorithm>
+
+namespace cairnhollow::control::registered {
+
+using consensus::Member;
+using consensus::MemberRole;
+
+namespace {
+
+std::size_t count_voters(const consensus::ConsensusStatus& status) {
+  return static_cast<std::size_t>(
+      std::count_if(status.members.begin(), status.members.end(),
+                    [](const Member& member) { return member.role == MemberRole::kVoter; }));
+}
+
+const Member* find_member(const consensus::ConsensusStatus& status, const NodeName& node) {
+  const auto found = std::find_if(status.members.begin(), status.members.end(),
+                                  [&](const Member& member) { return member.node == node; });
+  return found == status.members.end() ? nullptr : &*found;
+}
+
+}  // namespace
+
+VoterKeeper::VoterKeeper(runtime::Runtime& runtime, consensus::Consensus& consensus,
+                         const ControlNodeDirectory& directory, std::uint32_t lost_disks_tolerated)
+    : runtime_(runtime),
+      consensus_(consensus),
+      directory_(directory),
+      wanted_voters_(2 * std::size_t{lost_disks_tolerated} + 1) {}
+
+void VoterKeeper::start() { runtime_.spawn("voter_keeper", run()); }
+
+bool VoterKeeper::is_complete() const { return count_voters(consensus_.status()) >= wanted_voters_; }
+
+Awaitable<void> VoterKeeper::run() {
+  while (!stopping_) {
+    auto change = find_change(runtime_.now());
+    if (change) co_await carry_out(std::move(*change));
+    co_await runtime_.sleep_for(kVoterTick);
+  }
+}
+
+std::optional<VoterKeeper::Change> VoterKeeper::find_change(TimePoint now) {
+  const consensus::ConsensusStatus status = consensus_.status();
+  // After a freeze of this node, or before it led, it does not know for how long a voter has been silent.
+  const bool looked_lately = now - last_look_ < 4 * kVoterTick;
+  last_look_ = now;
+  if (status.state != consensus::ServerState::kLeader || !looked_lately) heard_at_.clear();
+  if (status.state != consensus::ServerState::kLeader) return std::nullopt;
+  const auto lost = find_lost(status, now);
+  if (lost) {
+    const auto standby = find_standby(status, &*lost, now);
+    if (standby) return Change{lost, *standby};
+  }
+  if (count_voters(status) >= wanted_voters_) return std::nullopt;
+  const auto standby = find_standby(status, nullptr, now);
+  if (!standby) return std::nullopt;
+  return Change{std::nullopt, *standby};
+}
+
+std::optional<Member> VoterKeeper::find_lost(const consensus::ConsensusStatus& status, TimePoint now) {
+  std::optional<Member> lost;
+  for (const Member& member : status.members) {
+    if (member.role != MemberRole::kVoter || member.node == status.leader) continue;
+    auto& heard_at = heard_at_.try_emplace(member.node, now).first->second;
+    const auto alive = directory_.alive(member.node, now);
+    if (alive && alive->identity == member.identity) heard_at = now;
+    const bool wiped = alive && alive->identity != member.identity;
+    if (!lost && (wiped || now - heard_at > kVoterLostAfter)) lost = member;
+  }
+  return lost;
+}
+
+std::optional<Member> VoterKeeper::find_standby(const consensus::ConsensusStatus& status, const Member* lost,
+                                                TimePoint now) const {
+  if (lost != nullptr) {
+    const auto same_node = directory_.alive(lost->node, now);
+    if (same_node && same_node->identity != lost->identity) return same_node;
+  }
+  std::optional<Member> chosen;
+  for (const Member& candidate : directory_.all_alive(now)) {
+    const Member* member = find_member(status, candidate.node);
+    if (member != nullptr && member->role == MemberRole::kVoter) continue;
+    const bool same_zone = lost != nullptr && candidate.zone == lost->zone;
+    if (!chosen || same_zone) chosen = candidate;
+  }
+  return chosen;
+}
+
+Awaitable<void> VoterKeeper::carry_out(Change change) {
+  Member standby = change.standby;
+  standby.role = MemberRole::kVoter;
+  const std::string lost_name = change.lost ? change.lost->node.value : "";
+  runtime_.logger().log(runtime::LogLevel::kInfo, "voter_change_begun",
+                        {{"lost", lost_name}, {"standby", standby.node.value}});
+  const TimePoint deadline = runtime_.now() + kVoterChangeLimit;
+  Reason reason;
+  const consensus::ConsensusStatus status = consensus_.status();
+  const Member* present = find_member(status, standby.node);
+  const bool replaces_itself = change.lost && change.lost->node == standby.node;
+  if (present != nullptr && present->identity != standby.identity && !replaces_itself) {
+    // A learner whose disk was lost meanwhile.
+    co_await consensus_.remove_member(standby.node, deadline, reason);
+  }
+  bool done = false;
+  if (change.lost) {
+    done = co_await consensus_.replace_member(change.lost->node, standby, deadline, reason);
+  } else {
+    done = co_await consensus_.add_member(standby, deadline, reason);
+  }
+  runtime_.logger().log(done ? runtime::LogLevel::kInfo : runtime::LogLevel::kWarning,
+                        done ? "voter_changed" : "voter_not_changed", reason,
+                        {{"lost", lost_name}, {"standby", standby.node.value}});
+  heard_at_.clear();
+}
+
+}  // namespace cairnhollow::control::registered
--- /dev/null
+++ b/src/control/registered/voter_keeper.h
@@ -0,0 +1,49 @@
+// Keeps as many voters in the consensus group as the disks that may be lost demand, out of the control nodes that
+// live. Acts on the leader only.
+#pragma once
+
+#include <map>
+#include <optional>
+
+#include "consensus/consensus.h"
+#include "control/registered/control_node_directory.h"
+#include "runtime/runtime.h"
+#include "runtime/signal.h"
+
+namespace cairnhollow::control::registered {
+
+/// What it refers to outlives it; it lives until the process ends.
+class VoterKeeper {
+ public:
+  VoterKeeper(runtime::Runtime& runtime, consensus::Consensus& consensus,
+              const ControlNodeDirectory& directory, std::uint32_t lost_disks_tolerated);
+
+  void start();
+  void stop() { stopping_ = true; }
+  /// Whether the group has as many voters as it should: before that an acknowledgement might not survive.
+  [[nodiscard]] bool is_complete() const;
+
+ private:
+  struct Change {
+    std::optional<consensus::Member> lost;  ///< empty: a voter is added
+    consensus::Member standby;
+  };
+
+  Awaitable<void> run();
+  std::optional<Change> find_change(TimePoint now);
+  std::optional<consensus::Member> find_lost(const consensus::ConsensusStatus& status, TimePoint now);
+  [[nodiscard]] std::optional<consensus::Member> find_standby(const consensus::ConsensusStatus& status,
+                                                              const consensus::Member* lost,
+                                                              TimePoint now) const;
+  Awaitable<void> carry_out(Change change);
+
+  runtime::Runtime& runtime_;
+  consensus::Consensus& consensus_;
+  const ControlNodeDirectory& directory_;
+  std::size_t wanted_voters_;
+  std::map<NodeName, TimePoint> heard_at_;
+  TimePoint last_look_{};
+  bool stopping_ = false;
+};
+
+}  // namespace cairnhollow::control::registered
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -4,7 +4,7 @@
 #include <memory>
 #include <string>
 
-#include "http/byte_stream.h"
+#include "runtime/asio/byte_stream.h"
 #include "http/message_parser.h"
 #include "runtime/http.h"
 
@@ -32,7 +32,7 @@
   std::optional<runtime::HttpResponse> take_response();
   void fail(ReasonCode code, std::string detail);
 
-  std::shared_ptr<ByteStream> stream_;
+  std::shared_ptr<runtime::ByteStream> stream_;
   std::unique_ptr<ResponseParser> parser_;
   std::string out_;  ///< reused from request to request
   bool in_exchange_ = false;
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -45,7 +45,7 @@
 ServerConnection::ServerConnection(boost::asio::ip::tcp::socket socket,
                                    std::shared_ptr<ConnectionOwner> owner, runtime::HttpConnectionId id,
                                    const HttpTransportSettings& settings)
-    : stream_(std::make_shared<ByteStream>(std::move(socket))),
+    : stream_(std::make_shared<runtime::ByteStream>(std::move(socket))),
       owner_(std::move(owner)),
       id_(id),
       settings_(settings),
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -6,7 +6,7 @@
 #include <optional>
 #include <string>
 
-#include "http/byte_stream.h"
+#include "runtime/asio/byte_stream.h"
 #include "http/http_transport.h"
 #include "http/message_parser.h"
 #include "runtime/http.h"
@@ -45,7 +45,7 @@
   /// Answers a request that cannot be read, when it is that, and ends the connection.
   Awaitable<void> refuse_unreadable();
 
-  std::shared_ptr<ByteStream> stream_;
+  std::shared_ptr<runtime::ByteStream> stream_;
   std::shared_ptr<ConnectionOwner> owner_;
   runtime::HttpConnectionId id_;
   HttpTransportSettings settings_;
--- a/src/programs/cairnhollow_control.cpp
+++ b/src/programs/cairnhollow_control.cpp
@@ -1,22 +1,42 @@
 // The control node: replicated configuration, serving leases, supervision of database groups.
 #include "cli/program.h"
 #include "cli/settings_control.h"
+#include "cli/settings_registered.h"
 #include "control/control_node.h"
+#include "control/registered/registered_control_node.h"
+#include "platform/edge.h"
 
 namespace cli = cairnhollow::cli;
 namespace control = cairnhollow::control;
+namespace platform = cairnhollow::platform;
+namespace runtime = cairnhollow::runtime;
 
 namespace {
 
-cli::ProgramPlan read_settings(cli::SettingsReader& reader) {
-  cli::ProgramPlan plan;
+void read_declared(cli::SettingsReader& reader, cli::ProgramPlan& plan) {
   const control::ControlSettings settings = cli::read_control_settings(reader);
   plan.node = settings.node.value;
   plan.zone = settings.zone.value;
-  plan.data_folder = cli::read_data_folder(reader);
-  plan.make_role = [settings](cairnhollow::runtime::Runtime& runtime) {
+  plan.make_role = [settings](runtime::Runtime& runtime) {
     return control::make_control_node(runtime, settings);
   };
+}
+
+void read_registered(cli::SettingsReader& reader, cli::ProgramPlan& plan) {
+  const auto settings = cli::read_registered_control_settings(reader);
+  plan.node = settings.node.value;
+  plan.zone = settings.zone.value;
+  plan.make_role = [settings](runtime::Runtime& runtime) {
+    return control::registered::make_registered_control_node(runtime, settings, platform::control_edge());
+  };
+}
+
+cli::ProgramPlan read_settings(cli::SettingsReader& reader) {
+  cli::ProgramPlan plan;
+  const bool registered = cli::read_fleet_kind(reader) == cli::FleetKind::kRegistered;
+  if (registered) read_registered(reader, plan);
+  if (!registered) read_declared(reader, plan);
+  plan.data_folder = cli::read_data_folder(reader);
   return plan;
 }
 
--- a/src/programs/cairnhollow_proxy.cpp
+++ b/src/programs/cairnhollow_proxy.cpp
@@ -1,21 +1,40 @@
 // The proxy: serves callers and decides for each statement which backend may serve it.
 #include "cli/program.h"
 #include "cli/settings_proxy.h"
+#include "cli/settings_registered.h"
+#include "platform/edge.h"
 #include "proxy/proxy_server.h"
+#include "session/session_proxy.h"
 
 namespace cli = cairnhollow::cli;
+namespace platform = cairnhollow::platform;
 namespace proxy = cairnhollow::proxy;
+namespace runtime = cairnhollow::runtime;
+namespace session = cairnhollow::session;
 
 namespace {
 
-cli::ProgramPlan read_settings(cli::SettingsReader& reader) {
-  cli::ProgramPlan plan;
+void read_declared(cli::SettingsReader& reader, cli::ProgramPlan& plan) {
   const proxy::ProxySettings settings = cli::read_proxy_settings(reader);
   plan.node = settings.node.value;
   plan.zone = settings.zone.value;
-  plan.make_role = [settings](cairnhollow::runtime::Runtime& runtime) {
-    return proxy::make_proxy(runtime, settings);
+  plan.make_role = [settings](runtime::Runtime& runtime) { return proxy::make_proxy(runtime, settings); };
+}
+
+void read_registered(cli::SettingsReader& reader, cli::ProgramPlan& plan) {
+  const session::SessionProxySettings settings = cli::read_session_proxy_settings(reader);
+  plan.node = settings.node.value;
+  plan.zone = settings.zone.value;
+  plan.make_role = [settings](runtime::Runtime& runtime) {
+    return session::make_session_proxy(runtime, settings, platform::session_edge());
   };
+}
+
+cli::ProgramPlan read_settings(cli::SettingsReader& reader) {
+  cli::ProgramPlan plan;
+  const bool registered = cli::read_fleet_kind(reader) == cli::FleetKind::kRegistered;
+  if (registered) read_registered(reader, plan);
+  if (!registered) read_declared(reader, plan);
   return plan;
 }
 
--- /dev/null
+++ b/src/registry/delta.h
@@ -0,0 +1,33 @@
+// What changed in a registered fleet between two revisions, as proxies are told.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "registry/model.h"
+
+namespace cairnhollow::registry {
+
+/// `is_whole`: replaces all that the receiver has; else it changes what it names.
+struct FleetDelta {
+  bool is_whole = false;
+  std::uint64_t revision = 0;  ///< that the receiver holds afterwards; 0: nothing is known yet
+  std::uint64_t document_version = 0;
+  std::uint64_t transaction_idle_ms = 0;
+  std::uint64_t proxies = 0;  ///< admitted ones; they share each backend's connections
+  std::vector<RouteRule> routes;
+  std::vector<RouteName> removed_routes;
+  std::vector<GroupRule> groups;
+  std::vector<GroupName> removed_groups;
+  std::vector<BackendEntry> backends;
+  std::vector<BackendName> removed_backends;
+  std::vector<GroupTerm> terms;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(is_whole, revision, document_version, transaction_idle_ms, proxies, routes, removed_routes, groups,
+            removed_groups, backends, removed_backends, terms);
+  }
+};
+
+}  // namespace cairnhollow::registry
--- /dev/null
+++ b/src/registry/messages.h
@@ -0,0 +1,112 @@
+// What a registered fleet's processes say to each other: proxies and standing-by control nodes to the leader.
+#pragma once
+
+#include <cereal/types/variant.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/reason.h"
+#include "consensus/consensus.h"
+#include "registry/commands.h"
+#include "registry/delta.h"
+
+namespace cairnhollow::registry {
+
+/// A proxy has stopped using the primary of a closed group and acknowledges nothing of it any more.
+struct ClosedGroup {
+  GroupName group;
+  std::uint64_t epoch = 0;        ///< of the close
+  Position highest_acknowledged;  ///< in any term, by this life of the proxy
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(group, epoch, highest_acknowledged);
+  }
+};
+
+/// A statement to a primary failed in a way that a dead or cut-off one explains.
+struct PrimarySuspicion {
+  GroupName group;
+  BackendName backend;
+  std::uint64_t term = 0;
+  bool commits_stall = false;  ///< it answers, but commits do not
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(group, backend, term, commits_stall);
+  }
+};
+
+/// Proxy to leader. Asks for a lease, and answers closes.
+struct ProxyReport {
+  std::uint64_t nonce = 0;
+  std::uint64_t incarnation = 0;
+  std::uint64_t revision = 0;  ///< that the proxy holds; 0: nothing
+  std::vector<ClosedGroup> closed;
+  std::vector<PrimarySuspicion> suspicions;
+  bool draining = false;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(nonce, incarnation, revision, closed, suspicions, draining);
+  }
+};
+
+/// Leader to proxy: a lease (an answer to a report), a change, or both.
+struct ProxyUpdate {
+  std::uint64_t nonce = 0;  ///< of the newest report that this answers; 0: pushed unasked
+  Duration lease{0};        ///< from the moment of asking, on the proxy's clock; 0: none
+  std::optional<FleetDelta> delta;
+  std::vector<Endpoint> control_endpoints;  ///< where control nodes are; empty: as before
+  std::optional<Reason> refusal;            ///< kNotLeader names the leader's address as peer, where known
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    auto lease_nanoseconds = lease.count();
+    archive(nonce, lease_nanoseconds, delta, control_endpoints, refusal);
+    lease = Duration(lease_nanoseconds);
+  }
+};
+
+/// Control node to leader: a command to put into the log.
+struct SubmitCommand {
+  Command command;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(command);
+  }
+};
+
+/// Control node to leader, again and again: it lives, under this identity, at this endpoint.
+struct Presence {
+  consensus::Member sender;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(sender);
+  }
+};
+
+struct ControlCall {
+  std::uint64_t correlation = 0;
+  std::variant<SubmitCommand, Presence> body;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(correlation, body);
+  }
+};
+
+struct ControlAnswer {
+  std::uint64_t correlation = 0;
+  std::optional<Reason> refusal;            ///< kNotLeader names the leader's address as peer, where known
+  std::vector<Endpoint> control_endpoints;  ///< of all control nodes that the leader knows
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(correlation, refusal, control_endpoints);
+  }
+};
+
+}  // namespace cairnhollow::registry
--- /dev/null
+++ b/src/registry/model.h
@@ -0,0 +1,115 @@
+// What a registered fleet consists of: the configuration document, the backends that registered themselves, the
+// terms of the database groups, and the proxies that may hold a serving lease.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/types.h"
+
+namespace cairnhollow::registry {
+
+/// How fresh the data must be that a route's reads show.
+enum class ReadPolicy : std::uint8_t {
+  kPrimary = 0,           ///< everything acknowledged before the read began
+  kBoundedStaleness = 1,  ///< everything acknowledged more than the bound ago
+  kReadYourWrites = 2,    ///< the same, and everything that the session itself committed
+};
+
+/// Which database group serves a database, and how.
+struct RouteRule {
+  RouteName name;
+  DatabaseName database;
+  std::string path_prefix;  ///< with the database's name unique in a document
+  GroupName group;
+  ReadPolicy reads = ReadPolicy::kPrimary;
+  std::uint64_t timeout_ms = 0;         ///< of one statement; not 0
+  std::uint64_t target_latency_ms = 0;  ///< that callers aim at, of a whole operation
+  std::uint64_t priority = 0;           ///< 0 is the highest
+  std::uint64_t max_staleness_ms = 0;
+  bool operator==(const RouteRule&) const = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(name, database, path_prefix, group, reads, timeout_ms, target_latency_ms, priority,
+            max_staleness_ms);
+  }
+};
+
+struct GroupRule {
+  GroupName name;
+  std::uint64_t max_connections = 0;  ///< that one backend takes from all callers; 0: no limit
+  std::uint64_t synchronous_replicas = 0;
+  bool operator==(const GroupRule&) const = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(name, max_connections, synchronous_replicas);
+  }
+};
+
+/// The whole configuration of a registered fleet. The highest version holds.
+struct ConfigurationDocument {
+  std::uint64_t version = 0;
+  std::string text;  ///< as it was sent; read back as it is
+  std::vector<RouteRule> routes;
+  std::vector<GroupRule> groups;
+  std::uint64_t transaction_idle_ms = 0;  ///< a transaction that rests longer may be ended; 0: never
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(version, text, routes, groups, transaction_idle_ms);
+  }
+};
+
+/// One backend as it registered itself.
+struct BackendEntry {
+  BackendName name;
+  GroupName group;
+  Endpoint endpoint;
+  ZoneName zone;
+  std::uint64_t slots = 0;
+  bool leaving = false;
+  std::uint64_t sequence = 0;  ///< of the registration; a lower one that comes later is old
+  /// Whether a newer registration says anything new.
+  [[nodiscard]] bool same_facts(const BackendEntry& other) const {
+    return group == other.group && endpoint == other.endpoint && zone == other.zone && slots == other.slots &&
+           leaving == other.leaving;
+  }
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(name, group, endpoint, zone, slots, leaving, sequence);
+  }
+};
+
+/// Who leads a group, as the fleet knows it. A group is closed from the moment in which its primary is given
+/// up until the next one is known to lead; a closed group takes no writes and acknowledges none.
+struct GroupTerm {
+  GroupName group;
+  std::uint64_t term = 0;
+  BackendName primary;
+  bool open = false;
+  std::uint64_t epoch = 0;  ///< grows with each change of this entry
+  std::uint64_t opened_at = 0;  ///< revision at which the primary was last known to lead
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(group, term, primary, open, epoch, opened_at);
+  }
+};
+
+/// One life of a proxy's process that may hold a serving lease.
+struct AdmittedProxy {
+  NodeName node;
+  std::uint64_t incarnation = 0;
+  ZoneName zone;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(node, incarnation, zone);
+  }
+};
+
+}  // namespace cairnhollow::registry
--- /dev/null
+++ b/src/registry/state_machine.cpp
@@ -0,0 +1,167 @@
+#include "registry/state_machine.h"
+
+#include <set>
+#include <utility>
+
+#include "wire/codec.h"
+
+namespace cairnhollow::registry {
+
+namespace {
+
+/// Removed rows remembered at most, of each table.
+constexpr std::size_t kMaxRemovedRows = 4096;
+
+}  // namespace
+
+void FleetStateMachine::apply(std::uint64_t /*index*/, const std::string& command) {
+  Reason reason;
+  auto logged = wire::decode<LoggedCommand>(command, reason);
+  if (!logged) return;  // of a newer build; every node of this one passes it over
+  const bool effective =
+      std::visit([this](auto& alternative) { return take(alternative); }, logged->command);
+  if (!effective) return;
+  state_.revision = next_revision();
+  bound_removed();
+  changed_.notify_all();
+}
+
+bool FleetStateMachine::take(ReplaceDocument& command) {
+  ConfigurationDocument& document = command.document;
+  if (document.version <= state_.document_version) return false;
+  state_.document_version = document.version;
+  state_.document_text = std::move(document.text);
+  state_.transaction_idle_ms = document.transaction_idle_ms;
+  replace_routes(document.routes);
+  replace_groups(document.groups);
+  return true;
+}
+
+void FleetStateMachine::replace_routes(const std::vector<RouteRule>& routes) {
+  std::set<RouteName> kept;
+  for (const RouteRule& route : routes) {
+    kept.insert(route.name);
+    const RouteRule* held = state_.routes.find(route.name);
+    if (held == nullptr || !(*held == route)) state_.routes.put(route.name, route, next_revision());
+  }
+  for (const RouteRule& route : state_.routes.all()) {
+    if (kept.count(route.name) == 0) state_.routes.remove(route.name, next_revision());
+  }
+}
+
+void FleetStateMachine::replace_groups(const std::vector<GroupRule>& groups) {
+  std::set<GroupName> kept;
+  for (const GroupRule& group : groups) {
+    kept.insert(group.name);
+    const GroupRule* held = state_.groups.find(group.name);
+    if (held == nullptr || !(*held == group)) state_.groups.put(group.name, group, next_revision());
+  }
+  for (const GroupRule& group : state_.groups.all()) {
+    if (kept.count(group.name) == 0) state_.groups.remove(group.name, next_revision());
+  }
+}
+
+bool FleetStateMachine::take(RegisterBackend& command) {
+  BackendEntry& entry = command.entry;
+  if (state_.backends.was_removed(entry.name)) return false;
+  const BackendEntry* held = state_.backends.find(entry.name);
+  if (held != nullptr && (entry.sequence <= held->sequence || held->same_facts(entry))) return false;
+  // An address belongs to who registered there last.
+  for (const BackendEntry& other : state_.backends.all()) {
+    if (other.endpoint == entry.endpoint && other.name != entry.name)
+      state_.backends.remove(other.name, next_revision());
+  }
+  const BackendName name = entry.name;
+  state_.backends.put(name, std::move(entry), next_revision());
+  return true;
+}
+
+bool FleetStateMachine::take(DeregisterBackend& command) {
+  return state_.backends.remove(command.name, next_revision());
+}
+
+bool FleetStateMachine::take(AdmitProxy& command) {
+  AdmittedProxy& proxy = command.proxy;
+  const auto held = state_.proxies.find(proxy.node);
+  if (held != state_.proxies.end() && held->second.incarnation == proxy.incarnation) return false;
+  if (held != state_.proxies.end()) state_.proxy_lost_at = next_revision();
+  const NodeName node = proxy.node;
+  state_.proxies[node] = std::move(proxy);
+  return true;
+}
+
+bool FleetStateMachine::take(ForgetProxy& command) {
+  const auto held = state_.proxies.find(command.node);
+  if (held == state_.proxies.end() || held->second.incarnation != command.incarnation) return false;
+  state_.proxies.erase(held);
+  state_.proxy_lost_at = next_revision();
+  return true;
+}
+
+bool FleetStateMachine::take(CloseGroup& command) {
+  const GroupTerm* held = state_.terms.find(command.group);
+  if (held == nullptr || !held->open || held->epoch != command.epoch) return false;
+  GroupTerm closed = *held;
+  closed.open = false;
+  ++closed.epoch;
+  state_.terms.put(command.group, closed, next_revision());
+  return true;
+}
+
+bool FleetStateMachine::take(OpenGroup& command) {
+  const GroupTerm* held = state_.terms.find(command.group);
+  const std::uint64_t epoch = held == nullptr ? 0 : held->epoch;
+  if (epoch != command.epoch || (held != nullptr && held->open)) return false;
+  if (held != nullptr && command.term < held->term) return false;
+  state_.terms.put(command.group, GroupTerm{command.group, command.term, command.primary, true, epoch + 1, next_revision()},
+                   next_revision());
+  return true;
+}
+
+void FleetStateMachine::bound_removed() {
+  if (state_.routes.removed_count() <= kMaxRemovedRows && state_.backends.removed_count() <= kMaxRemovedRows)
+    return;
+  state_.routes.forget_removed(state_.revision);
+  state_.groups.forget_removed(state_.revision);
+  state_.backends.forget_removed(state_.revision);
+  state_.complete_from = state_.revision;
+}
+
+std::string FleetStateMachine::take_snapshot() const { return wire::encode(state_); }
+
+bool FleetStateMachine::restore_snapshot(const std::string& bytes, Reason& reason) {
+  auto state = wire::decode<State>(bytes, reason);
+  if (!state) return false;
+  state_ = std::move(*state);
+  changed_.notify_all();
+  return true;
+}
+
+std::vector<BackendEntry> FleetStateMachine::backends_of(const GroupName& group) const {
+  std::vector<BackendEntry> members;
+  for (BackendEntry& entry : state_.backends.all()) {
+    if (entry.group == group) members.push_back(std::move(entry));
+  }
+  return members;
+}
+
+FleetDelta FleetStateMachine::delta_since(std::uint64_t revision) const {
+  FleetDelta delta;
+  delta.is_whole = revision == 0 || revision < state_.complete_from;
+  const std::uint64_t since = delta.is_whole ? 0 : revision;
+  delta.revision = state_.revision;
+  delta.document_version = state_.document_version;
+  delta.transaction_idle_ms = state_.transaction_idle_ms;
+  delta.proxies = state_.proxies.size();
+  delta.routes = state_.routes.changed_since(since);
+  delta.groups = state_.groups.changed_since(since);
+  delta.backends = state_.backends.changed_since(since);
+  delta.terms = state_.terms.changed_since(since);
+  if (delta.is_whole) return delta;
+  delta.removed_routes = state_.routes.removed_since(since);
+  delta.removed_groups = state_.groups.removed_since(since);
+  delta.removed_backends = state_.backends.removed_since(since);
+  return delta;
+}
+
+}  // namespace cairnhollow::registry
--- /dev/null
+++ b/src/registry/state_machine.h
@@ -0,0 +1,96 @@
+// The replicated state of a registered fleet.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "consensus/consensus.h"
+#include "registry/commands.h"
+#include "registry/delta.h"
+#include "registry/revised_table.h"
+#include "runtime/signal.h"
+
+namespace cairnhollow::registry {
+
+/// Deterministic: the same commands in the same order give the same state on every node. A command without
+/// effect leaves the revision as it is.
+class FleetStateMachine : public consensus::ReplicatedStateMachine {
+ public:
+  explicit FleetStateMachine(runtime::Runtime& runtime) : changed_(runtime) {}
+
+  void apply(std::uint64_t index, const std::string& command) override;
+  [[nodiscard]] std::string take_snapshot() const override;
+  bool restore_snapshot(const std::string& bytes, Reason& reason) override;
+
+  [[nodiscard]] std::uint64_t revision() const { return state_.revision; }
+  [[nodiscard]] std::uint64_t document_version() const { return state_.document_version; }
+  /// The document as it was sent; empty before the first.
+  [[nodiscard]] const std::string& document_text() const { return state_.document_text; }
+  [[nodiscard]] std::vector<GroupRule> groups() const { return state_.groups.all(); }
+  [[nodiscard]] const GroupRule* find_group(const GroupName& group) const {
+    return state_.groups.find(group);
+  }
+  [[nodiscard]] const BackendEntry* find_backend(const BackendName& name) const {
+    return state_.backends.find(name);
+  }
+  /// Deregistered for good; a late heartbeat does not bring it back.
+  [[nodiscard]] bool is_deregistered(const BackendName& name) const {
+    return state_.backends.was_removed(name);
+  }
+  [[nodiscard]] std::vector<BackendEntry> backends_of(const GroupName& group) const;
+  [[nodiscard]] std::vector<BackendEntry> backends() const { return state_.backends.all(); }
+  [[nodiscard]] const GroupTerm* find_term(const GroupName& group) const { return state_.terms.find(group); }
+  [[nodiscard]] const std::map<NodeName, AdmittedProxy>& proxies() const { return state_.proxies; }
+
+  /// Whether every proxy that may have acknowledged something since the group's primary led is still admitted.
+  [[nodiscard]] bool knows_all_acknowledgers(const GroupTerm& term) const {
+    return state_.proxy_lost_at <= term.opened_at;
+  }
+
+  /// What a follower that holds `revision` lacks; everything when that is cheaper or it holds nothing.
+  [[nodiscard]] FleetDelta delta_since(std::uint64_t revision) const;
+  /// Notified after each command with an effect.
+  runtime::Signal& changed() { return changed_; }
+
+ private:
+  struct State {
+    std::uint64_t revision = 0;
+    /// Removed rows are known from this revision on.
+    std::uint64_t complete_from = 0;
+    std::uint64_t document_version = 0;
+    std::string document_text;
+    std::uint64_t transaction_idle_ms = 0;
+    RevisedTable<RouteName, RouteRule> routes;
+    RevisedTable<GroupName, GroupRule> groups;
+    RevisedTable<BackendName, BackendEntry> backends;
+    RevisedTable<GroupName, GroupTerm> terms;
+    std::map<NodeName, AdmittedProxy> proxies;
+    std::uint64_t proxy_lost_at = 0;  ///< revision at which a life of a proxy was last replaced or forgotten
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+      archive(revision, complete_from, document_version, document_text, transaction_idle_ms, routes, groups,
+              backends, terms, proxies, proxy_lost_at);
+    }
+  };
+
+  bool take(ReplaceDocument& command);
+  bool take(RegisterBackend& command);
+  bool take(DeregisterBackend& command);
+  bool take(AdmitProxy& command);
+  bool take(ForgetProxy& command);
+  bool take(CloseGroup& command);
+  bool take(OpenGroup& command);
+  void replace_routes(const std::vector<RouteRule>& routes);
+  void replace_groups(const std::vector<GroupRule>& groups);
+  void bound_removed();
+  [[nodiscard]] std::uint64_t next_revision() const { return state_.revision + 1; }
+
+  State state_;
+  runtime::Signal changed_;
+};
+
+}  // namespace cairnhollow::registry
--- a/src/runtime/asio/asio_runtime.cpp
+++ b/src/runtime/asio/asio_runtime.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/co_spawn.hpp>
 
 #include "http/http_transport.h"
+#include "runtime/asio/asio_lines.h"
 #include "runtime/asio/asio_network.h"
 #include "runtime/asio/asio_timer.h"
 #include "runtime/asio/posix_storage.h"
@@ -26,7 +27,8 @@
         random_(settings.random_seed),
         storage_(executor_, settings.data_folder),
         network_(executor_),
-        http_(http::make_http_transport(executor_, *this)) {}
+        http_(http::make_http_transport(executor_, *this)),
+        lines_(executor_) {}
 
   [[nodiscard]] TimePoint now() const override { return steady_now(); }
   [[nodiscard]] std::int64_t wall_clock_microseconds() const override { return system_microseconds(); }
@@ -35,6 +37,7 @@
 
   Network& network() override { return network_; }
   HttpTransport& http() override { return *http_; }
+  LineTransport& lines() override { return lines_; }
   Storage& storage() override { return storage_; }
   Random& random() override { return random_; }
   Logger& logger() override { return logger_; }
@@ -48,6 +51,7 @@
   PosixStorage storage_;
   AsioNetwork network_;
   std::unique_ptr<HttpTransport> http_;
+  AsioLineTransport lines_;
 };
 
 void AsioRuntime::spawn(std::string_view name, Awaitable<void> task) {
--- a/src/http/byte_stream.cpp
+++ b/src/runtime/asio/byte_stream.cpp
@@ -1,4 +1,4 @@
-#include "http/byte_stream.h"
+#include "runtime/asio/byte_stream.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
@@ -9,7 +9,7 @@
 
 #include "runtime/asio/tcp.h"
 
-namespace cairnhollow::http {
+namespace cairnhollow::runtime {
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
@@ -25,7 +25,7 @@
 
 ByteStream::ByteStream(tcp::socket socket)
     : socket_(std::move(socket)),
-      peer_(runtime::peer_name(socket_)),
+      peer_(peer_name(socket_)),
       deadline_(socket_.get_executor(), [this] {
         close({ReasonCode::kDeadlineExceeded, "exchange", peer_, "not finished in time"});
       }) {}
@@ -107,4 +107,4 @@
   if (const auto on_closed = std::exchange(on_closed_, nullptr)) on_closed();
 }
 
-}  // namespace cairnhollow::http
+}  // namespace cairnhollow::runtime
--- a/src/http/byte_stream.h
+++ b/src/runtime/asio/byte_stream.h
@@ -1,4 +1,4 @@
-// A TCP connection as both ends of HTTP need it: always reading, so that the peer's closing is seen at once
+// A TCP connection as both ends of HTTP and of line protocols need it: always reading, so that the peer's closing is seen at once
 // also while a request is being handled or the connection is idle.
 #pragma once
 
@@ -11,11 +11,11 @@
 #include <string_view>
 
 #include "base/reason.h"
-#include "http/wakeup.h"
+#include "runtime/asio/wakeup.h"
 #include "runtime/asio/lazy_deadline.h"
 #include "runtime/asio/read_buffer.h"
 
-namespace cairnhollow::http {
+namespace cairnhollow::runtime {
 
 /// One writer and one waiting reader at a time. Closed once, for good, with the reason why.
 class ByteStream : public std::enable_shared_from_this<ByteStream> {
@@ -52,8 +52,8 @@
 
   boost::asio::ip::tcp::socket socket_;
   std::string peer_;
-  runtime::ReadBuffer buffer_;
-  runtime::LazyDeadline deadline_;
+  ReadBuffer buffer_;
+  LazyDeadline deadline_;
   Wakeup reader_;
   std::function<void()> on_closed_;
   Reason closed_;
@@ -62,4 +62,4 @@
   bool ended_by_peer_ = false;
 };
 
-}  // namespace cairnhollow::http
+}  // namespace cairnhollow::runtime
--- a/src/http/wakeup.h
+++ b/src/runtime/asio/wakeup.h
@@ -8,7 +8,7 @@
 
 #include "runtime/awaitable.h"
 
-namespace cairnhollow::http {
+namespace cairnhollow::runtime {
 
 /// At most one coroutine waits at a time.
 class Wakeup {
@@ -43,4 +43,4 @@
   std::unique_ptr<Waiter> waiter_;
 };
 
-}  // namespace cairnhollow::http
+}  // namespace cairnhollow::runtime
--- a/src/runtime/runtime.h
+++ b/src/runtime/runtime.h
@@ -9,6 +9,7 @@
 #include "base/types.h"
 #include "runtime/awaitable.h"
 #include "runtime/http.h"
+#include "runtime/lines.h"
 #include "runtime/logger.h"
 #include "runtime/network.h"
 #include "runtime/random.h"
@@ -40,6 +41,7 @@
 
   virtual Network& network() = 0;
   virtual HttpTransport& http() = 0;
+  virtual LineTransport& lines() = 0;
   virtual Storage& storage() = 0;
   virtual Random& random() = 0;
   virtual Logger& logger() = 0;
--- /dev/null
+++ b/src/session/backend_link.h
@@ -0,0 +1,91 @@
+// How a backend that keeps state per connection is met: one link is one connection.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "base/reason.h"
+#include "runtime/http.h"
+#include "runtime/runtime.h"
+#include "session/statement.h"
+
+namespace cairnhollow::session {
+
+/// A caller's read, write or commit, passed on with its id and text.
+struct PassOn {
+  std::string id;
+  std::string text;
+  std::optional<Position> required;  ///< refused as too stale by a backend whose log lacks it
+};
+/// A caller's execution of a prepared statement, under the name that it has on this link.
+struct Execute {
+  std::string id;
+  std::string name;
+  std::string argument;
+  std::optional<Position> required;
+};
+struct Begin {
+  bool read_only = false;
+  std::optional<Position> required;
+};
+struct Rollback {};
+struct SetValue {
+  std::string name;
+  std::string value;
+};
+struct Prepare {
+  std::string name;
+  bool writes = false;
+  std::string shape;
+};
+/// Drops values and prepared statements.
+struct ResetState {};
+/// Asks a backend what it is; answered with one row, see BackendStatus.
+struct AskStatus {};
+/// Makes a primary of a lower term a replica; answered with one row, see BackendStatus.
+struct Demote {
+  std::uint64_t term = 0;
+};
+
+using BackendRequest = std::variant<PassOn, Execute, Begin, Rollback, SetValue, Prepare, ResetState, AskStatus,
+                                    Demote>;
+
+struct BackendStatus {
+  bool is_primary = false;
+  std::uint64_t term = 0;
+  Position received;
+};
+
+/// One exchange at a time. A link whose answer is missing, late or out of order is closed for good.
+class BackendLink {
+ public:
+  virtual ~BackendLink() = default;
+  /// Empty when no whole answer came; `sent` says whether the backend may have seen the request.
+  virtual Awaitable<std::optional<Answer>> run(BackendRequest request, TimePoint deadline,
+                                               runtime::SendState& sent, Reason& reason) = 0;
+  /// What the row of an answer to AskStatus or Demote says; empty with kCorrupt.
+  virtual std::optional<BackendStatus> read_status(const Answer& answer, Reason& reason) = 0;
+  /// Ends an exchange in flight; the backend rolls back what is open.
+  virtual void close() = 0;
+  [[nodiscard]] virtual bool is_open() const = 0;
+  [[nodiscard]] virtual std::string peer() const = 0;
+};
+
+struct BackendAddress {
+  Endpoint endpoint;
+  GroupName group;
+  BackendName backend;  ///< expected there
+};
+
+class BackendDialer {
+ public:
+  virtual ~BackendDialer() = default;
+  /// Null on failure; `refusal` is set when the backend itself refused.
+  virtual Awaitable<std::shared_ptr<BackendLink>> open(BackendAddress address, TimePoint deadline,
+                                                       std::optional<Refusal>& refusal, Reason& reason) = 0;
+};
+
+}  // namespace cairnhollow::session
--- /dev/null
+++ b/src/session/caller_session.cpp
@@ -0,0 +1,291 @@
+#include "session/caller_session.h"
+
+#include <algorithm>
+
+#include "session/knobs.h"
+
+namespace cairnhollow::session {
+
+using runtime::LogLevel;
+
+Awaitable<void> CallerSession::run() {
+  const auto self = shared_from_this();
+  const bool opened = co_await open();
+  while (opened && !leaving_) {
+    Reason reason;
+    auto statement = co_await caller_->read_statement(reason);
+    if (!statement) break;
+    answering_ = true;
+    const TimePoint arrived = services_.runtime.now();
+    served_by_ = ServedBy::kProxy;
+    const Answer answer = co_await handle(std::move(*statement));
+    if (answer.refusal) services_.metrics.count_refused(*answer.refusal);
+    if (!answer.refusal) services_.metrics.count_served(served_by_, services_.runtime.now() - arrived);
+    const bool told = co_await caller_->answer(answer, reason);
+    answering_ = false;
+    if (!told) break;
+  }
+  co_await end_transaction();
+  caller_->close();
+}
+
+Awaitable<bool> CallerSession::open() {
+  Reason reason;
+  const auto start = co_await caller_->read_start(services_.runtime.now() + kStartTimeout, reason);
+  if (!start) co_return false;
+  database_ = start->database;
+  if (services_.view.find_route(database_) != nullptr) co_return co_await caller_->accept(reason);
+  const bool leased = services_.view.lease_valid();
+  const Refusal refusal = leased ? Refusal::kUnknownDatabase : Refusal::kBusy;
+  services_.metrics.count_refused(refusal);
+  services_.runtime.logger().log(LogLevel::kWarning, "session_refused",
+                                 {{"refusal", refusal_name(refusal)},
+                                  {"database", database_.value},
+                                  {"version", std::to_string(services_.view.document_version())}});
+  co_await caller_->refuse(refusal, leased ? "no route names this database" : "no serving lease; come back later");
+  co_return false;
+}
+
+TransactionState CallerSession::state() const {
+  if (!transaction_) return TransactionState::kIdle;
+  return transaction_->failed ? TransactionState::kFailed : TransactionState::kOpen;
+}
+
+Answer CallerSession::done() const {
+  Answer answer;
+  answer.signature = "-";
+  answer.state = state();
+  return answer;
+}
+
+Answer CallerSession::refuse(Refusal refusal, std::string detail) const {
+  Answer answer;
+  answer.refusal = refusal;
+  answer.detail = std::move(detail);
+  answer.state = state();
+  return answer;
+}
+
+Awaitable<Answer> CallerSession::handle(Statement statement) {
+  const StatementKind kind = statement.kind;
+  const bool ends = kind == StatementKind::kCommit || kind == StatementKind::kRollback;
+  if (transaction_) transaction_->last_used = services_.runtime.now();
+  if (transaction_ && transaction_->failed && !ends) {
+    if (!transaction_->failure.empty()) co_return refuse(Refusal::kAborted, std::exchange(transaction_->failure, ""));
+    co_return refuse(Refusal::kMalformed, "the transaction has failed; end it first");
+  }
+  switch (kind) {
+    case StatementKind::kBegin:
+    case StatementKind::kBeginReadOnly:
+      co_return begin(statement);
+    case StatementKind::kCommit:
+      co_return co_await commit(std::move(statement));
+    case StatementKind::kRollback:
+      co_return co_await roll_back();
+    case StatementKind::kSetValue:
+      co_return set_value(statement);
+    case StatementKind::kPrepare:
+      co_return prepare(statement);
+    case StatementKind::kDeallocate:
+      co_return deallocate(statement);
+    case StatementKind::kRead:
+    case StatementKind::kWrite:
+    case StatementKind::kExecute:
+      if (transaction_) co_return co_await run_in_transaction(std::move(statement));
+      co_return co_await run_single(std::move(statement));
+    case StatementKind::kUnknown:
+      break;
+  }
+  co_return refuse(Refusal::kMalformed, "not a statement");
+}
+
+Answer CallerSession::set_value(const Statement& statement) {
+  if (values_.size() >= kMaxSessionEntries && values_.count(statement.name) == 0)
+    return refuse(Refusal::kMalformed, "too many values in one session");
+  values_[statement.name] = statement.argument;
+  return done();
+}
+
+Answer CallerSession::prepare(const Statement& statement) {
+  if (prepared_.size() >= kMaxSessionEntries && prepared_.count(statement.name) == 0)
+    return refuse(Refusal::kMalformed, "too many prepared statements in one session");
+  prepared_[statement.name] = PreparedShape{statement.writes, statement.argument};
+  return done();
+}
+
+Answer CallerSession::deallocate(const Statement& statement) {
+  if (prepared_.erase(statement.name) > 0) return done();
+  return refuse(Refusal::kUnknownStatement, "no prepared statement of this name");
+}
+
+bool CallerSession::find_shape(const Statement& statement, RunOrder& order) const {
+  if (statement.kind != StatementKind::kExecute) {
+    order.writes = statement.kind == StatementKind::kWrite;
+    return true;
+  }
+  const auto found = prepared_.find(statement.name);
+  if (found == prepared_.end()) return false;
+  order.prepared = found->second;
+  order.argument = statement.argument;
+  order.writes = found->second.writes;
+  return true;
+}
+
+std::optional<RunOrder> CallerSession::make_order(const Statement& statement, Answer& refusal) {
+  RunOrder order;
+  if (transaction_) {
+    order.route = transaction_->route;
+    order.group = transaction_->group;
+  } else {
+    const registry::RouteRule* route = services_.view.find_route(database_);
+    if (route == nullptr) {
+      refusal = refuse(Refusal::kUnknownDatabase, "no route names this database any more");
+      return std::nullopt;
+    }
+    order.route = *route;
+    order.group = services_.view.find_group(route->group);
+  }
+  if (!order.group) {
+    refusal = refuse(Refusal::kBusy, "no backend of the group is known yet");
+    return std::nullopt;
+  }
+  if (!find_shape(statement, order)) {
+    refusal = refuse(Refusal::kUnknownStatement, "no prepared statement of this name");
+    return std::nullopt;
+  }
+  order.id = statement.id;
+  order.text = statement.text;
+  order.values = values_;
+  if (committed_in_ == order.group->group()) order.committed = committed_;
+  order.arrived = services_.runtime.now();
+  order.deadline = order.arrived + std::chrono::milliseconds(order.route.timeout_ms);
+  return order;
+}
+
+Answer CallerSession::begin(const Statement& statement) {
+  if (transaction_) return refuse(Refusal::kMalformed, "a transaction is open already");
+  Answer refusal;
+  Statement nothing;
+  nothing.kind = StatementKind::kRead;
+  const auto order = make_order(nothing, refusal);
+  if (!order) return refusal;
+  Transaction transaction;
+  transaction.read_only = statement.kind == StatementKind::kBeginReadOnly;
+  transaction.route = order->route;
+  transaction.group = order->group;
+  transaction.last_used = services_.runtime.now();
+  transaction_ = std::move(transaction);
+  return done();
+}
+
+void CallerSession::note_committed(const RunOrder& order, const Answer& answer) {
+  if (!answer.succeeded() || !answer.position) return;
+  committed_ = answer.position;
+  committed_in_ = order.group->group();
+}
+
+Awaitable<Answer> CallerSession::run_single(Statement statement) {
+  Answer refusal;
+  auto order = make_order(statement, refusal);
+  if (!order) co_return refusal;
+  const bool writes = order->writes;
+  const RunOrder kept = *order;
+  RunResult result = co_await runner_.run(std::move(*order));
+  if (writes) note_committed(kept, result.answer);
+  served_by_ = result.served_by;
+  co_return std::move(result.answer);
+}
+
+Awaitable<Answer> CallerSession::run_in_transaction(Statement statement) {
+  Answer refusal;
+  auto order = make_order(statement, refusal);
+  if (!order) {
+    transaction_->failed = true;
+    refusal.state = state();
+    co_return refusal;
+  }
+  order->read_only_transaction = transaction_->read_only;
+  transaction_->wrote = transaction_->wrote || order->writes;
+  Answer answer;
+  if (transaction_->pinned) {
+    const PinnedLink pinned = *transaction_->pinned;
+    answer = co_await runner_.run_pinned(pinned, std::move(*order), false, false);
+    served_by_ = pinned.at_primary ? ServedBy::kPrimary : ServedBy::kReplica;
+  } else {
+    order->opens_transaction = true;
+    RunResult result = co_await runner_.run(std::move(*order));
+    transaction_->pinned = result.pinned;
+    served_by_ = result.served_by;
+    answer = std::move(result.answer);
+  }
+  transaction_->last_used = services_.runtime.now();
+  if (answer.refusal || answer.state != TransactionState::kOpen) transaction_->failed = true;
+  answer.state = state();
+  co_return answer;
+}
+
+Awaitable<Answer> CallerSession::commit(Statement statement) {
+  if (!transaction_) co_return refuse(Refusal::kMalformed, "no transaction is open");
+  if (transaction_->failed) {
+    co_await end_transaction();
+    co_return refuse(Refusal::kAborted, "the transaction had failed; nothing of it is kept");
+  }
+  Answer refusal;
+  statement.kind = StatementKind::kRead;  // as far as the order is concerned
+  auto order = make_order(statement, refusal);
+  if (!order) co_return refusal;
+  order->read_only_transaction = transaction_->read_only;
+  if (!transaction_->pinned) {
+    order->opens_transaction = true;
+    RunResult result = co_await runner_.run(std::move(*order));
+    if (result.pinned) runner_.give_back(*result.pinned);
+    transaction_.reset();
+    result.answer.state = TransactionState::kIdle;
+    co_return std::move(result.answer);
+  }
+  const PinnedLink pinned = *transaction_->pinned;
+  const bool wrote = transaction_->wrote;
+  const RunOrder kept = *order;
+  Answer answer = co_await runner_.run_pinned(pinned, std::move(*order), true, wrote);
+  served_by_ = pinned.at_primary ? ServedBy::kPrimary : ServedBy::kReplica;
+  if (wrote) note_committed(kept, answer);
+  if (answer.state == TransactionState::kIdle) {
+    runner_.give_back(pinned);
+  } else {
+    co_await runner_.roll_back(pinned);
+  }
+  transaction_.reset();
+  answer.state = TransactionState::kIdle;
+  co_return answer;
+}
+
+Awaitable<Answer> CallerSession::roll_back() {
+  if (!transaction_) co_return refuse(Refusal::kMalformed, "no transaction is open");
+  co_await end_transaction();
+  co_return done();
+}
+
+Awaitable<void> CallerSession::end_transaction() {
+  if (!transaction_) co_return;
+  const auto pinned = transaction_->pinned;
+  transaction_.reset();
+  if (pinned) co_await runner_.roll_back(*pinned);
+}
+
+void CallerSession::end_resting_transaction(TimePoint now, Duration limit) {
+  if (transaction_ && now - transaction_->last_used >= limit) abort_transaction();
+}
+
+void CallerSession::abort_transaction() {
+  if (answering_ || !transaction_ || transaction_->failed) return;
+  transaction_->failed = true;
+  transaction_->failure = "the transaction was given up; nothing of it is kept";
+  if (transaction_->pinned) transaction_->pinned->link->link().close();
+}
+
+void CallerSession::let_go() {
+  leaving_ = true;
+  if (!answering_) caller_->close();
+}
+
+}  // namespace cairnhollow::session
--- /dev/null
+++ b/src/session/caller_session.h
@@ -0,0 +1,78 @@
+// One caller's session: its values, prepared statements and transaction, from its first line to its end.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "session/caller_protocol.h"
+#include "session/session_services.h"
+#include "session/statement_runner.h"
+
+namespace cairnhollow::session {
+
+class CallerSession : public std::enable_shared_from_this<CallerSession> {
+ public:
+  CallerSession(SessionServices services, std::shared_ptr<CallerConnection> caller)
+      : services_(services), runner_(services), caller_(std::move(caller)) {}
+
+  /// Until the caller ends it, goes away, or is let go.
+  Awaitable<void> run();
+
+  /// Whether nothing is asked and no transaction is open.
+  [[nodiscard]] bool is_idle() const { return !answering_ && !transaction_; }
+  /// Gives up a transaction that has rested for longer than `limit`; the caller hears of it with its next statement.
+  void end_resting_transaction(TimePoint now, Duration limit);
+  /// Gives up the transaction that is open, unless a statement of it is being answered.
+  void abort_transaction();
+  /// Ends the session after the answer that is owed.
+  void let_go();
+
+ private:
+  struct Transaction {
+    bool read_only = false;
+    bool failed = false;
+    bool wrote = false;
+    registry::RouteRule route;
+    std::shared_ptr<GroupAccess> group;
+    std::optional<PinnedLink> pinned;  ///< from the first statement on
+    TimePoint last_used{};
+    std::string failure;  ///< why it was given up, not yet told
+  };
+
+  Awaitable<bool> open();
+  Awaitable<Answer> handle(Statement statement);
+  Answer begin(const Statement& statement);
+  Awaitable<Answer> run_single(Statement statement);
+  Awaitable<Answer> run_in_transaction(Statement statement);
+  Awaitable<Answer> commit(Statement statement);
+  Awaitable<Answer> roll_back();
+  Answer set_value(const Statement& statement);
+  Answer prepare(const Statement& statement);
+  Answer deallocate(const Statement& statement);
+
+  /// The route and group that bind now; empty with the refusal to answer.
+  std::optional<RunOrder> make_order(const Statement& statement, Answer& refusal);
+  [[nodiscard]] bool find_shape(const Statement& statement, RunOrder& order) const;
+  [[nodiscard]] Answer refuse(Refusal refusal, std::string detail) const;
+  [[nodiscard]] Answer done() const;
+  [[nodiscard]] TransactionState state() const;
+  Awaitable<void> end_transaction();
+  void note_committed(const RunOrder& order, const Answer& answer);
+
+  SessionServices services_;
+  StatementRunner runner_;
+  std::shared_ptr<CallerConnection> caller_;
+  DatabaseName database_;
+  SessionValues values_;
+  std::map<std::string, PreparedShape> prepared_;
+  std::optional<Transaction> transaction_;
+  std::optional<Position> committed_;  ///< the session's latest commit
+  GroupName committed_in_;
+  ServedBy served_by_ = ServedBy::kProxy;
+  bool answering_ = false;
+  bool leaving_ = false;
+};
+
+}  // namespace cairnhollow::session
--- /dev/null
+++ b/src/session/fleet_link.h
@@ -0,0 +1,63 @@
+// A proxy's conversation with the leader of the control nodes: leases, changes, answers to closes.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "registry/messages.h"
+#include "runtime/runtime.h"
+#include "runtime/signal.h"
+#include "session/fleet_view.h"
+#include "session/settings.h"
+
+namespace cairnhollow::session {
+
+/// What it refers to outlives it; it lives until the process ends.
+class FleetLink {
+ public:
+  FleetLink(runtime::Runtime& runtime, const SessionProxySettings& settings, FleetView& view);
+
+  void start();
+  void stop();
+  /// Told with the next report, which is sent at once. Repeats within kSuspicionRepeat are dropped.
+  void report_suspicion(const GroupAccess& group, bool commits_stall);
+
+ private:
+  struct Conversation {
+    std::shared_ptr<runtime::FrameConnection> connection;
+    std::map<std::uint64_t, TimePoint> asked;  ///< when the reports not yet answered were sent, by nonce
+    bool broken = false;
+    bool refused = false;
+  };
+
+  Awaitable<void> run();
+  Awaitable<std::shared_ptr<Conversation>> open(Endpoint endpoint);
+  /// Reports until the conversation breaks.
+  Awaitable<void> converse(std::shared_ptr<Conversation> conversation);
+  Awaitable<void> read_updates(std::shared_ptr<Conversation> conversation);
+  void take_update(Conversation& conversation, const registry::ProxyUpdate& update);
+  void take_refusal(Conversation& conversation, const Reason& refusal);
+  [[nodiscard]] bool is_stalled(const Conversation& conversation) const;
+  Endpoint next_endpoint();
+  void note_lost(const Reason& reason, const std::string& peer);
+
+  runtime::Runtime& runtime_;
+  SessionProxySettings settings_;
+  FleetView& view_;
+  runtime::Signal wake_;
+  std::vector<Endpoint> endpoints_;  ///< told by the leader, then the seeds
+  std::optional<Endpoint> hinted_leader_;
+  std::size_t next_endpoint_ = 0;
+  std::uint64_t incarnation_;
+  std::uint64_t next_nonce_ = 1;
+  std::vector<registry::PrimarySuspicion> suspicions_;
+  std::map<GroupName, TimePoint> suspected_at_;
+  bool report_now_ = false;
+  bool connected_ = false;
+  bool stopping_ = false;
+};
+
+}  // namespace cairnhollow::session
--- /dev/null
+++ b/src/session/fleet_view.cpp
@@ -0,0 +1,82 @@
+#include "session/fleet_view.h"
+
+#include <algorithm>
+#include <set>
+
+namespace cairnhollow::session {
+
+std::shared_ptr<GroupAccess> FleetView::access(const GroupName& group) {
+  auto& access = groups_[group];
+  if (!access) access = std::make_shared<GroupAccess>(runtime_, dialer_, group, zone_);
+  return access;
+}
+
+const registry::RouteRule* FleetView::find_route(const DatabaseName& database) const {
+  const auto name = by_database_.find(database);
+  if (name == by_database_.end()) return nullptr;
+  const auto route = routes_.find(name->second);
+  return route == routes_.end() ? nullptr : &route->second;
+}
+
+std::shared_ptr<GroupAccess> FleetView::find_group(const GroupName& group) {
+  const auto found = groups_.find(group);
+  return found == groups_.end() ? nullptr : found->second;
+}
+
+void FleetView::apply_routes(const registry::FleetDelta& delta) {
+  if (delta.is_whole) routes_.clear();
+  for (const RouteName& name : delta.removed_routes) routes_.erase(name);
+  for (const registry::RouteRule& route : delta.routes) routes_[route.name] = route;
+  if (!delta.is_whole && delta.removed_routes.empty() && delta.routes.empty()) return;
+  by_database_.clear();
+  for (const auto& [name, route] : routes_) by_database_.emplace(route.database, name);
+}
+
+void FleetView::apply_backends(const registry::FleetDelta& delta) {
+  std::set<BackendName> kept;
+  for (const registry::BackendEntry& entry : delta.backends) kept.insert(entry.name);
+  std::vector<BackendName> removed = delta.removed_backends;
+  if (delta.is_whole) {
+    for (const auto& [name, group] : group_of_) {
+      if (kept.count(name) == 0) removed.push_back(name);
+    }
+  }
+  for (const BackendName& name : removed) {
+    const auto group = group_of_.find(name);
+    if (group == group_of_.end()) continue;
+    access(group->second)->remove_backend(name);
+    group_of_.erase(group);
+  }
+  for (const registry::BackendEntry& entry : delta.backends) {
+    group_of_[entry.name] = entry.group;
+    access(entry.group)->put_backend(entry);
+  }
+}
+
+void FleetView::apply(const registry::FleetDelta& delta) {
+  revision_ = delta.revision;
+  document_version_ = delta.document_version;
+  transaction_idle_ = std::chrono::milliseconds(delta.transaction_idle_ms);
+  apply_routes(delta);
+  for (const registry::GroupRule& rule : delta.groups) access(rule.name)->set_rule(rule);
+  apply_backends(delta);
+  for (const registry::GroupTerm& term : delta.terms) access(term.group)->set_term(term);
+  for (const auto& [name, group] : groups_) group->share_connections(delta.proxies);
+}
+
+void FleetView::extend_lease(TimePoint until) {
+  lease_until_ = std::max(lease_until_, until);
+  renewed_.notify_all();
+}
+
+std::vector<registry::ClosedGroup> FleetView::closed_groups() const {
+  std::vector<registry::ClosedGroup> closed;
+  for (const auto& [name, group] : groups_) {
+    const registry::GroupTerm& term = group->term();
+    if (term.open || term.epoch == 0) continue;
+    closed.push_back({name, term.epoch, group->highest_acknowledged()});
+  }
+  return closed;
+}
+
+}  // namespace cairnhollow::session
--- /dev/null
+++ b/src/session/fleet_view.h
@@ -0,0 +1,64 @@
+// A proxy's copy of the registered fleet: routes by database, groups, and how long it may be trusted.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "registry/delta.h"
+#include "registry/messages.h"
+#include "session/group_access.h"
+
+namespace cairnhollow::session {
+
+/// What it refers to outlives it; it lives until the process ends.
+class FleetView {
+ public:
+  FleetView(runtime::Runtime& runtime, BackendDialer& dialer, ZoneName zone)
+      : runtime_(runtime), dialer_(dialer), zone_(std::move(zone)), renewed_(runtime) {}
+
+  /// Takes over what changed. Groups closed by it acknowledge nothing any more when this returns.
+  void apply(const registry::FleetDelta& delta);
+  /// The copy may be trusted until then, on this process's clock.
+  void extend_lease(TimePoint until);
+
+  [[nodiscard]] bool lease_valid() const { return runtime_.now() < lease_until_; }
+  [[nodiscard]] TimePoint lease_until() const { return lease_until_; }
+  [[nodiscard]] std::uint64_t revision() const { return revision_; }
+  [[nodiscard]] std::uint64_t document_version() const { return document_version_; }
+  [[nodiscard]] Duration transaction_idle() const { return transaction_idle_; }
+  /// Null when no route names the database.
+  [[nodiscard]] const registry::RouteRule* find_route(const DatabaseName& database) const;
+  /// Null when the document has no such group.
+  std::shared_ptr<GroupAccess> find_group(const GroupName& group);
+  [[nodiscard]] const std::map<GroupName, std::shared_ptr<GroupAccess>>& groups() const { return groups_; }
+  /// What is to be told of every closed group.
+  [[nodiscard]] std::vector<registry::ClosedGroup> closed_groups() const;
+
+  /// Whether the primary of `epoch` may be sent to, and its answers be passed on, at this moment.
+  [[nodiscard]] bool may_use_primary(const GroupAccess& group, std::uint64_t epoch) const {
+    return lease_valid() && group.term().open && group.term().epoch == epoch;
+  }
+  /// Notified when the lease was extended.
+  runtime::Signal& renewed() { return renewed_; }
+
+ private:
+  std::shared_ptr<GroupAccess> access(const GroupName& group);
+  void apply_routes(const registry::FleetDelta& delta);
+  void apply_backends(const registry::FleetDelta& delta);
+
+  runtime::Runtime& runtime_;
+  BackendDialer& dialer_;
+  ZoneName zone_;
+  runtime::Signal renewed_;
+  TimePoint lease_until_{};
+  std::uint64_t revision_ = 0;
+  std::uint64_t document_version_ = 0;
+  Duration transaction_idle_{0};
+  std::map<RouteName, registry::RouteRule> routes_;
+  std::map<DatabaseName, RouteName> by_database_;
+  std::map<GroupName, std::shared_ptr<GroupAccess>> groups_;
+  std::map<BackendName, GroupName> group_of_;
+};
+
+}  // namespace cairnhollow::session
--- /dev/null
+++ b/src/session/group_access.cpp
@@ -0,0 +1,129 @@
+#include "session/group_access.h"
+
+#include <algorithm>
+
+namespace cairnhollow::session {
+
+using std::chrono::duration;
+
+void BackendUse::note_latency(Duration took) {
+  const double took_ms = duration<double, std::milli>(took).count();
+  latency_ms += kLatencyWeight * (took_ms - latency_ms);
+}
+
+void GroupAccess::set_term(const registry::GroupTerm& term) {
+  const bool primary_given_up = term_.open && (!term.open || term.epoch != term_.epoch);
+  const bool other_term = term.term != term_.term || term.primary != term_.primary;
+  term_ = term;
+  if (other_term) positions_.clear();
+  if (primary_given_up) {
+    // Nothing of the old term may be acknowledged from here on: whoever waits for an answer is told so at once.
+    for (const auto& [key, work] : work_) work.link->close();
+  }
+  changed_.notify_all();
+}
+
+void GroupAccess::put_backend(const registry::BackendEntry& entry) {
+  auto& use = backends_[entry.name];
+  if (!use || use->entry.endpoint != entry.endpoint) {
+    if (use) use->pool.close_idle();
+    use = std::make_shared<BackendUse>(runtime_, dialer_, entry);
+  }
+  use->entry = entry;
+  if (!entry.leaving) use->leaving_since.reset();
+  if (entry.leaving && !use->leaving_since) use->leaving_since = runtime_.now();
+  share_connections(proxies_);
+  changed_.notify_all();
+}
+
+void GroupAccess::remove_backend(const BackendName& name) {
+  const auto found = backends_.find(name);
+  if (found == backends_.end()) return;
+  found->second->pool.close_idle();
+  backends_.erase(found);
+  changed_.notify_all();
+}
+
+void GroupAccess::share_connections(std::uint64_t proxies) {
+  proxies_ = std::max<std::uint64_t>(proxies, 1);
+  std::uint64_t share = kMostConnections;
+  if (rule_.max_connections > 0) {
+    const std::uint64_t usable =
+        rule_.max_connections > kReservedConnections ? rule_.max_connections - kReservedConnections : 1;
+    share = std::clamp(usable / proxies_, kLeastConnections, kMostConnections);
+  }
+  for (const auto& [name, use] : backends_) use->pool.set_limit(share);
+}
+
+std::shared_ptr<BackendUse> GroupAccess::primary() {
+  if (!term_.open) return nullptr;
+  const auto found = backends_.find(term_.primary);
+  if (found == backends_.end()) return nullptr;
+  const auto& leaving_since = found->second->leaving_since;
+  if (leaving_since && runtime_.now() - *leaving_since > kLeavingPrimaryUse) return nullptr;
+  return found->second;
+}
+
+double GroupAccess::cost_of(const BackendUse& backend) const {
+  const double slots = static_cast<double>(std::max<std::uint64_t>(backend.entry.slots, 1));
+  const double waiting = static_cast<double>(backend.running) / slots;
+  double cost = backend.latency_ms * (1.0 + waiting);
+  if (backend.entry.zone != zone_) cost += kOtherZoneCostMs;
+  if (backend.entry.name == term_.primary) cost += kPrimaryReadCostMs;
+  return cost;
+}
+
+std::shared_ptr<BackendUse> GroupAccess::choose_reader(const ReadNeed& need,
+                                                       const std::set<BackendName>& excluded) {
+  const auto leader = primary();
+  const auto usable_leader = leader && excluded.count(leader->entry.name) == 0 ? leader : nullptr;
+  if (need.primary_only) return usable_leader;
+  const TimePoint now = runtime_.now();
+  std::shared_ptr<BackendUse> best;
+  std::shared_ptr<BackendUse> avoided;
+  for (const auto& [name, use] : backends_) {
+    if (use->entry.leaving || excluded.count(name) > 0) continue;
+    // A primary of a closed group is not to be believed.
+    if (name == term_.primary && !leader) continue;
+    auto& slot = use->avoid_until > now ? avoided : best;
+    if (!slot || cost_of(*use) < cost_of(*slot)) slot = use;
+  }
+  if (best) return best;
+  return usable_leader ? usable_leader : avoided;
+}
+
+ReadNeed GroupAccess::need_of(const registry::RouteRule& route, std::optional<Position> committed) const {
+  ReadNeed need;
+  need.primary_only = true;
+  if (route.reads == registry::ReadPolicy::kPrimary) return need;
+  const TimePoint now = runtime_.now();
+  const Duration staleness = std::chrono::milliseconds(route.max_staleness_ms);
+  const auto newest = positions_.newest();
+  // While the group is open the next read renews what is known, before it is too old.
+  if (term_.open && (!newest || now - *newest > staleness / kPositionRefreshDivisor)) return need;
+  need.required = positions_.covering(now - staleness);
+  if (!need.required) return need;
+  if (route.reads == registry::ReadPolicy::kReadYourWrites && committed)
+    need.required = std::max(*need.required, *committed);
+  need.primary_only = false;
+  return need;
+}
+
+std::uint64_t GroupAccess::begin_work(PrimaryWork work) {
+  const std::uint64_t key = next_work_++;
+  work_.emplace(key, std::move(work));
+  return key;
+}
+
+bool GroupAccess::is_primary_silent(TimePoint now, bool& commits) const {
+  bool silent = false;
+  commits = true;
+  for (const auto& [key, work] : work_) {
+    if (now - work.since < kPrimarySilence) continue;
+    silent = true;
+    commits = commits && work.commits;
+  }
+  return silent;
+}
+
+}  // namespace cairnhollow::session
--- /dev/null
+++ b/src/session/group_access.h
@@ -0,0 +1,101 @@
+// One database group as a proxy uses it: its backends and links to them, who leads, what is in flight, and what of
+// its log is known.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "registry/model.h"
+#include "session/position_history.h"
+#include "session/stateful_pool.h"
+
+namespace cairnhollow::session {
+
+/// A backend and how it has done lately.
+struct BackendUse {
+  BackendUse(runtime::Runtime& runtime, BackendDialer& dialer, const registry::BackendEntry& backend)
+      : entry(backend), pool(runtime, dialer, BackendAddress{backend.endpoint, backend.group, backend.name}) {}
+
+  registry::BackendEntry entry;
+  StatefulPool pool;
+  double latency_ms = kFirstLatencyMs;  ///< of statements, smoothed
+  std::size_t running = 0;              ///< statements of this proxy
+  TimePoint avoid_until{};
+  std::optional<TimePoint> leaving_since;  ///< when this proxy heard of it
+
+  void note_latency(Duration took);
+};
+
+/// Statements at a primary; the key is only for taking one out again.
+struct PrimaryWork {
+  std::shared_ptr<BackendLink> link;
+  TimePoint since{};
+  bool commits = false;  ///< a write or commit: its answer needs a replica
+};
+
+/// What a read needs of the backend that serves it.
+struct ReadNeed {
+  bool primary_only = false;
+  std::optional<Position> required;  ///< of a replica
+};
+
+class GroupAccess {
+ public:
+  GroupAccess(runtime::Runtime& runtime, BackendDialer& dialer, GroupName group, ZoneName zone)
+      : runtime_(runtime), dialer_(dialer), group_(std::move(group)), zone_(std::move(zone)), changed_(runtime) {}
+
+  void set_term(const registry::GroupTerm& term);
+  void set_rule(const registry::GroupRule& rule) { rule_ = rule; }
+  void put_backend(const registry::BackendEntry& entry);
+  void remove_backend(const BackendName& name);
+  /// Divides each backend's connections among `proxies`.
+  void share_connections(std::uint64_t proxies);
+
+  [[nodiscard]] const registry::GroupTerm& term() const { return term_; }
+  [[nodiscard]] const GroupName& group() const { return group_; }
+  /// Notified when term or backends have changed.
+  runtime::Signal& changed() { return changed_; }
+
+  /// The open term's primary; null while there is none that may be used.
+  std::shared_ptr<BackendUse> primary();
+  /// The backend to read at, out of those not in `excluded`; null when none is left.
+  std::shared_ptr<BackendUse> choose_reader(const ReadNeed& need, const std::set<BackendName>& excluded);
+  /// What a read must see under these rules; primary_only when a replica can't be shown to have it.
+  [[nodiscard]] ReadNeed need_of(const registry::RouteRule& route, std::optional<Position> committed) const;
+
+  std::uint64_t begin_work(PrimaryWork work);
+  void end_work(std::uint64_t work) { work_.erase(work); }
+  /// Whether a statement at the primary, or a commit, has had no answer for kPrimarySilence; `commits` says which.
+  [[nodiscard]] bool is_primary_silent(TimePoint now, bool& commits) const;
+
+  void note_acknowledged(Position position) {
+    highest_acknowledged_ = std::max(highest_acknowledged_, position);
+  }
+  [[nodiscard]] Position highest_acknowledged() const { return highest_acknowledged_; }
+  /// A primary of the open term showed `position` to a question sent at `asked_at`.
+  void note_primary_position(TimePoint asked_at, Position position) { positions_.note(asked_at, position); }
+  [[nodiscard]] const std::map<BackendName, std::shared_ptr<BackendUse>>& backends() const { return backends_; }
+
+ private:
+  [[nodiscard]] double cost_of(const BackendUse& backend) const;
+
+  runtime::Runtime& runtime_;
+  BackendDialer& dialer_;
+  GroupName group_;
+  ZoneName zone_;
+  registry::GroupTerm term_;
+  registry::GroupRule rule_;
+  std::map<BackendName, std::shared_ptr<BackendUse>> backends_;
+  std::map<std::uint64_t, PrimaryWork> work_;
+  std::uint64_t next_work_ = 1;
+  std::uint64_t proxies_ = 1;
+  Position highest_acknowledged_;
+  PositionHistory positions_;
+  runtime::Signal changed_;
+};
+
+}  // namespace cairnhollow::session
--- /dev/null
+++ b/src/session/knobs.h
@@ -0,0 +1,76 @@
+// Limits and intervals of sessions that operators do not set.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+
+#include "base/types.h"
+
+namespace cairnhollow::session {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A lease is asked for this often.
+inline constexpr Duration kReportInterval = milliseconds(500);
+/// Without an answer for this long another control node is asked.
+inline constexpr Duration kReportTimeout = milliseconds(700);
+inline constexpr Duration kControlConnectTimeout = milliseconds(400);
+inline constexpr Duration kControlRetryPause = milliseconds(20);
+
+/// Longest wait for a caller's first line.
+inline constexpr Duration kStartTimeout = seconds(5);
+/// Longest wait for a new connection to a backend.
+inline constexpr Duration kDialTimeout = milliseconds(600);
+/// Longest wait for a link's own exchanges: values, prepared statements, begin.
+inline constexpr Duration kLinkSetupTimeout = milliseconds(400);
+/// A backend that failed to answer is passed over for this long where another can serve.
+inline constexpr Duration kAvoidBackend = milliseconds(400);
+/// A read that got no answer goes to another backend after this part of the time that callers aim at.
+inline constexpr int kReadPatienceDivisor = 2;
+inline constexpr Duration kLeastReadPatience = milliseconds(100);
+/// A request waits this part of the time that callers aim at for somebody who can serve it, then it is refused.
+inline constexpr int kRefusePatienceDivisor = 5;
+/// Backends tried for one statement.
+inline constexpr int kMaxAttempts = 4;
+/// Pause before a busy backend is tried again.
+inline constexpr Duration kBusyPause = milliseconds(8);
+/// What a refused caller is told to wait while a group has no primary.
+inline constexpr Duration kComeBackAfter = milliseconds(300);
+
+/// A statement at a primary without an answer for this long makes the primary suspect.
+inline constexpr Duration kPrimarySilence = milliseconds(300);
+inline constexpr Duration kWatchTick = milliseconds(100);
+/// The same primary is not reported again within this time.
+inline constexpr Duration kSuspicionRepeat = milliseconds(300);
+
+/// Positions of a primary are remembered this long, and no closer together than the spacing.
+inline constexpr Duration kPositionMemory = seconds(4);
+inline constexpr Duration kPositionSpacing = milliseconds(20);
+/// The newest known position of a primary may be this part of the allowed staleness old, or the next read goes to
+/// the primary and brings a new one.
+inline constexpr int kPositionRefreshDivisor = 2;
+
+/// Prepared statements on one link; beyond that the link is reset.
+inline constexpr std::size_t kMaxPreparedOnLink = 128;
+/// Values, or prepared statements, of one session.
+inline constexpr std::size_t kMaxSessionEntries = 1024;
+/// Connections kept back from the shares, for control nodes and for proxies that start.
+inline constexpr std::uint64_t kReservedConnections = 4;
+inline constexpr std::uint64_t kLeastConnections = 2;
+inline constexpr std::uint64_t kMostConnections = 12;
+
+/// After SIGTERM: how long callers are still sent here, and idle sessions are kept.
+inline constexpr Duration kDrainIdleAfter = milliseconds(2300);
+/// How long before the end of the drain everything is closed.
+inline constexpr Duration kDrainMargin = milliseconds(800);
+/// A backend that leaves as primary is used no longer than this.
+inline constexpr Duration kLeavingPrimaryUse = seconds(5);
+
+/// What a link and a backend are thought to cost before anything is known.
+inline constexpr double kFirstLatencyMs = 15.0;
+inline constexpr double kOtherZoneCostMs = 8.0;
+inline constexpr double kPrimaryReadCostMs = 12.0;
+inline constexpr double kLatencyWeight = 0.15;
+
+}  // namespace cairnhollow::session
--- /dev/null
+++ b/src/session/session_metrics.cpp
@@ -0,0 +1,47 @@
+#include "session/session_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+
+namespace cairnhollow::session {
+
+namespace {
+
+constexpr std::array<const char*, 3> kPlaces{"proxy", "primary", "replica"};
+
+}  // namespace
+
+SessionMetrics::SessionMetrics()
+    : lost_answers_(metrics_.counter("cairnhollow_session_lost_answers_total",
+                                     "Statements sent to a backend that gave no answer.")),
+      sessions_(metrics_.gauge("cairnhollow_session_open", "Sessions that are open.")),
+      lease_valid_(metrics_.gauge("cairnhollow_session_lease_valid", "1 while the serving lease holds.")) {
+  for (std::size_t place = 0; place < kPlaces.size(); ++place) {
+    const runtime::MetricLabels labels{{"by", kPlaces[place]}};
+    served_[place] =
+        &metrics_.counter("cairnhollow_session_served_total", "Statements answered with success.", labels);
+    latency_[place] = &metrics_.histogram("cairnhollow_session_latency_seconds",
+                                          "From a statement's arrival to its answer.",
+                                          runtime::latency_buckets_seconds(), labels);
+  }
+  for (std::size_t code = 0; code < kRefusals; ++code) {
+    const runtime::MetricLabels labels{{"reason", refusal_name(static_cast<Refusal>(code))}};
+    refused_[code] =
+        &metrics_.counter("cairnhollow_session_refused_total", "Statements answered with a refusal.", labels);
+    retries_[code] = &metrics_.counter("cairnhollow_session_retries_total",
+                                       "Attempts refused by a backend and made again.", labels);
+  }
+}
+
+void SessionMetrics::count_served(ServedBy by, Duration took) {
+  const auto place = static_cast<std::size_t>(by);
+  served_[place]->Increment();
+  latency_[place]->Observe(std::chrono::duration<double>(took).count());
+}
+
+void SessionMetrics::count_refused(Refusal refusal) {
+  refused_[static_cast<std::size_t>(refusal)]->Increment();
+}
+
+}  // namespace cairnhollow::session
--- /dev/null
+++ b/src/session/session_metrics.h
@@ -0,0 +1,40 @@
+// Counters and latencies of a proxy's sessions.
+#pragma once
+
+#include <array>
+#include <string>
+
+#include "runtime/metrics.h"
+#include "session/statement.h"
+
+namespace cairnhollow::session {
+
+/// Where a statement was served.
+enum class ServedBy : std::uint8_t { kProxy, kPrimary, kReplica };
+
+class SessionMetrics {
+ public:
+  SessionMetrics();
+
+  void count_served(ServedBy by, Duration took);
+  void count_refused(Refusal refusal);
+  void count_retry(Refusal refusal) { retries_[static_cast<std::size_t>(refusal)]->Increment(); }
+  void count_lost_answer() { lost_answers_.Increment(); }
+  void set_sessions(std::size_t sessions) { sessions_.Set(static_cast<double>(sessions)); }
+  void set_lease(bool valid) { lease_valid_.Set(valid ? 1 : 0); }
+  [[nodiscard]] std::string render() const { return metrics_.render(); }
+
+ private:
+  static constexpr std::size_t kRefusals = static_cast<std::size_t>(Refusal::kUnknownDatabase) + 1;
+
+  runtime::Metrics metrics_;
+  std::array<prometheus::Counter*, 3> served_{};
+  std::array<prometheus::Histogram*, 3> latency_{};
+  std::array<prometheus::Counter*, kRefusals> refused_{};
+  std::array<prometheus::Counter*, kRefusals> retries_{};
+  prometheus::Counter& lost_answers_;
+  prometheus::Gauge& sessions_;
+  prometheus::Gauge& lease_valid_;
+};
+
+}  // namespace cairnhollow::session
--- /dev/null
+++ b/src/session/session_proxy.cpp
@@ -0,0 +1,184 @@
+#include "session/session_proxy.h"
+
+#include <map>
+
+#include "session/caller_session.h"
+#include "session/fleet_link.h"
+#include "session/fleet_view.h"
+#include "session/knobs.h"
+#include "session/session_metrics.h"
+
+namespace cairnhollow::session {
+
+using runtime::LogLevel;
+
+namespace {
+
+/// Answers whether the proxy takes sessions, and its metrics.
+class ReadinessCalls : public runtime::HttpHandler {
+ public:
+  ReadinessCalls(std::string path, std::function<bool()> is_ready, std::function<std::string()> render)
+      : path_(std::move(path)), is_ready_(std::move(is_ready)), render_(std::move(render)) {}
+
+  Awaitable<runtime::HttpResponse> handle(runtime::HttpRequest request,
+                                          runtime::HttpConnectionId /*connection*/) override {
+    runtime::HttpResponse response;
+    if (request.target == path_) {
+      response.status = is_ready_() ? 200 : 503;
+    } else if (request.target == "/metrics") {
+      response.headers.fields["content-type"] = runtime::kMetricsContentType;
+      response.body = render_();
+    } else {
+      response.status = 404;
+    }
+    co_return response;
+  }
+
+ private:
+  std::string path_;
+  std::function<bool()> is_ready_;
+  std::function<std::string()> render_;
+};
+
+/// The parts' coroutines refer to it until the process ends.
+class SessionProxy : public runtime::Role {
+ public:
+  SessionProxy(runtime::Runtime& runtime, SessionProxySettings settings, const SessionEdge& edge)
+      : runtime_(runtime),
+        settings_(std::move(settings)),
+        callers_(edge.make_callers()),
+        dialer_(edge.make_dialer(runtime, settings_.node)),
+        view_(runtime, *dialer_, settings_.zone),
+        link_(runtime, settings_, view_),
+        services_{runtime, view_, link_, metrics_},
+        readiness_(
+            edge.readiness_path, [this] { return is_ready(); }, [this] { return render_metrics(); }) {}
+
+  Awaitable<bool> start(Reason& reason) override;
+  Awaitable<void> drain() override;
+
+ private:
+  Awaitable<void> accept_callers();
+  Awaitable<void> serve(std::shared_ptr<runtime::LineConnection> lines);
+  Awaitable<void> watch();
+  void watch_primaries(TimePoint now);
+  void watch_lease();
+  [[nodiscard]] bool is_ready() const { return !draining_ && view_.lease_valid(); }
+  std::string render_metrics();
+
+  runtime::Runtime& runtime_;
+  SessionProxySettings settings_;
+  std::unique_ptr<CallerProtocol> callers_;
+  std::unique_ptr<BackendDialer> dialer_;
+  SessionMetrics metrics_;
+  FleetView view_;
+  FleetLink link_;
+  SessionServices services_;
+  ReadinessCalls readiness_;
+  std::unique_ptr<runtime::LineListener> listener_;
+  std::unique_ptr<runtime::HttpServer> readiness_server_;
+  std::unique_ptr<runtime::HttpServer> metrics_server_;
+  std::map<std::uint64_t, std::shared_ptr<CallerSession>> sessions_;
+  std::uint64_t next_session_ = 1;
+  bool lease_held_ = false;
+  bool draining_ = false;
+  bool stopped_ = false;
+};
+
+Awaitable<bool> SessionProxy::start(Reason& reason) {
+  link_.start();
+  runtime_.spawn("session_watch", watch());
+  listener_ = runtime_.lines().listen(settings_.session_endpoint, reason);
+  if (!listener_) co_return false;
+  runtime_.spawn("session_accept", accept_callers());
+  readiness_server_ = runtime_.http().serve(settings_.readiness_endpoint, readiness_, reason);
+  if (!readiness_server_) co_return false;
+  if (!settings_.metrics_endpoint) co_return true;
+  metrics_server_ = runtime_.http().serve(*settings_.metrics_endpoint, readiness_, reason);
+  co_return metrics_server_ != nullptr;
+}
+
+Awaitable<void> SessionProxy::accept_callers() {
+  while (!stopped_) {
+    Reason reason;
+    auto lines = co_await listener_->accept(reason);
+    if (!lines) co_return;
+    runtime_.spawn("session", serve(std::move(lines)));
+  }
+}
+
+Awaitable<void> SessionProxy::serve(std::shared_ptr<runtime::LineConnection> lines) {
+  const auto caller = callers_->wrap(std::move(lines));
+  if (sessions_.size() >= settings_.session_limit) {
+    co_await caller->refuse(Refusal::kBusy, "this proxy has as many sessions as it can hold");
+    co_return;
+  }
+  const std::uint64_t id = next_session_++;
+  const auto session = std::make_shared<CallerSession>(services_, caller);
+  sessions_.emplace(id, session);
+  co_await session->run();
+  sessions_.erase(id);
+}
+
+void SessionProxy::watch_primaries(TimePoint now) {
+  for (const auto& [name, group] : view_.groups()) {
+    bool commits_only = false;
+    if (group->is_primary_silent(now, commits_only)) link_.report_suspicion(*group, commits_only);
+  }
+}
+
+void SessionProxy::watch_lease() {
+  const bool held = view_.lease_valid();
+  metrics_.set_lease(held);
+  if (held == lease_held_) return;
+  lease_held_ = held;
+  runtime_.logger().log(held ? LogLevel::kInfo : LogLevel::kWarning, held ? "lease_held" : "lease_lost",
+                        {{"revision", std::to_string(view_.revision())},
+                         {"version", std::to_string(view_.document_version())}});
+}
+
+Awaitable<void> SessionProxy::watch() {
+  while (!stopped_) {
+    co_await runtime_.sleep_for(kWatchTick);
+    const TimePoint now = runtime_.now();
+    watch_lease();
+    watch_primaries(now);
+    const Duration idle_limit = view_.transaction_idle();
+    if (idle_limit == Duration(0)) continue;
+    for (const auto& [id, session] : sessions_) session->end_resting_transaction(now, idle_limit);
+  }
+}
+
+std::string SessionProxy::render_metrics() {
+  metrics_.set_sessions(sessions_.size());
+  return metrics_.render();
+}
+
+Awaitable<void> SessionProxy::drain() {
+  const TimePoint begun = runtime_.now();
+  const TimePoint end = begun + settings_.drain_limit - kDrainMargin;
+  const TimePoint abort_at = begun + settings_.drain_limit / 2;
+  draining_ = true;
+  co_await runtime_.sleep_for(kDrainIdleAfter);
+  while (!sessions_.empty() && runtime_.now() < end) {
+    const auto sessions = sessions_;
+    for (const auto& [id, session] : sessions) {
+      if (session->is_idle()) session->let_go();
+      if (runtime_.now() > abort_at) session->abort_transaction();
+    }
+    co_await runtime_.sleep_for(kWatchTick);
+  }
+  stopped_ = true;
+  listener_->close();
+  readiness_server_->close();
+  link_.stop();
+}
+
+}  // namespace
+
+std::unique_ptr<runtime::Role> make_session_proxy(runtime::Runtime& runtime, SessionProxySettings settings,
+                                                  const SessionEdge& edge) {
+  return std::make_unique<SessionProxy>(runtime, std::move(settings), edge);
+}
+
+}  // namespace cairnhollow::session
--- /dev/null
+++ b/src/session/session_proxy.h
@@ -0,0 +1,26 @@
+// The proxy of a registered fleet: sessions of callers in front of its database groups.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "runtime/role.h"
+#include "runtime/runtime.h"
+#include "session/backend_link.h"
+#include "session/caller_protocol.h"
+#include "session/settings.h"
+
+namespace cairnhollow::session {
+
+/// How the proxy speaks with callers and backends. Made once, at the start.
+struct SessionEdge {
+  std::function<std::unique_ptr<CallerProtocol>()> make_callers;
+  std::function<std::unique_ptr<BackendDialer>(runtime::Runtime&, NodeName)> make_dialer;
+  std::string readiness_path;  ///< on which the node says whether it takes sessions
+};
+
+/// Creates a proxy on `runtime`, which outlives it.
+std::unique_ptr<runtime::Role> make_session_proxy(runtime::Runtime& runtime, SessionProxySettings settings,
+                                                  const SessionEdge& edge);
+
+}  // namespace cairnhollow::session
--- /dev/null
+++ b/src/session/session_services.h
@@ -0,0 +1,18 @@
+// What the sessions of one proxy share.
+#pragma once
+
+#include "runtime/runtime.h"
+#include "session/fleet_link.h"
+#include "session/fleet_view.h"
+#include "session/session_metrics.h"
+
+namespace cairnhollow::session {
+
+struct SessionServices {
+  runtime::Runtime& runtime;
+  FleetView& view;
+  FleetLink& link;
+  SessionMetrics& metrics;
+};
+
+}  // namespace cairnhollow::session
--- /dev/null
+++ b/src/session/stateful_pool.cpp
@@ -0,0 +1,118 @@
+#include "session/stateful_pool.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "session/knobs.h"
+
+namespace cairnhollow::session {
+
+namespace {
+
+/// Whether values can be made equal by setting more of them, without a reset.
+bool can_extend(const SessionValues& from, const SessionValues& to) {
+  return std::all_of(from.begin(), from.end(), [&](const auto& entry) { return to.count(entry.first) > 0; });
+}
+
+}  // namespace
+
+std::string StatefulLink::prepared_name(const PreparedShape& shape) const {
+  const auto found = prepared_.find(shape);
+  return found == prepared_.end() ? std::string() : found->second;
+}
+
+Awaitable<bool> StatefulLink::run_setup(BackendRequest request, TimePoint deadline, Reason& reason) {
+  runtime::SendState sent = runtime::SendState::kNotSent;
+  const auto answer = co_await link_->run(std::move(request), deadline, sent, reason);
+  if (answer && answer->succeeded()) co_return true;
+  if (answer) reason = Reason{ReasonCode::kInternal, "set_up_link", link_->peer(), answer->detail};
+  link_->close();
+  co_return false;
+}
+
+Awaitable<bool> StatefulLink::bring_in_order(SessionValues values, std::optional<PreparedShape> prepared,
+                                             TimePoint deadline, Reason& reason) {
+  if (!can_extend(values_, values) || prepared_.size() >= kMaxPreparedOnLink) {
+    BackendRequest request = ResetState{};
+    const bool reset = co_await run_setup(std::move(request), deadline, reason);
+    if (!reset) co_return false;
+    values_.clear();
+    prepared_.clear();
+  }
+  for (const auto& [name, value] : values) {
+    const auto held = values_.find(name);
+    if (held != values_.end() && held->second == value) continue;
+    BackendRequest request = SetValue{name, value};
+    const bool set = co_await run_setup(std::move(request), deadline, reason);
+    if (!set) co_return false;
+    values_[name] = value;
+  }
+  if (!prepared || prepared_.count(*prepared) > 0) co_return true;
+  const std::string name = fmt::format("p{}", next_name_++);
+  BackendRequest request = Prepare{name, prepared->writes, prepared->shape};
+  const bool done = co_await run_setup(std::move(request), deadline, reason);
+  if (!done) co_return false;
+  prepared_[*prepared] = name;
+  co_return true;
+}
+
+void StatefulPool::drop_closed() {
+  std::erase_if(idle_, [](const auto& link) { return !link->link().is_open(); });
+}
+
+std::shared_ptr<StatefulLink> StatefulPool::take_idle(const SessionValues& values) {
+  drop_closed();
+  if (idle_.empty()) return nullptr;
+  auto best = idle_.end() - 1;
+  for (auto candidate = idle_.begin(); candidate != idle_.end(); ++candidate) {
+    if ((*candidate)->values() == values) {
+      best = candidate;
+      break;
+    }
+    if (can_extend((*candidate)->values(), values) && !can_extend((*best)->values(), values)) best = candidate;
+  }
+  auto link = *best;
+  idle_.erase(best);
+  return link;
+}
+
+Awaitable<std::shared_ptr<StatefulLink>> StatefulPool::acquire(SessionValues values, TimePoint deadline,
+                                                               std::optional<Refusal>& refusal,
+                                                               Reason& reason) {
+  while (true) {
+    if (auto idle = take_idle(values)) {
+      ++in_use_;
+      co_return idle;
+    }
+    if (in_use_ < limit_) break;
+    const bool notified = co_await returned_.wait_until(deadline);
+    if (notified) continue;
+    reason = Reason{ReasonCode::kOverloaded, "acquire_link", address_.backend.value, "all links are in use"};
+    co_return nullptr;
+  }
+  ++in_use_;
+  const TimePoint dial_deadline = std::min(deadline, runtime_.now() + kDialTimeout);
+  auto link = co_await dialer_.open(address_, dial_deadline, refusal, reason);
+  if (link) {
+    ++opened_;
+    co_return std::make_shared<StatefulLink>(std::move(link));
+  }
+  --in_use_;
+  returned_.notify_one();
+  co_return nullptr;
+}
+
+void StatefulPool::release(std::shared_ptr<StatefulLink> link) {
+  --in_use_;
+  if (in_use_ + idle_.size() >= limit_) link->link().close();
+  if (link->link().is_open()) idle_.push_back(std::move(link));
+  returned_.notify_one();
+}
+
+void StatefulPool::close_idle() {
+  for (const auto& link : idle_) link->link().close();
+  idle_.clear();
+}
+
+}  // namespace cairnhollow::session
--- /dev/null
+++ b/src/session/stateful_pool.h
@@ -0,0 +1,85 @@
+// Links to one backend. A link keeps the values and prepared statements that were put on it; whoever takes it is
+// given one that fits, or brings it in order.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "runtime/runtime.h"
+#include "runtime/signal.h"
+#include "session/backend_link.h"
+
+namespace cairnhollow::session {
+
+using SessionValues = std::map<std::string, std::string>;
+
+/// What a prepared statement is, whatever its name.
+struct PreparedShape {
+  bool writes = false;
+  std::string shape;
+  auto operator<=>(const PreparedShape&) const = default;
+};
+
+/// One link and what is known to be on it.
+class StatefulLink {
+ public:
+  explicit StatefulLink(std::shared_ptr<BackendLink> link) : link_(std::move(link)) {}
+
+  /// Makes the link's values equal to `values`, and puts `prepared` on it where it is not null. False: the link
+  /// can't be used any more.
+  Awaitable<bool> bring_in_order(SessionValues values, std::optional<PreparedShape> prepared,
+                                 TimePoint deadline, Reason& reason);
+  /// The name of a prepared statement on this link; empty when it is not there.
+  [[nodiscard]] std::string prepared_name(const PreparedShape& shape) const;
+  /// The backend does not know a statement that should be there.
+  void forget_prepared() { prepared_.clear(); }
+  [[nodiscard]] const SessionValues& values() const { return values_; }
+  BackendLink& link() { return *link_; }
+  std::shared_ptr<BackendLink> shared_link() { return link_; }
+
+ private:
+  Awaitable<bool> run_setup(BackendRequest request, TimePoint deadline, Reason& reason);
+
+  std::shared_ptr<BackendLink> link_;
+  SessionValues values_;
+  std::map<PreparedShape, std::string> prepared_;
+  std::uint64_t next_name_ = 1;
+};
+
+/// Lives until the process ends. `runtime` and `dialer` outlive it.
+class StatefulPool {
+ public:
+  StatefulPool(runtime::Runtime& runtime, BackendDialer& dialer, BackendAddress address)
+      : runtime_(runtime), dialer_(dialer), address_(std::move(address)), returned_(runtime) {}
+
+  void set_limit(std::uint64_t limit) { limit_ = limit; }
+  /// An idle link, best one with these values, or a new one; waits while the limit is reached. Null on failure;
+  /// `refusal` is set when the backend itself refused a new one.
+  Awaitable<std::shared_ptr<StatefulLink>> acquire(SessionValues values, TimePoint deadline,
+                                                   std::optional<Refusal>& refusal, Reason& reason);
+  /// Gives a link back that has no transaction open and owes no answer; a closed one is dropped.
+  void release(std::shared_ptr<StatefulLink> link);
+  void close_idle();
+  [[nodiscard]] std::size_t in_use() const { return in_use_; }
+  [[nodiscard]] std::uint64_t opened() const { return opened_; }
+  [[nodiscard]] const BackendAddress& address() const { return address_; }
+
+ private:
+  std::shared_ptr<StatefulLink> take_idle(const SessionValues& values);
+  void drop_closed();
+
+  runtime::Runtime& runtime_;
+  BackendDialer& dialer_;
+  BackendAddress address_;
+  runtime::Signal returned_;
+  std::vector<std::shared_ptr<StatefulLink>> idle_;
+  std::uint64_t limit_ = 2;
+  std::size_t in_use_ = 0;
+  std::uint64_t opened_ = 0;
+};
+
+}  // namespace cairnhollow::session
--- /dev/null
+++ b/src/session/statement.cpp
@@ -0,0 +1,43 @@
+#include "session/statement.h"
+
+namespace cairnhollow::session {
+
+const char* refusal_name(Refusal refusal) {
+  switch (refusal) {
+    case Refusal::kBusy:
+      return "busy";
+    case Refusal::kAborted:
+      return "aborted";
+    case Refusal::kTooStale:
+      return "too_stale";
+    case Refusal::kNotPrimary:
+      return "not_primary";
+    case Refusal::kWrongBackend:
+      return "wrong_backend";
+    case Refusal::kConnectionLimit:
+      return "connection_limit";
+    case Refusal::kInDoubt:
+      return "in_doubt";
+    case Refusal::kTimedOut:
+      return "timed_out";
+    case Refusal::kFailed:
+      return "failed";
+    case Refusal::kMalformed:
+      return "malformed";
+    case Refusal::kUnknownStatement:
+      return "unknown_statement";
+    case Refusal::kUnknownDatabase:
+      return "unknown_database";
+  }
+  return "unknown";
+}
+
+bool is_promise(Refusal refusal) { return refusal < Refusal::kInDoubt; }
+
+bool is_not_run(Refusal refusal) {
+  return refusal == Refusal::kBusy || refusal == Refusal::kTooStale || refusal == Refusal::kNotPrimary ||
+         refusal == Refusal::kWrongBackend || refusal == Refusal::kConnectionLimit ||
+         refusal == Refusal::kUnknownStatement;
+}
+
+}  // namespace cairnhollow::session
--- /dev/null
+++ b/src/session/statement_runner.cpp
@@ -0,0 +1,377 @@
+#include "session/statement_runner.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace cairnhollow::session {
+
+using runtime::LogLevel;
+using runtime::SendState;
+
+namespace {
+
+std::int64_t in_ms(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+/// A statement at a primary, taken out of the group's list when the scope ends.
+class WorkScope {
+ public:
+  WorkScope(GroupAccess& group, PrimaryWork work) : group_(group), key_(group.begin_work(std::move(work))) {}
+  ~WorkScope() { group_.end_work(key_); }
+  WorkScope(const WorkScope&) = delete;
+  WorkScope& operator=(const WorkScope&) = delete;
+
+ private:
+  GroupAccess& group_;
+  std::uint64_t key_;
+};
+
+}  // namespace
+
+/// One statement on its way, over all its attempts.
+struct StatementRunner::Attempt {
+  explicit Attempt(RunOrder run_order) : order(std::move(run_order)) {}
+
+  RunOrder order;
+  int count = 0;
+  std::set<BackendName> excluded;
+  ReadNeed need;
+  TimePoint refuse_at{};  ///< until then somebody who can serve it is waited for
+  bool offered = false;   ///< a backend that could run it has been asked
+  Reason reason;          ///< of the last failure
+  RunResult result;
+
+  // Of the attempt under way.
+  std::shared_ptr<BackendUse> backend;
+  std::shared_ptr<StatefulLink> link;
+  std::uint64_t epoch = 0;
+  bool at_primary = false;
+  bool needs_primary = false;  ///< the answer counts only while the primary of `epoch` may be used
+  TimePoint sent_at{};
+  SendState sent = SendState::kNotSent;
+
+  /// Whether nothing is lost when it runs once more.
+  [[nodiscard]] bool may_run_again() const { return !order.writes || order.opens_transaction; }
+  [[nodiscard]] bool is_read() const {
+    return order.opens_transaction ? order.read_only_transaction : !order.writes;
+  }
+};
+
+BackendRequest StatementRunner::make_request(const RunOrder& order, const StatefulLink& link,
+                                             std::optional<Position> required) const {
+  if (!order.prepared) return PassOn{order.id, order.text, required};
+  return Execute{order.id, link.prepared_name(*order.prepared), order.argument, required};
+}
+
+Awaitable<RunResult> StatementRunner::run(RunOrder order) {
+  runtime::Runtime& runtime = services_.runtime;
+  auto attempt = std::make_shared<Attempt>(std::move(order));
+  const Duration target = std::chrono::milliseconds(attempt->order.route.target_latency_ms);
+  attempt->refuse_at = std::min(attempt->order.deadline, attempt->order.arrived + target / kRefusePatienceDivisor);
+  Step step = Step::kNext;
+  while (step != Step::kDone) {
+    const bool worth_trying = attempt->count < kMaxAttempts && runtime.now() < attempt->order.deadline;
+    std::shared_ptr<BackendUse> backend;
+    if (worth_trying) backend = co_await choose(attempt);
+    if (!backend) {
+      give_up(*attempt);
+      break;
+    }
+    ++attempt->count;
+    step = co_await try_backend(attempt, backend);
+    if (step == Step::kWait) co_await runtime.sleep_for(kBusyPause);
+  }
+  const Answer& answer = attempt->result.answer;
+  if (answer.refusal) log_refusal(attempt->order, answer, attempt->reason, attempt->count);
+  co_return std::move(attempt->result);
+}
+
+Awaitable<std::shared_ptr<BackendUse>> StatementRunner::choose(std::shared_ptr<Attempt> attempt) {
+  GroupAccess& group = *attempt->order.group;
+  while (true) {
+    attempt->needs_primary = false;
+    if (attempt->is_read()) {
+      attempt->need = group.need_of(attempt->order.route, attempt->order.committed);
+    } else {
+      attempt->need = ReadNeed{true, std::nullopt};
+    }
+    const bool leased = services_.view.lease_valid();
+    std::shared_ptr<BackendUse> backend;
+    if (leased || !attempt->need.primary_only) backend = group.choose_reader(attempt->need, attempt->excluded);
+    const bool is_primary = backend && group.term().open && backend->entry.name == group.term().primary;
+    if (backend && is_primary && !leased && attempt->need.primary_only) backend = nullptr;
+    if (backend) {
+      attempt->epoch = group.term().epoch;
+      attempt->at_primary = is_primary;
+      attempt->needs_primary = attempt->need.primary_only;
+      co_return backend;
+    }
+    if (services_.runtime.now() >= attempt->refuse_at) co_return nullptr;
+    attempt->excluded.clear();
+    co_await group.changed().wait_until(
+        std::min(attempt->refuse_at, services_.runtime.now() + kBusyPause));
+  }
+}
+
+void StatementRunner::give_up(Attempt& attempt) {
+  const registry::GroupTerm& term = attempt.order.group->term();
+  Answer& answer = attempt.result.answer;
+  answer.refusal = Refusal::kBusy;
+  answer.state = TransactionState::kIdle;
+  std::string why = "no backend can serve it now";
+  if (!services_.view.lease_valid()) why = "the serving lease has run out";
+  if (services_.view.lease_valid() && !term.open) why = "the group has no primary now";
+  if (attempt.offered) why = "the backends are busy";
+  answer.detail = fmt::format("{}; come back in {} ms", why, in_ms(kComeBackAfter));
+}
+
+Awaitable<bool> StatementRunner::prepare_link(std::shared_ptr<Attempt> attempt,
+                                              std::shared_ptr<BackendUse> backend) {
+  const RunOrder& order = attempt->order;
+  const TimePoint patience = std::max(attempt->refuse_at, services_.runtime.now() + kLeastReadPatience);
+  std::optional<Refusal> refusal;
+  attempt->link = co_await backend->pool.acquire(order.values, std::min(order.deadline, patience), refusal,
+                                                 attempt->reason);
+  if (!attempt->link) {
+    const bool full = attempt->reason.code == ReasonCode::kOverloaded;
+    if (!full) backend->avoid_until = services_.runtime.now() + kAvoidBackend;
+    if (!full && attempt->at_primary && !refusal) services_.link.report_suspicion(*order.group, false);
+    co_return false;
+  }
+  const TimePoint deadline = std::min(order.deadline, services_.runtime.now() + kLinkSetupTimeout);
+  const bool ready =
+      co_await attempt->link->bring_in_order(order.values, order.prepared, deadline, attempt->reason);
+  if (ready) co_return true;
+  backend->pool.release(attempt->link);
+  co_return false;
+}
+
+Awaitable<bool> StatementRunner::begin_transaction(std::shared_ptr<Attempt> attempt) {
+  Begin begin{attempt->order.read_only_transaction, std::nullopt};
+  if (!attempt->need.primary_only) begin.required = attempt->need.required;
+  const TimePoint deadline = std::min(attempt->order.deadline, services_.runtime.now() + kLinkSetupTimeout);
+  SendState sent = SendState::kNotSent;
+  BackendRequest request = begin;
+  const auto answer = co_await attempt->link->link().run(std::move(request), deadline, sent, attempt->reason);
+  if (answer && answer->succeeded()) co_return true;
+  if (answer) services_.metrics.count_retry(*answer->refusal);
+  if (answer && *answer->refusal == Refusal::kNotPrimary)
+    services_.link.report_suspicion(*attempt->order.group, false);
+  attempt->backend->pool.release(attempt->link);
+  co_return false;
+}
+
+Awaitable<StatementRunner::Step> StatementRunner::try_backend(std::shared_ptr<Attempt> attempt,
+                                                              std::shared_ptr<BackendUse> backend) {
+  attempt->backend = backend;
+  GroupAccess& group = *attempt->order.group;
+  const bool linked = co_await prepare_link(attempt, backend);
+  const bool begun = linked && (!attempt->order.opens_transaction || co_await begin_transaction(attempt));
+  if (!begun) {
+    if (!attempt->needs_primary) attempt->excluded.insert(backend->entry.name);
+    co_return attempt->needs_primary ? Step::kWait : Step::kNext;
+  }
+  if (attempt->needs_primary && !services_.view.may_use_primary(group, attempt->epoch)) {
+    attempt->link->link().close();
+    backend->pool.release(attempt->link);
+    co_return Step::kNext;
+  }
+  ++backend->running;
+  auto answer = co_await exchange(attempt);
+  --backend->running;
+  if (!answer) {
+    const Reason reason = attempt->reason;
+    backend->pool.release(attempt->link);
+    co_return take_loss(*attempt, reason);
+  }
+  co_return take_answer(*attempt, std::move(*answer));
+}
+
+Awaitable<std::optional<Answer>> StatementRunner::exchange(std::shared_ptr<Attempt> attempt) {
+  const RunOrder& order = attempt->order;
+  attempt->offered = true;
+  attempt->sent_at = services_.runtime.now();
+  TimePoint deadline = order.deadline;
+  const bool others = attempt->count < kMaxAttempts - 1 && attempt->is_read() && !attempt->needs_primary;
+  if (others) {
+    const Duration target = std::chrono::milliseconds(order.route.target_latency_ms);
+    const Duration patience = std::max<Duration>(target / kReadPatienceDivisor, kLeastReadPatience);
+    deadline = std::min(deadline, attempt->sent_at + patience);
+  }
+  std::optional<Position> required;
+  if (!order.opens_transaction && !attempt->need.primary_only) required = attempt->need.required;
+  std::optional<WorkScope> work;
+  if (attempt->at_primary) {
+    const bool commits = order.writes && !order.opens_transaction;
+    work.emplace(*order.group, PrimaryWork{attempt->link->shared_link(), attempt->sent_at, commits});
+  }
+  BackendRequest request = make_request(order, *attempt->link, required);
+  co_return co_await attempt->link->link().run(std::move(request), deadline, attempt->sent, attempt->reason);
+}
+
+StatementRunner::Step StatementRunner::take_loss(Attempt& attempt, const Reason& reason) {
+  services_.metrics.count_lost_answer();
+  GroupAccess& group = *attempt.order.group;
+  attempt.backend->avoid_until = services_.runtime.now() + kAvoidBackend;
+  if (attempt.at_primary && group.term().epoch == attempt.epoch) services_.link.report_suspicion(group, false);
+  services_.runtime.logger().log(LogLevel::kWarning, "answer_lost", reason,
+                                 {{"id", attempt.order.id},
+                                  {"backend", attempt.backend->entry.name.value},
+                                  {"at_primary", attempt.at_primary ? "true" : "false"},
+                                  {"epoch", std::to_string(attempt.epoch)},
+                                  {"writes", attempt.order.writes ? "true" : "false"},
+                                  {"waited_ms", std::to_string(in_ms(services_.runtime.now() - attempt.sent_at))}});
+  const bool not_sent = attempt.sent == SendState::kNotSent;
+  if (not_sent || attempt.may_run_again()) {
+    if (!attempt.needs_primary) attempt.excluded.insert(attempt.backend->entry.name);
+    return attempt.needs_primary ? Step::kWait : Step::kNext;
+  }
+  Answer& answer = attempt.result.answer;
+  answer = Answer{};
+  answer.refusal = Refusal::kInDoubt;
+  answer.detail = "it was sent and its outcome is not known";
+  return Step::kDone;
+}
+
+StatementRunner::Step StatementRunner::take_answer(Attempt& attempt, Answer answer) {
+  GroupAccess& group = *attempt.order.group;
+  BackendUse& backend = *attempt.backend;
+  const RunOrder& order = attempt.order;
+  const PinnedLink pinned{attempt.backend, attempt.link, attempt.epoch, attempt.at_primary};
+  const bool current = services_.view.may_use_primary(group, attempt.epoch);
+  const auto drop = [&] {
+    if (order.opens_transaction) attempt.link->link().close();
+    backend.pool.release(attempt.link);
+  };
+  if (answer.succeeded()) backend.note_latency(services_.runtime.now() - attempt.sent_at);
+  if (answer.refusal && is_not_run(*answer.refusal)) {
+    services_.metrics.count_retry(*answer.refusal);
+    if (*answer.refusal == Refusal::kUnknownStatement) attempt.link->forget_prepared();
+    if (*answer.refusal == Refusal::kNotPrimary && attempt.at_primary && current)
+      services_.link.report_suspicion(group, false);
+    if (*answer.refusal == Refusal::kWrongBackend) attempt.link->link().close();
+    attempt.reason = Reason{ReasonCode::kOverloaded, "run_statement", backend.entry.name.value,
+                            refusal_name(*answer.refusal)};
+    drop();
+    if (!attempt.needs_primary) attempt.excluded.insert(backend.entry.name);
+    return attempt.needs_primary ? Step::kWait : Step::kNext;
+  }
+  if (answer.refusal && *answer.refusal == Refusal::kFailed && attempt.is_read() && attempt.count < 2) {
+    drop();
+    attempt.excluded.insert(backend.entry.name);
+    return Step::kNext;
+  }
+  if (answer.succeeded() && attempt.at_primary && current && answer.position)
+    group.note_primary_position(attempt.sent_at, *answer.position);
+  const bool commits = order.writes && !order.opens_transaction;
+  if (commits && answer.succeeded()) {
+    if (current && answer.position) {
+      group.note_acknowledged(*answer.position);
+    } else {
+      answer = Answer{};
+      answer.refusal = Refusal::kInDoubt;
+      answer.detail = "its primary was given up before the answer came";
+    }
+  }
+  attempt.result.served_by = attempt.at_primary ? ServedBy::kPrimary : ServedBy::kReplica;
+  if (order.opens_transaction) {
+    attempt.result.pinned = pinned;
+  } else {
+    if (answer.state != TransactionState::kIdle) attempt.link->link().close();
+    answer.state = TransactionState::kIdle;
+    backend.pool.release(attempt.link);
+  }
+  attempt.result.answer = std::move(answer);
+  return Step::kDone;
+}
+
+Awaitable<Answer> StatementRunner::run_pinned(PinnedLink pinned, RunOrder order, bool commits, bool wrote) {
+  GroupAccess& group = *order.group;
+  runtime::Runtime& runtime = services_.runtime;
+  Answer aborted;
+  aborted.refusal = Refusal::kAborted;
+  aborted.state = TransactionState::kFailed;
+  aborted.detail = "the transaction's backend was given up; nothing of it is kept";
+  const auto usable = [&] {
+    return !pinned.at_primary || order.read_only_transaction || services_.view.may_use_primary(group, pinned.epoch);
+  };
+  Reason reason;
+  const TimePoint setup_deadline = std::min(order.deadline, runtime.now() + kLinkSetupTimeout);
+  bool ready = usable() && pinned.link->link().is_open();
+  if (ready) ready = co_await pinned.link->bring_in_order(order.values, order.prepared, setup_deadline, reason);
+  if (!ready || !usable()) {
+    pinned.link->link().close();
+    log_refusal(order, aborted, reason, 0);
+    co_return aborted;
+  }
+  const TimePoint sent_at = runtime.now();
+  SendState sent = SendState::kNotSent;
+  std::optional<WorkScope> work;
+  if (pinned.at_primary) work.emplace(group, PrimaryWork{pinned.link->shared_link(), sent_at, commits && wrote});
+  ++pinned.backend->running;
+  BackendRequest request = make_request(order, *pinned.link, std::nullopt);
+  auto answer = co_await pinned.link->link().run(std::move(request), order.deadline, sent, reason);
+  --pinned.backend->running;
+  work.reset();
+  const bool current = services_.view.may_use_primary(group, pinned.epoch);
+  if (!answer) {
+    services_.metrics.count_lost_answer();
+    if (pinned.at_primary && current) services_.link.report_suspicion(group, false);
+    const bool in_doubt = commits && wrote && sent == SendState::kMaybeSent;
+    if (in_doubt) aborted.refusal = Refusal::kInDoubt;
+    if (in_doubt) aborted.detail = "the commit was sent and its outcome is not known";
+    log_refusal(order, aborted, reason, 1);
+    co_return aborted;
+  }
+  if (answer->succeeded() && pinned.at_primary && current && answer->position)
+    group.note_primary_position(sent_at, *answer->position);
+  if (commits && wrote && answer->succeeded()) {
+    if (current && answer->position) {
+      group.note_acknowledged(*answer->position);
+    } else {
+      aborted.refusal = Refusal::kInDoubt;
+      aborted.detail = "its primary was given up before the answer came";
+      log_refusal(order, aborted, reason, 1);
+      co_return aborted;
+    }
+  }
+  if (answer->refusal) log_refusal(order, *answer, reason, 1);
+  co_return std::move(*answer);
+}
+
+Awaitable<void> StatementRunner::roll_back(PinnedLink pinned) {
+  Reason reason;
+  SendState sent = SendState::kNotSent;
+  const TimePoint deadline = services_.runtime.now() + kLinkSetupTimeout;
+  if (pinned.link->link().is_open()) {
+    BackendRequest request = Rollback{};
+    const auto answer = co_await pinned.link->link().run(std::move(request), deadline, sent, reason);
+    if (!answer || answer->state != TransactionState::kIdle) pinned.link->link().close();
+  }
+  give_back(pinned);
+}
+
+void StatementRunner::give_back(const PinnedLink& pinned) { pinned.backend->pool.release(pinned.link); }
+
+void StatementRunner::log_refusal(const RunOrder& order, const Answer& answer, const Reason& reason,
+                                  int attempts) {
+  const registry::GroupTerm& term = order.group->term();
+  const Duration lease_left = services_.view.lease_until() - services_.runtime.now();
+  services_.runtime.logger().log(
+      LogLevel::kWarning, "statement_refused", reason,
+      {{"id", order.id},
+       {"refusal", refusal_name(*answer.refusal)},
+       {"why", answer.detail},
+       {"database", order.route.database.value},
+       {"group", term.group.value},
+       {"term", std::to_string(term.term)},
+       {"epoch", std::to_string(term.epoch)},
+       {"open", term.open ? "true" : "false"},
+       {"lease_left_ms", std::to_string(in_ms(lease_left))},
+       {"attempts", std::to_string(attempts)},
+       {"waited_ms", std::to_string(in_ms(services_.runtime.now() - order.arrived))}});
+}
+
+}  // namespace cairnhollow::session
--- /dev/null
+++ b/src/session/statement_runner.h
@@ -0,0 +1,78 @@
+// Runs one statement, or opens one transaction, at a backend of the group: chooses it, retries what has certainly not
+// run, and says definitely what became of the rest.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "session/session_services.h"
+#include "session/stateful_pool.h"
+
+namespace cairnhollow::session {
+
+/// What a statement needs beside its text.
+struct RunOrder {
+  registry::RouteRule route;
+  std::shared_ptr<GroupAccess> group;
+  std::string id;
+  std::string text;                       ///< passed on unchanged, unless something prepared is executed
+  std::optional<PreparedShape> prepared;  ///< executed with `argument`
+  std::string argument;
+  bool writes = false;
+  SessionValues values;
+  std::optional<Position> committed;  ///< the session's own latest commit in this group
+  TimePoint arrived{};
+  TimePoint deadline{};
+  /// Set for the first statement of a transaction, or for a commit without any.
+  bool opens_transaction = false;
+  bool read_only_transaction = false;
+};
+
+/// A transaction's link; nobody else uses it until it is given back.
+struct PinnedLink {
+  std::shared_ptr<BackendUse> backend;
+  std::shared_ptr<StatefulLink> link;
+  std::uint64_t epoch = 0;     ///< of the group when it was opened
+  bool at_primary = false;     ///< its answers count only while the primary of `epoch` may be used
+};
+
+struct RunResult {
+  Answer answer;
+  std::optional<PinnedLink> pinned;  ///< the transaction is open there
+  ServedBy served_by = ServedBy::kProxy;
+};
+
+class StatementRunner {
+ public:
+  explicit StatementRunner(SessionServices services) : services_(services) {}
+
+  /// A single statement, or with `opens_transaction` the first one of a transaction.
+  Awaitable<RunResult> run(RunOrder order);
+  /// A further statement of a transaction, or its commit. A missing answer leaves the link closed.
+  Awaitable<Answer> run_pinned(PinnedLink pinned, RunOrder order, bool commits, bool wrote);
+  /// Ends a transaction without commit and gives the link back.
+  Awaitable<void> roll_back(PinnedLink pinned);
+  void give_back(const PinnedLink& pinned);
+
+ private:
+  struct Attempt;
+  enum class Step : std::uint8_t { kDone, kNext, kWait };
+
+  Awaitable<std::shared_ptr<BackendUse>> choose(std::shared_ptr<Attempt> attempt);
+  Awaitable<Step> try_backend(std::shared_ptr<Attempt> attempt, std::shared_ptr<BackendUse> backend);
+  Awaitable<bool> prepare_link(std::shared_ptr<Attempt> attempt, std::shared_ptr<BackendUse> backend);
+  Awaitable<bool> begin_transaction(std::shared_ptr<Attempt> attempt);
+  Awaitable<std::optional<Answer>> exchange(std::shared_ptr<Attempt> attempt);
+  Step take_answer(Attempt& attempt, Answer answer);
+  Step take_loss(Attempt& attempt, const Reason& reason);
+  void give_up(Attempt& attempt);
+  [[nodiscard]] BackendRequest make_request(const RunOrder& order, const StatefulLink& link,
+                                            std::optional<Position> required) const;
+  void log_refusal(const RunOrder& order, const Answer& answer, const Reason& reason, int attempts);
+
+  SessionServices services_;
+};
+
+}  // namespace cairnhollow::session
--- a/src/wire/hello.h
+++ b/src/wire/hello.h
@@ -14,6 +14,8 @@
   kConsensus = 1,  ///< control node to control node: consensus messages
   kFollow = 2,     ///< proxy or relay to control node: FollowRequest / FollowAnswer
   kNews = 3,       ///< control node to control node: GroupState announcements
+  kServing = 4,    ///< proxy to control node of a registered fleet: ProxyReport / ProxyUpdate
+  kLeader = 5,     ///< control node to leader of a registered fleet: ControlCall / ControlAnswer
 };
 
 /// Of builds whose Hello says no range and gets no answer; messages are in formats without a mark.
--- a/tests/consensus/observed_runtime.h
+++ b/tests/consensus/observed_runtime.h
@@ -46,6 +46,7 @@
   void spawn(std::string_view name, Awaitable<void> task) override { runtime_.spawn(name, std::move(task)); }
   runtime::Network& network() override { return runtime_.network(); }
   runtime::HttpTransport& http() override { return runtime_.http(); }
+  runtime::LineTransport& lines() override { return runtime_.lines(); }
   runtime::Storage& storage() override { return runtime_.storage(); }
   runtime::Random& random() override { return runtime_.random(); }
   runtime::Logger& logger() override { return logger_; }
