Locals instead of conditional temporaries in co_await; SIGHUP checks the settings

Cause: control processes ended with 'double free' at the close of a group: g++ 12 copies temporaries of a conditional expression in a co_await by their bytes.

--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -53,8 +53,8 @@
 /// Starts a role, drains it at the first signal and ends the process.
 class ProgramRun {
  public:
-  ProgramRun(const ProgramDefinition& definition, const LoadedProgram& program)
-      : signals_(context_, SIGTERM, SIGINT) {
+  ProgramRun(const ProgramDefinition& definition, const ProgramFlags& flags, const LoadedProgram& program)
+      : definition_(definition), flags_(flags), signals_(context_, SIGTERM, SIGINT), reload_(context_, SIGHUP) {
     runtime::AsioRuntimeSettings settings;
     settings.program = definition.name;
     settings.node = program.plan.node;
@@ -70,6 +70,7 @@
     // A peer that closes while it is written to is an error of that write, not of the process.
     std::signal(SIGPIPE, SIG_IGN);
     await_signal();
+    await_reload();
     runtime_->spawn("start", start());
     context_.run();
     end_process(kExitFailure);
@@ -104,6 +105,26 @@
     });
   }
 
+  /// SIGHUP: the settings may have changed. They are checked and the outcome is logged; what they say holds from
+  /// the next start on.
+  void await_reload() {
+    reload_.async_wait([this](boost::system::error_code error, int /*signal_number*/) {
+      if (error) return;
+      check_settings_again();
+      await_reload();
+    });
+  }
+
+  void check_settings_again() {
+    std::vector<SettingsFault> faults;
+    const auto program = load_program(definition_, flags_, faults);
+    for (const SettingsFault& fault : faults) {
+      const Reason reason{ReasonCode::kInvalidArgument, "reload", fault.source, fault.to_string()};
+      runtime_->logger().log(runtime::LogLevel::kError, "settings_refused", reason, {});
+    }
+    if (program) runtime_->logger().log(runtime::LogLevel::kInfo, "settings_checked", {{"held_from", "next start"}});
+  }
+
   void on_signal(int signal_number) {
     if (draining_) end_process(kSignalExitBase + signal_number);
     draining_ = true;
@@ -112,7 +133,10 @@
   }
 
   boost::asio::io_context context_{1};
+  const ProgramDefinition& definition_;
+  const ProgramFlags& flags_;
   boost::asio::signal_set signals_;
+  boost::asio::signal_set reload_;
   std::unique_ptr<runtime::Runtime> runtime_;
   std::unique_ptr<runtime::Role> role_;
   bool draining_ = false;
@@ -141,7 +165,7 @@
     fmt::print("{}: settings are valid\n", outcome.flags->settings_file);
     return kExitSuccess;
   }
-  ProgramRun(definition, *program).run();
+  ProgramRun(definition, *outcome.flags, *program).run();
 }
 
 }  // namespace cairnhollow::cli
--- a/src/control/registered/group_keeper.cpp
+++ b/src/control/registered/group_keeper.cpp
@@ -108,7 +108,9 @@
   if (leader != nullptr) {
     GroupTerm none;
     none.group = group;
-    co_await open(none, leader->entry.name, leader->status->term, "it leads already");
+    const BackendName primary = leader->entry.name;
+    std::string why = "it leads already";
+    co_await open(none, primary, leader->status->term, std::move(why));
   } else {
     co_await runtime_.sleep_for(kFailoverRetry);
   }
@@ -140,7 +142,9 @@
     log("primary_examined", *term, "it answers as primary");
     co_return;
   }
-  co_await close(*term, reason.failed() ? reason.to_string() : "it does not lead this term any more");
+  std::string why = reason.failed() ? reason.to_string() : "it does not lead this term any more";
+  const GroupTerm given_up = *term;
+  co_await close(given_up, std::move(why));
 }
 
 Awaitable<bool> GroupKeeper::commits_stalled(GroupName group, GroupTerm term) {
@@ -176,7 +180,8 @@
   }
   const bool ready = successor && (!primary || successor->index + kHandOverLag >= primary->index);
   if (ready && leads()) {
-    co_await close(*term, "the primary leaves");
+    std::string why = "the primary leaves";
+    co_await close(*term, std::move(why));
   } else {
     co_await runtime_.sleep_for(kFailoverRetry);
   }
--- a/src/session/caller_session.cpp
+++ b/src/session/caller_session.cpp
@@ -42,7 +42,8 @@
                                  {{"refusal", refusal_name(refusal)},
                                   {"database", database_.value},
                                   {"version", std::to_string(services_.view.document_version())}});
-  co_await caller_->refuse(refusal, leased ? "no route names this database" : "no serving lease; come back later");
+  std::string why = leased ? "no route names this database" : "no serving lease; come back later";
+  co_await caller_->refuse(refusal, std::move(why));
   co_return false;
 }
 
@@ -71,7 +72,8 @@
   const bool ends = kind == StatementKind::kCommit || kind == StatementKind::kRollback;
   if (transaction_) transaction_->last_used = services_.runtime.now();
   if (transaction_ && transaction_->failed && !ends) {
-    if (!transaction_->failure.empty()) co_return refuse(Refusal::kAborted, std::exchange(transaction_->failure, ""));
+    std::string failure = std::exchange(transaction_->failure, std::string());
+    if (!failure.empty()) co_return refuse(Refusal::kAborted, std::move(failure));
     co_return refuse(Refusal::kMalformed, "the transaction has failed; end it first");
   }
   switch (kind) {
--- a/src/session/statement_runner.cpp
+++ b/src/session/statement_runner.cpp
@@ -167,8 +167,8 @@
                                                               std::shared_ptr<BackendUse> backend) {
   attempt->backend = backend;
   GroupAccess& group = *attempt->order.group;
-  const bool linked = co_await prepare_link(attempt, backend);
-  const bool begun = linked && (!attempt->order.opens_transaction || co_await begin_transaction(attempt));
+  bool begun = co_await prepare_link(attempt, backend);
+  if (begun && attempt->order.opens_transaction) begun = co_await begin_transaction(attempt);
   if (!begun) {
     if (!attempt->needs_primary) attempt->excluded.insert(backend->entry.name);
     co_return attempt->needs_primary ? Step::kWait : Step::kNext;
