Bounded waits for lease and primary; quick first election; idle links trimmed

Cause: after a common restart callers were refused at once, three times within 100 ms, until the first lease (1 s after the restart); backends still held the connections of before and refused new ones; proxies cut off from control kept their sessions.

--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -15,7 +15,7 @@
 Awaitable<void> Election::run() {
   runtime::Runtime& runtime = state_.runtime();
   const Duration timeout = state_.settings().election_timeout;
-  Duration chosen = runtime.random().between(timeout, timeout * 2);
+  Duration chosen = choose_timeout();
   last_campaign_ = runtime.now();
   while (!state_.halted()) {
     const bool may_campaign = state_.role() != ServerState::kLeader && state_.may_campaign();
@@ -36,10 +36,18 @@
     transfer_requested_ = false;
     co_await campaign(transfer);
     last_campaign_ = runtime.now();
-    chosen = runtime.random().between(timeout, timeout * 2);
+    chosen = choose_timeout();
   }
 }
 
+Duration Election::choose_timeout() const {
+  const RaftSettings& settings = state_.settings();
+  Duration timeout = settings.election_timeout;
+  const bool restarted = state_.leader().empty() && state_.configuration().formed;
+  if (restarted && settings.first_election_timeout > Duration(0)) timeout = settings.first_election_timeout;
+  return state_.runtime().random().between(timeout, timeout * 2);
+}
+
 Awaitable<void> Election::campaign(bool leadership_transfer) {
   if (!leadership_transfer) {
     state_.become_pre_candidate();
--- a/src/consensus/election.h
+++ b/src/consensus/election.h
@@ -33,6 +33,7 @@
     std::size_t unanswered = 0;
   };
 
+  [[nodiscard]] Duration choose_timeout() const;
   Awaitable<void> campaign(bool leadership_transfer);
   Awaitable<bool> gather_votes(std::shared_ptr<Ballot> ballot, ServerState role);
   Awaitable<void> ask(std::shared_ptr<Ballot> ballot, Member member, TimePoint deadline);
--- a/src/control/registered/registered_control_node.cpp
+++ b/src/control/registered/registered_control_node.cpp
@@ -39,6 +39,7 @@
   raft.zone = settings.zone;
   raft.endpoint = settings.peer_endpoint;
   raft.election_timeout = settings.election_timeout;
+  raft.first_election_timeout = settings.first_election_timeout;
   raft.heartbeat_interval = settings.heartbeat_interval;
   return raft;
 }
--- a/src/session/caller_session.cpp
+++ b/src/session/caller_session.cpp
@@ -34,6 +34,9 @@
   const auto start = co_await caller_->read_start(services_.runtime.now() + kStartTimeout, reason);
   if (!start) co_return false;
   database_ = start->database;
+  const TimePoint patience = services_.runtime.now() + kStartPatience;
+  while (!services_.view.lease_valid() && services_.runtime.now() < patience)
+    co_await services_.view.renewed().wait_until(patience);
   if (services_.view.find_route(database_) != nullptr) co_return co_await caller_->accept(reason);
   const bool leased = services_.view.lease_valid();
   const Refusal refusal = leased ? Refusal::kUnknownDatabase : Refusal::kBusy;
--- a/src/session/fleet_link.cpp
+++ b/src/session/fleet_link.cpp
@@ -37,6 +37,13 @@
   runtime_.logger().log(LogLevel::kWarning, "control_lost", reason, {{"control", peer}});
 }
 
+void FleetLink::note_search(const Reason& reason, const std::string& peer) {
+  const TimePoint now = runtime_.now();
+  if (now - search_logged_ < kSearchLogInterval) return;
+  search_logged_ = now;
+  runtime_.logger().log(LogLevel::kWarning, "control_not_found", reason, {{"control", peer}});
+}
+
 Awaitable<void> FleetLink::run() {
   while (!stopping_) {
     const Endpoint endpoint = next_endpoint();
@@ -55,6 +62,7 @@
   Reason reason;
   const TimePoint deadline = runtime_.now() + kControlConnectTimeout;
   auto connection = co_await runtime_.network().connect(endpoint, deadline, reason);
+  if (!connection) note_search(reason, endpoint.to_string());
   if (!connection) co_return nullptr;
   wire::Hello hello;
   hello.conversation = wire::Conversation::kServing;
@@ -118,6 +126,7 @@
 }
 
 void FleetLink::take_refusal(Conversation& conversation, const Reason& refusal) {
+  if (!connected_) note_search(refusal, conversation.connection->peer());
   note_lost(refusal, conversation.connection->peer());
   conversation.broken = true;
   if (refusal.code == ReasonCode::kNotLeader && !refusal.peer.empty())
--- a/src/session/fleet_link.h
+++ b/src/session/fleet_link.h
@@ -43,6 +43,8 @@
   [[nodiscard]] bool is_stalled(const Conversation& conversation) const;
   Endpoint next_endpoint();
   void note_lost(const Reason& reason, const std::string& peer);
+  /// An attempt to find the leader failed; told at most every kSearchLogInterval.
+  void note_search(const Reason& reason, const std::string& peer);
 
   runtime::Runtime& runtime_;
   SessionProxySettings settings_;
@@ -55,6 +57,7 @@
   std::uint64_t next_nonce_ = 1;
   std::vector<registry::PrimarySuspicion> suspicions_;
   std::map<GroupName, TimePoint> suspected_at_;
+  TimePoint search_logged_{};
   bool report_now_ = false;
   bool connected_ = false;
   bool stopping_ = false;
--- a/src/session/knobs.h
+++ b/src/session/knobs.h
@@ -12,14 +12,19 @@
 using std::chrono::seconds;
 
 /// A lease is asked for this often.
-inline constexpr Duration kReportInterval = milliseconds(500);
+inline constexpr Duration kReportInterval = milliseconds(400);
 /// Without an answer for this long another control node is asked.
-inline constexpr Duration kReportTimeout = milliseconds(700);
+inline constexpr Duration kReportTimeout = milliseconds(600);
 inline constexpr Duration kControlConnectTimeout = milliseconds(400);
+inline constexpr Duration kSearchLogInterval = milliseconds(250);
 inline constexpr Duration kControlRetryPause = milliseconds(20);
 
 /// Longest wait for a caller's first line.
 inline constexpr Duration kStartTimeout = seconds(5);
+/// A new session waits this long for a serving lease, e.g. while the fleet starts.
+inline constexpr Duration kStartPatience = milliseconds(1200);
+/// Without a lease for this long, idle sessions are let go: their callers find another proxy.
+inline constexpr Duration kLetGoAfter = milliseconds(2300);
 /// Longest wait for a new connection to a backend.
 inline constexpr Duration kDialTimeout = milliseconds(600);
 /// Longest wait for a link's own exchanges: values, prepared statements, begin.
@@ -29,8 +34,9 @@
 /// A read that got no answer goes to another backend after this part of the time that callers aim at.
 inline constexpr int kReadPatienceDivisor = 2;
 inline constexpr Duration kLeastReadPatience = milliseconds(100);
-/// A request waits this part of the time that callers aim at for somebody who can serve it, then it is refused.
-inline constexpr int kRefusePatienceDivisor = 5;
+/// A request waits this part of its time for a lease or a primary, either of which most often comes back that
+/// soon; then it is refused.
+inline constexpr int kRefusePatienceDivisor = 3;
 /// Backends tried for one statement.
 inline constexpr int kMaxAttempts = 4;
 /// Pause before a busy backend is tried again.
@@ -55,6 +61,9 @@
 inline constexpr std::size_t kMaxPreparedOnLink = 128;
 /// Values, or prepared statements, of one session.
 inline constexpr std::size_t kMaxSessionEntries = 1024;
+/// An idle link beyond the first is closed after this time: after a common loss of power the backends hold the
+/// connections of before for a while, and the fewer there were, the more new ones they take.
+inline constexpr Duration kIdleLinkLife = seconds(2);
 /// Connections kept back from the shares, for control nodes and for proxies that start.
 inline constexpr std::uint64_t kReservedConnections = 4;
 inline constexpr std::uint64_t kLeastConnections = 2;
--- a/src/session/session_proxy.cpp
+++ b/src/session/session_proxy.cpp
@@ -62,7 +62,8 @@
   Awaitable<void> serve(std::shared_ptr<runtime::LineConnection> lines);
   Awaitable<void> watch();
   void watch_primaries(TimePoint now);
-  void watch_lease();
+  void let_idle_go();
+  void watch_lease(TimePoint now);
   [[nodiscard]] bool is_ready() const { return !draining_ && view_.lease_valid(); }
   std::string render_metrics();
 
@@ -127,8 +128,16 @@
   }
 }
 
-void SessionProxy::watch_lease() {
+void SessionProxy::let_idle_go() {
+  const auto sessions = sessions_;
+  for (const auto& [id, session] : sessions) {
+    if (session->is_idle()) session->let_go();
+  }
+}
+
+void SessionProxy::watch_lease(TimePoint now) {
   const bool held = view_.lease_valid();
+  if (!held && now - view_.lease_until() > kLetGoAfter) let_idle_go();
   metrics_.set_lease(held);
   if (held == lease_held_) return;
   lease_held_ = held;
@@ -141,8 +150,11 @@
   while (!stopped_) {
     co_await runtime_.sleep_for(kWatchTick);
     const TimePoint now = runtime_.now();
-    watch_lease();
+    watch_lease(now);
     watch_primaries(now);
+    for (const auto& [name, group] : view_.groups()) {
+      for (const auto& [backend, use] : group->backends()) use->pool.trim(now);
+    }
     const Duration idle_limit = view_.transaction_idle();
     if (idle_limit == Duration(0)) continue;
     for (const auto& [id, session] : sessions_) session->end_resting_transaction(now, idle_limit);
@@ -161,9 +173,8 @@
   draining_ = true;
   co_await runtime_.sleep_for(kDrainIdleAfter);
   while (!sessions_.empty() && runtime_.now() < end) {
-    const auto sessions = sessions_;
-    for (const auto& [id, session] : sessions) {
-      if (session->is_idle()) session->let_go();
+    let_idle_go();
+    for (const auto& [id, session] : sessions_) {
       if (runtime_.now() > abort_at) session->abort_transaction();
     }
     co_await runtime_.sleep_for(kWatchTick);
--- a/src/session/stateful_pool.cpp
+++ b/src/session/stateful_pool.cpp
@@ -65,12 +65,13 @@
   drop_closed();
   if (idle_.empty()) return nullptr;
   auto best = idle_.end() - 1;
-  for (auto candidate = idle_.begin(); candidate != idle_.end(); ++candidate) {
+  for (auto candidate = idle_.rbegin(); candidate != idle_.rend(); ++candidate) {
     if ((*candidate)->values() == values) {
-      best = candidate;
+      best = std::prev(candidate.base());
       break;
     }
-    if (can_extend((*candidate)->values(), values) && !can_extend((*best)->values(), values)) best = candidate;
+    if (can_extend((*candidate)->values(), values) && !can_extend((*best)->values(), values))
+      best = std::prev(candidate.base());
   }
   auto link = *best;
   idle_.erase(best);
@@ -106,10 +107,19 @@
 void StatefulPool::release(std::shared_ptr<StatefulLink> link) {
   --in_use_;
   if (in_use_ + idle_.size() >= limit_) link->link().close();
+  link->set_idle_since(runtime_.now());
   if (link->link().is_open()) idle_.push_back(std::move(link));
   returned_.notify_one();
 }
 
+void StatefulPool::trim(TimePoint now) {
+  drop_closed();
+  while (idle_.size() > 1 && now - idle_.front()->idle_since() > kIdleLinkLife) {
+    idle_.front()->link().close();
+    idle_.erase(idle_.begin());
+  }
+}
+
 void StatefulPool::close_idle() {
   for (const auto& link : idle_) link->link().close();
   idle_.clear();
--- a/src/session/stateful_pool.h
+++ b/src/session/stateful_pool.h
@@ -39,6 +39,8 @@
   void forget_prepared() { prepared_.clear(); }
   [[nodiscard]] const SessionValues& values() const { return values_; }
   BackendLink& link() { return *link_; }
+  void set_idle_since(TimePoint now) { idle_since_ = now; }
+  [[nodiscard]] TimePoint idle_since() const { return idle_since_; }
   std::shared_ptr<BackendLink> shared_link() { return link_; }
 
  private:
@@ -48,6 +50,7 @@
   SessionValues values_;
   std::map<PreparedShape, std::string> prepared_;
   std::uint64_t next_name_ = 1;
+  TimePoint idle_since_{};
 };
 
 /// Lives until the process ends. `runtime` and `dialer` outlive it.
@@ -64,6 +67,8 @@
   /// Gives a link back that has no transaction open and owes no answer; a closed one is dropped.
   void release(std::shared_ptr<StatefulLink> link);
   void close_idle();
+  /// Closes links but one that have been idle for kIdleLinkLife.
+  void trim(TimePoint now);
   [[nodiscard]] std::size_t in_use() const { return in_use_; }
   [[nodiscard]] std::uint64_t opened() const { return opened_; }
   [[nodiscard]] const BackendAddress& address() const { return address_; }
@@ -76,7 +81,7 @@
   BackendDialer& dialer_;
   BackendAddress address_;
   runtime::Signal returned_;
-  std::vector<std::shared_ptr<StatefulLink>> idle_;
+  std::vector<std::shared_ptr<StatefulLink>> idle_;  ///< longest idle first
   std::uint64_t limit_ = 2;
   std::size_t in_use_ = 0;
   std::uint64_t opened_ = 0;
--- a/src/session/statement_runner.cpp
+++ b/src/session/statement_runner.cpp
@@ -68,8 +68,8 @@
 Awaitable<RunResult> StatementRunner::run(RunOrder order) {
   runtime::Runtime& runtime = services_.runtime;
   auto attempt = std::make_shared<Attempt>(std::move(order));
-  const Duration target = std::chrono::milliseconds(attempt->order.route.target_latency_ms);
-  attempt->refuse_at = std::min(attempt->order.deadline, attempt->order.arrived + target / kRefusePatienceDivisor);
+  const Duration whole = attempt->order.deadline - attempt->order.arrived;
+  attempt->refuse_at = attempt->order.arrived + whole / kRefusePatienceDivisor;
   Step step = Step::kNext;
   while (step != Step::kDone) {
     const bool worth_trying = attempt->count < kMaxAttempts && runtime.now() < attempt->order.deadline;
