A gate of running statements for each backend and proxy

Change: the product's concurrency limit and admission queue in front of each backend, open transactions first; a transaction that was not run is rolled back instead of cut; callers wait only while a lease or primary is to be expected soon.

--- a/src/session/fleet_view.h
+++ b/src/session/fleet_view.h
@@ -15,7 +15,7 @@
 class FleetView {
  public:
   FleetView(runtime::Runtime& runtime, BackendDialer& dialer, ZoneName zone)
-      : runtime_(runtime), dialer_(dialer), zone_(std::move(zone)), renewed_(runtime) {}
+      : runtime_(runtime), dialer_(dialer), zone_(std::move(zone)), renewed_(runtime), started_(runtime.now()) {}
 
   /// Takes over what changed. Groups closed by it acknowledge nothing any more when this returns.
   void apply(const registry::FleetDelta& delta);
@@ -24,6 +24,10 @@
 
   [[nodiscard]] bool lease_valid() const { return runtime_.now() < lease_until_; }
   [[nodiscard]] TimePoint lease_until() const { return lease_until_; }
+  /// Whether a lease is to be expected soon: the process has just started, or the last one has just run out.
+  [[nodiscard]] bool expects_lease() const {
+    return runtime_.now() - std::max(lease_until_, started_) < kLeaseExpectedWithin;
+  }
   [[nodiscard]] std::uint64_t revision() const { return revision_; }
   [[nodiscard]] std::uint64_t document_version() const { return document_version_; }
   [[nodiscard]] Duration transaction_idle() const { return transaction_idle_; }
@@ -51,6 +55,7 @@
   BackendDialer& dialer_;
   ZoneName zone_;
   runtime::Signal renewed_;
+  TimePoint started_;
   TimePoint lease_until_{};
   std::uint64_t revision_ = 0;
   std::uint64_t document_version_ = 0;
--- a/src/session/group_access.cpp
+++ b/src/session/group_access.cpp
@@ -13,6 +13,7 @@
 
 void GroupAccess::set_term(const registry::GroupTerm& term) {
   const bool primary_given_up = term_.open && (!term.open || term.epoch != term_.epoch);
+  if (term_.open && !term.open) closed_at_ = runtime_.now();
   const bool other_term = term.term != term_.term || term.primary != term_.primary;
   term_ = term;
   if (other_term) positions_.clear();
@@ -52,7 +53,11 @@
         rule_.max_connections > kReservedConnections ? rule_.max_connections - kReservedConnections : 1;
     share = std::clamp(usable / proxies_, kLeastConnections, kMostConnections);
   }
-  for (const auto& [name, use] : backends_) use->pool.set_limit(share);
+  for (const auto& [name, use] : backends_) {
+    use->pool.set_limit(share);
+    const std::uint64_t slots = std::max<std::uint64_t>(use->entry.slots / proxies_, 1);
+    use->gate.set_bounds(static_cast<std::uint32_t>(slots), static_cast<std::uint32_t>(share));
+  }
 }
 
 std::shared_ptr<BackendUse> GroupAccess::primary() {
@@ -66,7 +71,7 @@
 
 double GroupAccess::cost_of(const BackendUse& backend) const {
   const double slots = static_cast<double>(std::max<std::uint64_t>(backend.entry.slots, 1));
-  const double waiting = static_cast<double>(backend.running) / slots;
+  const double waiting = static_cast<double>(backend.gate.running() + backend.gate.waiting()) / slots;
   double cost = backend.latency_ms * (1.0 + waiting);
   if (backend.entry.zone != zone_) cost += kOtherZoneCostMs;
   if (backend.entry.name == term_.primary) cost += kPrimaryReadCostMs;
--- a/src/session/group_access.h
+++ b/src/session/group_access.h
@@ -11,6 +11,7 @@
 
 #include "registry/model.h"
 #include "session/position_history.h"
+#include "session/statement_gate.h"
 #include "session/stateful_pool.h"
 
 namespace cairnhollow::session {
@@ -18,12 +19,14 @@
 /// A backend and how it has done lately.
 struct BackendUse {
   BackendUse(runtime::Runtime& runtime, BackendDialer& dialer, const registry::BackendEntry& backend)
-      : entry(backend), pool(runtime, dialer, BackendAddress{backend.endpoint, backend.group, backend.name}) {}
+      : entry(backend),
+        pool(runtime, dialer, BackendAddress{backend.endpoint, backend.group, backend.name}),
+        gate(runtime) {}
 
   registry::BackendEntry entry;
   StatefulPool pool;
+  StatementGate gate;
   double latency_ms = kFirstLatencyMs;  ///< of statements, smoothed
-  std::size_t running = 0;              ///< statements of this proxy
   TimePoint avoid_until{};
   std::optional<TimePoint> leaving_since;  ///< when this proxy heard of it
 
@@ -57,6 +60,8 @@
 
   [[nodiscard]] const registry::GroupTerm& term() const { return term_; }
   [[nodiscard]] const GroupName& group() const { return group_; }
+  /// Whether a group without a usable primary will have one soon, as far as this proxy can tell.
+  [[nodiscard]] bool is_changing() const { return runtime_.now() - closed_at_ < kPrimaryExpectedWithin; }
   /// Notified when term or backends have changed.
   runtime::Signal& changed() { return changed_; }
 
@@ -93,6 +98,7 @@
   std::map<std::uint64_t, PrimaryWork> work_;
   std::uint64_t next_work_ = 1;
   std::uint64_t proxies_ = 1;
+  TimePoint closed_at_{};
   Position highest_acknowledged_;
   PositionHistory positions_;
   runtime::Signal changed_;
--- a/src/session/knobs.h
+++ b/src/session/knobs.h
@@ -23,6 +23,10 @@
 inline constexpr Duration kStartTimeout = seconds(5);
 /// A new session waits this long for a serving lease, e.g. while the fleet starts.
 inline constexpr Duration kStartPatience = milliseconds(1200);
+/// So soon after its start, or after its last lease, a proxy expects the next one; so soon after the close of a
+/// group, its next primary. What needs them waits only then.
+inline constexpr Duration kLeaseExpectedWithin = milliseconds(2500);
+inline constexpr Duration kPrimaryExpectedWithin = seconds(3);
 /// Without a lease for this long, idle sessions are let go: their callers find another proxy.
 inline constexpr Duration kLetGoAfter = milliseconds(2300);
 /// Longest wait for a new connection to a backend.
--- /dev/null
+++ b/src/session/statement_gate.cpp
@@ -0,0 +1,46 @@
+#include "session/statement_gate.h"
+
+namespace cairnhollow::session {
+
+Awaitable<bool> StatementGate::enter(std::uint8_t priority, TimePoint deadline) {
+  if (queue_.empty() && running_ < limit_.limit()) {
+    ++running_;
+    co_return true;
+  }
+  const auto key = queue_.make_key(priority, deadline);
+  const auto waiter = std::make_shared<Waiter>(runtime_);
+  queue_.insert(key, waiter);
+  bool in_time = true;
+  while (!waiter->admitted && in_time) in_time = co_await waiter->woken.wait_until(deadline);
+  if (!waiter->admitted) queue_.erase(key);
+  co_return waiter->admitted;
+}
+
+void StatementGate::leave(Duration latency) {
+  limit_.answered(latency, running_, runtime_.now());
+  leave_unanswered();
+}
+
+void StatementGate::leave_busy() {
+  limit_.busy(runtime_.now());
+  leave_unanswered();
+}
+
+void StatementGate::leave_unanswered() {
+  --running_;
+  admit_waiting();
+}
+
+void StatementGate::admit_waiting() {
+  while (!queue_.empty() && running_ < limit_.limit()) {
+    const auto first = queue_.entries().begin();
+    const auto key = first->first;
+    const auto waiter = first->second;
+    queue_.erase(key);
+    waiter->admitted = true;
+    ++running_;
+    waiter->woken.notify_all();
+  }
+}
+
+}  // namespace cairnhollow::session
--- a/src/session/statement_runner.cpp
+++ b/src/session/statement_runner.cpp
@@ -15,6 +15,18 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+void leave_gate(StatementGate& gate, const std::optional<Answer>& answer, Duration latency) {
+  if (!answer) return gate.leave_unanswered();
+  if (answer->refusal == Refusal::kBusy) return gate.leave_busy();
+  gate.leave(latency);
+}
+
+/// Behind the statements of open transactions, which hold connections.
+std::uint8_t urgency_of(const RunOrder& order) {
+  constexpr std::uint64_t kLeastUrgent = 100;
+  return static_cast<std::uint8_t>(std::min(order.route.priority + 1, kLeastUrgent));
+}
+
 /// A statement at a primary, taken out of the group's list when the scope ends.
 class WorkScope {
  public:
@@ -108,13 +120,20 @@
       attempt->needs_primary = attempt->need.primary_only;
       co_return backend;
     }
-    if (services_.runtime.now() >= attempt->refuse_at) co_return nullptr;
+    if (!is_worth_waiting(*attempt)) co_return nullptr;
     attempt->excluded.clear();
     co_await group.changed().wait_until(
         std::min(attempt->refuse_at, services_.runtime.now() + kBusyPause));
   }
 }
 
+bool StatementRunner::is_worth_waiting(const Attempt& attempt) const {
+  if (services_.runtime.now() >= attempt.refuse_at) return false;
+  const GroupAccess& group = *attempt.order.group;
+  if (!services_.view.lease_valid()) return services_.view.expects_lease();
+  return group.term().open || group.is_changing();
+}
+
 void StatementRunner::give_up(Attempt& attempt) {
   const registry::GroupTerm& term = attempt.order.group->term();
   Answer& answer = attempt.result.answer;
@@ -127,13 +146,16 @@
   answer.detail = fmt::format("{}; come back in {} ms", why, in_ms(kComeBackAfter));
 }
 
+TimePoint StatementRunner::wait_limit(const Attempt& attempt) const {
+  if (!attempt.offered) return attempt.refuse_at;
+  return std::min(attempt.order.deadline, services_.runtime.now() + kLeastReadPatience);
+}
+
 Awaitable<bool> StatementRunner::prepare_link(std::shared_ptr<Attempt> attempt,
                                               std::shared_ptr<BackendUse> backend) {
   const RunOrder& order = attempt->order;
-  const TimePoint patience = std::max(attempt->refuse_at, services_.runtime.now() + kLeastReadPatience);
   std::optional<Refusal> refusal;
-  attempt->link = co_await backend->pool.acquire(order.values, std::min(order.deadline, patience), refusal,
-                                                 attempt->reason);
+  attempt->link = co_await backend->pool.acquire(order.values, wait_limit(*attempt), refusal, attempt->reason);
   if (!attempt->link) {
     const bool full = attempt->reason.code == ReasonCode::kOverloaded;
     if (!full) backend->avoid_until = services_.runtime.now() + kAvoidBackend;
@@ -167,20 +189,24 @@
                                                               std::shared_ptr<BackendUse> backend) {
   attempt->backend = backend;
   GroupAccess& group = *attempt->order.group;
-  bool begun = co_await prepare_link(attempt, backend);
+  const std::uint8_t priority = urgency_of(attempt->order);
+  const bool entered = co_await backend->gate.enter(priority, wait_limit(*attempt));
+  bool begun = false;
+  if (entered) begun = co_await prepare_link(attempt, backend);
   if (begun && attempt->order.opens_transaction) begun = co_await begin_transaction(attempt);
   if (!begun) {
+    if (entered) backend->gate.leave_unanswered();
     if (!attempt->needs_primary) attempt->excluded.insert(backend->entry.name);
     co_return attempt->needs_primary ? Step::kWait : Step::kNext;
   }
   if (attempt->needs_primary && !services_.view.may_use_primary(group, attempt->epoch)) {
     attempt->link->link().close();
     backend->pool.release(attempt->link);
+    backend->gate.leave_unanswered();
     co_return Step::kNext;
   }
-  ++backend->running;
   auto answer = co_await exchange(attempt);
-  --backend->running;
+  leave_gate(backend->gate, answer, services_.runtime.now() - attempt->sent_at);
   if (!answer) {
     const Reason reason = attempt->reason;
     backend->pool.release(attempt->link);
@@ -242,8 +268,11 @@
   const PinnedLink pinned{attempt.backend, attempt.link, attempt.epoch, attempt.at_primary};
   const bool current = services_.view.may_use_primary(group, attempt.epoch);
   const auto drop = [&] {
-    if (order.opens_transaction) attempt.link->link().close();
-    backend.pool.release(attempt.link);
+    if (order.opens_transaction) {
+      services_.runtime.spawn("roll_back", roll_back(pinned));
+    } else {
+      backend.pool.release(attempt.link);
+    }
   };
   if (answer.succeeded()) backend.note_latency(services_.runtime.now() - attempt.sent_at);
   if (answer.refusal && is_not_run(*answer.refusal)) {
@@ -301,7 +330,10 @@
   const TimePoint setup_deadline = std::min(order.deadline, runtime.now() + kLinkSetupTimeout);
   bool ready = usable() && pinned.link->link().is_open();
   if (ready) ready = co_await pinned.link->bring_in_order(order.values, order.prepared, setup_deadline, reason);
-  if (!ready || !usable()) {
+  bool entered = false;
+  if (ready) entered = co_await pinned.backend->gate.enter(backend::kUrgentClass, order.deadline);
+  if (!entered || !usable()) {
+    if (entered) pinned.backend->gate.leave_unanswered();
     pinned.link->link().close();
     log_refusal(order, aborted, reason, 0);
     co_return aborted;
@@ -310,10 +342,9 @@
   SendState sent = SendState::kNotSent;
   std::optional<WorkScope> work;
   if (pinned.at_primary) work.emplace(group, PrimaryWork{pinned.link->shared_link(), sent_at, commits && wrote});
-  ++pinned.backend->running;
   BackendRequest request = make_request(order, *pinned.link, std::nullopt);
   auto answer = co_await pinned.link->link().run(std::move(request), order.deadline, sent, reason);
-  --pinned.backend->running;
+  leave_gate(pinned.backend->gate, answer, runtime.now() - sent_at);
   work.reset();
   const bool current = services_.view.may_use_primary(group, pinned.epoch);
   if (!answer) {
--- a/src/session/statement_runner.h
+++ b/src/session/statement_runner.h
@@ -60,6 +60,10 @@
   struct Attempt;
   enum class Step : std::uint8_t { kDone, kNext, kWait };
 
+  [[nodiscard]] bool is_worth_waiting(const Attempt& attempt) const;
+  /// Until when something is waited for at a backend.
+  [[nodiscard]] TimePoint wait_limit(const Attempt& attempt) const;
+
   Awaitable<std::shared_ptr<BackendUse>> choose(std::shared_ptr<Attempt> attempt);
   Awaitable<Step> try_backend(std::shared_ptr<Attempt> attempt, std::shared_ptr<BackendUse> backend);
   Awaitable<bool> prepare_link(std::shared_ptr<Attempt> attempt, std::shared_ptr<BackendUse> backend);
