Reads leave lagging replicas; waits at a full backend end while the answer is still of use

Change: a replica's lag is estimated from what it shows and fades without news; latency fades to the group's usual one; a statement waits half of its aim for a full backend, and not when that can't do.

--- a/src/session/caller_session.cpp
+++ b/src/session/caller_session.cpp
@@ -185,7 +185,7 @@
 
 void CallerSession::note_committed(const RunOrder& order, const Answer& answer) {
   if (!answer.succeeded() || !answer.position) return;
-  committed_ = answer.position;
+  committed_ = SessionCommit{answer.position, services_.runtime.now()};
   committed_in_ = order.group->group();
 }
 
@@ -243,7 +243,11 @@
   if (!transaction_->pinned) {
     order->opens_transaction = true;
     RunResult result = co_await runner_.run(std::move(*order));
-    if (result.pinned) runner_.give_back(*result.pinned);
+    if (result.pinned && result.answer.state == TransactionState::kIdle) {
+      runner_.give_back(*result.pinned);
+    } else if (result.pinned) {
+      co_await runner_.roll_back(*result.pinned);
+    }
     transaction_.reset();
     result.answer.state = TransactionState::kIdle;
     co_return std::move(result.answer);
--- a/src/session/caller_session.h
+++ b/src/session/caller_session.h
@@ -68,7 +68,7 @@
   SessionValues values_;
   std::map<std::string, PreparedShape> prepared_;
   std::optional<Transaction> transaction_;
-  std::optional<Position> committed_;  ///< the session's latest commit
+  SessionCommit committed_;
   GroupName committed_in_;
   ServedBy served_by_ = ServedBy::kProxy;
   bool answering_ = false;
--- a/src/session/group_access.cpp
+++ b/src/session/group_access.cpp
@@ -1,14 +1,51 @@
 #include "session/group_access.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cairnhollow::session {
 
 using std::chrono::duration;
 
-void BackendUse::note_latency(Duration took) {
+double BackendUse::latency_ms(TimePoint now, double usual_ms) const {
+  const double age = duration<double>(now - latency_noted_at_) / kLatencyMemory;
+  return usual_ms + (latency_ms_ - usual_ms) * std::exp(-age);
+}
+
+void BackendUse::note_latency(double took_ms, double usual_ms, TimePoint now) {
+  const double before = latency_ms(now, usual_ms);
+  latency_ms_ = before + kLatencyWeight * (took_ms - before);
+  latency_noted_at_ = now;
+}
+
+void GroupAccess::note_latency(BackendUse& backend, Duration took) {
   const double took_ms = duration<double, std::milli>(took).count();
-  latency_ms += kLatencyWeight * (took_ms - latency_ms);
+  usual_latency_ms_ += kUsualLatencyWeight * (took_ms - usual_latency_ms_);
+  backend.note_latency(took_ms, usual_latency_ms_, runtime_.now());
+}
+
+Duration BackendUse::lag(TimePoint now) const {
+  const auto half_lives = (now - lag_noted_at_) / kLagHalfLife;
+  constexpr std::int64_t kNothingLeft = 30;
+  return half_lives >= kNothingLeft ? Duration(0) : lag_ / (std::int64_t{1} << half_lives);
+}
+
+void BackendUse::note_applied(Duration age, bool was_there, TimePoint now) {
+  const Duration before = lag(now);
+  lag_noted_at_ = now;
+  if (was_there) {
+    lag_ = before + (std::min(age, before) - before) / kLagSmoothing;
+  } else {
+    lag_ = std::max(before, age + age / kLagStepDivisor);
+  }
+}
+
+void GroupAccess::note_replica(BackendUse& backend, const ReadNeed& need, std::optional<Position> shown) {
+  const TimePoint now = runtime_.now();
+  if (!shown) return backend.note_applied(now - need.required_since, false, now);
+  const auto first_seen = positions_.first_seen(*shown);
+  // What it shows is newer than all that the primary was seen to have.
+  backend.note_applied(first_seen ? now - *first_seen : Duration(0), true, now);
 }
 
 void GroupAccess::set_term(const registry::GroupTerm& term) {
@@ -72,7 +109,7 @@
 double GroupAccess::cost_of(const BackendUse& backend) const {
   const double slots = static_cast<double>(std::max<std::uint64_t>(backend.entry.slots, 1));
   const double waiting = static_cast<double>(backend.gate.running() + backend.gate.waiting()) / slots;
-  double cost = backend.latency_ms * (1.0 + waiting);
+  double cost = backend.latency_ms(runtime_.now(), usual_latency_ms_) * (1.0 + waiting);
   if (backend.entry.zone != zone_) cost += kOtherZoneCostMs;
   if (backend.entry.name == term_.primary) cost += kPrimaryReadCostMs;
   return cost;
@@ -90,6 +127,8 @@
     if (use->entry.leaving || excluded.count(name) > 0) continue;
     // A primary of a closed group is not to be believed.
     if (name == term_.primary && !leader) continue;
+    const bool lags = name != term_.primary && use->lag(now) > now - need.required_since;
+    if (lags && leader) continue;
     auto& slot = use->avoid_until > now ? avoided : best;
     if (!slot || cost_of(*use) < cost_of(*slot)) slot = use;
   }
@@ -97,7 +136,7 @@
   return usable_leader ? usable_leader : avoided;
 }
 
-ReadNeed GroupAccess::need_of(const registry::RouteRule& route, std::optional<Position> committed) const {
+ReadNeed GroupAccess::need_of(const registry::RouteRule& route, const SessionCommit& committed) const {
   ReadNeed need;
   need.primary_only = true;
   if (route.reads == registry::ReadPolicy::kPrimary) return need;
@@ -108,8 +147,11 @@
   if (term_.open && (!newest || now - *newest > staleness / kPositionRefreshDivisor)) return need;
   need.required = positions_.covering(now - staleness);
   if (!need.required) return need;
-  if (route.reads == registry::ReadPolicy::kReadYourWrites && committed)
-    need.required = std::max(*need.required, *committed);
+  need.required_since = positions_.first_seen(*need.required).value_or(now);
+  if (route.reads == registry::ReadPolicy::kReadYourWrites && committed.position > need.required) {
+    need.required = committed.position;
+    need.required_since = committed.at;
+  }
   need.primary_only = false;
   return need;
 }
--- a/src/session/group_access.h
+++ b/src/session/group_access.h
@@ -26,11 +26,24 @@
   registry::BackendEntry entry;
   StatefulPool pool;
   StatementGate gate;
-  double latency_ms = kFirstLatencyMs;  ///< of statements, smoothed
   TimePoint avoid_until{};
   std::optional<TimePoint> leaving_since;  ///< when this proxy heard of it
 
-  void note_latency(Duration took);
+  void note_latency(double took_ms, double usual_ms, TimePoint now);
+  /// Of statements, smoothed. Goes back to `usual_ms` without news, since a backend that is passed over for its latency
+  /// tells no better one.
+  [[nodiscard]] double latency_ms(TimePoint now, double usual_ms) const;
+  /// A position that the primary had `age` ago was there, or was not.
+  void note_applied(Duration age, bool was_there, TimePoint now);
+  /// How far a replica is thought to be behind its primary. Halves with each kLagHalfLife without news, since one
+  /// that is passed over tells nothing.
+  [[nodiscard]] Duration lag(TimePoint now) const;
+
+ private:
+  double latency_ms_ = kFirstLatencyMs;
+  TimePoint latency_noted_at_{};
+  Duration lag_{0};
+  TimePoint lag_noted_at_{};
 };
 
 /// Statements at a primary; the key is only for taking one out again.
@@ -40,10 +53,17 @@
   bool commits = false;  ///< a write or commit: its answer needs a replica
 };
 
+/// A session's latest commit in a group.
+struct SessionCommit {
+  std::optional<Position> position;  ///< empty: none
+  TimePoint at{};
+};
+
 /// What a read needs of the backend that serves it.
 struct ReadNeed {
   bool primary_only = false;
   std::optional<Position> required;  ///< of a replica
+  TimePoint required_since{};        ///< when the primary had that position
 };
 
 class GroupAccess {
@@ -70,7 +90,7 @@
   /// The backend to read at, out of those not in `excluded`; null when none is left.
   std::shared_ptr<BackendUse> choose_reader(const ReadNeed& need, const std::set<BackendName>& excluded);
   /// What a read must see under these rules; primary_only when a replica can't be shown to have it.
-  [[nodiscard]] ReadNeed need_of(const registry::RouteRule& route, std::optional<Position> committed) const;
+  [[nodiscard]] ReadNeed need_of(const registry::RouteRule& route, const SessionCommit& committed) const;
 
   std::uint64_t begin_work(PrimaryWork work);
   void end_work(std::uint64_t work) { work_.erase(work); }
@@ -81,6 +101,10 @@
     highest_acknowledged_ = std::max(highest_acknowledged_, position);
   }
   [[nodiscard]] Position highest_acknowledged() const { return highest_acknowledged_; }
+  /// A statement of this group took so long at a backend.
+  void note_latency(BackendUse& backend, Duration took);
+  /// A replica answered a read that needed a position, and showed where its log is; or it lacked the position.
+  void note_replica(BackendUse& backend, const ReadNeed& need, std::optional<Position> shown);
   /// A primary of the open term showed `position` to a question sent at `asked_at`.
   void note_primary_position(TimePoint asked_at, Position position) { positions_.note(asked_at, position); }
   [[nodiscard]] const std::map<BackendName, std::shared_ptr<BackendUse>>& backends() const { return backends_; }
@@ -98,6 +122,7 @@
   std::map<std::uint64_t, PrimaryWork> work_;
   std::uint64_t next_work_ = 1;
   std::uint64_t proxies_ = 1;
+  double usual_latency_ms_ = kFirstLatencyMs;  ///< of all backends, over a longer time
   TimePoint closed_at_{};
   Position highest_acknowledged_;
   PositionHistory positions_;
--- a/src/session/knobs.h
+++ b/src/session/knobs.h
@@ -48,6 +48,8 @@
 /// What a refused caller is told to wait while a group has no primary.
 inline constexpr Duration kComeBackAfter = milliseconds(300);
 
+/// A statement that took longer is logged with where its time went.
+inline constexpr Duration kSlowStatement = milliseconds(200);
 /// A statement at a primary without an answer for this long makes the primary suspect.
 inline constexpr Duration kPrimarySilence = milliseconds(300);
 inline constexpr Duration kWatchTick = milliseconds(100);
@@ -72,6 +74,8 @@
 inline constexpr std::uint64_t kReservedConnections = 4;
 inline constexpr std::uint64_t kLeastConnections = 2;
 inline constexpr std::uint64_t kMostConnections = 12;
+/// After a backend refused one more connection none is opened for this long.
+inline constexpr Duration kFullPause = milliseconds(150);
 
 /// After SIGTERM: how long callers are still sent here, and idle sessions are kept.
 inline constexpr Duration kDrainIdleAfter = milliseconds(2300);
@@ -84,6 +88,14 @@
 inline constexpr double kFirstLatencyMs = 15.0;
 inline constexpr double kOtherZoneCostMs = 8.0;
 inline constexpr double kPrimaryReadCostMs = 12.0;
+/// A replica's lag: part of the way that it falls with each answer, and what is added when it was taken too low.
+inline constexpr int kLagSmoothing = 8;
+inline constexpr int kLagStepDivisor = 4;
+inline constexpr Duration kLagHalfLife = milliseconds(400);
+inline constexpr Duration kLatencyMemory = seconds(1);
 inline constexpr double kLatencyWeight = 0.15;
+inline constexpr double kUsualLatencyWeight = 0.02;
+/// A statement waits this part of the time that callers aim at for a backend that is full.
+inline constexpr int kGatePatienceDivisor = 2;
 
 }  // namespace cairnhollow::session
--- a/src/session/position_history.h
+++ b/src/session/position_history.h
@@ -25,6 +25,14 @@
     }
     return std::nullopt;
   }
+  /// When the primary was first seen to have `position`; empty when that was before all that is remembered, or it
+  /// was not seen yet.
+  [[nodiscard]] std::optional<TimePoint> first_seen(Position position) const {
+    for (const Sighting& sighting : seen_) {
+      if (sighting.position >= position) return sighting.asked_at;
+    }
+    return std::nullopt;
+  }
   [[nodiscard]] std::optional<TimePoint> newest() const {
     if (seen_.empty()) return std::nullopt;
     return seen_.back().asked_at;
--- a/src/session/stateful_pool.cpp
+++ b/src/session/stateful_pool.cpp
@@ -86,9 +86,11 @@
       ++in_use_;
       co_return idle;
     }
-    if (in_use_ < limit_) break;
-    const bool notified = co_await returned_.wait_until(deadline);
-    if (notified) continue;
+    if (may_dial()) break;
+    const bool waits_for_room = in_use_ < limit_;
+    const TimePoint wake = waits_for_room ? std::min(deadline, full_until_) : deadline;
+    co_await returned_.wait_until(wake);
+    if (runtime_.now() < deadline) continue;
     reason = Reason{ReasonCode::kOverloaded, "acquire_link", address_.backend.value, "all links are in use"};
     co_return nullptr;
   }
@@ -100,6 +102,7 @@
     co_return std::make_shared<StatefulLink>(std::move(link));
   }
   --in_use_;
+  if (refusal == Refusal::kConnectionLimit) full_until_ = runtime_.now() + kFullPause;
   returned_.notify_one();
   co_return nullptr;
 }
--- a/src/session/stateful_pool.h
+++ b/src/session/stateful_pool.h
@@ -76,6 +76,10 @@
  private:
   std::shared_ptr<StatefulLink> take_idle(const SessionValues& values);
   void drop_closed();
+  /// Whether one more connection may be tried now. With none in use it always may.
+  [[nodiscard]] bool may_dial() const {
+    return in_use_ == 0 || (in_use_ < limit_ && runtime_.now() >= full_until_);
+  }
 
   runtime::Runtime& runtime_;
   BackendDialer& dialer_;
@@ -83,6 +87,7 @@
   runtime::Signal returned_;
   std::vector<std::shared_ptr<StatefulLink>> idle_;  ///< longest idle first
   std::uint64_t limit_ = 2;
+  TimePoint full_until_{};  ///< the backend refused one more connection
   std::size_t in_use_ = 0;
   std::uint64_t opened_ = 0;
 };
--- a/src/session/statement_gate.cpp
+++ b/src/session/statement_gate.cpp
@@ -8,6 +8,9 @@
     co_return true;
   }
   const auto key = queue_.make_key(priority, deadline);
+  const auto ahead = static_cast<Duration::rep>(queue_.ahead_of(key));
+  const Duration expected = limit_.expected_latency() * ahead / limit_.limit();
+  if (runtime_.now() + expected >= deadline) co_return false;
   const auto waiter = std::make_shared<Waiter>(runtime_);
   queue_.insert(key, waiter);
   bool in_time = true;
--- a/src/session/statement_runner.cpp
+++ b/src/session/statement_runner.cpp
@@ -18,6 +18,8 @@
 void leave_gate(StatementGate& gate, const std::optional<Answer>& answer, Duration latency) {
   if (!answer) return gate.leave_unanswered();
   if (answer->refusal == Refusal::kBusy) return gate.leave_busy();
+  // What was not run was answered at once and tells nothing about the time that statements take.
+  if (answer->refusal) return gate.leave_unanswered();
   gate.leave(latency);
 }
 
@@ -64,6 +66,12 @@
   TimePoint sent_at{};
   SendState sent = SendState::kNotSent;
 
+  // Where the time went, over all attempts.
+  Duration at_gate{0};
+  Duration at_pool{0};
+  Duration at_backend{0};
+  std::string path;  ///< backends tried and how each attempt ended
+
   /// Whether nothing is lost when it runs once more.
   [[nodiscard]] bool may_run_again() const { return !order.writes || order.opens_transaction; }
   [[nodiscard]] bool is_read() const {
@@ -96,6 +104,7 @@
     if (step == Step::kWait) co_await runtime.sleep_for(kBusyPause);
   }
   const Answer& answer = attempt->result.answer;
+  if (!answer.refusal && runtime.now() - attempt->order.arrived > kSlowStatement) log_slow(*attempt);
   if (answer.refusal) log_refusal(attempt->order, answer, attempt->reason, attempt->count);
   co_return std::move(attempt->result);
 }
@@ -151,6 +160,12 @@
   return std::min(attempt.order.deadline, services_.runtime.now() + kLeastReadPatience);
 }
 
+TimePoint StatementRunner::gate_limit(const Attempt& attempt) const {
+  const Duration target = std::chrono::milliseconds(attempt.order.route.target_latency_ms);
+  const TimePoint useful = attempt.order.arrived + target / kGatePatienceDivisor;
+  return std::min(wait_limit(attempt), std::max(useful, services_.runtime.now() + kBusyPause));
+}
+
 Awaitable<bool> StatementRunner::prepare_link(std::shared_ptr<Attempt> attempt,
                                               std::shared_ptr<BackendUse> backend) {
   const RunOrder& order = attempt->order;
@@ -179,6 +194,8 @@
   const auto answer = co_await attempt->link->link().run(std::move(request), deadline, sent, attempt->reason);
   if (answer && answer->succeeded()) co_return true;
   if (answer) services_.metrics.count_retry(*answer->refusal);
+  if (answer && *answer->refusal == Refusal::kTooStale)
+    attempt->order.group->note_replica(*attempt->backend, attempt->need, std::nullopt);
   if (answer && *answer->refusal == Refusal::kNotPrimary)
     services_.link.report_suspicion(*attempt->order.group, false);
   attempt->backend->pool.release(attempt->link);
@@ -190,9 +207,14 @@
   attempt->backend = backend;
   GroupAccess& group = *attempt->order.group;
   const std::uint8_t priority = urgency_of(attempt->order);
-  const bool entered = co_await backend->gate.enter(priority, wait_limit(*attempt));
+  const TimePoint begun_at = services_.runtime.now();
+  const bool entered = co_await backend->gate.enter(priority, gate_limit(*attempt));
+  const TimePoint entered_at = services_.runtime.now();
+  attempt->at_gate += entered_at - begun_at;
+  attempt->path += backend->entry.name.value + ' ';
   bool begun = false;
   if (entered) begun = co_await prepare_link(attempt, backend);
+  attempt->at_pool += services_.runtime.now() - entered_at;
   if (begun && attempt->order.opens_transaction) begun = co_await begin_transaction(attempt);
   if (!begun) {
     if (entered) backend->gate.leave_unanswered();
@@ -206,6 +228,7 @@
     co_return Step::kNext;
   }
   auto answer = co_await exchange(attempt);
+  attempt->at_backend += services_.runtime.now() - attempt->sent_at;
   leave_gate(backend->gate, answer, services_.runtime.now() - attempt->sent_at);
   if (!answer) {
     const Reason reason = attempt->reason;
@@ -274,13 +297,14 @@
       backend.pool.release(attempt.link);
     }
   };
-  if (answer.succeeded()) backend.note_latency(services_.runtime.now() - attempt.sent_at);
+  if (answer.succeeded()) group.note_latency(backend, services_.runtime.now() - attempt.sent_at);
   if (answer.refusal && is_not_run(*answer.refusal)) {
     services_.metrics.count_retry(*answer.refusal);
     if (*answer.refusal == Refusal::kUnknownStatement) attempt.link->forget_prepared();
     if (*answer.refusal == Refusal::kNotPrimary && attempt.at_primary && current)
       services_.link.report_suspicion(group, false);
     if (*answer.refusal == Refusal::kWrongBackend) attempt.link->link().close();
+    if (*answer.refusal == Refusal::kTooStale) group.note_replica(backend, attempt.need, std::nullopt);
     attempt.reason = Reason{ReasonCode::kOverloaded, "run_statement", backend.entry.name.value,
                             refusal_name(*answer.refusal)};
     drop();
@@ -294,6 +318,8 @@
   }
   if (answer.succeeded() && attempt.at_primary && current && answer.position)
     group.note_primary_position(attempt.sent_at, *answer.position);
+  if (answer.succeeded() && !attempt.at_primary && answer.position)
+    group.note_replica(backend, attempt.need, answer.position);
   const bool commits = order.writes && !order.opens_transaction;
   if (commits && answer.succeeded()) {
     if (current && answer.position) {
@@ -386,6 +412,22 @@
 
 void StatementRunner::give_back(const PinnedLink& pinned) { pinned.backend->pool.release(pinned.link); }
 
+void StatementRunner::log_slow(const Attempt& attempt) {
+  services_.runtime.logger().log(
+      LogLevel::kInfo, "statement_slow",
+      {{"id", attempt.order.id},
+       {"group", attempt.order.group->group().value},
+       {"writes", attempt.order.writes ? "true" : "false"},
+       {"opens_transaction", attempt.order.opens_transaction ? "true" : "false"},
+       {"primary_only", attempt.need.primary_only ? "true" : "false"},
+       {"attempts", std::to_string(attempt.count)},
+       {"backends", attempt.path},
+       {"gate_ms", std::to_string(in_ms(attempt.at_gate))},
+       {"link_ms", std::to_string(in_ms(attempt.at_pool))},
+       {"backend_ms", std::to_string(in_ms(attempt.at_backend))},
+       {"took_ms", std::to_string(in_ms(services_.runtime.now() - attempt.order.arrived))}});
+}
+
 void StatementRunner::log_refusal(const RunOrder& order, const Answer& answer, const Reason& reason,
                                   int attempts) {
   const registry::GroupTerm& term = order.group->term();
--- a/src/session/statement_runner.h
+++ b/src/session/statement_runner.h
@@ -22,7 +22,7 @@
   std::string argument;
   bool writes = false;
   SessionValues values;
-  std::optional<Position> committed;  ///< the session's own latest commit in this group
+  SessionCommit committed;  ///< the session's own
   TimePoint arrived{};
   TimePoint deadline{};
   /// Set for the first statement of a transaction, or for a commit without any.
@@ -63,6 +63,8 @@
   [[nodiscard]] bool is_worth_waiting(const Attempt& attempt) const;
   /// Until when something is waited for at a backend.
   [[nodiscard]] TimePoint wait_limit(const Attempt& attempt) const;
+  /// The same for a backend's gate: who would come through later would be late, and make others late.
+  [[nodiscard]] TimePoint gate_limit(const Attempt& attempt) const;
 
   Awaitable<std::shared_ptr<BackendUse>> choose(std::shared_ptr<Attempt> attempt);
   Awaitable<Step> try_backend(std::shared_ptr<Attempt> attempt, std::shared_ptr<BackendUse> backend);
@@ -74,6 +76,7 @@
   void give_up(Attempt& attempt);
   [[nodiscard]] BackendRequest make_request(const RunOrder& order, const StatefulLink& link,
                                             std::optional<Position> required) const;
+  void log_slow(const Attempt& attempt);
   void log_refusal(const RunOrder& order, const Answer& answer, const Reason& reason, int attempts);
 
   SessionServices services_;
