--- /dev/null
+++ b/simulation/registered_fleet.cpp
@@ -0,0 +1,325 @@
+#include "simulation/registered_fleet.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/json/parse.hpp>
+
+#include "platform/edge.h"
+
+namespace cairnhollow::simulation {
+
+using namespace standins::unfenced;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint16_t kPeerPort = 7440;
+constexpr std::uint16_t kOperatorPort = 8782;
+constexpr std::uint16_t kSessionPort = 8784;
+constexpr std::uint16_t kReadinessPort = 8785;
+constexpr std::uint16_t kDatabasePort = 9000;
+constexpr const char* kPromotionAddress = "10.9.0.1";
+constexpr std::size_t kBackendsPerGroup = 3;
+constexpr Duration kPromotionTakes = milliseconds(300);
+constexpr Duration kCallTimeout = milliseconds(900);
+const std::vector<std::string> kZones{"kelburn", "petone", "porirua"};
+
+struct PolicyOfDatabase {
+  const char* name;
+  const char* kind;
+  registry::ReadPolicy policy;
+  std::uint64_t staleness_ms;
+};
+constexpr std::array<PolicyOfDatabase, 3> kPolicies{
+    {{"records", "primary", registry::ReadPolicy::kPrimary, 0},
+     {"browse", "bounded_staleness", registry::ReadPolicy::kBoundedStaleness, 1500},
+     {"assign", "read_your_writes", registry::ReadPolicy::kReadYourWrites, 2500}}};
+
+std::size_t number_of(const std::string& name) { return std::stoull(name.substr(name.rfind('-') + 1)); }
+
+}  // namespace
+
+RegisteredFleet::RegisteredFleet(RegisteredFleetSettings settings)
+    : settings_(settings), world_(WorldSettings{settings.seed, {}, milliseconds(1), settings.print_log}) {}
+
+std::string RegisteredFleet::address_of(const std::string& name) const {
+  const bool is_control = name.starts_with("control");
+  const bool is_proxy = name.starts_with("proxy");
+  if (is_control || is_proxy) return fmt::format("10.{}.0.{}", is_control ? 1 : 2, number_of(name));
+  return fmt::format("10.3.{}.{}", name[1], name.back());
+}
+
+std::vector<Endpoint> RegisteredFleet::control_endpoints(std::uint16_t port) const {
+  std::vector<Endpoint> endpoints;
+  for (std::size_t number = 1; number <= settings_.control_nodes; ++number)
+    endpoints.push_back({address_of(fmt::format("control-{}", number)), port});
+  return endpoints;
+}
+
+void RegisteredFleet::start_control(std::size_t number) {
+  const std::string name = fmt::format("control-{}", number);
+  control::registered::RegisteredControlSettings settings;
+  settings.node = NodeName(name);
+  settings.zone = ZoneName(kZones[(number - 1) % kZones.size()]);
+  settings.peer_endpoint = {address_of(name), kPeerPort};
+  settings.operator_endpoint = {address_of(name), kOperatorPort};
+  settings.seeds = control_endpoints(kOperatorPort);
+  if (settings.seeds.size() > kZones.size()) settings.seeds.resize(kZones.size());
+  settings.first_start = !wiped_[name];
+  settings.promotion_endpoint = {kPromotionAddress, kOperatorPort};
+  world_.start({name, address_of(name), settings.zone}, [settings](runtime::Runtime& runtime) {
+    return control::registered::make_registered_control_node(runtime, settings, platform::control_edge());
+  });
+}
+
+void RegisteredFleet::start_proxy(std::size_t number) {
+  const std::string name = fmt::format("proxy-{}", number);
+  session::SessionProxySettings settings;
+  settings.node = NodeName(name);
+  settings.zone = ZoneName(kZones[(number - 1) % kZones.size()]);
+  settings.session_endpoint = {address_of(name), kSessionPort};
+  settings.readiness_endpoint = {address_of(name), kReadinessPort};
+  settings.seeds = control_endpoints(kOperatorPort);
+  settings.control_port = kPeerPort;
+  world_.start({name, address_of(name), settings.zone}, [settings](runtime::Runtime& runtime) {
+    return session::make_session_proxy(runtime, settings, platform::session_edge());
+  });
+}
+
+void RegisteredFleet::start_databases() {
+  std::vector<GroupModel*> models;
+  for (std::size_t group = 1; group <= settings_.groups; ++group) {
+    std::vector<BackendName> names;
+    for (std::size_t backend = 1; backend <= kBackendsPerGroup; ++backend)
+      names.emplace_back(fmt::format("g{}-b{}", group, backend));
+    models_.push_back(
+        std::make_unique<GroupModel>(GroupName(fmt::format("group-{}", group)), names, settings_.replica_lag));
+    models.push_back(models_.back().get());
+    for (std::size_t place = 0; place < names.size(); ++place) {
+      const std::string name = names[place].value;
+      DatabaseSettings database;
+      database.backend = names[place];
+      database.endpoint = {address_of(name), kDatabasePort};
+      database.zone = ZoneName(kZones[place % kZones.size()]);
+      database.control_endpoints = control_endpoints(kOperatorPort);
+      database.lost_answers = settings_.lost_answers;
+      members_[name] = {models.back(), names[place]};
+      GroupModel* model = models.back();
+      world_.start({name, address_of(name), database.zone}, [this, model, database, name](runtime::Runtime& runtime) {
+        auto role = make_database(runtime, *model, database);
+        databases_[name] = role.get();
+        return role;
+      });
+    }
+  }
+  world_.start({"promotion", kPromotionAddress, ZoneName(kZones[0])}, [models](runtime::Runtime& runtime) {
+    return make_promotion_call(runtime, models, {kPromotionAddress, kOperatorPort}, kPromotionTakes);
+  });
+}
+
+void RegisteredFleet::start_callers() {
+  std::vector<Endpoint> proxies;
+  for (std::size_t number = 1; number <= settings_.proxies; ++number)
+    proxies.push_back({address_of(fmt::format("proxy-{}", number)), kSessionPort});
+  for (std::size_t number = 1; number <= 2 * kPolicies.size(); ++number) {
+    const PolicyOfDatabase& policy = kPolicies[number % kPolicies.size()];
+    CallerSettings caller;
+    caller.name = fmt::format("caller-{}", number);
+    caller.proxies = proxies;
+    std::rotate(caller.proxies.begin(), caller.proxies.begin() + static_cast<std::ptrdiff_t>(number % proxies.size()),
+                caller.proxies.end());
+    caller.database = policy.name;
+    caller.policy = policy.policy;
+    caller.staleness = milliseconds(policy.staleness_ms);
+    CallerCounts& counts = counts_.emplace_back();
+    VirtualRuntime& runtime =
+        world_.start_bare({caller.name, fmt::format("10.4.0.{}", number), ZoneName(kZones[number % kZones.size()])});
+    runtime.spawn("caller", run_caller(runtime, caller, history_, counts, stopped_));
+  }
+}
+
+std::string RegisteredFleet::document(std::uint64_t version) const {
+  std::string routes;
+  for (const PolicyOfDatabase& policy : kPolicies) {
+    routes += fmt::format(
+        R"({}{{"Name":"r-{}","Hostname":"{}","PathPrefix":"/","RouteKind":"{}","TimeoutMs":800,)"
+        R"("TargetLatencyMs":150,"Priority":1,"Service":"group-1","MaxStalenessMs":{}}})",
+        routes.empty() ? "" : ",", policy.name, policy.name, policy.kind, policy.staleness_ms);
+  }
+  std::string services;
+  for (std::size_t group = 1; group <= settings_.groups; ++group) {
+    services += fmt::format(R"({}{{"Name":"group-{}","MaxConns":30,"SyncReplicas":1}})", services.empty() ? "" : ",",
+                            group);
+  }
+  return fmt::format(R"({{"Version":{},"Routes":[{}],"Services":[{}],"Limits":{{"TxnIdleMs":3000}}}})", version,
+                     routes, services);
+}
+
+namespace {
+
+/// One call to a control node; the status is 0 when there was no answer.
+Awaitable<void> call(runtime::Runtime& runtime, Endpoint endpoint, runtime::HttpRequest request,
+                     std::shared_ptr<std::optional<runtime::HttpResponse>> result) {
+  Reason reason;
+  const TimePoint deadline = runtime.now() + kCallTimeout;
+  *result = runtime::HttpResponse{};
+  (*result)->status = 0;
+  const auto connection = co_await runtime.http().connect(endpoint, deadline, reason);
+  if (!connection) co_return;
+  runtime::SendState sent = runtime::SendState::kNotSent;
+  const auto response = co_await connection->exchange(std::move(request), deadline, sent, reason);
+  connection->close();
+  if (response) *result = *response;
+}
+
+}  // namespace
+
+bool RegisteredFleet::send_document(Duration limit) {
+  const std::string body = document(++version_);
+  const TimePoint end = world_.now() + limit;
+  std::size_t next = version_;
+  while (world_.now() < end) {
+    const auto endpoints = control_endpoints(kOperatorPort);
+    runtime::HttpRequest request;
+    request.method = runtime::HttpMethod::kPut;
+    request.target = "/config";
+    request.body = body;
+    auto result = std::make_shared<std::optional<runtime::HttpResponse>>();
+    VirtualRuntime& operators = world_.runtime("operator");
+    operators.spawn("operator", call(operators, endpoints[next++ % endpoints.size()], request, result));
+    const bool answered = world_.run_until([&] { return result->has_value() && (*result)->status != 0; }, kCallTimeout);
+    if (answered && (*result)->status == 200) return true;
+    world_.run_for(milliseconds(50));
+  }
+  return false;
+}
+
+std::uint64_t RegisteredFleet::read_back_version() {
+  for (int attempt = 0; attempt < 30; ++attempt) {
+    const auto endpoints = control_endpoints(kOperatorPort);
+    runtime::HttpRequest request;
+    request.target = "/config";
+    auto result = std::make_shared<std::optional<runtime::HttpResponse>>();
+    VirtualRuntime& operators = world_.runtime("operator");
+    const Endpoint endpoint = endpoints[static_cast<std::size_t>(attempt) % endpoints.size()];
+    operators.spawn("operator", call(operators, endpoint, request, result));
+    world_.run_for(kCallTimeout);
+    if (!result->has_value() || (*result)->status != 200) continue;
+    return boost::json::parse((*result)->body).at("Version").to_number<std::uint64_t>();
+  }
+  return 0;
+}
+
+bool RegisteredFleet::start() {
+  for (std::size_t number = 1; number <= settings_.control_nodes; ++number) start_control(number);
+  for (std::size_t number = 1; number <= settings_.proxies; ++number) start_proxy(number);
+  start_databases();
+  world_.start_bare({"operator", "10.5.0.1", ZoneName(kZones[0])});
+  if (!send_document()) return false;
+  start_callers();
+  return world_.run_until([this] { return acknowledged() > 20 && reads() > 20; }, seconds(10));
+}
+
+std::vector<std::string> RegisteredFleet::finish() {
+  heal();
+  run_for(seconds(4));
+  stopped_ = true;
+  run_for(seconds(4));
+  std::vector<std::string> final_tokens;
+  for (const auto& model : models_) {
+    const BackendName* leader = model->leader();
+    if (leader == nullptr) continue;
+    for (const LogEntry& entry : model->member(*leader).log) final_tokens.push_back(entry.record + " " + entry.token);
+  }
+  std::vector<std::string> violations = find_violations(history_, final_tokens);
+  for (const std::string& fault : world_.faults()) violations.push_back("fault: " + fault);
+  return violations;
+}
+
+void RegisteredFleet::kill(const std::string& name) {
+  world_.kill(name);
+  if (const auto member = members_.find(name); member != members_.end())
+    member->second.first->member(member->second.second).running = false;
+}
+
+void RegisteredFleet::vanish(const std::string& name) {
+  world_.vanish(name);
+  if (const auto member = members_.find(name); member != members_.end())
+    member->second.first->member(member->second.second).running = false;
+}
+
+void RegisteredFleet::restart(const std::string& name) { world_.restart(name); }
+
+void RegisteredFleet::wipe(const std::string& name) {
+  world_.kill(name);
+  world_.disk(name) = VirtualDisk{};
+  wiped_[name] = true;
+  start_control(number_of(name));
+}
+
+void RegisteredFleet::cut(const std::string& one, const std::string& other) {
+  world_.network().faults().cut_machines(address_of(one), address_of(other));
+  world_.network().faults().cut_machines(address_of(other), address_of(one));
+  const auto first = members_.find(one);
+  const auto second = members_.find(other);
+  if (first == members_.end() || second == members_.end()) return;
+  if (first->second.first == second->second.first) first->second.first->cut(first->second.second, second->second.second);
+}
+
+void RegisteredFleet::cut_from_all_control(const std::string& name) {
+  for (std::size_t number = 1; number <= settings_.control_nodes; ++number) cut(name, fmt::format("control-{}", number));
+}
+
+void RegisteredFleet::heal() {
+  world_.heal();
+  for (const auto& model : models_) model->heal();
+}
+
+std::string RegisteredFleet::primary() {
+  const BackendName* leader = models_.front()->leader();
+  return leader == nullptr ? std::string() : leader->value;
+}
+
+std::string RegisteredFleet::leader() {
+  std::string newest;
+  std::uint64_t newest_term = 0;
+  for (std::size_t number = 1; number <= settings_.control_nodes; ++number) {
+    const std::string name = fmt::format("control-{}", number);
+    if (!world_.running(name)) continue;
+    const auto term = control::registered::leading_term(world_.role(name));
+    if (!term || *term < newest_term) continue;
+    newest = name;
+    newest_term = *term;
+  }
+  return newest;
+}
+
+Database& RegisteredFleet::database(const std::string& name) { return *databases_.at(name); }
+
+std::uint64_t RegisteredFleet::acknowledged() const {
+  std::uint64_t sum = 0;
+  for (const CallerCounts& counts : counts_) sum += counts.acknowledged;
+  return sum;
+}
+
+std::uint64_t RegisteredFleet::reads() const {
+  std::uint64_t sum = 0;
+  for (const CallerCounts& counts : counts_) sum += counts.reads;
+  return sum;
+}
+
+Duration RegisteredFleet::longest_write_gap(TimePoint from, TimePoint to) const {
+  std::vector<TimePoint> ends{from, to};
+  for (const Attempt& attempt : history_) {
+    const bool counts = !attempt.token.empty() && attempt.outcome == AttemptOutcome::kAcknowledged;
+    if (counts && attempt.ended > from && attempt.ended < to) ends.push_back(attempt.ended);
+  }
+  std::sort(ends.begin(), ends.end());
+  Duration longest{0};
+  for (std::size_t i = 1; i < ends.size(); ++i) longest = std::max(longest, ends[i] - ends[i - 1]);
+  return longest;
+}
+
+}  // namespace cairnhollow::simulation
--- /dev/null
+++ b/simulation/registered_fleet.h
@@ -0,0 +1,88 @@
+// A registered fleet in the simulator: control nodes, proxies, backends that do not check terms, the promotion call,
+// and callers whose history is judged at the end.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "simulation/world.h"
+#include "standins/unfenced/caller.h"
+#include "standins/unfenced/database.h"
+#include "standins/unfenced/group_model.h"
+
+namespace cairnhollow::simulation {
+
+struct RegisteredFleetSettings {
+  std::uint64_t seed = 1;
+  std::size_t control_nodes = 3;
+  std::size_t proxies = 3;
+  std::size_t groups = 1;
+  Duration replica_lag = std::chrono::milliseconds(8);
+  double lost_answers = 0;
+  bool print_log = false;
+};
+
+class RegisteredFleet {
+ public:
+  explicit RegisteredFleet(RegisteredFleetSettings settings);
+
+  /// Starts everything and waits until a document is acknowledged and callers are served.
+  bool start();
+  void run_for(Duration duration) { world_.run_for(duration); }
+  /// Ends the callers, heals everything, waits, and gives every violation that was seen.
+  std::vector<std::string> finish();
+
+  /// Sends a document of the next version to one control node after the other until it is acknowledged.
+  bool send_document(Duration limit = std::chrono::seconds(5));
+  /// The newest document's version as some control node reads it back; 0: none answers.
+  std::uint64_t read_back_version();
+
+  // Names: "control-1", "proxy-1", "g1-b1" (backend 1 of group 1).
+  void kill(const std::string& name);
+  void vanish(const std::string& name);
+  void restart(const std::string& name);
+  /// Kills a control node and starts it again on an empty disk.
+  void wipe(const std::string& name);
+  void cut(const std::string& one, const std::string& other);
+  void cut_from_all_control(const std::string& name);
+  void heal();
+
+  /// The first group's primary by its own account, e.g. "g1-b1".
+  std::string primary();
+  /// The control node that leads; empty while none does.
+  std::string leader();
+  standins::unfenced::GroupModel& group(std::size_t number = 1) { return *models_[number - 1]; }
+  standins::unfenced::Database& database(const std::string& name);
+  World& world() { return world_; }
+
+  [[nodiscard]] std::uint64_t acknowledged() const;
+  [[nodiscard]] std::uint64_t reads() const;
+  [[nodiscard]] const std::vector<standins::unfenced::Attempt>& history() const { return history_; }
+  /// The longest time between two acknowledged writes that lies within `from` and `to`.
+  [[nodiscard]] Duration longest_write_gap(TimePoint from, TimePoint to) const;
+
+ private:
+  void start_control(std::size_t number);
+  void start_proxy(std::size_t number);
+  void start_databases();
+  void start_callers();
+  std::string document(std::uint64_t version) const;
+  [[nodiscard]] std::string address_of(const std::string& name) const;
+  [[nodiscard]] std::vector<Endpoint> control_endpoints(std::uint16_t port) const;
+
+  RegisteredFleetSettings settings_;
+  World world_;
+  std::vector<std::unique_ptr<standins::unfenced::GroupModel>> models_;
+  std::map<std::string, standins::unfenced::Database*> databases_;
+  std::map<std::string, std::pair<standins::unfenced::GroupModel*, BackendName>> members_;
+  std::map<std::string, bool> wiped_;
+  std::vector<standins::unfenced::Attempt> history_;
+  std::deque<standins::unfenced::CallerCounts> counts_;
+  std::uint64_t version_ = 0;
+  bool stopped_ = false;
+};
+
+}  // namespace cairnhollow::simulation
--- a/src/control/registered/registered_control_node.cpp
+++ b/src/control/registered/registered_control_node.cpp
@@ -85,6 +85,12 @@
     co_return operator_server_ != nullptr;
   }
 
+  [[nodiscard]] std::optional<std::uint64_t> leading_term() const {
+    const consensus::ConsensusStatus status = raft_->status();
+    if (status.state != consensus::ServerState::kLeader) return std::nullopt;
+    return status.term;
+  }
+
   Awaitable<void> drain() override {
     operator_server_->stop_accepting();
     dispatcher_.stop();
@@ -139,6 +145,11 @@
 
 }  // namespace
 
+std::optional<std::uint64_t> leading_term(runtime::Role& control_node) {
+  const auto* node = dynamic_cast<RegisteredControlNode*>(&control_node);
+  return node == nullptr ? std::nullopt : node->leading_term();
+}
+
 std::unique_ptr<runtime::Role> make_registered_control_node(runtime::Runtime& runtime,
                                                             RegisteredControlSettings settings,
                                                             const ControlEdge& edge) {
--- a/src/control/registered/registered_control_node.h
+++ b/src/control/registered/registered_control_node.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "control/registered/settings.h"
 #include "registry/control_service.h"
@@ -25,4 +26,7 @@
                                                             RegisteredControlSettings settings,
                                                             const ControlEdge& edge);
 
+/// The consensus term in which a node made here leads; empty when it does not lead. For status and tests.
+std::optional<std::uint64_t> leading_term(runtime::Role& control_node);
+
 }  // namespace cairnhollow::control::registered
--- /dev/null
+++ b/standins/unfenced/caller.cpp
@@ -0,0 +1,191 @@
+#include "standins/unfenced/caller.h"
+
+#include <fmt/format.h>
+
+#include <boost/algorithm/string/split.hpp>
+
+#include "platform/wire_words.h"
+
+namespace cairnhollow::standins::unfenced {
+
+namespace {
+
+using platform::take_word;
+
+constexpr Duration kStatementTimeout = std::chrono::milliseconds(1500);
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
+constexpr int kOperationsPerSession = 25;
+
+/// How one statement ended, as the caller sees it.
+struct Reply {
+  bool whole = false;  ///< an answer came
+  bool done = false;
+  std::optional<session::Refusal> refusal;
+  std::vector<std::string> rows;
+};
+
+class Session {
+ public:
+  Session(runtime::Runtime& runtime, std::shared_ptr<runtime::LineConnection> lines)
+      : runtime_(runtime), lines_(std::move(lines)) {}
+
+  Awaitable<bool> open(std::string database) {
+    Reason reason;
+    std::string start = fmt::format("START {} caller\r\n", database);
+    co_await lines_->write(std::move(start), reason);
+    const auto line = co_await lines_->read_line(runtime_.now() + kStatementTimeout, reason);
+    co_return line && line->starts_with("READY");
+  }
+
+  Awaitable<Reply> run(std::string text) {
+    Reason reason;
+    Reply reply;
+    std::string query = fmt::format("QUERY q{} {}\r\n", next_id_++, text);
+    co_await lines_->write(std::move(query), reason);
+    const TimePoint deadline = runtime_.now() + kStatementTimeout;
+    while (true) {
+      const auto line = co_await lines_->read_line(deadline, reason);
+      if (!line) co_return reply;
+      std::string_view rest = *line;
+      const std::string_view word = take_word(rest);
+      if (word == "ROW") reply.rows.emplace_back(rest);
+      if (word == "DONE") reply.done = true;
+      if (word == "ERR") reply.refusal = platform::parse_error_word(take_word(rest));
+      if (word != "READY") continue;
+      reply.whole = true;
+      co_return reply;
+    }
+  }
+  void close() { lines_->close(); }
+
+ private:
+  runtime::Runtime& runtime_;
+  std::shared_ptr<runtime::LineConnection> lines_;
+  std::uint64_t next_id_ = 1;
+};
+
+class Caller {
+ public:
+  Caller(runtime::Runtime& runtime, CallerSettings settings, std::vector<Attempt>& history, CallerCounts& counts)
+      : runtime_(runtime), settings_(std::move(settings)), history_(history), counts_(counts) {}
+
+  Awaitable<void> run(const bool& stopped) {
+    while (!stopped) {
+      Reason reason;
+      const Endpoint proxy = settings_.proxies[next_proxy_++ % settings_.proxies.size()];
+      auto lines = co_await runtime_.lines().connect(proxy, runtime_.now() + kConnectTimeout, reason);
+      if (lines) {
+        Session session(runtime_, lines);
+        co_await run_session(session, stopped);
+        session.close();
+      }
+      co_await runtime_.sleep_for(settings_.pause);
+    }
+  }
+
+ private:
+  Awaitable<void> run_session(Session& session, const bool& stopped) {
+    name_ = fmt::format("{}-{}", settings_.name, next_session_++);
+    const bool opened = co_await session.open(settings_.database);
+    if (!opened) co_return;
+    std::string set = "SET tag " + name_;
+    const Reply reply = co_await session.run(std::move(set));
+    bool sound = reply.done;
+    for (int operation = 0; operation < kOperationsPerSession && sound && !stopped; ++operation) {
+      sound = co_await run_operation(session);
+      co_await runtime_.sleep_for(settings_.pause);
+    }
+  }
+
+  Awaitable<bool> run_operation(Session& session) {
+    Attempt attempt;
+    attempt.session = name_;
+    attempt.policy = settings_.policy;
+    attempt.staleness = settings_.staleness;
+    attempt.record = fmt::format("r{}", runtime_.random().below(settings_.records));
+    attempt.begun = runtime_.now();
+    const std::uint64_t kind = runtime_.random().below(4);
+    const bool writes = kind == 0 || kind == 1;
+    if (writes) attempt.token = fmt::format("{}.{}", name_, next_token_++);
+    bool sound = false;
+    if (kind == 0) sound = co_await write(session, attempt);
+    if (kind == 1) sound = co_await write_in_transaction(session, attempt);
+    if (kind > 1) sound = co_await read(session, attempt);
+    attempt.ended = runtime_.now();
+    count(attempt);
+    history_.push_back(std::move(attempt));
+    co_return sound;
+  }
+
+  void count(const Attempt& attempt) {
+    if (attempt.has_read) ++counts_.reads;
+    if (attempt.token.empty()) return;
+    if (attempt.outcome == AttemptOutcome::kAcknowledged) ++counts_.acknowledged;
+    if (attempt.outcome == AttemptOutcome::kPromisedNotKept) ++counts_.promised;
+    if (attempt.outcome == AttemptOutcome::kUnknown) ++counts_.unknown;
+  }
+
+  static void take_outcome(const Reply& reply, Attempt& attempt) {
+    if (reply.done) attempt.outcome = AttemptOutcome::kAcknowledged;
+    if (reply.refusal && session::is_promise(*reply.refusal)) attempt.outcome = AttemptOutcome::kPromisedNotKept;
+  }
+
+  Awaitable<bool> write(Session& session, Attempt& attempt) {
+    std::string text = fmt::format("WRITE {} {}", attempt.record, attempt.token);
+    const Reply reply = co_await session.run(std::move(text));
+    take_outcome(reply, attempt);
+    co_return reply.whole;
+  }
+
+  Awaitable<bool> read(Session& session, Attempt& attempt) {
+    std::string text = "READ " + attempt.record;
+    const Reply reply = co_await session.run(std::move(text));
+    if (reply.done && reply.rows.size() == 1) {
+      std::string_view rest = reply.rows.front();
+      attempt.tag = take_word(rest);
+      attempt.has_read = true;
+      if (!rest.empty()) boost::algorithm::split(attempt.tokens, rest, [](char sign) { return sign == ','; });
+    }
+    co_return reply.whole;
+  }
+
+  /// A refusal before the commit leaves the transaction failed: it is rolled back.
+  Awaitable<bool> write_in_transaction(Session& session, Attempt& attempt) {
+    std::string begin = "BEGIN";
+    Reply reply = co_await session.run(std::move(begin));
+    if (!reply.done) co_return reply.whole;
+    std::string text = fmt::format("WRITE {} {}", attempt.record, attempt.token);
+    reply = co_await session.run(std::move(text));
+    attempt.outcome = AttemptOutcome::kPromisedNotKept;  // nothing is kept that was not committed
+    if (!reply.whole) co_return false;
+    if (!reply.done) {
+      std::string roll_back = "ROLLBACK";
+      reply = co_await session.run(std::move(roll_back));
+      co_return reply.whole;
+    }
+    attempt.outcome = AttemptOutcome::kUnknown;
+    std::string commit = "COMMIT";
+    reply = co_await session.run(std::move(commit));
+    take_outcome(reply, attempt);
+    co_return reply.whole;
+  }
+
+  runtime::Runtime& runtime_;
+  CallerSettings settings_;
+  std::vector<Attempt>& history_;
+  CallerCounts& counts_;
+  std::string name_;
+  std::size_t next_proxy_ = 0;
+  std::uint64_t next_session_ = 1;
+  std::uint64_t next_token_ = 1;
+};
+
+}  // namespace
+
+Awaitable<void> run_caller(runtime::Runtime& runtime, CallerSettings settings, std::vector<Attempt>& history,
+                           CallerCounts& counts, const bool& stopped) {
+  Caller caller(runtime, std::move(settings), history, counts);
+  co_await caller.run(stopped);
+}
+
+}  // namespace cairnhollow::standins::unfenced
--- /dev/null
+++ b/standins/unfenced/database.cpp
@@ -0,0 +1,340 @@
+#include "standins/unfenced/database.h"
+
+#include <fmt/format.h>
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <map>
+
+#include "platform/wire_words.h"
+
+namespace cairnhollow::standins::unfenced {
+
+namespace {
+
+using platform::take_word;
+using session::Answer;
+using session::Refusal;
+using session::StatementKind;
+using session::TransactionState;
+
+constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(400);
+constexpr Duration kCallTimeout = std::chrono::milliseconds(900);
+constexpr Duration kReplicationStep = std::chrono::milliseconds(4);
+
+/// One connection's state.
+struct Connection {
+  std::shared_ptr<runtime::LineConnection> lines;
+  std::map<std::string, std::string> values;
+  std::map<std::string, session::Statement> prepared;
+  TransactionState state = TransactionState::kIdle;
+  bool read_only = false;
+  std::uint64_t begun_in_term = 0;
+  std::vector<LogEntry> writes;  ///< of the open transaction
+};
+
+class DatabaseRole : public Database {
+ public:
+  DatabaseRole(runtime::Runtime& runtime, GroupModel& model, DatabaseSettings settings)
+      : runtime_(runtime), model_(model), settings_(std::move(settings)) {}
+
+  Awaitable<bool> start(Reason& reason) override {
+    listener_ = runtime_.lines().listen(settings_.endpoint, reason);
+    if (!listener_) co_return false;
+    state().running = true;
+    runtime_.spawn("database_accept", accept());
+    runtime_.spawn("database_replicate", replicate());
+    runtime_.spawn("database_heartbeat", beat());
+    co_return true;
+  }
+  Awaitable<void> drain() override {
+    stopped_ = true;
+    state().running = false;
+    listener_->close();
+    co_return;
+  }
+  void leave() override { leaving_ = true; }
+  void deregister() override { runtime_.spawn("database_deregister", call_control(true)); }
+  [[nodiscard]] std::uint64_t statements_run() const override { return statements_run_; }
+
+ private:
+  MemberState& state() { return model_.member(settings_.backend); }
+
+  Awaitable<void> accept() {
+    while (!stopped_) {
+      Reason reason;
+      auto lines = co_await listener_->accept(reason);
+      if (!lines) co_return;
+      runtime_.spawn("database_session", serve(std::move(lines)));
+    }
+  }
+
+  Awaitable<void> replicate() {
+    while (!stopped_) {
+      model_.replicate(settings_.backend, runtime_.now());
+      co_await runtime_.sleep_for(kReplicationStep);
+    }
+  }
+
+  Awaitable<void> beat() {
+    while (!stopped_) {
+      co_await call_control(false);
+      co_await runtime_.sleep_for(kHeartbeatInterval);
+    }
+  }
+
+  runtime::HttpRequest heartbeat(bool deregisters) {
+    runtime::HttpRequest request;
+    request.target = "/instances/" + settings_.backend.value;
+    request.method = deregisters ? runtime::HttpMethod::kDelete : runtime::HttpMethod::kPut;
+    const boost::json::value body{{"Service", model_.name().value},
+                                  {"Addr", settings_.endpoint.to_string()},
+                                  {"Zone", settings_.zone.value},
+                                  {"Slots", settings_.slots},
+                                  {"State", leaving_ ? "draining" : "ready"},
+                                  {"DbRole", state().primary ? "primary" : "replica"},
+                                  {"Seq", ++sequence_}};
+    if (!deregisters) request.body = boost::json::serialize(body);
+    return request;
+  }
+
+  Awaitable<void> call_control(bool deregisters) {
+    for (std::size_t attempt = 0; attempt < settings_.control_endpoints.size(); ++attempt) {
+      const Endpoint endpoint = settings_.control_endpoints[next_control_++ % settings_.control_endpoints.size()];
+      Reason reason;
+      const TimePoint deadline = runtime_.now() + kCallTimeout;
+      const auto connection = co_await runtime_.http().connect(endpoint, deadline, reason);
+      if (!connection) continue;
+      runtime::SendState sent = runtime::SendState::kNotSent;
+      runtime::HttpRequest request = heartbeat(deregisters);
+      const auto response = co_await connection->exchange(std::move(request), deadline, sent, reason);
+      connection->close();
+      if (response && response->status / 100 == 2) co_return;
+    }
+  }
+
+  Awaitable<void> serve(std::shared_ptr<runtime::LineConnection> lines) {
+    Connection connection;
+    connection.lines = lines;
+    Reason reason;
+    const auto start = co_await lines->read_line(TimePoint::max(), reason);
+    if (!start) co_return;
+    std::string_view rest = *start;
+    take_word(rest);
+    const std::string_view service = take_word(rest);
+    take_word(rest);
+    const bool expected = service == model_.name().value && rest == settings_.backend.value;
+    std::string greeting = expected ? "READY I -\r\n" : "ERR MISROUTED other\r\n";
+    co_await lines->write(std::move(greeting), reason);
+    while (expected && !stopped_) {
+      const auto line = co_await lines->read_line(TimePoint::max(), reason);
+      if (!line) break;
+      std::string_view text = *line;
+      take_word(text);
+      const std::string_view id = take_word(text);
+      Answer answer = co_await answer_text(connection, std::string(id), std::string(text));
+      if (runtime_.random().unit() < settings_.lost_answers && id != "-") co_return;
+      answer.state = connection.state;
+      const std::uint64_t applied = model_.applied(settings_.backend, runtime_.now());
+      answer.position = Position{applied == 0 ? 1 : state().log[applied - 1].term, applied};
+      std::string printed = platform::print_answer(answer);
+      const bool sent = co_await lines->write(std::move(printed), reason);
+      if (!sent) break;
+    }
+  }
+
+  static Answer refuse(Connection& connection, Refusal refusal) {
+    Answer answer;
+    answer.refusal = refusal;
+    if (connection.state == TransactionState::kOpen) connection.state = TransactionState::kFailed;
+    return answer;
+  }
+  static Answer done(std::string signature = "-") {
+    Answer answer;
+    answer.signature = std::move(signature);
+    return answer;
+  }
+
+  Awaitable<Answer> answer_text(Connection& connection, std::string id, std::string text) {
+    std::string_view rest = text;
+    std::optional<Position> required;
+    if (rest.starts_with("AFTER ")) {
+      take_word(rest);
+      required = platform::parse_position(take_word(rest));
+    }
+    if (rest == "STATUS" || rest.starts_with("DEMOTE ")) co_return answer_status(rest);
+    if (rest == "RESET") {
+      connection.values.clear();
+      connection.prepared.clear();
+      co_return done();
+    }
+    session::Statement statement = platform::parse_statement(id, rest);
+    if (statement.kind == StatementKind::kExecute) {
+      const auto prepared = connection.prepared.find(statement.name);
+      if (prepared == connection.prepared.end()) co_return refuse(connection, Refusal::kUnknownStatement);
+      const std::string verb = prepared->second.writes ? "WRITE " : "READ ";
+      const std::string record = prepared->second.argument + "/" + statement.argument;
+      statement = platform::parse_statement(id, verb + record);
+    }
+    if (required && !model_.holds(settings_.backend, *required, runtime_.now()))
+      co_return refuse(connection, Refusal::kTooStale);
+    co_return co_await run(connection, std::move(statement));
+  }
+
+  Answer answer_status(std::string_view text) {
+    take_word(text);
+    if (!text.empty()) model_.demote(settings_.backend, std::stoull(std::string(text)));
+    Answer answer = done();
+    const Position received = state().received();
+    answer.rows.push_back(fmt::format("{} {} {}.{} 0 0 0 1", state().primary ? "primary" : "replica", state().term,
+                                      received.term, received.index));
+    return answer;
+  }
+
+  Awaitable<Answer> run(Connection& connection, session::Statement statement) {
+    const bool in_failed = connection.state == TransactionState::kFailed;
+    switch (statement.kind) {
+      case StatementKind::kSetValue:
+        connection.values[statement.name] = statement.argument;
+        co_return done();
+      case StatementKind::kPrepare:
+        connection.prepared[statement.name] = statement;
+        co_return done();
+      case StatementKind::kBegin:
+      case StatementKind::kBeginReadOnly:
+        if (statement.kind == StatementKind::kBegin && !state().primary)
+          co_return refuse(connection, Refusal::kNotPrimary);
+        connection.state = TransactionState::kOpen;
+        connection.read_only = statement.kind == StatementKind::kBeginReadOnly;
+        connection.begun_in_term = state().term;
+        co_return done();
+      case StatementKind::kRollback:
+        connection.state = TransactionState::kIdle;
+        connection.writes.clear();
+        co_return done();
+      case StatementKind::kCommit:
+        if (in_failed) break;
+        co_return co_await commit(connection, statement.id);
+      case StatementKind::kRead:
+        if (in_failed) break;
+        co_return co_await read(connection, std::move(statement));
+      case StatementKind::kWrite:
+        if (in_failed) break;
+        co_return co_await write(connection, std::move(statement));
+      default:
+        break;
+    }
+    co_return refuse(connection, Refusal::kMalformed);
+  }
+
+  Awaitable<Answer> read(Connection& connection, session::Statement statement) {
+    ++statements_run_;
+    co_await runtime_.sleep_for(settings_.work);
+    std::string_view record = statement.text;
+    take_word(record);
+    std::string tokens = model_.read(settings_.backend, std::string(record), runtime_.now());
+    for (const LogEntry& entry : connection.writes) {
+      if (entry.record == record) tokens += (tokens.empty() ? "" : ",") + entry.token;
+    }
+    Answer answer = done("signed-" + statement.id);
+    answer.rows.push_back(fmt::format("{} {}", connection.values["tag"], tokens));
+    co_return answer;
+  }
+
+  Awaitable<Answer> write(Connection& connection, session::Statement statement) {
+    if (!state().primary || connection.read_only) co_return refuse(connection, Refusal::kNotPrimary);
+    ++statements_run_;
+    co_await runtime_.sleep_for(settings_.work);
+    std::string_view rest = statement.text;
+    take_word(rest);
+    const std::string record(take_word(rest));
+    connection.writes.push_back({state().term, record, std::string(rest)});
+    if (connection.state == TransactionState::kOpen) co_return done("signed-" + statement.id);
+    co_return co_await apply_writes(connection, statement.id);
+  }
+
+  Awaitable<Answer> commit(Connection& connection, std::string id) {
+    const bool lost_lead = connection.begun_in_term != state().term || !state().primary;
+    if (lost_lead && !connection.writes.empty()) co_return refuse(connection, Refusal::kNotPrimary);
+    co_return co_await apply_writes(connection, std::move(id));
+  }
+
+  /// Answered once one replica has received the last of them.
+  Awaitable<Answer> apply_writes(Connection& connection, std::string id) {
+    std::uint64_t index = 0;
+    for (const LogEntry& entry : connection.writes)
+      index = model_.append(settings_.backend, entry.record, entry.token, runtime_.now());
+    connection.writes.clear();
+    connection.state = TransactionState::kIdle;
+    connection.read_only = false;
+    const std::uint64_t term = state().term;
+    while (index > 0 && !model_.is_replicated(settings_.backend, index)) {
+      if (!state().primary || state().term != term) co_return refuse(connection, Refusal::kFailed);
+      co_await runtime_.sleep_for(kReplicationStep);
+    }
+    co_return done("signed-" + id);
+  }
+
+  runtime::Runtime& runtime_;
+  GroupModel& model_;
+  DatabaseSettings settings_;
+  std::unique_ptr<runtime::LineListener> listener_;
+  std::size_t next_control_ = 0;
+  std::uint64_t sequence_ = 0;
+  std::uint64_t statements_run_ = 0;
+  bool leaving_ = false;
+  bool stopped_ = false;
+};
+
+class PromotionCall : public runtime::Role, public runtime::HttpHandler {
+ public:
+  PromotionCall(runtime::Runtime& runtime, std::vector<GroupModel*> models, Endpoint endpoint, Duration takes)
+      : runtime_(runtime), models_(std::move(models)), endpoint_(std::move(endpoint)), takes_(takes) {}
+
+  Awaitable<bool> start(Reason& reason) override {
+    server_ = runtime_.http().serve(endpoint_, *this, reason);
+    co_return server_ != nullptr;
+  }
+  Awaitable<void> drain() override {
+    server_->close();
+    co_return;
+  }
+  Awaitable<runtime::HttpResponse> handle(runtime::HttpRequest request, runtime::HttpConnectionId) override {
+    runtime::HttpResponse response;
+    response.status = 409;
+    const boost::json::value body = boost::json::parse(request.body);
+    const BackendName backend(std::string(body.at("Id").as_string()));
+    for (GroupModel* model : models_) {
+      if (model->name().value != body.at("Service").as_string()) continue;
+      if (!model->member(backend).running) continue;
+      response.status = 200;
+      runtime_.spawn("promotion", promote(model, backend));
+    }
+    co_return response;
+  }
+
+ private:
+  Awaitable<void> promote(GroupModel* model, BackendName backend) {
+    co_await runtime_.sleep_for(takes_);
+    model->promote(backend, runtime_.now());
+  }
+
+  runtime::Runtime& runtime_;
+  std::vector<GroupModel*> models_;
+  Endpoint endpoint_;
+  Duration takes_;
+  std::unique_ptr<runtime::HttpServer> server_;
+};
+
+}  // namespace
+
+std::unique_ptr<Database> make_database(runtime::Runtime& runtime, GroupModel& model, DatabaseSettings settings) {
+  return std::make_unique<DatabaseRole>(runtime, model, std::move(settings));
+}
+
+std::unique_ptr<runtime::Role> make_promotion_call(runtime::Runtime& runtime, std::vector<GroupModel*> models,
+                                                   Endpoint endpoint, Duration takes) {
+  return std::make_unique<PromotionCall>(runtime, std::move(models), std::move(endpoint), takes);
+}
+
+}  // namespace cairnhollow::standins::unfenced
--- /dev/null
+++ b/standins/unfenced/database.h
@@ -0,0 +1,41 @@
+// Stand-in of a backend that does not check terms: it speaks the platform's wire, registers itself by heartbeat, and
+// keeps its log in a GroupModel.
+#pragma once
+
+#include <memory>
+#include <vector>
+
+#include "runtime/role.h"
+#include "runtime/runtime.h"
+#include "standins/unfenced/group_model.h"
+
+namespace cairnhollow::standins::unfenced {
+
+struct DatabaseSettings {
+  BackendName backend;
+  Endpoint endpoint;
+  ZoneName zone;
+  std::vector<Endpoint> control_endpoints;  ///< where heartbeats go
+  std::uint32_t slots = 4;
+  Duration work = std::chrono::milliseconds(3);
+  double lost_answers = 0;  ///< share of statements that are run and not answered
+};
+
+/// What a test tells a running database.
+class Database : public runtime::Role {
+ public:
+  /// From the next heartbeat on it says that it leaves.
+  virtual void leave() = 0;
+  /// Takes itself out of the registry at once.
+  virtual void deregister() = 0;
+  [[nodiscard]] virtual std::uint64_t statements_run() const = 0;
+};
+
+/// `model` and `runtime` outlive it.
+std::unique_ptr<Database> make_database(runtime::Runtime& runtime, GroupModel& model, DatabaseSettings settings);
+
+/// The platform's call that makes a backend the primary of its group, for the groups of `models`.
+std::unique_ptr<runtime::Role> make_promotion_call(runtime::Runtime& runtime, std::vector<GroupModel*> models,
+                                                   Endpoint endpoint, Duration takes);
+
+}  // namespace cairnhollow::standins::unfenced
--- /dev/null
+++ b/tests/simulation/registered_fleet_test.cpp
@@ -0,0 +1,288 @@
+// A registered fleet under failures, in the simulator: what callers saw is judged at the end of each run.
+#include "simulation/registered_fleet.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+
+#include <cstdlib>
+#include <functional>
+
+namespace cairnhollow::simulation {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// CAIRNHOLLOW_REGISTERED_SEEDS=first-last chooses others than the short list.
+std::pair<std::uint64_t, std::uint64_t> seeds() {
+  const char* text = std::getenv("CAIRNHOLLOW_REGISTERED_SEEDS");
+  if (text == nullptr) return {1, 3};
+  const std::string range(text);
+  const auto dash = range.find('-');
+  return {std::stoull(range.substr(0, dash)), std::stoull(range.substr(dash + 1))};
+}
+
+void check(const std::function<void(RegisteredFleetSettings&)>& set,
+           const std::function<void(RegisteredFleet&)>& scenario) {
+  const auto [first, last] = seeds();
+  for (std::uint64_t seed = first; seed <= last; ++seed) {
+    RegisteredFleetSettings settings;
+    settings.seed = seed;
+    settings.print_log = std::getenv("CAIRNHOLLOW_PRINT_LOG") != nullptr;
+    if (set) set(settings);
+    RegisteredFleet fleet(settings);
+    CPPUNIT_ASSERT_MESSAGE(fmt::format("seed {}: did not start", seed), fleet.start());
+    scenario(fleet);
+    const auto violations = fleet.finish();
+    const std::string first_violation = violations.empty() ? "" : violations.front();
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(fmt::format("seed {}: {} violations", seed, violations.size()), std::string(),
+                                 first_violation);
+  }
+}
+
+void check(const std::function<void(RegisteredFleet&)>& scenario) { check(nullptr, scenario); }
+
+/// Writes were acknowledged again within `limit` of now, at the longest.
+void expect_gap_below(RegisteredFleet& fleet, TimePoint from, Duration limit) {
+  const Duration gap = fleet.longest_write_gap(from, fleet.world().now());
+  CPPUNIT_ASSERT_MESSAGE(
+      fmt::format("gap of {} ms", std::chrono::duration_cast<milliseconds>(gap).count()), gap < limit);
+}
+
+}  // namespace
+
+class RegisteredFleetTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RegisteredFleetTest);
+  CPPUNIT_TEST(a_calm_fleet_serves_without_promotions);
+  CPPUNIT_TEST(lost_answers_stay_in_doubt_and_are_not_run_twice);
+  CPPUNIT_TEST(a_killed_primary_is_replaced);
+  CPPUNIT_TEST(a_silent_primary_is_replaced_and_steps_down_when_it_is_back);
+  CPPUNIT_TEST(a_frozen_primary_that_wakes_acknowledges_nothing_more);
+  CPPUNIT_TEST(a_primary_cut_from_its_replicas_is_replaced);
+  CPPUNIT_TEST(a_leaving_primary_hands_over);
+  CPPUNIT_TEST(a_deaf_replica_is_not_promoted_over_one_that_heard);
+  CPPUNIT_TEST(nobody_is_promoted_while_acknowledged_commits_may_be_missing);
+  CPPUNIT_TEST(a_proxy_cut_from_control_shows_nothing_old_after_a_promotion);
+  CPPUNIT_TEST(a_frozen_proxy_that_wakes_uses_no_old_primary);
+  CPPUNIT_TEST(leader_and_primary_die_together);
+  CPPUNIT_TEST(all_control_nodes_restart);
+  CPPUNIT_TEST(a_wiped_voter_is_replaced_and_nothing_acknowledged_is_lost);
+  CPPUNIT_TEST(a_standby_takes_the_place_of_a_lost_voter);
+  CPPUNIT_TEST(documents_survive_a_storm_of_leader_kills);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void a_calm_fleet_serves_without_promotions() {
+    check([](RegisteredFleet& fleet) {
+      const std::uint64_t before = fleet.acknowledged();
+      fleet.run_for(seconds(10));
+      CPPUNIT_ASSERT(fleet.acknowledged() > before + 200);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, fleet.group().promotions());
+      const std::uint64_t at_replicas =
+          fleet.database("g1-b2").statements_run() + fleet.database("g1-b3").statements_run();
+      CPPUNIT_ASSERT_MESSAGE("replicas serve reads", at_replicas > 100);
+    });
+  }
+
+  void lost_answers_stay_in_doubt_and_are_not_run_twice() {
+    check([](RegisteredFleetSettings& settings) { settings.lost_answers = 0.03; },
+          [](RegisteredFleet& fleet) { fleet.run_for(seconds(10)); });
+  }
+
+  void a_killed_primary_is_replaced() {
+    check([](RegisteredFleet& fleet) {
+      const std::string old_primary = fleet.primary();
+      const TimePoint killed = fleet.world().now();
+      fleet.kill(old_primary);
+      fleet.run_for(seconds(6));
+      expect_gap_below(fleet, killed, milliseconds(1500));
+      fleet.restart(old_primary);
+      fleet.run_for(seconds(3));
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, fleet.group().promotions());
+    });
+  }
+
+  void a_silent_primary_is_replaced_and_steps_down_when_it_is_back() {
+    check([](RegisteredFleet& fleet) {
+      const std::string old_primary = fleet.primary();
+      const TimePoint gone = fleet.world().now();
+      fleet.vanish(old_primary);
+      fleet.run_for(seconds(6));
+      expect_gap_below(fleet, gone, milliseconds(2500));
+      fleet.restart(old_primary);
+      fleet.run_for(seconds(4));
+      CPPUNIT_ASSERT(!fleet.group().member(BackendName(old_primary)).primary);
+    });
+  }
+
+  void a_frozen_primary_that_wakes_acknowledges_nothing_more() {
+    check([](RegisteredFleet& fleet) {
+      const std::string old_primary = fleet.primary();
+      fleet.world().freeze(old_primary);
+      fleet.run_for(seconds(5));
+      fleet.world().thaw(old_primary);
+      fleet.run_for(seconds(5));
+      CPPUNIT_ASSERT(fleet.group().promotions() >= 1);
+    });
+  }
+
+  void a_primary_cut_from_its_replicas_is_replaced() {
+    check([](RegisteredFleet& fleet) {
+      const std::string old_primary = fleet.primary();
+      for (const char* other : {"g1-b1", "g1-b2", "g1-b3"}) {
+        if (old_primary != other) fleet.cut(old_primary, other);
+      }
+      const TimePoint cut = fleet.world().now();
+      fleet.run_for(seconds(8));
+      expect_gap_below(fleet, cut, milliseconds(4500));
+      fleet.heal();
+      fleet.run_for(seconds(4));
+    });
+  }
+
+  void a_leaving_primary_hands_over() {
+    check([](RegisteredFleet& fleet) {
+      const std::string old_primary = fleet.primary();
+      const TimePoint told = fleet.world().now();
+      fleet.database(old_primary).leave();
+      fleet.run_for(seconds(5));
+      CPPUNIT_ASSERT(fleet.primary() != old_primary);
+      expect_gap_below(fleet, told, milliseconds(900));
+      fleet.database(old_primary).deregister();
+      fleet.kill(old_primary);
+      fleet.run_for(seconds(3));
+    });
+  }
+
+  void a_deaf_replica_is_not_promoted_over_one_that_heard() {
+    check([](RegisteredFleet& fleet) {
+      fleet.group().member(BackendName("g1-b3")).deaf = true;
+      fleet.run_for(seconds(2));
+      fleet.kill("g1-b1");
+      fleet.run_for(seconds(4));
+      CPPUNIT_ASSERT_EQUAL(std::string("g1-b2"), fleet.primary());
+      fleet.group().member(BackendName("g1-b3")).deaf = false;
+      fleet.restart("g1-b1");
+      fleet.run_for(seconds(3));
+    });
+  }
+
+  void nobody_is_promoted_while_acknowledged_commits_may_be_missing() {
+    check([](RegisteredFleet& fleet) {
+      fleet.group().member(BackendName("g1-b3")).deaf = true;
+      fleet.run_for(seconds(2));
+      fleet.kill("g1-b2");
+      fleet.kill("g1-b1");
+      fleet.run_for(seconds(5));
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, fleet.group().promotions());
+      fleet.group().member(BackendName("g1-b3")).deaf = false;
+      const std::uint64_t before = fleet.acknowledged();
+      fleet.restart("g1-b2");
+      fleet.restart("g1-b1");
+      fleet.run_for(seconds(5));
+      CPPUNIT_ASSERT(fleet.acknowledged() > before);
+    });
+  }
+
+  void a_proxy_cut_from_control_shows_nothing_old_after_a_promotion() {
+    check([](RegisteredFleet& fleet) {
+      fleet.cut_from_all_control("proxy-1");
+      const std::string old_primary = fleet.primary();
+      // The old primary goes on for proxy-1, which reaches it.
+      fleet.cut(old_primary, "proxy-2");
+      fleet.cut(old_primary, "proxy-3");
+      fleet.cut_from_all_control(old_primary);
+      for (const char* other : {"g1-b1", "g1-b2", "g1-b3"}) {
+        if (old_primary != other) fleet.cut(old_primary, other);
+      }
+      fleet.run_for(seconds(8));
+      CPPUNIT_ASSERT(fleet.group().promotions() >= 1);
+      fleet.heal();
+      fleet.run_for(seconds(3));
+    });
+  }
+
+  void a_frozen_proxy_that_wakes_uses_no_old_primary() {
+    check([](RegisteredFleet& fleet) {
+      fleet.world().freeze("proxy-1");
+      fleet.kill(fleet.primary());
+      fleet.run_for(seconds(5));
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, fleet.group().promotions());
+      fleet.world().thaw("proxy-1");
+      fleet.run_for(seconds(3));
+      fleet.restart("g1-b1");
+      fleet.run_for(seconds(3));
+    });
+  }
+
+  void leader_and_primary_die_together() {
+    check([](RegisteredFleet& fleet) {
+      const TimePoint killed = fleet.world().now();
+      const std::string leader = fleet.leader();
+      fleet.kill(leader);
+      fleet.kill(fleet.primary());
+      fleet.run_for(seconds(8));
+      expect_gap_below(fleet, killed, milliseconds(5000));
+      fleet.restart(leader);
+      fleet.run_for(seconds(2));
+    });
+  }
+
+  void all_control_nodes_restart() {
+    check([](RegisteredFleet& fleet) {
+      CPPUNIT_ASSERT(fleet.send_document());
+      const TimePoint killed = fleet.world().now();
+      for (const char* name : {"control-1", "control-2", "control-3"}) fleet.kill(name);
+      fleet.run_for(milliseconds(500));
+      for (const char* name : {"control-1", "control-2", "control-3"}) fleet.restart(name);
+      fleet.run_for(seconds(4));
+      expect_gap_below(fleet, killed, milliseconds(1800));
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, fleet.read_back_version());
+    });
+  }
+
+  void a_wiped_voter_is_replaced_and_nothing_acknowledged_is_lost() {
+    check([](RegisteredFleet& fleet) {
+      CPPUNIT_ASSERT(fleet.send_document());
+      fleet.wipe("control-2");
+      fleet.run_for(seconds(5));
+      // The repaired group bears the next loss.
+      CPPUNIT_ASSERT(fleet.send_document());
+      fleet.wipe("control-1");
+      fleet.run_for(seconds(5));
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, fleet.read_back_version());
+    });
+  }
+
+  void a_standby_takes_the_place_of_a_lost_voter() {
+    check([](RegisteredFleetSettings& settings) { settings.control_nodes = 4; },
+          [](RegisteredFleet& fleet) {
+            fleet.run_for(seconds(2));
+            fleet.vanish("control-1");
+            fleet.run_for(seconds(7));
+            CPPUNIT_ASSERT(fleet.send_document());
+            fleet.vanish("control-2");
+            fleet.run_for(seconds(3));
+            CPPUNIT_ASSERT_MESSAGE("two of the voters now live", fleet.send_document(seconds(8)));
+          });
+  }
+
+  void documents_survive_a_storm_of_leader_kills() {
+    check([](RegisteredFleet& fleet) {
+      for (int round = 0; round < 5; ++round) {
+        CPPUNIT_ASSERT(fleet.send_document(seconds(8)));
+        const std::string leader = fleet.leader();
+        if (!leader.empty()) fleet.kill(leader);
+        fleet.run_for(milliseconds(300));
+        if (!leader.empty()) fleet.restart(leader);
+      }
+      fleet.run_for(seconds(3));
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, fleet.read_back_version());
+    });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RegisteredFleetTest);
+
+}  // namespace cairnhollow::simulation
