--- /dev/null
+++ b/tests/platform/document_json_test.cpp
@@ -0,0 +1,101 @@
+// Bodies of the operator's and the backends' calls: the pages' examples, and each fault named by its field.
+#include "platform/document_json.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "registry/validation.h"
+
+namespace cairnhollow::platform {
+
+namespace {
+
+const std::string kDocument =
+    R"({"Version":7,"Routes":[{"Name":"r-ctnfzs9","Hostname":"lepu270","PathPrefix":"/","RouteKind":"primary",)"
+    R"("TimeoutMs":800,"TargetLatencyMs":120,"Priority":1,"Service":"huvo11a","MaxAttempts":2},)"
+    R"({"Name":"r-qasnmgk","Hostname":"xapu221ny95","PathPrefix":"/","RouteKind":"bounded_staleness",)"
+    R"("TimeoutMs":1500,"TargetLatencyMs":400,"Priority":2,"Service":"huvo11a","MaxAttempts":2,)"
+    R"("MaxStalenessMs":1500}],"Services":[{"Name":"huvo11a","HealthPath":"/health","MaxConns":32,)"
+    R"("Protocol":"h1","Tls":false,"SyncReplicas":1}],"Limits":{"MaxHeaderBytes":16384,"TxnIdleMs":3000}})";
+const std::string kHeartbeat =
+    R"({"Service":"huvo11a","Addr":"10.128.0.9:8080","Zone":"hafn-a","Version":"v1","Slots":2,"State":"ready",)"
+    R"("ColdRemainingMs":0,"DbRole":"replica","Seq":4})";
+
+std::string replaced(std::string text, const std::string& from, const std::string& to) {
+  text.replace(text.find(from), from.size(), to);
+  return text;
+}
+
+std::string fault_of(const std::string& body) {
+  Reason reason;
+  const auto document = read_document(body, reason);
+  if (!document) return reason.detail;
+  const auto faults = registry::find_faults(*document);
+  return faults.empty() ? std::string() : faults.front();
+}
+
+}  // namespace
+
+class DocumentJsonTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DocumentJsonTest);
+  CPPUNIT_TEST(the_document_of_the_pages);
+  CPPUNIT_TEST(the_heartbeat_of_the_pages);
+  CPPUNIT_TEST(faults_name_their_field);
+  CPPUNIT_TEST(every_cut_of_a_body_is_refused);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void the_document_of_the_pages() {
+    Reason reason;
+    const auto document = read_document(kDocument, reason);
+    CPPUNIT_ASSERT_MESSAGE(reason.detail, document);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, document->version);
+    CPPUNIT_ASSERT_EQUAL(kDocument, document->text);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, document->routes.size());
+    CPPUNIT_ASSERT(document->routes[1].reads == registry::ReadPolicy::kBoundedStaleness);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1500}, document->routes[1].max_staleness_ms);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{32}, document->groups[0].max_connections);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3000}, document->transaction_idle_ms);
+    CPPUNIT_ASSERT(registry::find_faults(*document).empty());
+  }
+
+  void the_heartbeat_of_the_pages() {
+    Reason reason;
+    const auto heartbeat = read_heartbeat("i-7f3a91c2", kHeartbeat, reason);
+    CPPUNIT_ASSERT_MESSAGE(reason.detail, heartbeat);
+    CPPUNIT_ASSERT_EQUAL(std::string("i-7f3a91c2"), heartbeat->entry.name.value);
+    CPPUNIT_ASSERT_EQUAL(std::string("10.128.0.9:8080"), heartbeat->entry.endpoint.to_string());
+    CPPUNIT_ASSERT(!heartbeat->entry.leaving);
+    CPPUNIT_ASSERT(!heartbeat->says_primary);
+    CPPUNIT_ASSERT(read_heartbeat("i", replaced(kHeartbeat, "\"ready\"", "\"draining\""), reason)->entry.leaving);
+    CPPUNIT_ASSERT(!read_heartbeat("i", replaced(kHeartbeat, "10.128.0.9:8080", "database"), reason));
+    CPPUNIT_ASSERT_EQUAL(std::string("Addr: must be an IP address and a port"), reason.detail);
+  }
+
+  void faults_name_their_field() {
+    CPPUNIT_ASSERT_EQUAL(std::string("routes[0].timeout: must not be 0"),
+                         fault_of(replaced(kDocument, "\"TimeoutMs\":800", "\"TimeoutMs\":0")));
+    CPPUNIT_ASSERT_EQUAL(std::string("routes[0].group: other is unknown"),
+                         fault_of(replaced(kDocument, "\"Service\":\"huvo11a\"", "\"Service\":\"other\"")));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("routes[1].database: lepu270 with prefix / stands in routes[0] already"),
+        fault_of(replaced(kDocument, "\"Hostname\":\"xapu221ny95\"", "\"Hostname\":\"lepu270\"")));
+    CPPUNIT_ASSERT_EQUAL(std::string("Routes[0].RouteKind: is unknown"),
+                         fault_of(replaced(kDocument, "\"primary\"", "\"sharded\"")));
+    CPPUNIT_ASSERT_EQUAL(std::string("Version: must be a whole number that is not negative"),
+                         fault_of(replaced(kDocument, "\"Version\":7", "\"Version\":-7")));
+    CPPUNIT_ASSERT_EQUAL(std::string("Routes[0].TimeoutMs: is missing"),
+                         fault_of(replaced(kDocument, "\"TimeoutMs\":800,", "")));
+  }
+
+  void every_cut_of_a_body_is_refused() {
+    for (std::size_t size = 0; size < kDocument.size(); ++size) {
+      Reason reason;
+      CPPUNIT_ASSERT(!read_document(kDocument.substr(0, size), reason));
+      CPPUNIT_ASSERT(reason.code == ReasonCode::kInvalidArgument);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DocumentJsonTest);
+
+}  // namespace cairnhollow::platform
--- /dev/null
+++ b/tests/registry/state_machine_test.cpp
@@ -0,0 +1,170 @@
+// The replicated state of a registered fleet: what commands do, and that followers are told what they lack.
+#include "registry/state_machine.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "simulation/world.h"
+#include "wire/codec.h"
+
+namespace cairnhollow::registry {
+
+namespace {
+
+RouteRule route(const std::string& name, const std::string& group = "records") {
+  RouteRule rule;
+  rule.name = RouteName("r-" + name);
+  rule.database = DatabaseName(name);
+  rule.group = GroupName(group);
+  rule.timeout_ms = 800;
+  return rule;
+}
+
+ConfigurationDocument document(std::uint64_t version, std::vector<RouteRule> routes) {
+  ConfigurationDocument whole;
+  whole.version = version;
+  whole.text = "text of " + std::to_string(version);
+  whole.routes = std::move(routes);
+  whole.groups = {GroupRule{GroupName("records"), 30, 1}};
+  return whole;
+}
+
+BackendEntry backend(const std::string& name, std::uint16_t port, std::uint64_t sequence) {
+  BackendEntry entry;
+  entry.name = BackendName(name);
+  entry.group = GroupName("records");
+  entry.endpoint = {"10.0.0.9", port};
+  entry.sequence = sequence;
+  return entry;
+}
+
+}  // namespace
+
+class FleetStateMachineTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FleetStateMachineTest);
+  CPPUNIT_TEST(the_highest_version_holds);
+  CPPUNIT_TEST(late_registrations_are_old);
+  CPPUNIT_TEST(an_address_belongs_to_who_registered_last);
+  CPPUNIT_TEST(a_deregistered_backend_stays_away);
+  CPPUNIT_TEST(a_group_opens_and_closes_by_epoch);
+  CPPUNIT_TEST(a_replaced_proxy_may_have_acknowledged_unknown_commits);
+  CPPUNIT_TEST(a_follower_is_told_what_it_lacks);
+  CPPUNIT_TEST(a_snapshot_restores_everything);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    world_ = std::make_unique<simulation::World>(simulation::WorldSettings{});
+    machine_ = std::make_unique<FleetStateMachine>(world_->start_bare({"node", "10.0.0.1", ZoneName("a")}));
+  }
+  void tearDown() override {
+    machine_.reset();
+    world_.reset();
+  }
+
+  void the_highest_version_holds() {
+    apply(ReplaceDocument{document(5, {route("decks")})});
+    const std::uint64_t revision = machine_->revision();
+    apply(ReplaceDocument{document(4, {route("other")})});
+    apply(ReplaceDocument{document(5, {route("other")})});
+    CPPUNIT_ASSERT_EQUAL(revision, machine_->revision());
+    CPPUNIT_ASSERT_EQUAL(std::string("text of 5"), machine_->document_text());
+    apply(ReplaceDocument{document(9, {route("other")})});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, machine_->document_version());
+  }
+
+  void late_registrations_are_old() {
+    BackendEntry leaving = backend("b1", 1, 5);
+    leaving.leaving = true;
+    apply(RegisterBackend{leaving});
+    apply(RegisterBackend{backend("b1", 1, 4)});
+    CPPUNIT_ASSERT(machine_->find_backend(BackendName("b1"))->leaving);
+    const std::uint64_t revision = machine_->revision();
+    leaving.sequence = 6;
+    apply(RegisterBackend{leaving});
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("nothing new", revision, machine_->revision());
+  }
+
+  void an_address_belongs_to_who_registered_last() {
+    apply(RegisterBackend{backend("b1", 1, 5)});
+    apply(RegisterBackend{backend("b2", 1, 1)});
+    CPPUNIT_ASSERT(machine_->find_backend(BackendName("b1")) == nullptr);
+    CPPUNIT_ASSERT(machine_->find_backend(BackendName("b2")) != nullptr);
+  }
+
+  void a_deregistered_backend_stays_away() {
+    apply(RegisterBackend{backend("b1", 1, 5)});
+    apply(DeregisterBackend{BackendName("b1")});
+    apply(RegisterBackend{backend("b1", 1, 6)});
+    CPPUNIT_ASSERT(machine_->find_backend(BackendName("b1")) == nullptr);
+    CPPUNIT_ASSERT(machine_->is_deregistered(BackendName("b1")));
+  }
+
+  void a_group_opens_and_closes_by_epoch() {
+    const GroupName group("records");
+    apply(OpenGroup{group, 0, 3, BackendName("b1")});
+    CPPUNIT_ASSERT(machine_->find_term(group)->open);
+    apply(OpenGroup{group, 1, 4, BackendName("b2")});
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("open already", std::uint64_t{3}, machine_->find_term(group)->term);
+    apply(CloseGroup{group, 7});
+    CPPUNIT_ASSERT_MESSAGE("another epoch", machine_->find_term(group)->open);
+    apply(CloseGroup{group, 1});
+    CPPUNIT_ASSERT(!machine_->find_term(group)->open);
+    apply(OpenGroup{group, 2, 2, BackendName("b2")});
+    CPPUNIT_ASSERT_MESSAGE("an older term", !machine_->find_term(group)->open);
+    apply(OpenGroup{group, 2, 4, BackendName("b2")});
+    CPPUNIT_ASSERT_EQUAL(std::string("b2"), machine_->find_term(group)->primary.value);
+  }
+
+  void a_replaced_proxy_may_have_acknowledged_unknown_commits() {
+    apply(AdmitProxy{{NodeName("p1"), 1, ZoneName("a")}});
+    apply(OpenGroup{GroupName("records"), 0, 1, BackendName("b1")});
+    CPPUNIT_ASSERT(machine_->knows_all_acknowledgers(*machine_->find_term(GroupName("records"))));
+    apply(AdmitProxy{{NodeName("p1"), 2, ZoneName("a")}});
+    CPPUNIT_ASSERT(!machine_->knows_all_acknowledgers(*machine_->find_term(GroupName("records"))));
+  }
+
+  void a_follower_is_told_what_it_lacks() {
+    apply(ReplaceDocument{document(1, {route("decks"), route("answers")})});
+    apply(RegisterBackend{backend("b1", 1, 1)});
+    const FleetDelta whole = machine_->delta_since(0);
+    CPPUNIT_ASSERT(whole.is_whole);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, whole.routes.size());
+    apply(ReplaceDocument{document(2, {route("decks"), route("new")})});
+    const FleetDelta delta = machine_->delta_since(whole.revision);
+    CPPUNIT_ASSERT(!delta.is_whole);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, delta.routes.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("new"), delta.routes[0].database.value);
+    CPPUNIT_ASSERT_EQUAL(std::string("r-answers"), delta.removed_routes.at(0).value);
+    CPPUNIT_ASSERT(delta.backends.empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, delta.document_version);
+  }
+
+  void a_snapshot_restores_everything() {
+    apply(ReplaceDocument{document(3, {route("decks")})});
+    apply(RegisterBackend{backend("b1", 1, 1)});
+    apply(OpenGroup{GroupName("records"), 0, 3, BackendName("b1")});
+    apply(AdmitProxy{{NodeName("p1"), 1, ZoneName("a")}});
+    apply(DeregisterBackend{BackendName("b1")});
+    const std::string snapshot = machine_->take_snapshot();
+    FleetStateMachine other(world_->runtime("node"));
+    Reason reason;
+    CPPUNIT_ASSERT(other.restore_snapshot(snapshot, reason));
+    CPPUNIT_ASSERT_EQUAL(snapshot, other.take_snapshot());
+    CPPUNIT_ASSERT(other.is_deregistered(BackendName("b1")));
+    CPPUNIT_ASSERT(!other.restore_snapshot(snapshot.substr(1), reason));
+  }
+
+ private:
+  void apply(Command command) {
+    LoggedCommand logged{std::move(command)};
+    machine_->apply(++index_, wire::encode(logged));
+  }
+
+  std::unique_ptr<simulation::World> world_;
+  std::unique_ptr<FleetStateMachine> machine_;
+  std::uint64_t index_ = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetStateMachineTest);
+
+}  // namespace cairnhollow::registry
