Forwarding: only so many proxies serve a group that each has connections to work with

Cause: on the grown sites 66 proxies share 34 connections of a backend: 40% refused for want of one, and most prices were for new connections. Change: the product's subset (rendezvous over zones and proxies) decides who serves a group; other proxies carry statements to one of these over one connection each, transactions pinned there; who serves answers for lease and acknowledgement.

--- a/simulation/registered_fleet.cpp
+++ b/simulation/registered_fleet.cpp
@@ -82,6 +82,7 @@
   settings.session_endpoint = {address_of(name), kSessionPort};
   settings.readiness_endpoint = {address_of(name), kReadinessPort};
   settings.seeds = control_endpoints(kOperatorPort);
+  settings.peer_endpoint = {address_of(name), kPeerPort};
   settings.control_port = kPeerPort;
   world_.start({name, address_of(name), settings.zone}, [settings](runtime::Runtime& runtime) {
     return session::make_session_proxy(runtime, settings, platform::session_edge());
--- a/src/cli/settings_registered.cpp
+++ b/src/cli/settings_registered.cpp
@@ -31,6 +31,7 @@
   reader.read("session_endpoint", settings.session_endpoint, Presence::kRequired);
   reader.read("readiness_endpoint", settings.readiness_endpoint, Presence::kRequired);
   reader.read("seeds", settings.seeds, Presence::kRequired);
+  reader.read("peer_endpoint", settings.peer_endpoint, Presence::kRequired);
   reader.read("control_port", control_port, kPortRange);
   reader.read("session_limit", settings.session_limit, kConnectionRange);
   reader.read("drain_limit", settings.drain_limit, kIntervalRange);
--- a/src/control/registered/lease_keeper.cpp
+++ b/src/control/registered/lease_keeper.cpp
@@ -61,6 +61,8 @@
   watch_leadership();
   const TimePoint received = runtime_.now();
   follower->incarnation = report.incarnation;
+  follower->peer_endpoint = report.peer_endpoint;
+  follower->draining = report.draining;
   if (!follower->admitted) follower->revision_sent = report.revision;
   note_closed(*follower, report.closed);
   for (const auto& suspicion : report.suspicions) {
@@ -92,10 +94,11 @@
 }
 
 Awaitable<bool> LeaseKeeper::admit(std::shared_ptr<Follower> follower, Reason& reason) {
-  const auto held = fleet_.proxies().find(follower->node);
-  if (held != fleet_.proxies().end() && held->second.incarnation == follower->incarnation) co_return true;
-  registry::Command command =
-      registry::AdmitProxy{registry::AdmittedProxy{follower->node, follower->incarnation, follower->zone}};
+  const registry::AdmittedProxy proxy{follower->node, follower->incarnation, follower->zone,
+                                      follower->peer_endpoint, follower->draining};
+  const registry::AdmittedProxy* held = fleet_.find_proxy(follower->node);
+  if (held != nullptr && *held == proxy) co_return true;
+  registry::Command command = registry::AdmitProxy{proxy};
   co_return co_await calls_.submit(std::move(command), reason);
 }
 
@@ -122,7 +125,8 @@
   CloseProgress progress;
   progress.all_answered = true;
   const TimePoint now = runtime_.now();
-  for (const auto& [node, proxy] : fleet_.proxies()) {
+  for (const registry::AdmittedProxy& proxy : fleet_.proxies()) {
+    const NodeName& node = proxy.node;
     const auto life = lives_.find(node);
     const bool same_life = life != lives_.end() && life->second.incarnation == proxy.incarnation;
     const registry::ClosedGroup* closed = nullptr;
@@ -157,9 +161,9 @@
     if (!leads()) continue;
     const TimePoint now = runtime_.now();
     std::optional<registry::ForgetProxy> lapsed;
-    for (const auto& [node, proxy] : fleet_.proxies()) {
-      if (now > lease_bound(node, proxy.incarnation) + kForgetProxyAfter)
-        lapsed = registry::ForgetProxy{node, proxy.incarnation};
+    for (const registry::AdmittedProxy& proxy : fleet_.proxies()) {
+      if (now > lease_bound(proxy.node, proxy.incarnation) + kForgetProxyAfter)
+        lapsed = registry::ForgetProxy{proxy.node, proxy.incarnation};
     }
     if (!lapsed) continue;
     runtime_.logger().log(runtime::LogLevel::kInfo, "proxy_forgotten", {{"proxy", lapsed->node.value}});
--- a/src/control/registered/lease_keeper.h
+++ b/src/control/registered/lease_keeper.h
@@ -52,6 +52,8 @@
     NodeName node;
     ZoneName zone;
     std::uint64_t incarnation = 0;
+    Endpoint peer_endpoint;
+    bool draining = false;
     std::uint64_t revision_sent = 0;
     bool admitted = false;  ///< has had a lease on this connection
     bool sending = false;
--- a/src/registry/delta.h
+++ b/src/registry/delta.h
@@ -14,7 +14,6 @@
   std::uint64_t revision = 0;  ///< that the receiver holds afterwards; 0: nothing is known yet
   std::uint64_t document_version = 0;
   std::uint64_t transaction_idle_ms = 0;
-  std::uint64_t proxies = 0;  ///< admitted ones; they share each backend's connections
   std::vector<RouteRule> routes;
   std::vector<RouteName> removed_routes;
   std::vector<GroupRule> groups;
@@ -22,11 +21,13 @@
   std::vector<BackendEntry> backends;
   std::vector<BackendName> removed_backends;
   std::vector<GroupTerm> terms;
+  std::vector<AdmittedProxy> proxies;  ///< they share each backend's connections
+  std::vector<NodeName> removed_proxies;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(is_whole, revision, document_version, transaction_idle_ms, proxies, routes, removed_routes, groups,
-            removed_groups, backends, removed_backends, terms);
+    archive(is_whole, revision, document_version, transaction_idle_ms, routes, removed_routes, groups,
+            removed_groups, backends, removed_backends, terms, proxies, removed_proxies);
   }
 };
 
--- a/src/registry/messages.h
+++ b/src/registry/messages.h
@@ -48,10 +48,11 @@
   std::vector<ClosedGroup> closed;
   std::vector<PrimarySuspicion> suspicions;
   bool draining = false;
+  Endpoint peer_endpoint;  ///< where other proxies reach this one
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(nonce, incarnation, revision, closed, suspicions, draining);
+    archive(nonce, incarnation, revision, closed, suspicions, draining, peer_endpoint);
   }
 };
 
--- a/src/registry/model.h
+++ b/src/registry/model.h
@@ -105,10 +105,13 @@
   NodeName node;
   std::uint64_t incarnation = 0;
   ZoneName zone;
+  Endpoint peer_endpoint;  ///< where other proxies reach it
+  bool leaving = false;    ///< takes no new work from other proxies
+  bool operator==(const AdmittedProxy&) const = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(node, incarnation, zone);
+    archive(node, incarnation, zone, peer_endpoint, leaving);
   }
 };
 
--- a/src/registry/state_machine.cpp
+++ b/src/registry/state_machine.cpp
@@ -82,18 +82,18 @@
 
 bool FleetStateMachine::take(AdmitProxy& command) {
   AdmittedProxy& proxy = command.proxy;
-  const auto held = state_.proxies.find(proxy.node);
-  if (held != state_.proxies.end() && held->second.incarnation == proxy.incarnation) return false;
-  if (held != state_.proxies.end()) state_.proxy_lost_at = next_revision();
+  const AdmittedProxy* held = state_.proxies.find(proxy.node);
+  if (held != nullptr && *held == proxy) return false;
+  if (held != nullptr && held->incarnation != proxy.incarnation) state_.proxy_lost_at = next_revision();
   const NodeName node = proxy.node;
-  state_.proxies[node] = std::move(proxy);
+  state_.proxies.put(node, std::move(proxy), next_revision());
   return true;
 }
 
 bool FleetStateMachine::take(ForgetProxy& command) {
-  const auto held = state_.proxies.find(command.node);
-  if (held == state_.proxies.end() || held->second.incarnation != command.incarnation) return false;
-  state_.proxies.erase(held);
+  const AdmittedProxy* held = state_.proxies.find(command.node);
+  if (held == nullptr || held->incarnation != command.incarnation) return false;
+  state_.proxies.remove(command.node, next_revision());
   state_.proxy_lost_at = next_revision();
   return true;
 }
@@ -124,6 +124,7 @@
   state_.routes.forget_removed(state_.revision);
   state_.groups.forget_removed(state_.revision);
   state_.backends.forget_removed(state_.revision);
+  state_.proxies.forget_removed(state_.revision);
   state_.complete_from = state_.revision;
 }
 
@@ -152,15 +153,16 @@
   delta.revision = state_.revision;
   delta.document_version = state_.document_version;
   delta.transaction_idle_ms = state_.transaction_idle_ms;
-  delta.proxies = state_.proxies.size();
   delta.routes = state_.routes.changed_since(since);
   delta.groups = state_.groups.changed_since(since);
   delta.backends = state_.backends.changed_since(since);
   delta.terms = state_.terms.changed_since(since);
+  delta.proxies = state_.proxies.changed_since(since);
   if (delta.is_whole) return delta;
   delta.removed_routes = state_.routes.removed_since(since);
   delta.removed_groups = state_.groups.removed_since(since);
   delta.removed_backends = state_.backends.removed_since(since);
+  delta.removed_proxies = state_.proxies.removed_since(since);
   return delta;
 }
 
--- a/src/registry/state_machine.h
+++ b/src/registry/state_machine.h
@@ -43,7 +43,8 @@
   [[nodiscard]] std::vector<BackendEntry> backends_of(const GroupName& group) const;
   [[nodiscard]] std::vector<BackendEntry> backends() const { return state_.backends.all(); }
   [[nodiscard]] const GroupTerm* find_term(const GroupName& group) const { return state_.terms.find(group); }
-  [[nodiscard]] const std::map<NodeName, AdmittedProxy>& proxies() const { return state_.proxies; }
+  [[nodiscard]] std::vector<AdmittedProxy> proxies() const { return state_.proxies.all(); }
+  [[nodiscard]] const AdmittedProxy* find_proxy(const NodeName& node) const { return state_.proxies.find(node); }
 
   /// Whether every proxy that may have acknowledged something since the group's primary led is still admitted.
   [[nodiscard]] bool knows_all_acknowledgers(const GroupTerm& term) const {
@@ -67,7 +68,7 @@
     RevisedTable<GroupName, GroupRule> groups;
     RevisedTable<BackendName, BackendEntry> backends;
     RevisedTable<GroupName, GroupTerm> terms;
-    std::map<NodeName, AdmittedProxy> proxies;
+    RevisedTable<NodeName, AdmittedProxy> proxies;
     std::uint64_t proxy_lost_at = 0;  ///< revision at which a life of a proxy was last replaced or forgotten
 
     template <class Archive>
--- a/src/session/caller_session.cpp
+++ b/src/session/caller_session.cpp
@@ -289,7 +289,7 @@
   if (answering_ || !transaction_ || transaction_->failed) return;
   transaction_->failed = true;
   transaction_->failure = "the transaction was given up; nothing of it is kept";
-  if (transaction_->pinned) transaction_->pinned->link->link().close();
+  if (transaction_->pinned) runner_.abort(*transaction_->pinned);
 }
 
 void CallerSession::let_go() {
--- a/src/session/fleet_link.cpp
+++ b/src/session/fleet_link.cpp
@@ -22,6 +22,12 @@
 
 void FleetLink::start() { runtime_.spawn("fleet_link", run()); }
 
+void FleetLink::set_draining() {
+  draining_ = true;
+  report_now_ = true;
+  wake_.notify_all();
+}
+
 void FleetLink::stop() {
   stopping_ = true;
   wake_.notify_all();
@@ -89,6 +95,8 @@
     report.revision = view_.revision();
     report.closed = view_.closed_groups();
     report.suspicions = std::exchange(suspicions_, {});
+    report.draining = draining_;
+    report.peer_endpoint = settings_.peer_endpoint;
     report_now_ = false;
     const TimePoint asked_at = runtime_.now();
     conversation->asked[report.nonce] = asked_at;
--- a/src/session/fleet_link.h
+++ b/src/session/fleet_link.h
@@ -22,6 +22,8 @@
 
   void start();
   void stop();
+  /// Tells that this proxy takes no new work from others.
+  void set_draining();
   /// Told with the next report, which is sent at once. Repeats within kSuspicionRepeat are dropped.
   void report_suspicion(const GroupAccess& group, bool commits_stall);
 
@@ -60,6 +62,7 @@
   TimePoint search_logged_{};
   bool report_now_ = false;
   bool connected_ = false;
+  bool draining_ = false;
   bool stopping_ = false;
 };
 
--- a/src/session/fleet_view.cpp
+++ b/src/session/fleet_view.cpp
@@ -53,6 +53,42 @@
   }
 }
 
+void FleetView::apply_proxies(const registry::FleetDelta& delta) {
+  if (delta.is_whole) proxies_.clear();
+  for (const NodeName& name : delta.removed_proxies) proxies_.erase(name);
+  for (const registry::AdmittedProxy& proxy : delta.proxies) proxies_[proxy.node] = proxy;
+}
+
+void FleetView::divide_groups() {
+  std::vector<routing::ProxyPointer> takers;
+  for (const auto& [node, proxy] : proxies_) {
+    if (proxy.leaving) continue;
+    takers.push_back(std::make_shared<routing::ProxyView>(routing::ProxyView{node, proxy.zone, proxy.peer_endpoint}));
+  }
+  const routing::SubsetTable table(takers);
+  forward_to_.clear();
+  for (const auto& [name, group] : groups_) {
+    const std::uint64_t usable = group->usable_connections();
+    const bool limited = usable > 0 && usable < takers.size() * routing::kLeastConnectionsOfServingProxy;
+    if (!limited) {
+      group->share_connections(proxies_.size());
+      continue;
+    }
+    const auto size = routing::subset_size(static_cast<std::uint32_t>(usable), takers.size());
+    const auto serving = table.serving(name, size);
+    group->share_connections(serving.size());
+    const bool serves = std::any_of(serving.begin(), serving.end(),
+                                    [this](const routing::ProxyPointer& proxy) { return proxy->name == node_; });
+    if (!serves) forward_to_[name] = routing::forwarding_order(serving, node_, zone_);
+  }
+}
+
+const std::vector<routing::ProxyPointer>& FleetView::forward_to(const GroupName& group) {
+  static const std::vector<routing::ProxyPointer> kNobody;
+  const auto found = forward_to_.find(group);
+  return found == forward_to_.end() ? kNobody : found->second;
+}
+
 void FleetView::apply(const registry::FleetDelta& delta) {
   revision_ = delta.revision;
   document_version_ = delta.document_version;
@@ -61,7 +97,8 @@
   for (const registry::GroupRule& rule : delta.groups) access(rule.name)->set_rule(rule);
   apply_backends(delta);
   for (const registry::GroupTerm& term : delta.terms) access(term.group)->set_term(term);
-  for (const auto& [name, group] : groups_) group->share_connections(delta.proxies);
+  apply_proxies(delta);
+  divide_groups();
 }
 
 void FleetView::extend_lease(TimePoint until) {
--- a/src/session/fleet_view.h
+++ b/src/session/fleet_view.h
@@ -7,6 +7,7 @@
 
 #include "registry/delta.h"
 #include "registry/messages.h"
+#include "routing/subset.h"
 #include "session/group_access.h"
 
 namespace cairnhollow::session {
@@ -14,8 +15,8 @@
 /// What it refers to outlives it; it lives until the process ends.
 class FleetView {
  public:
-  FleetView(runtime::Runtime& runtime, BackendDialer& dialer, ZoneName zone)
-      : runtime_(runtime), dialer_(dialer), zone_(std::move(zone)), renewed_(runtime), started_(runtime.now()) {}
+  FleetView(runtime::Runtime& runtime, BackendDialer& dialer, NodeName node, ZoneName zone)
+      : runtime_(runtime), dialer_(dialer), node_(std::move(node)), zone_(std::move(zone)), renewed_(runtime), started_(runtime.now()) {}
 
   /// Takes over what changed. Groups closed by it acknowledge nothing any more when this returns.
   void apply(const registry::FleetDelta& delta);
@@ -36,6 +37,9 @@
   /// Null when the document has no such group.
   std::shared_ptr<GroupAccess> find_group(const GroupName& group);
   [[nodiscard]] const std::map<GroupName, std::shared_ptr<GroupAccess>>& groups() const { return groups_; }
+  /// The proxies to which statements for the group are to be forwarded, first choice first. Empty: this proxy serves
+  /// it. Only so many serve a group that each has connections to work with.
+  [[nodiscard]] const std::vector<routing::ProxyPointer>& forward_to(const GroupName& group);
   /// What is to be told of every closed group.
   [[nodiscard]] std::vector<registry::ClosedGroup> closed_groups() const;
 
@@ -50,9 +54,13 @@
   std::shared_ptr<GroupAccess> access(const GroupName& group);
   void apply_routes(const registry::FleetDelta& delta);
   void apply_backends(const registry::FleetDelta& delta);
+  void apply_proxies(const registry::FleetDelta& delta);
+  /// Who serves each group, and how its connections are shared.
+  void divide_groups();
 
   runtime::Runtime& runtime_;
   BackendDialer& dialer_;
+  NodeName node_;
   ZoneName zone_;
   runtime::Signal renewed_;
   TimePoint started_;
@@ -64,6 +72,8 @@
   std::map<DatabaseName, RouteName> by_database_;
   std::map<GroupName, std::shared_ptr<GroupAccess>> groups_;
   std::map<BackendName, GroupName> group_of_;
+  std::map<NodeName, registry::AdmittedProxy> proxies_;
+  std::map<GroupName, std::vector<routing::ProxyPointer>> forward_to_;
 };
 
 }  // namespace cairnhollow::session
--- /dev/null
+++ b/src/session/forward_messages.h
@@ -0,0 +1,93 @@
+// What a proxy that does not serve a group says to one that does.
+#pragma once
+
+#include <cereal/types/variant.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "base/reason.h"
+#include "registry/model.h"
+#include "session/statement.h"
+#include "session/stateful_pool.h"
+
+namespace cairnhollow::session {
+
+/// A RunOrder on the way. Times are told as durations, since clocks differ.
+struct ForwardedOrder {
+  registry::RouteRule route;
+  std::string id;
+  std::string text;
+  std::optional<PreparedShape> prepared;
+  std::string argument;
+  bool writes = false;
+  SessionValues values;
+  std::optional<Position> committed;
+  Duration committed_ago{0};
+  Duration time_left{0};
+  bool opens_transaction = false;
+  bool read_only_transaction = false;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    auto ago = committed_ago.count();
+    auto left = time_left.count();
+    archive(route, id, text, prepared, argument, writes, values, committed, ago, left, opens_transaction,
+            read_only_transaction);
+    committed_ago = Duration(ago);
+    time_left = Duration(left);
+  }
+};
+
+struct ForwardRun {
+  ForwardedOrder order;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(order);
+  }
+};
+
+/// A further statement of a transaction that is open at the server under `pin`, or its commit.
+struct ForwardInTransaction {
+  std::uint64_t pin = 0;
+  ForwardedOrder order;
+  bool commits = false;
+  bool wrote = false;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(pin, order, commits, wrote);
+  }
+};
+
+/// The transaction is over: rolled back unless its commit was answered.
+struct ForwardEnd {
+  std::uint64_t pin = 0;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(pin);
+  }
+};
+
+struct ForwardRequest {
+  std::uint64_t correlation = 0;
+  std::variant<ForwardRun, ForwardInTransaction, ForwardEnd> body;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(correlation, body);
+  }
+};
+
+struct ForwardAnswer {
+  std::uint64_t correlation = 0;
+  Answer answer;
+  std::uint64_t pin = 0;         ///< of the transaction opened; 0: none
+  bool at_primary = false;
+  bool may_try_another = false;  ///< not run, for a reason that lies with this proxy
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(correlation, answer, pin, at_primary, may_try_another);
+  }
+};
+
+}  // namespace cairnhollow::session
--- /dev/null
+++ b/src/session/forward_server.cpp
@@ -0,0 +1,167 @@
+#include "session/forward_server.h"
+
+#include <utility>
+
+#include "wire/codec.h"
+#include "wire/hello.h"
+
+namespace cairnhollow::session {
+
+bool ForwardServer::start(const Endpoint& endpoint, Reason& reason) {
+  listener_ = services_.runtime.network().listen(endpoint, reason);
+  if (!listener_) return false;
+  services_.runtime.spawn("forward_accept", accept());
+  return true;
+}
+
+void ForwardServer::stop() {
+  stopping_ = true;
+  listener_->close();
+}
+
+Awaitable<void> ForwardServer::accept() {
+  while (!stopping_) {
+    Reason reason;
+    auto frames = co_await listener_->accept(reason);
+    if (!frames) co_return;
+    services_.runtime.spawn("forward_serve", serve(std::move(frames)));
+  }
+}
+
+Awaitable<void> ForwardServer::serve(std::shared_ptr<runtime::FrameConnection> frames) {
+  Reason reason;
+  const auto first = co_await frames->receive(reason);
+  std::optional<wire::Hello> hello;
+  if (first) hello = wire::decode<wire::Hello>(*first, reason);
+  if (!hello || hello->conversation != wire::Conversation::kForwarding) {
+    frames->close();
+    co_return;
+  }
+  const auto connection = std::make_shared<Connection>();
+  connection->frames = frames;
+  while (!stopping_) {
+    const auto frame = co_await frames->receive(reason);
+    std::optional<ForwardRequest> request;
+    if (frame) request = wire::decode<ForwardRequest>(*frame, reason);
+    if (!request) break;
+    services_.runtime.spawn("forward_handle", handle(connection, std::move(*request)));
+  }
+  connection->ended = true;
+  frames->close();
+  // Whoever forwarded is gone: what is open here can't be committed any more.
+  while (!connection->pins.empty()) {
+    const std::uint64_t pin = connection->pins.begin()->first;
+    co_await end_transaction(connection, pin);
+  }
+}
+
+std::optional<RunOrder> ForwardServer::to_order(ForwardedOrder forwarded) {
+  RunOrder order;
+  order.group = services_.view.find_group(forwarded.route.group);
+  if (!order.group) return std::nullopt;
+  order.route = std::move(forwarded.route);
+  order.id = std::move(forwarded.id);
+  order.text = std::move(forwarded.text);
+  order.prepared = std::move(forwarded.prepared);
+  order.argument = std::move(forwarded.argument);
+  order.writes = forwarded.writes;
+  order.values = std::move(forwarded.values);
+  order.arrived = services_.runtime.now();
+  order.committed = SessionCommit{forwarded.committed, order.arrived - forwarded.committed_ago};
+  order.deadline = order.arrived + forwarded.time_left;
+  order.opens_transaction = forwarded.opens_transaction;
+  order.read_only_transaction = forwarded.read_only_transaction;
+  order.is_forwarded = true;
+  return order;
+}
+
+Awaitable<void> ForwardServer::handle(std::shared_ptr<Connection> connection, ForwardRequest request) {
+  ForwardAnswer answer;
+  if (auto* run_request = std::get_if<ForwardRun>(&request.body)) {
+    answer = co_await run(connection, std::move(*run_request));
+  } else if (auto* further = std::get_if<ForwardInTransaction>(&request.body)) {
+    answer = co_await run_in_transaction(connection, std::move(*further));
+  } else {
+    const std::uint64_t pin = std::get<ForwardEnd>(request.body).pin;
+    co_await end_transaction(connection, pin);
+  }
+  answer.correlation = request.correlation;
+  if (connection->ended) co_return;
+  connection->outgoing.push_back(wire::encode(answer));
+  if (std::exchange(connection->sending, true)) co_return;
+  co_await send_answers(connection);
+}
+
+Awaitable<void> ForwardServer::send_answers(std::shared_ptr<Connection> connection) {
+  while (!connection->outgoing.empty() && !connection->ended) {
+    for (std::string& frame : std::exchange(connection->outgoing, {})) {
+      Reason reason;
+      const bool sent = co_await connection->frames->send(std::move(frame), reason);
+      if (!sent) connection->frames->close();
+    }
+  }
+  connection->sending = false;
+}
+
+Awaitable<ForwardAnswer> ForwardServer::run(std::shared_ptr<Connection> connection, ForwardRun request) {
+  ForwardAnswer forwarded;
+  auto order = to_order(std::move(request.order));
+  const bool leased = services_.view.lease_valid();
+  if (!order) {
+    forwarded.answer.refusal = Refusal::kBusy;
+    forwarded.answer.detail = "the group is not known here yet";
+    forwarded.may_try_another = true;
+    co_return forwarded;
+  }
+  RunResult result = co_await runner_.run(std::move(*order));
+  forwarded.answer = std::move(result.answer);
+  forwarded.at_primary = result.served_by == ServedBy::kPrimary;
+  forwarded.may_try_another = !leased && forwarded.answer.refusal == Refusal::kBusy;
+  if (!result.pinned) co_return forwarded;
+  if (connection->ended) {
+    co_await runner_.roll_back(*result.pinned);
+    co_return forwarded;
+  }
+  forwarded.pin = connection->next_pin++;
+  const auto pin = std::make_shared<Pin>();
+  pin->link = *result.pinned;
+  connection->pins.emplace(forwarded.pin, pin);
+  co_return forwarded;
+}
+
+Awaitable<ForwardAnswer> ForwardServer::run_in_transaction(std::shared_ptr<Connection> connection,
+                                                           ForwardInTransaction request) {
+  ForwardAnswer forwarded;
+  const auto found = connection->pins.find(request.pin);
+  auto order = to_order(std::move(request.order));
+  if (found == connection->pins.end() || found->second->running || !order) {
+    forwarded.answer.refusal = Refusal::kAborted;
+    forwarded.answer.state = TransactionState::kFailed;
+    forwarded.answer.detail = "the transaction is not open here; nothing of it is kept";
+    co_return forwarded;
+  }
+  const std::shared_ptr<Pin> pin = found->second;
+  const PinnedLink pinned = pin->link;
+  forwarded.at_primary = pinned.at_primary;
+  pin->running = true;
+  forwarded.answer = co_await runner_.run_pinned(pinned, std::move(*order), request.commits, request.wrote);
+  pin->running = false;
+  if (pin->ended) co_await runner_.end(pinned);
+  co_return forwarded;
+}
+
+Awaitable<void> ForwardServer::end_transaction(std::shared_ptr<Connection> connection, std::uint64_t pin) {
+  const auto found = connection->pins.find(pin);
+  if (found == connection->pins.end()) co_return;
+  const std::shared_ptr<Pin> ended = found->second;
+  connection->pins.erase(found);
+  ended->ended = true;
+  const PinnedLink pinned = ended->link;
+  if (ended->running) {
+    runner_.abort(pinned);
+  } else {
+    co_await runner_.end(pinned);
+  }
+}
+
+}  // namespace cairnhollow::session
--- /dev/null
+++ b/src/session/forwarder.h
@@ -0,0 +1,72 @@
+// Carries statements to a proxy that serves their group: one connection to each, many statements on it. There is one
+// hop only: who gets a forwarded statement runs it or refuses it.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "routing/subset.h"
+#include "runtime/runtime.h"
+#include "runtime/signal.h"
+#include "session/forward_messages.h"
+#include "wire/hello.h"
+
+namespace cairnhollow::session {
+
+/// One connection to another proxy, shared by the statements that are forwarded over it.
+class ForwardConnection {
+ public:
+  ForwardConnection(runtime::Runtime& runtime, std::shared_ptr<runtime::FrameConnection> frames)
+      : runtime_(runtime), frames_(std::move(frames)), queued_(runtime) {}
+
+  /// Empty when no answer came by `deadline`; then the other side may have run it.
+  Awaitable<std::optional<ForwardAnswer>> call(ForwardRequest request, TimePoint deadline, Reason& reason);
+  /// Reads and writes until the connection ends; `self` keeps this object alive meanwhile.
+  Awaitable<void> read(std::shared_ptr<ForwardConnection> self);
+  Awaitable<void> write(std::shared_ptr<ForwardConnection> self);
+  void close();
+  [[nodiscard]] bool is_open() const { return open_; }
+
+ private:
+  /// An answer came too late: the transaction that it opened is nobody's.
+  void end_unwanted(const ForwardAnswer& answer);
+
+  struct Pending {
+    explicit Pending(runtime::Runtime& runtime) : answered(runtime) {}
+    runtime::Signal answered;
+    std::optional<ForwardAnswer> answer;
+  };
+
+  runtime::Runtime& runtime_;
+  std::shared_ptr<runtime::FrameConnection> frames_;
+  runtime::Signal queued_;
+  std::vector<std::string> outgoing_;
+  std::map<std::uint64_t, std::shared_ptr<Pending>> pending_;
+  std::uint64_t next_correlation_ = 1;
+  bool open_ = true;
+};
+
+/// Lives until the process ends, as `runtime` does.
+class Forwarder {
+ public:
+  Forwarder(runtime::Runtime& runtime, NodeName node, ZoneName zone)
+      : runtime_(runtime), node_(std::move(node)), zone_(std::move(zone)) {}
+
+  /// An open connection to the proxy; null when it can't be opened by `deadline`, or could not a moment ago.
+  Awaitable<std::shared_ptr<ForwardConnection>> connect(routing::ProxyPointer proxy, TimePoint deadline,
+                                                        Reason& reason);
+  /// The proxy did not answer: others are tried first for a while.
+  void avoid(const NodeName& proxy);
+  [[nodiscard]] bool is_avoided(const NodeName& proxy) const;
+
+ private:
+  runtime::Runtime& runtime_;
+  NodeName node_;
+  ZoneName zone_;
+  std::map<NodeName, std::shared_ptr<ForwardConnection>> connections_;
+  std::map<NodeName, TimePoint> avoided_until_;
+};
+
+}  // namespace cairnhollow::session
--- a/src/session/group_access.cpp
+++ b/src/session/group_access.cpp
@@ -82,14 +82,16 @@
   changed_.notify_all();
 }
 
+std::uint64_t GroupAccess::usable_connections() const {
+  if (rule_.max_connections == 0) return 0;
+  return rule_.max_connections > kReservedConnections ? rule_.max_connections - kReservedConnections : 1;
+}
+
 void GroupAccess::share_connections(std::uint64_t proxies) {
   proxies_ = std::max<std::uint64_t>(proxies, 1);
   std::uint64_t share = kMostConnections;
-  if (rule_.max_connections > 0) {
-    const std::uint64_t usable =
-        rule_.max_connections > kReservedConnections ? rule_.max_connections - kReservedConnections : 1;
-    share = std::clamp(usable / proxies_, kLeastConnections, kMostConnections);
-  }
+  if (rule_.max_connections > 0)
+    share = std::clamp(usable_connections() / proxies_, kLeastConnections, kMostConnections);
   for (const auto& [name, use] : backends_) {
     use->pool.set_limit(share);
     const std::uint64_t slots = std::max<std::uint64_t>(use->entry.slots / proxies_, 1);
--- a/src/session/group_access.h
+++ b/src/session/group_access.h
@@ -75,8 +75,10 @@
   void set_rule(const registry::GroupRule& rule) { rule_ = rule; }
   void put_backend(const registry::BackendEntry& entry);
   void remove_backend(const BackendName& name);
-  /// Divides each backend's connections among `proxies`.
+  /// Divides each backend's connections among those of `proxies` that serve the group.
   void share_connections(std::uint64_t proxies);
+  /// Connections to one backend that all proxies together may have; 0: no limit.
+  [[nodiscard]] std::uint64_t usable_connections() const;
 
   [[nodiscard]] const registry::GroupTerm& term() const { return term_; }
   [[nodiscard]] const GroupName& group() const { return group_; }
--- a/src/session/knobs.h
+++ b/src/session/knobs.h
@@ -33,6 +33,12 @@
 inline constexpr Duration kDialTimeout = milliseconds(600);
 /// Longest wait for a link's own exchanges: values, prepared statements, begin.
 inline constexpr Duration kLinkSetupTimeout = milliseconds(400);
+/// A proxy that could not be reached is not forwarded to for this long, where another can serve.
+inline constexpr Duration kAvoidProxy = seconds(1);
+/// A forwarded statement's answer may take this much longer than the statement itself.
+inline constexpr Duration kForwardSlack = milliseconds(60);
+/// Proxies that one statement is forwarded to, one after the other.
+inline constexpr int kMaxForwards = 2;
 /// A backend that failed to answer is passed over for this long where another can serve.
 inline constexpr Duration kAvoidBackend = milliseconds(400);
 /// A read that got no answer goes to another backend after this part of the time that callers aim at.
--- a/src/session/session_proxy.cpp
+++ b/src/session/session_proxy.cpp
@@ -5,6 +5,7 @@
 #include "session/caller_session.h"
 #include "session/fleet_link.h"
 #include "session/fleet_view.h"
+#include "session/forward_server.h"
 #include "session/knobs.h"
 #include "session/session_metrics.h"
 
@@ -48,9 +49,11 @@
         settings_(std::move(settings)),
         callers_(edge.make_callers()),
         dialer_(edge.make_dialer(runtime, settings_.node)),
-        view_(runtime, *dialer_, settings_.zone),
+        view_(runtime, *dialer_, settings_.node, settings_.zone),
         link_(runtime, settings_, view_),
-        services_{runtime, view_, link_, metrics_},
+        forwarder_(runtime, settings_.node, settings_.zone),
+        services_{runtime, view_, link_, metrics_, forwarder_},
+        forward_server_(services_),
         readiness_(
             edge.readiness_path, [this] { return is_ready(); }, [this] { return render_metrics(); }) {}
 
@@ -74,7 +77,9 @@
   SessionMetrics metrics_;
   FleetView view_;
   FleetLink link_;
+  Forwarder forwarder_;
   SessionServices services_;
+  ForwardServer forward_server_;
   ReadinessCalls readiness_;
   std::unique_ptr<runtime::LineListener> listener_;
   std::unique_ptr<runtime::HttpServer> readiness_server_;
@@ -92,6 +97,7 @@
   listener_ = runtime_.lines().listen(settings_.session_endpoint, reason);
   if (!listener_) co_return false;
   runtime_.spawn("session_accept", accept_callers());
+  if (!forward_server_.start(settings_.peer_endpoint, reason)) co_return false;
   readiness_server_ = runtime_.http().serve(settings_.readiness_endpoint, readiness_, reason);
   if (!readiness_server_) co_return false;
   if (!settings_.metrics_endpoint) co_return true;
@@ -171,6 +177,7 @@
   const TimePoint end = begun + settings_.drain_limit - kDrainMargin;
   const TimePoint abort_at = begun + settings_.drain_limit / 2;
   draining_ = true;
+  link_.set_draining();
   co_await runtime_.sleep_for(kDrainIdleAfter);
   while (!sessions_.empty() && runtime_.now() < end) {
     let_idle_go();
@@ -182,6 +189,7 @@
   stopped_ = true;
   listener_->close();
   readiness_server_->close();
+  forward_server_.stop();
   link_.stop();
 }
 
--- a/src/session/session_services.h
+++ b/src/session/session_services.h
@@ -4,6 +4,7 @@
 #include "runtime/runtime.h"
 #include "session/fleet_link.h"
 #include "session/fleet_view.h"
+#include "session/forwarder.h"
 #include "session/session_metrics.h"
 
 namespace cairnhollow::session {
@@ -13,6 +14,7 @@
   FleetView& view;
   FleetLink& link;
   SessionMetrics& metrics;
+  Forwarder& forwarder;
 };
 
 }  // namespace cairnhollow::session
--- a/src/session/stateful_pool.h
+++ b/src/session/stateful_pool.h
@@ -22,6 +22,11 @@
   bool writes = false;
   std::string shape;
   auto operator<=>(const PreparedShape&) const = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(writes, shape);
+  }
 };
 
 /// One link and what is known to be on it.
@@ -39,6 +44,9 @@
   void forget_prepared() { prepared_.clear(); }
   [[nodiscard]] const SessionValues& values() const { return values_; }
   BackendLink& link() { return *link_; }
+  /// Whether a transaction is open on it, as far as its answers told.
+  [[nodiscard]] bool has_open_transaction() const { return transaction_open_; }
+  void note_state(TransactionState state) { transaction_open_ = state != TransactionState::kIdle; }
   void set_idle_since(TimePoint now) { idle_since_ = now; }
   [[nodiscard]] TimePoint idle_since() const { return idle_since_; }
   std::shared_ptr<BackendLink> shared_link() { return link_; }
@@ -51,6 +59,7 @@
   std::map<PreparedShape, std::string> prepared_;
   std::uint64_t next_name_ = 1;
   TimePoint idle_since_{};
+  bool transaction_open_ = false;
 };
 
 /// Lives until the process ends. `runtime` and `dialer` outlive it.
--- a/src/session/statement.h
+++ b/src/session/statement.h
@@ -71,6 +71,11 @@
   TransactionState state = TransactionState::kIdle;
   std::optional<Position> position;  ///< of the backend's log, afterwards
   [[nodiscard]] bool succeeded() const { return !refusal; }
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(rows, signature, refusal, detail, state, position);
+  }
 };
 
 }  // namespace cairnhollow::session
--- /dev/null
+++ b/src/session/statement_forwarding.cpp
@@ -0,0 +1,115 @@
+// StatementRunner's part for groups that other proxies serve.
+#include <algorithm>
+
+#include "session/statement_runner.h"
+
+namespace cairnhollow::session {
+
+ForwardedOrder StatementRunner::to_forwarded(const RunOrder& order) const {
+  const TimePoint now = services_.runtime.now();
+  ForwardedOrder forwarded;
+  forwarded.route = order.route;
+  forwarded.id = order.id;
+  forwarded.text = order.text;
+  forwarded.prepared = order.prepared;
+  forwarded.argument = order.argument;
+  forwarded.writes = order.writes;
+  forwarded.values = order.values;
+  forwarded.committed = order.committed.position;
+  if (order.committed.position) forwarded.committed_ago = now - order.committed.at;
+  forwarded.time_left = order.deadline - now;
+  forwarded.opens_transaction = order.opens_transaction;
+  forwarded.read_only_transaction = order.read_only_transaction;
+  return forwarded;
+}
+
+Awaitable<RunResult> StatementRunner::forward(RunOrder order, std::vector<routing::ProxyPointer> proxies) {
+  // Those that did not answer a moment ago go last.
+  std::stable_partition(proxies.begin(), proxies.end(), [this](const routing::ProxyPointer& proxy) {
+    return !services_.forwarder.is_avoided(proxy->name);
+  });
+  RunResult result;
+  result.answer.refusal = Refusal::kBusy;
+  const TimePoint refuse_at = order.arrived + (order.deadline - order.arrived) / kRefusePatienceDivisor;
+  while (!services_.view.lease_valid() && services_.view.expects_lease() && services_.runtime.now() < refuse_at)
+    co_await services_.view.renewed().wait_until(refuse_at);
+  if (!services_.view.lease_valid()) {
+    result.answer.detail = "the serving lease has run out; come back soon";
+    log_refusal(order, result.answer, Reason{}, 0);
+    co_return result;
+  }
+  result.answer.detail = "no proxy that serves the group could be reached; come back soon";
+  Reason reason;
+  const auto tries = std::min<std::size_t>(proxies.size(), kMaxForwards);
+  for (std::size_t attempt = 0; attempt < tries; ++attempt) {
+    bool may_try_another = false;
+    auto forwarded = co_await forward_to(order, proxies[attempt], may_try_another, reason);
+    if (forwarded) result = std::move(*forwarded);
+    if (!may_try_another) break;
+  }
+  if (result.answer.refusal) log_refusal(order, result.answer, reason, 1);
+  co_return result;
+}
+
+Awaitable<std::optional<RunResult>> StatementRunner::forward_to(RunOrder order, routing::ProxyPointer proxy,
+                                                                bool& may_try_another, Reason& reason) {
+  may_try_another = true;
+  const auto connection = co_await services_.forwarder.connect(proxy, order.deadline, reason);
+  if (!connection) co_return std::nullopt;
+  ForwardRequest request;
+  request.body = ForwardRun{to_forwarded(order)};
+  const TimePoint deadline = order.deadline + kForwardSlack;
+  auto answer = co_await connection->call(std::move(request), deadline, reason);
+  RunResult result;
+  if (!answer) {
+    services_.metrics.count_lost_answer();
+    services_.forwarder.avoid(proxy->name);
+    // A transaction's first statement leaves nothing: whoever served it rolls back when it finds nobody there.
+    may_try_another = (!order.writes || order.opens_transaction) && services_.runtime.now() < order.deadline;
+    const bool in_doubt = order.writes && !order.opens_transaction;
+    result.answer.refusal = in_doubt ? Refusal::kInDoubt : Refusal::kBusy;
+    result.answer.detail = "the proxy that serves the group gave no answer";
+    co_return result;
+  }
+  may_try_another = answer->may_try_another;
+  if (may_try_another) services_.forwarder.avoid(proxy->name);
+  result.answer = std::move(answer->answer);
+  result.served_by = answer->at_primary ? ServedBy::kPrimary : ServedBy::kReplica;
+  if (answer->pin > 0) {
+    PinnedLink pinned;
+    pinned.remote = RemotePin{connection, answer->pin};
+    pinned.at_primary = answer->at_primary;
+    result.pinned = pinned;
+  }
+  co_return result;
+}
+
+Awaitable<Answer> StatementRunner::forward_pinned(RemotePin remote, RunOrder order, bool commits, bool wrote) {
+  Reason reason;
+  ForwardRequest request;
+  request.body = ForwardInTransaction{remote.pin, to_forwarded(order), commits, wrote};
+  const bool was_open = remote.connection->is_open();
+  const TimePoint deadline = order.deadline + kForwardSlack;
+  std::optional<ForwardAnswer> answer;
+  if (was_open) answer = co_await remote.connection->call(std::move(request), deadline, reason);
+  if (answer) co_return std::move(answer->answer);
+  Answer lost;
+  lost.state = TransactionState::kFailed;
+  const bool in_doubt = commits && wrote && was_open;
+  lost.refusal = in_doubt ? Refusal::kInDoubt : Refusal::kAborted;
+  lost.detail = in_doubt ? "the commit was sent and its outcome is not known"
+                         : "the proxy that served the transaction is gone; nothing of it is kept";
+  if (was_open) services_.runtime.spawn("forward_end", end_remote(remote));
+  log_refusal(order, lost, reason, 1);
+  co_return lost;
+}
+
+Awaitable<void> StatementRunner::end_remote(RemotePin remote) {
+  if (!remote.connection->is_open()) co_return;
+  Reason reason;
+  ForwardRequest request;
+  request.body = ForwardEnd{remote.pin};
+  co_await remote.connection->call(std::move(request), services_.runtime.now() + kLinkSetupTimeout, reason);
+}
+
+}  // namespace cairnhollow::session
--- a/src/session/statement_runner.cpp
+++ b/src/session/statement_runner.cpp
@@ -86,6 +86,13 @@
 }
 
 Awaitable<RunResult> StatementRunner::run(RunOrder order) {
+  std::vector<routing::ProxyPointer> proxies;
+  if (!order.is_forwarded) proxies = services_.view.forward_to(order.group->group());
+  if (proxies.empty()) co_return co_await run_here(std::move(order));
+  co_return co_await forward(std::move(order), std::move(proxies));
+}
+
+Awaitable<RunResult> StatementRunner::run_here(RunOrder order) {
   runtime::Runtime& runtime = services_.runtime;
   auto attempt = std::make_shared<Attempt>(std::move(order));
   const Duration whole = attempt->order.deadline - attempt->order.arrived;
@@ -288,7 +295,8 @@
   GroupAccess& group = *attempt.order.group;
   BackendUse& backend = *attempt.backend;
   const RunOrder& order = attempt.order;
-  const PinnedLink pinned{attempt.backend, attempt.link, attempt.epoch, attempt.at_primary};
+  const PinnedLink pinned{attempt.backend, attempt.link, std::nullopt, attempt.epoch, attempt.at_primary};
+  attempt.link->note_state(answer.state);
   const bool current = services_.view.may_use_primary(group, attempt.epoch);
   const auto drop = [&] {
     if (order.opens_transaction) {
@@ -343,6 +351,7 @@
 }
 
 Awaitable<Answer> StatementRunner::run_pinned(PinnedLink pinned, RunOrder order, bool commits, bool wrote) {
+  if (pinned.remote) co_return co_await forward_pinned(*pinned.remote, std::move(order), commits, wrote);
   GroupAccess& group = *order.group;
   runtime::Runtime& runtime = services_.runtime;
   Answer aborted;
@@ -373,6 +382,7 @@
   leave_gate(pinned.backend->gate, answer, runtime.now() - sent_at);
   work.reset();
   const bool current = services_.view.may_use_primary(group, pinned.epoch);
+  if (answer) pinned.link->note_state(answer->state);
   if (!answer) {
     services_.metrics.count_lost_answer();
     if (pinned.at_primary && current) services_.link.report_suspicion(group, false);
@@ -399,6 +409,10 @@
 }
 
 Awaitable<void> StatementRunner::roll_back(PinnedLink pinned) {
+  if (pinned.remote) {
+    co_await end_remote(*pinned.remote);
+    co_return;
+  }
   Reason reason;
   SendState sent = SendState::kNotSent;
   const TimePoint deadline = services_.runtime.now() + kLinkSetupTimeout;
@@ -406,11 +420,34 @@
     BackendRequest request = Rollback{};
     const auto answer = co_await pinned.link->link().run(std::move(request), deadline, sent, reason);
     if (!answer || answer->state != TransactionState::kIdle) pinned.link->link().close();
+    pinned.link->note_state(TransactionState::kIdle);
   }
   give_back(pinned);
 }
 
-void StatementRunner::give_back(const PinnedLink& pinned) { pinned.backend->pool.release(pinned.link); }
+Awaitable<void> StatementRunner::end(PinnedLink pinned) {
+  if (pinned.link && !pinned.link->has_open_transaction()) {
+    give_back(pinned);
+    co_return;
+  }
+  co_await roll_back(pinned);
+}
+
+void StatementRunner::give_back(const PinnedLink& pinned) {
+  if (pinned.remote) {
+    services_.runtime.spawn("forward_end", end_remote(*pinned.remote));
+  } else {
+    pinned.backend->pool.release(pinned.link);
+  }
+}
+
+void StatementRunner::abort(const PinnedLink& pinned) {
+  if (pinned.remote) {
+    services_.runtime.spawn("forward_end", end_remote(*pinned.remote));
+  } else {
+    pinned.link->link().close();
+  }
+}
 
 void StatementRunner::log_slow(const Attempt& attempt) {
   services_.runtime.logger().log(
--- a/src/session/statement_runner.h
+++ b/src/session/statement_runner.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 
+#include "session/forward_messages.h"
 #include "session/session_services.h"
 #include "session/stateful_pool.h"
 
@@ -28,12 +29,20 @@
   /// Set for the first statement of a transaction, or for a commit without any.
   bool opens_transaction = false;
   bool read_only_transaction = false;
+  bool is_forwarded = false;  ///< by another proxy: it is run here or refused
 };
 
-/// A transaction's link; nobody else uses it until it is given back.
+/// A transaction that is open at another proxy.
+struct RemotePin {
+  std::shared_ptr<ForwardConnection> connection;
+  std::uint64_t pin = 0;
+};
+
+/// Where a transaction is open: a link that nobody else uses until it is given back, or another proxy.
 struct PinnedLink {
-  std::shared_ptr<BackendUse> backend;
-  std::shared_ptr<StatefulLink> link;
+  std::shared_ptr<BackendUse> backend;  ///< null for another proxy
+  std::shared_ptr<StatefulLink> link;   ///< null for another proxy
+  std::optional<RemotePin> remote;
   std::uint64_t epoch = 0;     ///< of the group when it was opened
   bool at_primary = false;     ///< its answers count only while the primary of `epoch` may be used
 };
@@ -54,7 +63,11 @@
   Awaitable<Answer> run_pinned(PinnedLink pinned, RunOrder order, bool commits, bool wrote);
   /// Ends a transaction without commit and gives the link back.
   Awaitable<void> roll_back(PinnedLink pinned);
+  /// The same, unless nothing is open there any more.
+  Awaitable<void> end(PinnedLink pinned);
   void give_back(const PinnedLink& pinned);
+  /// Gives the transaction up at once: a commit can't be sent any more.
+  void abort(const PinnedLink& pinned);
 
  private:
   struct Attempt;
@@ -66,6 +79,14 @@
   /// The same for a backend's gate: who would come through later would be late, and make others late.
   [[nodiscard]] TimePoint gate_limit(const Attempt& attempt) const;
 
+  Awaitable<RunResult> run_here(RunOrder order);
+  Awaitable<RunResult> forward(RunOrder order, std::vector<routing::ProxyPointer> proxies);
+  Awaitable<std::optional<RunResult>> forward_to(RunOrder order, routing::ProxyPointer proxy, bool& may_try_another,
+                                                 Reason& reason);
+  Awaitable<Answer> forward_pinned(RemotePin remote, RunOrder order, bool commits, bool wrote);
+  Awaitable<void> end_remote(RemotePin remote);
+  [[nodiscard]] ForwardedOrder to_forwarded(const RunOrder& order) const;
+
   Awaitable<std::shared_ptr<BackendUse>> choose(std::shared_ptr<Attempt> attempt);
   Awaitable<Step> try_backend(std::shared_ptr<Attempt> attempt, std::shared_ptr<BackendUse> backend);
   Awaitable<bool> prepare_link(std::shared_ptr<Attempt> attempt, std::shared_ptr<BackendUse> backend);
--- a/tests/registry/state_machine_test.cpp
+++ b/tests/registry/state_machine_test.cpp
@@ -116,10 +116,10 @@
   }
 
   void a_replaced_proxy_may_have_acknowledged_unknown_commits() {
-    apply(AdmitProxy{{NodeName("p1"), 1, ZoneName("a")}});
+    apply(AdmitProxy{{NodeName("p1"), 1, ZoneName("a"), {}, false}});
     apply(OpenGroup{GroupName("records"), 0, 1, BackendName("b1")});
     CPPUNIT_ASSERT(machine_->knows_all_acknowledgers(*machine_->find_term(GroupName("records"))));
-    apply(AdmitProxy{{NodeName("p1"), 2, ZoneName("a")}});
+    apply(AdmitProxy{{NodeName("p1"), 2, ZoneName("a"), {}, false}});
     CPPUNIT_ASSERT(!machine_->knows_all_acknowledgers(*machine_->find_term(GroupName("records"))));
   }
 
@@ -143,7 +143,7 @@
     apply(ReplaceDocument{document(3, {route("decks")})});
     apply(RegisterBackend{backend("b1", 1, 1)});
     apply(OpenGroup{GroupName("records"), 0, 3, BackendName("b1")});
-    apply(AdmitProxy{{NodeName("p1"), 1, ZoneName("a")}});
+    apply(AdmitProxy{{NodeName("p1"), 1, ZoneName("a"), {}, false}});
     apply(DeregisterBackend{BackendName("b1")});
     const std::string snapshot = machine_->take_snapshot();
     FleetStateMachine other(world_->runtime("node"));
