--- a/simulation/registered_fleet.cpp
+++ b/simulation/registered_fleet.cpp
@@ -95,8 +95,8 @@
     std::vector<BackendName> names;
     for (std::size_t backend = 1; backend <= kBackendsPerGroup; ++backend)
       names.emplace_back(fmt::format("g{}-b{}", group, backend));
-    models_.push_back(
-        std::make_unique<GroupModel>(GroupName(fmt::format("group-{}", group)), names, settings_.replica_lag));
+    models_.push_back(std::make_unique<GroupModel>(GroupName(fmt::format("group-{}", group)), names,
+                                                   settings_.replica_lag));
     models.push_back(models_.back().get());
     for (std::size_t place = 0; place < names.size(); ++place) {
       const std::string name = names[place].value;
@@ -108,11 +108,12 @@
       database.lost_answers = settings_.lost_answers;
       members_[name] = {models.back(), names[place]};
       GroupModel* model = models.back();
-      world_.start({name, address_of(name), database.zone}, [this, model, database, name](runtime::Runtime& runtime) {
-        auto role = make_database(runtime, *model, database);
-        databases_[name] = role.get();
-        return role;
-      });
+      world_.start({name, address_of(name), database.zone},
+                   [this, model, database, name](runtime::Runtime& runtime) {
+                     auto role = make_database(runtime, *model, database);
+                     databases_[name] = role.get();
+                     return role;
+                   });
     }
   }
   world_.start({"promotion", kPromotionAddress, ZoneName(kZones[0])}, [models](runtime::Runtime& runtime) {
@@ -129,14 +130,15 @@
     CallerSettings caller;
     caller.name = fmt::format("caller-{}", number);
     caller.proxies = proxies;
-    std::rotate(caller.proxies.begin(), caller.proxies.begin() + static_cast<std::ptrdiff_t>(number % proxies.size()),
+    std::rotate(caller.proxies.begin(),
+                caller.proxies.begin() + static_cast<std::ptrdiff_t>(number % proxies.size()),
                 caller.proxies.end());
     caller.database = policy.name;
     caller.policy = policy.policy;
     caller.staleness = milliseconds(policy.staleness_ms);
     CallerCounts& counts = counts_.emplace_back();
-    VirtualRuntime& runtime =
-        world_.start_bare({caller.name, fmt::format("10.4.0.{}", number), ZoneName(kZones[number % kZones.size()])});
+    VirtualRuntime& runtime = world_.start_bare(
+        {caller.name, fmt::format("10.4.0.{}", number), ZoneName(kZones[number % kZones.size()])});
     runtime.spawn("caller", run_caller(runtime, caller, history_, counts, stopped_));
   }
 }
@@ -144,18 +146,18 @@
 std::string RegisteredFleet::document(std::uint64_t version) const {
   std::string routes;
   for (const PolicyOfDatabase& policy : kPolicies) {
-    routes += fmt::format(
-        R"({}{{"Name":"r-{}","Hostname":"{}","PathPrefix":"/","RouteKind":"{}","TimeoutMs":800,)"
-        R"("TargetLatencyMs":150,"Priority":1,"Service":"group-1","MaxStalenessMs":{}}})",
-        routes.empty() ? "" : ",", policy.name, policy.name, policy.kind, policy.staleness_ms);
+    routes +=
+        fmt::format(R"({}{{"Name":"r-{}","Hostname":"{}","PathPrefix":"/","RouteKind":"{}","TimeoutMs":800,)"
+                    R"("TargetLatencyMs":150,"Priority":1,"Service":"group-1","MaxStalenessMs":{}}})",
+                    routes.empty() ? "" : ",", policy.name, policy.name, policy.kind, policy.staleness_ms);
   }
   std::string services;
   for (std::size_t group = 1; group <= settings_.groups; ++group) {
-    services += fmt::format(R"({}{{"Name":"group-{}","MaxConns":30,"SyncReplicas":1}})", services.empty() ? "" : ",",
-                            group);
+    services += fmt::format(R"({}{{"Name":"group-{}","MaxConns":30,"SyncReplicas":1}})",
+                            services.empty() ? "" : ",", group);
   }
-  return fmt::format(R"({{"Version":{},"Routes":[{}],"Services":[{}],"Limits":{{"TxnIdleMs":3000}}}})", version,
-                     routes, services);
+  return fmt::format(R"({{"Version":{},"Routes":[{}],"Services":[{}],"Limits":{{"TxnIdleMs":3000}}}})",
+                     version, routes, services);
 }
 
 namespace {
@@ -190,7 +192,8 @@
     auto result = std::make_shared<std::optional<runtime::HttpResponse>>();
     VirtualRuntime& operators = world_.runtime("operator");
     operators.spawn("operator", call(operators, endpoints[next++ % endpoints.size()], request, result));
-    const bool answered = world_.run_until([&] { return result->has_value() && (*result)->status != 0; }, kCallTimeout);
+    const bool answered =
+        world_.run_until([&] { return result->has_value() && (*result)->status != 0; }, kCallTimeout);
     if (answered && (*result)->status == 200) return true;
     world_.run_for(milliseconds(50));
   }
@@ -232,7 +235,8 @@
   for (const auto& model : models_) {
     const BackendName* leader = model->leader();
     if (leader == nullptr) continue;
-    for (const LogEntry& entry : model->member(*leader).log) final_tokens.push_back(entry.record + " " + entry.token);
+    for (const LogEntry& entry : model->member(*leader).log)
+      final_tokens.push_back(entry.record + " " + entry.token);
   }
   std::vector<std::string> violations = find_violations(history_, final_tokens);
   for (const std::string& fault : world_.faults()) violations.push_back("fault: " + fault);
@@ -266,11 +270,13 @@
   const auto first = members_.find(one);
   const auto second = members_.find(other);
   if (first == members_.end() || second == members_.end()) return;
-  if (first->second.first == second->second.first) first->second.first->cut(first->second.second, second->second.second);
+  if (first->second.first == second->second.first)
+    first->second.first->cut(first->second.second, second->second.second);
 }
 
 void RegisteredFleet::cut_from_all_control(const std::string& name) {
-  for (std::size_t number = 1; number <= settings_.control_nodes; ++number) cut(name, fmt::format("control-{}", number));
+  for (std::size_t number = 1; number <= settings_.control_nodes; ++number)
+    cut(name, fmt::format("control-{}", number));
 }
 
 void RegisteredFleet::heal() {
--- a/simulation/registered_fleet.h
+++ b/simulation/registered_fleet.h
@@ -1,5 +1,5 @@
-// A registered fleet in the simulator: control nodes, proxies, backends that do not check terms, the promotion call,
-// and callers whose history is judged at the end.
+// A registered fleet in the simulator: control nodes, proxies, backends that do not check terms, the
+// promotion call, and callers whose history is judged at the end.
 #pragma once
 
 #include <deque>
--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -54,7 +54,10 @@
 class ProgramRun {
  public:
   ProgramRun(const ProgramDefinition& definition, const ProgramFlags& flags, const LoadedProgram& program)
-      : definition_(definition), flags_(flags), signals_(context_, SIGTERM, SIGINT), reload_(context_, SIGHUP) {
+      : definition_(definition),
+        flags_(flags),
+        signals_(context_, SIGTERM, SIGINT),
+        reload_(context_, SIGHUP) {
     runtime::AsioRuntimeSettings settings;
     settings.program = definition.name;
     settings.node = program.plan.node;
@@ -105,8 +108,8 @@
     });
   }
 
-  /// SIGHUP: the settings may have changed. They are checked and the outcome is logged; what they say holds from
-  /// the next start on.
+  /// SIGHUP: the settings may have changed. They are checked and the outcome is logged; what they say holds
+  /// from the next start on.
   void await_reload() {
     reload_.async_wait([this](boost::system::error_code error, int /*signal_number*/) {
       if (error) return;
@@ -122,7 +125,8 @@
       const Reason reason{ReasonCode::kInvalidArgument, "reload", fault.source, fault.to_string()};
       runtime_->logger().log(runtime::LogLevel::kError, "settings_refused", reason, {});
     }
-    if (program) runtime_->logger().log(runtime::LogLevel::kInfo, "settings_checked", {{"held_from", "next start"}});
+    if (program)
+      runtime_->logger().log(runtime::LogLevel::kInfo, "settings_checked", {{"held_from", "next start"}});
   }
 
   void on_signal(int signal_number) {
--- a/src/consensus/raft.h
+++ b/src/consensus/raft.h
@@ -16,8 +16,8 @@
   ZoneName zone;
   Endpoint endpoint;
   Duration election_timeout = std::chrono::milliseconds(300);  ///< lower bound; the upper is twice this
-  /// As election_timeout, until a leader was heard since the start: after a common restart nobody leads, and a
-  /// pre-vote disturbs nobody if somebody does. 0: election_timeout.
+  /// As election_timeout, until a leader was heard since the start: after a common restart nobody leads, and
+  /// a pre-vote disturbs nobody if somebody does. 0: election_timeout.
   Duration first_election_timeout{0};
   Duration heartbeat_interval = std::chrono::milliseconds(50);
   std::uint64_t snapshot_after_entries = 1000;
--- a/src/control/registered/control_node_directory.cpp
+++ b/src/control/registered/control_node_directory.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 void add_once(std::vector<Endpoint>& endpoints, const Endpoint& endpoint) {
-  if (std::find(endpoints.begin(), endpoints.end(), endpoint) == endpoints.end()) endpoints.push_back(endpoint);
+  if (std::find(endpoints.begin(), endpoints.end(), endpoint) == endpoints.end())
+    endpoints.push_back(endpoint);
 }
 
 }  // namespace
--- a/src/control/registered/group_keeper.cpp
+++ b/src/control/registered/group_keeper.cpp
@@ -41,8 +41,12 @@
 
 Awaitable<void> GroupKeeper::run() {
   while (!stopping_) {
+    if (!leads()) memberships_.clear();
     if (leads()) {
-      for (const auto& group : fleet_.groups()) look_at(group.name);
+      for (const auto& group : fleet_.groups()) {
+        watch_members(group.name);
+        look_at(group.name);
+      }
     }
     co_await wake_.wait_until(runtime_.now() + kGroupTick);
   }
@@ -61,6 +65,16 @@
   });
 }
 
+void GroupKeeper::watch_members(const GroupName& group) {
+  std::set<BackendName> members;
+  for (const auto& entry : fleet_.backends_of(group)) members.insert(entry.name);
+  const auto [membership, is_new] = memberships_.try_emplace(group);
+  const auto& before = membership->second.members;
+  const bool lost = !std::includes(members.begin(), members.end(), before.begin(), before.end());
+  if (is_new || lost) membership->second.left_at = runtime_.now();
+  membership->second.members = std::move(members);
+}
+
 void GroupKeeper::look_at(const GroupName& group) {
   if (busy_.count(group) > 0) return;
   const auto term = term_of(group);
@@ -192,11 +206,14 @@
   Reason reason;
   registry::Command command = registry::CloseGroup{term.group, term.epoch};
   const bool closed = co_await calls_.submit(std::move(command), reason);
-  if (!closed) runtime_.logger().log(runtime::LogLevel::kWarning, "group_not_closed", reason, {{"group", term.group.value}});
+  if (!closed)
+    runtime_.logger().log(runtime::LogLevel::kWarning, "group_not_closed", reason,
+                          {{"group", term.group.value}});
   co_return closed;
 }
 
-Awaitable<bool> GroupKeeper::open(GroupTerm closed, BackendName primary, std::uint64_t term, std::string why) {
+Awaitable<bool> GroupKeeper::open(GroupTerm closed, BackendName primary, std::uint64_t term,
+                                  std::string why) {
   Reason reason;
   registry::Command command = registry::OpenGroup{closed.group, closed.epoch, term, primary};
   const bool done = co_await calls_.submit(std::move(command), reason);
@@ -229,6 +246,8 @@
   const CloseProgress progress = leases_.close_progress(group, closed->epoch);
   facts.all_acknowledgers_answered = progress.all_answered && fleet_.knows_all_acknowledgers(*closed);
   facts.highest_acknowledged = progress.highest_acknowledged;
+  watch_members(group);
+  facts.members_are_stable = runtime_.now() - memberships_[group].left_at > kMembersSettleTime;
   const PromotionChoice choice = choose_promotion(facts, true);
   GroupTerm chosen = *closed;
   chosen.primary = choice.backend;
--- a/src/control/registered/group_keeper.h
+++ b/src/control/registered/group_keeper.h
@@ -1,8 +1,9 @@
-// Keeps one primary in each group of a registered fleet: finds the first, examines suspected ones, replaces dead
-// and leaving ones. Acts on the leader of the control nodes only.
+// Keeps one primary in each group of a registered fleet: finds the first, examines suspected ones, replaces
+// dead and leaving ones. Acts on the leader of the control nodes only.
 //
-// Order of a change of primary: close the group in the log, wait until no proxy can acknowledge anything of the
-// old term, compare the logs, promote, see it lead, open the group in the log, tell the old one to step down.
+// Order of a change of primary: close the group in the log, wait until no proxy can acknowledge anything of
+// the old term, compare the logs, promote, see it lead, open the group in the log, tell the old one to step
+// down.
 #pragma once
 
 #include <map>
@@ -12,8 +13,8 @@
 
 #include "consensus/consensus.h"
 #include "control/registered/group_prober.h"
-#include "control/registered/lease_keeper.h"
 #include "control/registered/leader_calls.h"
+#include "control/registered/lease_keeper.h"
 #include "registry/control_service.h"
 #include "registry/state_machine.h"
 #include "runtime/runtime.h"
@@ -42,6 +43,8 @@
 
   Awaitable<void> run();
   void look_at(const GroupName& group);
+  /// Notes who has left a group, and when.
+  void watch_members(const GroupName& group);
   void begin(const GroupName& group, Awaitable<void> task);
   Awaitable<void> run_task(GroupName group, Awaitable<void> task);
 
@@ -78,6 +81,11 @@
   NodeName node_;
   runtime::Signal wake_;
   std::set<GroupName> busy_;
+  struct Membership {
+    std::set<BackendName> members;
+    TimePoint left_at{};  ///< when a member was last found gone, or this node began to look
+  };
+  std::map<GroupName, Membership> memberships_;
   std::map<GroupName, Suspicion> suspicions_;
   bool stopping_ = false;
 };
--- a/src/control/registered/group_prober.cpp
+++ b/src/control/registered/group_prober.cpp
@@ -43,7 +43,8 @@
   if (!answer) co_return std::nullopt;
   idle_[entry.name] = link;
   if (answer->refusal) {
-    reason = Reason{ReasonCode::kOverloaded, "ask_status", link->peer(), session::refusal_name(*answer->refusal)};
+    reason =
+        Reason{ReasonCode::kOverloaded, "ask_status", link->peer(), session::refusal_name(*answer->refusal)};
     co_return std::nullopt;
   }
   co_return link->read_status(*answer, reason);
--- a/src/control/registered/group_prober.h
+++ b/src/control/registered/group_prober.h
@@ -17,7 +17,8 @@
 /// What it refers to outlives it; it lives until the process ends.
 class GroupProber {
  public:
-  GroupProber(runtime::Runtime& runtime, session::BackendDialer& dialer) : runtime_(runtime), dialer_(dialer) {}
+  GroupProber(runtime::Runtime& runtime, session::BackendDialer& dialer)
+      : runtime_(runtime), dialer_(dialer) {}
 
   /// Empty when it does not answer by `deadline`.
   Awaitable<std::optional<session::BackendStatus>> ask(registry::BackendEntry entry, TimePoint deadline,
--- a/src/control/registered/knobs.h
+++ b/src/control/registered/knobs.h
@@ -29,6 +29,8 @@
 inline constexpr Duration kGroupTick = std::chrono::milliseconds(250);
 /// Longest wait for a backend's status.
 inline constexpr Duration kStatusTimeout = std::chrono::milliseconds(300);
+/// Whoever stays in a group has received within this time what one that left held.
+inline constexpr Duration kMembersSettleTime = std::chrono::seconds(3);
 /// Pause between looks at a group whose next primary can't be told yet.
 inline constexpr Duration kFailoverRetry = std::chrono::milliseconds(100);
 /// A suspicion counts for this long.
--- a/src/control/registered/leader_calls.cpp
+++ b/src/control/registered/leader_calls.cpp
@@ -53,13 +53,14 @@
   co_return answer && !answer->refusal;
 }
 
-Awaitable<void> LeaderCalls::close_at(std::shared_ptr<runtime::FrameConnection> connection, TimePoint deadline,
-                                      std::shared_ptr<bool> done) {
+Awaitable<void> LeaderCalls::close_at(std::shared_ptr<runtime::FrameConnection> connection,
+                                      TimePoint deadline, std::shared_ptr<bool> done) {
   co_await runtime_.sleep_for(deadline - runtime_.now());
   if (!*done) connection->close();
 }
 
-Awaitable<std::shared_ptr<runtime::FrameConnection>> LeaderCalls::connect(Endpoint endpoint, TimePoint deadline,
+Awaitable<std::shared_ptr<runtime::FrameConnection>> LeaderCalls::connect(Endpoint endpoint,
+                                                                          TimePoint deadline,
                                                                           Reason& reason) {
   auto connection = co_await runtime_.network().connect(endpoint, deadline, reason);
   if (!connection) co_return nullptr;
@@ -76,8 +77,8 @@
                                                                     registry::ControlCall call,
                                                                     TimePoint deadline, Reason& reason) {
   std::shared_ptr<runtime::FrameConnection> connection;
-  const auto idle = std::find_if(idle_.begin(), idle_.end(),
-                                 [&](const Link& link) { return link.endpoint == endpoint; });
+  const auto idle =
+      std::find_if(idle_.begin(), idle_.end(), [&](const Link& link) { return link.endpoint == endpoint; });
   if (idle != idle_.end()) {
     connection = idle->connection;
     idle_.erase(idle);
--- a/src/control/registered/promotion_choice.cpp
+++ b/src/control/registered/promotion_choice.cpp
@@ -46,7 +46,6 @@
   const Position& position = candidate.status->received;
   if (facts.all_acknowledgers_answered && position >= facts.highest_acknowledged)
     return {true, "it reaches the highest position that any proxy acknowledged"};
-  bool all_replicas = true;
   bool any_replica_missing = false;
   for (const MemberFinding& member : facts.members) {
     if (is_old_primary(member, facts)) {
@@ -56,8 +55,8 @@
     }
     if (!member.status) any_replica_missing = true;
   }
-  all_replicas = !any_replica_missing;
-  if (all_replicas && facts.synchronous_replicas > 0 && position >= facts.highest_acknowledged)
+  const bool nobody_left = facts.members_are_stable || position >= facts.highest_acknowledged;
+  if (!any_replica_missing && facts.synchronous_replicas > 0 && nobody_left)
     return {true, "it is the furthest of all replicas"};
   return {false, fmt::format("{} at {}.{} may lack acknowledged commits", candidate.entry.name.value,
                              position.term, position.index)};
@@ -67,7 +66,8 @@
 
 PromotionChoice choose_promotion(const PromotionFacts& facts, bool reopen_allowed) {
   if (const MemberFinding* newer = find_newer_primary(facts))
-    return {PromotionVerdict::kAdopt, newer->entry.name, newer->status->term, "it leads a higher term already"};
+    return {PromotionVerdict::kAdopt, newer->entry.name, newer->status->term,
+            "it leads a higher term already"};
   const MemberFinding* candidate = find_furthest(facts);
   Proof proof;
   if (candidate != nullptr) proof = prove(*candidate, facts);
--- a/src/control/registered/promotion_choice.h
+++ b/src/control/registered/promotion_choice.h
@@ -17,19 +17,23 @@
 };
 
 struct PromotionFacts {
-  registry::GroupTerm closed;           ///< the term that is given up
+  registry::GroupTerm closed;  ///< the term that is given up
   std::uint64_t synchronous_replicas = 0;
   std::vector<MemberFinding> members;
+  /// No backend has left the group for so long that whoever stayed has received all that it held.
+  bool members_are_stable = false;
   /// Every proxy that may have acknowledged anything in that term has said its highest position.
   bool all_acknowledgers_answered = false;
-  Position highest_acknowledged;  ///< of those that answered
+  /// Of those that answered. May be beyond the last acknowledged commit: a backend shows where its log is,
+  /// other commits under way included.
+  Position highest_acknowledged;
 };
 
 enum class PromotionVerdict : std::uint8_t {
-  kPromote,   ///< `backend` holds every acknowledged commit
-  kReopen,    ///< `backend`, the old primary, leads as before and nobody else may follow yet
-  kAdopt,     ///< `backend` leads a higher term already, and holds every acknowledged commit
-  kNotYet,    ///< nobody can be shown to hold every acknowledged commit
+  kPromote,  ///< `backend` holds every acknowledged commit
+  kReopen,   ///< `backend`, the old primary, leads as before and nobody else may follow yet
+  kAdopt,    ///< `backend` leads a higher term already, and holds every acknowledged commit
+  kNotYet,   ///< nobody can be shown to hold every acknowledged commit
 };
 
 struct PromotionChoice {
@@ -40,8 +44,8 @@
 };
 
 /// Invariant: with one synchronous replica an acknowledged commit is on the primary and on a replica. So the
-/// furthest log holds it when all replicas were compared, or the old primary was, or when it reaches the highest
-/// position that any proxy acknowledged. `reopen_allowed`: the old primary was not given up for good.
+/// furthest log holds it when all replicas were compared, or the old primary was, or when it reaches the
+/// highest position that any proxy acknowledged. `reopen_allowed`: the old primary was not given up for good.
 PromotionChoice choose_promotion(const PromotionFacts& facts, bool reopen_allowed);
 
 }  // namespace cairnhollow::control::registered
--- a/src/control/registered/registered_control_node.cpp
+++ b/src/control/registered/registered_control_node.cpp
@@ -53,7 +53,8 @@
 /// The parts' coroutines refer to it until the process ends.
 class RegisteredControlNode : public runtime::Role {
  public:
-  RegisteredControlNode(runtime::Runtime& runtime, RegisteredControlSettings settings, const ControlEdge& edge)
+  RegisteredControlNode(runtime::Runtime& runtime, RegisteredControlSettings settings,
+                        const ControlEdge& edge)
       : runtime_(runtime),
         settings_(std::move(settings)),
         fleet_(runtime),
--- a/src/control/registered/registered_control_node.h
+++ b/src/control/registered/registered_control_node.h
@@ -1,5 +1,5 @@
-// The control node of a registered fleet: consensus member or standby, leases of proxies, registrations, changes of
-// primary.
+// The control node of a registered fleet: consensus member or standby, leases of proxies, registrations,
+// changes of primary.
 #pragma once
 
 #include <functional>
--- a/src/control/registered/registration_service.cpp
+++ b/src/control/registered/registration_service.cpp
@@ -25,7 +25,8 @@
   const std::string version = std::to_string(document.version);
   const std::vector<std::string> faults = registry::find_faults(document);
   if (!faults.empty()) {
-    reason = Reason{ReasonCode::kInvalidArgument, "replace_document", "", fmt::format("{}", fmt::join(faults, "; "))};
+    reason = Reason{ReasonCode::kInvalidArgument, "replace_document", "",
+                    fmt::format("{}", fmt::join(faults, "; "))};
     runtime_.logger().log(LogLevel::kInfo, "document_refused", reason, {{"version", version}});
     co_return false;
   }
@@ -74,7 +75,8 @@
   registry::Command command = registry::DeregisterBackend{std::move(name)};
   const bool done = co_await calls_.submit(std::move(command), reason);
   runtime_.logger().log(done ? LogLevel::kInfo : LogLevel::kWarning,
-                        done ? "backend_deregistered" : "backend_not_deregistered", reason, {{"backend", text}});
+                        done ? "backend_deregistered" : "backend_not_deregistered", reason,
+                        {{"backend", text}});
   co_return done;
 }
 
--- a/src/control/registered/registration_service.h
+++ b/src/control/registered/registration_service.h
@@ -15,7 +15,12 @@
  public:
   RegistrationService(runtime::Runtime& runtime, consensus::Consensus& consensus,
                       registry::FleetStateMachine& fleet, LeaderCalls& calls, const VoterKeeper& voters)
-      : runtime_(runtime), consensus_(consensus), fleet_(fleet), calls_(calls), voters_(voters), begun_(runtime.now()) {}
+      : runtime_(runtime),
+        consensus_(consensus),
+        fleet_(fleet),
+        calls_(calls),
+        voters_(voters),
+        begun_(runtime.now()) {}
 
   Awaitable<bool> replace_document(registry::ConfigurationDocument document, Reason& reason) override;
   Awaitable<std::optional<std::string>> read_document(Reason& reason) override;
@@ -24,8 +29,8 @@
 
  private:
   Awaitable<bool> confirm(Reason& reason);
-  /// The first voters alone might not keep what is acknowledged; for a while after the start the others are waited
-  /// for.
+  /// The first voters alone might not keep what is acknowledged; for a while after the start the others are
+  /// waited for.
   [[nodiscard]] bool may_acknowledge(Reason& reason) const;
 
   runtime::Runtime& runtime_;
--- a/src/control/registered/settings.h
+++ b/src/control/registered/settings.h
@@ -12,8 +12,8 @@
 struct RegisteredControlSettings {
   NodeName node;
   ZoneName zone;
-  Endpoint peer_endpoint;      ///< for the fleet's own processes; other nodes listen on the same port
-  Endpoint operator_endpoint;  ///< operators and backends
+  Endpoint peer_endpoint;       ///< for the fleet's own processes; other nodes listen on the same port
+  Endpoint operator_endpoint;   ///< operators and backends
   std::vector<Endpoint> seeds;  ///< control nodes to begin with; their addresses count, not their ports
   /// The fleet starts for the first time: seeds form the consensus group.
   bool first_start = false;
@@ -22,7 +22,8 @@
   std::uint32_t lost_disks_tolerated = 1;
   Duration serving_lease = std::chrono::milliseconds(1500);
   Duration election_timeout = std::chrono::milliseconds(400);
-  Duration first_election_timeout = std::chrono::milliseconds(60);  ///< until a leader was heard since the start
+  Duration first_election_timeout =
+      std::chrono::milliseconds(60);  ///< until a leader was heard since the start
   Duration heartbeat_interval = std::chrono::milliseconds(100);
   std::optional<Endpoint> metrics_endpoint;
 };
--- a/src/control/registered/voter_keeper.h
+++ b/src/control/registered/voter_keeper.h
@@ -1,5 +1,5 @@
-// Keeps as many voters in the consensus group as the disks that may be lost demand, out of the control nodes that
-// live. Acts on the leader only.
+// Keeps as many voters in the consensus group as the disks that may be lost demand, out of the control nodes
+// that live. Acts on the leader only.
 #pragma once
 
 #include <map>
--- a/src/registry/model.h
+++ b/src/registry/model.h
@@ -1,5 +1,5 @@
-// What a registered fleet consists of: the configuration document, the backends that registered themselves, the
-// terms of the database groups, and the proxies that may hold a serving lease.
+// What a registered fleet consists of: the configuration document, the backends that registered themselves,
+// the terms of the database groups, and the proxies that may hold a serving lease.
 #pragma once
 
 #include <cstdint>
@@ -91,7 +91,7 @@
   std::uint64_t term = 0;
   BackendName primary;
   bool open = false;
-  std::uint64_t epoch = 0;  ///< grows with each change of this entry
+  std::uint64_t epoch = 0;      ///< grows with each change of this entry
   std::uint64_t opened_at = 0;  ///< revision at which the primary was last known to lead
 
   template <class Archive>
--- a/src/registry/state_machine.cpp
+++ b/src/registry/state_machine.cpp
@@ -18,8 +18,7 @@
   Reason reason;
   auto logged = wire::decode<LoggedCommand>(command, reason);
   if (!logged) return;  // of a newer build; every node of this one passes it over
-  const bool effective =
-      std::visit([this](auto& alternative) { return take(alternative); }, logged->command);
+  const bool effective = std::visit([this](auto& alternative) { return take(alternative); }, logged->command);
   if (!effective) return;
   state_.revision = next_revision();
   bound_removed();
@@ -113,7 +112,8 @@
   const std::uint64_t epoch = held == nullptr ? 0 : held->epoch;
   if (epoch != command.epoch || (held != nullptr && held->open)) return false;
   if (held != nullptr && command.term < held->term) return false;
-  state_.terms.put(command.group, GroupTerm{command.group, command.term, command.primary, true, epoch + 1, next_revision()},
+  state_.terms.put(command.group,
+                   GroupTerm{command.group, command.term, command.primary, true, epoch + 1, next_revision()},
                    next_revision());
   return true;
 }
--- a/src/registry/state_machine.h
+++ b/src/registry/state_machine.h
@@ -44,9 +44,12 @@
   [[nodiscard]] std::vector<BackendEntry> backends() const { return state_.backends.all(); }
   [[nodiscard]] const GroupTerm* find_term(const GroupName& group) const { return state_.terms.find(group); }
   [[nodiscard]] std::vector<AdmittedProxy> proxies() const { return state_.proxies.all(); }
-  [[nodiscard]] const AdmittedProxy* find_proxy(const NodeName& node) const { return state_.proxies.find(node); }
+  [[nodiscard]] const AdmittedProxy* find_proxy(const NodeName& node) const {
+    return state_.proxies.find(node);
+  }
 
-  /// Whether every proxy that may have acknowledged something since the group's primary led is still admitted.
+  /// Whether every proxy that may have acknowledged something since the group's primary led is still
+  /// admitted.
   [[nodiscard]] bool knows_all_acknowledgers(const GroupTerm& term) const {
     return state_.proxy_lost_at <= term.opened_at;
   }
--- a/src/runtime/asio/asio_runtime.cpp
+++ b/src/runtime/asio/asio_runtime.cpp
@@ -23,7 +23,7 @@
   AsioRuntime(boost::asio::io_context& context, const AsioRuntimeSettings& settings)
       : executor_(context.get_executor()),
         logger_({settings.program, settings.node, settings.zone}, settings.log_level, system_microseconds,
-                standard_error_sink()),
+                standard_output_sink()),
         random_(settings.random_seed),
         storage_(executor_, settings.data_folder),
         network_(executor_),
--- a/src/runtime/asio/asio_runtime.h
+++ b/src/runtime/asio/asio_runtime.h
@@ -1,4 +1,4 @@
-// The real runtime: Boost.Asio clock, timers and TCP, POSIX files, JSON-lines log on standard error.
+// The real runtime: Boost.Asio clock, timers and TCP, POSIX files, JSON-lines log on standard output.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
--- a/src/runtime/json_logger.cpp
+++ b/src/runtime/json_logger.cpp
@@ -1,5 +1,8 @@
 #include "runtime/json_logger.h"
 
+#include <poll.h>
+#include <unistd.h>
+
 #include <fmt/chrono.h>
 #include <fmt/format.h>
 
@@ -76,8 +79,13 @@
 
 }  // namespace
 
-LogSink standard_error_sink() {
-  return [](std::string_view line) { std::fwrite(line.data(), 1, line.size(), stderr); };
+LogSink standard_output_sink() {
+  return [](std::string_view line) {
+    pollfd output{STDOUT_FILENO, POLLOUT, 0};
+    if (::poll(&output, 1, 0) != 1 || (output.revents & POLLOUT) == 0) return;
+    // A pipe that says so has room for PIPE_BUF bytes at least; lines are shorter.
+    [[maybe_unused]] const auto written = ::write(STDOUT_FILENO, line.data(), line.size());
+  };
 }
 
 std::string_view log_level_name(LogLevel level) {
@@ -125,14 +133,18 @@
 void JsonLogger::write(LogLevel level, std::string_view event, const Reason* reason,
                        std::initializer_list<LogField> fields) {
   if (level < lowest_) return;
+  const std::int64_t now = wall_clock_();
+  const auto left_out = limiter_.admit(event, now);
+  if (!left_out) return;
   std::string line = "{\"time\":\"";
-  append_time(line, wall_clock_());
+  append_time(line, now);
   line += '"';
   append_field(line, "level", log_level_name(level));
   line += identity_fields_;
   append_field(line, "event", event);
   if (reason != nullptr) append_reason(line, *reason);
   for (const LogField& field : fields) append_field(line, field.name, field.value);
+  if (*left_out > 0) append_field(line, "left_out", std::to_string(*left_out));
   line += "}\n";
   sink_(line);
 }
--- a/src/runtime/json_logger.h
+++ b/src/runtime/json_logger.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "runtime/log_limiter.h"
 #include "runtime/logger.h"
 
 namespace cairnhollow::runtime {
@@ -22,8 +23,8 @@
 /// Microseconds since the Unix epoch.
 using WallClock = std::function<std::int64_t()>;
 
-/// Writes to standard error, one write a line.
-LogSink standard_error_sink();
+/// Writes to standard output, one write a line, and never waits: a line that nobody takes is dropped.
+LogSink standard_output_sink();
 
 /// Lower-case name of a level, e.g. "warning".
 std::string_view log_level_name(LogLevel level);
@@ -32,8 +33,8 @@
 void append_json_string(std::string& line, std::string_view text);
 
 /// Fields come in this order: time (RFC 3339, UTC), level, program, node, zone, event, then step, peer,
-/// reason and detail when there is a Reason, then the caller's fields. Empty fields of the Reason are left
-/// out.
+/// reason and detail when there is a Reason, then the caller's fields, then left_out where lines of the same event
+/// were left out before (LogLimiter). Empty fields of the Reason are left out.
 class JsonLogger : public Logger {
  public:
   JsonLogger(const LogIdentity& identity, LogLevel lowest, WallClock wall_clock, LogSink sink);
@@ -50,6 +51,7 @@
   LogLevel lowest_;
   WallClock wall_clock_;
   LogSink sink_;
+  LogLimiter limiter_;
 };
 
 }  // namespace cairnhollow::runtime
--- a/src/session/backend_link.h
+++ b/src/session/backend_link.h
@@ -50,8 +50,8 @@
   std::uint64_t term = 0;
 };
 
-using BackendRequest = std::variant<PassOn, Execute, Begin, Rollback, SetValue, Prepare, ResetState, AskStatus,
-                                    Demote>;
+using BackendRequest =
+    std::variant<PassOn, Execute, Begin, Rollback, SetValue, Prepare, ResetState, AskStatus, Demote>;
 
 struct BackendStatus {
   bool is_primary = false;
--- a/src/session/caller_session.cpp
+++ b/src/session/caller_session.cpp
@@ -35,7 +35,8 @@
   if (!start) co_return false;
   database_ = start->database;
   const TimePoint patience = services_.runtime.now() + kStartPatience;
-  while (!services_.view.lease_valid() && services_.view.expects_lease() && services_.runtime.now() < patience)
+  while (!services_.view.lease_valid() && services_.view.expects_lease() &&
+         services_.runtime.now() < patience)
     co_await services_.view.renewed().wait_until(patience);
   if (services_.view.find_route(database_) != nullptr) co_return co_await caller_->accept(reason);
   const bool leased = services_.view.lease_valid();
--- a/src/session/caller_session.h
+++ b/src/session/caller_session.h
@@ -22,7 +22,8 @@
 
   /// Whether nothing is asked and no transaction is open.
   [[nodiscard]] bool is_idle() const { return !answering_ && !transaction_; }
-  /// Gives up a transaction that has rested for longer than `limit`; the caller hears of it with its next statement.
+  /// Gives up a transaction that has rested for longer than `limit`; the caller hears of it with its next
+  /// statement.
   void end_resting_transaction(TimePoint now, Duration limit);
   /// Gives up the transaction that is open, unless a statement of it is being answered.
   void abort_transaction();
--- a/src/session/fleet_view.cpp
+++ b/src/session/fleet_view.cpp
@@ -63,22 +63,22 @@
   std::vector<routing::ProxyPointer> takers;
   for (const auto& [node, proxy] : proxies_) {
     if (proxy.leaving) continue;
-    takers.push_back(std::make_shared<routing::ProxyView>(routing::ProxyView{node, proxy.zone, proxy.peer_endpoint}));
+    takers.push_back(
+        std::make_shared<routing::ProxyView>(routing::ProxyView{node, proxy.zone, proxy.peer_endpoint}));
   }
   const routing::SubsetTable table(takers);
   forward_to_.clear();
   for (const auto& [name, group] : groups_) {
-    const std::uint64_t usable = group->usable_connections();
-    const bool limited = usable > 0 && usable < takers.size() * routing::kLeastConnectionsOfServingProxy;
-    if (!limited) {
+    const std::size_t size = group->serving_proxies(takers.size());
+    if (size >= takers.size()) {
       group->share_connections(proxies_.size());
       continue;
     }
-    const auto size = routing::subset_size(static_cast<std::uint32_t>(usable), takers.size());
-    const auto serving = table.serving(name, size);
+    const auto serving = table.serving(name, static_cast<std::uint32_t>(size));
     group->share_connections(serving.size());
-    const bool serves = std::any_of(serving.begin(), serving.end(),
-                                    [this](const routing::ProxyPointer& proxy) { return proxy->name == node_; });
+    const bool serves =
+        std::any_of(serving.begin(), serving.end(),
+                    [this](const routing::ProxyPointer& proxy) { return proxy->name == node_; });
     if (!serves) forward_to_[name] = routing::forwarding_order(serving, node_, zone_);
   }
 }
--- a/src/session/fleet_view.h
+++ b/src/session/fleet_view.h
@@ -16,7 +16,12 @@
 class FleetView {
  public:
   FleetView(runtime::Runtime& runtime, BackendDialer& dialer, NodeName node, ZoneName zone)
-      : runtime_(runtime), dialer_(dialer), node_(std::move(node)), zone_(std::move(zone)), renewed_(runtime), started_(runtime.now()) {}
+      : runtime_(runtime),
+        dialer_(dialer),
+        node_(std::move(node)),
+        zone_(std::move(zone)),
+        renewed_(runtime),
+        started_(runtime.now()) {}
 
   /// Takes over what changed. Groups closed by it acknowledge nothing any more when this returns.
   void apply(const registry::FleetDelta& delta);
@@ -37,8 +42,8 @@
   /// Null when the document has no such group.
   std::shared_ptr<GroupAccess> find_group(const GroupName& group);
   [[nodiscard]] const std::map<GroupName, std::shared_ptr<GroupAccess>>& groups() const { return groups_; }
-  /// The proxies to which statements for the group are to be forwarded, first choice first. Empty: this proxy serves
-  /// it. Only so many serve a group that each has connections to work with.
+  /// The proxies to which statements for the group are to be forwarded, first choice first. Empty: this proxy
+  /// serves it. Only so many serve a group that each has connections to work with.
   [[nodiscard]] const std::vector<routing::ProxyPointer>& forward_to(const GroupName& group);
   /// What is to be told of every closed group.
   [[nodiscard]] std::vector<registry::ClosedGroup> closed_groups() const;
--- a/src/session/forward_messages.h
+++ b/src/session/forward_messages.h
@@ -9,8 +9,8 @@
 
 #include "base/reason.h"
 #include "registry/model.h"
-#include "session/statement.h"
 #include "session/stateful_pool.h"
+#include "session/statement.h"
 
 namespace cairnhollow::session {
 
@@ -81,7 +81,7 @@
 struct ForwardAnswer {
   std::uint64_t correlation = 0;
   Answer answer;
-  std::uint64_t pin = 0;         ///< of the transaction opened; 0: none
+  std::uint64_t pin = 0;  ///< of the transaction opened; 0: none
   bool at_primary = false;
   bool may_try_another = false;  ///< not run, for a reason that lies with this proxy
   template <class Archive>
--- a/src/session/forward_server.h
+++ b/src/session/forward_server.h
@@ -40,7 +40,8 @@
   Awaitable<void> serve(std::shared_ptr<runtime::FrameConnection> frames);
   Awaitable<void> handle(std::shared_ptr<Connection> connection, ForwardRequest request);
   Awaitable<ForwardAnswer> run(std::shared_ptr<Connection> connection, ForwardRun request);
-  Awaitable<ForwardAnswer> run_in_transaction(std::shared_ptr<Connection> connection, ForwardInTransaction request);
+  Awaitable<ForwardAnswer> run_in_transaction(std::shared_ptr<Connection> connection,
+                                              ForwardInTransaction request);
   Awaitable<void> end_transaction(std::shared_ptr<Connection> connection, std::uint64_t pin);
   Awaitable<void> send_answers(std::shared_ptr<Connection> connection);
   /// Empty when this proxy knows no such group.
--- a/src/session/forwarder.cpp
+++ b/src/session/forwarder.cpp
@@ -70,8 +70,8 @@
   for (const auto& [correlation, pending] : pending_) pending->answered.notify_all();
 }
 
-Awaitable<std::shared_ptr<ForwardConnection>> Forwarder::connect(routing::ProxyPointer proxy, TimePoint deadline,
-                                                                 Reason& reason) {
+Awaitable<std::shared_ptr<ForwardConnection>> Forwarder::connect(routing::ProxyPointer proxy,
+                                                                 TimePoint deadline, Reason& reason) {
   const auto held = connections_.find(proxy->name);
   if (held != connections_.end() && held->second->is_open()) co_return held->second;
   const TimePoint dial_deadline = std::min(deadline, runtime_.now() + kControlConnectTimeout);
--- a/src/session/forwarder.h
+++ b/src/session/forwarder.h
@@ -1,5 +1,5 @@
-// Carries statements to a proxy that serves their group: one connection to each, many statements on it. There is one
-// hop only: who gets a forwarded statement runs it or refuses it.
+// Carries statements to a proxy that serves their group: one connection to each, many statements on it. There
+// is one hop only: who gets a forwarded statement runs it or refuses it.
 #pragma once
 
 #include <map>
--- a/src/session/group_access.cpp
+++ b/src/session/group_access.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "routing/subset.h"
+
 namespace cairnhollow::session {
 
 using std::chrono::duration;
@@ -55,7 +57,8 @@
   term_ = term;
   if (other_term) positions_.clear();
   if (primary_given_up) {
-    // Nothing of the old term may be acknowledged from here on: whoever waits for an answer is told so at once.
+    // Nothing of the old term may be acknowledged from here on: whoever waits for an answer is told so at
+    // once.
     for (const auto& [key, work] : work_) work.link->close();
   }
   changed_.notify_all();
@@ -87,6 +90,36 @@
   return rule_.max_connections > kReservedConnections ? rule_.max_connections - kReservedConnections : 1;
 }
 
+std::size_t GroupAccess::serving_proxies(std::size_t proxies) const {
+  std::size_t serving = proxies;
+  const std::uint64_t usable = usable_connections();
+  if (usable > 0) serving = routing::subset_size(static_cast<std::uint32_t>(usable), proxies);
+  for (const auto& [name, use] : backends_) {
+    const std::uint64_t by_slots = use->entry.slots * kServingProxiesPerSlot;
+    if (by_slots > 0) serving = std::min<std::size_t>(serving, by_slots);
+  }
+  return serving;
+}
+
+bool GroupAccess::warm_one() {
+  for (const auto& [name, use] : backends_) {
+    if (use->entry.leaving || use->avoid_until > runtime_.now() || !use->pool.is_cold()) continue;
+    runtime_.spawn("warm_link", warm(use));
+    return true;
+  }
+  return false;
+}
+
+Awaitable<void> GroupAccess::warm(std::shared_ptr<BackendUse> backend) {
+  std::optional<Refusal> refusal;
+  Reason reason;
+  SessionValues values;
+  const TimePoint deadline = runtime_.now() + kDialTimeout;
+  auto link = co_await backend->pool.acquire(std::move(values), deadline, refusal, reason);
+  if (link) backend->pool.release(std::move(link));
+  if (!link) backend->avoid_until = runtime_.now() + kAvoidBackend;
+}
+
 void GroupAccess::share_connections(std::uint64_t proxies) {
   proxies_ = std::max<std::uint64_t>(proxies, 1);
   std::uint64_t share = kMostConnections;
--- a/src/session/group_access.h
+++ b/src/session/group_access.h
@@ -1,5 +1,5 @@
-// One database group as a proxy uses it: its backends and links to them, who leads, what is in flight, and what of
-// its log is known.
+// One database group as a proxy uses it: its backends and links to them, who leads, what is in flight, and
+// what of its log is known.
 #pragma once
 
 #include <functional>
@@ -11,8 +11,8 @@
 
 #include "registry/model.h"
 #include "session/position_history.h"
-#include "session/statement_gate.h"
 #include "session/stateful_pool.h"
+#include "session/statement_gate.h"
 
 namespace cairnhollow::session {
 
@@ -30,13 +30,13 @@
   std::optional<TimePoint> leaving_since;  ///< when this proxy heard of it
 
   void note_latency(double took_ms, double usual_ms, TimePoint now);
-  /// Of statements, smoothed. Goes back to `usual_ms` without news, since a backend that is passed over for its latency
-  /// tells no better one.
+  /// Of statements, smoothed. Goes back to `usual_ms` without news, since a backend that is passed over for
+  /// its latency tells no better one.
   [[nodiscard]] double latency_ms(TimePoint now, double usual_ms) const;
   /// A position that the primary had `age` ago was there, or was not.
   void note_applied(Duration age, bool was_there, TimePoint now);
-  /// How far a replica is thought to be behind its primary. Halves with each kLagHalfLife without news, since one
-  /// that is passed over tells nothing.
+  /// How far a replica is thought to be behind its primary. Halves with each kLagHalfLife without news, since
+  /// one that is passed over tells nothing.
   [[nodiscard]] Duration lag(TimePoint now) const;
 
  private:
@@ -69,7 +69,11 @@
 class GroupAccess {
  public:
   GroupAccess(runtime::Runtime& runtime, BackendDialer& dialer, GroupName group, ZoneName zone)
-      : runtime_(runtime), dialer_(dialer), group_(std::move(group)), zone_(std::move(zone)), changed_(runtime) {}
+      : runtime_(runtime),
+        dialer_(dialer),
+        group_(std::move(group)),
+        zone_(std::move(zone)),
+        changed_(runtime) {}
 
   void set_term(const registry::GroupTerm& term);
   void set_rule(const registry::GroupRule& rule) { rule_ = rule; }
@@ -77,8 +81,12 @@
   void remove_backend(const BackendName& name);
   /// Divides each backend's connections among those of `proxies` that serve the group.
   void share_connections(std::uint64_t proxies);
-  /// Connections to one backend that all proxies together may have; 0: no limit.
-  [[nodiscard]] std::uint64_t usable_connections() const;
+  /// How many of `proxies` are to serve the group: so many that each has connections to work with, and that together
+  /// they do not send a backend more than it can queue.
+  [[nodiscard]] std::size_t serving_proxies(std::size_t proxies) const;
+  /// Opens one link to a backend that has none, so that the first statement need not wait for it. False when all
+  /// have one.
+  bool warm_one();
 
   [[nodiscard]] const registry::GroupTerm& term() const { return term_; }
   [[nodiscard]] const GroupName& group() const { return group_; }
@@ -96,7 +104,8 @@
 
   std::uint64_t begin_work(PrimaryWork work);
   void end_work(std::uint64_t work) { work_.erase(work); }
-  /// Whether a statement at the primary, or a commit, has had no answer for kPrimarySilence; `commits` says which.
+  /// Whether a statement at the primary, or a commit, has had no answer for kPrimarySilence; `commits` says
+  /// which.
   [[nodiscard]] bool is_primary_silent(TimePoint now, bool& commits) const;
 
   void note_acknowledged(Position position) {
@@ -105,13 +114,19 @@
   [[nodiscard]] Position highest_acknowledged() const { return highest_acknowledged_; }
   /// A statement of this group took so long at a backend.
   void note_latency(BackendUse& backend, Duration took);
-  /// A replica answered a read that needed a position, and showed where its log is; or it lacked the position.
+  /// A replica answered a read that needed a position, and showed where its log is; or it lacked the
+  /// position.
   void note_replica(BackendUse& backend, const ReadNeed& need, std::optional<Position> shown);
   /// A primary of the open term showed `position` to a question sent at `asked_at`.
   void note_primary_position(TimePoint asked_at, Position position) { positions_.note(asked_at, position); }
-  [[nodiscard]] const std::map<BackendName, std::shared_ptr<BackendUse>>& backends() const { return backends_; }
+  [[nodiscard]] const std::map<BackendName, std::shared_ptr<BackendUse>>& backends() const {
+    return backends_;
+  }
 
  private:
+  /// Connections to one backend that all proxies together may have; 0: no limit.
+  [[nodiscard]] std::uint64_t usable_connections() const;
+  Awaitable<void> warm(std::shared_ptr<BackendUse> backend);
   [[nodiscard]] double cost_of(const BackendUse& backend) const;
 
   runtime::Runtime& runtime_;
--- a/src/session/knobs.h
+++ b/src/session/knobs.h
@@ -23,8 +23,8 @@
 inline constexpr Duration kStartTimeout = seconds(5);
 /// A new session waits this long for a serving lease, e.g. while the fleet starts.
 inline constexpr Duration kStartPatience = milliseconds(1200);
-/// So soon after its start, or after its last lease, a proxy expects the next one; so soon after the close of a
-/// group, its next primary. What needs them waits only then.
+/// So soon after its start, or after its last lease, a proxy expects the next one; so soon after the close of
+/// a group, its next primary. What needs them waits only then.
 inline constexpr Duration kLeaseExpectedWithin = milliseconds(2500);
 inline constexpr Duration kPrimaryExpectedWithin = seconds(3);
 /// Without a lease for this long, idle sessions are let go: their callers find another proxy.
@@ -33,6 +33,10 @@
 inline constexpr Duration kDialTimeout = milliseconds(600);
 /// Longest wait for a link's own exchanges: values, prepared statements, begin.
 inline constexpr Duration kLinkSetupTimeout = milliseconds(400);
+/// Proxies that serve one group, at most, for each slot of its backends.
+inline constexpr std::uint64_t kServingProxiesPerSlot = 5;
+/// Links are opened ahead of need, one in this time.
+inline constexpr Duration kWarmInterval = milliseconds(200);
 /// A proxy that could not be reached is not forwarded to for this long, where another can serve.
 inline constexpr Duration kAvoidProxy = seconds(1);
 /// A forwarded statement's answer may take this much longer than the statement itself.
@@ -65,16 +69,16 @@
 /// Positions of a primary are remembered this long, and no closer together than the spacing.
 inline constexpr Duration kPositionMemory = seconds(4);
 inline constexpr Duration kPositionSpacing = milliseconds(20);
-/// The newest known position of a primary may be this part of the allowed staleness old, or the next read goes to
-/// the primary and brings a new one.
+/// The newest known position of a primary may be this part of the allowed staleness old, or the next read
+/// goes to the primary and brings a new one.
 inline constexpr int kPositionRefreshDivisor = 2;
 
 /// Prepared statements on one link; beyond that the link is reset.
 inline constexpr std::size_t kMaxPreparedOnLink = 128;
 /// Values, or prepared statements, of one session.
 inline constexpr std::size_t kMaxSessionEntries = 1024;
-/// An idle link beyond the first is closed after this time: after a common loss of power the backends hold the
-/// connections of before for a while, and the fewer there were, the more new ones they take.
+/// An idle link beyond the first is closed after this time: after a common loss of power the backends hold
+/// the connections of before for a while, and the fewer there were, the more new ones they take.
 inline constexpr Duration kIdleLinkLife = seconds(2);
 /// Connections kept back from the shares, for control nodes and for proxies that start.
 inline constexpr std::uint64_t kReservedConnections = 4;
@@ -94,7 +98,8 @@
 inline constexpr double kFirstLatencyMs = 15.0;
 inline constexpr double kOtherZoneCostMs = 8.0;
 inline constexpr double kPrimaryReadCostMs = 12.0;
-/// A replica's lag: part of the way that it falls with each answer, and what is added when it was taken too low.
+/// A replica's lag: part of the way that it falls with each answer, and what is added when it was taken too
+/// low.
 inline constexpr int kLagSmoothing = 8;
 inline constexpr int kLagStepDivisor = 4;
 inline constexpr Duration kLagHalfLife = milliseconds(400);
--- a/src/session/position_history.h
+++ b/src/session/position_history.h
@@ -9,8 +9,8 @@
 
 namespace cairnhollow::session {
 
-/// Invariant: everything that anybody had acknowledged before `asked_at` is within the position noted with it,
-/// since the primary showed that position to a question sent at that time.
+/// Invariant: everything that anybody had acknowledged before `asked_at` is within the position noted with
+/// it, since the primary showed that position to a question sent at that time.
 class PositionHistory {
  public:
   void note(TimePoint asked_at, Position position) {
@@ -25,8 +25,8 @@
     }
     return std::nullopt;
   }
-  /// When the primary was first seen to have `position`; empty when that was before all that is remembered, or it
-  /// was not seen yet.
+  /// When the primary was first seen to have `position`; empty when that was before all that is remembered,
+  /// or it was not seen yet.
   [[nodiscard]] std::optional<TimePoint> first_seen(Position position) const {
     for (const Sighting& sighting : seen_) {
       if (sighting.position >= position) return sighting.asked_at;
--- a/src/session/session_proxy.cpp
+++ b/src/session/session_proxy.cpp
@@ -64,6 +64,7 @@
   Awaitable<void> accept_callers();
   Awaitable<void> serve(std::shared_ptr<runtime::LineConnection> lines);
   Awaitable<void> watch();
+  Awaitable<void> warm_links();
   void watch_primaries(TimePoint now);
   void let_idle_go();
   void watch_lease(TimePoint now);
@@ -94,6 +95,7 @@
 Awaitable<bool> SessionProxy::start(Reason& reason) {
   link_.start();
   runtime_.spawn("session_watch", watch());
+  runtime_.spawn("session_warm", warm_links());
   listener_ = runtime_.lines().listen(settings_.session_endpoint, reason);
   if (!listener_) co_return false;
   runtime_.spawn("session_accept", accept_callers());
@@ -152,6 +154,18 @@
                          {"version", std::to_string(view_.document_version())}});
 }
 
+Awaitable<void> SessionProxy::warm_links() {
+  while (!stopped_) {
+    // Proxies that start together do not open their links together.
+    const Duration pause = runtime_.random().between(kWarmInterval / 2, kWarmInterval * 3 / 2);
+    co_await runtime_.sleep_for(pause);
+    if (!is_ready()) continue;
+    for (const auto& [name, group] : view_.groups()) {
+      if (view_.forward_to(name).empty() && group->warm_one()) break;
+    }
+  }
+}
+
 Awaitable<void> SessionProxy::watch() {
   while (!stopped_) {
     co_await runtime_.sleep_for(kWatchTick);
--- a/src/session/stateful_pool.h
+++ b/src/session/stateful_pool.h
@@ -1,5 +1,5 @@
-// Links to one backend. A link keeps the values and prepared statements that were put on it; whoever takes it is
-// given one that fits, or brings it in order.
+// Links to one backend. A link keeps the values and prepared statements that were put on it; whoever takes it
+// is given one that fits, or brings it in order.
 #pragma once
 
 #include <map>
@@ -34,8 +34,8 @@
  public:
   explicit StatefulLink(std::shared_ptr<BackendLink> link) : link_(std::move(link)) {}
 
-  /// Makes the link's values equal to `values`, and puts `prepared` on it where it is not null. False: the link
-  /// can't be used any more.
+  /// Makes the link's values equal to `values`, and puts `prepared` on it where it is not null. False: the
+  /// link can't be used any more.
   Awaitable<bool> bring_in_order(SessionValues values, std::optional<PreparedShape> prepared,
                                  TimePoint deadline, Reason& reason);
   /// The name of a prepared statement on this link; empty when it is not there.
@@ -69,8 +69,8 @@
       : runtime_(runtime), dialer_(dialer), address_(std::move(address)), returned_(runtime) {}
 
   void set_limit(std::uint64_t limit) { limit_ = limit; }
-  /// An idle link, best one with these values, or a new one; waits while the limit is reached. Null on failure;
-  /// `refusal` is set when the backend itself refused a new one.
+  /// An idle link, best one with these values, or a new one; waits while the limit is reached. Null on
+  /// failure; `refusal` is set when the backend itself refused a new one.
   Awaitable<std::shared_ptr<StatefulLink>> acquire(SessionValues values, TimePoint deadline,
                                                    std::optional<Refusal>& refusal, Reason& reason);
   /// Gives a link back that has no transaction open and owes no answer; a closed one is dropped.
@@ -79,6 +79,8 @@
   /// Closes links but one that have been idle for kIdleLinkLife.
   void trim(TimePoint now);
   [[nodiscard]] std::size_t in_use() const { return in_use_; }
+  /// Whether there is no link at all.
+  [[nodiscard]] bool is_cold() const { return in_use_ == 0 && idle_.empty(); }
   [[nodiscard]] std::uint64_t opened() const { return opened_; }
   [[nodiscard]] const BackendAddress& address() const { return address_; }
 
--- a/src/session/statement.h
+++ b/src/session/statement.h
@@ -27,11 +27,11 @@
 /// One statement as a caller sent it.
 struct Statement {
   StatementKind kind = StatementKind::kUnknown;
-  std::string id;         ///< the caller's; goes with the statement to the backend
-  std::string text;       ///< whole and unchanged
-  std::string name;       ///< of the value or prepared statement
-  std::string argument;   ///< the value, the prepared shape, or what follows an executed statement's name
-  bool writes = false;    ///< of kPrepare: what is prepared; of kWrite
+  std::string id;        ///< the caller's; goes with the statement to the backend
+  std::string text;      ///< whole and unchanged
+  std::string name;      ///< of the value or prepared statement
+  std::string argument;  ///< the value, the prepared shape, or what follows an executed statement's name
+  bool writes = false;   ///< of kPrepare: what is prepared; of kWrite
 };
 
 /// Where a session's or a backend connection's transaction is.
--- a/src/session/statement_forwarding.cpp
+++ b/src/session/statement_forwarding.cpp
@@ -31,7 +31,8 @@
   RunResult result;
   result.answer.refusal = Refusal::kBusy;
   const TimePoint refuse_at = order.arrived + (order.deadline - order.arrived) / kRefusePatienceDivisor;
-  while (!services_.view.lease_valid() && services_.view.expects_lease() && services_.runtime.now() < refuse_at)
+  while (!services_.view.lease_valid() && services_.view.expects_lease() &&
+         services_.runtime.now() < refuse_at)
     co_await services_.view.renewed().wait_until(refuse_at);
   if (!services_.view.lease_valid()) {
     result.answer.detail = "the serving lease has run out; come back soon";
@@ -64,7 +65,8 @@
   if (!answer) {
     services_.metrics.count_lost_answer();
     services_.forwarder.avoid(proxy->name);
-    // A transaction's first statement leaves nothing: whoever served it rolls back when it finds nobody there.
+    // A transaction's first statement leaves nothing: whoever served it rolls back when it finds nobody
+    // there.
     may_try_another = (!order.writes || order.opens_transaction) && services_.runtime.now() < order.deadline;
     const bool in_doubt = order.writes && !order.opens_transaction;
     result.answer.refusal = in_doubt ? Refusal::kInDoubt : Refusal::kBusy;
@@ -84,7 +86,8 @@
   co_return result;
 }
 
-Awaitable<Answer> StatementRunner::forward_pinned(RemotePin remote, RunOrder order, bool commits, bool wrote) {
+Awaitable<Answer> StatementRunner::forward_pinned(RemotePin remote, RunOrder order, bool commits,
+                                                  bool wrote) {
   Reason reason;
   ForwardRequest request;
   request.body = ForwardInTransaction{remote.pin, to_forwarded(order), commits, wrote};
--- a/src/session/statement_gate.h
+++ b/src/session/statement_gate.h
@@ -1,5 +1,5 @@
-// Lets as many statements of this proxy run at one backend at once as the backend has room for, the most urgent
-// first. What waits here holds no slot and no connection.
+// Lets as many statements of this proxy run at one backend at once as the backend has room for, the most
+// urgent first. What waits here holds no slot and no connection.
 #pragma once
 
 #include <memory>
@@ -18,8 +18,8 @@
 
   /// `share`: this proxy's part of the backend's slots; `maximum`: what it has connections for.
   void set_bounds(std::uint32_t share, std::uint32_t maximum) { limit_.set_bounds(share, maximum); }
-  /// True once the statement may run; leave() is owed then. False when `deadline` passed first, or at once when it is
-  /// bound to.
+  /// True once the statement may run; leave() is owed then. False when `deadline` passed first, or at once
+  /// when it is bound to.
   Awaitable<bool> enter(std::uint8_t priority, TimePoint deadline);
   /// The statement was answered after `latency`.
   void leave(Duration latency);
--- a/src/session/statement_runner.cpp
+++ b/src/session/statement_runner.cpp
@@ -127,7 +127,8 @@
     }
     const bool leased = services_.view.lease_valid();
     std::shared_ptr<BackendUse> backend;
-    if (leased || !attempt->need.primary_only) backend = group.choose_reader(attempt->need, attempt->excluded);
+    if (leased || !attempt->need.primary_only)
+      backend = group.choose_reader(attempt->need, attempt->excluded);
     const bool is_primary = backend && group.term().open && backend->entry.name == group.term().primary;
     if (backend && is_primary && !leased && attempt->need.primary_only) backend = nullptr;
     if (backend) {
@@ -138,8 +139,7 @@
     }
     if (!is_worth_waiting(*attempt)) co_return nullptr;
     attempt->excluded.clear();
-    co_await group.changed().wait_until(
-        std::min(attempt->refuse_at, services_.runtime.now() + kBusyPause));
+    co_await group.changed().wait_until(std::min(attempt->refuse_at, services_.runtime.now() + kBusyPause));
   }
 }
 
@@ -177,7 +177,8 @@
                                               std::shared_ptr<BackendUse> backend) {
   const RunOrder& order = attempt->order;
   std::optional<Refusal> refusal;
-  attempt->link = co_await backend->pool.acquire(order.values, wait_limit(*attempt), refusal, attempt->reason);
+  attempt->link =
+      co_await backend->pool.acquire(order.values, wait_limit(*attempt), refusal, attempt->reason);
   if (!attempt->link) {
     const bool full = attempt->reason.code == ReasonCode::kOverloaded;
     if (!full) backend->avoid_until = services_.runtime.now() + kAvoidBackend;
@@ -271,14 +272,16 @@
   services_.metrics.count_lost_answer();
   GroupAccess& group = *attempt.order.group;
   attempt.backend->avoid_until = services_.runtime.now() + kAvoidBackend;
-  if (attempt.at_primary && group.term().epoch == attempt.epoch) services_.link.report_suspicion(group, false);
-  services_.runtime.logger().log(LogLevel::kWarning, "answer_lost", reason,
-                                 {{"id", attempt.order.id},
-                                  {"backend", attempt.backend->entry.name.value},
-                                  {"at_primary", attempt.at_primary ? "true" : "false"},
-                                  {"epoch", std::to_string(attempt.epoch)},
-                                  {"writes", attempt.order.writes ? "true" : "false"},
-                                  {"waited_ms", std::to_string(in_ms(services_.runtime.now() - attempt.sent_at))}});
+  if (attempt.at_primary && group.term().epoch == attempt.epoch)
+    services_.link.report_suspicion(group, false);
+  services_.runtime.logger().log(
+      LogLevel::kWarning, "answer_lost", reason,
+      {{"id", attempt.order.id},
+       {"backend", attempt.backend->entry.name.value},
+       {"at_primary", attempt.at_primary ? "true" : "false"},
+       {"epoch", std::to_string(attempt.epoch)},
+       {"writes", attempt.order.writes ? "true" : "false"},
+       {"waited_ms", std::to_string(in_ms(services_.runtime.now() - attempt.sent_at))}});
   const bool not_sent = attempt.sent == SendState::kNotSent;
   if (not_sent || attempt.may_run_again()) {
     if (!attempt.needs_primary) attempt.excluded.insert(attempt.backend->entry.name);
@@ -359,12 +362,14 @@
   aborted.state = TransactionState::kFailed;
   aborted.detail = "the transaction's backend was given up; nothing of it is kept";
   const auto usable = [&] {
-    return !pinned.at_primary || order.read_only_transaction || services_.view.may_use_primary(group, pinned.epoch);
+    return !pinned.at_primary || order.read_only_transaction ||
+           services_.view.may_use_primary(group, pinned.epoch);
   };
   Reason reason;
   const TimePoint setup_deadline = std::min(order.deadline, runtime.now() + kLinkSetupTimeout);
   bool ready = usable() && pinned.link->link().is_open();
-  if (ready) ready = co_await pinned.link->bring_in_order(order.values, order.prepared, setup_deadline, reason);
+  if (ready)
+    ready = co_await pinned.link->bring_in_order(order.values, order.prepared, setup_deadline, reason);
   bool entered = false;
   if (ready) entered = co_await pinned.backend->gate.enter(backend::kUrgentClass, order.deadline);
   if (!entered || !usable()) {
@@ -376,7 +381,8 @@
   const TimePoint sent_at = runtime.now();
   SendState sent = SendState::kNotSent;
   std::optional<WorkScope> work;
-  if (pinned.at_primary) work.emplace(group, PrimaryWork{pinned.link->shared_link(), sent_at, commits && wrote});
+  if (pinned.at_primary)
+    work.emplace(group, PrimaryWork{pinned.link->shared_link(), sent_at, commits && wrote});
   BackendRequest request = make_request(order, *pinned.link, std::nullopt);
   auto answer = co_await pinned.link->link().run(std::move(request), order.deadline, sent, reason);
   leave_gate(pinned.backend->gate, answer, runtime.now() - sent_at);
--- a/src/session/statement_runner.h
+++ b/src/session/statement_runner.h
@@ -1,5 +1,5 @@
-// Runs one statement, or opens one transaction, at a backend of the group: chooses it, retries what has certainly not
-// run, and says definitely what became of the rest.
+// Runs one statement, or opens one transaction, at a backend of the group: chooses it, retries what has
+// certainly not run, and says definitely what became of the rest.
 #pragma once
 
 #include <memory>
@@ -43,8 +43,8 @@
   std::shared_ptr<BackendUse> backend;  ///< null for another proxy
   std::shared_ptr<StatefulLink> link;   ///< null for another proxy
   std::optional<RemotePin> remote;
-  std::uint64_t epoch = 0;     ///< of the group when it was opened
-  bool at_primary = false;     ///< its answers count only while the primary of `epoch` may be used
+  std::uint64_t epoch = 0;  ///< of the group when it was opened
+  bool at_primary = false;  ///< its answers count only while the primary of `epoch` may be used
 };
 
 struct RunResult {
@@ -81,8 +81,8 @@
 
   Awaitable<RunResult> run_here(RunOrder order);
   Awaitable<RunResult> forward(RunOrder order, std::vector<routing::ProxyPointer> proxies);
-  Awaitable<std::optional<RunResult>> forward_to(RunOrder order, routing::ProxyPointer proxy, bool& may_try_another,
-                                                 Reason& reason);
+  Awaitable<std::optional<RunResult>> forward_to(RunOrder order, routing::ProxyPointer proxy,
+                                                 bool& may_try_another, Reason& reason);
   Awaitable<Answer> forward_pinned(RemotePin remote, RunOrder order, bool commits, bool wrote);
   Awaitable<void> end_remote(RemotePin remote);
   [[nodiscard]] ForwardedOrder to_forwarded(const RunOrder& order) const;
--- a/standins/unfenced/caller.cpp
+++ b/standins/unfenced/caller.cpp
@@ -66,7 +66,8 @@
 
 class Caller {
  public:
-  Caller(runtime::Runtime& runtime, CallerSettings settings, std::vector<Attempt>& history, CallerCounts& counts)
+  Caller(runtime::Runtime& runtime, CallerSettings settings, std::vector<Attempt>& history,
+         CallerCounts& counts)
       : runtime_(runtime), settings_(std::move(settings)), history_(history), counts_(counts) {}
 
   Awaitable<void> run(const bool& stopped) {
@@ -127,7 +128,8 @@
 
   static void take_outcome(const Reply& reply, Attempt& attempt) {
     if (reply.done) attempt.outcome = AttemptOutcome::kAcknowledged;
-    if (reply.refusal && session::is_promise(*reply.refusal)) attempt.outcome = AttemptOutcome::kPromisedNotKept;
+    if (reply.refusal && session::is_promise(*reply.refusal))
+      attempt.outcome = AttemptOutcome::kPromisedNotKept;
   }
 
   Awaitable<bool> write(Session& session, Attempt& attempt) {
--- a/standins/unfenced/database.cpp
+++ b/standins/unfenced/database.cpp
@@ -100,7 +100,8 @@
 
   Awaitable<void> call_control(bool deregisters) {
     for (std::size_t attempt = 0; attempt < settings_.control_endpoints.size(); ++attempt) {
-      const Endpoint endpoint = settings_.control_endpoints[next_control_++ % settings_.control_endpoints.size()];
+      const Endpoint endpoint =
+          settings_.control_endpoints[next_control_++ % settings_.control_endpoints.size()];
       Reason reason;
       const TimePoint deadline = runtime_.now() + kCallTimeout;
       const auto connection = co_await runtime_.http().connect(endpoint, deadline, reason);
@@ -186,8 +187,8 @@
     if (!text.empty()) model_.demote(settings_.backend, std::stoull(std::string(text)));
     Answer answer = done();
     const Position received = state().received();
-    answer.rows.push_back(fmt::format("{} {} {}.{} 0 0 0 1", state().primary ? "primary" : "replica", state().term,
-                                      received.term, received.index));
+    answer.rows.push_back(fmt::format("{} {} {}.{} 0 0 0 1", state().primary ? "primary" : "replica",
+                                      state().term, received.term, received.index));
     return answer;
   }
 
@@ -328,7 +329,8 @@
 
 }  // namespace
 
-std::unique_ptr<Database> make_database(runtime::Runtime& runtime, GroupModel& model, DatabaseSettings settings) {
+std::unique_ptr<Database> make_database(runtime::Runtime& runtime, GroupModel& model,
+                                        DatabaseSettings settings) {
   return std::make_unique<DatabaseRole>(runtime, model, std::move(settings));
 }
 
--- a/standins/unfenced/database.h
+++ b/standins/unfenced/database.h
@@ -1,5 +1,5 @@
-// Stand-in of a backend that does not check terms: it speaks the platform's wire, registers itself by heartbeat, and
-// keeps its log in a GroupModel.
+// Stand-in of a backend that does not check terms: it speaks the platform's wire, registers itself by
+// heartbeat, and keeps its log in a GroupModel.
 #pragma once
 
 #include <memory>
@@ -32,7 +32,8 @@
 };
 
 /// `model` and `runtime` outlive it.
-std::unique_ptr<Database> make_database(runtime::Runtime& runtime, GroupModel& model, DatabaseSettings settings);
+std::unique_ptr<Database> make_database(runtime::Runtime& runtime, GroupModel& model,
+                                        DatabaseSettings settings);
 
 /// The platform's call that makes a backend the primary of its group, for the groups of `models`.
 std::unique_ptr<runtime::Role> make_promotion_call(runtime::Runtime& runtime, std::vector<GroupModel*> models,
--- a/standins/unfenced/group_model.cpp
+++ b/standins/unfenced/group_model.cpp
@@ -11,7 +11,8 @@
 
 }  // namespace
 
-GroupModel::GroupModel(GroupName name, std::vector<BackendName> members, Duration lag) : name_(std::move(name)) {
+GroupModel::GroupModel(GroupName name, std::vector<BackendName> members, Duration lag)
+    : name_(std::move(name)) {
   for (const BackendName& member : members) members_[member].lag = lag;
   members_.at(members.front()).primary = true;
 }
@@ -21,7 +22,8 @@
          cuts_.count({other, one}) == 0;
 }
 
-std::uint64_t GroupModel::append(const BackendName& name, std::string record, std::string token, TimePoint now) {
+std::uint64_t GroupModel::append(const BackendName& name, std::string record, std::string token,
+                                 TimePoint now) {
   MemberState& member = members_.at(name);
   member.log.push_back({member.term, std::move(record), std::move(token)});
   member.applied_at.push_back(now);
@@ -55,7 +57,8 @@
   member.old_since.reset();
   if (member.deaf) return;
   std::size_t common = 0;
-  while (common < member.log.size() && common < source->log.size() && member.log[common] == source->log[common])
+  while (common < member.log.size() && common < source->log.size() &&
+         member.log[common] == source->log[common])
     ++common;
   member.log.resize(common);
   member.applied_at.resize(common);
--- a/standins/unfenced/group_model.h
+++ b/standins/unfenced/group_model.h
@@ -1,6 +1,6 @@
-// The logs of one database group whose backends do not check terms, for tests: what each backend holds, also while
-// it is down. Replicas receive from the primary of the highest term that they reach and apply later; a promoted
-// backend leads with what it had received and nothing more.
+// The logs of one database group whose backends do not check terms, for tests: what each backend holds, also
+// while it is down. Replicas receive from the primary of the highest term that they reach and apply later; a
+// promoted backend leads with what it had received and nothing more.
 #pragma once
 
 #include <cstdint>
@@ -25,16 +25,14 @@
 struct MemberState {
   bool running = false;
   bool primary = false;
-  bool deaf = false;   ///< receives nothing
+  bool deaf = false;  ///< receives nothing
   std::uint64_t term = 1;
-  Duration lag{0};     ///< from receiving to applying
+  Duration lag{0};  ///< from receiving to applying
   std::vector<LogEntry> log;
-  std::vector<TimePoint> applied_at;  ///< of each entry
+  std::vector<TimePoint> applied_at;   ///< of each entry
   std::optional<TimePoint> old_since;  ///< a primary that reaches a newer one since then
 
-  [[nodiscard]] Position received() const {
-    return {log.empty() ? 1 : log.back().term, log.size()};
-  }
+  [[nodiscard]] Position received() const { return {log.empty() ? 1 : log.back().term, log.size()}; }
 };
 
 class GroupModel {
--- a/standins/unfenced/session_history.cpp
+++ b/standins/unfenced/session_history.cpp
@@ -31,7 +31,8 @@
     const std::set<std::string> shown(read.tokens.begin(), read.tokens.end());
     for (const Attempt& write : history) {
       if (!must_show(read, write) || shown.count(write.token) > 0) continue;
-      violations.push_back(fmt::format("stale: {} did not see {} of {}", read.session, write.token, write.record));
+      violations.push_back(
+          fmt::format("stale: {} did not see {} of {}", read.session, write.token, write.record));
     }
   }
 }
@@ -49,7 +50,8 @@
     if (attempt.outcome == AttemptOutcome::kAcknowledged && !there)
       violations.push_back(fmt::format("lost: {} of {}", attempt.token, attempt.record));
     if (attempt.outcome == AttemptOutcome::kPromisedNotKept && there)
-      violations.push_back(fmt::format("kept though promised not to be: {} of {}", attempt.token, attempt.record));
+      violations.push_back(
+          fmt::format("kept though promised not to be: {} of {}", attempt.token, attempt.record));
   }
 }
 
--- a/standins/unfenced/session_history.h
+++ b/standins/unfenced/session_history.h
@@ -17,17 +17,17 @@
   registry::ReadPolicy policy = registry::ReadPolicy::kPrimary;
   Duration staleness{0};
   std::string record;
-  std::string token;                 ///< written; empty for a read
-  std::vector<std::string> tokens;   ///< read; meaningful when `has_read`
+  std::string token;                ///< written; empty for a read
+  std::vector<std::string> tokens;  ///< read; meaningful when `has_read`
   bool has_read = false;
-  std::string tag;                   ///< the session value that the read was run under
+  std::string tag;  ///< the session value that the read was run under
   TimePoint begun{};
   TimePoint ended{};
   AttemptOutcome outcome = AttemptOutcome::kUnknown;
 };
 
-/// Every violation, in words. `final_tokens`: what the group's primary holds at the end, record by record in order,
-/// as "record token".
+/// Every violation, in words. `final_tokens`: what the group's primary holds at the end, record by record in
+/// order, as "record token".
 std::vector<std::string> find_violations(const std::vector<Attempt>& history,
                                          const std::vector<std::string>& final_tokens);
 
--- a/tests/control/registered/promotion_choice_test.cpp
+++ b/tests/control/registered/promotion_choice_test.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-MemberFinding finding(const std::string& name, std::optional<session::BackendStatus> status, bool leaving = false) {
+MemberFinding finding(const std::string& name, std::optional<session::BackendStatus> status,
+                      bool leaving = false) {
   MemberFinding member;
   member.entry.name = BackendName(name);
   member.entry.leaving = leaving;
@@ -15,8 +16,12 @@
   return member;
 }
 
-session::BackendStatus replica(std::uint64_t index, std::uint64_t term = 3) { return {false, term, {term, index}}; }
-session::BackendStatus leading(std::uint64_t index, std::uint64_t term = 3) { return {true, term, {term, index}}; }
+session::BackendStatus replica(std::uint64_t index, std::uint64_t term = 3) {
+  return {false, term, {term, index}};
+}
+session::BackendStatus leading(std::uint64_t index, std::uint64_t term = 3) {
+  return {true, term, {term, index}};
+}
 
 PromotionFacts facts(std::vector<MemberFinding> members) {
   PromotionFacts all;
@@ -36,6 +41,7 @@
   CPPUNIT_TEST(not_with_a_replica_missing);
   CPPUNIT_TEST(with_a_replica_missing_by_what_proxies_acknowledged);
   CPPUNIT_TEST(not_when_a_proxy_acknowledged_more);
+  CPPUNIT_TEST(of_all_replicas_when_nobody_has_left_whatever_position_was_shown);
   CPPUNIT_TEST(by_the_old_primary_itself);
   CPPUNIT_TEST(the_old_primary_is_used_again_while_nobody_may_follow);
   CPPUNIT_TEST(a_primary_of_a_newer_term_is_adopted);
@@ -74,16 +80,29 @@
     CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kNotYet);
   }
 
+  /// A proxy notes where the primary's log was after a commit: others' commits under way are in it.
+  void of_all_replicas_when_nobody_has_left_whatever_position_was_shown() {
+    auto known = facts({finding("old", leading(9)), finding("a", replica(7)), finding("b", replica(6))});
+    known.all_acknowledgers_answered = true;
+    known.highest_acknowledged = {3, 8};
+    known.members_are_stable = true;
+    CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kPromote);
+    known.members_are_stable = false;
+    CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kReopen);
+  }
+
   void by_the_old_primary_itself() {
     const auto reaches =
         facts({finding("old", leading(7), true), finding("a", replica(7)), finding("b", std::nullopt)});
     CPPUNIT_ASSERT(choose_promotion(reaches, true).verdict == PromotionVerdict::kPromote);
-    const auto lacks = facts({finding("old", leading(8), true), finding("a", replica(7)), finding("b", std::nullopt)});
+    const auto lacks =
+        facts({finding("old", leading(8), true), finding("a", replica(7)), finding("b", std::nullopt)});
     CPPUNIT_ASSERT(choose_promotion(lacks, true).verdict == PromotionVerdict::kNotYet);
   }
 
   void the_old_primary_is_used_again_while_nobody_may_follow() {
-    const auto again = facts({finding("old", leading(8)), finding("a", replica(7)), finding("b", std::nullopt)});
+    const auto again =
+        facts({finding("old", leading(8)), finding("a", replica(7)), finding("b", std::nullopt)});
     CPPUNIT_ASSERT(choose_promotion(again, true).verdict == PromotionVerdict::kReopen);
     CPPUNIT_ASSERT(choose_promotion(again, false).verdict == PromotionVerdict::kNotYet);
   }
@@ -97,7 +116,8 @@
 
   void of_equal_ones_who_stays() {
     const auto choice = choose_promotion(
-        facts({finding("old", std::nullopt), finding("a", replica(7), true), finding("b", replica(7))}), true);
+        facts({finding("old", std::nullopt), finding("a", replica(7), true), finding("b", replica(7))}),
+        true);
     CPPUNIT_ASSERT_EQUAL(std::string("b"), choice.backend.value);
   }
 
--- a/tests/platform/document_json_test.cpp
+++ b/tests/platform/document_json_test.cpp
@@ -66,7 +66,8 @@
     CPPUNIT_ASSERT_EQUAL(std::string("10.128.0.9:8080"), heartbeat->entry.endpoint.to_string());
     CPPUNIT_ASSERT(!heartbeat->entry.leaving);
     CPPUNIT_ASSERT(!heartbeat->says_primary);
-    CPPUNIT_ASSERT(read_heartbeat("i", replaced(kHeartbeat, "\"ready\"", "\"draining\""), reason)->entry.leaving);
+    CPPUNIT_ASSERT(
+        read_heartbeat("i", replaced(kHeartbeat, "\"ready\"", "\"draining\""), reason)->entry.leaving);
     CPPUNIT_ASSERT(!read_heartbeat("i", replaced(kHeartbeat, "10.128.0.9:8080", "database"), reason));
     CPPUNIT_ASSERT_EQUAL(std::string("Addr: must be an IP address and a port"), reason.detail);
   }
--- a/tests/platform/wire_connections_test.cpp
+++ b/tests/platform/wire_connections_test.cpp
@@ -9,7 +9,6 @@
 
 using simulation::VirtualRuntime;
 using simulation::World;
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 namespace {
@@ -79,8 +78,8 @@
 
  public:
   void an_answer_in_pieces_is_put_together() {
-    const Outcome outcome =
-        ask_a_backend_that_says({"READY I 3.1207\r\n", "ROW one\r\nROW two\r\nDONE sig\r\nREADY I 3.1209\r\n"});
+    const Outcome outcome = ask_a_backend_that_says(
+        {"READY I 3.1207\r\n", "ROW one\r\nROW two\r\nDONE sig\r\nREADY I 3.1209\r\n"});
     CPPUNIT_ASSERT(outcome.answer);
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, outcome.answer->rows.size());
     CPPUNIT_ASSERT_EQUAL(std::string("sig"), outcome.answer->signature);
@@ -95,8 +94,8 @@
   }
 
   void an_answer_out_of_order_closes_the_link() {
-    for (const char* answer : {"READY I 3.1\r\n", "DONE a\r\nDONE b\r\nREADY I 3.1\r\n", "DONE a\r\nROW late\r\n",
-                               "HELLO\r\n", "DONE a\r\nREADY X 3.1\r\n", "\r\n"}) {
+    for (const char* answer : {"READY I 3.1\r\n", "DONE a\r\nDONE b\r\nREADY I 3.1\r\n",
+                               "DONE a\r\nROW late\r\n", "HELLO\r\n", "DONE a\r\nREADY X 3.1\r\n", "\r\n"}) {
       const Outcome outcome = ask_a_backend_that_says({"READY I -\r\n", answer});
       CPPUNIT_ASSERT_MESSAGE(answer, !outcome.answer);
       CPPUNIT_ASSERT_MESSAGE(answer, !outcome.still_open);
--- a/tests/platform/wire_words_test.cpp
+++ b/tests/platform/wire_words_test.cpp
@@ -42,8 +42,9 @@
   }
 
   void texts_that_are_no_statement() {
-    for (const char* text : {"", "READ", "WRITE", "BEGIN WRITE", "COMMIT now", "AFTER 3.1 READ x", "PREPARE s1",
-                             "PREPARE s1 SCAN q", "PREPARE s1 READ", "RESET", "STATUS", "DEMOTE 4", "read x"}) {
+    for (const char* text :
+         {"", "READ", "WRITE", "BEGIN WRITE", "COMMIT now", "AFTER 3.1 READ x", "PREPARE s1",
+          "PREPARE s1 SCAN q", "PREPARE s1 READ", "RESET", "STATUS", "DEMOTE 4", "read x"}) {
       CPPUNIT_ASSERT_MESSAGE(text, parse_statement("i", text).kind == StatementKind::kUnknown);
     }
   }
@@ -69,7 +70,8 @@
 
   void requests_are_printed_as_on_the_pages() {
     session::PassOn read{"5c0e7a21d94b36f8", "READ 1a4", Position{3, 1207}};
-    CPPUNIT_ASSERT_EQUAL(std::string("QUERY 5c0e7a21d94b36f8 AFTER 3.1207 READ 1a4\r\n"), print_request(read));
+    CPPUNIT_ASSERT_EQUAL(std::string("QUERY 5c0e7a21d94b36f8 AFTER 3.1207 READ 1a4\r\n"),
+                         print_request(read));
     CPPUNIT_ASSERT_EQUAL(std::string("QUERY - STATUS\r\n"), print_request(session::AskStatus{}));
     CPPUNIT_ASSERT_EQUAL(std::string("QUERY - BEGIN\r\n"), print_request(session::Begin{}));
     session::Begin begin{true, Position{3, 7}};
@@ -89,8 +91,8 @@
   }
 
   void error_words_go_both_ways() {
-    for (const char* word : {"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "CONNLIMIT", "INDOUBT", "TIMEOUT",
-                             "FAILED", "MALFORMED", "NOSTMT", "NODB"}) {
+    for (const char* word : {"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "CONNLIMIT", "INDOUBT",
+                             "TIMEOUT", "FAILED", "MALFORMED", "NOSTMT", "NODB"}) {
       const auto refusal = parse_error_word(word);
       CPPUNIT_ASSERT_MESSAGE(word, refusal);
       CPPUNIT_ASSERT_EQUAL(std::string(word), std::string(error_word(*refusal)));
--- a/tests/simulation/registered_fleet_test.cpp
+++ b/tests/simulation/registered_fleet_test.cpp
@@ -36,8 +36,8 @@
     scenario(fleet);
     const auto violations = fleet.finish();
     const std::string first_violation = violations.empty() ? "" : violations.front();
-    CPPUNIT_ASSERT_EQUAL_MESSAGE(fmt::format("seed {}: {} violations", seed, violations.size()), std::string(),
-                                 first_violation);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(fmt::format("seed {}: {} violations", seed, violations.size()),
+                                 std::string(), first_violation);
   }
 }
 
@@ -46,8 +46,8 @@
 /// Writes were acknowledged again within `limit` of now, at the longest.
 void expect_gap_below(RegisteredFleet& fleet, TimePoint from, Duration limit) {
   const Duration gap = fleet.longest_write_gap(from, fleet.world().now());
-  CPPUNIT_ASSERT_MESSAGE(
-      fmt::format("gap of {} ms", std::chrono::duration_cast<milliseconds>(gap).count()), gap < limit);
+  CPPUNIT_ASSERT_MESSAGE(fmt::format("gap of {} ms", std::chrono::duration_cast<milliseconds>(gap).count()),
+                         gap < limit);
 }
 
 }  // namespace
--- a/tests/standins/unfenced/session_history_test.cpp
+++ b/tests/standins/unfenced/session_history_test.cpp
@@ -37,10 +37,12 @@
   return attempt;
 }
 
-void expect(const std::string& kind, const std::vector<Attempt>& history, const std::vector<std::string>& final_tokens) {
+void expect(const std::string& kind, const std::vector<Attempt>& history,
+            const std::vector<std::string>& final_tokens) {
   const auto violations = find_violations(history, final_tokens);
   if (kind.empty()) {
-    CPPUNIT_ASSERT_EQUAL_MESSAGE(violations.empty() ? "" : violations.front(), std::size_t{0}, violations.size());
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(violations.empty() ? "" : violations.front(), std::size_t{0},
+                                 violations.size());
   } else {
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, violations.size());
     CPPUNIT_ASSERT_MESSAGE(violations.front(), violations.front().starts_with(kind));
@@ -59,9 +61,11 @@
 
  public:
   void a_sound_history() {
-    expect("", {write("a", 0, 10, AttemptOutcome::kAcknowledged), write("b", 20, 30, AttemptOutcome::kUnknown),
-                write("c", 40, 50, AttemptOutcome::kPromisedNotKept), read("s2", ReadPolicy::kPrimary, {"a"}, 60)},
-           {"r0 a", "r0 b"});
+    expect(
+        "",
+        {write("a", 0, 10, AttemptOutcome::kAcknowledged), write("b", 20, 30, AttemptOutcome::kUnknown),
+         write("c", 40, 50, AttemptOutcome::kPromisedNotKept), read("s2", ReadPolicy::kPrimary, {"a"}, 60)},
+        {"r0 a", "r0 b"});
   }
 
   void lost_doubled_and_kept() {
