Primaries out of reach: of most proxies replaced, of few reached through others; failovers do not wait for the dead

Change: proxies say when no connection can be opened; three fifths of them saying so replace the primary, fewer are served through proxies that reach it; a survey ends when the replicas' answers will do; two suspecting proxies stand for the second look.

--- a/simulation/registered_fleet.cpp
+++ b/simulation/registered_fleet.cpp
@@ -207,7 +207,7 @@
     request.target = "/config";
     auto result = std::make_shared<std::optional<runtime::HttpResponse>>();
     VirtualRuntime& operators = world_.runtime("operator");
-    const Endpoint endpoint = endpoints[static_cast<std::size_t>(attempt) % endpoints.size()];
+    Endpoint endpoint = endpoints[static_cast<std::size_t>(attempt) % endpoints.size()];
     operators.spawn("operator", call(operators, endpoint, request, result));
     world_.run_for(kCallTimeout);
     if (!result->has_value() || (*result)->status != 200) continue;
--- a/src/control/registered/group_keeper.cpp
+++ b/src/control/registered/group_keeper.cpp
@@ -34,8 +34,20 @@
   return !stopping_ && consensus_.status().state == consensus::ServerState::kLeader;
 }
 
-void GroupKeeper::note_suspicion(const registry::PrimarySuspicion& suspicion) {
-  suspicions_[suspicion.group] = Suspicion{suspicion, runtime_.now()};
+void GroupKeeper::note_suspicion(const NodeName& proxy, const registry::PrimarySuspicion& suspicion) {
+  Suspicion& held = suspicions_[suspicion.group];
+  const TimePoint now = runtime_.now();
+  const bool same = held.said.backend == suspicion.backend && held.said.term == suspicion.term;
+  if (!same) held.proxies.clear();
+  held.said = suspicion;
+  held.at = now;
+  held.proxies[proxy] = now;
+  std::erase_if(held.proxies, [&](const auto& entry) { return now - entry.second > kSuspicionLapse; });
+  OutOfReach& out_of_reach = out_of_reach_[suspicion.group];
+  if (out_of_reach.term != suspicion.term) out_of_reach = OutOfReach{suspicion.term, {}};
+  if (suspicion.unreachable) out_of_reach.proxies[proxy] = now;
+  std::erase_if(out_of_reach.proxies,
+                [&](const auto& entry) { return now - entry.second > kOutOfReachLapse; });
   if (leads()) look_at(suspicion.group);
 }
 
@@ -89,7 +101,7 @@
   const bool applies = suspected.said.term == term->term && suspected.said.backend == term->primary;
   suspicions_.erase(suspicion);
   if (applies && runtime_.now() - suspected.at < kSuspicionLapse)
-    begin(group, examine(group, suspected.said.commits_stall));
+    begin(group, examine(group, suspected.said.commits_stall, suspected.proxies.size()));
 }
 
 void GroupKeeper::begin(const GroupName& group, Awaitable<void> task) {
@@ -134,20 +146,25 @@
   return !status || !status->is_primary || status->term != term.term;
 }
 
-Awaitable<void> GroupKeeper::examine(GroupName group, bool commits_stall) {
+Awaitable<void> GroupKeeper::examine(GroupName group, bool commits_stall, std::size_t suspecting_proxies) {
   const auto term = term_of(group);
   const registry::BackendEntry* primary = term ? fleet_.find_backend(term->primary) : nullptr;
   if (primary == nullptr) co_return;
   const registry::BackendEntry entry = *primary;
   Reason reason;
   bool dead = true;
-  for (int look = 0; look < kDeadLooks && dead; ++look) {
+  const int looks = suspecting_proxies >= kSuspectingProxies ? 1 : kDeadLooks;
+  for (int look = 0; look < looks && dead; ++look) {
     if (look > 0) co_await runtime_.sleep_for(kDeadLookPause);
     const TimePoint deadline = runtime_.now() + kStatusTimeout;
     const auto status = co_await prober_.ask(entry, deadline, reason);
     const bool busy = !status && reason.code == ReasonCode::kOverloaded;
     dead = !busy && is_dead(status, *term);
   }
+  if (!dead && is_out_of_reach(group)) {
+    dead = true;
+    reason = Reason{ReasonCode::kUnreachable, "open_connection", "", "most proxies do not reach it"};
+  }
   if (!dead && commits_stall) {
     dead = co_await commits_stalled(group, *term);
     if (dead) reason = Reason{ReasonCode::kDeadlineExceeded, "replicate", "", "its commits reach no replica"};
@@ -157,8 +174,15 @@
     co_return;
   }
   std::string why = reason.failed() ? reason.to_string() : "it does not lead this term any more";
-  const GroupTerm given_up = *term;
-  co_await close(given_up, std::move(why));
+  GroupTerm given_up = *term;
+  co_await close(std::move(given_up), std::move(why));
+}
+
+bool GroupKeeper::is_out_of_reach(const GroupName& group) const {
+  const auto found = out_of_reach_.find(group);
+  const std::size_t saying = found == out_of_reach_.end() ? 0 : found->second.proxies.size();
+  return saying >= kSuspectingProxies &&
+         saying * kOutOfReachWhole >= fleet_.proxies().size() * kOutOfReachPart;
 }
 
 Awaitable<bool> GroupKeeper::commits_stalled(GroupName group, GroupTerm term) {
@@ -242,12 +266,20 @@
   facts.closed = *closed;
   const registry::GroupRule* rule = fleet_.find_group(group);
   if (rule != nullptr) facts.synchronous_replicas = rule->synchronous_replicas;
-  facts.members = co_await prober_.ask_all(fleet_.backends_of(group));
   const CloseProgress progress = leases_.close_progress(group, closed->epoch);
   facts.all_acknowledgers_answered = progress.all_answered && fleet_.knows_all_acknowledgers(*closed);
   facts.highest_acknowledged = progress.highest_acknowledged;
   watch_members(group);
   facts.members_are_stable = runtime_.now() - memberships_[group].left_at > kMembersSettleTime;
+  // A dead primary does not answer: it is not waited for when the replicas' answers will do.
+  const auto enough = [facts](const std::vector<MemberFinding>& findings) mutable {
+    facts.members = findings;
+    const bool all_replicas = std::all_of(findings.begin(), findings.end(), [&](const MemberFinding& member) {
+      return member.status || member.entry.name == facts.closed.primary;
+    });
+    return all_replicas && choose_promotion(facts, false).verdict == PromotionVerdict::kPromote;
+  };
+  facts.members = co_await prober_.ask_all(fleet_.backends_of(group), enough);
   const PromotionChoice choice = choose_promotion(facts, true);
   GroupTerm chosen = *closed;
   chosen.primary = choice.backend;
@@ -264,6 +296,7 @@
     if (ordered) term = co_await wait_promoted(*closed, choice.backend);
   }
   if (!term) co_return;
+  out_of_reach_.erase(group);
   const bool opened = co_await open(*closed, choice.backend, *term, choice.why);
   if (opened && choice.backend != closed->primary)
     runtime_.spawn("step_down", step_down(group, closed->primary, *term));
--- a/src/control/registered/group_keeper.h
+++ b/src/control/registered/group_keeper.h
@@ -31,15 +31,15 @@
 
   void start();
   void stop();
-  /// A proxy suspects a primary.
-  void note_suspicion(const registry::PrimarySuspicion& suspicion);
+  /// `proxy` suspects a primary.
+  void note_suspicion(const NodeName& proxy, const registry::PrimarySuspicion& suspicion);
 
  private:
   struct Suspicion {
     registry::PrimarySuspicion said;
     TimePoint at{};
+    std::map<NodeName, TimePoint> proxies;  ///< who suspects the same, and since when they last said so
   };
-  using TermPointer = const registry::GroupTerm*;
 
   Awaitable<void> run();
   void look_at(const GroupName& group);
@@ -51,7 +51,7 @@
   /// A group without a term: whoever leads already is the first primary.
   Awaitable<void> discover(GroupName group);
   /// The primary is suspected.
-  Awaitable<void> examine(GroupName group, bool commits_stall);
+  Awaitable<void> examine(GroupName group, bool commits_stall, std::size_t suspecting_proxies);
   /// The primary leaves: it is replaced once another backend has all of its log.
   Awaitable<void> hand_over(GroupName group);
   /// The group is closed: until it is open again.
@@ -61,6 +61,8 @@
   [[nodiscard]] bool has_successor(const GroupName& group, const BackendName& primary) const;
   [[nodiscard]] bool is_dead(const std::optional<session::BackendStatus>& status,
                              const registry::GroupTerm& term) const;
+  /// Whether most proxies can't use the primary, alive or not.
+  [[nodiscard]] bool is_out_of_reach(const GroupName& group) const;
   Awaitable<bool> commits_stalled(GroupName group, registry::GroupTerm term);
   Awaitable<bool> close(registry::GroupTerm term, std::string why);
   Awaitable<bool> open(registry::GroupTerm closed, BackendName primary, std::uint64_t term, std::string why);
@@ -87,6 +89,12 @@
   };
   std::map<GroupName, Membership> memberships_;
   std::map<GroupName, Suspicion> suspicions_;
+  /// Proxies that can't open connections to a group's primary, and when they last said so.
+  struct OutOfReach {
+    std::uint64_t term = 0;
+    std::map<NodeName, TimePoint> proxies;
+  };
+  std::map<GroupName, OutOfReach> out_of_reach_;
   bool stopping_ = false;
 };
 
--- a/src/control/registered/group_prober.cpp
+++ b/src/control/registered/group_prober.cpp
@@ -5,10 +5,10 @@
 namespace cairnhollow::control::registered {
 
 struct GroupProber::Survey {
-  explicit Survey(runtime::Runtime& runtime) : done(runtime) {}
+  explicit Survey(runtime::Runtime& runtime) : answered(runtime) {}
   std::vector<MemberFinding> findings;
   std::size_t unanswered = 0;
-  runtime::Signal done;
+  runtime::Signal answered;
 };
 
 Awaitable<std::optional<session::BackendStatus>> GroupProber::ask(registry::BackendEntry entry,
@@ -57,16 +57,17 @@
   const auto status = co_await ask(entry, deadline, reason);
   survey->findings[place].status = status;
   --survey->unanswered;
-  if (survey->unanswered == 0) survey->done.notify_all();
+  survey->answered.notify_all();
 }
 
-Awaitable<std::vector<MemberFinding>> GroupProber::ask_all(std::vector<registry::BackendEntry> entries) {
+Awaitable<std::vector<MemberFinding>> GroupProber::ask_all(std::vector<registry::BackendEntry> entries,
+                                                           Enough enough) {
   const auto survey = std::make_shared<Survey>(runtime_);
   for (auto& entry : entries) survey->findings.push_back(MemberFinding{std::move(entry), std::nullopt});
   survey->unanswered = survey->findings.size();
   for (std::size_t place = 0; place < survey->findings.size(); ++place)
     runtime_.spawn("group_probe", ask_one(survey, place));
-  while (survey->unanswered > 0) co_await survey->done.wait();
+  while (survey->unanswered > 0 && !(enough && enough(survey->findings))) co_await survey->answered.wait();
   co_return survey->findings;
 }
 
--- a/src/control/registered/group_prober.h
+++ b/src/control/registered/group_prober.h
@@ -1,6 +1,7 @@
 // Asks the backends of a group what they are, over links that are kept.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -26,8 +27,11 @@
   /// As ask(), after telling it to step down from any term below `term`.
   Awaitable<std::optional<session::BackendStatus>> demote(registry::BackendEntry entry, std::uint64_t term,
                                                           TimePoint deadline, Reason& reason);
-  /// All at once.
-  Awaitable<std::vector<MemberFinding>> ask_all(std::vector<registry::BackendEntry> entries);
+  /// All at once; returns when all have answered or the time is over, or `enough` says that what came will
+  /// do.
+  using Enough = std::function<bool(const std::vector<MemberFinding>&)>;
+  Awaitable<std::vector<MemberFinding>> ask_all(std::vector<registry::BackendEntry> entries,
+                                                Enough enough = nullptr);
 
  private:
   struct Survey;
--- a/src/control/registered/knobs.h
+++ b/src/control/registered/knobs.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 
 #include "base/types.h"
@@ -37,6 +38,12 @@
 inline constexpr Duration kSuspicionLapse = std::chrono::milliseconds(600);
 /// Looks in a row that must find a suspected primary dead.
 inline constexpr int kDeadLooks = 2;
+/// So many proxies that suspect the same count as one look.
+inline constexpr std::size_t kSuspectingProxies = 2;
+/// A primary that this part of the proxies can't connect to is replaced, alive or not.
+inline constexpr std::size_t kOutOfReachPart = 3;
+inline constexpr std::size_t kOutOfReachWhole = 5;
+inline constexpr Duration kOutOfReachLapse = std::chrono::milliseconds(1500);
 inline constexpr Duration kDeadLookPause = std::chrono::milliseconds(60);
 /// A primary whose commits stall while replicas are behind for this long is given up.
 inline constexpr Duration kStallLimit = std::chrono::milliseconds(900);
--- a/src/control/registered/lease_keeper.cpp
+++ b/src/control/registered/lease_keeper.cpp
@@ -66,7 +66,7 @@
   if (!follower->admitted) follower->revision_sent = report.revision;
   note_closed(*follower, report.closed);
   for (const auto& suspicion : report.suspicions) {
-    if (on_suspicion_) on_suspicion_(suspicion);
+    if (on_suspicion_) on_suspicion_(follower->node, suspicion);
   }
   Reason reason;
   bool granted = leads();
--- a/src/control/registered/lease_keeper.h
+++ b/src/control/registered/lease_keeper.h
@@ -28,7 +28,7 @@
 /// What it refers to outlives it; it lives until the process ends.
 class LeaseKeeper {
  public:
-  using OnSuspicion = std::function<void(const registry::PrimarySuspicion&)>;
+  using OnSuspicion = std::function<void(const NodeName& proxy, const registry::PrimarySuspicion&)>;
 
   LeaseKeeper(runtime::Runtime& runtime, consensus::Consensus& consensus, registry::FleetStateMachine& fleet,
               ControlNodeDirectory& directory, LeaderCalls& calls, Duration serving_lease);
--- a/src/control/registered/registered_control_node.cpp
+++ b/src/control/registered/registered_control_node.cpp
@@ -70,7 +70,9 @@
         registrations_(runtime, *raft_, fleet_, calls_, voters_),
         operator_calls_(edge.make_operator_calls(registrations_)),
         dispatcher_(runtime) {
-    leases_.on_suspicion([this](const registry::PrimarySuspicion& said) { groups_.note_suspicion(said); });
+    leases_.on_suspicion([this](const NodeName& proxy, const registry::PrimarySuspicion& said) {
+      groups_.note_suspicion(proxy, said);
+    });
   }
 
   Awaitable<bool> start(Reason& reason) override {
@@ -112,9 +114,10 @@
     dispatcher_.route(wire::Conversation::kServing, [this](Connection connection, wire::Hello hello) {
       return leases_.serve(std::move(connection), std::move(hello));
     });
-    dispatcher_.route(wire::Conversation::kLeader, [this](Connection connection, wire::Hello /*hello*/) {
-      return calls_.serve(std::move(connection));
-    });
+    dispatcher_.route(wire::Conversation::kLeader,
+                      [this](Connection connection, const wire::Hello& /*hello*/) {
+                        return calls_.serve(std::move(connection));
+                      });
   }
 
   [[nodiscard]] consensus::Member own_member() const {
--- a/src/control/registered/voter_keeper.cpp
+++ b/src/control/registered/voter_keeper.cpp
@@ -76,7 +76,7 @@
 std::optional<Member> VoterKeeper::find_standby(const consensus::ConsensusStatus& status, const Member* lost,
                                                 TimePoint now) const {
   if (lost != nullptr) {
-    const auto same_node = directory_.alive(lost->node, now);
+    auto same_node = directory_.alive(lost->node, now);
     if (same_node && same_node->identity != lost->identity) return same_node;
   }
   std::optional<Member> chosen;
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -19,7 +19,8 @@
 }  // namespace
 
 ClientConnection::ClientConnection(boost::asio::ip::tcp::socket socket, MessageLimits limits)
-    : stream_(std::make_shared<runtime::ByteStream>(std::move(socket))), parser_(make_response_parser(limits)) {
+    : stream_(std::make_shared<runtime::ByteStream>(std::move(socket))),
+      parser_(make_response_parser(limits)) {
   stream_->start(nullptr);
 }
 
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -4,8 +4,8 @@
 #include <memory>
 #include <string>
 
-#include "runtime/asio/byte_stream.h"
 #include "http/message_parser.h"
+#include "runtime/asio/byte_stream.h"
 #include "runtime/http.h"
 
 namespace cairnhollow::http {
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -6,9 +6,9 @@
 #include <optional>
 #include <string>
 
-#include "runtime/asio/byte_stream.h"
 #include "http/http_transport.h"
 #include "http/message_parser.h"
+#include "runtime/asio/byte_stream.h"
 #include "runtime/http.h"
 
 namespace cairnhollow::http {
--- a/src/registry/messages.h
+++ b/src/registry/messages.h
@@ -33,10 +33,11 @@
   BackendName backend;
   std::uint64_t term = 0;
   bool commits_stall = false;  ///< it answers, but commits do not
+  bool unreachable = false;    ///< no connection to it can be opened
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(group, backend, term, commits_stall);
+    archive(group, backend, term, commits_stall, unreachable);
   }
 };
 
--- a/src/runtime/asio/byte_stream.cpp
+++ b/src/runtime/asio/byte_stream.cpp
@@ -24,9 +24,7 @@
 }  // namespace
 
 ByteStream::ByteStream(tcp::socket socket)
-    : socket_(std::move(socket)),
-      peer_(peer_name(socket_)),
-      deadline_(socket_.get_executor(), [this] {
+    : socket_(std::move(socket)), peer_(peer_name(socket_)), deadline_(socket_.get_executor(), [this] {
         close({ReasonCode::kDeadlineExceeded, "exchange", peer_, "not finished in time"});
       }) {}
 
--- a/src/runtime/asio/byte_stream.h
+++ b/src/runtime/asio/byte_stream.h
@@ -1,5 +1,5 @@
-// A TCP connection as both ends of HTTP and of line protocols need it: always reading, so that the peer's closing is seen at once
-// also while a request is being handled or the connection is idle.
+// A TCP connection as both ends of HTTP and of line protocols need it: always reading, so that the peer's
+// closing is seen at once also while a request is being handled or the connection is idle.
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
@@ -11,9 +11,9 @@
 #include <string_view>
 
 #include "base/reason.h"
-#include "runtime/asio/wakeup.h"
 #include "runtime/asio/lazy_deadline.h"
 #include "runtime/asio/read_buffer.h"
+#include "runtime/asio/wakeup.h"
 
 namespace cairnhollow::runtime {
 
--- a/src/runtime/json_logger.h
+++ b/src/runtime/json_logger.h
@@ -33,8 +33,8 @@
 void append_json_string(std::string& line, std::string_view text);
 
 /// Fields come in this order: time (RFC 3339, UTC), level, program, node, zone, event, then step, peer,
-/// reason and detail when there is a Reason, then the caller's fields, then left_out where lines of the same event
-/// were left out before (LogLimiter). Empty fields of the Reason are left out.
+/// reason and detail when there is a Reason, then the caller's fields, then left_out where lines of the same
+/// event were left out before (LogLimiter). Empty fields of the Reason are left out.
 class JsonLogger : public Logger {
  public:
   JsonLogger(const LogIdentity& identity, LogLevel lowest, WallClock wall_clock, LogSink sink);
--- a/src/runtime/log_limiter.h
+++ b/src/runtime/log_limiter.h
@@ -1,4 +1,5 @@
-// Bounds how many lines of each event a process logs, so that a storm of one event hides neither itself nor others.
+// Bounds how many lines of each event a process logs, so that a storm of one event hides neither itself nor
+// others.
 #pragma once
 
 #include <cstdint>
--- a/src/session/fleet_link.cpp
+++ b/src/session/fleet_link.cpp
@@ -172,20 +172,23 @@
   runtime_.logger().log(LogLevel::kInfo, "control_found", {{"control", conversation.connection->peer()}});
 }
 
-void FleetLink::report_suspicion(const GroupAccess& group, bool commits_stall) {
+void FleetLink::report_suspicion(const GroupAccess& group, SuspicionKind kind) {
   const registry::GroupTerm& term = group.term();
   if (!term.open) return;
   const TimePoint now = runtime_.now();
-  auto& suspected_at = suspected_at_[term.group];
+  auto& suspected_at = suspected_at_[{term.group, kind}];
   if (suspected_at != TimePoint{} && now - suspected_at < kSuspicionRepeat) return;
   suspected_at = now;
-  suspicions_.push_back({term.group, term.primary, term.term, commits_stall});
+  const bool commits_stall = kind == SuspicionKind::kCommitsStall;
+  const bool unreachable = kind == SuspicionKind::kUnreachable;
+  suspicions_.push_back({term.group, term.primary, term.term, commits_stall, unreachable});
   report_now_ = true;
   runtime_.logger().log(LogLevel::kWarning, "primary_suspected",
                         {{"group", term.group.value},
                          {"primary", term.primary.value},
                          {"term", std::to_string(term.term)},
-                         {"commits_stall", commits_stall ? "true" : "false"}});
+                         {"commits_stall", commits_stall ? "true" : "false"},
+                         {"unreachable", unreachable ? "true" : "false"}});
   wake_.notify_all();
 }
 
--- a/src/session/fleet_link.h
+++ b/src/session/fleet_link.h
@@ -15,6 +15,13 @@
 
 namespace cairnhollow::session {
 
+/// Why a primary is suspected.
+enum class SuspicionKind : std::uint8_t {
+  kSilent,        ///< a statement has no answer
+  kCommitsStall,  ///< only commits have none
+  kUnreachable,   ///< no connection to it can be opened
+};
+
 /// What it refers to outlives it; it lives until the process ends.
 class FleetLink {
  public:
@@ -25,7 +32,7 @@
   /// Tells that this proxy takes no new work from others.
   void set_draining();
   /// Told with the next report, which is sent at once. Repeats within kSuspicionRepeat are dropped.
-  void report_suspicion(const GroupAccess& group, bool commits_stall);
+  void report_suspicion(const GroupAccess& group, SuspicionKind kind);
 
  private:
   struct Conversation {
@@ -58,7 +65,7 @@
   std::uint64_t incarnation_;
   std::uint64_t next_nonce_ = 1;
   std::vector<registry::PrimarySuspicion> suspicions_;
-  std::map<GroupName, TimePoint> suspected_at_;
+  std::map<std::pair<GroupName, SuspicionKind>, TimePoint> suspected_at_;
   TimePoint search_logged_{};
   bool report_now_ = false;
   bool connected_ = false;
--- a/src/session/fleet_view.cpp
+++ b/src/session/fleet_view.cpp
@@ -66,6 +66,8 @@
     takers.push_back(
         std::make_shared<routing::ProxyView>(routing::ProxyView{node, proxy.zone, proxy.peer_endpoint}));
   }
+  others_ = routing::forwarding_order(takers, node_, zone_);
+  std::erase_if(others_, [this](const routing::ProxyPointer& proxy) { return proxy->name == node_; });
   const routing::SubsetTable table(takers);
   forward_to_.clear();
   for (const auto& [name, group] : groups_) {
@@ -84,9 +86,9 @@
 }
 
 const std::vector<routing::ProxyPointer>& FleetView::forward_to(const GroupName& group) {
-  static const std::vector<routing::ProxyPointer> kNobody;
+  static const std::vector<routing::ProxyPointer> nobody;
   const auto found = forward_to_.find(group);
-  return found == forward_to_.end() ? kNobody : found->second;
+  return found == forward_to_.end() ? nobody : found->second;
 }
 
 void FleetView::apply(const registry::FleetDelta& delta) {
--- a/src/session/fleet_view.h
+++ b/src/session/fleet_view.h
@@ -45,6 +45,8 @@
   /// The proxies to which statements for the group are to be forwarded, first choice first. Empty: this proxy
   /// serves it. Only so many serve a group that each has connections to work with.
   [[nodiscard]] const std::vector<routing::ProxyPointer>& forward_to(const GroupName& group);
+  /// Every other proxy that takes work, those of this zone first.
+  [[nodiscard]] const std::vector<routing::ProxyPointer>& others() const { return others_; }
   /// What is to be told of every closed group.
   [[nodiscard]] std::vector<registry::ClosedGroup> closed_groups() const;
 
@@ -79,6 +81,7 @@
   std::map<BackendName, GroupName> group_of_;
   std::map<NodeName, registry::AdmittedProxy> proxies_;
   std::map<GroupName, std::vector<routing::ProxyPointer>> forward_to_;
+  std::vector<routing::ProxyPointer> others_;
 };
 
 }  // namespace cairnhollow::session
--- a/src/session/forward_server.cpp
+++ b/src/session/forward_server.cpp
@@ -113,10 +113,12 @@
     forwarded.may_try_another = true;
     co_return forwarded;
   }
+  const auto group = order->group;
   RunResult result = co_await runner_.run(std::move(*order));
   forwarded.answer = std::move(result.answer);
   forwarded.at_primary = result.served_by == ServedBy::kPrimary;
-  forwarded.may_try_another = !leased && forwarded.answer.refusal == Refusal::kBusy;
+  const bool cannot_serve = !leased || group->is_primary_unreachable();
+  forwarded.may_try_another = cannot_serve && forwarded.answer.refusal == Refusal::kBusy;
   if (!result.pinned) co_return forwarded;
   if (connection->ended) {
     co_await runner_.roll_back(*result.pinned);
--- a/src/session/group_access.cpp
+++ b/src/session/group_access.cpp
@@ -153,7 +153,7 @@
 std::shared_ptr<BackendUse> GroupAccess::choose_reader(const ReadNeed& need,
                                                        const std::set<BackendName>& excluded) {
   const auto leader = primary();
-  const auto usable_leader = leader && excluded.count(leader->entry.name) == 0 ? leader : nullptr;
+  auto usable_leader = leader && excluded.count(leader->entry.name) == 0 ? leader : nullptr;
   if (need.primary_only) return usable_leader;
   const TimePoint now = runtime_.now();
   std::shared_ptr<BackendUse> best;
--- a/src/session/group_access.h
+++ b/src/session/group_access.h
@@ -81,11 +81,11 @@
   void remove_backend(const BackendName& name);
   /// Divides each backend's connections among those of `proxies` that serve the group.
   void share_connections(std::uint64_t proxies);
-  /// How many of `proxies` are to serve the group: so many that each has connections to work with, and that together
-  /// they do not send a backend more than it can queue.
+  /// How many of `proxies` are to serve the group: so many that each has connections to work with, and that
+  /// together they do not send a backend more than it can queue.
   [[nodiscard]] std::size_t serving_proxies(std::size_t proxies) const;
-  /// Opens one link to a backend that has none, so that the first statement need not wait for it. False when all
-  /// have one.
+  /// Opens one link to a backend that has none, so that the first statement need not wait for it. False when
+  /// all have one.
   bool warm_one();
 
   [[nodiscard]] const registry::GroupTerm& term() const { return term_; }
@@ -102,6 +102,14 @@
   /// What a read must see under these rules; primary_only when a replica can't be shown to have it.
   [[nodiscard]] ReadNeed need_of(const registry::RouteRule& route, const SessionCommit& committed) const;
 
+  /// This proxy does not reach the primary of the open term, which may lead all the same.
+  void note_primary_unreachable() {
+    unreachable_epoch_ = term_.epoch;
+    unreachable_until_ = runtime_.now() + kRelayPeriod;
+  }
+  [[nodiscard]] bool is_primary_unreachable() const {
+    return unreachable_epoch_ == term_.epoch && runtime_.now() < unreachable_until_;
+  }
   std::uint64_t begin_work(PrimaryWork work);
   void end_work(std::uint64_t work) { work_.erase(work); }
   /// Whether a statement at the primary, or a commit, has had no answer for kPrimarySilence; `commits` says
@@ -141,6 +149,8 @@
   std::uint64_t proxies_ = 1;
   double usual_latency_ms_ = kFirstLatencyMs;  ///< of all backends, over a longer time
   TimePoint closed_at_{};
+  std::uint64_t unreachable_epoch_ = 0;
+  TimePoint unreachable_until_{};
   Position highest_acknowledged_;
   PositionHistory positions_;
   runtime::Signal changed_;
--- a/src/session/knobs.h
+++ b/src/session/knobs.h
@@ -22,19 +22,22 @@
 /// Longest wait for a caller's first line.
 inline constexpr Duration kStartTimeout = seconds(5);
 /// A new session waits this long for a serving lease, e.g. while the fleet starts.
-inline constexpr Duration kStartPatience = milliseconds(1200);
+inline constexpr Duration kStartPatience = milliseconds(700);
 /// So soon after its start, or after its last lease, a proxy expects the next one; so soon after the close of
 /// a group, its next primary. What needs them waits only then.
-inline constexpr Duration kLeaseExpectedWithin = milliseconds(2500);
+inline constexpr Duration kLeaseExpectedWithin = milliseconds(1500);
 inline constexpr Duration kPrimaryExpectedWithin = seconds(3);
 /// Without a lease for this long, idle sessions are let go: their callers find another proxy.
 inline constexpr Duration kLetGoAfter = milliseconds(2300);
 /// Longest wait for a new connection to a backend.
-inline constexpr Duration kDialTimeout = milliseconds(600);
+inline constexpr Duration kDialTimeout = milliseconds(350);
 /// Longest wait for a link's own exchanges: values, prepared statements, begin.
 inline constexpr Duration kLinkSetupTimeout = milliseconds(400);
 /// Proxies that serve one group, at most, for each slot of its backends.
 inline constexpr std::uint64_t kServingProxiesPerSlot = 5;
+/// After this proxy could not reach a primary that leads, statements for it go through other proxies for this
+/// long.
+inline constexpr Duration kRelayPeriod = milliseconds(1500);
 /// Links are opened ahead of need, one in this time.
 inline constexpr Duration kWarmInterval = milliseconds(200);
 /// A proxy that could not be reached is not forwarded to for this long, where another can serve.
--- a/src/session/session_proxy.cpp
+++ b/src/session/session_proxy.cpp
@@ -1,6 +1,7 @@
 #include "session/session_proxy.h"
 
 #include <map>
+#include <set>
 
 #include "session/caller_session.h"
 #include "session/fleet_link.h"
@@ -66,6 +67,8 @@
   Awaitable<void> watch();
   Awaitable<void> warm_links();
   void watch_primaries(TimePoint now);
+  void check_primary(const std::shared_ptr<GroupAccess>& group);
+  Awaitable<void> dial_primary(std::shared_ptr<GroupAccess> group);
   void let_idle_go();
   void watch_lease(TimePoint now);
   [[nodiscard]] bool is_ready() const { return !draining_ && view_.lease_valid(); }
@@ -86,6 +89,7 @@
   std::unique_ptr<runtime::HttpServer> readiness_server_;
   std::unique_ptr<runtime::HttpServer> metrics_server_;
   std::map<std::uint64_t, std::shared_ptr<CallerSession>> sessions_;
+  std::set<GroupName> checked_;  ///< groups whose primary is being dialled to see whether it is in reach
   std::uint64_t next_session_ = 1;
   bool lease_held_ = false;
   bool draining_ = false;
@@ -132,10 +136,36 @@
 void SessionProxy::watch_primaries(TimePoint now) {
   for (const auto& [name, group] : view_.groups()) {
     bool commits_only = false;
-    if (group->is_primary_silent(now, commits_only)) link_.report_suspicion(*group, commits_only);
+    if (!group->is_primary_silent(now, commits_only)) continue;
+    link_.report_suspicion(*group, commits_only ? SuspicionKind::kCommitsStall : SuspicionKind::kSilent);
+    if (!commits_only) check_primary(group);
   }
 }
 
+/// Slow or out of reach: a new connection tells.
+void SessionProxy::check_primary(const std::shared_ptr<GroupAccess>& group) {
+  if (!checked_.insert(group->group()).second) return;
+  runtime_.spawn("check_primary", dial_primary(group));
+}
+
+Awaitable<void> SessionProxy::dial_primary(std::shared_ptr<GroupAccess> group) {
+  const auto primary = group->primary();
+  bool reached = true;
+  if (primary) {
+    std::optional<Refusal> refusal;
+    Reason reason;
+    const auto link =
+        co_await dialer_->open(primary->pool.address(), runtime_.now() + kDialTimeout, refusal, reason);
+    reached = link || refusal;
+    if (link) link->close();
+  }
+  if (!reached) {
+    group->note_primary_unreachable();
+    link_.report_suspicion(*group, SuspicionKind::kUnreachable);
+  }
+  checked_.erase(group->group());
+}
+
 void SessionProxy::let_idle_go() {
   const auto sessions = sessions_;
   for (const auto& [id, session] : sessions) {
--- a/src/session/statement_runner.cpp
+++ b/src/session/statement_runner.cpp
@@ -88,10 +88,18 @@
 Awaitable<RunResult> StatementRunner::run(RunOrder order) {
   std::vector<routing::ProxyPointer> proxies;
   if (!order.is_forwarded) proxies = services_.view.forward_to(order.group->group());
+  if (proxies.empty() && must_relay(order)) proxies = services_.view.others();
   if (proxies.empty()) co_return co_await run_here(std::move(order));
   co_return co_await forward(std::move(order), std::move(proxies));
 }
 
+bool StatementRunner::must_relay(const RunOrder& order) const {
+  const GroupAccess& group = *order.group;
+  if (order.is_forwarded || !group.term().open || !group.is_primary_unreachable()) return false;
+  const bool reads = order.opens_transaction ? order.read_only_transaction : !order.writes;
+  return !reads || group.need_of(order.route, order.committed).primary_only;
+}
+
 Awaitable<RunResult> StatementRunner::run_here(RunOrder order) {
   runtime::Runtime& runtime = services_.runtime;
   auto attempt = std::make_shared<Attempt>(std::move(order));
@@ -182,7 +190,10 @@
   if (!attempt->link) {
     const bool full = attempt->reason.code == ReasonCode::kOverloaded;
     if (!full) backend->avoid_until = services_.runtime.now() + kAvoidBackend;
-    if (!full && attempt->at_primary && !refusal) services_.link.report_suspicion(*order.group, false);
+    if (!full && attempt->at_primary && !refusal) {
+      services_.link.report_suspicion(*order.group, SuspicionKind::kUnreachable);
+      order.group->note_primary_unreachable();
+    }
     co_return false;
   }
   const TimePoint deadline = std::min(order.deadline, services_.runtime.now() + kLinkSetupTimeout);
@@ -205,7 +216,7 @@
   if (answer && *answer->refusal == Refusal::kTooStale)
     attempt->order.group->note_replica(*attempt->backend, attempt->need, std::nullopt);
   if (answer && *answer->refusal == Refusal::kNotPrimary)
-    services_.link.report_suspicion(*attempt->order.group, false);
+    services_.link.report_suspicion(*attempt->order.group, SuspicionKind::kSilent);
   attempt->backend->pool.release(attempt->link);
   co_return false;
 }
@@ -273,7 +284,7 @@
   GroupAccess& group = *attempt.order.group;
   attempt.backend->avoid_until = services_.runtime.now() + kAvoidBackend;
   if (attempt.at_primary && group.term().epoch == attempt.epoch)
-    services_.link.report_suspicion(group, false);
+    services_.link.report_suspicion(group, SuspicionKind::kSilent);
   services_.runtime.logger().log(
       LogLevel::kWarning, "answer_lost", reason,
       {{"id", attempt.order.id},
@@ -313,7 +324,7 @@
     services_.metrics.count_retry(*answer.refusal);
     if (*answer.refusal == Refusal::kUnknownStatement) attempt.link->forget_prepared();
     if (*answer.refusal == Refusal::kNotPrimary && attempt.at_primary && current)
-      services_.link.report_suspicion(group, false);
+      services_.link.report_suspicion(group, SuspicionKind::kSilent);
     if (*answer.refusal == Refusal::kWrongBackend) attempt.link->link().close();
     if (*answer.refusal == Refusal::kTooStale) group.note_replica(backend, attempt.need, std::nullopt);
     attempt.reason = Reason{ReasonCode::kOverloaded, "run_statement", backend.entry.name.value,
@@ -391,7 +402,7 @@
   if (answer) pinned.link->note_state(answer->state);
   if (!answer) {
     services_.metrics.count_lost_answer();
-    if (pinned.at_primary && current) services_.link.report_suspicion(group, false);
+    if (pinned.at_primary && current) services_.link.report_suspicion(group, SuspicionKind::kSilent);
     const bool in_doubt = commits && wrote && sent == SendState::kMaybeSent;
     if (in_doubt) aborted.refusal = Refusal::kInDoubt;
     if (in_doubt) aborted.detail = "the commit was sent and its outcome is not known";
--- a/src/session/statement_runner.h
+++ b/src/session/statement_runner.h
@@ -79,6 +79,8 @@
   /// The same for a backend's gate: who would come through later would be late, and make others late.
   [[nodiscard]] TimePoint gate_limit(const Attempt& attempt) const;
 
+  /// Whether it needs a primary that this proxy does not reach.
+  [[nodiscard]] bool must_relay(const RunOrder& order) const;
   Awaitable<RunResult> run_here(RunOrder order);
   Awaitable<RunResult> forward(RunOrder order, std::vector<routing::ProxyPointer> proxies);
   Awaitable<std::optional<RunResult>> forward_to(RunOrder order, routing::ProxyPointer proxy,
