--- a/simulation/registered_fleet.cpp
+++ b/simulation/registered_fleet.cpp
@@ -3,9 +3,9 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <boost/json/parse.hpp>
 
 #include "platform/edge.h"
+#include "standins/unfenced/document_text.h"
 
 namespace cairnhollow::simulation {
 
@@ -28,14 +28,13 @@
 
 struct PolicyOfDatabase {
   const char* name;
-  const char* kind;
   registry::ReadPolicy policy;
   std::uint64_t staleness_ms;
 };
 constexpr std::array<PolicyOfDatabase, 3> kPolicies{
-    {{"records", "primary", registry::ReadPolicy::kPrimary, 0},
-     {"browse", "bounded_staleness", registry::ReadPolicy::kBoundedStaleness, 1500},
-     {"assign", "read_your_writes", registry::ReadPolicy::kReadYourWrites, 2500}}};
+    {{"records", registry::ReadPolicy::kPrimary, 0},
+     {"browse", registry::ReadPolicy::kBoundedStaleness, 1500},
+     {"assign", registry::ReadPolicy::kReadYourWrites, 2500}}};
 
 std::size_t number_of(const std::string& name) { return std::stoull(name.substr(name.rfind('-') + 1)); }
 
@@ -144,20 +143,13 @@
 }
 
 std::string RegisteredFleet::document(std::uint64_t version) const {
-  std::string routes;
-  for (const PolicyOfDatabase& policy : kPolicies) {
-    routes +=
-        fmt::format(R"({}{{"Name":"r-{}","Hostname":"{}","PathPrefix":"/","RouteKind":"{}","TimeoutMs":800,)"
-                    R"("TargetLatencyMs":150,"Priority":1,"Service":"group-1","MaxStalenessMs":{}}})",
-                    routes.empty() ? "" : ",", policy.name, policy.name, policy.kind, policy.staleness_ms);
-  }
-  std::string services;
-  for (std::size_t group = 1; group <= settings_.groups; ++group) {
-    services += fmt::format(R"({}{{"Name":"group-{}","MaxConns":30,"SyncReplicas":1}})",
-                            services.empty() ? "" : ",", group);
-  }
-  return fmt::format(R"({{"Version":{},"Routes":[{}],"Services":[{}],"Limits":{{"TxnIdleMs":3000}}}})",
-                     version, routes, services);
+  std::vector<DatabaseText> databases;
+  for (const PolicyOfDatabase& policy : kPolicies)
+    databases.push_back({policy.name, policy.policy, policy.staleness_ms, "group-1"});
+  std::vector<std::string> groups;
+  for (std::size_t group = 1; group <= settings_.groups; ++group)
+    groups.push_back(fmt::format("group-{}", group));
+  return document_text(version, databases, groups);
 }
 
 namespace {
@@ -185,10 +177,7 @@
   std::size_t next = version_;
   while (world_.now() < end) {
     const auto endpoints = control_endpoints(kOperatorPort);
-    runtime::HttpRequest request;
-    request.method = runtime::HttpMethod::kPut;
-    request.target = "/config";
-    request.body = body;
+    const runtime::HttpRequest request = replace_document(body);
     auto result = std::make_shared<std::optional<runtime::HttpResponse>>();
     VirtualRuntime& operators = world_.runtime("operator");
     operators.spawn("operator", call(operators, endpoints[next++ % endpoints.size()], request, result));
@@ -203,15 +192,14 @@
 std::uint64_t RegisteredFleet::read_back_version() {
   for (int attempt = 0; attempt < 30; ++attempt) {
     const auto endpoints = control_endpoints(kOperatorPort);
-    runtime::HttpRequest request;
-    request.target = "/config";
+    const runtime::HttpRequest request = read_document();
     auto result = std::make_shared<std::optional<runtime::HttpResponse>>();
     VirtualRuntime& operators = world_.runtime("operator");
-    Endpoint endpoint = endpoints[static_cast<std::size_t>(attempt) % endpoints.size()];
+    const Endpoint& endpoint = endpoints[static_cast<std::size_t>(attempt) % endpoints.size()];
     operators.spawn("operator", call(operators, endpoint, request, result));
     world_.run_for(kCallTimeout);
     if (!result->has_value() || (*result)->status != 200) continue;
-    return boost::json::parse((*result)->body).at("Version").to_number<std::uint64_t>();
+    return version_of((*result)->body);
   }
   return 0;
 }
--- a/src/session/caller_session.cpp
+++ b/src/session/caller_session.cpp
@@ -11,7 +11,7 @@
 Awaitable<void> CallerSession::run() {
   const auto self = shared_from_this();
   const bool opened = co_await open();
-  while (opened && !leaving_) {
+  while (opened && (!leaving_ || transaction_ || !answered_since_leaving_)) {
     Reason reason;
     auto statement = co_await caller_->read_statement(reason);
     if (!statement) break;
@@ -24,6 +24,7 @@
     const bool told = co_await caller_->answer(answer, reason);
     answering_ = false;
     if (!told) break;
+    answered_since_leaving_ = leaving_;
   }
   co_await end_transaction();
   caller_->close();
@@ -295,6 +296,7 @@
 
 void CallerSession::let_go() {
   leaving_ = true;
+  answered_since_leaving_ = true;
   if (!answering_) caller_->close();
 }
 
--- a/src/session/caller_session.h
+++ b/src/session/caller_session.h
@@ -27,8 +27,10 @@
   void end_resting_transaction(TimePoint now, Duration limit);
   /// Gives up the transaction that is open, unless a statement of it is being answered.
   void abort_transaction();
-  /// Ends the session after the answer that is owed.
+  /// Ends the session now, or after the answer that is owed.
   void let_go();
+  /// Ends the session after its next answer outside a transaction: then its caller asks nothing.
+  void let_go_after_answer() { leaving_ = true; }
 
  private:
   struct Transaction {
@@ -74,6 +76,7 @@
   ServedBy served_by_ = ServedBy::kProxy;
   bool answering_ = false;
   bool leaving_ = false;
+  bool answered_since_leaving_ = false;
 };
 
 }  // namespace cairnhollow::session
--- a/src/session/session_proxy.cpp
+++ b/src/session/session_proxy.cpp
@@ -220,14 +220,16 @@
   const TimePoint begun = runtime_.now();
   const TimePoint end = begun + settings_.drain_limit - kDrainMargin;
   const TimePoint abort_at = begun + settings_.drain_limit / 2;
+  const TimePoint idle_end = begun + settings_.drain_limit * 2 / 3;
   draining_ = true;
   link_.set_draining();
   co_await runtime_.sleep_for(kDrainIdleAfter);
   while (!sessions_.empty() && runtime_.now() < end) {
-    let_idle_go();
     for (const auto& [id, session] : sessions_) {
+      session->let_go_after_answer();
       if (runtime_.now() > abort_at) session->abort_transaction();
     }
+    if (runtime_.now() > idle_end) let_idle_go();
     co_await runtime_.sleep_for(kWatchTick);
   }
   stopped_ = true;
--- a/standins/unfenced/caller.cpp
+++ b/standins/unfenced/caller.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-using platform::take_word;
+namespace words = ::cairnhollow::platform;
+using words::take_word;
 
 constexpr Duration kStatementTimeout = std::chrono::milliseconds(1500);
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
@@ -50,7 +51,7 @@
       const std::string_view word = take_word(rest);
       if (word == "ROW") reply.rows.emplace_back(rest);
       if (word == "DONE") reply.done = true;
-      if (word == "ERR") reply.refusal = platform::parse_error_word(take_word(rest));
+      if (word == "ERR") reply.refusal = words::parse_error_word(take_word(rest));
       if (word != "READY") continue;
       reply.whole = true;
       co_return reply;
--- a/standins/unfenced/database.cpp
+++ b/standins/unfenced/database.cpp
@@ -12,11 +12,12 @@
 
 namespace {
 
-using platform::take_word;
+namespace words = ::cairnhollow::platform;
 using session::Answer;
 using session::Refusal;
 using session::StatementKind;
 using session::TransactionState;
+using words::take_word;
 
 constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(400);
 constexpr Duration kCallTimeout = std::chrono::milliseconds(900);
@@ -138,7 +139,7 @@
       answer.state = connection.state;
       const std::uint64_t applied = model_.applied(settings_.backend, runtime_.now());
       answer.position = Position{applied == 0 ? 1 : state().log[applied - 1].term, applied};
-      std::string printed = platform::print_answer(answer);
+      std::string printed = words::print_answer(answer);
       const bool sent = co_await lines->write(std::move(printed), reason);
       if (!sent) break;
     }
@@ -161,7 +162,7 @@
     std::optional<Position> required;
     if (rest.starts_with("AFTER ")) {
       take_word(rest);
-      required = platform::parse_position(take_word(rest));
+      required = words::parse_position(take_word(rest));
     }
     if (rest == "STATUS" || rest.starts_with("DEMOTE ")) co_return answer_status(rest);
     if (rest == "RESET") {
@@ -169,13 +170,13 @@
       connection.prepared.clear();
       co_return done();
     }
-    session::Statement statement = platform::parse_statement(id, rest);
+    session::Statement statement = words::parse_statement(id, rest);
     if (statement.kind == StatementKind::kExecute) {
       const auto prepared = connection.prepared.find(statement.name);
       if (prepared == connection.prepared.end()) co_return refuse(connection, Refusal::kUnknownStatement);
       const std::string verb = prepared->second.writes ? "WRITE " : "READ ";
       const std::string record = prepared->second.argument + "/" + statement.argument;
-      statement = platform::parse_statement(id, verb + record);
+      statement = words::parse_statement(id, verb + record);
     }
     if (required && !model_.holds(settings_.backend, *required, runtime_.now()))
       co_return refuse(connection, Refusal::kTooStale);
--- /dev/null
+++ b/standins/unfenced/document_text.cpp
@@ -0,0 +1,74 @@
+#include "standins/unfenced/document_text.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace cairnhollow::standins::unfenced {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr const char* kDocumentPath = "/config";
+constexpr std::uint64_t kTimeoutMs = 800;
+constexpr std::uint64_t kTargetLatencyMs = 150;
+constexpr std::uint64_t kMaxConnections = 30;
+constexpr std::uint64_t kTransactionIdleMs = 3000;
+
+const char* word_of(registry::ReadPolicy reads) {
+  if (reads == registry::ReadPolicy::kBoundedStaleness) return "bounded_staleness";
+  if (reads == registry::ReadPolicy::kReadYourWrites) return "read_your_writes";
+  return "primary";
+}
+
+}  // namespace
+
+std::string document_text(std::uint64_t version, const std::vector<DatabaseText>& databases,
+                          const std::vector<std::string>& groups) {
+  json::array routes;
+  for (const DatabaseText& database : databases) {
+    routes.push_back(json::object{{"Name", "r-" + database.name},
+                                  {"Hostname", database.name},
+                                  {"PathPrefix", "/"},
+                                  {"RouteKind", word_of(database.reads)},
+                                  {"TimeoutMs", kTimeoutMs},
+                                  {"TargetLatencyMs", kTargetLatencyMs},
+                                  {"Priority", 1},
+                                  {"Service", database.group},
+                                  {"MaxStalenessMs", database.staleness_ms}});
+  }
+  json::array services;
+  for (const std::string& group : groups)
+    services.push_back(json::object{{"Name", group}, {"MaxConns", kMaxConnections}, {"SyncReplicas", 1}});
+  const json::object document{{"Version", version},
+                              {"Routes", routes},
+                              {"Services", services},
+                              {"Limits", json::object{{"TxnIdleMs", kTransactionIdleMs}}}};
+  return json::serialize(document);
+}
+
+runtime::HttpRequest replace_document(std::string text) {
+  runtime::HttpRequest request;
+  request.method = runtime::HttpMethod::kPut;
+  request.target = kDocumentPath;
+  request.body = std::move(text);
+  return request;
+}
+
+runtime::HttpRequest read_document() {
+  runtime::HttpRequest request;
+  request.target = kDocumentPath;
+  return request;
+}
+
+std::uint64_t version_of(const std::string& text) {
+  boost::system::error_code error;
+  const json::value document = json::parse(text, error);
+  if (error || !document.is_object()) return 0;
+  const json::value* version = document.as_object().if_contains("Version");
+  return version == nullptr ? 0 : version->to_number<std::uint64_t>();
+}
+
+}  // namespace cairnhollow::standins::unfenced
--- /dev/null
+++ b/standins/unfenced/document_text.h
@@ -0,0 +1,29 @@
+// The operator's calls as the platform speaks them, for tests.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "registry/model.h"
+#include "runtime/http.h"
+
+namespace cairnhollow::standins::unfenced {
+
+struct DatabaseText {
+  std::string name;
+  registry::ReadPolicy reads = registry::ReadPolicy::kPrimary;
+  std::uint64_t staleness_ms = 0;
+  std::string group;
+};
+
+/// A configuration document of these databases and groups.
+std::string document_text(std::uint64_t version, const std::vector<DatabaseText>& databases,
+                          const std::vector<std::string>& groups);
+
+runtime::HttpRequest replace_document(std::string text);
+runtime::HttpRequest read_document();
+/// 0 when the text is no document.
+std::uint64_t version_of(const std::string& text);
+
+}  // namespace cairnhollow::standins::unfenced
