--- /dev/null
+++ b/src/control/registered/control_metrics.cpp
@@ -0,0 +1,52 @@
+#include "control/registered/control_metrics.h"
+
+#include <prometheus/gauge.h>
+
+#include "runtime/metrics.h"
+
+namespace cairnhollow::control::registered {
+
+namespace {
+
+constexpr unsigned kNotFound = 404;
+
+}  // namespace
+
+std::string ControlMetrics::render() const {
+  runtime::Metrics metrics;
+  const auto gauge = [&](const char* name, const char* help, std::uint64_t value) {
+    metrics.gauge(name, help).Set(static_cast<double>(value));
+  };
+  const consensus::ConsensusStatus status = consensus_.status();
+  std::uint64_t open_groups = 0;
+  for (const auto& group : fleet_.groups()) {
+    const registry::GroupTerm* term = fleet_.find_term(group.name);
+    if (term != nullptr && term->open) ++open_groups;
+  }
+  const bool leads = status.state == consensus::ServerState::kLeader;
+  gauge("cairnhollow_registry_is_leader", "1 on the leader of the control nodes.", leads ? 1 : 0);
+  gauge("cairnhollow_registry_consensus_term", "Term of the consensus group.", status.term);
+  gauge("cairnhollow_registry_applied_index", "Last log index applied.", status.applied_index);
+  gauge("cairnhollow_registry_document_version", "Version of the document held.", fleet_.document_version());
+  gauge("cairnhollow_registry_revision", "Revision of the fleet's state.", fleet_.revision());
+  gauge("cairnhollow_registry_groups", "Database groups of the document.", fleet_.groups().size());
+  gauge("cairnhollow_registry_groups_open", "Groups whose primary may be used.", open_groups);
+  gauge("cairnhollow_registry_backends", "Backends registered.", fleet_.backends().size());
+  gauge("cairnhollow_registry_proxies", "Proxies that may hold a lease.", fleet_.proxies().size());
+  gauge("cairnhollow_registry_followers", "Proxies connected to this node.", leases_.followers());
+  return metrics.render();
+}
+
+Awaitable<runtime::HttpResponse> ControlMetrics::handle(runtime::HttpRequest request,
+                                                        runtime::HttpConnectionId /*connection*/) {
+  runtime::HttpResponse response;
+  if (request.target == "/metrics") {
+    response.headers.fields["content-type"] = runtime::kMetricsContentType;
+    response.body = render();
+  } else {
+    response.status = kNotFound;
+  }
+  co_return response;
+}
+
+}  // namespace cairnhollow::control::registered
--- /dev/null
+++ b/src/control/registered/control_metrics.h
@@ -0,0 +1,29 @@
+// Metrics of a control node of a registered fleet, rendered when they are asked for.
+#pragma once
+
+#include "consensus/consensus.h"
+#include "control/registered/lease_keeper.h"
+#include "registry/state_machine.h"
+#include "runtime/http.h"
+
+namespace cairnhollow::control::registered {
+
+/// Answers `GET /metrics`. What it refers to outlives it.
+class ControlMetrics : public runtime::HttpHandler {
+ public:
+  ControlMetrics(const consensus::Consensus& consensus, const registry::FleetStateMachine& fleet,
+                 const LeaseKeeper& leases)
+      : consensus_(consensus), fleet_(fleet), leases_(leases) {}
+
+  Awaitable<runtime::HttpResponse> handle(runtime::HttpRequest request,
+                                          runtime::HttpConnectionId connection) override;
+
+ private:
+  [[nodiscard]] std::string render() const;
+
+  const consensus::Consensus& consensus_;
+  const registry::FleetStateMachine& fleet_;
+  const LeaseKeeper& leases_;
+};
+
+}  // namespace cairnhollow::control::registered
--- a/src/control/registered/knobs.h
+++ b/src/control/registered/knobs.h
@@ -24,6 +24,11 @@
 inline constexpr Duration kFormationPatience = std::chrono::seconds(6);
 inline constexpr Duration kVoterTick = std::chrono::milliseconds(250);
 inline constexpr Duration kVoterChangeLimit = std::chrono::seconds(10);
+/// Changes are gathered for so long for each follower before they are pushed, at most for the limit.
+inline constexpr Duration kPushGathering = std::chrono::microseconds(100);
+inline constexpr Duration kPushGatheringLimit = std::chrono::milliseconds(50);
+/// Proxies ask for leases no closer together than this, as far as their leases allow.
+inline constexpr Duration kReportSpacing = std::chrono::milliseconds(4);
 /// A proxy whose lease ran out this long ago is forgotten.
 inline constexpr Duration kForgetProxyAfter = std::chrono::seconds(8);
 /// How often groups are looked at when nothing happens.
--- a/src/control/registered/lease_keeper.cpp
+++ b/src/control/registered/lease_keeper.cpp
@@ -148,6 +148,10 @@
 Awaitable<void> LeaseKeeper::push_changes() {
   while (!stopping_) {
     co_await fleet_.changed().wait();
+    // Changes that come together are told together; the more followers there are, the longer they are
+    // gathered.
+    const Duration gathering = kPushGathering * static_cast<Duration::rep>(followers_.size());
+    co_await runtime_.sleep_for(std::min<Duration>(gathering, kPushGatheringLimit));
     for (const auto& [id, follower] : followers_) {
       if (follower->admitted) flush(follower);
     }
@@ -184,17 +188,40 @@
   update.refusal = std::exchange(follower.refusal, std::nullopt);
   if (!follower.admitted) return update;
   if (follower.revision_sent < fleet_.revision()) {
-    update.delta = fleet_.delta_since(follower.revision_sent);
+    update.delta = delta_since(follower.revision_sent);
     follower.revision_sent = fleet_.revision();
   }
-  auto endpoints = directory_.serving_endpoints(runtime_.now());
-  if (endpoints != follower.endpoints_sent) {
-    follower.endpoints_sent = endpoints;
-    update.control_endpoints = std::move(endpoints);
+  update.report_interval = report_interval();
+  if (endpoints() != follower.endpoints_sent) {
+    follower.endpoints_sent = endpoints();
+    update.control_endpoints = endpoints();
   }
   return update;
 }
 
+const std::string& LeaseKeeper::delta_since(std::uint64_t revision) {
+  if (deltas_to_ != fleet_.revision()) deltas_.clear();
+  deltas_to_ = fleet_.revision();
+  auto found = deltas_.find(revision);
+  if (found == deltas_.end())
+    found = deltas_.emplace(revision, wire::encode(fleet_.delta_since(revision))).first;
+  return found->second;
+}
+
+const std::vector<Endpoint>& LeaseKeeper::endpoints() {
+  const TimePoint now = runtime_.now();
+  if (endpoints_.empty() || now - endpoints_at_ > kPresenceInterval) {
+    endpoints_ = directory_.serving_endpoints(now);
+    endpoints_at_ = now;
+  }
+  return endpoints_;
+}
+
+Duration LeaseKeeper::report_interval() const {
+  const Duration by_load = kReportSpacing * static_cast<Duration::rep>(followers_.size());
+  return std::clamp<Duration>(by_load, serving_lease_ / 5, serving_lease_ * 2 / 5);
+}
+
 void LeaseKeeper::flush(const std::shared_ptr<Follower>& follower) {
   if (follower->sending || !has_something_for(*follower)) return;
   follower->sending = true;
--- a/src/control/registered/lease_keeper.h
+++ b/src/control/registered/lease_keeper.h
@@ -78,6 +78,9 @@
   Awaitable<void> send_updates(std::shared_ptr<Follower> follower);
   [[nodiscard]] bool has_something_for(const Follower& follower) const;
   registry::ProxyUpdate make_update(Follower& follower);
+  const std::string& delta_since(std::uint64_t revision);
+  const std::vector<Endpoint>& endpoints();
+  [[nodiscard]] Duration report_interval() const;
   [[nodiscard]] bool leads() const;
   void watch_leadership();
   [[nodiscard]] TimePoint lease_bound(const NodeName& node, std::uint64_t incarnation) const;
@@ -93,6 +96,10 @@
   std::map<std::uint64_t, std::shared_ptr<Follower>> followers_;
   std::map<NodeName, Life> lives_;
   std::uint64_t next_follower_ = 1;
+  std::uint64_t deltas_to_ = 0;                  ///< the revision that the encoded deltas lead to
+  std::map<std::uint64_t, std::string> deltas_;  ///< encoded, by the revision that they begin from
+  std::vector<Endpoint> endpoints_;
+  TimePoint endpoints_at_{};
   std::uint64_t led_term_ = 0;
   TimePoint leads_since_{};
   bool stopping_ = false;
--- a/src/control/registered/registered_control_node.cpp
+++ b/src/control/registered/registered_control_node.cpp
@@ -4,6 +4,7 @@
 
 #include "consensus/raft.h"
 #include "control/connection_dispatcher.h"
+#include "control/registered/control_metrics.h"
 #include "control/registered/control_node_directory.h"
 #include "control/registered/group_keeper.h"
 #include "control/registered/group_prober.h"
@@ -69,6 +70,7 @@
         voters_(runtime, *raft_, directory_, settings_.lost_disks_tolerated),
         registrations_(runtime, *raft_, fleet_, calls_, voters_),
         operator_calls_(edge.make_operator_calls(registrations_)),
+        metrics_(*raft_, fleet_, leases_),
         dispatcher_(runtime) {
     leases_.on_suspicion([this](const NodeName& proxy, const registry::PrimarySuspicion& said) {
       groups_.note_suspicion(proxy, said);
@@ -85,7 +87,9 @@
     calls_.announce(own_member());
     if (!dispatcher_.start(settings_.peer_endpoint, reason)) co_return false;
     operator_server_ = runtime_.http().serve(settings_.operator_endpoint, *operator_calls_, reason);
-    co_return operator_server_ != nullptr;
+    if (!operator_server_ || !settings_.metrics_endpoint) co_return operator_server_ != nullptr;
+    metrics_server_ = runtime_.http().serve(*settings_.metrics_endpoint, metrics_, reason);
+    co_return metrics_server_ != nullptr;
   }
 
   [[nodiscard]] std::optional<std::uint64_t> leading_term() const {
@@ -143,8 +147,10 @@
   VoterKeeper voters_;
   RegistrationService registrations_;
   std::unique_ptr<runtime::HttpHandler> operator_calls_;
+  ControlMetrics metrics_;
   ConnectionDispatcher dispatcher_;
   std::unique_ptr<runtime::HttpServer> operator_server_;
+  std::unique_ptr<runtime::HttpServer> metrics_server_;
 };
 
 }  // namespace
--- a/src/registry/messages.h
+++ b/src/registry/messages.h
@@ -61,15 +61,19 @@
 struct ProxyUpdate {
   std::uint64_t nonce = 0;  ///< of the newest report that this answers; 0: pushed unasked
   Duration lease{0};        ///< from the moment of asking, on the proxy's clock; 0: none
-  std::optional<FleetDelta> delta;
+  std::string
+      delta;  ///< an encoded FleetDelta; empty: nothing changed. Encoded once for all who lack the same
+  Duration report_interval{0};  ///< in which the proxy is to ask again; grows with the number of proxies
   std::vector<Endpoint> control_endpoints;  ///< where control nodes are; empty: as before
   std::optional<Reason> refusal;            ///< kNotLeader names the leader's address as peer, where known
 
   template <class Archive>
   void serialize(Archive& archive) {
     auto lease_nanoseconds = lease.count();
-    archive(nonce, lease_nanoseconds, delta, control_endpoints, refusal);
+    auto interval_nanoseconds = report_interval.count();
+    archive(nonce, lease_nanoseconds, delta, interval_nanoseconds, control_endpoints, refusal);
     lease = Duration(lease_nanoseconds);
+    report_interval = Duration(interval_nanoseconds);
   }
 };
 
--- a/src/session/fleet_link.cpp
+++ b/src/session/fleet_link.cpp
@@ -60,7 +60,12 @@
       conversation->broken = true;
       conversation->connection->close();
     }
-    if (!stopping_) co_await runtime_.sleep_for(kControlRetryPause);
+    if (stopping_) continue;
+    // Proxies that lost the leader together do not come back together.
+    const Duration pause = std::min<Duration>(
+        kControlRetryPause * (1 << std::min(failures_, kMaxBackoffSteps)), kControlRetryLimit);
+    failures_ = hinted_leader_ ? failures_ : failures_ + 1;
+    co_await runtime_.sleep_for(runtime_.random().between(pause / 2, pause));
   }
 }
 
@@ -84,7 +89,9 @@
 
 bool FleetLink::is_stalled(const Conversation& conversation) const {
   if (conversation.asked.empty()) return false;
-  return runtime_.now() - conversation.asked.begin()->second > kReportTimeout;
+  // A first answer may have to wait behind those of many others.
+  const Duration limit = conversation.answered ? kReportTimeout : kFirstReportTimeout;
+  return runtime_.now() - conversation.asked.begin()->second > limit;
 }
 
 Awaitable<void> FleetLink::converse(std::shared_ptr<Conversation> conversation) {
@@ -105,8 +112,8 @@
     if (!sent) note_lost(reason, conversation->connection->peer());
     if (!sent) co_return;
     while (!stopping_ && !conversation->broken && !report_now_ && !is_stalled(*conversation) &&
-           runtime_.now() < asked_at + kReportInterval) {
-      co_await wake_.wait_until(asked_at + kReportInterval);
+           runtime_.now() < asked_at + report_interval_) {
+      co_await wake_.wait_until(asked_at + report_interval_);
     }
     if (is_stalled(*conversation)) {
       const std::string peer = conversation->connection->peer();
@@ -151,10 +158,15 @@
         endpoints_.push_back(endpoint);
     }
   }
-  if (update.delta) {
+  if (update.report_interval > Duration(0)) report_interval_ = update.report_interval;
+  Reason reason;
+  std::optional<registry::FleetDelta> delta;
+  if (!update.delta.empty()) delta = wire::decode<registry::FleetDelta>(update.delta, reason);
+  if (!update.delta.empty() && !delta) return take_refusal(conversation, reason);
+  if (delta) {
     const auto before = view_.closed_groups().size();
     const std::uint64_t version = view_.document_version();
-    view_.apply(*update.delta);
+    view_.apply(*delta);
     report_now_ = report_now_ || view_.closed_groups().size() != before;
     if (version != view_.document_version()) {
       runtime_.logger().log(LogLevel::kInfo, "document_in_force",
@@ -167,8 +179,10 @@
   if (asked == conversation.asked.end()) return;
   if (update.lease > Duration(0)) view_.extend_lease(asked->second + update.lease);
   conversation.asked.erase(conversation.asked.begin(), std::next(asked));
+  conversation.answered = true;
   if (connected_) return;
   connected_ = true;
+  failures_ = 0;
   runtime_.logger().log(LogLevel::kInfo, "control_found", {{"control", conversation.connection->peer()}});
 }
 
--- a/src/session/fleet_link.h
+++ b/src/session/fleet_link.h
@@ -39,7 +39,7 @@
     std::shared_ptr<runtime::FrameConnection> connection;
     std::map<std::uint64_t, TimePoint> asked;  ///< when the reports not yet answered were sent, by nonce
     bool broken = false;
-    bool refused = false;
+    bool answered = false;  ///< at least once
   };
 
   Awaitable<void> run();
@@ -64,6 +64,8 @@
   std::size_t next_endpoint_ = 0;
   std::uint64_t incarnation_;
   std::uint64_t next_nonce_ = 1;
+  Duration report_interval_ = kReportInterval;
+  int failures_ = 0;  ///< attempts in a row without an answer
   std::vector<registry::PrimarySuspicion> suspicions_;
   std::map<std::pair<GroupName, SuspicionKind>, TimePoint> suspected_at_;
   TimePoint search_logged_{};
--- a/src/session/knobs.h
+++ b/src/session/knobs.h
@@ -15,6 +15,9 @@
 inline constexpr Duration kReportInterval = milliseconds(400);
 /// Without an answer for this long another control node is asked.
 inline constexpr Duration kReportTimeout = milliseconds(600);
+inline constexpr Duration kFirstReportTimeout = milliseconds(900);
+inline constexpr Duration kControlRetryLimit = milliseconds(80);
+inline constexpr int kMaxBackoffSteps = 5;
 inline constexpr Duration kControlConnectTimeout = milliseconds(400);
 inline constexpr Duration kSearchLogInterval = milliseconds(250);
 inline constexpr Duration kControlRetryPause = milliseconds(20);
--- a/tests/cli/settings_programs_test.cpp
+++ b/tests/cli/settings_programs_test.cpp
@@ -9,6 +9,7 @@
 
 #include "cli/settings_control.h"
 #include "cli/settings_proxy.h"
+#include "cli/settings_registered.h"
 #include "standins/database/settings_file.h"
 #include "standins/platform/settings_file.h"
 
@@ -84,6 +85,7 @@
   CPPUNIT_TEST(a_database_is_a_member_of_its_group);
   CPPUNIT_TEST(a_backend_stands_once_in_its_group);
   CPPUNIT_TEST(empty_settings_name_every_required_key);
+  CPPUNIT_TEST(a_registered_fleets_programs_need_their_endpoints);
   CPPUNIT_TEST(the_page_lists_exactly_the_keys_that_are_read);
   CPPUNIT_TEST_SUITE_END();
 
@@ -198,9 +200,31 @@
                          fmt::format("{}", fmt::join(fields, " ")));
   }
 
+  void a_registered_fleets_programs_need_their_endpoints() {
+    SettingsReader proxy = read(
+        "{fleet: registered, node: p-1, zone: a, session_endpoint: '127.0.0.1:1', readiness_endpoint: "
+        "'127.0.0.1:2', "
+        "peer_endpoint: '127.0.0.1:3', seeds: ['127.0.0.1:4'], control_port: 5}");
+    CPPUNIT_ASSERT(read_fleet_kind(proxy) == FleetKind::kRegistered);
+    const auto settings = read_session_proxy_settings(proxy);
+    proxy.finish();
+    assert_no_faults();
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t{5}, settings.control_port);
+    CPPUNIT_ASSERT(!settings.metrics_endpoint);
+    SettingsReader control = read("{node: c-1, zone: a}");
+    read_registered_control_settings(control);
+    std::vector<std::string> fields;
+    for (const SettingsFault& fault : faults_) fields.push_back(fault.field);
+    CPPUNIT_ASSERT_EQUAL(std::string("peer_endpoint operator_endpoint seeds promotion_endpoint"),
+                         fmt::format("{}", fmt::join(fields, " ")));
+  }
+
   void the_page_lists_exactly_the_keys_that_are_read() {
     assert_documented("`cairnhollow-proxy`", read_proxy_settings, {});
     assert_documented("`cairnhollow-control`", read_control_settings, {"data_folder", "role", "endpoint"});
+    assert_documented("Registered fleet: `cairnhollow-proxy`", read_session_proxy_settings, {"fleet"});
+    assert_documented("Registered fleet: `cairnhollow-control`", read_registered_control_settings,
+                      {"fleet", "data_folder"});
     assert_documented("`cairnhollow-database`", standins::database::read_database_settings, {"data_folder"});
     assert_documented("`cairnhollow-platform`", standins::platform::read_platform_settings, {});
   }
