--- a/src/control/registered/lease_keeper.cpp
+++ b/src/control/registered/lease_keeper.cpp
@@ -219,7 +219,7 @@
 
 Duration LeaseKeeper::report_interval() const {
   const Duration by_load = kReportSpacing * static_cast<Duration::rep>(followers_.size());
-  return std::clamp<Duration>(by_load, serving_lease_ / 5, serving_lease_ * 2 / 5);
+  return std::clamp<Duration>(by_load, serving_lease_ / 4, serving_lease_ * 2 / 5);
 }
 
 void LeaseKeeper::flush(const std::shared_ptr<Follower>& follower) {
--- a/src/control/registered/settings.h
+++ b/src/control/registered/settings.h
@@ -20,7 +20,7 @@
   Endpoint promotion_endpoint;
   /// Disks that may be lost at once; the consensus group keeps twice as many voters and one.
   std::uint32_t lost_disks_tolerated = 1;
-  Duration serving_lease = std::chrono::milliseconds(2000);
+  Duration serving_lease = std::chrono::milliseconds(1500);
   Duration election_timeout = std::chrono::milliseconds(400);
   Duration first_election_timeout =
       std::chrono::milliseconds(60);  ///< until a leader was heard since the start
