--- /dev/null
+++ b/src/session/statement_attempt.h
@@ -0,0 +1,74 @@
+// StatementRunner's bookkeeping of one statement, for its own parts only.
+#pragma once
+
+#include <optional>
+#include <set>
+#include <string>
+
+#include "session/statement_runner.h"
+
+namespace cairnhollow::session {
+
+/// Whole milliseconds, for log lines and messages.
+inline std::int64_t in_ms(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+/// Gives back the place that a statement took, with what its answer tells of the backend.
+inline void leave_gate(StatementGate& gate, const std::optional<Answer>& answer, Duration latency) {
+  if (!answer) return gate.leave_unanswered();
+  if (answer->refusal == Refusal::kBusy) return gate.leave_busy();
+  // What was not run was answered at once and tells nothing about the time that statements take.
+  if (answer->refusal) return gate.leave_unanswered();
+  gate.leave(latency);
+}
+
+/// A statement at a primary, taken out of the group's list when the scope ends.
+class WorkScope {
+ public:
+  WorkScope(GroupAccess& group, PrimaryWork work) : group_(group), key_(group.begin_work(std::move(work))) {}
+  ~WorkScope() { group_.end_work(key_); }
+  WorkScope(const WorkScope&) = delete;
+  WorkScope& operator=(const WorkScope&) = delete;
+
+ private:
+  GroupAccess& group_;
+  std::uint64_t key_;
+};
+
+/// One statement on its way, over all its attempts.
+struct StatementRunner::Attempt {
+  explicit Attempt(RunOrder run_order) : order(std::move(run_order)) {}
+
+  RunOrder order;
+  int count = 0;
+  std::set<BackendName> excluded;
+  ReadNeed need;
+  TimePoint refuse_at{};  ///< until then somebody who can serve it is waited for
+  bool offered = false;   ///< a backend that could run it has been asked
+  Reason reason;          ///< of the last failure
+  RunResult result;
+
+  // Of the attempt under way.
+  std::shared_ptr<BackendUse> backend;
+  std::shared_ptr<StatefulLink> link;
+  std::uint64_t epoch = 0;
+  bool at_primary = false;
+  bool needs_primary = false;  ///< the answer counts only while the primary of `epoch` may be used
+  TimePoint sent_at{};
+  runtime::SendState sent = runtime::SendState::kNotSent;
+
+  // Where the time went, over all attempts.
+  Duration at_gate{0};
+  Duration at_pool{0};
+  Duration at_backend{0};
+  std::string path;  ///< backends tried and how each attempt ended
+
+  /// Whether nothing is lost when it runs once more.
+  [[nodiscard]] bool may_run_again() const { return !order.writes || order.opens_transaction; }
+  [[nodiscard]] bool is_read() const {
+    return order.opens_transaction ? order.read_only_transaction : !order.writes;
+  }
+};
+
+}  // namespace cairnhollow::session
--- a/src/session/statement_runner.cpp
+++ b/src/session/statement_runner.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "session/statement_attempt.h"
+
 namespace cairnhollow::session {
 
 using runtime::LogLevel;
@@ -11,74 +13,14 @@
 
 namespace {
 
-std::int64_t in_ms(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
-void leave_gate(StatementGate& gate, const std::optional<Answer>& answer, Duration latency) {
-  if (!answer) return gate.leave_unanswered();
-  if (answer->refusal == Refusal::kBusy) return gate.leave_busy();
-  // What was not run was answered at once and tells nothing about the time that statements take.
-  if (answer->refusal) return gate.leave_unanswered();
-  gate.leave(latency);
-}
-
 /// Behind the statements of open transactions, which hold connections.
 std::uint8_t urgency_of(const RunOrder& order) {
   constexpr std::uint64_t kLeastUrgent = 100;
   return static_cast<std::uint8_t>(std::min(order.route.priority + 1, kLeastUrgent));
 }
 
-/// A statement at a primary, taken out of the group's list when the scope ends.
-class WorkScope {
- public:
-  WorkScope(GroupAccess& group, PrimaryWork work) : group_(group), key_(group.begin_work(std::move(work))) {}
-  ~WorkScope() { group_.end_work(key_); }
-  WorkScope(const WorkScope&) = delete;
-  WorkScope& operator=(const WorkScope&) = delete;
-
- private:
-  GroupAccess& group_;
-  std::uint64_t key_;
-};
-
 }  // namespace
 
-/// One statement on its way, over all its attempts.
-struct StatementRunner::Attempt {
-  explicit Attempt(RunOrder run_order) : order(std::move(run_order)) {}
-
-  RunOrder order;
-  int count = 0;
-  std::set<BackendName> excluded;
-  ReadNeed need;
-  TimePoint refuse_at{};  ///< until then somebody who can serve it is waited for
-  bool offered = false;   ///< a backend that could run it has been asked
-  Reason reason;          ///< of the last failure
-  RunResult result;
-
-  // Of the attempt under way.
-  std::shared_ptr<BackendUse> backend;
-  std::shared_ptr<StatefulLink> link;
-  std::uint64_t epoch = 0;
-  bool at_primary = false;
-  bool needs_primary = false;  ///< the answer counts only while the primary of `epoch` may be used
-  TimePoint sent_at{};
-  SendState sent = SendState::kNotSent;
-
-  // Where the time went, over all attempts.
-  Duration at_gate{0};
-  Duration at_pool{0};
-  Duration at_backend{0};
-  std::string path;  ///< backends tried and how each attempt ended
-
-  /// Whether nothing is lost when it runs once more.
-  [[nodiscard]] bool may_run_again() const { return !order.writes || order.opens_transaction; }
-  [[nodiscard]] bool is_read() const {
-    return order.opens_transaction ? order.read_only_transaction : !order.writes;
-  }
-};
-
 BackendRequest StatementRunner::make_request(const RunOrder& order, const StatefulLink& link,
                                              std::optional<Position> required) const {
   if (!order.prepared) return PassOn{order.id, order.text, required};
@@ -364,141 +306,4 @@
   return Step::kDone;
 }
 
-Awaitable<Answer> StatementRunner::run_pinned(PinnedLink pinned, RunOrder order, bool commits, bool wrote) {
-  if (pinned.remote) co_return co_await forward_pinned(*pinned.remote, std::move(order), commits, wrote);
-  GroupAccess& group = *order.group;
-  runtime::Runtime& runtime = services_.runtime;
-  Answer aborted;
-  aborted.refusal = Refusal::kAborted;
-  aborted.state = TransactionState::kFailed;
-  aborted.detail = "the transaction's backend was given up; nothing of it is kept";
-  const auto usable = [&] {
-    return !pinned.at_primary || order.read_only_transaction ||
-           services_.view.may_use_primary(group, pinned.epoch);
-  };
-  Reason reason;
-  const TimePoint setup_deadline = std::min(order.deadline, runtime.now() + kLinkSetupTimeout);
-  bool ready = usable() && pinned.link->link().is_open();
-  if (ready)
-    ready = co_await pinned.link->bring_in_order(order.values, order.prepared, setup_deadline, reason);
-  bool entered = false;
-  if (ready) entered = co_await pinned.backend->gate.enter(backend::kUrgentClass, order.deadline);
-  if (!entered || !usable()) {
-    if (entered) pinned.backend->gate.leave_unanswered();
-    pinned.link->link().close();
-    log_refusal(order, aborted, reason, 0);
-    co_return aborted;
-  }
-  const TimePoint sent_at = runtime.now();
-  SendState sent = SendState::kNotSent;
-  std::optional<WorkScope> work;
-  if (pinned.at_primary)
-    work.emplace(group, PrimaryWork{pinned.link->shared_link(), sent_at, commits && wrote});
-  BackendRequest request = make_request(order, *pinned.link, std::nullopt);
-  auto answer = co_await pinned.link->link().run(std::move(request), order.deadline, sent, reason);
-  leave_gate(pinned.backend->gate, answer, runtime.now() - sent_at);
-  work.reset();
-  const bool current = services_.view.may_use_primary(group, pinned.epoch);
-  if (answer) pinned.link->note_state(answer->state);
-  if (!answer) {
-    services_.metrics.count_lost_answer();
-    if (pinned.at_primary && current) services_.link.report_suspicion(group, SuspicionKind::kSilent);
-    const bool in_doubt = commits && wrote && sent == SendState::kMaybeSent;
-    if (in_doubt) aborted.refusal = Refusal::kInDoubt;
-    if (in_doubt) aborted.detail = "the commit was sent and its outcome is not known";
-    log_refusal(order, aborted, reason, 1);
-    co_return aborted;
-  }
-  if (answer->succeeded() && pinned.at_primary && current && answer->position)
-    group.note_primary_position(sent_at, *answer->position);
-  if (commits && wrote && answer->succeeded()) {
-    if (current && answer->position) {
-      group.note_acknowledged(*answer->position);
-    } else {
-      aborted.refusal = Refusal::kInDoubt;
-      aborted.detail = "its primary was given up before the answer came";
-      log_refusal(order, aborted, reason, 1);
-      co_return aborted;
-    }
-  }
-  if (answer->refusal) log_refusal(order, *answer, reason, 1);
-  co_return std::move(*answer);
-}
-
-Awaitable<void> StatementRunner::roll_back(PinnedLink pinned) {
-  if (pinned.remote) {
-    co_await end_remote(*pinned.remote);
-    co_return;
-  }
-  Reason reason;
-  SendState sent = SendState::kNotSent;
-  const TimePoint deadline = services_.runtime.now() + kLinkSetupTimeout;
-  if (pinned.link->link().is_open()) {
-    BackendRequest request = Rollback{};
-    const auto answer = co_await pinned.link->link().run(std::move(request), deadline, sent, reason);
-    if (!answer || answer->state != TransactionState::kIdle) pinned.link->link().close();
-    pinned.link->note_state(TransactionState::kIdle);
-  }
-  give_back(pinned);
-}
-
-Awaitable<void> StatementRunner::end(PinnedLink pinned) {
-  if (pinned.link && !pinned.link->has_open_transaction()) {
-    give_back(pinned);
-    co_return;
-  }
-  co_await roll_back(pinned);
-}
-
-void StatementRunner::give_back(const PinnedLink& pinned) {
-  if (pinned.remote) {
-    services_.runtime.spawn("forward_end", end_remote(*pinned.remote));
-  } else {
-    pinned.backend->pool.release(pinned.link);
-  }
-}
-
-void StatementRunner::abort(const PinnedLink& pinned) {
-  if (pinned.remote) {
-    services_.runtime.spawn("forward_end", end_remote(*pinned.remote));
-  } else {
-    pinned.link->link().close();
-  }
-}
-
-void StatementRunner::log_slow(const Attempt& attempt) {
-  services_.runtime.logger().log(
-      LogLevel::kInfo, "statement_slow",
-      {{"id", attempt.order.id},
-       {"group", attempt.order.group->group().value},
-       {"writes", attempt.order.writes ? "true" : "false"},
-       {"opens_transaction", attempt.order.opens_transaction ? "true" : "false"},
-       {"primary_only", attempt.need.primary_only ? "true" : "false"},
-       {"attempts", std::to_string(attempt.count)},
-       {"backends", attempt.path},
-       {"gate_ms", std::to_string(in_ms(attempt.at_gate))},
-       {"link_ms", std::to_string(in_ms(attempt.at_pool))},
-       {"backend_ms", std::to_string(in_ms(attempt.at_backend))},
-       {"took_ms", std::to_string(in_ms(services_.runtime.now() - attempt.order.arrived))}});
-}
-
-void StatementRunner::log_refusal(const RunOrder& order, const Answer& answer, const Reason& reason,
-                                  int attempts) {
-  const registry::GroupTerm& term = order.group->term();
-  const Duration lease_left = services_.view.lease_until() - services_.runtime.now();
-  services_.runtime.logger().log(
-      LogLevel::kWarning, "statement_refused", reason,
-      {{"id", order.id},
-       {"refusal", refusal_name(*answer.refusal)},
-       {"why", answer.detail},
-       {"database", order.route.database.value},
-       {"group", term.group.value},
-       {"term", std::to_string(term.term)},
-       {"epoch", std::to_string(term.epoch)},
-       {"open", term.open ? "true" : "false"},
-       {"lease_left_ms", std::to_string(in_ms(lease_left))},
-       {"attempts", std::to_string(attempts)},
-       {"waited_ms", std::to_string(in_ms(services_.runtime.now() - order.arrived))}});
-}
-
 }  // namespace cairnhollow::session
