--- a/simulation/registered_fleet.cpp
+++ b/simulation/registered_fleet.cpp
@@ -145,9 +145,11 @@
 
 std::string RegisteredFleet::document(std::uint64_t version) const {
   std::vector<DatabaseText> databases;
+  databases.reserve(kPolicies.size());
   for (const PolicyOfDatabase& policy : kPolicies)
     databases.push_back({policy.name, policy.policy, policy.staleness_ms, "group-1"});
   std::vector<std::string> groups;
+  groups.reserve(settings_.groups);
   for (std::size_t group = 1; group <= settings_.groups; ++group)
     groups.push_back(fmt::format("group-{}", group));
   return document_text(version, databases, groups);
