Control at 300 machines: registry indexed, registrations gathered into one entry, pushes spaced

Each registration went through all backends (address taken by another?), each look at a group copied all of them (300 groups each 250 ms), each registration at a follower opened a connection of its own to the leader, and each change was pushed to 297 proxies by itself. Ruled out: disk (11 syncs a second) and the log (entries are appended in batches).

--- a/src/consensus/consensus.h
+++ b/src/consensus/consensus.h
@@ -82,6 +82,9 @@
                                          Reason& reason) = 0;
 
   [[nodiscard]] virtual ConsensusStatus status() const = 0;
+  /// Whether this node leads, for callers that ask often.
+  [[nodiscard]] virtual bool leads() const { return status().state == ServerState::kLeader; }
+  [[nodiscard]] virtual std::uint64_t term() const { return status().term; }
 };
 
 }  // namespace cairnhollow::consensus
--- a/src/consensus/raft_node.h
+++ b/src/consensus/raft_node.h
@@ -29,6 +29,8 @@
   Awaitable<bool> replace_member(NodeName lost, Member replacement, TimePoint deadline,
                                  Reason& reason) override;
   [[nodiscard]] ConsensusStatus status() const override;
+  [[nodiscard]] bool leads() const override { return state_.role() == ServerState::kLeader; }
+  [[nodiscard]] std::uint64_t term() const override { return state_.term(); }
 
  private:
   void leadership_ended(std::uint64_t term) override;
--- a/src/control/registered/group_keeper.cpp
+++ b/src/control/registered/group_keeper.cpp
@@ -31,7 +31,7 @@
 }
 
 bool GroupKeeper::leads() const {
-  return !stopping_ && consensus_.status().state == consensus::ServerState::kLeader;
+  return !stopping_ && consensus_.leads();
 }
 
 void GroupKeeper::note_suspicion(const NodeName& proxy, const registry::PrimarySuspicion& suspicion) {
@@ -53,17 +53,27 @@
 
 Awaitable<void> GroupKeeper::run() {
   while (!stopping_) {
-    if (!leads()) memberships_.clear();
-    if (leads()) {
-      for (const auto& group : fleet_.groups()) {
-        watch_members(group.name);
-        look_at(group.name);
-      }
+    if (!leads()) {
+      memberships_.clear();
+      settled_revision_.reset();
+    } else if (settled_revision_ != fleet_.revision() || !suspicions_.empty()) {
+      look_at_all();
     }
     co_await wake_.wait_until(runtime_.now() + kGroupTick);
   }
 }
 
+void GroupKeeper::look_at_all() {
+  const std::uint64_t revision = fleet_.revision();
+  for (const auto& group : fleet_.groups()) {
+    watch_members(group.name);
+    look_at(group.name);
+  }
+  // Nothing to do, and nothing will be until the fleet changes or a proxy suspects a primary.
+  settled_revision_.reset();
+  if (busy_.empty()) settled_revision_ = revision;
+}
+
 std::optional<GroupTerm> GroupKeeper::term_of(const GroupName& group) const {
   const GroupTerm* term = fleet_.find_term(group);
   if (term == nullptr) return std::nullopt;
@@ -78,13 +88,13 @@
 }
 
 void GroupKeeper::watch_members(const GroupName& group) {
-  std::set<BackendName> members;
-  for (const auto& entry : fleet_.backends_of(group)) members.insert(entry.name);
+  const std::set<BackendName>& members = fleet_.members_of(group);
   const auto [membership, is_new] = memberships_.try_emplace(group);
   const auto& before = membership->second.members;
+  if (!is_new && before == members) return;
   const bool lost = !std::includes(members.begin(), members.end(), before.begin(), before.end());
   if (is_new || lost) membership->second.left_at = runtime_.now();
-  membership->second.members = std::move(members);
+  membership->second.members = members;
 }
 
 void GroupKeeper::look_at(const GroupName& group) {
@@ -182,7 +192,7 @@
   const auto found = out_of_reach_.find(group);
   const std::size_t saying = found == out_of_reach_.end() ? 0 : found->second.proxies.size();
   return saying >= kSuspectingProxies &&
-         saying * kOutOfReachWhole >= fleet_.proxies().size() * kOutOfReachPart;
+         saying * kOutOfReachWhole >= fleet_.proxy_count() * kOutOfReachPart;
 }
 
 Awaitable<bool> GroupKeeper::commits_stalled(GroupName group, GroupTerm term) {
@@ -307,7 +317,7 @@
   const TimePoint asked = runtime_.now();
   const auto confirmed = co_await consensus_.read_barrier(asked + kCommitTimeout, reason);
   if (!confirmed || !leads() || runtime_.now() - asked > kPromotionFreshness) co_return false;
-  registry::PromotionOrder order{closed.group, backend, node_, consensus_.status().term};
+  registry::PromotionOrder order{closed.group, backend, node_, consensus_.term()};
   const TimePoint deadline = runtime_.now() + kPromotionCallTimeout;
   const bool taken = co_await promotions_.promote(order, deadline, reason);
   GroupTerm chosen = closed;
--- a/src/control/registered/group_keeper.h
+++ b/src/control/registered/group_keeper.h
@@ -42,6 +42,7 @@
   };
 
   Awaitable<void> run();
+  void look_at_all();
   void look_at(const GroupName& group);
   /// Notes who has left a group, and when.
   void watch_members(const GroupName& group);
@@ -95,6 +96,7 @@
     std::map<NodeName, TimePoint> proxies;
   };
   std::map<GroupName, OutOfReach> out_of_reach_;
+  std::optional<std::uint64_t> settled_revision_;  ///< of the fleet, at which no group needed anything
   bool stopping_ = false;
 };
 
--- a/src/control/registered/knobs.h
+++ b/src/control/registered/knobs.h
@@ -11,6 +11,9 @@
 
 /// Longest wait for a command to be committed, or for a quorum round, on behalf of a caller.
 inline constexpr Duration kCommitTimeout = std::chrono::milliseconds(800);
+/// Commands that may be gathered go to the log at most once in this time, each time with at most so many.
+inline constexpr Duration kGathering = std::chrono::milliseconds(20);
+inline constexpr std::size_t kMostGathered = 512;
 /// Longest wait for a quorum round behind a lease.
 inline constexpr Duration kLeaseBarrierTimeout = std::chrono::milliseconds(500);
 /// How often a control node tells the leader that it lives.
@@ -24,9 +27,12 @@
 inline constexpr Duration kFormationPatience = std::chrono::seconds(6);
 inline constexpr Duration kVoterTick = std::chrono::milliseconds(250);
 inline constexpr Duration kVoterChangeLimit = std::chrono::seconds(10);
-/// Changes are gathered for so long for each follower before they are pushed, at most for the limit.
-inline constexpr Duration kPushGathering = std::chrono::microseconds(100);
-inline constexpr Duration kPushGatheringLimit = std::chrono::milliseconds(50);
+/// Changes are gathered for so long for each follower before they are pushed, at most for the limit; a group
+/// that closed or opened waits at most for the urgent limit.
+inline constexpr Duration kPushGathering = std::chrono::milliseconds(1);
+inline constexpr Duration kPushGatheringLimit = std::chrono::milliseconds(300);
+inline constexpr Duration kUrgentGathering = std::chrono::microseconds(100);
+inline constexpr Duration kUrgentGatheringLimit = std::chrono::milliseconds(50);
 /// Proxies ask for leases no closer together than this, as far as their leases allow.
 inline constexpr Duration kReportSpacing = std::chrono::milliseconds(4);
 /// A proxy whose lease ran out this long ago is forgotten.
--- a/src/control/registered/leader_calls.cpp
+++ b/src/control/registered/leader_calls.cpp
@@ -14,7 +14,7 @@
       node_(std::move(node)),
       own_endpoint_(std::move(own_endpoint)) {}
 
-bool LeaderCalls::leads() const { return consensus_.status().state == consensus::ServerState::kLeader; }
+bool LeaderCalls::leads() const { return consensus_.leads(); }
 
 std::optional<Endpoint> LeaderCalls::leader_endpoint() const {
   const consensus::ConsensusStatus status = consensus_.status();
@@ -32,6 +32,35 @@
   co_return co_await submit_to_leader(std::move(command), reason);
 }
 
+Awaitable<bool> LeaderCalls::submit_gathered(registry::SingleCommand command, Reason& reason) {
+  const bool is_first = !gathering_;
+  if (is_first) gathering_ = std::make_shared<Batch>(runtime_);
+  const auto batch = gathering_;
+  batch->commands.push_back(std::move(command));
+  if (batch->commands.size() >= kMostGathered) gathering_.reset();
+  if (is_first) runtime_.spawn("submit_batch", submit_batch(batch));
+  while (!batch->is_over) co_await batch->ended.wait();
+  reason = batch->reason;
+  co_return batch->done;
+}
+
+Awaitable<void> LeaderCalls::submit_batch(std::shared_ptr<Batch> batch) {
+  const TimePoint next = last_gathered_ + kGathering;
+  if (next > runtime_.now()) co_await runtime_.sleep_for(next - runtime_.now());
+  last_gathered_ = runtime_.now();
+  if (gathering_ == batch) gathering_.reset();
+  registry::Command command;
+  if (batch->commands.size() == 1) {
+    command = std::visit([](auto& single) { return registry::Command(std::move(single)); },
+                         batch->commands.front());
+  } else {
+    command = registry::CommandBatch{std::move(batch->commands)};
+  }
+  batch->done = co_await submit(std::move(command), batch->reason);
+  batch->is_over = true;
+  batch->ended.notify_all();
+}
+
 Awaitable<bool> LeaderCalls::propose(registry::Command command, Reason& reason) {
   registry::LoggedCommand logged{std::move(command)};
   const TimePoint deadline = runtime_.now() + kCommitTimeout;
--- a/src/control/registered/leader_calls.h
+++ b/src/control/registered/leader_calls.h
@@ -5,11 +5,13 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <vector>
 
 #include "consensus/consensus.h"
 #include "control/registered/control_node_directory.h"
 #include "registry/messages.h"
 #include "runtime/runtime.h"
+#include "runtime/signal.h"
 #include "wire/hello.h"
 
 namespace cairnhollow::control::registered {
@@ -23,6 +25,9 @@
   /// Puts a command into the log, here or through the leader. True once it is committed and applied at the
   /// node that proposed it; its effect is found in the state machine.
   Awaitable<bool> submit(registry::Command command, Reason& reason);
+  /// The same for what many backends and proxies may say at once: commands that come within kGathering of each
+  /// other go as one entry of the log.
+  Awaitable<bool> submit_gathered(registry::SingleCommand command, Reason& reason);
   /// Tells the leader, whoever it is, again and again, that this node lives under `identity`.
   void announce(consensus::Member self);
   void stop() { stopping_ = true; }
@@ -38,6 +43,17 @@
     std::shared_ptr<runtime::FrameConnection> connection;
   };
 
+  /// Commands that go together, and their common outcome.
+  struct Batch {
+    explicit Batch(runtime::Runtime& runtime) : ended(runtime) {}
+    std::vector<registry::SingleCommand> commands;
+    bool is_over = false;
+    bool done = false;
+    Reason reason;
+    runtime::Signal ended;
+  };
+
+  Awaitable<void> submit_batch(std::shared_ptr<Batch> batch);
   Awaitable<bool> propose(registry::Command command, Reason& reason);
   Awaitable<bool> submit_to_leader(registry::Command command, Reason& reason);
   Awaitable<std::optional<registry::ControlAnswer>> call(Endpoint endpoint, registry::ControlCall call,
@@ -57,6 +73,8 @@
   ControlNodeDirectory& directory_;
   NodeName node_;
   Endpoint own_endpoint_;
+  std::shared_ptr<Batch> gathering_;  ///< takes further commands; null: none is being gathered
+  TimePoint last_gathered_{};
   std::deque<Link> idle_;
   std::optional<Endpoint> hinted_leader_;
   std::size_t next_endpoint_ = 0;
--- a/src/control/registered/lease_keeper.cpp
+++ b/src/control/registered/lease_keeper.cpp
@@ -28,12 +28,11 @@
   for (const auto& [id, follower] : followers_) follower->connection->close();
 }
 
-bool LeaseKeeper::leads() const { return consensus_.status().state == consensus::ServerState::kLeader; }
+bool LeaseKeeper::leads() const { return consensus_.leads(); }
 
 void LeaseKeeper::watch_leadership() {
-  const consensus::ConsensusStatus status = consensus_.status();
-  if (status.state != consensus::ServerState::kLeader || status.term == led_term_) return;
-  led_term_ = status.term;
+  if (!leads() || consensus_.term() == led_term_) return;
+  led_term_ = consensus_.term();
   leads_since_ = runtime_.now();
   lives_.clear();
 }
@@ -98,8 +97,8 @@
                                       follower->peer_endpoint, follower->draining};
   const registry::AdmittedProxy* held = fleet_.find_proxy(follower->node);
   if (held != nullptr && *held == proxy) co_return true;
-  registry::Command command = registry::AdmitProxy{proxy};
-  co_return co_await calls_.submit(std::move(command), reason);
+  registry::SingleCommand command = registry::AdmitProxy{proxy};
+  co_return co_await calls_.submit_gathered(std::move(command), reason);
 }
 
 void LeaseKeeper::note_closed(const Follower& follower, const std::vector<registry::ClosedGroup>& closed) {
@@ -148,16 +147,27 @@
 Awaitable<void> LeaseKeeper::push_changes() {
   while (!stopping_) {
     co_await fleet_.changed().wait();
-    // Changes that come together are told together; the more followers there are, the longer they are
-    // gathered.
-    const Duration gathering = kPushGathering * static_cast<Duration::rep>(followers_.size());
-    co_await runtime_.sleep_for(std::min<Duration>(gathering, kPushGatheringLimit));
+    co_await gather_changes();
     for (const auto& [id, follower] : followers_) {
       if (follower->admitted) flush(follower);
     }
   }
 }
 
+Awaitable<void> LeaseKeeper::gather_changes() {
+  // Changes that come together are told together; the more followers there are, the longer they are gathered.
+  const auto followers = static_cast<Duration::rep>(followers_.size());
+  const TimePoint first = runtime_.now();
+  const TimePoint due = first + std::min<Duration>(kPushGathering * followers, kPushGatheringLimit);
+  const TimePoint urgent_due = first + std::min<Duration>(kUrgentGathering * followers, kUrgentGatheringLimit);
+  TimePoint until = due;
+  while (!stopping_ && runtime_.now() < until) {
+    if (fleet_.terms_revision() > pushed_revision_) until = urgent_due;
+    co_await fleet_.changed().wait_until(until);
+  }
+  pushed_revision_ = fleet_.revision();
+}
+
 Awaitable<void> LeaseKeeper::forget_lapsed() {
   while (!stopping_) {
     co_await runtime_.sleep_for(kForgetProxyAfter / 4);
--- a/src/control/registered/lease_keeper.h
+++ b/src/control/registered/lease_keeper.h
@@ -72,6 +72,7 @@
   Awaitable<bool> admit(std::shared_ptr<Follower> follower, Reason& reason);
   void note_closed(const Follower& follower, const std::vector<registry::ClosedGroup>& closed);
   Awaitable<void> push_changes();
+  Awaitable<void> gather_changes();
   Awaitable<void> forget_lapsed();
   /// Sends what the follower lacks, and goes on until it lacks nothing.
   void flush(const std::shared_ptr<Follower>& follower);
@@ -100,6 +101,7 @@
   std::map<std::uint64_t, std::string> deltas_;  ///< encoded, by the revision that they begin from
   std::vector<Endpoint> endpoints_;
   TimePoint endpoints_at_{};
+  std::uint64_t pushed_revision_ = 0;
   std::uint64_t led_term_ = 0;
   TimePoint leads_since_{};
   bool stopping_ = false;
--- a/src/control/registered/registration_service.cpp
+++ b/src/control/registered/registration_service.cpp
@@ -61,8 +61,8 @@
   const std::string name = entry.name.value;
   const bool leaving = entry.leaving;
   const std::string group = entry.group.value;
-  registry::Command command = registry::RegisterBackend{std::move(entry)};
-  const bool done = co_await calls_.submit(std::move(command), reason);
+  registry::SingleCommand command = registry::RegisterBackend{std::move(entry)};
+  const bool done = co_await calls_.submit_gathered(std::move(command), reason);
   runtime_.logger().log(done ? LogLevel::kInfo : LogLevel::kWarning,
                         done ? "backend_registered" : "backend_not_registered", reason,
                         {{"backend", name}, {"group", group}, {"leaving", leaving ? "true" : "false"}});
@@ -72,8 +72,8 @@
 Awaitable<bool> RegistrationService::deregister_backend(BackendName name, Reason& reason) {
   if (fleet_.is_deregistered(name)) co_return true;
   const std::string text = name.value;
-  registry::Command command = registry::DeregisterBackend{std::move(name)};
-  const bool done = co_await calls_.submit(std::move(command), reason);
+  registry::SingleCommand command = registry::DeregisterBackend{std::move(name)};
+  const bool done = co_await calls_.submit_gathered(std::move(command), reason);
   runtime_.logger().log(done ? LogLevel::kInfo : LogLevel::kWarning,
                         done ? "backend_deregistered" : "backend_not_deregistered", reason,
                         {{"backend", text}});
--- a/src/registry/commands.h
+++ b/src/registry/commands.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "registry/model.h"
 
@@ -76,8 +77,21 @@
   }
 };
 
+using SingleCommand = std::variant<ReplaceDocument, RegisterBackend, DeregisterBackend, AdmitProxy, ForgetProxy,
+                                   CloseGroup, OpenGroup>;
+
+/// Commands that take effect one after the other, as one change of the state.
+struct CommandBatch {
+  std::vector<SingleCommand> commands;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(commands);
+  }
+};
+
+/// The alternatives' places are part of the log's format: new ones go last.
 using Command = std::variant<ReplaceDocument, RegisterBackend, DeregisterBackend, AdmitProxy, ForgetProxy,
-                             CloseGroup, OpenGroup>;
+                             CloseGroup, OpenGroup, CommandBatch>;
 
 /// One command as it stands in the log.
 struct LoggedCommand {
--- a/src/registry/state_machine.cpp
+++ b/src/registry/state_machine.cpp
@@ -66,17 +66,50 @@
   const BackendEntry* held = state_.backends.find(entry.name);
   if (held != nullptr && (entry.sequence <= held->sequence || held->same_facts(entry))) return false;
   // An address belongs to who registered there last.
-  for (const BackendEntry& other : state_.backends.all()) {
-    if (other.endpoint == entry.endpoint && other.name != entry.name)
-      state_.backends.remove(other.name, next_revision());
+  const auto other = at_endpoint_.find(entry.endpoint);
+  if (other != at_endpoint_.end() && other->second != entry.name) remove_backend(BackendName(other->second));
+  put_backend(std::move(entry));
+  return true;
+}
+
+bool FleetStateMachine::take(DeregisterBackend& command) { return remove_backend(command.name); }
+
+bool FleetStateMachine::take(CommandBatch& command) {
+  bool effective = false;
+  for (SingleCommand& single : command.commands) {
+    const bool changed = std::visit([this](auto& alternative) { return take(alternative); }, single);
+    effective = effective || changed;
+  }
+  return effective;
+}
+
+void FleetStateMachine::put_term(const GroupTerm& term) {
+  state_.terms.put(term.group, term, next_revision());
+  terms_revision_ = next_revision();
+}
+
+void FleetStateMachine::put_backend(BackendEntry entry) {
+  const BackendEntry* held = state_.backends.find(entry.name);
+  if (held != nullptr) {
+    members_[held->group].erase(entry.name);
+    at_endpoint_.erase(held->endpoint);
   }
+  note_backend(entry);
   const BackendName name = entry.name;
   state_.backends.put(name, std::move(entry), next_revision());
-  return true;
 }
 
-bool FleetStateMachine::take(DeregisterBackend& command) {
-  return state_.backends.remove(command.name, next_revision());
+bool FleetStateMachine::remove_backend(const BackendName& name) {
+  const BackendEntry* held = state_.backends.find(name);
+  if (held == nullptr) return false;
+  members_[held->group].erase(name);
+  at_endpoint_.erase(held->endpoint);
+  return state_.backends.remove(name, next_revision());
+}
+
+void FleetStateMachine::note_backend(const BackendEntry& entry) {
+  members_[entry.group].insert(entry.name);
+  at_endpoint_[entry.endpoint] = entry.name;
 }
 
 bool FleetStateMachine::take(AdmitProxy& command) {
@@ -103,7 +136,7 @@
   GroupTerm closed = *held;
   closed.open = false;
   ++closed.epoch;
-  state_.terms.put(command.group, closed, next_revision());
+  put_term(closed);
   return true;
 }
 
@@ -112,9 +145,7 @@
   const std::uint64_t epoch = held == nullptr ? 0 : held->epoch;
   if (epoch != command.epoch || (held != nullptr && held->open)) return false;
   if (held != nullptr && command.term < held->term) return false;
-  state_.terms.put(command.group,
-                   GroupTerm{command.group, command.term, command.primary, true, epoch + 1, next_revision()},
-                   next_revision());
+  put_term(GroupTerm{command.group, command.term, command.primary, true, epoch + 1, next_revision()});
   return true;
 }
 
@@ -134,18 +165,25 @@
   auto state = wire::decode<State>(bytes, reason);
   if (!state) return false;
   state_ = std::move(*state);
+  members_.clear();
+  at_endpoint_.clear();
+  for (const BackendEntry& entry : state_.backends.all()) note_backend(entry);
   changed_.notify_all();
   return true;
 }
 
 std::vector<BackendEntry> FleetStateMachine::backends_of(const GroupName& group) const {
   std::vector<BackendEntry> members;
-  for (BackendEntry& entry : state_.backends.all()) {
-    if (entry.group == group) members.push_back(std::move(entry));
-  }
+  for (const BackendName& name : members_of(group)) members.push_back(*state_.backends.find(name));
   return members;
 }
 
+const std::set<BackendName>& FleetStateMachine::members_of(const GroupName& group) const {
+  static const std::set<BackendName> nobody;
+  const auto found = members_.find(group);
+  return found == members_.end() ? nobody : found->second;
+}
+
 FleetDelta FleetStateMachine::delta_since(std::uint64_t revision) const {
   FleetDelta delta;
   delta.is_whole = revision == 0 || revision < state_.complete_from;
--- a/src/registry/state_machine.h
+++ b/src/registry/state_machine.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,8 @@
   bool restore_snapshot(const std::string& bytes, Reason& reason) override;
 
   [[nodiscard]] std::uint64_t revision() const { return state_.revision; }
+  /// At which a group last closed or opened, as far as this process has seen.
+  [[nodiscard]] std::uint64_t terms_revision() const { return terms_revision_; }
   [[nodiscard]] std::uint64_t document_version() const { return state_.document_version; }
   /// The document as it was sent; empty before the first.
   [[nodiscard]] const std::string& document_text() const { return state_.document_text; }
@@ -41,9 +44,12 @@
     return state_.backends.was_removed(name);
   }
   [[nodiscard]] std::vector<BackendEntry> backends_of(const GroupName& group) const;
+  /// Names of the group's backends; empty where none registered.
+  [[nodiscard]] const std::set<BackendName>& members_of(const GroupName& group) const;
   [[nodiscard]] std::vector<BackendEntry> backends() const { return state_.backends.all(); }
   [[nodiscard]] const GroupTerm* find_term(const GroupName& group) const { return state_.terms.find(group); }
   [[nodiscard]] std::vector<AdmittedProxy> proxies() const { return state_.proxies.all(); }
+  [[nodiscard]] std::size_t proxy_count() const { return state_.proxies.size(); }
   [[nodiscard]] const AdmittedProxy* find_proxy(const NodeName& node) const {
     return state_.proxies.find(node);
   }
@@ -88,12 +94,21 @@
   bool take(ForgetProxy& command);
   bool take(CloseGroup& command);
   bool take(OpenGroup& command);
+  bool take(CommandBatch& command);
+  void put_term(const GroupTerm& term);
+  void put_backend(BackendEntry entry);
+  bool remove_backend(const BackendName& name);
+  void note_backend(const BackendEntry& entry);
   void replace_routes(const std::vector<RouteRule>& routes);
   void replace_groups(const std::vector<GroupRule>& groups);
   void bound_removed();
   [[nodiscard]] std::uint64_t next_revision() const { return state_.revision + 1; }
 
   State state_;
+  // Worked out of `state_.backends`, so that no command and no look at one group goes through all of them.
+  std::map<GroupName, std::set<BackendName>> members_;
+  std::map<Endpoint, BackendName> at_endpoint_;
+  std::uint64_t terms_revision_ = 0;
   runtime::Signal changed_;
 };
 
