Heartbeats that say nothing new are answered by proxies; large deltas bounded

Cause: every backend's heartbeat, each 1.2 s, held a connection to each control node (4,721 at 300 machines), and a restart of all proxies put 297 whole tables of 209 KB on their way at once: 259 MB at a control node, over its limit.

Change: a registration's answer names a proxy of the backend's zone (RegistrationRelay); that proxy answers what it knows from following control and sends everything else to control. At most 12 MiB of deltas are on their way at once; who has to wait is answered without a lease, and a proxy that sees bytes of a large answer come does not hang up on it.

--- a/src/control/registered/knobs.h
+++ b/src/control/registered/knobs.h
@@ -14,6 +14,8 @@
 /// Commands that may be gathered go to the log at most once in this time, each time with at most so many.
 inline constexpr Duration kGathering = std::chrono::milliseconds(20);
 inline constexpr std::size_t kMostGathered = 512;
+/// The proxies that backends are sent to for saying the same again are looked up at most this often.
+inline constexpr Duration kTakersInterval = std::chrono::milliseconds(200);
 /// Longest wait for a quorum round behind a lease.
 inline constexpr Duration kLeaseBarrierTimeout = std::chrono::milliseconds(500);
 /// How often a control node tells the leader that it lives.
@@ -31,8 +33,13 @@
 /// that closed or opened waits at most for the urgent limit.
 inline constexpr Duration kPushGathering = std::chrono::milliseconds(1);
 inline constexpr Duration kPushGatheringLimit = std::chrono::milliseconds(300);
-inline constexpr Duration kUrgentGathering = std::chrono::microseconds(100);
-inline constexpr Duration kUrgentGatheringLimit = std::chrono::milliseconds(50);
+inline constexpr Duration kUrgentGathering = std::chrono::microseconds(200);
+inline constexpr Duration kUrgentGatheringLimit = std::chrono::milliseconds(100);
+/// Deltas that are on their way at once, in bytes, so that a restart of all proxies does not fill the memory of
+/// the leader; small ones are sent all the same. Who waits for room is looked at again after the tick.
+inline constexpr std::size_t kMostBytesOnTheirWay = std::size_t{12} << 20;
+inline constexpr std::size_t kSmallDelta = std::size_t{8} << 10;
+inline constexpr Duration kRoomTick = std::chrono::milliseconds(200);
 /// Proxies ask for leases no closer together than this, as far as their leases allow.
 inline constexpr Duration kReportSpacing = std::chrono::milliseconds(4);
 /// A proxy whose lease ran out this long ago is forgotten.
--- a/src/control/registered/lease_keeper.cpp
+++ b/src/control/registered/lease_keeper.cpp
@@ -15,7 +15,8 @@
       directory_(directory),
       calls_(calls),
       serving_lease_(serving_lease),
-      answered_(runtime) {}
+      answered_(runtime),
+      room_(runtime) {}
 
 void LeaseKeeper::start() {
   runtime_.spawn("lease_push", push_changes());
@@ -191,13 +192,16 @@
   return follower.answer_nonce > 0 || (follower.admitted && follower.revision_sent < fleet_.revision());
 }
 
-registry::ProxyUpdate LeaseKeeper::make_update(Follower& follower) {
+registry::ProxyUpdate LeaseKeeper::make_update(Follower& follower, bool with_delta) {
   registry::ProxyUpdate update;
   update.nonce = std::exchange(follower.answer_nonce, 0);
   if (update.nonce > 0 && follower.grant) update.lease = serving_lease_;
   update.refusal = std::exchange(follower.refusal, std::nullopt);
   if (!follower.admitted) return update;
-  if (follower.revision_sent < fleet_.revision()) {
+  const bool lacks_something = follower.revision_sent < fleet_.revision();
+  // A lease is worth something only together with what is in force.
+  if (lacks_something && !with_delta) update.lease = Duration(0);
+  if (lacks_something && with_delta) {
     update.delta = delta_since(follower.revision_sent);
     follower.revision_sent = fleet_.revision();
   }
@@ -209,6 +213,12 @@
   return update;
 }
 
+bool LeaseKeeper::has_room_for(const Follower& follower) {
+  if (!follower.admitted || follower.revision_sent == fleet_.revision()) return true;
+  const std::size_t size = delta_since(follower.revision_sent).size();
+  return size <= kSmallDelta || bytes_on_their_way_ == 0 || bytes_on_their_way_ + size <= kMostBytesOnTheirWay;
+}
+
 const std::string& LeaseKeeper::delta_since(std::uint64_t revision) {
   if (deltas_to_ != fleet_.revision()) deltas_.clear();
   deltas_to_ = fleet_.revision();
@@ -240,10 +250,19 @@
 
 Awaitable<void> LeaseKeeper::send_updates(std::shared_ptr<Follower> follower) {
   bool sent = true;
-  while (sent && has_something_for(*follower)) {
-    const registry::ProxyUpdate update = make_update(*follower);
+  while (sent && !stopping_ && has_something_for(*follower)) {
+    const bool has_room = has_room_for(*follower);
+    if (!has_room && follower->answer_nonce == 0) {
+      co_await room_.wait_until(runtime_.now() + kRoomTick);
+      continue;
+    }
+    const registry::ProxyUpdate update = make_update(*follower, has_room);
+    const std::size_t size = update.delta.size();
+    bytes_on_their_way_ += size;
     Reason reason;
     sent = co_await follower->connection->send(wire::encode(update), reason);
+    bytes_on_their_way_ -= size;
+    if (size > kSmallDelta) room_.notify_one();
   }
   follower->sending = false;
   if (!sent) follower->connection->close();
--- a/src/control/registered/lease_keeper.h
+++ b/src/control/registered/lease_keeper.h
@@ -78,7 +78,9 @@
   void flush(const std::shared_ptr<Follower>& follower);
   Awaitable<void> send_updates(std::shared_ptr<Follower> follower);
   [[nodiscard]] bool has_something_for(const Follower& follower) const;
-  registry::ProxyUpdate make_update(Follower& follower);
+  registry::ProxyUpdate make_update(Follower& follower, bool with_delta);
+  /// Whether what the follower lacks is small, or may be on its way beside what is on its way to others.
+  [[nodiscard]] bool has_room_for(const Follower& follower);
   const std::string& delta_since(std::uint64_t revision);
   const std::vector<Endpoint>& endpoints();
   [[nodiscard]] Duration report_interval() const;
@@ -94,6 +96,8 @@
   Duration serving_lease_;
   OnSuspicion on_suspicion_;
   runtime::Signal answered_;
+  runtime::Signal room_;  ///< notified when a large delta has been sent
+  std::size_t bytes_on_their_way_ = 0;  ///< of deltas
   std::map<std::uint64_t, std::shared_ptr<Follower>> followers_;
   std::map<NodeName, Life> lives_;
   std::uint64_t next_follower_ = 1;
--- a/src/control/registered/registration_service.cpp
+++ b/src/control/registered/registration_service.cpp
@@ -52,12 +52,31 @@
   co_return std::nullopt;
 }
 
-Awaitable<bool> RegistrationService::register_backend(registry::BackendEntry entry, bool /*says_primary*/,
-                                                      Reason& reason) {
+void RegistrationService::refresh_takers() {
+  const TimePoint now = runtime_.now();
+  if (takers_revision_ == fleet_.revision() || now - takers_at_ < kTakersInterval) return;
+  takers_revision_ = fleet_.revision();
+  takers_at_ = now;
+  takers_.clear();
+  for (const registry::AdmittedProxy& proxy : fleet_.proxies()) {
+    if (!proxy.leaving) takers_[proxy.zone].push_back(registry::registrations_at(proxy.peer_endpoint));
+  }
+}
+
+registry::Registration RegistrationService::place(const BackendName& name, const ZoneName& zone) {
+  refresh_takers();
+  const auto takers = takers_.find(zone);
+  if (takers == takers_.end()) return {};
+  return {takers->second[std::hash<BackendName>{}(name) % takers->second.size()]};
+}
+
+Awaitable<std::optional<registry::Registration>> RegistrationService::register_backend(
+    registry::BackendEntry entry, Reason& reason) {
   const registry::BackendEntry* held = fleet_.find_backend(entry.name);
   const bool old = held != nullptr && (held->same_facts(entry) || entry.sequence <= held->sequence);
+  const registry::Registration registration = place(entry.name, entry.zone);
   // The old news is in the log already, so that it binds whoever serves.
-  if (old || fleet_.is_deregistered(entry.name)) co_return true;
+  if (old || fleet_.is_deregistered(entry.name)) co_return registration;
   const std::string name = entry.name.value;
   const bool leaving = entry.leaving;
   const std::string group = entry.group.value;
@@ -66,7 +85,8 @@
   runtime_.logger().log(done ? LogLevel::kInfo : LogLevel::kWarning,
                         done ? "backend_registered" : "backend_not_registered", reason,
                         {{"backend", name}, {"group", group}, {"leaving", leaving ? "true" : "false"}});
-  co_return done;
+  if (!done) co_return std::nullopt;
+  co_return registration;
 }
 
 Awaitable<bool> RegistrationService::deregister_backend(BackendName name, Reason& reason) {
--- a/src/control/registered/registration_service.h
+++ b/src/control/registered/registration_service.h
@@ -24,7 +24,8 @@
 
   Awaitable<bool> replace_document(registry::ConfigurationDocument document, Reason& reason) override;
   Awaitable<std::optional<std::string>> read_document(Reason& reason) override;
-  Awaitable<bool> register_backend(registry::BackendEntry entry, bool says_primary, Reason& reason) override;
+  Awaitable<std::optional<registry::Registration>> register_backend(registry::BackendEntry entry,
+                                                                    Reason& reason) override;
   Awaitable<bool> deregister_backend(BackendName name, Reason& reason) override;
 
  private:
@@ -33,12 +34,19 @@
   /// waited for.
   [[nodiscard]] bool may_acknowledge(Reason& reason) const;
 
+  /// One proxy for each backend, of its zone where there are any.
+  [[nodiscard]] registry::Registration place(const BackendName& name, const ZoneName& zone);
+  void refresh_takers();
+
   runtime::Runtime& runtime_;
   consensus::Consensus& consensus_;
   registry::FleetStateMachine& fleet_;
   LeaderCalls& calls_;
   const VoterKeeper& voters_;
   TimePoint begun_;
+  std::map<ZoneName, std::vector<Endpoint>> takers_;  ///< proxies that stay, by zone
+  std::uint64_t takers_revision_ = 0;                 ///< of the fleet that they were taken from
+  TimePoint takers_at_{};
 };
 
 }  // namespace cairnhollow::control::registered
--- a/src/registry/control_service.h
+++ b/src/registry/control_service.h
@@ -10,6 +10,12 @@
 
 namespace cairnhollow::registry {
 
+/// What a backend is told when its registration is taken.
+struct Registration {
+  /// Where it is to say the same again, until that fails; empty: anywhere.
+  std::optional<Endpoint> again_at;
+};
+
 class ControlService {
  public:
   virtual ~ControlService() = default;
@@ -20,11 +26,22 @@
   /// The newest document's text, confirmed by a quorum round that began after the call. kNotFound: there is
   /// none yet. Other codes: this node can't be certain.
   virtual Awaitable<std::optional<std::string>> read_document(Reason& reason) = 0;
-  /// True once what the backend says of itself is known for good.
-  virtual Awaitable<bool> register_backend(BackendEntry entry, bool says_primary, Reason& reason) = 0;
+  /// Answers once what the backend says of itself is known for good; empty: no clear outcome, ask again.
+  virtual Awaitable<std::optional<Registration>> register_backend(BackendEntry entry, Reason& reason) = 0;
   virtual Awaitable<bool> deregister_backend(BackendName name, Reason& reason) = 0;
 };
 
+/// What a proxy does for backends that say again what the fleet knows: so that their number times their
+/// heartbeats falls on the proxies, whose number grows as theirs, and not on a handful of control nodes.
+class RegistrationRelay {
+ public:
+  virtual ~RegistrationRelay() = default;
+  /// Whether every control node knows this already. Registrations that are not known go to control.
+  [[nodiscard]] virtual bool knows(const BackendEntry& entry) const = 0;
+  /// Where control takes registrations; empty while no control node is followed.
+  [[nodiscard]] virtual std::optional<Endpoint> control_endpoint() const = 0;
+};
+
 /// Orders that only the leader gives, one at a time in the whole fleet.
 struct PromotionOrder {
   GroupName group;
--- a/src/registry/model.h
+++ b/src/registry/model.h
@@ -115,4 +115,9 @@
   }
 };
 
+/// Where a proxy answers registrations that say nothing new: the port after the one of its peers.
+inline Endpoint registrations_at(const Endpoint& peer_endpoint) {
+  return {peer_endpoint.address, static_cast<std::uint16_t>(peer_endpoint.port + 1)};
+}
+
 }  // namespace cairnhollow::registry
--- a/src/session/fleet_link.cpp
+++ b/src/session/fleet_link.cpp
@@ -20,6 +20,11 @@
   if (!endpoints_.empty()) next_endpoint_ = runtime.random().below(endpoints_.size());
 }
 
+std::optional<Endpoint> FleetLink::registration_endpoint() const {
+  if (!connected_ || draining_ || settings_.seeds.empty()) return std::nullopt;
+  return Endpoint{followed_, settings_.seeds.front().port};
+}
+
 void FleetLink::start() { runtime_.spawn("fleet_link", run()); }
 
 void FleetLink::set_draining() {
@@ -84,14 +89,19 @@
   if (!greeted) co_return nullptr;
   auto conversation = std::make_shared<Conversation>();
   conversation->connection = std::move(connection);
+  conversation->endpoint = endpoint;
   co_return conversation;
 }
 
-bool FleetLink::is_stalled(const Conversation& conversation) const {
+bool FleetLink::is_stalled(Conversation& conversation) const {
+  const TimePoint now = runtime_.now();
+  const std::uint64_t bytes = conversation.connection->bytes_received();
+  if (bytes != conversation.bytes) conversation.bytes_at = now;
+  conversation.bytes = bytes;
   if (conversation.asked.empty()) return false;
-  // A first answer may have to wait behind those of many others.
+  // A first answer may have to wait behind those of many others; a large one takes its time.
   const Duration limit = conversation.answered ? kReportTimeout : kFirstReportTimeout;
-  return runtime_.now() - conversation.asked.begin()->second > limit;
+  return now - std::max(conversation.asked.begin()->second, conversation.bytes_at) > limit;
 }
 
 Awaitable<void> FleetLink::converse(std::shared_ptr<Conversation> conversation) {
@@ -182,6 +192,7 @@
   conversation.answered = true;
   if (connected_) return;
   connected_ = true;
+  followed_ = conversation.endpoint.address;
   failures_ = 0;
   runtime_.logger().log(LogLevel::kInfo, "control_found", {{"control", conversation.connection->peer()}});
 }
--- a/src/session/fleet_link.h
+++ b/src/session/fleet_link.h
@@ -31,15 +31,20 @@
   void stop();
   /// Tells that this proxy takes no new work from others.
   void set_draining();
+  /// Where the control node that is followed takes registrations; empty while none is.
+  [[nodiscard]] std::optional<Endpoint> registration_endpoint() const;
   /// Told with the next report, which is sent at once. Repeats within kSuspicionRepeat are dropped.
   void report_suspicion(const GroupAccess& group, SuspicionKind kind);
 
  private:
   struct Conversation {
     std::shared_ptr<runtime::FrameConnection> connection;
+    Endpoint endpoint;
     std::map<std::uint64_t, TimePoint> asked;  ///< when the reports not yet answered were sent, by nonce
     bool broken = false;
     bool answered = false;  ///< at least once
+    std::uint64_t bytes = 0;  ///< that had come when last looked at
+    TimePoint bytes_at{};     ///< when more were found to have come
   };
 
   Awaitable<void> run();
@@ -49,7 +54,8 @@
   Awaitable<void> read_updates(std::shared_ptr<Conversation> conversation);
   void take_update(Conversation& conversation, const registry::ProxyUpdate& update);
   void take_refusal(Conversation& conversation, const Reason& refusal);
-  [[nodiscard]] bool is_stalled(const Conversation& conversation) const;
+  /// No answer in time, and nothing of one on its way.
+  [[nodiscard]] bool is_stalled(Conversation& conversation) const;
   Endpoint next_endpoint();
   void note_lost(const Reason& reason, const std::string& peer);
   /// An attempt to find the leader failed; told at most every kSearchLogInterval.
@@ -71,6 +77,7 @@
   TimePoint search_logged_{};
   bool report_now_ = false;
   bool connected_ = false;
+  std::string followed_;  ///< address of the control node that answered last
   bool draining_ = false;
   bool stopping_ = false;
 };
--- a/src/session/fleet_view.cpp
+++ b/src/session/fleet_view.cpp
@@ -18,6 +18,14 @@
   return route == routes_.end() ? nullptr : &route->second;
 }
 
+const registry::BackendEntry* FleetView::find_backend(const BackendName& name) const {
+  const auto group = group_of_.find(name);
+  if (group == group_of_.end()) return nullptr;
+  const auto& backends = groups_.at(group->second)->backends();
+  const auto found = backends.find(name);
+  return found == backends.end() ? nullptr : &found->second->entry;
+}
+
 std::shared_ptr<GroupAccess> FleetView::find_group(const GroupName& group) {
   const auto found = groups_.find(group);
   return found == groups_.end() ? nullptr : found->second;
--- a/src/session/fleet_view.h
+++ b/src/session/fleet_view.h
@@ -39,6 +39,8 @@
   [[nodiscard]] Duration transaction_idle() const { return transaction_idle_; }
   /// Null when no route names the database.
   [[nodiscard]] const registry::RouteRule* find_route(const DatabaseName& database) const;
+  /// Null when it is not registered, as far as this proxy knows.
+  [[nodiscard]] const registry::BackendEntry* find_backend(const BackendName& name) const;
   /// Null when the document has no such group.
   std::shared_ptr<GroupAccess> find_group(const GroupName& group);
   [[nodiscard]] const std::map<GroupName, std::shared_ptr<GroupAccess>>& groups() const { return groups_; }
--- /dev/null
+++ b/src/session/known_registrations.h
@@ -0,0 +1,29 @@
+// Which registrations say nothing new, as a proxy knows from following control.
+#pragma once
+
+#include "registry/control_service.h"
+#include "session/fleet_link.h"
+#include "session/fleet_view.h"
+
+namespace cairnhollow::session {
+
+/// What it refers to outlives it. What the view holds is committed: it may be old, but then it is not newer than
+/// what the backend says, and a difference sends the backend to control.
+class KnownRegistrations : public registry::RegistrationRelay {
+ public:
+  KnownRegistrations(const FleetView& view, const FleetLink& link) : view_(view), link_(link) {}
+
+  [[nodiscard]] bool knows(const registry::BackendEntry& entry) const override {
+    const registry::BackendEntry* held = view_.find_backend(entry.name);
+    return held != nullptr && held->same_facts(entry);
+  }
+  [[nodiscard]] std::optional<Endpoint> control_endpoint() const override {
+    return link_.registration_endpoint();
+  }
+
+ private:
+  const FleetView& view_;
+  const FleetLink& link_;
+};
+
+}  // namespace cairnhollow::session
--- a/src/session/session_proxy.cpp
+++ b/src/session/session_proxy.cpp
@@ -7,6 +7,7 @@
 #include "session/fleet_link.h"
 #include "session/fleet_view.h"
 #include "session/forward_server.h"
+#include "session/known_registrations.h"
 #include "session/knobs.h"
 #include "session/session_metrics.h"
 
@@ -55,8 +56,11 @@
         forwarder_(runtime, settings_.node, settings_.zone),
         services_{runtime, view_, link_, metrics_, forwarder_},
         forward_server_(services_),
+        known_registrations_(view_, link_),
         readiness_(
-            edge.readiness_path, [this] { return is_ready(); }, [this] { return render_metrics(); }) {}
+            edge.readiness_path, [this] { return is_ready(); }, [this] { return render_metrics(); }) {
+    if (edge.make_registrations) registrations_ = edge.make_registrations(known_registrations_);
+  }
 
   Awaitable<bool> start(Reason& reason) override;
   Awaitable<void> drain() override;
@@ -84,8 +88,11 @@
   Forwarder forwarder_;
   SessionServices services_;
   ForwardServer forward_server_;
+  KnownRegistrations known_registrations_;
+  std::unique_ptr<runtime::HttpHandler> registrations_;
   ReadinessCalls readiness_;
   std::unique_ptr<runtime::LineListener> listener_;
+  std::unique_ptr<runtime::HttpServer> registration_server_;
   std::unique_ptr<runtime::HttpServer> readiness_server_;
   std::unique_ptr<runtime::HttpServer> metrics_server_;
   std::map<std::uint64_t, std::shared_ptr<CallerSession>> sessions_;
@@ -104,6 +111,11 @@
   if (!listener_) co_return false;
   runtime_.spawn("session_accept", accept_callers());
   if (!forward_server_.start(settings_.peer_endpoint, reason)) co_return false;
+  if (registrations_) {
+    const Endpoint endpoint = registry::registrations_at(settings_.peer_endpoint);
+    registration_server_ = runtime_.http().serve(endpoint, *registrations_, reason);
+    if (!registration_server_) co_return false;
+  }
   readiness_server_ = runtime_.http().serve(settings_.readiness_endpoint, readiness_, reason);
   if (!readiness_server_) co_return false;
   if (!settings_.metrics_endpoint) co_return true;
@@ -234,6 +246,7 @@
   }
   stopped_ = true;
   listener_->close();
+  if (registration_server_) registration_server_->close();
   readiness_server_->close();
   forward_server_.stop();
   link_.stop();
--- a/src/session/session_proxy.h
+++ b/src/session/session_proxy.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 
+#include "registry/control_service.h"
 #include "runtime/role.h"
 #include "runtime/runtime.h"
 #include "session/backend_link.h"
@@ -16,6 +17,8 @@
 struct SessionEdge {
   std::function<std::unique_ptr<CallerProtocol>()> make_callers;
   std::function<std::unique_ptr<BackendDialer>(runtime::Runtime&, NodeName)> make_dialer;
+  /// What backends call; null: they are not answered here.
+  std::function<std::unique_ptr<runtime::HttpHandler>(const registry::RegistrationRelay&)> make_registrations;
   std::string readiness_path;  ///< on which the node says whether it takes sessions
 };
 
