Stand-in backends follow the told heartbeat address and redirects; tests of batches, members and registrations at scale

The simulator's backends take the address that an answer names and go back to control when a heartbeat fails there. Scenarios: heartbeats leave control and come back when their proxy dies or they have news; 60 backends and 9 proxies that restart together.

--- a/simulation/registered_fleet.cpp
+++ b/simulation/registered_fleet.cpp
@@ -47,7 +47,9 @@
   const bool is_control = name.starts_with("control");
   const bool is_proxy = name.starts_with("proxy");
   if (is_control || is_proxy) return fmt::format("10.{}.0.{}", is_control ? 1 : 2, number_of(name));
-  return fmt::format("10.3.{}.{}", name[1], name.back());
+  // "g12-b3": backend 3 of group 12.
+  const std::string group = name.substr(1, name.find('-') - 1);
+  return fmt::format("10.3.{}.{}", group, name.back());
 }
 
 std::vector<Endpoint> RegisteredFleet::control_endpoints(std::uint16_t port) const {
@@ -294,6 +296,20 @@
   return newest;
 }
 
+bool RegisteredFleet::is_leaving(const BackendName& backend) {
+  const std::string name = leader();
+  if (name.empty()) return false;
+  const auto* entry = control::registered::fleet_of(world_.role(name)).find_backend(backend);
+  return entry != nullptr && entry->leaving;
+}
+
+bool RegisteredFleet::is_open(const GroupName& group) {
+  const std::string name = leader();
+  if (name.empty()) return false;
+  const auto* term = control::registered::fleet_of(world_.role(name)).find_term(group);
+  return term != nullptr && term->open;
+}
+
 Database& RegisteredFleet::database(const std::string& name) { return *databases_.at(name); }
 
 std::uint64_t RegisteredFleet::acknowledged() const {
--- a/simulation/registered_fleet.h
+++ b/simulation/registered_fleet.h
@@ -55,6 +55,9 @@
   std::string primary();
   /// The control node that leads; empty while none does.
   std::string leader();
+  /// What the leader holds for certain of a backend, and of a group.
+  bool is_leaving(const BackendName& backend);
+  bool is_open(const GroupName& group);
   standins::unfenced::GroupModel& group(std::size_t number = 1) { return *models_[number - 1]; }
   standins::unfenced::Database& database(const std::string& name);
   World& world() { return world_; }
--- a/src/control/registered/registered_control_node.cpp
+++ b/src/control/registered/registered_control_node.cpp
@@ -98,6 +98,8 @@
     return status.term;
   }
 
+  [[nodiscard]] const registry::FleetStateMachine& fleet() const { return fleet_; }
+
   Awaitable<void> drain() override {
     operator_server_->stop_accepting();
     dispatcher_.stop();
@@ -160,6 +162,10 @@
   return node == nullptr ? std::nullopt : node->leading_term();
 }
 
+const registry::FleetStateMachine& fleet_of(runtime::Role& control_node) {
+  return dynamic_cast<RegisteredControlNode&>(control_node).fleet();
+}
+
 std::unique_ptr<runtime::Role> make_registered_control_node(runtime::Runtime& runtime,
                                                             RegisteredControlSettings settings,
                                                             const ControlEdge& edge) {
--- a/src/control/registered/registered_control_node.h
+++ b/src/control/registered/registered_control_node.h
@@ -8,6 +8,7 @@
 
 #include "control/registered/settings.h"
 #include "registry/control_service.h"
+#include "registry/state_machine.h"
 #include "runtime/role.h"
 #include "runtime/runtime.h"
 #include "session/backend_link.h"
@@ -28,5 +29,7 @@
 
 /// The consensus term in which a node made here leads; empty when it does not lead. For status and tests.
 std::optional<std::uint64_t> leading_term(runtime::Role& control_node);
+/// What the node has applied; for tests and the simulator. `control_node` was made here.
+const registry::FleetStateMachine& fleet_of(runtime::Role& control_node);
 
 }  // namespace cairnhollow::control::registered
--- a/standins/unfenced/database.cpp
+++ b/standins/unfenced/database.cpp
@@ -21,6 +21,7 @@
 
 constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(400);
 constexpr Duration kCallTimeout = std::chrono::milliseconds(900);
+constexpr unsigned kElsewhere = 307;
 constexpr Duration kReplicationStep = std::chrono::milliseconds(4);
 
 /// One connection's state.
@@ -57,6 +58,7 @@
   void leave() override { leaving_ = true; }
   void deregister() override { runtime_.spawn("database_deregister", call_control(true)); }
   [[nodiscard]] std::uint64_t statements_run() const override { return statements_run_; }
+  [[nodiscard]] std::uint64_t heartbeats_elsewhere() const override { return heartbeats_elsewhere_; }
 
  private:
   MemberState& state() { return model_.member(settings_.backend); }
@@ -100,21 +102,46 @@
   }
 
   Awaitable<void> call_control(bool deregisters) {
-    for (std::size_t attempt = 0; attempt < settings_.control_endpoints.size(); ++attempt) {
-      const Endpoint endpoint =
+    std::optional<Endpoint> told = heartbeat_endpoint_;
+    for (std::size_t attempt = 0; attempt <= settings_.control_endpoints.size(); ++attempt) {
+      const Endpoint next =
           settings_.control_endpoints[next_control_++ % settings_.control_endpoints.size()];
+      const Endpoint endpoint = told.value_or(next);
+      told.reset();
       Reason reason;
       const TimePoint deadline = runtime_.now() + kCallTimeout;
       const auto connection = co_await runtime_.http().connect(endpoint, deadline, reason);
+      if (!connection) heartbeat_endpoint_.reset();
       if (!connection) continue;
       runtime::SendState sent = runtime::SendState::kNotSent;
       runtime::HttpRequest request = heartbeat(deregisters);
       const auto response = co_await connection->exchange(std::move(request), deadline, sent, reason);
       connection->close();
-      if (response && response->status / 100 == 2) co_return;
+      if (response && response->status / 100 == 2) {
+        note_heartbeat_endpoint(response->body);
+        if (endpoint == heartbeat_endpoint_) ++heartbeats_elsewhere_;
+        co_return;
+      }
+      heartbeat_endpoint_.reset();
+      if (response && response->status == kElsewhere) told = location_of(*response);
     }
   }
 
+  void note_heartbeat_endpoint(const std::string& body) {
+    boost::system::error_code error;
+    const auto answer = boost::json::parse(body, error);
+    if (error || !answer.is_object() || !answer.as_object().contains("HeartbeatAddr")) return;
+    heartbeat_endpoint_ = parse_endpoint(std::string(answer.at("HeartbeatAddr").as_string()));
+  }
+
+  static std::optional<Endpoint> location_of(const runtime::HttpResponse& response) {
+    const std::string location = response.headers.find("location").value_or("");
+    constexpr std::string_view kScheme = "http://";
+    if (!location.starts_with(kScheme)) return std::nullopt;
+    const auto path = location.find('/', kScheme.size());
+    return parse_endpoint(location.substr(kScheme.size(), path - kScheme.size()));
+  }
+
   Awaitable<void> serve(std::shared_ptr<runtime::LineConnection> lines) {
     Connection connection;
     connection.lines = lines;
@@ -284,6 +311,8 @@
   std::size_t next_control_ = 0;
   std::uint64_t sequence_ = 0;
   std::uint64_t statements_run_ = 0;
+  std::optional<Endpoint> heartbeat_endpoint_;  ///< told in an answer; until a heartbeat fails there
+  std::uint64_t heartbeats_elsewhere_ = 0;
   bool leaving_ = false;
   bool stopped_ = false;
 };
--- a/standins/unfenced/database.h
+++ b/standins/unfenced/database.h
@@ -29,6 +29,8 @@
   /// Takes itself out of the registry at once.
   virtual void deregister() = 0;
   [[nodiscard]] virtual std::uint64_t statements_run() const = 0;
+  /// Heartbeats that were taken at the address that it was told of.
+  [[nodiscard]] virtual std::uint64_t heartbeats_elsewhere() const = 0;
 };
 
 /// `model` and `runtime` outlive it.
--- a/tests/registry/state_machine_test.cpp
+++ b/tests/registry/state_machine_test.cpp
@@ -49,6 +49,8 @@
   CPPUNIT_TEST(a_replaced_proxy_may_have_acknowledged_unknown_commits);
   CPPUNIT_TEST(a_follower_is_told_what_it_lacks);
   CPPUNIT_TEST(a_snapshot_restores_everything);
+  CPPUNIT_TEST(a_batch_is_one_change);
+  CPPUNIT_TEST(members_follow_every_way_a_backend_comes_and_goes);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -72,6 +74,45 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, machine_->document_version());
   }
 
+  void a_batch_is_one_change() {
+    apply(RegisterBackend{backend("b0", 9, 1)});
+    const std::uint64_t before = machine_->revision();
+    CommandBatch batch;
+    batch.commands = {RegisterBackend{backend("b1", 1, 5)}, RegisterBackend{backend("b1", 1, 4)},
+                      RegisterBackend{backend("b2", 2, 1)}, DeregisterBackend{BackendName("b0")}};
+    apply(batch);
+    CPPUNIT_ASSERT_EQUAL(before + 1, machine_->revision());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, machine_->find_backend(BackendName("b1"))->sequence);
+    CPPUNIT_ASSERT(machine_->find_backend(BackendName("b2")) != nullptr);
+    CPPUNIT_ASSERT(machine_->is_deregistered(BackendName("b0")));
+    const FleetDelta delta = machine_->delta_since(before);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, delta.backends.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, delta.removed_backends.size());
+    apply(batch);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("nothing new", before + 1, machine_->revision());
+  }
+
+  void members_follow_every_way_a_backend_comes_and_goes() {
+    const GroupName records("records");
+    apply(RegisterBackend{backend("b1", 1, 1)});
+    apply(RegisterBackend{backend("b2", 2, 1)});
+    apply(RegisterBackend{backend("b3", 2, 1)});
+    BackendEntry moved = backend("b1", 4, 2);
+    apply(RegisterBackend{moved});
+    apply(RegisterBackend{backend("b4", 1, 1)});
+    const std::set<BackendName> expected{BackendName("b1"), BackendName("b3"), BackendName("b4")};
+    CPPUNIT_ASSERT_MESSAGE("one address left for another", machine_->members_of(records) == expected);
+    moved.group = GroupName("other");
+    moved.sequence = 3;
+    apply(RegisterBackend{moved});
+    apply(DeregisterBackend{BackendName("b4")});
+    Reason reason;
+    CPPUNIT_ASSERT(machine_->restore_snapshot(machine_->take_snapshot(), reason));
+    CPPUNIT_ASSERT(machine_->members_of(records) == std::set<BackendName>{BackendName("b3")});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, machine_->backends_of(GroupName("other")).size());
+    CPPUNIT_ASSERT(machine_->members_of(GroupName("nobody")).empty());
+  }
+
   void late_registrations_are_old() {
     BackendEntry leaving = backend("b1", 1, 5);
     leaving.leaving = true;
--- a/tests/simulation/registered_fleet_test.cpp
+++ b/tests/simulation/registered_fleet_test.cpp
@@ -70,6 +70,8 @@
   CPPUNIT_TEST(a_wiped_voter_is_replaced_and_nothing_acknowledged_is_lost);
   CPPUNIT_TEST(a_standby_takes_the_place_of_a_lost_voter);
   CPPUNIT_TEST(documents_survive_a_storm_of_leader_kills);
+  CPPUNIT_TEST(heartbeats_that_say_nothing_new_are_answered_by_proxies);
+  CPPUNIT_TEST(many_backends_register_while_all_proxies_restart);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -284,6 +286,44 @@
       CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, fleet.read_back_version());
     });
   }
+
+  void heartbeats_that_say_nothing_new_are_answered_by_proxies() {
+    check([](RegisteredFleet& fleet) {
+      fleet.run_for(seconds(4));
+      for (const char* backend : {"g1-b1", "g1-b2", "g1-b3"})
+        CPPUNIT_ASSERT_MESSAGE(backend, fleet.database(backend).heartbeats_elsewhere() > 4);
+      // Backend 2 is in the zone of proxy 2; without it, and with what is new, it comes back to control.
+      fleet.kill("proxy-2");
+      fleet.run_for(seconds(2));
+      const std::uint64_t acknowledged = fleet.acknowledged();
+      fleet.database("g1-b2").leave();
+      fleet.run_for(seconds(3));
+      CPPUNIT_ASSERT(fleet.acknowledged() > acknowledged);
+      CPPUNIT_ASSERT_MESSAGE("leaving is in force", fleet.is_leaving(BackendName("g1-b2")));
+      fleet.restart("proxy-2");
+      fleet.run_for(seconds(2));
+    });
+  }
+
+  void many_backends_register_while_all_proxies_restart() {
+    check(
+        [](RegisteredFleetSettings& settings) {
+          settings.groups = 20;
+          settings.proxies = 9;
+        },
+        [](RegisteredFleet& fleet) {
+          for (int proxy = 1; proxy <= 9; ++proxy) fleet.kill(fmt::format("proxy-{}", proxy));
+          fleet.run_for(milliseconds(300));
+          for (int proxy = 1; proxy <= 9; ++proxy) fleet.restart(fmt::format("proxy-{}", proxy));
+          const std::uint64_t before = fleet.acknowledged();
+          fleet.run_for(seconds(4));
+          CPPUNIT_ASSERT(fleet.acknowledged() > before + 40);
+          for (int group = 1; group <= 20; ++group) {
+            const GroupName name(fmt::format("group-{}", group));
+            CPPUNIT_ASSERT_MESSAGE(name.value, fleet.is_open(name));
+          }
+        });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RegisteredFleetTest);
--- a/tests/wire/registered_samples.cpp
+++ b/tests/wire/registered_samples.cpp
@@ -85,6 +85,8 @@
   const std::vector<Command> commands = any_commands();
   for (std::size_t i = 0; i < commands.size(); ++i)
     add(samples, std::string("registry_") + names[i], LoggedCommand{commands[i]});
+  const CommandBatch batch{{RegisterBackend{any_backend()}, AdmitProxy{any_proxy()}}};
+  add(samples, "registry_batch", LoggedCommand{batch});
 }
 
 void add_snapshot(Samples& samples) {
