A proxy without a lease passes statements on to one that holds it

Change: who has no lease forwards to a proxy that may serve, three at most, none that failed within a second; the one that runs a statement does so under its own lease and by what is in force there (it takes the route from its own view). Without a lease it refuses at once and another is asked. Dialling another proxy gets 150 ms instead of 400. Sessions open on a proxy without a lease while others are known.

--- a/simulation/registered_fleet.cpp
+++ b/simulation/registered_fleet.cpp
@@ -324,6 +324,12 @@
   return sum;
 }
 
+std::uint64_t RegisteredFleet::refused() const {
+  std::uint64_t sum = 0;
+  for (const CallerCounts& counts : counts_) sum += counts.promised;
+  return sum;
+}
+
 Duration RegisteredFleet::longest_write_gap(TimePoint from, TimePoint to) const {
   std::vector<TimePoint> ends{from, to};
   for (const Attempt& attempt : history_) {
--- a/simulation/registered_fleet.h
+++ b/simulation/registered_fleet.h
@@ -64,6 +64,8 @@
 
   [[nodiscard]] std::uint64_t acknowledged() const;
   [[nodiscard]] std::uint64_t reads() const;
+  /// Operations that were refused with the promise that nothing of them is kept.
+  [[nodiscard]] std::uint64_t refused() const;
   [[nodiscard]] const std::vector<standins::unfenced::Attempt>& history() const { return history_; }
   /// The longest time between two acknowledged writes that lies within `from` and `to`.
   [[nodiscard]] Duration longest_write_gap(TimePoint from, TimePoint to) const;
--- a/src/session/caller_session.cpp
+++ b/src/session/caller_session.cpp
@@ -36,8 +36,7 @@
   if (!start) co_return false;
   database_ = start->database;
   const TimePoint patience = services_.runtime.now() + kStartPatience;
-  while (!services_.view.lease_valid() && services_.view.expects_lease() &&
-         services_.runtime.now() < patience)
+  while (!may_open() && services_.view.expects_lease() && services_.runtime.now() < patience)
     co_await services_.view.renewed().wait_until(patience);
   if (services_.view.find_route(database_) != nullptr) co_return co_await caller_->accept(reason);
   const bool leased = services_.view.lease_valid();
@@ -52,6 +51,12 @@
   co_return false;
 }
 
+bool CallerSession::may_open() const {
+  if (services_.view.lease_valid()) return true;
+  // Others may hold a lease and serve its statements.
+  return services_.view.find_route(database_) != nullptr && !services_.view.others().empty();
+}
+
 TransactionState CallerSession::state() const {
   if (!transaction_) return TransactionState::kIdle;
   return transaction_->failed ? TransactionState::kFailed : TransactionState::kOpen;
--- a/src/session/caller_session.h
+++ b/src/session/caller_session.h
@@ -45,6 +45,8 @@
   };
 
   Awaitable<bool> open();
+  /// Whether the session's statements are likely to be served, here or elsewhere.
+  [[nodiscard]] bool may_open() const;
   Awaitable<Answer> handle(Statement statement);
   Answer begin(const Statement& statement);
   Awaitable<Answer> run_single(Statement statement);
--- a/src/session/forward_server.cpp
+++ b/src/session/forward_server.cpp
@@ -105,11 +105,14 @@
 
 Awaitable<ForwardAnswer> ForwardServer::run(std::shared_ptr<Connection> connection, ForwardRun request) {
   ForwardAnswer forwarded;
-  auto order = to_order(std::move(request.order));
-  const bool leased = services_.view.lease_valid();
-  if (!order) {
+  // What is in force here counts: who forwards may not have heard of it.
+  const registry::RouteRule* route = services_.view.find_route(request.order.route.database);
+  if (route != nullptr) request.order.route = *route;
+  std::optional<RunOrder> order;
+  if (route != nullptr) order = to_order(std::move(request.order));
+  if (!order || !services_.view.lease_valid()) {
     forwarded.answer.refusal = Refusal::kBusy;
-    forwarded.answer.detail = "the group is not known here yet";
+    forwarded.answer.detail = order ? "no serving lease" : "the database or its group is not known here";
     forwarded.may_try_another = true;
     co_return forwarded;
   }
@@ -117,7 +120,7 @@
   RunResult result = co_await runner_.run(std::move(*order));
   forwarded.answer = std::move(result.answer);
   forwarded.at_primary = result.served_by == ServedBy::kPrimary;
-  const bool cannot_serve = !leased || group->is_primary_unreachable();
+  const bool cannot_serve = !services_.view.lease_valid() || group->is_primary_unreachable();
   forwarded.may_try_another = cannot_serve && forwarded.answer.refusal == Refusal::kBusy;
   if (!result.pinned) co_return forwarded;
   if (connection->ended) {
--- a/src/session/forwarder.cpp
+++ b/src/session/forwarder.cpp
@@ -74,7 +74,7 @@
                                                                  TimePoint deadline, Reason& reason) {
   const auto held = connections_.find(proxy->name);
   if (held != connections_.end() && held->second->is_open()) co_return held->second;
-  const TimePoint dial_deadline = std::min(deadline, runtime_.now() + kControlConnectTimeout);
+  const TimePoint dial_deadline = std::min(deadline, runtime_.now() + kForwardDialTimeout);
   auto frames = co_await runtime_.network().connect(proxy->endpoint, dial_deadline, reason);
   if (!frames) {
     avoid(proxy->name);
--- a/src/session/knobs.h
+++ b/src/session/knobs.h
@@ -43,12 +43,14 @@
 inline constexpr Duration kRelayPeriod = milliseconds(1500);
 /// Links are opened ahead of need, one in this time.
 inline constexpr Duration kWarmInterval = milliseconds(200);
+/// Longest wait for a connection to another proxy: where it can't be opened soon, the next one is asked.
+inline constexpr Duration kForwardDialTimeout = milliseconds(150);
 /// A proxy that could not be reached is not forwarded to for this long, where another can serve.
 inline constexpr Duration kAvoidProxy = seconds(1);
 /// A forwarded statement's answer may take this much longer than the statement itself.
 inline constexpr Duration kForwardSlack = milliseconds(60);
 /// Proxies that one statement is forwarded to, one after the other.
-inline constexpr int kMaxForwards = 2;
+inline constexpr int kMaxForwards = 3;
 /// A backend that failed to answer is passed over for this long where another can serve.
 inline constexpr Duration kAvoidBackend = milliseconds(400);
 /// A read that got no answer goes to another backend after this part of the time that callers aim at.
--- a/src/session/statement_forwarding.cpp
+++ b/src/session/statement_forwarding.cpp
@@ -30,28 +30,38 @@
   });
   RunResult result;
   result.answer.refusal = Refusal::kBusy;
-  const TimePoint refuse_at = order.arrived + (order.deadline - order.arrived) / kRefusePatienceDivisor;
-  while (!services_.view.lease_valid() && services_.view.expects_lease() &&
-         services_.runtime.now() < refuse_at)
-    co_await services_.view.renewed().wait_until(refuse_at);
-  if (!services_.view.lease_valid()) {
-    result.answer.detail = "the serving lease has run out; come back soon";
-    log_refusal(order, result.answer, Reason{}, 0);
-    co_return result;
-  }
-  result.answer.detail = "no proxy that serves the group could be reached; come back soon";
+  result.answer.detail = "no proxy that may serve the group could be reached; come back soon";
   Reason reason;
+  // Whoever runs it does so under its own lease; this proxy needs none to pass it on.
   const auto tries = std::min<std::size_t>(proxies.size(), kMaxForwards);
-  for (std::size_t attempt = 0; attempt < tries; ++attempt) {
-    bool may_try_another = false;
+  bool may_try_another = true;
+  for (std::size_t attempt = 0; attempt < tries && may_try_another; ++attempt) {
+    // Without a lease the others may well be without one, too: they are not asked each time.
+    const bool asked_lately = services_.forwarder.is_avoided(proxies[attempt]->name);
+    if (asked_lately && !services_.view.lease_valid()) continue;
     auto forwarded = co_await forward_to(order, proxies[attempt], may_try_another, reason);
     if (forwarded) result = std::move(*forwarded);
-    if (!may_try_another) break;
+  }
+  if (may_try_another && !services_.view.lease_valid()) {
+    const bool leased = co_await wait_for_lease(refuse_limit(order));
+    if (leased) co_return co_await run(std::move(order));
+    result.answer.detail = "the serving lease has run out; come back soon";
   }
   if (result.answer.refusal) log_refusal(order, result.answer, reason, 1);
   co_return result;
 }
 
+TimePoint StatementRunner::refuse_limit(const RunOrder& order) {
+  return order.arrived + (order.deadline - order.arrived) / kRefusePatienceDivisor;
+}
+
+Awaitable<bool> StatementRunner::wait_for_lease(TimePoint refuse_at) {
+  while (!services_.view.lease_valid() && services_.view.expects_lease() &&
+         services_.runtime.now() < refuse_at)
+    co_await services_.view.renewed().wait_until(refuse_at);
+  co_return services_.view.lease_valid();
+}
+
 Awaitable<std::optional<RunResult>> StatementRunner::forward_to(RunOrder order, routing::ProxyPointer proxy,
                                                                 bool& may_try_another, Reason& reason) {
   may_try_another = true;
--- a/src/session/statement_runner.cpp
+++ b/src/session/statement_runner.cpp
@@ -37,7 +37,9 @@
 
 bool StatementRunner::must_relay(const RunOrder& order) const {
   const GroupAccess& group = *order.group;
-  if (order.is_forwarded || !group.term().open || !group.is_primary_unreachable()) return false;
+  if (order.is_forwarded) return false;
+  const bool is_unreachable = group.term().open && group.is_primary_unreachable();
+  if (services_.view.lease_valid() && !is_unreachable) return false;
   const bool reads = order.opens_transaction ? order.read_only_transaction : !order.writes;
   return !reads || group.need_of(order.route, order.committed).primary_only;
 }
@@ -45,8 +47,7 @@
 Awaitable<RunResult> StatementRunner::run_here(RunOrder order) {
   runtime::Runtime& runtime = services_.runtime;
   auto attempt = std::make_shared<Attempt>(std::move(order));
-  const Duration whole = attempt->order.deadline - attempt->order.arrived;
-  attempt->refuse_at = attempt->order.arrived + whole / kRefusePatienceDivisor;
+  attempt->refuse_at = refuse_limit(attempt->order);
   Step step = Step::kNext;
   while (step != Step::kDone) {
     const bool worth_trying = attempt->count < kMaxAttempts && runtime.now() < attempt->order.deadline;
--- a/src/session/statement_runner.h
+++ b/src/session/statement_runner.h
@@ -79,10 +79,13 @@
   /// The same for a backend's gate: who would come through later would be late, and make others late.
   [[nodiscard]] TimePoint gate_limit(const Attempt& attempt) const;
 
-  /// Whether it needs a primary that this proxy does not reach.
+  /// Whether it needs a primary that this proxy does not reach, or may not use for want of a lease.
   [[nodiscard]] bool must_relay(const RunOrder& order) const;
   Awaitable<RunResult> run_here(RunOrder order);
   Awaitable<RunResult> forward(RunOrder order, std::vector<routing::ProxyPointer> proxies);
+  /// Waits for the lease as long as it is to be expected and the order can be refused in good time.
+  Awaitable<bool> wait_for_lease(TimePoint refuse_at);
+  [[nodiscard]] static TimePoint refuse_limit(const RunOrder& order);
   Awaitable<std::optional<RunResult>> forward_to(RunOrder order, routing::ProxyPointer proxy,
                                                  bool& may_try_another, Reason& reason);
   Awaitable<Answer> forward_pinned(RemotePin remote, RunOrder order, bool commits, bool wrote);
--- a/tests/simulation/registered_fleet_test.cpp
+++ b/tests/simulation/registered_fleet_test.cpp
@@ -64,6 +64,8 @@
   CPPUNIT_TEST(a_deaf_replica_is_not_promoted_over_one_that_heard);
   CPPUNIT_TEST(nobody_is_promoted_while_acknowledged_commits_may_be_missing);
   CPPUNIT_TEST(a_proxy_cut_from_control_shows_nothing_old_after_a_promotion);
+  CPPUNIT_TEST(a_proxy_cut_from_control_relays_through_others);
+  CPPUNIT_TEST(a_proxy_cut_from_control_relays_past_a_failover);
   CPPUNIT_TEST(a_frozen_proxy_that_wakes_uses_no_old_primary);
   CPPUNIT_TEST(leader_and_primary_die_together);
   CPPUNIT_TEST(all_control_nodes_restart);
@@ -208,6 +210,37 @@
           });
   }
 
+  void a_proxy_cut_from_control_relays_through_others() {
+    check([](RegisteredFleet& fleet) {
+      fleet.cut_from_all_control("proxy-1");
+      const std::uint64_t refused = fleet.refused();
+      const std::uint64_t acknowledged = fleet.acknowledged();
+      fleet.run_for(seconds(8));
+      const std::string message = fmt::format("{} refused", fleet.refused() - refused);
+      CPPUNIT_ASSERT_MESSAGE(message, fleet.refused() < refused + 8);
+      CPPUNIT_ASSERT(fleet.acknowledged() > acknowledged + 150);
+    });
+  }
+
+  void a_proxy_cut_from_control_relays_past_a_failover() {
+    check([](RegisteredFleet& fleet) {
+      fleet.cut_from_all_control("proxy-1");
+      fleet.run_for(seconds(2));
+      const std::string old_primary = fleet.primary();
+      const TimePoint cut = fleet.world().now();
+      // The old primary goes on for proxy-1, which does not hear of its successor.
+      fleet.cut(old_primary, "proxy-2");
+      fleet.cut(old_primary, "proxy-3");
+      fleet.cut_from_all_control(old_primary);
+      for (const char* other : {"g1-b1", "g1-b2", "g1-b3"}) {
+        if (old_primary != other) fleet.cut(old_primary, other);
+      }
+      fleet.run_for(seconds(6));
+      CPPUNIT_ASSERT(fleet.group().promotions() >= 1);
+      expect_gap_below(fleet, cut, milliseconds(3500));
+    });
+  }
+
   void a_frozen_proxy_that_wakes_uses_no_old_primary() {
     check([](RegisteredFleet& fleet) {
       fleet.world().freeze("proxy-1");
