--- a/src/session/group_access.cpp
+++ b/src/session/group_access.cpp
@@ -171,6 +171,13 @@
   return usable_leader ? usable_leader : avoided;
 }
 
+bool GroupAccess::has_other_reader(const ReadNeed& need, const BackendUse& backend) {
+  const TimePoint now = runtime_.now();
+  const auto other = choose_reader(need, {backend.entry.name});
+  if (!other || other->avoid_until > now) return false;
+  return other->entry.name == term_.primary || other->lag(now) <= now - need.required_since;
+}
+
 ReadNeed GroupAccess::need_of(const registry::RouteRule& route, const SessionCommit& committed) const {
   ReadNeed need;
   need.primary_only = true;
--- a/src/session/group_access.h
+++ b/src/session/group_access.h
@@ -99,6 +99,8 @@
   std::shared_ptr<BackendUse> primary();
   /// The backend to read at, out of those not in `excluded`; null when none is left.
   std::shared_ptr<BackendUse> choose_reader(const ReadNeed& need, const std::set<BackendName>& excluded);
+  /// Whether a backend beside `backend` is likely to serve such a read now.
+  [[nodiscard]] bool has_other_reader(const ReadNeed& need, const BackendUse& backend);
   /// What a read must see under these rules; primary_only when a replica can't be shown to have it.
   [[nodiscard]] ReadNeed need_of(const registry::RouteRule& route, const SessionCommit& committed) const;
 
--- a/src/session/statement_runner.cpp
+++ b/src/session/statement_runner.cpp
@@ -129,7 +129,7 @@
   const RunOrder& order = attempt->order;
   std::optional<Refusal> refusal;
   attempt->link =
-      co_await backend->pool.acquire(order.values, wait_limit(*attempt), refusal, attempt->reason);
+      co_await backend->pool.acquire(order.values, gate_limit(*attempt), refusal, attempt->reason);
   if (!attempt->link) {
     const bool full = attempt->reason.code == ReasonCode::kOverloaded;
     if (!full) backend->avoid_until = services_.runtime.now() + kAvoidBackend;
@@ -205,8 +205,10 @@
   attempt->offered = true;
   attempt->sent_at = services_.runtime.now();
   TimePoint deadline = order.deadline;
-  const bool others = attempt->count < kMaxAttempts - 1 && attempt->is_read() && !attempt->needs_primary;
-  if (others) {
+  const bool may_go_elsewhere =
+      attempt->count < kMaxAttempts - 1 && attempt->is_read() && !attempt->needs_primary;
+  // Given up here and sent here again, it would only be run twice.
+  if (may_go_elsewhere && order.group->has_other_reader(attempt->need, *attempt->backend)) {
     const Duration target = std::chrono::milliseconds(order.route.target_latency_ms);
     const Duration patience = std::max<Duration>(target / kReadPatienceDivisor, kLeastReadPatience);
     deadline = std::min(deadline, attempt->sent_at + patience);
