A new link has its own deadline, longer than the wait for a free one

Change: LinkDeadlines: until the gate's time for a free link, until the attempt's time for a new one.

--- a/src/session/stateful_pool.cpp
+++ b/src/session/stateful_pool.cpp
@@ -78,7 +78,7 @@
   return link;
 }
 
-Awaitable<std::shared_ptr<StatefulLink>> StatefulPool::acquire(SessionValues values, TimePoint deadline,
+Awaitable<std::shared_ptr<StatefulLink>> StatefulPool::acquire(SessionValues values, LinkDeadlines deadlines,
                                                                std::optional<Refusal>& refusal,
                                                                Reason& reason) {
   while (true) {
@@ -88,14 +88,14 @@
     }
     if (may_dial()) break;
     const bool waits_for_room = in_use_ < limit_;
-    const TimePoint wake = waits_for_room ? std::min(deadline, full_until_) : deadline;
+    const TimePoint wake = waits_for_room ? std::min(deadlines.free, full_until_) : deadlines.free;
     co_await returned_.wait_until(wake);
-    if (runtime_.now() < deadline) continue;
+    if (runtime_.now() < deadlines.free) continue;
     reason = Reason{ReasonCode::kOverloaded, "acquire_link", address_.backend.value, "all links are in use"};
     co_return nullptr;
   }
   ++in_use_;
-  const TimePoint dial_deadline = std::min(deadline, runtime_.now() + kDialTimeout);
+  const TimePoint dial_deadline = std::min(deadlines.open, runtime_.now() + kDialTimeout);
   auto link = co_await dialer_.open(address_, dial_deadline, refusal, reason);
   if (link) {
     ++opened_;
--- a/src/session/stateful_pool.h
+++ b/src/session/stateful_pool.h
@@ -62,6 +62,12 @@
   bool transaction_open_ = false;
 };
 
+/// How long a link is waited for.
+struct LinkDeadlines {
+  TimePoint free;  ///< while all links are in use
+  TimePoint open;  ///< for a new one, which takes a handshake
+};
+
 /// Lives until the process ends. `runtime` and `dialer` outlive it.
 class StatefulPool {
  public:
@@ -71,7 +77,7 @@
   void set_limit(std::uint64_t limit) { limit_ = limit; }
   /// An idle link, best one with these values, or a new one; waits while the limit is reached. Null on
   /// failure; `refusal` is set when the backend itself refused a new one.
-  Awaitable<std::shared_ptr<StatefulLink>> acquire(SessionValues values, TimePoint deadline,
+  Awaitable<std::shared_ptr<StatefulLink>> acquire(SessionValues values, LinkDeadlines deadlines,
                                                    std::optional<Refusal>& refusal, Reason& reason);
   /// Gives a link back that has no transaction open and owes no answer; a closed one is dropped.
   void release(std::shared_ptr<StatefulLink> link);
--- a/src/session/statement_runner.cpp
+++ b/src/session/statement_runner.cpp
@@ -128,8 +128,8 @@
                                               std::shared_ptr<BackendUse> backend) {
   const RunOrder& order = attempt->order;
   std::optional<Refusal> refusal;
-  attempt->link =
-      co_await backend->pool.acquire(order.values, gate_limit(*attempt), refusal, attempt->reason);
+  const LinkDeadlines deadlines{gate_limit(*attempt), wait_limit(*attempt)};
+  attempt->link = co_await backend->pool.acquire(order.values, deadlines, refusal, attempt->reason);
   if (!attempt->link) {
     const bool full = attempt->reason.code == ReasonCode::kOverloaded;
     if (!full) backend->avoid_until = services_.runtime.now() + kAvoidBackend;
--- /dev/null
+++ b/tests/session/group_access_test.cpp
@@ -0,0 +1,99 @@
+// Which backend of a group a read goes to, and whether another one could take it over.
+#include "session/group_access.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "simulation/world.h"
+
+namespace cairnhollow::session {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+class NoDialer : public BackendDialer {
+ public:
+  Awaitable<std::shared_ptr<BackendLink>> open(BackendAddress /*address*/, TimePoint /*deadline*/,
+                                               std::optional<Refusal>& /*refusal*/,
+                                               Reason& /*reason*/) override {
+    co_return nullptr;
+  }
+};
+
+registry::BackendEntry backend(const std::string& name, std::uint16_t port) {
+  registry::BackendEntry entry;
+  entry.name = BackendName(name);
+  entry.group = GroupName("group");
+  entry.endpoint = {"10.0.0.9", port};
+  entry.zone = ZoneName("a");
+  entry.slots = 2;
+  return entry;
+}
+
+}  // namespace
+
+class GroupAccessTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(GroupAccessTest);
+  CPPUNIT_TEST(reads_go_to_replicas);
+  CPPUNIT_TEST(nobody_else_reads_while_the_replicas_lag);
+  CPPUNIT_TEST(a_backend_that_is_avoided_or_leaves_is_no_other_reader);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    world_ = std::make_unique<simulation::World>(simulation::WorldSettings{});
+    runtime_ = &world_->start_bare({"proxy", "10.0.0.1", ZoneName("a")});
+    group_ = std::make_unique<GroupAccess>(*runtime_, dialer_, GroupName("group"), ZoneName("a"));
+    group_->put_backend(backend("primary", 1));
+    group_->put_backend(backend("replica-1", 2));
+    group_->put_backend(backend("replica-2", 3));
+    group_->set_term({GroupName("group"), 1, BackendName("primary"), true, 1, 1});
+    need_.required = Position{1, 10};
+    need_.required_since = runtime_->now();
+    world_->run_for(milliseconds(100));
+  }
+  void tearDown() override {
+    group_.reset();
+    world_.reset();
+  }
+
+  void reads_go_to_replicas() {
+    CPPUNIT_ASSERT(group_->choose_reader(need_, {})->entry.name.value != "primary");
+    CPPUNIT_ASSERT(group_->has_other_reader(need_, use("replica-1")));
+    CPPUNIT_ASSERT(group_->has_other_reader(need_, use("primary")));
+  }
+
+  void nobody_else_reads_while_the_replicas_lag() {
+    group_->note_replica(use("replica-1"), need_, std::nullopt);
+    group_->note_replica(use("replica-2"), need_, std::nullopt);
+    CPPUNIT_ASSERT_EQUAL(std::string("primary"), group_->choose_reader(need_, {})->entry.name.value);
+    CPPUNIT_ASSERT(!group_->has_other_reader(need_, use("primary")));
+    CPPUNIT_ASSERT_MESSAGE("a replica's read may go to the primary",
+                           group_->has_other_reader(need_, use("replica-1")));
+    world_->run_for(seconds(4));
+    CPPUNIT_ASSERT_MESSAGE("what is not heard of is tried again", group_->has_other_reader(need_, use("primary")));
+  }
+
+  void a_backend_that_is_avoided_or_leaves_is_no_other_reader() {
+    use("replica-1").avoid_until = runtime_->now() + seconds(1);
+    registry::BackendEntry leaving = backend("replica-2", 3);
+    leaving.leaving = true;
+    group_->put_backend(leaving);
+    CPPUNIT_ASSERT(!group_->has_other_reader(need_, use("primary")));
+    CPPUNIT_ASSERT(group_->has_other_reader(need_, use("replica-1")));
+  }
+
+ private:
+  BackendUse& use(const std::string& name) { return *group_->backends().at(BackendName(name)); }
+
+  std::unique_ptr<simulation::World> world_;
+  runtime::Runtime* runtime_ = nullptr;
+  NoDialer dialer_;
+  std::unique_ptr<GroupAccess> group_;
+  ReadNeed need_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GroupAccessTest);
+
+}  // namespace cairnhollow::session
--- a/tests/session/stateful_pool_test.cpp
+++ b/tests/session/stateful_pool_test.cpp
@@ -47,18 +47,25 @@
 
 class RecordingDialer : public BackendDialer {
  public:
-  Awaitable<std::shared_ptr<BackendLink>> open(BackendAddress /*address*/, TimePoint /*deadline*/,
+  explicit RecordingDialer(runtime::Runtime& runtime) : runtime_(runtime) {}
+  Awaitable<std::shared_ptr<BackendLink>> open(BackendAddress /*address*/, TimePoint deadline,
                                                std::optional<Refusal>& refusal, Reason& reason) override {
     if (full) {
       refusal = Refusal::kConnectionLimit;
       reason = Reason{ReasonCode::kUnreachable, "open_session", "backend", "full"};
       co_return nullptr;
     }
+    co_await runtime_.sleep_for(takes);
+    if (runtime_.now() > deadline) co_return nullptr;
     links.push_back(std::make_shared<RecordingLink>());
     co_return links.back();
   }
   std::vector<std::shared_ptr<RecordingLink>> links;
   bool full = false;
+  Duration takes{0};
+
+ private:
+  runtime::Runtime& runtime_;
 };
 
 struct Taken {
@@ -72,7 +79,7 @@
                      std::optional<PreparedShape> prepared, Taken& taken) {
   Reason reason;
   const TimePoint deadline = runtime.now() + milliseconds(100);
-  taken.link = co_await pool.acquire(values, deadline, taken.refusal, reason);
+  taken.link = co_await pool.acquire(values, LinkDeadlines{deadline, deadline}, taken.refusal, reason);
   if (taken.link) taken.in_order = co_await taken.link->bring_in_order(values, prepared, deadline, reason);
   taken.finished = true;
 }
@@ -89,13 +96,14 @@
   CPPUNIT_TEST(a_link_that_can_not_be_brought_in_order_is_closed);
   CPPUNIT_TEST(a_full_backend_is_told);
   CPPUNIT_TEST(idle_links_but_one_are_closed_in_time);
+  CPPUNIT_TEST(a_new_link_may_take_longer_than_the_wait_for_a_free_one);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   void setUp() override {
     world_ = std::make_unique<simulation::World>(simulation::WorldSettings{});
     runtime_ = &world_->start_bare({"proxy", "10.0.0.1", ZoneName("a")});
-    dialer_ = std::make_unique<RecordingDialer>();
+    dialer_ = std::make_unique<RecordingDialer>(*runtime_);
     pool_ = std::make_unique<StatefulPool>(
         *runtime_, *dialer_, BackendAddress{{"10.0.0.2", 9000}, GroupName("group"), BackendName("backend")});
     pool_->set_limit(2);
@@ -135,6 +143,22 @@
     CPPUNIT_ASSERT(take_one({{"tag", "a"}}).link == first.link);
   }
 
+  void a_new_link_may_take_longer_than_the_wait_for_a_free_one() {
+    dialer_->takes = milliseconds(20);
+    Taken taken;
+    const TimePoint now = runtime_->now();
+    const LinkDeadlines deadlines{now + milliseconds(8), now + milliseconds(100)};
+    const auto acquire = [&]() -> Awaitable<void> {
+      Reason reason;
+      taken.link = co_await pool_->acquire({}, deadlines, taken.refusal, reason);
+      taken.finished = true;
+    };
+    runtime_->spawn("acquire", acquire());
+    world_->run_for(milliseconds(50));
+    CPPUNIT_ASSERT(taken.finished);
+    CPPUNIT_ASSERT(taken.link != nullptr);
+  }
+
   void the_limit_holds_and_returned_links_are_passed_on() {
     const Taken first = take_one({});
     const Taken second = take_one({});
