--- a/simulation/registered_fleet.cpp
+++ b/simulation/registered_fleet.cpp
@@ -331,15 +331,7 @@
 }
 
 Duration RegisteredFleet::longest_write_gap(TimePoint from, TimePoint to) const {
-  std::vector<TimePoint> ends{from, to};
-  for (const Attempt& attempt : history_) {
-    const bool counts = !attempt.token.empty() && attempt.outcome == AttemptOutcome::kAcknowledged;
-    if (counts && attempt.ended > from && attempt.ended < to) ends.push_back(attempt.ended);
-  }
-  std::sort(ends.begin(), ends.end());
-  Duration longest{0};
-  for (std::size_t i = 1; i < ends.size(); ++i) longest = std::max(longest, ends[i] - ends[i - 1]);
-  return longest;
+  return standins::unfenced::longest_write_gap(history_, from, to);
 }
 
 }  // namespace cairnhollow::simulation
--- a/standins/unfenced/database.cpp
+++ b/standins/unfenced/database.cpp
@@ -56,6 +56,14 @@
     co_return;
   }
   void leave() override { leaving_ = true; }
+  void crash() override {
+    stopped_ = true;
+    state().running = false;
+    listener_->close();
+    for (const auto& open : open_) {
+      if (const auto lines = open.lock()) lines->close();
+    }
+  }
   void deregister() override { runtime_.spawn("database_deregister", call_control(true)); }
   [[nodiscard]] std::uint64_t statements_run() const override { return statements_run_; }
   [[nodiscard]] std::uint64_t heartbeats_elsewhere() const override { return heartbeats_elsewhere_; }
@@ -145,6 +153,8 @@
   Awaitable<void> serve(std::shared_ptr<runtime::LineConnection> lines) {
     Connection connection;
     connection.lines = lines;
+    std::erase_if(open_, [](const auto& open) { return open.expired(); });
+    open_.push_back(lines);
     Reason reason;
     const auto start = co_await lines->read_line(TimePoint::max(), reason);
     if (!start) co_return;
@@ -308,6 +318,7 @@
   GroupModel& model_;
   DatabaseSettings settings_;
   std::unique_ptr<runtime::LineListener> listener_;
+  std::vector<std::weak_ptr<runtime::LineConnection>> open_;
   std::size_t next_control_ = 0;
   std::uint64_t sequence_ = 0;
   std::uint64_t statements_run_ = 0;
--- a/standins/unfenced/database.h
+++ b/standins/unfenced/database.h
@@ -26,6 +26,8 @@
  public:
   /// From the next heartbeat on it says that it leaves.
   virtual void leave() = 0;
+  /// Ends as a killed process does, its log kept by the model; another role may take its place.
+  virtual void crash() = 0;
   /// Takes itself out of the registry at once.
   virtual void deregister() = 0;
   [[nodiscard]] virtual std::uint64_t statements_run() const = 0;
--- a/standins/unfenced/session_history.cpp
+++ b/standins/unfenced/session_history.cpp
@@ -65,4 +65,16 @@
   return violations;
 }
 
+Duration longest_write_gap(const std::vector<Attempt>& history, TimePoint from, TimePoint to) {
+  std::vector<TimePoint> ends{from, to};
+  for (const Attempt& attempt : history) {
+    if (is_acknowledged_write(attempt) && attempt.ended > from && attempt.ended < to)
+      ends.push_back(attempt.ended);
+  }
+  std::sort(ends.begin(), ends.end());
+  Duration longest{0};
+  for (std::size_t i = 1; i < ends.size(); ++i) longest = std::max(longest, ends[i] - ends[i - 1]);
+  return longest;
+}
+
 }  // namespace cairnhollow::standins::unfenced
--- a/standins/unfenced/session_history.h
+++ b/standins/unfenced/session_history.h
@@ -31,4 +31,7 @@
 std::vector<std::string> find_violations(const std::vector<Attempt>& history,
                                          const std::vector<std::string>& final_tokens);
 
+/// The longest time between two acknowledged writes that lies within `from` and `to`.
+Duration longest_write_gap(const std::vector<Attempt>& history, TimePoint from, TimePoint to);
+
 }  // namespace cairnhollow::standins::unfenced
