--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -149,7 +149,8 @@
         line_.servers.push_back(*parsed);
       }
     }
-    if (addresses.empty())
+    const bool reads_logs = !arguments_.at("--log").asStringList().empty();
+    if (addresses.empty() && !reads_logs)
       fail("--server: name a control node's operator endpoint, or set CAIRNHOLLOW_SERVERS");
   }
 
@@ -196,7 +197,9 @@
     question.write = flag("--write");
     question.token = text("--token");
     question.request_id = text("--request-id");
-    if (!question.request_id.empty() && question.request_id.find('/') == std::string::npos) {
+    question.logs = arguments_.at("--log").asStringList();
+    const bool names_session = question.request_id.find('/') != std::string::npos;
+    if (question.logs.empty() && !question.request_id.empty() && !names_session) {
       fail("--request-id: must be SESSION/NUMBER");
     }
     if (has("--proxy")) question.proxy = endpoint("--proxy", text("--proxy"));
--- a/src/cli/explain_command.cpp
+++ b/src/cli/explain_command.cpp
@@ -4,9 +4,11 @@
 #include <boost/json.hpp>
 #include <boost/url/params_view.hpp>
 #include <boost/url/url.hpp>
+#include <fstream>
 
 #include "cli/commands.h"
 #include "cli/document_output.h"
+#include "cli/log_story.h"
 #include "cli/table.h"
 
 namespace cairnhollow::cli {
@@ -118,9 +120,23 @@
   co_return endpoints;
 }
 
+ExitCode tell_from_logs(CommandContext& context) {
+  const ExplainQuestion& question = context.line.question;
+  LogReader reader;
+  for (const std::string& name : question.logs) {
+    std::ifstream file(name);
+    if (!file) return report_failure(context, {ReasonCode::kNotFound, "read_log", name, "cannot be read"});
+    reader.read(file);
+  }
+  const LogStory story = reader.story_of(question.request_id);
+  context.output << print_story(story, question.request_id);
+  return story.own > 0 ? ExitCode::kDone : ExitCode::kRefused;
+}
+
 }  // namespace
 
 Awaitable<ExitCode> run_explain(CommandContext& context) {
+  if (!context.line.question.logs.empty()) co_return tell_from_logs(context);
   Reason reason;
   auto proxies = co_await read_proxies(context, reason);
   if (!proxies) co_return report_failure(context, reason);
--- a/src/cli/usage.cpp
+++ b/src/cli/usage.cpp
@@ -19,6 +19,7 @@
   cairnhollow status [NAME...] [--server=ADDRESS]... [options]
   cairnhollow events [NAME...] [--server=ADDRESS]... [options]
   cairnhollow explain DATABASE KEY [--label=LABEL]... [--server=ADDRESS]... [options]
+  cairnhollow explain --request-id=ID (--log=FILE)... [options]
   cairnhollow explain --request-id=ID [--server=ADDRESS]... [options]
   cairnhollow member list [--server=ADDRESS]... [options]
   cairnhollow member add NODE [--server=ADDRESS]... [options]
@@ -41,7 +42,8 @@
               groups and proxies that need a look. Names or -l show only those groups, backends and proxies.
   events      Shows failovers, elections, drains, member changes and their causes; with names or -l those
               of the named or selected objects and nodes.
-  explain     Asks a proxy which backends it would use for a statement, and why not the others.
+  explain     Asks a proxy which backends it would use for a statement, and why not the others; with --log
+              tells what processes logged of a request and of what they believed meanwhile.
   member      Lists and changes the control nodes that hold the configuration.
   switchover  Hands the primary role of database groups over, without losing a write.
   wait        Waits until a revision is in force on every serving proxy.
@@ -69,7 +71,8 @@
   --write                           With explain: a write (else a read).
   --label=LABEL                     With explain: a label of the statement, key=value.
   --token=TOKEN                     With explain: the session token.
-  --request-id=ID                   With explain: a request that was served, SESSION/NUMBER.
+  --request-id=ID                   With explain: a request that was served, SESSION/NUMBER; with --log any id.
+  --log=FILE                        With explain: log lines of one or more processes; give all files there are.
   --proxy=ADDRESS                   With explain: the proxy to ask; else those selected by -l.
   --endpoint=ADDRESS                With member add and replace: where control nodes reach the node.
   --zone=ZONE                       With member add and replace: the node's zone.
@@ -87,6 +90,7 @@
   cairnhollow events study-records-1
   cairnhollow switchover -l service=study-records --to zone=kelburn
   cairnhollow explain learner card-17 --write
+  cairnhollow explain --request-id=8f31 --log=proxy-1.log --log=proxy-2.log --log=control-1.log
 )";
 
 }  // namespace cairnhollow::cli
--- a/tests/cli/command_line_test.cpp
+++ b/tests/cli/command_line_test.cpp
@@ -123,6 +123,9 @@
     CPPUNIT_ASSERT_EQUAL(std::string("card-17"), statement.question.key);
     CPPUNIT_ASSERT(statement.question.write);
     CPPUNIT_ASSERT(statement.question.labels.find("a") == "b");
+    const auto from_logs = parse({"explain", "--request-id", "8f31", "--log", "a.log", "--log", "b.log"});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, from_logs.question.logs.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("8f31"), from_logs.question.request_id);
     const auto request = parse({"explain", "--request-id", "session/4", "--proxy", "10.0.0.1:1"});
     CPPUNIT_ASSERT_EQUAL(std::string("session/4"), request.question.request_id);
     CPPUNIT_ASSERT((request.question.proxy == Endpoint{"10.0.0.1", 1}));
