One place for a primary's answer; groups divided anew only when that may change; counter of forwarded statements

An answered commit (position noted, acknowledged, or in doubt when its primary was given up) was taken in two places: StatementRunner::take_primary_answer. FleetView divided all groups on each change, also of a route or a term: only for changes of proxies, groups or backends now. cairnhollow_session_forwarded_total says why statements were passed on. StatefulPool::opened() was read by nobody.

--- a/src/session/fleet_view.cpp
+++ b/src/session/fleet_view.cpp
@@ -108,7 +108,13 @@
   apply_backends(delta);
   for (const registry::GroupTerm& term : delta.terms) access(term.group)->set_term(term);
   apply_proxies(delta);
-  divide_groups();
+  if (changes_division(delta)) divide_groups();
+}
+
+bool FleetView::changes_division(const registry::FleetDelta& delta) {
+  // A backend counts with its slots, a group with its connections; terms and routes do not.
+  return delta.is_whole || !delta.proxies.empty() || !delta.removed_proxies.empty() || !delta.groups.empty() ||
+         !delta.backends.empty() || !delta.removed_backends.empty();
 }
 
 void FleetView::extend_lease(TimePoint until) {
--- a/src/session/fleet_view.h
+++ b/src/session/fleet_view.h
@@ -66,6 +66,8 @@
   void apply_proxies(const registry::FleetDelta& delta);
   /// Who serves each group, and how its connections are shared.
   void divide_groups();
+  /// Whether it may change which proxies serve a group, or their shares of its connections.
+  [[nodiscard]] static bool changes_division(const registry::FleetDelta& delta);
 
   runtime::Runtime& runtime_;
   BackendDialer& dialer_;
--- a/src/session/session_metrics.cpp
+++ b/src/session/session_metrics.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::array<const char*, 3> kPlaces{"proxy", "primary", "replica"};
+constexpr std::array<const char*, 3> kForwardCauses{"served_elsewhere", "no_lease", "primary_unreachable"};
 
 }  // namespace
 
@@ -25,6 +26,11 @@
                                           "From a statement's arrival to its answer.",
                                           runtime::latency_buckets_seconds(), labels);
   }
+  for (std::size_t cause = 0; cause < kForwardCauses.size(); ++cause) {
+    forwarded_[cause] =
+        &metrics_.counter("cairnhollow_session_forwarded_total", "Statements passed on to another proxy.",
+                          {{"cause", kForwardCauses[cause]}});
+  }
   for (std::size_t code = 0; code < kRefusals; ++code) {
     const runtime::MetricLabels labels{{"reason", refusal_name(static_cast<Refusal>(code))}};
     refused_[code] =
--- a/src/session/session_metrics.h
+++ b/src/session/session_metrics.h
@@ -12,6 +12,9 @@
 /// Where a statement was served.
 enum class ServedBy : std::uint8_t { kProxy, kPrimary, kReplica };
 
+/// Why a statement was passed on to another proxy.
+enum class ForwardCause : std::uint8_t { kServedElsewhere, kNoLease, kPrimaryUnreachable };
+
 class SessionMetrics {
  public:
   SessionMetrics();
@@ -19,6 +22,7 @@
   void count_served(ServedBy by, Duration took);
   void count_refused(Refusal refusal);
   void count_retry(Refusal refusal) { retries_[static_cast<std::size_t>(refusal)]->Increment(); }
+  void count_forwarded(ForwardCause cause) { forwarded_[static_cast<std::size_t>(cause)]->Increment(); }
   void count_lost_answer() { lost_answers_.Increment(); }
   void set_sessions(std::size_t sessions) { sessions_.Set(static_cast<double>(sessions)); }
   void set_lease(bool valid) { lease_valid_.Set(valid ? 1 : 0); }
@@ -32,6 +36,7 @@
   std::array<prometheus::Histogram*, 3> latency_{};
   std::array<prometheus::Counter*, kRefusals> refused_{};
   std::array<prometheus::Counter*, kRefusals> retries_{};
+  std::array<prometheus::Counter*, 3> forwarded_{};
   prometheus::Counter& lost_answers_;
   prometheus::Gauge& sessions_;
   prometheus::Gauge& lease_valid_;
--- a/src/session/stateful_pool.cpp
+++ b/src/session/stateful_pool.cpp
@@ -98,7 +98,6 @@
   const TimePoint dial_deadline = std::min(deadlines.open, runtime_.now() + kDialTimeout);
   auto link = co_await dialer_.open(address_, dial_deadline, refusal, reason);
   if (link) {
-    ++opened_;
     co_return std::make_shared<StatefulLink>(std::move(link));
   }
   --in_use_;
--- a/src/session/stateful_pool.h
+++ b/src/session/stateful_pool.h
@@ -87,7 +87,6 @@
   [[nodiscard]] std::size_t in_use() const { return in_use_; }
   /// Whether there is no link at all.
   [[nodiscard]] bool is_cold() const { return in_use_ == 0 && idle_.empty(); }
-  [[nodiscard]] std::uint64_t opened() const { return opened_; }
   [[nodiscard]] const BackendAddress& address() const { return address_; }
 
  private:
@@ -106,7 +105,6 @@
   std::uint64_t limit_ = 2;
   TimePoint full_until_{};  ///< the backend refused one more connection
   std::size_t in_use_ = 0;
-  std::uint64_t opened_ = 0;
 };
 
 }  // namespace cairnhollow::session
--- a/src/session/statement_in_transaction.cpp
+++ b/src/session/statement_in_transaction.cpp
@@ -53,18 +53,8 @@
     log_refusal(order, aborted, reason, 1);
     co_return aborted;
   }
-  if (answer->succeeded() && pinned.at_primary && current && answer->position)
-    group.note_primary_position(sent_at, *answer->position);
-  if (commits && wrote && answer->succeeded()) {
-    if (current && answer->position) {
-      group.note_acknowledged(*answer->position);
-    } else {
-      aborted.refusal = Refusal::kInDoubt;
-      aborted.detail = "its primary was given up before the answer came";
-      log_refusal(order, aborted, reason, 1);
-      co_return aborted;
-    }
-  }
+  if (answer->succeeded() && pinned.at_primary)
+    take_primary_answer(group, PrimaryAnswer{pinned.epoch, sent_at, commits && wrote}, *answer);
   if (answer->refusal) log_refusal(order, *answer, reason, 1);
   co_return std::move(*answer);
 }
--- a/src/session/statement_runner.cpp
+++ b/src/session/statement_runner.cpp
@@ -29,9 +29,14 @@
 
 Awaitable<RunResult> StatementRunner::run(RunOrder order) {
   std::vector<routing::ProxyPointer> proxies;
+  ForwardCause cause = ForwardCause::kServedElsewhere;
   if (!order.is_forwarded) proxies = services_.view.forward_to(order.group->group());
-  if (proxies.empty() && must_relay(order)) proxies = services_.view.others();
+  if (proxies.empty() && must_relay(order)) {
+    proxies = services_.view.others();
+    cause = services_.view.lease_valid() ? ForwardCause::kPrimaryUnreachable : ForwardCause::kNoLease;
+  }
   if (proxies.empty()) co_return co_await run_here(std::move(order));
+  services_.metrics.count_forwarded(cause);
   co_return co_await forward(std::move(order), std::move(proxies));
 }
 
@@ -250,6 +255,21 @@
   return Step::kDone;
 }
 
+void StatementRunner::take_primary_answer(GroupAccess& group, PrimaryAnswer primary, Answer& answer) {
+  const bool current = services_.view.may_use_primary(group, primary.epoch);
+  if (current && answer.position) {
+    group.note_primary_position(primary.asked_at, *answer.position);
+    if (primary.commits) group.note_acknowledged(*answer.position);
+    return;
+  }
+  if (!primary.commits) return;
+  const TransactionState state = answer.state;
+  answer = Answer{};
+  answer.refusal = Refusal::kInDoubt;
+  answer.state = state;
+  answer.detail = "its primary was given up before the answer came";
+}
+
 StatementRunner::Step StatementRunner::take_answer(Attempt& attempt, Answer answer) {
   GroupAccess& group = *attempt.order.group;
   BackendUse& backend = *attempt.backend;
@@ -283,20 +303,11 @@
     attempt.excluded.insert(backend.entry.name);
     return Step::kNext;
   }
-  if (answer.succeeded() && attempt.at_primary && current && answer.position)
-    group.note_primary_position(attempt.sent_at, *answer.position);
+  const bool commits = order.writes && !order.opens_transaction;
+  if (answer.succeeded() && attempt.at_primary)
+    take_primary_answer(group, PrimaryAnswer{attempt.epoch, attempt.sent_at, commits}, answer);
   if (answer.succeeded() && !attempt.at_primary && answer.position)
     group.note_replica(backend, attempt.need, answer.position);
-  const bool commits = order.writes && !order.opens_transaction;
-  if (commits && answer.succeeded()) {
-    if (current && answer.position) {
-      group.note_acknowledged(*answer.position);
-    } else {
-      answer = Answer{};
-      answer.refusal = Refusal::kInDoubt;
-      answer.detail = "its primary was given up before the answer came";
-    }
-  }
   attempt.result.served_by = attempt.at_primary ? ServedBy::kPrimary : ServedBy::kReplica;
   if (order.opens_transaction) {
     attempt.result.pinned = pinned;
--- a/src/session/statement_runner.h
+++ b/src/session/statement_runner.h
@@ -98,6 +98,15 @@
   Awaitable<bool> begin_transaction(std::shared_ptr<Attempt> attempt);
   Awaitable<std::optional<Answer>> exchange(std::shared_ptr<Attempt> attempt);
   Step take_answer(Attempt& attempt, Answer answer);
+  /// A primary's success, as it was asked for.
+  struct PrimaryAnswer {
+    std::uint64_t epoch = 0;  ///< in which it was asked
+    TimePoint asked_at{};
+    bool commits = false;
+  };
+  /// Notes where the primary's log is, and what is acknowledged from now on. A commit whose primary was given up
+  /// meanwhile is in doubt.
+  void take_primary_answer(GroupAccess& group, PrimaryAnswer primary, Answer& answer);
   Step take_loss(Attempt& attempt, const Reason& reason);
   void give_up(Attempt& attempt);
   [[nodiscard]] BackendRequest make_request(const RunOrder& order, const StatefulLink& link,
