Proxies whose lease ran out leave the division of groups after 0.2 s, not 8

Change: a proxy whose lease ran out 0.2 s ago is marked as not taking work (its acknowledgements still count for a close, it is not waited for); it comes back with its next report. All that lapsed are taken out together.

--- a/src/control/registered/knobs.h
+++ b/src/control/registered/knobs.h
@@ -42,7 +42,10 @@
 inline constexpr Duration kRoomTick = std::chrono::milliseconds(200);
 /// Proxies ask for leases no closer together than this, as far as their leases allow.
 inline constexpr Duration kReportSpacing = std::chrono::milliseconds(4);
-/// A proxy whose lease ran out this long ago is forgotten.
+/// Proxies' leases are looked at this often. One whose lease ran out this long ago serves no group until it is back;
+/// after the longer time it is forgotten.
+inline constexpr Duration kLapsedTick = std::chrono::milliseconds(400);
+inline constexpr Duration kAbsentProxyAfter = std::chrono::milliseconds(200);
 inline constexpr Duration kForgetProxyAfter = std::chrono::seconds(8);
 /// How often groups are looked at when nothing happens.
 inline constexpr Duration kGroupTick = std::chrono::milliseconds(250);
--- a/src/control/registered/lease_keeper.cpp
+++ b/src/control/registered/lease_keeper.cpp
@@ -20,7 +20,7 @@
 
 void LeaseKeeper::start() {
   runtime_.spawn("lease_push", push_changes());
-  runtime_.spawn("lease_forget", forget_lapsed());
+  runtime_.spawn("lease_lapsed", watch_lapsed());
 }
 
 void LeaseKeeper::stop() {
@@ -169,25 +169,36 @@
   pushed_revision_ = fleet_.revision();
 }
 
-Awaitable<void> LeaseKeeper::forget_lapsed() {
+Awaitable<void> LeaseKeeper::watch_lapsed() {
   while (!stopping_) {
-    co_await runtime_.sleep_for(kForgetProxyAfter / 4);
+    co_await runtime_.sleep_for(kLapsedTick);
     watch_leadership();
-    if (!leads()) continue;
-    const TimePoint now = runtime_.now();
-    std::optional<registry::ForgetProxy> lapsed;
-    for (const registry::AdmittedProxy& proxy : fleet_.proxies()) {
-      if (now > lease_bound(proxy.node, proxy.incarnation) + kForgetProxyAfter)
-        lapsed = registry::ForgetProxy{proxy.node, proxy.incarnation};
+    if (leads()) take_out_lapsed();
+  }
+}
+
+void LeaseKeeper::take_out_lapsed() {
+  const TimePoint now = runtime_.now();
+  for (const registry::AdmittedProxy& proxy : fleet_.proxies()) {
+    const TimePoint bound = lease_bound(proxy.node, proxy.incarnation);
+    if (now > bound + kForgetProxyAfter) {
+      runtime_.spawn("proxy_lapsed", take_out(registry::ForgetProxy{proxy.node, proxy.incarnation}, proxy.node,
+                                              "proxy_forgotten"));
+    } else if (now > bound + kAbsentProxyAfter && !proxy.leaving) {
+      // It may come back in the same life: what it acknowledged still counts, but nobody waits for it to serve.
+      registry::AdmittedProxy absent = proxy;
+      absent.leaving = true;
+      runtime_.spawn("proxy_lapsed", take_out(registry::AdmitProxy{absent}, proxy.node, "proxy_absent"));
     }
-    if (!lapsed) continue;
-    runtime_.logger().log(runtime::LogLevel::kInfo, "proxy_forgotten", {{"proxy", lapsed->node.value}});
-    Reason reason;
-    registry::Command command = *lapsed;
-    co_await calls_.submit(std::move(command), reason);
   }
 }
 
+Awaitable<void> LeaseKeeper::take_out(registry::SingleCommand command, NodeName node, std::string event) {
+  Reason reason;
+  const bool done = co_await calls_.submit_gathered(std::move(command), reason);
+  if (done) runtime_.logger().log(runtime::LogLevel::kInfo, event, {{"proxy", node.value}});
+}
+
 bool LeaseKeeper::has_something_for(const Follower& follower) const {
   return follower.answer_nonce > 0 || (follower.admitted && follower.revision_sent < fleet_.revision());
 }
--- a/src/control/registered/lease_keeper.h
+++ b/src/control/registered/lease_keeper.h
@@ -73,7 +73,10 @@
   void note_closed(const Follower& follower, const std::vector<registry::ClosedGroup>& closed);
   Awaitable<void> push_changes();
   Awaitable<void> gather_changes();
-  Awaitable<void> forget_lapsed();
+  /// Proxies whose leases ran out leave the division of groups, and are forgotten when they stay away.
+  Awaitable<void> watch_lapsed();
+  void take_out_lapsed();
+  Awaitable<void> take_out(registry::SingleCommand command, NodeName node, std::string event);
   /// Sends what the follower lacks, and goes on until it lacks nothing.
   void flush(const std::shared_ptr<Follower>& follower);
   Awaitable<void> send_updates(std::shared_ptr<Follower> follower);
