A forwarder gives up a proxy that is silent, also to a question that it answers at once

Change: while calls wait on a connection and nothing came for 100 ms, the other side is asked for a sign of life (the end of no transaction, answered before all else); without one within 250 ms the connection ends, what waits for it is told so (in doubt for a sent commit or write, tried elsewhere otherwise).

--- a/src/session/forwarder.cpp
+++ b/src/session/forwarder.cpp
@@ -15,6 +15,7 @@
   pending_[correlation] = pending;
   outgoing_.push_back(wire::encode(request));
   queued_.notify_all();
+  called_.notify_all();
   bool in_time = true;
   while (open_ && !pending->answer && in_time) in_time = co_await pending->answered.wait_until(deadline);
   pending_.erase(correlation);
@@ -32,6 +33,8 @@
     std::optional<ForwardAnswer> answer;
     if (frame) answer = wire::decode<ForwardAnswer>(*frame, reason);
     if (!answer) break;
+    heard_at_ = runtime_.now();
+    asked_at_.reset();
     const auto pending = pending_.find(answer->correlation);
     if (pending == pending_.end()) {
       end_unwanted(*answer);
@@ -43,6 +46,31 @@
   close();
 }
 
+Awaitable<void> ForwardConnection::watch(std::shared_ptr<ForwardConnection> /*self*/) {
+  while (open_) {
+    if (pending_.empty()) {
+      co_await called_.wait();
+      heard_at_ = runtime_.now();
+      asked_at_.reset();
+    }
+    co_await runtime_.sleep_for(kForwardWatchTick);
+    const TimePoint now = runtime_.now();
+    if (pending_.empty()) continue;
+    if (asked_at_ && now - *asked_at_ > kForwardAnswerLimit) close();
+    if (open_ && !asked_at_ && now - heard_at_ > kForwardSilence) ask_for_life();
+  }
+}
+
+void ForwardConnection::ask_for_life() {
+  // No transaction has this number: the other side answers at once that it is over.
+  asked_at_ = runtime_.now();
+  ForwardRequest request;
+  request.correlation = next_correlation_++;
+  request.body = ForwardEnd{0};
+  outgoing_.push_back(wire::encode(request));
+  queued_.notify_all();
+}
+
 void ForwardConnection::end_unwanted(const ForwardAnswer& answer) {
   if (answer.pin == 0) return;
   ForwardRequest request;
@@ -67,6 +95,7 @@
   if (!std::exchange(open_, false)) return;
   frames_->close();
   queued_.notify_all();
+  called_.notify_all();
   for (const auto& [correlation, pending] : pending_) pending->answered.notify_all();
 }
 
@@ -97,6 +126,7 @@
   if (!greeted) co_return nullptr;
   runtime_.spawn("forward_read", connection->read(connection));
   runtime_.spawn("forward_write", connection->write(connection));
+  runtime_.spawn("forward_watch", connection->watch(connection));
   co_return connection;
 }
 
--- a/src/session/forwarder.h
+++ b/src/session/forwarder.h
@@ -19,17 +19,22 @@
 class ForwardConnection {
  public:
   ForwardConnection(runtime::Runtime& runtime, std::shared_ptr<runtime::FrameConnection> frames)
-      : runtime_(runtime), frames_(std::move(frames)), queued_(runtime) {}
+      : runtime_(runtime), frames_(std::move(frames)), queued_(runtime), called_(runtime) {}
 
   /// Empty when no answer came by `deadline`; then the other side may have run it.
   Awaitable<std::optional<ForwardAnswer>> call(ForwardRequest request, TimePoint deadline, Reason& reason);
   /// Reads and writes until the connection ends; `self` keeps this object alive meanwhile.
   Awaitable<void> read(std::shared_ptr<ForwardConnection> self);
   Awaitable<void> write(std::shared_ptr<ForwardConnection> self);
+  /// Ends the connection when calls wait and the other side is silent, also to a question that it answers at once:
+  /// it is dead, cut off or frozen, and what waits for it is told so.
+  Awaitable<void> watch(std::shared_ptr<ForwardConnection> self);
   void close();
   [[nodiscard]] bool is_open() const { return open_; }
 
  private:
+  void ask_for_life();
+
   /// An answer came too late: the transaction that it opened is nobody's.
   void end_unwanted(const ForwardAnswer& answer);
 
@@ -42,9 +47,12 @@
   runtime::Runtime& runtime_;
   std::shared_ptr<runtime::FrameConnection> frames_;
   runtime::Signal queued_;
+  runtime::Signal called_;
   std::vector<std::string> outgoing_;
   std::map<std::uint64_t, std::shared_ptr<Pending>> pending_;
   std::uint64_t next_correlation_ = 1;
+  TimePoint heard_at_{};                ///< when the other side last sent something
+  std::optional<TimePoint> asked_at_;  ///< since when a sign of life is waited for
   bool open_ = true;
 };
 
--- a/src/session/knobs.h
+++ b/src/session/knobs.h
@@ -45,6 +45,11 @@
 inline constexpr Duration kWarmInterval = milliseconds(200);
 /// Longest wait for a connection to another proxy: where it can't be opened soon, the next one is asked.
 inline constexpr Duration kForwardDialTimeout = milliseconds(150);
+/// A proxy that answers nothing for this long while it is waited for is asked for a sign of life, which it gives
+/// before all else; without one it is given up. Looked at with the tick.
+inline constexpr Duration kForwardSilence = milliseconds(100);
+inline constexpr Duration kForwardAnswerLimit = milliseconds(250);
+inline constexpr Duration kForwardWatchTick = milliseconds(80);
 /// A proxy that could not be reached is not forwarded to for this long, where another can serve.
 inline constexpr Duration kAvoidProxy = seconds(1);
 /// A forwarded statement's answer may take this much longer than the statement itself.
