Not ready for new sessions with 500 ms of the lease left

Cause (node_cut, primary_cut split): the platform sends new callers for one to two seconds after a proxy says that it is not ready, and a cut-off proxy said so only when its lease had run out, 1.5 s after the cut. Change: it says so when two renewals in a row have failed.

--- a/src/session/knobs.h
+++ b/src/session/knobs.h
@@ -30,6 +30,8 @@
 /// a group, its next primary. What needs them waits only then.
 inline constexpr Duration kLeaseExpectedWithin = milliseconds(1500);
 inline constexpr Duration kPrimaryExpectedWithin = seconds(3);
+/// A proxy that is left with less of its lease takes no new sessions: two renewals in a row have failed.
+inline constexpr Duration kReadyLeaseLeft = milliseconds(500);
 /// Without a lease for this long, idle sessions are let go: their callers find another proxy.
 inline constexpr Duration kLetGoAfter = milliseconds(2300);
 /// Longest wait for a new connection to a backend.
--- a/src/session/session_proxy.cpp
+++ b/src/session/session_proxy.cpp
@@ -75,7 +75,10 @@
   Awaitable<void> dial_primary(std::shared_ptr<GroupAccess> group);
   void let_idle_go();
   void watch_lease(TimePoint now);
-  [[nodiscard]] bool is_ready() const { return !draining_ && view_.lease_valid(); }
+  /// Callers go elsewhere before the lease runs out: they are sent here for a while after this turns false.
+  [[nodiscard]] bool is_ready() const {
+    return !draining_ && runtime_.now() + kReadyLeaseLeft < view_.lease_until();
+  }
   std::string render_metrics();
 
   runtime::Runtime& runtime_;
