--- a/standins/programs/cairnhollow_environment.cpp
+++ b/standins/programs/cairnhollow_environment.cpp
@@ -38,7 +38,7 @@
   --seconds=N           how long the callers work [default: 60]
   --lag-ms=N            from a commit to its appearance at a replica [default: 8]
   --seed=N              of the backends' faults and the callers' choices [default: 1]
-  --no-faults           backends stay as they are
+  --faults=WHICH        none, primaries (they crash, one after the other) or all [default: all]
   --report=FILE         writes the report there, too
   -h --help             prints this
 
@@ -107,7 +107,12 @@
   settings.groups = static_cast<std::size_t>(std::max(1L, options["--groups"].asLong()));
   settings.duration = std::chrono::seconds(options["--seconds"].asLong());
   settings.replica_lag = std::chrono::milliseconds(options["--lag-ms"].asLong());
-  settings.breaks_backends = !options["--no-faults"].asBool();
+  const std::string faults = options["--faults"].asString();
+  if (faults == "none") settings.faults = unfenced::BackendFaults::kNone;
+  if (faults == "primaries") settings.faults = unfenced::BackendFaults::kPrimaries;
+  const bool is_known = faults == "none" || faults == "primaries" || faults == "all";
+  if (!is_known) fmt::print(stderr, "--faults: '{}' is none of none, primaries, all\n", faults);
+  if (!is_known) return std::nullopt;
   return settings;
 }
 
--- a/standins/unfenced/environment.cpp
+++ b/standins/unfenced/environment.cpp
@@ -20,7 +20,8 @@
 constexpr Duration kCallTimeout = milliseconds(1000);
 constexpr Duration kDocumentPause = seconds(2);
 constexpr Duration kDocumentRetry = milliseconds(100);
-constexpr Duration kFaultPause = seconds(3);
+constexpr Duration kShortestPause = seconds(1);
+constexpr Duration kLongestPause = seconds(3);
 constexpr Duration kLongestFault = seconds(5);
 constexpr Duration kSettleTime = seconds(8);
 constexpr Duration kStartLimit = seconds(20);
@@ -135,12 +136,12 @@
   }
 }
 
-Awaitable<void> Environment::crash(BackendName name) {
+Awaitable<void> Environment::crash(BackendName name, Duration longest) {
   Backend& backend = backends_.at(name);
   if (backend.running == nullptr) co_return;
   backend.running->crash();
   backend.running = nullptr;
-  const Duration down = runtime_.random().between(milliseconds(200), kLongestFault);
+  const Duration down = runtime_.random().between(milliseconds(200), longest);
   co_await runtime_.sleep_for(down);
   co_await start_backend(name);
 }
@@ -152,7 +153,8 @@
   const std::uint64_t place = runtime_.random().below(group.backends.size());
   const BackendName any = group.backends[place];
   const Duration lasts = runtime_.random().between(milliseconds(500), kLongestFault);
-  const std::uint64_t kind = runtime_.random().below(6);
+  const bool only_primaries = settings_.faults == BackendFaults::kPrimaries;
+  const std::uint64_t kind = only_primaries ? 0 : runtime_.random().below(6);
   fmt::print(stderr, "backend fault {} at {} (primary {}) of {}\n", kind, any.value, primary.value,
              group.model->name().value);
   switch (kind) {
@@ -160,10 +162,10 @@
     case 1:
     case 2:
       group.crashes.push_back(runtime_.now());
-      co_await crash(primary);
+      co_await crash(primary, only_primaries ? kShortestPause : kLongestFault);
       break;
     case 3:
-      co_await crash(any);
+      co_await crash(any, kLongestFault);
       break;
     case 4: {
       MemberState& member = group.model->member(any);
@@ -182,9 +184,9 @@
 }
 
 Awaitable<void> Environment::break_backends() {
-  while (settings_.breaks_backends) {
-    co_await runtime_.sleep_for(runtime_.random().between(kFaultPause / 3, kFaultPause));
-    if (!settings_.breaks_backends) co_return;
+  while (settings_.faults != BackendFaults::kNone) {
+    co_await runtime_.sleep_for(runtime_.random().between(kShortestPause, kLongestPause));
+    if (settings_.faults == BackendFaults::kNone) co_return;
     const std::uint64_t group = runtime_.random().below(groups_.size());
     breaking_ = true;
     co_await break_one(groups_[group]);
@@ -266,9 +268,9 @@
   runtime_.spawn("operator", send_documents());
   for (std::size_t number = 1; number <= groups_.size(); ++number) start_callers(number);
   co_await wait_until_writable();
-  if (settings_.breaks_backends) runtime_.spawn("break_backends", break_backends());
+  if (settings_.faults != BackendFaults::kNone) runtime_.spawn("break_backends", break_backends());
   co_await runtime_.sleep_for(settings_.duration);
-  settings_.breaks_backends = false;
+  settings_.faults = BackendFaults::kNone;
   co_await heal();
   stopped_ = true;
   co_await heal();
--- a/standins/unfenced/environment.h
+++ b/standins/unfenced/environment.h
@@ -16,6 +16,9 @@
 
 namespace cairnhollow::standins::unfenced {
 
+/// What the environment breaks.
+enum class BackendFaults : std::uint8_t { kNone, kPrimaries, kAll };
+
 struct EnvironmentSettings {
   Duration duration = std::chrono::seconds(60);  ///< of the callers' work
   std::size_t groups = 2;
@@ -25,7 +28,7 @@
   std::string database_network = "127.0.3";  ///< group N's backends listen on 127.0.3.N
   Duration replica_lag = std::chrono::milliseconds(8);
   Duration promotion_takes = std::chrono::milliseconds(300);
-  bool breaks_backends = true;
+  BackendFaults faults = BackendFaults::kAll;
 };
 
 /// What came of a run.
@@ -68,7 +71,7 @@
   Awaitable<unsigned> call_control(runtime::HttpRequest request, std::string& body);
   Awaitable<void> break_backends();
   Awaitable<void> break_one(Group& group);
-  Awaitable<void> crash(BackendName name);
+  Awaitable<void> crash(BackendName name, Duration longest);
   Awaitable<void> wait_until_writable();
   Awaitable<void> heal();
   Awaitable<void> check_document(EnvironmentReport& report);
