--- a/simulation/registered_fleet.cpp
+++ b/simulation/registered_fleet.cpp
@@ -296,6 +296,16 @@
   return newest;
 }
 
+bool RegisteredFleet::is_ready(const std::string& proxy) {
+  runtime::HttpRequest request;
+  request.target = "/readiness";
+  auto result = std::make_shared<std::optional<runtime::HttpResponse>>();
+  VirtualRuntime& operators = world_.runtime("operator");
+  operators.spawn("operator", call(operators, {address_of(proxy), kReadinessPort}, request, result));
+  world_.run_until([&] { return result->has_value() && (*result)->status != 0; }, kCallTimeout);
+  return result->has_value() && (*result)->status == 200;
+}
+
 bool RegisteredFleet::is_leaving(const BackendName& backend) {
   const std::string name = leader();
   if (name.empty()) return false;
@@ -310,6 +320,14 @@
   return term != nullptr && term->open;
 }
 
+std::size_t RegisteredFleet::working_proxies() {
+  const std::string name = leader();
+  if (name.empty()) return 0;
+  const auto proxies = control::registered::fleet_of(world_.role(name)).proxies();
+  return static_cast<std::size_t>(
+      std::count_if(proxies.begin(), proxies.end(), [](const auto& proxy) { return !proxy.leaving; }));
+}
+
 Database& RegisteredFleet::database(const std::string& name) { return *databases_.at(name); }
 
 std::uint64_t RegisteredFleet::acknowledged() const {
--- a/simulation/registered_fleet.h
+++ b/simulation/registered_fleet.h
@@ -55,9 +55,13 @@
   std::string primary();
   /// The control node that leads; empty while none does.
   std::string leader();
+  /// Whether a proxy says that it takes new sessions.
+  bool is_ready(const std::string& proxy);
   /// What the leader holds for certain of a backend, and of a group.
   bool is_leaving(const BackendName& backend);
   bool is_open(const GroupName& group);
+  /// Proxies among which the leader has the groups divided.
+  std::size_t working_proxies();
   standins::unfenced::GroupModel& group(std::size_t number = 1) { return *models_[number - 1]; }
   standins::unfenced::Database& database(const std::string& name);
   World& world() { return world_; }
--- a/src/cli/command_line.h
+++ b/src/cli/command_line.h
@@ -47,7 +47,8 @@
   std::string token;
   std::string request_id;
   std::optional<Endpoint> proxy;  ///< unset: the proxies that the selector selects are asked in turn
-  std::vector<std::string> logs;  ///< files of log lines to tell the request's story from; empty: proxies are asked
+  std::vector<std::string>
+      logs;  ///< files of log lines to tell the request's story from; empty: proxies are asked
 };
 
 struct CommandLine {
--- a/src/cli/log_story.cpp
+++ b/src/cli/log_story.cpp
@@ -17,8 +17,8 @@
 namespace {
 
 constexpr std::int64_t kMicroseconds = 1'000'000;
-/// What was believed so long before the request's first line may have decided it; what came so soon after its last
-/// one tells how it went on.
+/// What was believed so long before the request's first line may have decided it; what came so soon after its
+/// last one tells how it went on.
 constexpr std::int64_t kBefore = 3 * kMicroseconds;
 constexpr std::int64_t kAfter = kMicroseconds;
 /// Fields that say where a line comes from, not what it says.
@@ -38,7 +38,8 @@
   unsigned minute = 0;
   unsigned second = 0;
   unsigned fraction = 0;
-  const int read = std::sscanf(time.c_str(), "%*u-%*u-%2uT%2u:%2u:%2u.%6uZ", &day, &hour, &minute, &second, &fraction);
+  const int read =
+      std::sscanf(time.c_str(), "%*u-%*u-%2uT%2u:%2u:%2u.%6uZ", &day, &hour, &minute, &second, &fraction);
   if (read != 5) return std::nullopt;
   const std::int64_t seconds = ((std::int64_t{day} * 24 + hour) * 60 + minute) * 60 + second;
   return seconds * kMicroseconds + fraction;
@@ -136,7 +137,8 @@
 std::string print_story(const LogStory& story, const std::string& request_id) {
   if (story.own == 0) {
     return fmt::format(
-        "{}: none of {} lines names it ({} could not be read). Requests that succeed in time are counted, not logged; "
+        "{}: none of {} lines names it ({} could not be read). Requests that succeed in time are counted, "
+        "not logged; "
         "else a log is missing.\n",
         request_id, story.lines, story.unreadable);
   }
@@ -144,7 +146,8 @@
     return event.field(kRequestField) == request_id;
   });
   const std::int64_t begin = *moment_of(first->time);
-  std::string text = fmt::format("{}: {} lines name it; its first at {}\n", request_id, story.own, first->time);
+  std::string text =
+      fmt::format("{}: {} lines name it; its first at {}\n", request_id, story.own, first->time);
   for (const LogEvent& event : story.events) {
     const bool is_own = event.field(kRequestField) == request_id;
     const double offset = static_cast<double>(*moment_of(event.time) - begin) / 1000.0;
--- a/src/cli/log_story.h
+++ b/src/cli/log_story.h
@@ -1,5 +1,5 @@
-// The story of one request out of the JSON lines that processes logged: what each of them decided about it, and what
-// they came to believe meanwhile of its database group, of control and of themselves.
+// The story of one request out of the JSON lines that processes logged: what each of them decided about it,
+// and what they came to believe meanwhile of its database group, of control and of themselves.
 #pragma once
 
 #include <istream>
@@ -30,7 +30,8 @@
 class LogReader {
  public:
   void read(std::istream& lines);
-  /// Lines that name the request; those of its group from kBefore earlier on; and what its nodes came to believe.
+  /// Lines that name the request; those of its group from kBefore earlier on; and what its nodes came to
+  /// believe.
   [[nodiscard]] LogStory story_of(const std::string& request_id) const;
 
  private:
--- a/src/cli/settings_registered.cpp
+++ b/src/cli/settings_registered.cpp
@@ -1,6 +1,7 @@
 #include "cli/settings_registered.h"
 
 #include "cli/settings_limits.h"
+#include "registry/model.h"
 
 namespace cairnhollow::cli {
 
@@ -16,6 +17,18 @@
   return endpoint;
 }
 
+/// Registrations that say nothing new come in on the port after the peers'; it has no key of its own, since
+/// all proxies of a fleet must agree on it.
+void check_registration_port(SettingsReader& reader, const session::SessionProxySettings& settings) {
+  const Endpoint taken = registry::registrations_at(settings.peer_endpoint);
+  const std::string reason = "is taken: the port after peer_endpoint's is for registrations";
+  if (settings.session_endpoint == taken) reader.report("session_endpoint", reason);
+  if (settings.readiness_endpoint == taken) reader.report("readiness_endpoint", reason);
+  if (settings.metrics_endpoint == taken) reader.report("metrics_endpoint", reason);
+  if (settings.peer_endpoint.port == kPortRange.highest)
+    reader.report("peer_endpoint", "must leave a port after it for registrations");
+}
+
 }  // namespace
 
 FleetKind read_fleet_kind(SettingsReader& reader) {
@@ -38,6 +51,7 @@
   settings.metrics_endpoint = read_optional_endpoint(reader, "metrics_endpoint");
   settings.control_port = static_cast<std::uint16_t>(control_port);
   if (control_port == 0) reader.report("control_port", "is missing");
+  check_registration_port(reader, settings);
   return settings;
 }
 
--- a/src/control/registered/group_keeper.cpp
+++ b/src/control/registered/group_keeper.cpp
@@ -30,9 +30,7 @@
   wake_.notify_all();
 }
 
-bool GroupKeeper::leads() const {
-  return !stopping_ && consensus_.leads();
-}
+bool GroupKeeper::leads() const { return !stopping_ && consensus_.leads(); }
 
 void GroupKeeper::note_suspicion(const NodeName& proxy, const registry::PrimarySuspicion& suspicion) {
   Suspicion& held = suspicions_[suspicion.group];
@@ -191,8 +189,7 @@
 bool GroupKeeper::is_out_of_reach(const GroupName& group) const {
   const auto found = out_of_reach_.find(group);
   const std::size_t saying = found == out_of_reach_.end() ? 0 : found->second.proxies.size();
-  return saying >= kSuspectingProxies &&
-         saying * kOutOfReachWhole >= fleet_.proxy_count() * kOutOfReachPart;
+  return saying >= kSuspectingProxies && saying * kOutOfReachWhole >= fleet_.proxy_count() * kOutOfReachPart;
 }
 
 Awaitable<bool> GroupKeeper::commits_stalled(GroupName group, GroupTerm term) {
--- a/src/control/registered/knobs.h
+++ b/src/control/registered/knobs.h
@@ -35,15 +35,15 @@
 inline constexpr Duration kPushGatheringLimit = std::chrono::milliseconds(300);
 inline constexpr Duration kUrgentGathering = std::chrono::microseconds(200);
 inline constexpr Duration kUrgentGatheringLimit = std::chrono::milliseconds(100);
-/// Deltas that are on their way at once, in bytes, so that a restart of all proxies does not fill the memory of
-/// the leader; small ones are sent all the same. Who waits for room is looked at again after the tick.
+/// Deltas that are on their way at once, in bytes, so that a restart of all proxies does not fill the memory
+/// of the leader; small ones are sent all the same. Who waits for room is looked at again after the tick.
 inline constexpr std::size_t kMostBytesOnTheirWay = std::size_t{12} << 20;
 inline constexpr std::size_t kSmallDelta = std::size_t{8} << 10;
 inline constexpr Duration kRoomTick = std::chrono::milliseconds(200);
 /// Proxies ask for leases no closer together than this, as far as their leases allow.
 inline constexpr Duration kReportSpacing = std::chrono::milliseconds(4);
-/// Proxies' leases are looked at this often. One whose lease ran out this long ago serves no group until it is back;
-/// after the longer time it is forgotten.
+/// Proxies' leases are looked at this often. One whose lease ran out this long ago serves no group until it
+/// is back; after the longer time it is forgotten.
 inline constexpr Duration kLapsedTick = std::chrono::milliseconds(400);
 inline constexpr Duration kAbsentProxyAfter = std::chrono::milliseconds(200);
 inline constexpr Duration kForgetProxyAfter = std::chrono::seconds(8);
--- a/src/control/registered/leader_calls.h
+++ b/src/control/registered/leader_calls.h
@@ -25,8 +25,8 @@
   /// Puts a command into the log, here or through the leader. True once it is committed and applied at the
   /// node that proposed it; its effect is found in the state machine.
   Awaitable<bool> submit(registry::Command command, Reason& reason);
-  /// The same for what many backends and proxies may say at once: commands that come within kGathering of each
-  /// other go as one entry of the log.
+  /// The same for what many backends and proxies may say at once: commands that come within kGathering of
+  /// each other go as one entry of the log.
   Awaitable<bool> submit_gathered(registry::SingleCommand command, Reason& reason);
   /// Tells the leader, whoever it is, again and again, that this node lives under `identity`.
   void announce(consensus::Member self);
--- a/src/control/registered/lease_keeper.cpp
+++ b/src/control/registered/lease_keeper.cpp
@@ -160,7 +160,8 @@
   const auto followers = static_cast<Duration::rep>(followers_.size());
   const TimePoint first = runtime_.now();
   const TimePoint due = first + std::min<Duration>(kPushGathering * followers, kPushGatheringLimit);
-  const TimePoint urgent_due = first + std::min<Duration>(kUrgentGathering * followers, kUrgentGatheringLimit);
+  const TimePoint urgent_due =
+      first + std::min<Duration>(kUrgentGathering * followers, kUrgentGatheringLimit);
   TimePoint until = due;
   while (!stopping_ && runtime_.now() < until) {
     if (fleet_.terms_revision() > pushed_revision_) until = urgent_due;
@@ -182,10 +183,11 @@
   for (const registry::AdmittedProxy& proxy : fleet_.proxies()) {
     const TimePoint bound = lease_bound(proxy.node, proxy.incarnation);
     if (now > bound + kForgetProxyAfter) {
-      runtime_.spawn("proxy_lapsed", take_out(registry::ForgetProxy{proxy.node, proxy.incarnation}, proxy.node,
-                                              "proxy_forgotten"));
+      runtime_.spawn("proxy_lapsed", take_out(registry::ForgetProxy{proxy.node, proxy.incarnation},
+                                              proxy.node, "proxy_forgotten"));
     } else if (now > bound + kAbsentProxyAfter && !proxy.leaving) {
-      // It may come back in the same life: what it acknowledged still counts, but nobody waits for it to serve.
+      // It may come back in the same life: what it acknowledged still counts, but nobody waits for it to
+      // serve.
       registry::AdmittedProxy absent = proxy;
       absent.leaving = true;
       runtime_.spawn("proxy_lapsed", take_out(registry::AdmitProxy{absent}, proxy.node, "proxy_absent"));
@@ -227,7 +229,8 @@
 bool LeaseKeeper::has_room_for(const Follower& follower) {
   if (!follower.admitted || follower.revision_sent == fleet_.revision()) return true;
   const std::size_t size = delta_since(follower.revision_sent).size();
-  return size <= kSmallDelta || bytes_on_their_way_ == 0 || bytes_on_their_way_ + size <= kMostBytesOnTheirWay;
+  return size <= kSmallDelta || bytes_on_their_way_ == 0 ||
+         bytes_on_their_way_ + size <= kMostBytesOnTheirWay;
 }
 
 const std::string& LeaseKeeper::delta_since(std::uint64_t revision) {
--- a/src/control/registered/lease_keeper.h
+++ b/src/control/registered/lease_keeper.h
@@ -99,7 +99,7 @@
   Duration serving_lease_;
   OnSuspicion on_suspicion_;
   runtime::Signal answered_;
-  runtime::Signal room_;  ///< notified when a large delta has been sent
+  runtime::Signal room_;                ///< notified when a large delta has been sent
   std::size_t bytes_on_their_way_ = 0;  ///< of deltas
   std::map<std::uint64_t, std::shared_ptr<Follower>> followers_;
   std::map<NodeName, Life> lives_;
--- a/src/registry/commands.h
+++ b/src/registry/commands.h
@@ -77,8 +77,8 @@
   }
 };
 
-using SingleCommand = std::variant<ReplaceDocument, RegisterBackend, DeregisterBackend, AdmitProxy, ForgetProxy,
-                                   CloseGroup, OpenGroup>;
+using SingleCommand = std::variant<ReplaceDocument, RegisterBackend, DeregisterBackend, AdmitProxy,
+                                   ForgetProxy, CloseGroup, OpenGroup>;
 
 /// Commands that take effect one after the other, as one change of the state.
 struct CommandBatch {
--- a/src/session/fleet_link.h
+++ b/src/session/fleet_link.h
@@ -42,7 +42,7 @@
     Endpoint endpoint;
     std::map<std::uint64_t, TimePoint> asked;  ///< when the reports not yet answered were sent, by nonce
     bool broken = false;
-    bool answered = false;  ///< at least once
+    bool answered = false;    ///< at least once
     std::uint64_t bytes = 0;  ///< that had come when last looked at
     TimePoint bytes_at{};     ///< when more were found to have come
   };
--- a/src/session/fleet_view.cpp
+++ b/src/session/fleet_view.cpp
@@ -113,8 +113,8 @@
 
 bool FleetView::changes_division(const registry::FleetDelta& delta) {
   // A backend counts with its slots, a group with its connections; terms and routes do not.
-  return delta.is_whole || !delta.proxies.empty() || !delta.removed_proxies.empty() || !delta.groups.empty() ||
-         !delta.backends.empty() || !delta.removed_backends.empty();
+  return delta.is_whole || !delta.proxies.empty() || !delta.removed_proxies.empty() ||
+         !delta.groups.empty() || !delta.backends.empty() || !delta.removed_backends.empty();
 }
 
 void FleetView::extend_lease(TimePoint until) {
--- a/src/session/forwarder.h
+++ b/src/session/forwarder.h
@@ -26,8 +26,8 @@
   /// Reads and writes until the connection ends; `self` keeps this object alive meanwhile.
   Awaitable<void> read(std::shared_ptr<ForwardConnection> self);
   Awaitable<void> write(std::shared_ptr<ForwardConnection> self);
-  /// Ends the connection when calls wait and the other side is silent, also to a question that it answers at once:
-  /// it is dead, cut off or frozen, and what waits for it is told so.
+  /// Ends the connection when calls wait and the other side is silent, also to a question that it answers at
+  /// once: it is dead, cut off or frozen, and what waits for it is told so.
   Awaitable<void> watch(std::shared_ptr<ForwardConnection> self);
   void close();
   [[nodiscard]] bool is_open() const { return open_; }
@@ -51,7 +51,7 @@
   std::vector<std::string> outgoing_;
   std::map<std::uint64_t, std::shared_ptr<Pending>> pending_;
   std::uint64_t next_correlation_ = 1;
-  TimePoint heard_at_{};                ///< when the other side last sent something
+  TimePoint heard_at_{};               ///< when the other side last sent something
   std::optional<TimePoint> asked_at_;  ///< since when a sign of life is waited for
   bool open_ = true;
 };
--- a/src/session/knobs.h
+++ b/src/session/knobs.h
@@ -47,8 +47,8 @@
 inline constexpr Duration kWarmInterval = milliseconds(200);
 /// Longest wait for a connection to another proxy: where it can't be opened soon, the next one is asked.
 inline constexpr Duration kForwardDialTimeout = milliseconds(150);
-/// A proxy that answers nothing for this long while it is waited for is asked for a sign of life, which it gives
-/// before all else; without one it is given up. Looked at with the tick.
+/// A proxy that answers nothing for this long while it is waited for is asked for a sign of life, which it
+/// gives before all else; without one it is given up. Looked at with the tick.
 inline constexpr Duration kForwardSilence = milliseconds(100);
 inline constexpr Duration kForwardAnswerLimit = milliseconds(250);
 inline constexpr Duration kForwardWatchTick = milliseconds(80);
--- a/src/session/known_registrations.h
+++ b/src/session/known_registrations.h
@@ -7,8 +7,8 @@
 
 namespace cairnhollow::session {
 
-/// What it refers to outlives it. What the view holds is committed: it may be old, but then it is not newer than
-/// what the backend says, and a difference sends the backend to control.
+/// What it refers to outlives it. What the view holds is committed: it may be old, but then it is not newer
+/// than what the backend says, and a difference sends the backend to control.
 class KnownRegistrations : public registry::RegistrationRelay {
  public:
   KnownRegistrations(const FleetView& view, const FleetLink& link) : view_(view), link_(link) {}
--- a/src/session/session_proxy.cpp
+++ b/src/session/session_proxy.cpp
@@ -7,8 +7,8 @@
 #include "session/fleet_link.h"
 #include "session/fleet_view.h"
 #include "session/forward_server.h"
-#include "session/known_registrations.h"
 #include "session/knobs.h"
+#include "session/known_registrations.h"
 #include "session/session_metrics.h"
 
 namespace cairnhollow::session {
--- a/src/session/statement_runner.h
+++ b/src/session/statement_runner.h
@@ -104,8 +104,8 @@
     TimePoint asked_at{};
     bool commits = false;
   };
-  /// Notes where the primary's log is, and what is acknowledged from now on. A commit whose primary was given up
-  /// meanwhile is in doubt.
+  /// Notes where the primary's log is, and what is acknowledged from now on. A commit whose primary was given
+  /// up meanwhile is in doubt.
   void take_primary_answer(GroupAccess& group, PrimaryAnswer primary, Answer& answer);
   Step take_loss(Attempt& attempt, const Reason& reason);
   void give_up(Attempt& attempt);
--- a/standins/programs/cairnhollow_environment.cpp
+++ b/standins/programs/cairnhollow_environment.cpp
@@ -24,7 +24,8 @@
 
 namespace {
 
-constexpr const char* kUsage = R"(Everything around a registered fleet: stand-in backends, the promotion call, an operator, callers.
+constexpr const char* kUsage =
+    R"(Everything around a registered fleet: stand-in backends, the promotion call, an operator, callers.
 
 Usage:
   cairnhollow-environment --control=ENDPOINT... --proxy=ENDPOINT... --promotion=ENDPOINT [options]
@@ -116,7 +117,8 @@
   return settings;
 }
 
-int run_on_sockets(const unfenced::EnvironmentSettings& settings, std::uint64_t seed, std::string report_file) {
+int run_on_sockets(const unfenced::EnvironmentSettings& settings, std::uint64_t seed,
+                   std::string report_file) {
   // A peer that closes while it is written to is an error of that write, not of the process.
   std::signal(SIGPIPE, SIG_IGN);
   runtime::AsioRuntimeSettings runtime_settings;
--- a/standins/unfenced/database.cpp
+++ b/standins/unfenced/database.cpp
@@ -112,8 +112,7 @@
   Awaitable<void> call_control(bool deregisters) {
     std::optional<Endpoint> told = heartbeat_endpoint_;
     for (std::size_t attempt = 0; attempt <= settings_.control_endpoints.size(); ++attempt) {
-      const Endpoint next =
-          settings_.control_endpoints[next_control_++ % settings_.control_endpoints.size()];
+      const Endpoint next = settings_.control_endpoints[next_control_++ % settings_.control_endpoints.size()];
       const Endpoint endpoint = told.value_or(next);
       told.reset();
       Reason reason;
--- a/standins/unfenced/environment.cpp
+++ b/standins/unfenced/environment.cpp
@@ -119,7 +119,8 @@
     for (std::size_t number = 1; number <= groups_.size(); ++number) {
       names.push_back(groups_[number - 1].model->name().value);
       for (const PolicyOfDatabase& policy : kPolicies)
-        databases.push_back({database_name(policy, number), policy.policy, policy.staleness_ms, names.back()});
+        databases.push_back(
+            {database_name(policy, number), policy.policy, policy.staleness_ms, names.back()});
     }
     const std::string text = document_text(++version_, databases, names);
     bool taken = false;
@@ -221,7 +222,8 @@
     if (held == 0) co_await runtime_.sleep_for(kDocumentRetry);
   }
   if (held < acknowledged_)
-    report.violations.push_back(fmt::format("document: {} is read back, {} was acknowledged", held, acknowledged_));
+    report.violations.push_back(
+        fmt::format("document: {} is read back, {} was acknowledged", held, acknowledged_));
 }
 
 EnvironmentReport Environment::judge() {
--- a/standins/unfenced/environment.h
+++ b/standins/unfenced/environment.h
@@ -1,5 +1,6 @@
-// Everything around a registered fleet of real processes, in one process: backends that do not check terms, the
-// promotion call, an operator, and callers whose history is judged at the end. Breaks its backends at random.
+// Everything around a registered fleet of real processes, in one process: backends that do not check terms,
+// the promotion call, an operator, and callers whose history is judged at the end. Breaks its backends at
+// random.
 #pragma once
 
 #include <cstdint>
--- a/tests/cli/log_story_test.cpp
+++ b/tests/cli/log_story_test.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-const char* const kLog = R"(  36.03 control-1 {"time":"2026-12-02T10:00:01.000000Z","level":"info","program":"cairnhollow-control","node":"control-1","zone":"a","event":"group_closing","group":"g1","term":"1","why":"not opened in time"}
+const char* const kLog =
+    R"(  36.03 control-1 {"time":"2026-12-02T10:00:01.000000Z","level":"info","program":"cairnhollow-control","node":"control-1","zone":"a","event":"group_closing","group":"g1","term":"1","why":"not opened in time"}
 {"time":"2026-12-02T10:00:00.900000Z","level":"warning","program":"cairnhollow-proxy","node":"proxy-1","zone":"a","event":"answer_lost","step":"receive","reason":"connection_lost","id":"q7","backend":"b1"}
 {"time":"2026-12-02T10:00:01.100000Z","level":"warning","program":"cairnhollow-proxy","node":"proxy-1","zone":"a","event":"statement_refused","id":"q7","refusal":"in_doubt","why":"it was sent","group":"g1"}
 {"time":"2026-12-02T10:00:01.050000Z","level":"warning","program":"cairnhollow-proxy","node":"proxy-1","zone":"a","event":"statement_refused","id":"q8","refusal":"busy","group":"g1"}
@@ -52,7 +53,8 @@
   void printed_from_the_first_line_on() {
     const std::string text = print_story(story_of("q7"), "q7");
     CPPUNIT_ASSERT(text.starts_with("q7: 2 lines name it; its first at 2026-12-02T10:00:00.900000Z\n"));
-    CPPUNIT_ASSERT(text.find("    +100.0 ms  control-1          group_closing  group=g1  term=1") != std::string::npos);
+    CPPUNIT_ASSERT(text.find("    +100.0 ms  control-1          group_closing  group=g1  term=1") !=
+                   std::string::npos);
     CPPUNIT_ASSERT(text.find(">     +200.0 ms  proxy-1            statement_refused  refusal=in_doubt") !=
                    std::string::npos);
     CPPUNIT_ASSERT(text.find("1 lines could not be read") != std::string::npos);
@@ -62,7 +64,8 @@
     const LogStory story = story_of("q9");
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, story.own);
     CPPUNIT_ASSERT(story.events.empty());
-    CPPUNIT_ASSERT(print_story(story, "q9").starts_with("q9: none of 9 lines names it (1 could not be read)"));
+    CPPUNIT_ASSERT(
+        print_story(story, "q9").starts_with("q9: none of 9 lines names it (1 could not be read)"));
   }
 };
 
--- a/tests/cli/settings_programs_test.cpp
+++ b/tests/cli/settings_programs_test.cpp
@@ -86,6 +86,7 @@
   CPPUNIT_TEST(a_backend_stands_once_in_its_group);
   CPPUNIT_TEST(empty_settings_name_every_required_key);
   CPPUNIT_TEST(a_registered_fleets_programs_need_their_endpoints);
+  CPPUNIT_TEST(the_port_of_registrations_is_kept_free);
   CPPUNIT_TEST(the_page_lists_exactly_the_keys_that_are_read);
   CPPUNIT_TEST_SUITE_END();
 
@@ -219,6 +220,22 @@
                          fmt::format("{}", fmt::join(fields, " ")));
   }
 
+  void the_port_of_registrations_is_kept_free() {
+    SettingsReader proxy = read(
+        "{fleet: registered, node: p-1, zone: a, session_endpoint: '127.0.0.1:1', readiness_endpoint: "
+        "'127.0.0.1:4', peer_endpoint: '127.0.0.1:3', seeds: ['127.0.0.1:9'], control_port: 5, "
+        "metrics_endpoint: '127.0.0.1:4'}");
+    read_session_proxy_settings(proxy);
+    SettingsReader last = read(
+        "{fleet: registered, node: p-1, zone: a, session_endpoint: '127.0.0.1:1', readiness_endpoint: "
+        "'127.0.0.1:2', peer_endpoint: '127.0.0.1:65535', seeds: ['127.0.0.1:9'], control_port: 5}");
+    read_session_proxy_settings(last);
+    std::vector<std::string> fields;
+    for (const SettingsFault& fault : faults_) fields.push_back(fault.field);
+    CPPUNIT_ASSERT_EQUAL(std::string("readiness_endpoint metrics_endpoint peer_endpoint"),
+                         fmt::format("{}", fmt::join(fields, " ")));
+  }
+
   void the_page_lists_exactly_the_keys_that_are_read() {
     assert_documented("`cairnhollow-proxy`", read_proxy_settings, {});
     assert_documented("`cairnhollow-control`", read_control_settings, {"data_folder", "role", "endpoint"});
--- a/tests/session/forwarder_test.cpp
+++ b/tests/session/forwarder_test.cpp
@@ -36,7 +36,8 @@
       const auto request = wire::decode<ForwardRequest>(*frame, reason);
       const bool is_end = std::holds_alternative<ForwardEnd>(request->body);
       if (is_end) ++ends;
-      if (answers) runtime_.spawn("answer", answer(frames, request->correlation, is_end ? Duration(0) : run_takes));
+      if (answers)
+        runtime_.spawn("answer", answer(frames, request->correlation, is_end ? Duration(0) : run_takes));
     }
   }
   Awaitable<void> answer(std::shared_ptr<runtime::FrameConnection> frames, std::uint64_t correlation,
@@ -59,7 +60,8 @@
   Reason reason;
 };
 
-Awaitable<void> call(runtime::Runtime& runtime, Forwarder& forwarder, routing::ProxyPointer proxy, Call& result) {
+Awaitable<void> call(runtime::Runtime& runtime, Forwarder& forwarder, routing::ProxyPointer proxy,
+                     Call& result) {
   const TimePoint deadline = runtime.now() + seconds(5);
   const auto connection = co_await forwarder.connect(proxy, deadline, result.reason);
   ForwardRequest request;
--- a/tests/session/group_access_test.cpp
+++ b/tests/session/group_access_test.cpp
@@ -72,7 +72,8 @@
     CPPUNIT_ASSERT_MESSAGE("a replica's read may go to the primary",
                            group_->has_other_reader(need_, use("replica-1")));
     world_->run_for(seconds(4));
-    CPPUNIT_ASSERT_MESSAGE("what is not heard of is tried again", group_->has_other_reader(need_, use("primary")));
+    CPPUNIT_ASSERT_MESSAGE("what is not heard of is tried again",
+                           group_->has_other_reader(need_, use("primary")));
   }
 
   void a_backend_that_is_avoided_or_leaves_is_no_other_reader() {
--- a/tests/simulation/registered_fleet_test.cpp
+++ b/tests/simulation/registered_fleet_test.cpp
@@ -66,6 +66,8 @@
   CPPUNIT_TEST(a_proxy_cut_from_control_shows_nothing_old_after_a_promotion);
   CPPUNIT_TEST(a_proxy_cut_from_control_relays_through_others);
   CPPUNIT_TEST(a_proxy_cut_from_control_relays_past_a_failover);
+  CPPUNIT_TEST(a_proxy_cut_from_control_sends_callers_elsewhere_in_time);
+  CPPUNIT_TEST(lost_proxies_leave_the_division_and_come_back);
   CPPUNIT_TEST(a_frozen_proxy_that_wakes_uses_no_old_primary);
   CPPUNIT_TEST(leader_and_primary_die_together);
   CPPUNIT_TEST(all_control_nodes_restart);
@@ -222,6 +224,41 @@
     });
   }
 
+  void a_proxy_cut_from_control_sends_callers_elsewhere_in_time() {
+    check([](RegisteredFleet& fleet) {
+      fleet.run_for(seconds(1));
+      CPPUNIT_ASSERT(fleet.is_ready("proxy-1"));
+      fleet.cut_from_all_control("proxy-1");
+      fleet.run_for(milliseconds(1050));
+      CPPUNIT_ASSERT_MESSAGE("0.5 s before the lease is over", !fleet.is_ready("proxy-1"));
+      fleet.heal();
+      fleet.run_for(seconds(2));
+      CPPUNIT_ASSERT(fleet.is_ready("proxy-1"));
+    });
+  }
+
+  void lost_proxies_leave_the_division_and_come_back() {
+    check([](RegisteredFleetSettings& settings) { settings.proxies = 6; },
+          [](RegisteredFleet& fleet) {
+            fleet.run_for(seconds(1));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{6}, fleet.working_proxies());
+            fleet.vanish("proxy-1");
+            fleet.vanish("proxy-2");
+            fleet.run_for(milliseconds(2600));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("one lease later", std::size_t{4}, fleet.working_proxies());
+            fleet.restart("proxy-1");
+            fleet.restart("proxy-2");
+            fleet.run_for(seconds(1));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{6}, fleet.working_proxies());
+            fleet.world().freeze("proxy-3");
+            fleet.run_for(milliseconds(2600));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{5}, fleet.working_proxies());
+            fleet.world().thaw("proxy-3");
+            fleet.run_for(seconds(1));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("back in the same life", std::size_t{6}, fleet.working_proxies());
+          });
+  }
+
   void a_proxy_cut_from_control_relays_past_a_failover() {
     check([](RegisteredFleet& fleet) {
       fleet.cut_from_all_control("proxy-1");
