--- a/src/session/group_access.cpp
+++ b/src/session/group_access.cpp
@@ -115,8 +115,8 @@
   Reason reason;
   SessionValues values;
   const TimePoint deadline = runtime_.now() + kDialTimeout;
-  auto link =
-      co_await backend->pool.acquire(std::move(values), LinkDeadlines{deadline, deadline}, refusal, reason);
+  const LinkDeadlines deadlines{deadline, deadline};
+  auto link = co_await backend->pool.acquire(std::move(values), deadlines, refusal, reason);
   if (link) backend->pool.release(std::move(link));
   if (!link) backend->avoid_until = runtime_.now() + kAvoidBackend;
 }
--- a/tests/session/stateful_pool_test.cpp
+++ b/tests/session/stateful_pool_test.cpp
@@ -79,7 +79,8 @@
                      std::optional<PreparedShape> prepared, Taken& taken) {
   Reason reason;
   const TimePoint deadline = runtime.now() + milliseconds(100);
-  taken.link = co_await pool.acquire(values, LinkDeadlines{deadline, deadline}, taken.refusal, reason);
+  const LinkDeadlines deadlines{deadline, deadline};
+  taken.link = co_await pool.acquire(values, deadlines, taken.refusal, reason);
   if (taken.link) taken.in_order = co_await taken.link->bring_in_order(values, prepared, deadline, reason);
   taken.finished = true;
 }
@@ -150,7 +151,8 @@
     const LinkDeadlines deadlines{now + milliseconds(8), now + milliseconds(100)};
     const auto acquire = [&]() -> Awaitable<void> {
       Reason reason;
-      taken.link = co_await pool_->acquire({}, deadlines, taken.refusal, reason);
+      SessionValues values;
+      taken.link = co_await pool_->acquire(std::move(values), deadlines, taken.refusal, reason);
       taken.finished = true;
     };
     runtime_->spawn("acquire", acquire());
