--- a/src/control/registered/group_keeper.cpp
+++ b/src/control/registered/group_keeper.cpp
@@ -161,8 +161,7 @@
   const registry::BackendEntry entry = *primary;
   Reason reason;
   bool dead = true;
-  const int looks = suspecting_proxies >= kSuspectingProxies ? 1 : kDeadLooks;
-  for (int look = 0; look < looks && dead; ++look) {
+  for (int look = 0; dead && look < looks_needed(*term, suspecting_proxies); ++look) {
     if (look > 0) co_await runtime_.sleep_for(kDeadLookPause);
     const TimePoint deadline = runtime_.now() + kStatusTimeout;
     const auto status = co_await prober_.ask(entry, deadline, reason);
@@ -186,6 +185,16 @@
   co_await close(std::move(given_up), std::move(why));
 }
 
+int GroupKeeper::looks_needed(const GroupTerm& term, std::size_t suspecting_proxies) const {
+  // Others may have come to suspect it while this node looked.
+  std::size_t suspecting = suspecting_proxies;
+  const auto since = suspicions_.find(term.group);
+  const bool same = since != suspicions_.end() && since->second.said.term == term.term &&
+                    since->second.said.backend == term.primary;
+  if (same) suspecting = std::max(suspecting, since->second.proxies.size());
+  return suspecting >= kSuspectingProxies ? 1 : kDeadLooks;
+}
+
 bool GroupKeeper::is_out_of_reach(const GroupName& group) const {
   const auto found = out_of_reach_.find(group);
   const std::size_t saying = found == out_of_reach_.end() ? 0 : found->second.proxies.size();
--- a/src/control/registered/group_keeper.h
+++ b/src/control/registered/group_keeper.h
@@ -62,6 +62,8 @@
   [[nodiscard]] bool has_successor(const GroupName& group, const BackendName& primary) const;
   [[nodiscard]] bool is_dead(const std::optional<session::BackendStatus>& status,
                              const registry::GroupTerm& term) const;
+  /// How many looks in a row must find the primary dead, by how many proxies suspect it.
+  [[nodiscard]] int looks_needed(const registry::GroupTerm& term, std::size_t suspecting_proxies) const;
   /// Whether most proxies can't use the primary, alive or not.
   [[nodiscard]] bool is_out_of_reach(const GroupName& group) const;
   Awaitable<bool> commits_stalled(GroupName group, registry::GroupTerm term);
