--- a/simulation/registered_fleet.cpp
+++ b/simulation/registered_fleet.cpp
@@ -24,17 +24,6 @@
 constexpr std::size_t kBackendsPerGroup = 3;
 constexpr Duration kPromotionTakes = milliseconds(300);
 constexpr Duration kCallTimeout = milliseconds(900);
-const std::vector<std::string> kZones{"kelburn", "petone", "porirua"};
-
-struct PolicyOfDatabase {
-  const char* name;
-  registry::ReadPolicy policy;
-  std::uint64_t staleness_ms;
-};
-constexpr std::array<PolicyOfDatabase, 3> kPolicies{
-    {{"records", registry::ReadPolicy::kPrimary, 0},
-     {"browse", registry::ReadPolicy::kBoundedStaleness, 1500},
-     {"assign", registry::ReadPolicy::kReadYourWrites, 2500}}};
 
 std::size_t number_of(const std::string& name) { return std::stoull(name.substr(name.rfind('-') + 1)); }
 
--- a/standins/unfenced/document_text.h
+++ b/standins/unfenced/document_text.h
@@ -1,6 +1,7 @@
 // The operator's calls as the platform speaks them, for tests.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -17,6 +18,19 @@
   std::string group;
 };
 
+/// The databases that tests declare: one for each read policy.
+struct PolicyOfDatabase {
+  const char* name;
+  registry::ReadPolicy policy;
+  std::uint64_t staleness_ms;
+};
+inline constexpr std::array<PolicyOfDatabase, 3> kPolicies{
+    {{"records", registry::ReadPolicy::kPrimary, 0},
+     {"browse", registry::ReadPolicy::kBoundedStaleness, 1500},
+     {"assign", registry::ReadPolicy::kReadYourWrites, 2500}}};
+/// The zones that tests spread machines over.
+inline const std::vector<std::string> kZones{"kelburn", "petone", "porirua"};
+
 /// A configuration document of these databases and groups.
 std::string document_text(std::uint64_t version, const std::vector<DatabaseText>& databases,
                           const std::vector<std::string>& groups);
--- a/standins/unfenced/environment.cpp
+++ b/standins/unfenced/environment.cpp
@@ -29,17 +29,6 @@
 constexpr Duration kGapWindow = seconds(6);
 constexpr int kLagFactor = 300;
 constexpr unsigned kOk = 200;
-const std::vector<std::string> kZones{"kelburn", "petone", "porirua"};
-
-struct PolicyOfDatabase {
-  const char* name;
-  registry::ReadPolicy policy;
-  std::uint64_t staleness_ms;
-};
-constexpr std::array<PolicyOfDatabase, 3> kPolicies{
-    {{"records", registry::ReadPolicy::kPrimary, 0},
-     {"browse", registry::ReadPolicy::kBoundedStaleness, 1500},
-     {"assign", registry::ReadPolicy::kReadYourWrites, 2500}}};
 
 std::string database_name(const PolicyOfDatabase& policy, std::size_t group) {
   return fmt::format("{}-{}", policy.name, group);
