--- /dev/null
+++ b/tests/platform/registration_calls_test.cpp
@@ -0,0 +1,114 @@
+// Heartbeats as proxies answer them: what is known here, what goes to control.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "platform/control_calls.h"
+#include "simulation/world.h"
+
+namespace cairnhollow::platform {
+
+namespace {
+
+const std::string kReady =
+    R"({"Service":"huvo11a","Addr":"10.128.0.9:8080","Zone":"hafn-a","Version":"v1","Slots":2,)"
+    R"("State":"ready","ColdRemainingMs":0,"DbRole":"replica","Seq":4})";
+
+/// Knows one backend, ready.
+class OneBackend : public registry::RegistrationRelay {
+ public:
+  [[nodiscard]] bool knows(const registry::BackendEntry& entry) const override {
+    return entry.name.value == "i-7f3a91c2" && !entry.leaving;
+  }
+  [[nodiscard]] std::optional<Endpoint> control_endpoint() const override { return control; }
+
+  std::optional<Endpoint> control = Endpoint{"10.0.0.4", 8782};
+};
+
+/// Takes every registration and names a proxy for the next ones.
+class NamingService : public registry::ControlService {
+ public:
+  Awaitable<bool> replace_document(registry::ConfigurationDocument, Reason&) override { co_return false; }
+  Awaitable<std::optional<std::string>> read_document(Reason&) override { co_return std::nullopt; }
+  Awaitable<std::optional<registry::Registration>> register_backend(registry::BackendEntry,
+                                                                    Reason&) override {
+    co_return registry::Registration{Endpoint{"10.1.0.8", 7441}};
+  }
+  Awaitable<bool> deregister_backend(BackendName, Reason&) override { co_return true; }
+};
+
+}  // namespace
+
+class RegistrationCallsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RegistrationCallsTest);
+  CPPUNIT_TEST(what_is_known_is_answered);
+  CPPUNIT_TEST(news_and_goodbyes_go_to_control);
+  CPPUNIT_TEST(without_control_the_backend_goes_on_to_the_next_node);
+  CPPUNIT_TEST(what_can_not_be_read_is_refused);
+  CPPUNIT_TEST(control_names_where_to_say_it_again);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    world_ = std::make_unique<simulation::World>(simulation::WorldSettings{});
+    runtime_ = &world_->start_bare({"node", "10.0.0.1", ZoneName("a")});
+    calls_ = make_registration_calls(relay_);
+  }
+  void tearDown() override { world_.reset(); }
+
+  void what_is_known_is_answered() {
+    CPPUNIT_ASSERT_EQUAL(200U, call(runtime::HttpMethod::kPut, "/instances/i-7f3a91c2", kReady).status);
+  }
+
+  void news_and_goodbyes_go_to_control() {
+    std::string leaving = kReady;
+    leaving.replace(leaving.find("ready"), 5, "draining");
+    const auto news = call(runtime::HttpMethod::kPut, "/instances/i-7f3a91c2", leaving);
+    CPPUNIT_ASSERT_EQUAL(307U, news.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("http://10.0.0.4:8782/instances/i-7f3a91c2"),
+                         news.headers.find("location").value_or(""));
+    CPPUNIT_ASSERT_EQUAL(307U, call(runtime::HttpMethod::kPut, "/instances/i-other", kReady).status);
+    CPPUNIT_ASSERT_EQUAL(307U, call(runtime::HttpMethod::kDelete, "/instances/i-7f3a91c2", "").status);
+  }
+
+  void without_control_the_backend_goes_on_to_the_next_node() {
+    relay_.control.reset();
+    CPPUNIT_ASSERT_EQUAL(503U, call(runtime::HttpMethod::kPut, "/instances/i-other", kReady).status);
+    CPPUNIT_ASSERT_EQUAL(200U, call(runtime::HttpMethod::kPut, "/instances/i-7f3a91c2", kReady).status);
+  }
+
+  void what_can_not_be_read_is_refused() {
+    CPPUNIT_ASSERT_EQUAL(400U, call(runtime::HttpMethod::kPut, "/instances/i-7f3a91c2", "{}").status);
+    CPPUNIT_ASSERT_EQUAL(404U, call(runtime::HttpMethod::kPut, "/config", "{}").status);
+  }
+
+  void control_names_where_to_say_it_again() {
+    NamingService service;
+    calls_ = make_control_calls(service);
+    const auto response = call(runtime::HttpMethod::kPut, "/instances/i-7f3a91c2", kReady);
+    CPPUNIT_ASSERT_EQUAL(200U, response.status);
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"HeartbeatAddr":"10.1.0.8:7441"})"), response.body);
+    CPPUNIT_ASSERT_MESSAGE("the next one comes elsewhere", response.close_connection);
+  }
+
+ private:
+  runtime::HttpResponse call(runtime::HttpMethod method, const std::string& target, const std::string& body) {
+    runtime::HttpRequest request;
+    request.method = method;
+    request.target = target;
+    request.body = body;
+    std::optional<runtime::HttpResponse> response;
+    const auto handle = [&]() -> Awaitable<void> { response = co_await calls_->handle(request, 1); };
+    runtime_->spawn("handle", handle());
+    world_->run_for(std::chrono::milliseconds(10));
+    CPPUNIT_ASSERT(response);
+    return *response;
+  }
+
+  OneBackend relay_;
+  std::unique_ptr<simulation::World> world_;
+  runtime::Runtime* runtime_ = nullptr;
+  std::unique_ptr<runtime::HttpHandler> calls_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RegistrationCallsTest);
+
+}  // namespace cairnhollow::platform
