Lines longer than 64 KiB are read; a line over 1 MiB ends the connection on both transports

A stream stops reading with 64 KiB unread, and a line is taken whole: a statement or a row of 64 KiB to 1 MiB waited for ever (a client without end, a backend's answer until the statement's deadline), and the limit of 1 MiB was never reached. The simulator's lines had no limit at all.

Change: a reader that needs more at once says so (ByteStream::read_beyond), and gives it back; the limit holds for lines that come with their end in one read, too.

--- a/simulation/virtual_lines.cpp
+++ b/simulation/virtual_lines.cpp
@@ -44,6 +44,11 @@
   while (true) {
     std::optional<std::string> line = take_line();
     if (line) co_return line;
+    if (unread_.size() > runtime::kMaximumLineBytes + kLineEnd.size()) {
+      reason = Reason{ReasonCode::kInvalidArgument, "read_line", stream->peer_name(), "the line is too long"};
+      stream->close();
+      co_return std::nullopt;
+    }
     bool timed_out = false;
     std::optional<StreamMessage> message = co_await stream->receive_until(world_deadline, timed_out);
     if (!message) {
--- a/src/runtime/asio/asio_lines.cpp
+++ b/src/runtime/asio/asio_lines.cpp
@@ -53,18 +53,20 @@
 Awaitable<std::optional<std::string>> AsioLineConnection::read_line(TimePoint deadline, Reason& reason) {
   const auto stream = stream_;
   std::optional<std::string> line = take_line();
-  if (line) co_return line;
-  if (deadline != TimePoint::max()) stream->set_deadline(deadline);
-  while (!line && stream->is_open()) {
-    if (stream->unread().size() > kMaximumLineBytes) {
-      stream->close(Reason{ReasonCode::kInvalidArgument, "read_line", stream->peer(),
-                           "the line is longer than " + std::to_string(kMaximumLineBytes) + " bytes"});
-      break;
-    }
+  if (!line && deadline != TimePoint::max()) stream->set_deadline(deadline);
+  while (!line && stream->is_open() && stream->unread().size() <= kMaximumLineBytes + kLineEnd.size()) {
+    stream->read_beyond(stream->unread().size());
     const bool more = co_await stream->wait_for_bytes();
     if (more) line = take_line();
   }
+  stream->read_beyond(0);
   stream->clear_deadline();
+  const bool too_long = line ? line->size() > kMaximumLineBytes : stream->is_open();
+  if (too_long) {
+    line.reset();
+    stream->close(Reason{ReasonCode::kInvalidArgument, "read_line", stream->peer(),
+                         "the line is longer than " + std::to_string(kMaximumLineBytes) + " bytes"});
+  }
   if (!line) reason = stream->closed();
   co_return line;
 }
--- a/src/runtime/asio/byte_stream.cpp
+++ b/src/runtime/asio/byte_stream.cpp
@@ -1,5 +1,6 @@
 #include "runtime/asio/byte_stream.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/post.hpp>
@@ -18,8 +19,6 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 4096;
-/// With this much unread no more is read until some is used: the peer is slowed down by TCP.
-constexpr std::size_t kReadAheadBytes = 65536;
 
 }  // namespace
 
@@ -38,8 +37,13 @@
   read_ahead();
 }
 
+void ByteStream::read_beyond(std::size_t unread) {
+  read_ahead_limit_ = std::max(kReadAheadBytes, unread + 1);
+  read_ahead();
+}
+
 void ByteStream::read_ahead() {
-  if (reading_ || !is_open() || buffer_.unread().size() >= kReadAheadBytes) return;
+  if (reading_ || !is_open() || buffer_.unread().size() >= read_ahead_limit_) return;
   reading_ = true;
   if (!last_read_filled_) buffer_.release(kReadBytes);
   const auto room = buffer_.room(last_read_filled_ ? kReadAheadBytes : kReadBytes);
--- a/src/runtime/asio/byte_stream.h
+++ b/src/runtime/asio/byte_stream.h
@@ -27,6 +27,9 @@
 
   [[nodiscard]] std::string_view unread() const { return buffer_.unread(); }
   void consume(std::size_t count);
+  /// Goes on reading although so much is unread, since the reader needs more of it at once; else reading
+  /// rests at kReadAheadBytes, and TCP slows the peer down.
+  void read_beyond(std::size_t unread);
   /// Returns true once more bytes came in, false when the stream is closed.
   Awaitable<bool> wait_for_bytes();
   /// False when not all bytes were taken; `any_sent` says whether any byte may have left.
@@ -47,6 +50,8 @@
   [[nodiscard]] bool ended_by_peer() const { return ended_by_peer_; }
 
  private:
+  static constexpr std::size_t kReadAheadBytes = 65536;
+
   void read_ahead();
   void on_read(boost::system::error_code error, std::size_t count);
 
@@ -57,6 +62,7 @@
   Wakeup reader_;
   std::function<void()> on_closed_;
   Reason closed_;
+  std::size_t read_ahead_limit_ = kReadAheadBytes;
   bool reading_ = false;
   bool last_read_filled_ = false;  ///< much is coming in: read in larger steps
   bool ended_by_peer_ = false;
