A drained proxy answers what it has read before it ends; the soak's judge goes by record

Change: at that point nothing more is read, and statements that were read are answered until 0.2 s before the end. The stand-in callers take a close while nothing is asked for what it is, as the pages' clients do, and note answers that did not come whole.

--- a/simulation/registered_fleet.cpp
+++ b/simulation/registered_fleet.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <set>
 
 #include "platform/edge.h"
 #include "standins/unfenced/document_text.h"
@@ -97,6 +98,7 @@
       database.zone = ZoneName(kZones[place % kZones.size()]);
       database.control_endpoints = control_endpoints(kOperatorPort);
       database.lost_answers = settings_.lost_answers;
+      database.work = settings_.work;
       members_[name] = {models.back(), names[place]};
       GroupModel* model = models.back();
       world_.start({name, address_of(name), database.zone},
@@ -237,6 +239,10 @@
     member->second.first->member(member->second.second).running = false;
 }
 
+void RegisteredFleet::terminate(const std::string& name) {
+  world_.drain(name, [] {});
+}
+
 void RegisteredFleet::restart(const std::string& name) { world_.restart(name); }
 
 void RegisteredFleet::wipe(const std::string& name) {
@@ -337,6 +343,16 @@
   return sum;
 }
 
+std::uint64_t RegisteredFleet::cut_after_running() {
+  std::set<std::string> run;
+  const BackendName* leader = models_.front()->leader();
+  if (leader == nullptr) return 0;
+  for (const LogEntry& entry : models_.front()->member(*leader).log) run.insert(entry.token);
+  return static_cast<std::uint64_t>(
+      std::count_if(history_.begin(), history_.end(),
+                    [&](const Attempt& attempt) { return attempt.cut && run.count(attempt.token) > 0; }));
+}
+
 Duration RegisteredFleet::longest_write_gap(TimePoint from, TimePoint to) const {
   return standins::unfenced::longest_write_gap(history_, from, to);
 }
--- a/simulation/registered_fleet.h
+++ b/simulation/registered_fleet.h
@@ -22,6 +22,7 @@
   std::size_t groups = 1;
   Duration replica_lag = std::chrono::milliseconds(8);
   double lost_answers = 0;
+  Duration work = std::chrono::milliseconds(3);  ///< of a statement at a backend
   Duration serving_lease = std::chrono::milliseconds(1500);
   bool print_log = false;
 };
@@ -45,6 +46,8 @@
   void kill(const std::string& name);
   void vanish(const std::string& name);
   void restart(const std::string& name);
+  /// SIGTERM: the node drains, then ends.
+  void terminate(const std::string& name);
   /// Kills a control node and starts it again on an empty disk.
   void wipe(const std::string& name);
   void cut(const std::string& one, const std::string& other);
@@ -70,6 +73,8 @@
   [[nodiscard]] std::uint64_t reads() const;
   /// Operations that were refused with the promise that nothing of them is kept.
   [[nodiscard]] std::uint64_t refused() const;
+  /// Writes of the first group that were run, and whose answers did not come whole.
+  std::uint64_t cut_after_running();
   [[nodiscard]] const std::vector<standins::unfenced::Attempt>& history() const { return history_; }
   /// The longest time between two acknowledged writes that lies within `from` and `to`.
   [[nodiscard]] Duration longest_write_gap(TimePoint from, TimePoint to) const;
--- a/src/session/caller_session.h
+++ b/src/session/caller_session.h
@@ -21,6 +21,8 @@
   Awaitable<void> run();
 
   /// Whether nothing is asked and no transaction is open.
+  /// A statement was read and is not answered yet.
+  [[nodiscard]] bool is_answering() const { return answering_; }
   [[nodiscard]] bool is_idle() const { return !answering_ && !transaction_; }
   /// Gives up a transaction that has rested for longer than `limit`; the caller hears of it with its next
   /// statement.
--- a/src/session/knobs.h
+++ b/src/session/knobs.h
@@ -104,8 +104,11 @@
 
 /// After SIGTERM: how long callers are still sent here, and idle sessions are kept.
 inline constexpr Duration kDrainIdleAfter = milliseconds(2300);
-/// How long before the end of the drain everything is closed.
+/// How long before the end of the drain nothing more is read; what was read is answered until shortly before
+/// the end.
 inline constexpr Duration kDrainMargin = milliseconds(800);
+inline constexpr Duration kDrainLastMargin = milliseconds(200);
+inline constexpr Duration kDrainLastTick = milliseconds(20);
 /// A backend that leaves as primary is used no longer than this.
 inline constexpr Duration kLeavingPrimaryUse = seconds(5);
 
--- a/src/session/session_proxy.cpp
+++ b/src/session/session_proxy.cpp
@@ -1,5 +1,6 @@
 #include "session/session_proxy.h"
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -66,6 +67,7 @@
   Awaitable<void> drain() override;
 
  private:
+  Awaitable<void> finish_answers(TimePoint last);
   Awaitable<void> accept_callers();
   Awaitable<void> serve(std::shared_ptr<runtime::LineConnection> lines);
   Awaitable<void> watch();
@@ -249,12 +251,25 @@
   }
   stopped_ = true;
   listener_->close();
+  co_await finish_answers(begun + settings_.drain_limit - kDrainLastMargin);
   if (registration_server_) registration_server_->close();
   readiness_server_->close();
   forward_server_.stop();
   link_.stop();
 }
 
+/// What was read is answered: no session reads any more, and those that answer are waited for.
+Awaitable<void> SessionProxy::finish_answers(TimePoint last) {
+  const auto is_answering = [](const auto& entry) { return entry.second->is_answering(); };
+  bool answering = true;
+  while (answering && runtime_.now() < last) {
+    const auto sessions = sessions_;
+    for (const auto& [id, session] : sessions) session->let_go();
+    answering = std::any_of(sessions_.begin(), sessions_.end(), is_answering);
+    if (answering) co_await runtime_.sleep_for(kDrainLastTick);
+  }
+}
+
 }  // namespace
 
 std::unique_ptr<runtime::Role> make_session_proxy(runtime::Runtime& runtime, SessionProxySettings settings,
--- a/standins/unfenced/caller.cpp
+++ b/standins/unfenced/caller.cpp
@@ -58,6 +58,8 @@
     }
   }
   void close() { lines_->close(); }
+  /// A close while nothing was asked is no failure: the caller goes elsewhere.
+  [[nodiscard]] bool is_open() const { return lines_->is_open(); }
 
  private:
   runtime::Runtime& runtime_;
@@ -96,6 +98,7 @@
     for (int operation = 0; operation < kOperationsPerSession && sound && !stopped; ++operation) {
       sound = co_await run_operation(session);
       co_await runtime_.sleep_for(settings_.pause);
+      sound = sound && session.is_open();
     }
   }
 
@@ -128,6 +131,7 @@
   }
 
   static void take_outcome(const Reply& reply, Attempt& attempt) {
+    attempt.cut = !reply.whole;
     if (reply.done) attempt.outcome = AttemptOutcome::kAcknowledged;
     if (reply.refusal && session::is_promise(*reply.refusal))
       attempt.outcome = AttemptOutcome::kPromisedNotKept;
--- a/standins/unfenced/session_history.cpp
+++ b/standins/unfenced/session_history.cpp
@@ -24,15 +24,19 @@
 }
 
 void check_reads(const std::vector<Attempt>& history, std::vector<std::string>& violations) {
+  std::map<std::string, std::vector<const Attempt*>> writes;  // acknowledged ones, by record
+  for (const Attempt& attempt : history) {
+    if (is_acknowledged_write(attempt)) writes[attempt.record].push_back(&attempt);
+  }
   for (const Attempt& read : history) {
     if (!read.has_read) continue;
     if (read.tag != read.session)
       violations.push_back(fmt::format("foreign: {} read under the values of {}", read.session, read.tag));
     const std::set<std::string> shown(read.tokens.begin(), read.tokens.end());
-    for (const Attempt& write : history) {
-      if (!must_show(read, write) || shown.count(write.token) > 0) continue;
+    for (const Attempt* write : writes[read.record]) {
+      if (!must_show(read, *write) || shown.count(write->token) > 0) continue;
       violations.push_back(
-          fmt::format("stale: {} did not see {} of {}", read.session, write.token, write.record));
+          fmt::format("stale: {} did not see {} of {}", read.session, write->token, write->record));
     }
   }
 }
--- a/standins/unfenced/session_history.h
+++ b/standins/unfenced/session_history.h
@@ -24,6 +24,7 @@
   TimePoint begun{};
   TimePoint ended{};
   AttemptOutcome outcome = AttemptOutcome::kUnknown;
+  bool cut = false;  ///< the last statement's answer did not come whole
 };
 
 /// Every violation, in words. `final_tokens`: what the group's primary holds at the end, record by record in
--- a/tests/simulation/registered_fleet_test.cpp
+++ b/tests/simulation/registered_fleet_test.cpp
@@ -68,6 +68,7 @@
   CPPUNIT_TEST(a_proxy_cut_from_control_relays_past_a_failover);
   CPPUNIT_TEST(a_proxy_cut_from_control_sends_callers_elsewhere_in_time);
   CPPUNIT_TEST(lost_proxies_leave_the_division_and_come_back);
+  CPPUNIT_TEST(a_drained_proxy_answers_what_it_has_read);
   CPPUNIT_TEST(a_frozen_proxy_that_wakes_uses_no_old_primary);
   CPPUNIT_TEST(leader_and_primary_die_together);
   CPPUNIT_TEST(all_control_nodes_restart);
@@ -224,6 +225,22 @@
     });
   }
 
+  void a_drained_proxy_answers_what_it_has_read() {
+    check(
+        [](RegisteredFleetSettings& settings) {
+          settings.proxies = 1;  // callers have nowhere else to go: it has work until the end
+          settings.work = milliseconds(60);
+        },
+        [](RegisteredFleet& fleet) {
+          fleet.terminate("proxy-1");
+          fleet.run_for(milliseconds(6500));
+          CPPUNIT_ASSERT(!fleet.world().running("proxy-1"));
+          CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, fleet.cut_after_running());
+          fleet.restart("proxy-1");
+          fleet.run_for(seconds(2));
+        });
+  }
+
   void a_proxy_cut_from_control_sends_callers_elsewhere_in_time() {
     check([](RegisteredFleet& fleet) {
       fleet.run_for(seconds(1));
