--- a/simulation/registered_fleet.cpp
+++ b/simulation/registered_fleet.cpp
@@ -293,7 +293,7 @@
 
 bool RegisteredFleet::is_ready(const std::string& proxy) {
   runtime::HttpRequest request;
-  request.target = "/readiness";
+  request.target = platform::session_edge().readiness_path;
   auto result = std::make_shared<std::optional<runtime::HttpResponse>>();
   VirtualRuntime& operators = world_.runtime("operator");
   operators.spawn("operator", call(operators, {address_of(proxy), kReadinessPort}, request, result));
--- a/tests/session/forwarder_test.cpp
+++ b/tests/session/forwarder_test.cpp
@@ -89,7 +89,12 @@
     forwarder_ = std::make_unique<Forwarder>(*runtime_, NodeName("proxy"), ZoneName("a"));
     proxy_ = std::make_shared<routing::ProxyView>(routing::ProxyView{NodeName("peer"), ZoneName("a"), kPeer});
   }
-  void tearDown() override { world_.reset(); }
+  void tearDown() override {
+    // Connections end in their world.
+    forwarder_.reset();
+    peer_.reset();
+    world_.reset();
+  }
 
   void a_slow_statement_is_waited_for() {
     peer_->run_takes = seconds(2);
