A disk that refused a write is tried again; its control node comes back by itself

Ruled out: the election (0.6 s) and the proxies' search.

Change: a failed write suspends the node (it steps down, grants nothing, answers no peer) and all that memory holds is written anew every 200 ms; a file in which a write or a sync failed is replaced and never appended to again. Nothing is taken back: what was not durable was never spoken of.

--- a/simulation/virtual_disk.cpp
+++ b/simulation/virtual_disk.cpp
@@ -10,12 +10,22 @@
   return disk.failing;
 }
 
+/// True, with the reason, when the disk has no room.
+bool is_full(const VirtualDisk& disk, const char* step, Reason& reason) {
+  if (disk.full) reason = Reason{ReasonCode::kStorage, step, "", "no space left on device"};
+  return disk.full;
+}
+
 class VirtualAppendFile : public runtime::AppendFile {
  public:
   VirtualAppendFile(VirtualProcess& process, VirtualDisk& disk, std::shared_ptr<DiskFile> file)
       : process_(process), disk_(disk), file_(std::move(file)) {}
 
-  bool append(std::string_view bytes, Reason& /*reason*/) override {
+  bool append(std::string_view bytes, Reason& reason) override {
+    if (is_full(disk_, "append", reason)) {
+      file_->content.append(bytes.substr(0, bytes.size() / 2));
+      return false;
+    }
     file_->content.append(bytes);
     return true;
   }
@@ -91,7 +101,7 @@
   // A copy: `name` may end while this coroutine waits.
   const std::string file_name = name;  // NOLINT(performance-unnecessary-copy-initialization)
   co_await pause(process_, disk_.sync_delay);
-  if (fails(disk_, "write_file", reason)) co_return false;
+  if (fails(disk_, "write_file", reason) || is_full(disk_, "write_file", reason)) co_return false;
   process_.trace().event(process_.scheduler().now(), "write", process_.ordinal(), content);
   disk_.files[file_name] = std::make_shared<DiskFile>(DiskFile{content, content});
   co_return true;
--- a/simulation/virtual_disk.h
+++ b/simulation/virtual_disk.h
@@ -25,6 +25,9 @@
   std::map<std::string, std::shared_ptr<DiskFile>> files;
   Duration sync_delay = std::chrono::milliseconds(2);
   bool failing = false;  ///< every write, sync and removal ends with kStorage and changes nothing durable
+  /// Nothing that takes room is taken: of what is appended the first half may be there, of what replaces a
+  /// file nothing. Syncs, cuts and removals work.
+  bool full = false;
 
   /// A crash: each file falls back to its durable content, or keeps some or all of what came after it.
   void crash(NetworkFaults& random);
--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -17,8 +17,9 @@
   const Duration timeout = state_.settings().election_timeout;
   Duration chosen = choose_timeout();
   last_campaign_ = runtime.now();
-  while (!state_.halted()) {
-    const bool may_campaign = state_.role() != ServerState::kLeader && state_.may_campaign();
+  while (!state_.halted_for_good()) {
+    const bool may_campaign =
+        !state_.halted() && state_.role() != ServerState::kLeader && state_.may_campaign();
     const TimePoint since = std::max(state_.election_timer_start(), last_campaign_);
     const TimePoint deadline = std::max(since + chosen, judged_from_);
     if (!may_campaign || (runtime.now() < deadline && !transfer_requested_)) {
--- a/src/consensus/flush_sequence.cpp
+++ b/src/consensus/flush_sequence.cpp
@@ -24,4 +24,9 @@
   co_return true;
 }
 
+void FlushSequence::retry() {
+  failure_ = Reason{};
+  note_change();
+}
+
 }  // namespace cairnhollow::consensus
--- a/src/consensus/flush_sequence.h
+++ b/src/consensus/flush_sequence.h
@@ -21,9 +21,11 @@
   /// Memory has changed since the last write began.
   void note_change() { ++version_; }
 
-  /// Makes all changes noted before the call durable. Callers share one write. A failure is final: what the
-  /// disk holds is not known after it, so every later call fails with the same reason.
+  /// Makes all changes noted before the call durable. Callers share one write. After a failure every call
+  /// fails with the same reason until retry(): what the disk holds is not known meanwhile.
   Awaitable<bool> flush(Reason& reason);
+  /// Lets the next flush() write again, and write even if nothing has changed.
+  void retry();
 
  private:
   Write write_;
--- a/src/consensus/knobs.h
+++ b/src/consensus/knobs.h
@@ -37,6 +37,9 @@
 inline constexpr Duration kRefusedReconnectDelay = std::chrono::seconds(5);
 /// Longest wait for one connection attempt.
 inline constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
+/// A disk that refused a write is tried again this often. A try costs one small file's write and sync, a
+/// leader elsewhere takes an election timeout (some 0.6 s) to come, so a few tries in that time are enough.
+inline constexpr Duration kStorageRetryInterval = std::chrono::milliseconds(200);
 /// A connection with unanswered calls and no answer for this many election timeouts is replaced.
 inline constexpr int kStalledElectionTimeouts = 3;
 
--- a/src/consensus/log.cpp
+++ b/src/consensus/log.cpp
@@ -67,6 +67,11 @@
   flushes_.note_change();
 }
 
+void Log::retry() {
+  rewrite_ = true;
+  flushes_.retry();
+}
+
 Awaitable<bool> Log::write_changes(Reason& reason) {
   const std::uint64_t first = first_unwritten_;
   const bool rewrite = rewrite_;
--- a/src/consensus/log.h
+++ b/src/consensus/log.h
@@ -43,8 +43,12 @@
   /// Drops everything: the log starts behind a snapshot's last entry.
   void reset(LogBase base);
 
-  /// Makes all changes made before the call durable. Callers share one write. A failure is final.
+  /// Makes all changes made before the call durable. Callers share one write. After a failure every call
+  /// fails until retry().
   Awaitable<bool> flush(Reason& reason) { return flushes_.flush(reason); }
+  /// After a failed write: the next flush replaces the whole file by what memory holds. A file in which a
+  /// write or a sync has failed is never appended to again.
+  void retry();
 
  private:
   Awaitable<bool> write_changes(Reason& reason);
--- a/src/consensus/metadata_file.h
+++ b/src/consensus/metadata_file.h
@@ -38,8 +38,10 @@
   void set_term(std::uint64_t term);
   void set_vote(NodeName candidate);
 
-  /// Makes all changes made before the call durable. Callers share one write. A failure is final.
+  /// Makes all changes made before the call durable. Callers share one write. After a failure every call
+  /// fails until retry().
   Awaitable<bool> flush(Reason& reason) { return flushes_.flush(reason); }
+  void retry() { flushes_.retry(); }
 
  private:
   Awaitable<bool> write(Reason& reason);
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -23,8 +23,9 @@
 
 Awaitable<bool> RaftServer::start(Reason& reason) {
   if (!state_.recover(reason)) co_return false;
+  // A disk that takes no writes now is tried again while the server takes no part.
   const bool durable = co_await state_.persist();
-  if (!durable) {
+  if (!durable && state_.halted_for_good()) {
     reason = state_.halt_reason();
     co_return false;
   }
--- a/src/consensus/raft_state.cpp
+++ b/src/consensus/raft_state.cpp
@@ -3,6 +3,8 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <chrono>
+#include <string>
 
 #include "consensus/knobs.h"
 
@@ -60,6 +62,7 @@
 }
 
 Awaitable<bool> RaftState::persist() {
+  if (halted()) co_return false;
   Reason reason;
   bool written = co_await metadata_.flush(reason);
   if (written) written = co_await log_.flush(reason);
@@ -67,17 +70,51 @@
 }
 
 Awaitable<bool> RaftState::persist_term_and_vote() {
+  if (halted()) co_return false;
   Reason reason;
   const bool written = co_await metadata_.flush(reason);
   co_return check_written(written, reason);
 }
 
 bool RaftState::check_written(bool written, const Reason& reason) {
-  if (!written && !halted_) {
-    runtime_.logger().log(runtime::LogLevel::kError, "consensus_storage_failed", reason, {});
-    halt(reason);
+  if (!written) suspend(reason);
+  return written && !halted();
+}
+
+void RaftState::suspend(const Reason& reason) {
+  if (halted()) return;
+  storage_failed_ = true;
+  halt_reason_ = reason;
+  runtime_.logger().log(runtime::LogLevel::kError, "consensus_storage_failed", reason,
+                        {{"term", std::to_string(term())},
+                         {"last_index", std::to_string(log_.last_index())},
+                         {"durable_index", std::to_string(log_.durable_index())}});
+  set_role(ServerState::kFollower, NodeName{});
+  observer_.role_changed();
+  runtime_.spawn("consensus_storage_retry", resume_when_writable());
+}
+
+Awaitable<void> RaftState::resume_when_writable() {
+  const TimePoint failed_at = runtime_.now();
+  bool written = false;
+  while (!written && !halted_) {
+    co_await runtime_.sleep_for(kStorageRetryInterval);
+    Reason reason;
+    metadata_.retry();
+    written = co_await metadata_.flush(reason);
+    if (!written) continue;
+    log_.retry();
+    written = co_await log_.flush(reason);
   }
-  return written && !halted_;
+  if (halted_) co_return;
+  storage_failed_ = false;
+  election_timer_start_ = runtime_.now();
+  const auto away = std::chrono::duration_cast<std::chrono::milliseconds>(runtime_.now() - failed_at);
+  runtime_.logger().log(
+      runtime::LogLevel::kInfo, "consensus_storage_recovered",
+      {{"after_ms", std::to_string(away.count())}, {"last_index", std::to_string(log_.last_index())}});
+  observer_.configuration_changed();
+  observer_.role_changed();
 }
 
 void RaftState::halt(const Reason& reason) {
@@ -133,7 +170,7 @@
 }
 
 bool RaftState::is_leader_of(std::uint64_t term) const {
-  return !halted_ && role_ == ServerState::kLeader && this->term() == term;
+  return !halted() && role_ == ServerState::kLeader && this->term() == term;
 }
 
 void RaftState::vote_for(const NodeName& candidate) {
@@ -182,13 +219,13 @@
 }
 
 void RaftState::commit_to(std::uint64_t index) {
-  if (halted_ || index <= commit_index_) return;
+  if (halted() || index <= commit_index_) return;
   commit_index_ = index;
   apply_committed();
 }
 
 void RaftState::apply_committed() {
-  while (applied_index_ < commit_index_ && !halted_) {
+  while (applied_index_ < commit_index_ && !halted()) {
     const LogEntry& entry = log_.at(applied_index_ + 1);
     if (auto unreadable = wire::unreadable_format(entry.payload)) {
       halt_at(entry, Reason{ReasonCode::kUnsupported, "apply_entry", "", std::move(*unreadable)});
@@ -205,7 +242,7 @@
 }
 
 Awaitable<void> RaftState::take_snapshot() {
-  if (writing_snapshot_ || halted_ || applied_index_ == snapshot_last_.index) co_return;
+  if (writing_snapshot_ || halted() || applied_index_ == snapshot_last_.index) co_return;
   writing_snapshot_ = true;
   Snapshot snapshot;
   snapshot.last = LogBase{applied_index_, *log_.term_at(applied_index_)};
@@ -217,7 +254,7 @@
   writing_snapshot_ = false;
   if (!written) {
     runtime_.logger().log(runtime::LogLevel::kError, "consensus_snapshot_failed", reason, {});
-    halt(reason);
+    suspend(reason);
     co_return;
   }
   snapshot_last_ = last;
@@ -229,14 +266,19 @@
 
 Awaitable<bool> RaftState::install(Snapshot snapshot) {
   if (snapshot.last.index <= commit_index_) co_return true;  // already here
-  while (writing_snapshot_ && !halted_) co_await runtime_.sleep_for(settings_.heartbeat_interval);
-  if (halted_) co_return false;
+  while (writing_snapshot_ && !halted()) co_await runtime_.sleep_for(settings_.heartbeat_interval);
+  if (halted()) co_return false;
   if (snapshot.last.index <= commit_index_) co_return true;
   writing_snapshot_ = true;
   Reason reason;
-  bool installed = co_await snapshot_file_.write(snapshot, reason);
+  const bool stored = co_await snapshot_file_.write(snapshot, reason);
   writing_snapshot_ = false;
-  if (installed && snapshot.last.index > commit_index_) {
+  if (!stored) {
+    suspend(reason);
+    co_return false;
+  }
+  bool installed = true;
+  if (snapshot.last.index > commit_index_) {
     installed = state_machine_.restore_snapshot(snapshot.state, reason);
     if (log_.term_at(snapshot.last.index) != snapshot.last.term) log_.reset(snapshot.last);
     history_.truncate_after(std::max(log_.last_index(), snapshot.last.index));
--- a/src/consensus/raft_state.h
+++ b/src/consensus/raft_state.h
@@ -37,13 +37,18 @@
   /// Reads metadata, snapshot and log. Refuses a data folder whose files are damaged or don't fit together.
   bool recover(Reason& reason);
 
-  /// Makes all transitions so far durable. When the disk fails the server halts for good.
+  /// Makes all transitions so far durable. When the disk fails the server takes no part until all that memory
+  /// holds is written again, which it tries on its own. It has spoken of nothing that was not durable, so
+  /// nothing has to be taken back.
   Awaitable<bool> persist();
   /// The same for term and vote alone.
   Awaitable<bool> persist_term_and_vote();
-  /// Stops taking part: used when the disk failed and by stop().
+  /// Stops taking part for good: used for entries that can't be read and by stop().
   void halt(const Reason& reason);
-  [[nodiscard]] bool halted() const { return halted_; }
+  /// Takes no part now: halted for good, or the disk refuses writes.
+  [[nodiscard]] bool halted() const { return halted_ || storage_failed_; }
+  [[nodiscard]] bool halted_for_good() const { return halted_; }
+  /// Of the last halt, or of the last failure of the disk.
   [[nodiscard]] const Reason& halt_reason() const { return halt_reason_; }
 
   /// Takes over a higher term seen in a message (section 3.3). Returns whether it was higher.
@@ -99,6 +104,10 @@
   bool recover_log(const Snapshot& snapshot, Reason& reason);
   bool check_new_folder(Reason& reason) const;
   bool check_written(bool written, const Reason& reason);
+  /// Takes no part until the disk takes writes again.
+  void suspend(const Reason& reason);
+  /// Tries again and again to write all that memory holds, then takes part again.
+  Awaitable<void> resume_when_writable();
   void set_role(ServerState role, NodeName leader);
   void apply_committed();
   void note_configuration(const LogEntry& entry);
@@ -121,7 +130,8 @@
   TimePoint last_leader_contact_;
   TimePoint election_timer_start_;
   bool writing_snapshot_ = false;
-  bool halted_ = false;
+  bool halted_ = false;          ///< for good
+  bool storage_failed_ = false;  ///< until the disk takes writes again
   Reason halt_reason_;
 };
 
--- a/tests/consensus/storage_test.cpp
+++ b/tests/consensus/storage_test.cpp
@@ -16,6 +16,10 @@
   CPPUNIT_TEST(power_loss_during_formation_recovers);
   CPPUNIT_TEST(a_failing_disk_halts_its_server_only);
   CPPUNIT_TEST(a_failing_disk_of_the_leader_lets_another_lead);
+  CPPUNIT_TEST(a_disk_that_takes_writes_again_brings_its_server_back);
+  CPPUNIT_TEST(full_disks_come_and_go_and_lose_nothing);
+  CPPUNIT_TEST(a_server_starts_on_a_full_disk);
+  CPPUNIT_TEST(a_snapshot_that_found_no_room_is_taken_later);
   CPPUNIT_TEST(a_slow_disk_of_a_follower_slows_nobody_else);
   CPPUNIT_TEST(slow_disks_everywhere_keep_their_leader);
   CPPUNIT_TEST(a_damaged_log_refuses_to_start);
@@ -99,6 +103,85 @@
     assert_sound(cluster);
   }
 
+  void a_disk_that_takes_writes_again_brings_its_server_back() {
+    Cluster cluster(ClusterSettings{.seed = 11});
+    const std::string leader = cluster.wait_for_leader();
+    cluster.world().disk(leader).full = true;
+    CPPUNIT_ASSERT(!cluster.propose(leader, "maybe").succeeded());
+    CPPUNIT_ASSERT(cluster.propose_anywhere("meanwhile"));
+    cluster.world().disk(leader).full = false;
+    cluster.world().run_for(seconds(2));
+    // Without the one that was full there is no quorum now.
+    const std::string other = cluster.leader() == "node-3" ? "node-2" : "node-3";
+    const std::string lost = other == leader ? "node-1" : other;
+    cluster.world().kill(lost);
+    CPPUNIT_ASSERT(cluster.propose_anywhere("after"));
+    cluster.world().run_for(seconds(1));
+    CPPUNIT_ASSERT(cluster.machine(leader).has("meanwhile"));
+    CPPUNIT_ASSERT(cluster.machine(leader).has("after"));
+    assert_sound(cluster);
+  }
+
+  void full_disks_come_and_go_and_lose_nothing() {
+    for (std::uint64_t seed = 200; seed < 230; ++seed) {
+      Cluster cluster(ClusterSettings{.seed = seed, .voters = 3, .snapshot_after_entries = 15});
+      std::vector<std::string> acknowledged;
+      // A group that is not formed yet needs all of its disks.
+      CPPUNIT_ASSERT(!cluster.wait_for_leader().empty());
+      for (int round = 0; round < 6; ++round) {
+        const std::size_t place = cluster.world().random().below(cluster.names().size());
+        const std::string& hit = cluster.names()[place];
+        cluster.world().disk(hit).full = true;
+        for (int number = 0; number < 8; ++number) {
+          const std::string command = fmt::format("command-{}-{}", round, number);
+          if (cluster.propose_anywhere(command)) acknowledged.push_back(command);
+        }
+        // Now and then the power goes while the disk is full.
+        if (round % 2 == 1) cluster.world().kill(hit);
+        cluster.world().disk(hit).full = false;
+        if (round % 2 == 1) cluster.world().restart(hit);
+        cluster.world().run_for(milliseconds(700));
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(fmt::format("seed {}: {}", seed, cluster.describe()), std::size_t{48},
+                                   acknowledged.size());
+      const std::string leader = cluster.wait_for_leader();
+      for (const std::string& command : acknowledged)
+        CPPUNIT_ASSERT_MESSAGE(command, cluster.machine(leader).has(command));
+      assert_sound(cluster);
+    }
+  }
+
+  void a_server_starts_on_a_full_disk() {
+    Cluster cluster(ClusterSettings{.seed = 12});
+    const std::string leader = cluster.wait_for_leader();
+    const std::string hit = leader == "node-1" ? "node-2" : "node-1";
+    cluster.world().kill(hit);
+    cluster.world().disk(hit).full = true;
+    cluster.world().restart(hit);
+    CPPUNIT_ASSERT(cluster.propose(leader, "meanwhile").succeeded());
+    CPPUNIT_ASSERT(cluster.role(hit).started());
+    cluster.world().disk(hit).full = false;
+    const CallResult proposal = cluster.propose(leader, "after");
+    CPPUNIT_ASSERT(proposal.succeeded() && cluster.wait_applied(*proposal.index));
+    CPPUNIT_ASSERT(cluster.machine(hit).has("meanwhile"));
+    assert_sound(cluster);
+  }
+
+  void a_snapshot_that_found_no_room_is_taken_later() {
+    Cluster cluster(ClusterSettings{.seed = 13, .voters = 3, .snapshot_after_entries = 20});
+    const std::string leader = cluster.wait_for_leader();
+    const std::string hit = leader == "node-1" ? "node-2" : "node-1";
+    CPPUNIT_ASSERT(cluster.propose_many(leader, "first", 15));
+    cluster.world().disk(hit).full = true;
+    CPPUNIT_ASSERT(cluster.propose_many(leader, "second", 30));
+    cluster.world().disk(hit).full = false;
+    const auto last = cluster.propose_many(leader, "third", 30);
+    CPPUNIT_ASSERT(last && cluster.wait_applied(*last));
+    cluster.world().run_for(seconds(1));
+    CPPUNIT_ASSERT(cluster.status(hit).snapshot_index > 0);
+    assert_sound(cluster);
+  }
+
   void a_slow_disk_of_a_follower_slows_nobody_else() {
     Cluster cluster(ClusterSettings{.seed = 4});
     const std::string leader = cluster.wait_for_leader();
