A proxy without a link to a full primary passes statements on to others that serve the group

Cause: after a common loss of power a backend takes 4 new connections until it drops those of before, 3 s later. Whoever of the serving proxies came too late had no link at all, dialled anew for each statement and refused it.

Change: after a refusal nothing is dialled for 0.15 s, also with no link in use; a statement that needs the primary goes to another proxy that serves the group; replicas that refused are the last choice. New cause primary_full of the forwarded counter.

--- a/src/session/fleet_view.cpp
+++ b/src/session/fleet_view.cpp
@@ -80,10 +80,12 @@
   std::erase_if(others_, [this](const routing::ProxyPointer& proxy) { return proxy->name == node_; });
   const routing::SubsetTable table(takers);
   forward_to_.clear();
+  also_serving_.clear();
   for (const auto& [name, group] : groups_) {
     const std::size_t size = group->serving_proxies(takers.size());
     if (size >= takers.size()) {
       group->share_connections(proxies_.size());
+      also_serving_[name] = others_;
       continue;
     }
     const auto serving = table.serving(name, static_cast<std::uint32_t>(size));
@@ -91,7 +93,9 @@
     const bool serves =
         std::any_of(serving.begin(), serving.end(),
                     [this](const routing::ProxyPointer& proxy) { return proxy->name == node_; });
-    if (!serves) forward_to_[name] = routing::forwarding_order(serving, node_, zone_);
+    auto order = routing::forwarding_order(serving, node_, zone_);
+    std::erase_if(order, [this](const routing::ProxyPointer& proxy) { return proxy->name == node_; });
+    (serves ? also_serving_ : forward_to_)[name] = std::move(order);
   }
 }
 
@@ -101,6 +105,10 @@
   return found == forward_to_.end() ? nobody : found->second;
 }
 
+const std::vector<routing::ProxyPointer>& FleetView::also_serving(const GroupName& group) {
+  return also_serving_[group];
+}
+
 void FleetView::apply(const registry::FleetDelta& delta) {
   revision_ = delta.revision;
   document_version_ = delta.document_version;
--- a/src/session/fleet_view.h
+++ b/src/session/fleet_view.h
@@ -56,6 +56,8 @@
   /// The proxies to which statements for the group are to be forwarded, first choice first. Empty: this proxy
   /// serves it. Only so many serve a group that each has connections to work with.
   [[nodiscard]] const std::vector<routing::ProxyPointer>& forward_to(const GroupName& group);
+  /// The other proxies that serve a group which this proxy serves as well, first choice first.
+  [[nodiscard]] const std::vector<routing::ProxyPointer>& also_serving(const GroupName& group);
   /// Every other proxy that takes work, those of this zone first.
   [[nodiscard]] const std::vector<routing::ProxyPointer>& others() const { return others_; }
   /// What is to be told of every closed group.
@@ -94,6 +96,7 @@
   std::map<BackendName, GroupName> group_of_;
   std::map<NodeName, registry::AdmittedProxy> proxies_;
   std::map<GroupName, std::vector<routing::ProxyPointer>> forward_to_;
+  std::map<GroupName, std::vector<routing::ProxyPointer>> also_serving_;
   std::vector<routing::ProxyPointer> others_;
 };
 
--- a/src/session/forward_server.cpp
+++ b/src/session/forward_server.cpp
@@ -120,7 +120,8 @@
   RunResult result = co_await runner_.run(std::move(*order));
   forwarded.answer = std::move(result.answer);
   forwarded.at_primary = result.served_by == ServedBy::kPrimary;
-  const bool cannot_serve = !services_.view.holds_lease_for(*group) || group->is_primary_unreachable();
+  const bool cannot_serve =
+      !services_.view.holds_lease_for(*group) || group->is_primary_unreachable() || group->is_primary_full();
   forwarded.may_try_another = cannot_serve && forwarded.answer.refusal == Refusal::kBusy;
   if (!result.pinned) co_return forwarded;
   if (connection->ended) {
--- a/src/session/group_access.cpp
+++ b/src/session/group_access.cpp
@@ -175,7 +175,8 @@
     if (name == term_.primary && !leader) continue;
     const bool lags = name != term_.primary && use->lag(now) > now - need.required_since;
     if (lags && leader) continue;
-    auto& slot = use->avoid_until > now ? avoided : best;
+    const bool last_choice = use->avoid_until > now || use->pool.is_refused();
+    auto& slot = last_choice ? avoided : best;
     if (!slot || cost_of(*use) < cost_of(*slot)) slot = use;
   }
   if (best) return best;
--- a/src/session/group_access.h
+++ b/src/session/group_access.h
@@ -115,6 +115,11 @@
   /// The group's members gave a lease for the primary of `epoch` (registry/member_lease.h).
   void extend_member_lease(std::uint64_t epoch, TimePoint until);
   [[nodiscard]] bool has_member_lease() const { return runtime_.now() < member_lease_until_; }
+  /// This proxy has no link to the primary, which takes none now.
+  [[nodiscard]] bool is_primary_full() {
+    const auto leader = primary();
+    return leader && leader->pool.is_refused();
+  }
   std::uint64_t begin_work(PrimaryWork work);
   void end_work(std::uint64_t work) { work_.erase(work); }
   /// Whether a statement at the primary, or a commit, has had no answer for kPrimarySilence; `commits` says
--- a/src/session/session_metrics.cpp
+++ b/src/session/session_metrics.cpp
@@ -9,7 +9,8 @@
 namespace {
 
 constexpr std::array<const char*, 3> kPlaces{"proxy", "primary", "replica"};
-constexpr std::array<const char*, 3> kForwardCauses{"served_elsewhere", "no_lease", "primary_unreachable"};
+constexpr std::array<const char*, 4> kForwardCauses{"served_elsewhere", "no_lease", "primary_unreachable",
+                                                    "primary_full"};
 
 }  // namespace
 
--- a/src/session/session_metrics.h
+++ b/src/session/session_metrics.h
@@ -13,7 +13,7 @@
 enum class ServedBy : std::uint8_t { kProxy, kPrimary, kReplica };
 
 /// Why a statement was passed on to another proxy.
-enum class ForwardCause : std::uint8_t { kServedElsewhere, kNoLease, kPrimaryUnreachable };
+enum class ForwardCause : std::uint8_t { kServedElsewhere, kNoLease, kPrimaryUnreachable, kPrimaryFull };
 
 class SessionMetrics {
  public:
@@ -37,7 +37,7 @@
   std::array<prometheus::Histogram*, 3> latency_{};
   std::array<prometheus::Counter*, kRefusals> refused_{};
   std::array<prometheus::Counter*, kRefusals> retries_{};
-  std::array<prometheus::Counter*, 3> forwarded_{};
+  std::array<prometheus::Counter*, 4> forwarded_{};
   prometheus::Counter& lost_answers_;
   prometheus::Gauge& sessions_;
   prometheus::Gauge& lease_valid_;
--- a/src/session/stateful_pool.cpp
+++ b/src/session/stateful_pool.cpp
@@ -82,6 +82,12 @@
                                                                std::optional<Refusal>& refusal,
                                                                Reason& reason) {
   while (true) {
+    if (is_refused()) {
+      refusal = Refusal::kConnectionLimit;
+      reason = Reason{ReasonCode::kOverloaded, "acquire_link", address_.backend.value,
+                      "the backend took no more connections a moment ago"};
+      co_return nullptr;
+    }
     if (auto idle = take_idle(values)) {
       ++in_use_;
       co_return idle;
--- a/src/session/stateful_pool.h
+++ b/src/session/stateful_pool.h
@@ -87,15 +87,15 @@
   [[nodiscard]] std::size_t in_use() const { return in_use_; }
   /// Whether there is no link at all.
   [[nodiscard]] bool is_cold() const { return in_use_ == 0 && idle_.empty(); }
+  /// Whether there is no link and the backend refused to take one a moment ago.
+  [[nodiscard]] bool is_refused() const { return is_cold() && runtime_.now() < full_until_; }
   [[nodiscard]] const BackendAddress& address() const { return address_; }
 
  private:
   std::shared_ptr<StatefulLink> take_idle(const SessionValues& values);
   void drop_closed();
-  /// Whether one more connection may be tried now. With none in use it always may.
-  [[nodiscard]] bool may_dial() const {
-    return in_use_ == 0 || (in_use_ < limit_ && runtime_.now() >= full_until_);
-  }
+  /// Whether one more connection may be tried now.
+  [[nodiscard]] bool may_dial() const { return in_use_ < limit_ && runtime_.now() >= full_until_; }
 
   runtime::Runtime& runtime_;
   BackendDialer& dialer_;
--- a/src/session/statement_runner.cpp
+++ b/src/session/statement_runner.cpp
@@ -36,6 +36,11 @@
     cause = services_.view.holds_lease_for(*order.group) ? ForwardCause::kPrimaryUnreachable
                                                          : ForwardCause::kNoLease;
   }
+  if (proxies.empty() && !order.is_forwarded && order.group->is_primary_full() && needs_primary(order)) {
+    // Another that serves the group may have links.
+    proxies = services_.view.also_serving(order.group->group());
+    cause = ForwardCause::kPrimaryFull;
+  }
   if (proxies.empty()) co_return co_await run_here(std::move(order));
   services_.metrics.count_forwarded(cause);
   co_return co_await forward(std::move(order), std::move(proxies));
@@ -46,8 +51,12 @@
   if (order.is_forwarded) return false;
   const bool is_unreachable = group.term().open && group.is_primary_unreachable();
   if (services_.view.holds_lease_for(group) && !is_unreachable) return false;
+  return needs_primary(order);
+}
+
+bool StatementRunner::needs_primary(const RunOrder& order) {
   const bool reads = order.opens_transaction ? order.read_only_transaction : !order.writes;
-  return !reads || group.need_of(order.route, order.committed).primary_only;
+  return !reads || order.group->need_of(order.route, order.committed).primary_only;
 }
 
 Awaitable<RunResult> StatementRunner::run_here(RunOrder order) {
--- a/src/session/statement_runner.h
+++ b/src/session/statement_runner.h
@@ -81,6 +81,8 @@
 
   /// Whether it needs a primary that this proxy does not reach, or may not use for want of a lease.
   [[nodiscard]] bool must_relay(const RunOrder& order) const;
+  /// Whether no replica will do.
+  [[nodiscard]] static bool needs_primary(const RunOrder& order);
   Awaitable<RunResult> run_here(RunOrder order);
   Awaitable<RunResult> forward(RunOrder order, std::vector<routing::ProxyPointer> proxies);
   /// Waits for the lease as long as it is to be expected and the order can be refused in good time.
--- a/tests/session/stateful_pool_test.cpp
+++ b/tests/session/stateful_pool_test.cpp
@@ -50,6 +50,7 @@
   explicit RecordingDialer(runtime::Runtime& runtime) : runtime_(runtime) {}
   Awaitable<std::shared_ptr<BackendLink>> open(BackendAddress /*address*/, TimePoint deadline,
                                                std::optional<Refusal>& refusal, Reason& reason) override {
+    ++dials;
     if (full) {
       refusal = Refusal::kConnectionLimit;
       reason = Reason{ReasonCode::kUnreachable, "open_session", "backend", "full"};
@@ -62,6 +63,7 @@
   }
   std::vector<std::shared_ptr<RecordingLink>> links;
   bool full = false;
+  int dials = 0;
   Duration takes{0};
 
  private:
@@ -96,6 +98,7 @@
   CPPUNIT_TEST(closed_links_are_not_given_out);
   CPPUNIT_TEST(a_link_that_can_not_be_brought_in_order_is_closed);
   CPPUNIT_TEST(a_full_backend_is_told);
+  CPPUNIT_TEST(a_full_backend_is_not_dialled_again_at_once);
   CPPUNIT_TEST(idle_links_but_one_are_closed_in_time);
   CPPUNIT_TEST(a_new_link_may_take_longer_than_the_wait_for_a_free_one);
   CPPUNIT_TEST_SUITE_END();
@@ -198,6 +201,21 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, pool_->in_use());
   }
 
+  void a_full_backend_is_not_dialled_again_at_once() {
+    dialer_->full = true;
+    CPPUNIT_ASSERT(!take_one({}).link);
+    CPPUNIT_ASSERT(pool_->is_refused());
+    const TimePoint before = runtime_->now();
+    const Taken again = take_one({});
+    CPPUNIT_ASSERT(again.refusal == Refusal::kConnectionLimit);
+    CPPUNIT_ASSERT_MESSAGE("told without waiting", runtime_->now() - before <= milliseconds(10));
+    CPPUNIT_ASSERT_EQUAL(1, dialer_->dials);
+    dialer_->full = false;
+    world_->run_for(milliseconds(200));
+    CPPUNIT_ASSERT(!pool_->is_refused());
+    CPPUNIT_ASSERT(take_one({}).link != nullptr);
+  }
+
   void idle_links_but_one_are_closed_in_time() {
     const Taken first = take_one({});
     const Taken second = take_one({});
