--- a/src/control/registered/member_pauses.cpp
+++ b/src/control/registered/member_pauses.cpp
@@ -54,7 +54,9 @@
                                         GroupTerm closed) {
   Reason reason;
   const TimePoint deadline = runtime_.now() + kStatusTimeout;
-  const auto status = co_await prober_.pause(member, pause_term(closed), deadline, reason);
+  auto status = co_await prober_.pause(member, pause_term(closed), deadline, reason);
+  // One that an earlier leader paused may refuse a pause that is no newer.
+  if (!status) status = co_await prober_.ask(member, deadline, reason);
   const bool paused = status && status->pause_term >= pause_term(closed);
   GroupPauses& pauses = paused_[closed.group];
   if (paused && pauses.epoch == closed.epoch) pauses.since[member.name] = runtime_.now();
