--- a/src/session/knobs.h
+++ b/src/session/knobs.h
@@ -103,8 +103,9 @@
 /// Values, or prepared statements, of one session.
 inline constexpr std::size_t kMaxSessionEntries = 1024;
 /// An idle link beyond the first is closed after this time: after a common loss of power the backends hold
-/// the connections of before for a while (3 s), and the fewer there were, the more new ones they take. Shorter
-/// serves no better since others are asked where a primary is full, and costs handshakes (docs/WORTH.md).
+/// the connections of before for a while (3 s), and the fewer there were, the more new ones they take.
+/// Shorter serves no better since others are asked where a primary is full, and costs handshakes
+/// (docs/WORTH.md).
 inline constexpr Duration kIdleLinkLife = seconds(2);
 /// Connections kept back from the shares, for control nodes and for proxies that start.
 inline constexpr std::uint64_t kReservedConnections = 4;
