A member that left may have held acknowledged commits alone: those who stay are compared before they are trusted

The replica that received with the primary left as planned, the other heard nothing for 6 s, the primary crashed. 3 s after the departure control took the members for settled and promoted the deaf one as the furthest of all replicas. Ruled out: member leases (no proxy was silent).

Change: after a departure the members are unsettled until the primary's position was asked and a replica that stays holds as much. If the primary is gone before that, nobody is promoted on the replicas' word alone; it is waited for.

Test, failed before: a_deaf_replica_is_not_promoted_after_the_one_that_heard_has_left.

--- a/src/control/registered/group_failover.cpp
+++ b/src/control/registered/group_failover.cpp
@@ -62,7 +62,7 @@
   facts.silent_revision = progress.silent_revision;
   facts.highest_acknowledged = progress.highest_acknowledged;
   watch_members(closed.group);
-  facts.members_are_stable = runtime_.now() - memberships_[closed.group].left_at > kMembersSettleTime;
+  facts.members_are_stable = are_members_settled(closed.group);
   // A dead primary does not answer: it is not waited for when the replicas' answers will do.
   const auto enough = [facts](const std::vector<MemberFinding>& findings) mutable {
     facts.members = findings;
--- a/src/control/registered/group_keeper.cpp
+++ b/src/control/registered/group_keeper.cpp
@@ -72,11 +72,14 @@
   const std::uint64_t revision = fleet_.revision();
   for (const auto& group : fleet_.groups()) {
     watch_members(group.name);
+    const bool unsettled = memberships_[group.name].unsettled;
+    if (unsettled && settling_.insert(group.name).second)
+      runtime_.spawn("settle_members", settle_members(group.name));
     look_at(group.name);
   }
   // Nothing to do, and nothing will be until the fleet changes or a proxy suspects a primary.
   settled_revision_.reset();
-  if (busy_.empty()) settled_revision_ = revision;
+  if (busy_.empty() && settling_.empty()) settled_revision_ = revision;
 }
 
 std::optional<GroupTerm> GroupKeeper::term_of(const GroupName& group) const {
@@ -99,9 +102,42 @@
   if (!is_new && before == members) return;
   const bool lost = !std::includes(members.begin(), members.end(), before.begin(), before.end());
   if (is_new || lost) membership->second.left_at = runtime_.now();
+  if (lost) membership->second.unsettled = true;
   membership->second.members = members;
 }
 
+Awaitable<void> GroupKeeper::settle_members(GroupName group) {
+  co_await compare_members(group);
+  settling_.erase(group);
+  wake_.notify_all();
+}
+
+Awaitable<void> GroupKeeper::compare_members(GroupName group) {
+  const auto term = term_of(group);
+  const registry::BackendEntry* primary = term ? fleet_.find_backend(term->primary) : nullptr;
+  const TimePoint left_at = memberships_[group].left_at;
+  if (primary == nullptr) co_return;
+  const registry::BackendEntry entry = *primary;
+  Reason reason;
+  const auto leading = co_await prober_.ask(entry, runtime_.now() + kStatusTimeout, reason);
+  if (!leading || is_dead(leading, *term)) co_return;
+  const auto findings = co_await prober_.ask_all(fleet_.backends_of(group));
+  const bool held = std::any_of(findings.begin(), findings.end(), [&](const MemberFinding& member) {
+    return member.entry.name != term->primary && !member.entry.leaving && member.status &&
+           member.status->received >= leading->received;
+  });
+  const auto membership = memberships_.find(group);
+  if (held && membership != memberships_.end() && membership->second.left_at == left_at)
+    membership->second.unsettled = false;
+  if (!held) co_await runtime_.sleep_for(kFailoverRetry);
+}
+
+bool GroupKeeper::are_members_settled(const GroupName& group) const {
+  const auto found = memberships_.find(group);
+  if (found == memberships_.end() || found->second.unsettled) return false;
+  return runtime_.now() - found->second.left_at > kMembersSettleTime;
+}
+
 void GroupKeeper::look_at(const GroupName& group) {
   if (busy_.count(group) > 0) return;
   const auto term = term_of(group);
--- a/src/control/registered/group_keeper.h
+++ b/src/control/registered/group_keeper.h
@@ -47,6 +47,11 @@
   void look_at(const GroupName& group);
   /// Notes who has left a group, and when.
   void watch_members(const GroupName& group);
+  /// Looks whether a member that stayed holds what the primary held when one left.
+  Awaitable<void> settle_members(GroupName group);
+  Awaitable<void> compare_members(GroupName group);
+  /// Whether those who stayed hold what one that left held.
+  [[nodiscard]] bool are_members_settled(const GroupName& group) const;
   void begin(const GroupName& group, Awaitable<void> task);
   Awaitable<void> run_task(GroupName group, Awaitable<void> task);
 
@@ -104,9 +109,13 @@
   NodeName node_;
   runtime::Signal wake_;
   std::set<GroupName> busy_;
+  std::set<GroupName> settling_;  ///< whose members are being compared after one left
   struct Membership {
     std::set<BackendName> members;
     TimePoint left_at{};  ///< when a member was last found gone, or this node began to look
+    /// A member left that may have been the only one to hold acknowledged commits beside the primary, and no
+    /// other was seen to hold as much as the primary since.
+    bool unsettled = false;
   };
   std::map<GroupName, Membership> memberships_;
   std::map<GroupName, Suspicion> suspicions_;
--- a/tests/simulation/registered_fleet_test.cpp
+++ b/tests/simulation/registered_fleet_test.cpp
@@ -61,6 +61,7 @@
   CPPUNIT_TEST(a_frozen_primary_that_wakes_acknowledges_nothing_more);
   CPPUNIT_TEST(a_primary_cut_from_its_replicas_is_replaced);
   CPPUNIT_TEST(a_primary_whose_commits_stall_without_a_successor_serves_reads);
+  CPPUNIT_TEST(a_deaf_replica_is_not_promoted_after_the_one_that_heard_has_left);
   CPPUNIT_TEST(a_leaving_primary_hands_over);
   CPPUNIT_TEST(a_deaf_replica_is_not_promoted_over_one_that_heard);
   CPPUNIT_TEST(nobody_is_promoted_while_acknowledged_commits_may_be_missing);
@@ -179,6 +180,31 @@
     });
   }
 
+  /// mix of phanam-ve, seed 472246963895: the replica that acknowledged with the primary leaves as planned,
+  /// the other hears nothing, and the primary crashes.
+  void a_deaf_replica_is_not_promoted_after_the_one_that_heard_has_left() {
+    check([](RegisteredFleet& fleet) {
+      fleet.run_for(seconds(4));
+      fleet.group().member(BackendName("g1-b2")).deaf = true;
+      fleet.run_for(seconds(1));
+      fleet.database("g1-b3").leave();
+      fleet.run_for(seconds(1));
+      fleet.database("g1-b3").deregister();
+      fleet.run_for(milliseconds(300));
+      fleet.kill("g1-b3");
+      fleet.run_for(milliseconds(700));
+      const std::string primary = fleet.primary();
+      fleet.kill(primary);
+      fleet.run_for(seconds(6));
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, fleet.group().promotions());
+      fleet.group().member(BackendName("g1-b2")).deaf = false;
+      fleet.restart(primary);
+      const std::uint64_t acknowledged = fleet.acknowledged();
+      fleet.run_for(seconds(4));
+      CPPUNIT_ASSERT(fleet.acknowledged() > acknowledged);
+    });
+  }
+
   void a_leaving_primary_hands_over() {
     check([](RegisteredFleet& fleet) {
       const std::string old_primary = fleet.primary();
