Read again: members are resumed in one place, one block for a given-up primary, a doubled comment

fail_over let members receive again after replace_primary had done so on every path that ends the pauses, with a second quorum round; replace_primary told it by a bool that nothing else used. Both are gone. set_term's three conditions on the same fact are one block.

--- a/src/control/registered/group_failover.cpp
+++ b/src/control/registered/group_failover.cpp
@@ -46,9 +46,7 @@
   const auto closed = term_of(group);
   if (!closed || closed->open) co_return;
   const bool quiet = co_await wait_closed(*closed);
-  if (!quiet) co_return;
-  const bool settled = co_await replace_primary(*closed);
-  if (settled) co_await resume_members(group);
+  if (quiet) co_await replace_primary(*closed);
 }
 
 Awaitable<PromotionFacts> GroupKeeper::gather_facts(GroupTerm closed) {
@@ -82,18 +80,18 @@
   return {PromotionVerdict::kNotYet, {}, 0, "a proxy that did not answer may still use the old primary"};
 }
 
-Awaitable<bool> GroupKeeper::replace_primary(GroupTerm closed) {
+Awaitable<void> GroupKeeper::replace_primary(GroupTerm closed) {
   const PromotionFacts facts = co_await gather_facts(closed);
   const PromotionChoice choice = choose_next(facts);
   GroupTerm chosen = closed;
   chosen.primary = choice.backend;
   log("promotion_chosen", chosen, choice.why);
-  if (!leads()) co_return false;
+  if (!leads()) co_return;
   if (choice.verdict == PromotionVerdict::kNotYet) {
     // Whoever is behind can only catch up unpaused.
     co_await resume_members(closed.group);
     co_await runtime_.sleep_for(kFailoverRetry);
-    co_return true;
+    co_return;
   }
   std::optional<std::uint64_t> term = choice.term;
   if (choice.verdict == PromotionVerdict::kPromote) {
@@ -101,14 +99,14 @@
     const bool ordered = co_await promote(closed, choice.backend);
     if (ordered) term = co_await wait_promoted(closed, choice.backend);
   }
-  if (!term) co_return false;
+  // The order may still take effect: the members stay paused.
+  if (!term) co_return;
   out_of_reach_.erase(closed.group);
   // Its commits need a replica: these receive again while the group is opened.
   runtime_.spawn("resume_members", resume_members(closed.group));
   const bool opened = co_await open(closed, choice.backend, *term, choice.why);
   if (opened && choice.backend != closed.primary)
     runtime_.spawn("step_down", step_down(closed.group, closed.primary, *term));
-  co_return true;
 }
 
 Awaitable<void> GroupKeeper::resume_members(GroupName group) {
--- a/src/control/registered/group_keeper.h
+++ b/src/control/registered/group_keeper.h
@@ -86,8 +86,8 @@
   Awaitable<PromotionFacts> gather_facts(registry::GroupTerm closed);
   /// kPromote only if no silent proxy can use the old primary.
   [[nodiscard]] PromotionChoice choose_next(const PromotionFacts& facts);
-  /// False while an order may still take effect.
-  Awaitable<bool> replace_primary(registry::GroupTerm closed);
+  /// Leaves members paused only while an order may still take effect.
+  Awaitable<void> replace_primary(registry::GroupTerm closed);
   /// Lets paused members receive again, as long as this node leads for certain.
   Awaitable<void> resume_members(GroupName group);
   /// What an earlier leader may have left paused.
--- a/src/session/forwarder.h
+++ b/src/session/forwarder.h
@@ -65,10 +65,9 @@
   /// An open connection to the proxy; null when it can't be opened by `deadline`, or could not a moment ago.
   Awaitable<std::shared_ptr<ForwardConnection>> connect(routing::ProxyPointer proxy, TimePoint deadline,
                                                         Reason& reason);
-  /// The proxy did not answer: others are tried first for a while.
-  /// It could not be reached, or gave no answer.
+  /// The proxy could not be reached, or gave no answer: others are tried first for a while.
   void avoid(const NodeName& proxy);
-  /// It can't serve this group now.
+  /// The same for one group, which it can't serve now.
   void avoid_for(const NodeName& proxy, const GroupName& group);
   [[nodiscard]] bool is_avoided(const NodeName& proxy, const GroupName& group) const;
 
--- a/src/session/group_access.cpp
+++ b/src/session/group_access.cpp
@@ -58,9 +58,9 @@
   const bool other_term = term.term != term_.term || term.primary != term_.primary;
   term_ = term;
   if (other_term) positions_.clear();
-  if (primary_given_up) member_lease_until_ = TimePoint{};
-  if (primary_given_up) commits_stall_ = false;
   if (primary_given_up) {
+    member_lease_until_ = TimePoint{};
+    commits_stall_ = false;
     // Nothing of the old term may be acknowledged from here on: whoever waits for an answer is told so at
     // once.
     for (const auto& [key, work] : work_) work.link->close();
