Forwarding waits 50 ms at most for a dial; a session that this proxy can't serve ends after the refusal

Change: one dial to a proxy at a time, statements wait 50 ms for it, those out of reach are dialled in the background and used after a sign of life. A session whose group can't be used from here ends after the refusal.

--- a/src/session/caller_session.cpp
+++ b/src/session/caller_session.cpp
@@ -24,6 +24,7 @@
     const bool told = co_await caller_->answer(answer, reason);
     answering_ = false;
     if (!told) break;
+    if (is_unserved_here(answer)) let_go_after_answer();
     answered_since_leaving_ = leaving_;
   }
   co_await end_transaction();
@@ -57,6 +58,13 @@
   return services_.view.find_route(database_) != nullptr && !services_.view.others().empty();
 }
 
+bool CallerSession::is_unserved_here(const Answer& answer) {
+  if (answer.refusal != Refusal::kBusy) return false;
+  const registry::RouteRule* route = services_.view.find_route(database_);
+  const auto group = route == nullptr ? nullptr : services_.view.find_group(route->group);
+  return group && (!services_.view.holds_lease_for(*group) || group->is_primary_unreachable());
+}
+
 TransactionState CallerSession::state() const {
   if (!transaction_) return TransactionState::kIdle;
   return transaction_->failed ? TransactionState::kFailed : TransactionState::kOpen;
--- a/src/session/caller_session.h
+++ b/src/session/caller_session.h
@@ -20,9 +20,9 @@
   /// Until the caller ends it, goes away, or is let go.
   Awaitable<void> run();
 
-  /// Whether nothing is asked and no transaction is open.
   /// A statement was read and is not answered yet.
   [[nodiscard]] bool is_answering() const { return answering_; }
+  /// Whether nothing is asked and no transaction is open.
   [[nodiscard]] bool is_idle() const { return !answering_ && !transaction_; }
   /// Gives up a transaction that has rested for longer than `limit`; the caller hears of it with its next
   /// statement.
@@ -49,6 +49,11 @@
   Awaitable<bool> open();
   /// Whether the session's statements are likely to be served, here or elsewhere.
   [[nodiscard]] bool may_open() const;
+  /// Refused because this proxy does not reach the group's primary, or may not use it, and
+  /// reached no other proxy that does. The session is
+  /// ended then, so that its caller comes back through another proxy: on this one every further attempt
+  /// would meet the same.
+  [[nodiscard]] bool is_unserved_here(const Answer& answer);
   Awaitable<Answer> handle(Statement statement);
   Answer begin(const Statement& statement);
   Awaitable<Answer> run_single(Statement statement);
--- a/src/session/forwarder.cpp
+++ b/src/session/forwarder.cpp
@@ -1,5 +1,6 @@
 #include "session/forwarder.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "session/knobs.h"
@@ -101,44 +102,98 @@
 
 Awaitable<std::shared_ptr<ForwardConnection>> Forwarder::connect(routing::ProxyPointer proxy,
                                                                  TimePoint deadline, Reason& reason) {
-  const auto held = connections_.find(proxy->name);
-  if (held != connections_.end() && held->second->is_open()) co_return held->second;
-  const TimePoint dial_deadline = std::min(deadline, runtime_.now() + kForwardDialTimeout);
-  auto frames = co_await runtime_.network().connect(proxy->endpoint, dial_deadline, reason);
-  if (!frames) {
-    avoid(proxy->name);
-    co_return nullptr;
-  }
-  const auto raced = connections_.find(proxy->name);
-  if (raced != connections_.end() && raced->second->is_open()) {
-    frames->close();
-    co_return raced->second;
+  auto& held = peers_[proxy->name];
+  if (!held) held = std::make_shared<ForwardPeer>(runtime_, proxy->name);
+  const PeerPointer peer = held;
+  peer->endpoint = proxy->endpoint;
+  peer->wanted_at = runtime_.now();
+  if (peer->is_open()) co_return peer->connection;
+  start_dialling(peer);
+  const TimePoint patience = std::min(deadline, peer->dialling_since + kForwardDialPatience);
+  while (!peer->is_open() && peer->is_dialling && !peer->is_unreachable && runtime_.now() < patience)
+    co_await peer->dialled.wait_until(patience);
+  if (peer->is_open()) co_return peer->connection;
+  peer->is_unreachable = true;
+  reason = peer->last_reason;
+  if (!reason.failed())
+    reason = Reason{ReasonCode::kDeadlineExceeded, "open_connection", peer->endpoint.to_string(),
+                    "not opened soon"};
+  co_return nullptr;
+}
+
+void Forwarder::start_dialling(const PeerPointer& peer) {
+  if (peer->is_dialling) return;
+  peer->is_dialling = true;
+  peer->dialling_since = runtime_.now();
+  peer->last_reason = Reason{};
+  runtime_.spawn("forward_dial", dial(peer));
+}
+
+Awaitable<void> Forwarder::dial(PeerPointer peer) {
+  Duration pause = kForwardRedialPause;
+  while (peer->is_dialling) {
+    const auto connection = co_await open(peer);
+    bool is_reached = connection != nullptr;
+    // Connections to a process that is frozen are opened by its machine.
+    if (is_reached && peer->is_unreachable)
+      is_reached = co_await shows_life(connection, peer->last_reason);
+    if (connection && !is_reached) connection->close();
+    if (is_reached) peer->connection = connection;
+    peer->is_unreachable = !is_reached;
+    peer->dialled.notify_all();
+    if (!is_reached) co_await runtime_.sleep_for(runtime_.random().between(pause / 2, pause));
+    pause = std::min<Duration>(pause * 2, kForwardRedialLimit);
+    const bool is_wanted = runtime_.now() - peer->wanted_at < kForwardInterest;
+    peer->is_dialling = !is_reached && is_wanted;
   }
+  peer->dialled.notify_all();
+}
+
+Awaitable<std::shared_ptr<ForwardConnection>> Forwarder::open(PeerPointer peer) {
+  const TimePoint limit = runtime_.now() + kForwardDialLimit;
+  auto frames = co_await runtime_.network().connect(peer->endpoint, limit, peer->last_reason);
+  if (!frames) co_return nullptr;
   wire::Hello hello;
   hello.conversation = wire::Conversation::kForwarding;
   hello.node = node_;
   hello.zone = zone_;
   hello.highest_version = hello.protocol_version;
+  const bool greeted = co_await frames->send(wire::encode(hello), peer->last_reason);
+  if (!greeted) {
+    frames->close();
+    co_return nullptr;
+  }
   auto connection = std::make_shared<ForwardConnection>(runtime_, frames);
-  connections_[proxy->name] = connection;
-  const bool greeted = co_await frames->send(wire::encode(hello), reason);
-  if (!greeted) connection->close();
-  if (!greeted) co_return nullptr;
   runtime_.spawn("forward_read", connection->read(connection));
   runtime_.spawn("forward_write", connection->write(connection));
   runtime_.spawn("forward_watch", connection->watch(connection));
   co_return connection;
 }
 
-void Forwarder::avoid(const NodeName& proxy) { avoided_until_[proxy] = runtime_.now() + kAvoidProxy; }
+Awaitable<bool> Forwarder::shows_life(std::shared_ptr<ForwardConnection> connection, Reason& reason) {
+  // No transaction has this number: the other side answers at once that it is over.
+  ForwardRequest request;
+  request.body = ForwardEnd{0};
+  const auto answer =
+      co_await connection->call(std::move(request), runtime_.now() + kForwardAnswerLimit, reason);
+  co_return answer.has_value();
+}
+
+void Forwarder::note_no_answer(const NodeName& proxy, const GroupName& group) {
+  avoid_for(proxy, group);
+  const auto found = peers_.find(proxy);
+  if (found == peers_.end() || found->second->is_open()) return;
+  found->second->is_unreachable = true;
+  start_dialling(found->second);
+}
 
 void Forwarder::avoid_for(const NodeName& proxy, const GroupName& group) {
   avoided_for_until_[{proxy, group}] = runtime_.now() + kAvoidProxy;
 }
 
 bool Forwarder::is_avoided(const NodeName& proxy, const GroupName& group) const {
-  const auto found = avoided_until_.find(proxy);
-  if (found != avoided_until_.end() && runtime_.now() < found->second) return true;
+  const auto peer = peers_.find(proxy);
+  if (peer != peers_.end() && peer->second->is_unreachable) return true;
   const auto for_group = avoided_for_until_.find({proxy, group});
   return for_group != avoided_for_until_.end() && runtime_.now() < for_group->second;
 }
--- a/src/session/forwarder.h
+++ b/src/session/forwarder.h
@@ -56,27 +56,56 @@
   bool open_ = true;
 };
 
+/// Another proxy as this one reaches it.
+struct ForwardPeer {
+  ForwardPeer(runtime::Runtime& runtime, NodeName name) : name(std::move(name)), dialled(runtime) {}
+
+  NodeName name;
+  Endpoint endpoint;
+  std::shared_ptr<ForwardConnection> connection;
+  /// It could not be reached, or gave no answer, and no sign of life has come since.
+  bool is_unreachable = false;
+  bool is_dialling = false;
+  TimePoint dialling_since{};
+  TimePoint wanted_at{};  ///< when a statement was last to be sent there
+  Reason last_reason;
+  runtime::Signal dialled;  ///< notified after each dial
+
+  [[nodiscard]] bool is_open() const { return connection && connection->is_open(); }
+};
+
 /// Lives until the process ends, as `runtime` does.
+///
+/// Invariant: a statement waits for a dial to one proxy for kForwardDialPatience at most, however many proxies
+/// are out of reach; those are dialled again in the background, and used again after a sign of life.
 class Forwarder {
  public:
   Forwarder(runtime::Runtime& runtime, NodeName node, ZoneName zone)
       : runtime_(runtime), node_(std::move(node)), zone_(std::move(zone)) {}
 
-  /// An open connection to the proxy; null when it can't be opened by `deadline`, or could not a moment ago.
+  /// An open connection to the proxy; null when it can't be had by `deadline`, or is not to be had soon.
   Awaitable<std::shared_ptr<ForwardConnection>> connect(routing::ProxyPointer proxy, TimePoint deadline,
                                                         Reason& reason);
-  /// The proxy could not be reached, or gave no answer: others are tried first for a while.
-  void avoid(const NodeName& proxy);
-  /// The same for one group, which it can't serve now.
+  /// A statement of the group had no answer: others are tried first until the proxy shows life.
+  void note_no_answer(const NodeName& proxy, const GroupName& group);
+  /// The proxy can't serve the group now: others are tried first for a while.
   void avoid_for(const NodeName& proxy, const GroupName& group);
   [[nodiscard]] bool is_avoided(const NodeName& proxy, const GroupName& group) const;
 
  private:
+  using PeerPointer = std::shared_ptr<ForwardPeer>;
+
+  void start_dialling(const PeerPointer& peer);
+  /// Until the peer is reached, or nobody wants it any more.
+  Awaitable<void> dial(PeerPointer peer);
+  Awaitable<std::shared_ptr<ForwardConnection>> open(PeerPointer peer);
+  /// Whether the other side answers.
+  Awaitable<bool> shows_life(std::shared_ptr<ForwardConnection> connection, Reason& reason);
+
   runtime::Runtime& runtime_;
   NodeName node_;
   ZoneName zone_;
-  std::map<NodeName, std::shared_ptr<ForwardConnection>> connections_;
-  std::map<NodeName, TimePoint> avoided_until_;
+  std::map<NodeName, PeerPointer> peers_;
   std::map<std::pair<NodeName, GroupName>, TimePoint> avoided_for_until_;
 };
 
--- a/src/session/knobs.h
+++ b/src/session/knobs.h
@@ -60,14 +60,21 @@
 inline constexpr Duration kRelayPeriod = milliseconds(1500);
 /// Links are opened ahead of need, one in this time.
 inline constexpr Duration kWarmInterval = milliseconds(200);
-/// Longest wait for a connection to another proxy: where it can't be opened soon, the next one is asked.
-inline constexpr Duration kForwardDialTimeout = milliseconds(150);
+/// A statement waits this long for a connection to another proxy before the next one is asked: 25 round trips
+/// between zones (2 ms on the deployments), two between regions. The dial itself goes on for the limit.
+inline constexpr Duration kForwardDialPatience = milliseconds(50);
+inline constexpr Duration kForwardDialLimit = milliseconds(400);
+/// Pause before a proxy out of reach is dialled again, first and at most; it doubles in between. It is dialled
+/// as long as a statement was to be sent there within the interest.
+inline constexpr Duration kForwardRedialPause = milliseconds(100);
+inline constexpr Duration kForwardRedialLimit = milliseconds(800);
+inline constexpr Duration kForwardInterest = seconds(10);
 /// A proxy that answers nothing for this long while it is waited for is asked for a sign of life, which it
 /// gives before all else; without one it is given up. Looked at with the tick.
 inline constexpr Duration kForwardSilence = milliseconds(100);
 inline constexpr Duration kForwardAnswerLimit = milliseconds(250);
 inline constexpr Duration kForwardWatchTick = milliseconds(80);
-/// A proxy that could not be reached is not forwarded to for this long, where another can serve.
+/// A proxy that could not serve a group is not sent its statements for this long, where another can.
 inline constexpr Duration kAvoidProxy = seconds(1);
 /// A forwarded statement's answer may take this much longer than the statement itself.
 inline constexpr Duration kForwardSlack = milliseconds(60);
--- a/src/session/statement_forwarding.cpp
+++ b/src/session/statement_forwarding.cpp
@@ -75,7 +75,7 @@
   RunResult result;
   if (!answer) {
     services_.metrics.count_lost_answer();
-    services_.forwarder.avoid(proxy->name);
+    services_.forwarder.note_no_answer(proxy->name, order.group->group());
     // A transaction's first statement leaves nothing: whoever served it rolls back when it finds nobody
     // there.
     may_try_another = (!order.writes || order.opens_transaction) && services_.runtime.now() < order.deadline;
--- a/tests/session/forwarder_test.cpp
+++ b/tests/session/forwarder_test.cpp
@@ -3,6 +3,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "session/knobs.h"
 #include "simulation/world.h"
 #include "wire/codec.h"
 
@@ -14,6 +15,7 @@
 namespace {
 
 const Endpoint kPeer{"10.0.0.2", 7440};
+const GroupName kGroup("group");
 
 /// The other proxy: answers ends at once and runs after a while, or nothing at all.
 class Peer {
@@ -30,7 +32,10 @@
  private:
   Awaitable<void> accept() {
     Reason reason;
-    const auto frames = co_await listener_->accept(reason);
+    while (auto frames = co_await listener_->accept(reason)) runtime_.spawn("serve", serve(std::move(frames)));
+  }
+  Awaitable<void> serve(std::shared_ptr<runtime::FrameConnection> frames) {
+    Reason reason;
     co_await frames->receive(reason);  // hello
     while (const auto frame = co_await frames->receive(reason)) {
       const auto request = wire::decode<ForwardRequest>(*frame, reason);
@@ -64,6 +69,7 @@
                      Call& result) {
   const TimePoint deadline = runtime.now() + seconds(5);
   const auto connection = co_await forwarder.connect(proxy, deadline, result.reason);
+  CPPUNIT_ASSERT(connection != nullptr);
   ForwardRequest request;
   request.body = ForwardRun{};
   const auto answer = co_await connection->call(std::move(request), deadline, result.reason);
@@ -72,6 +78,21 @@
   result.finished = true;
 }
 
+struct Connect {
+  bool finished = false;
+  bool connected = false;
+  TimePoint ended{};
+};
+
+Awaitable<void> connect(runtime::Runtime& runtime, Forwarder& forwarder, routing::ProxyPointer proxy,
+                        Connect& result) {
+  Reason reason;
+  const auto connection = co_await forwarder.connect(proxy, runtime.now() + seconds(5), reason);
+  result.connected = connection != nullptr;
+  result.ended = runtime.now();
+  result.finished = true;
+}
+
 }  // namespace
 
 class ForwarderTest : public CppUnit::TestFixture {
@@ -79,6 +100,9 @@
   CPPUNIT_TEST(a_slow_statement_is_waited_for);
   CPPUNIT_TEST(a_silent_proxy_is_given_up);
   CPPUNIT_TEST(nothing_is_asked_while_nothing_is_waited_for);
+  CPPUNIT_TEST(a_proxy_out_of_reach_holds_statements_up_once_and_shortly);
+  CPPUNIT_TEST(a_proxy_out_of_reach_is_used_again_once_it_is_back);
+  CPPUNIT_TEST(a_frozen_proxy_is_avoided_until_it_wakes);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -119,7 +143,54 @@
     CPPUNIT_ASSERT_EQUAL(0, peer_->ends);
   }
 
+  void a_proxy_out_of_reach_holds_statements_up_once_and_shortly() {
+    cut();
+    CPPUNIT_ASSERT(run_connect() <= kForwardDialPatience + milliseconds(5));
+    for (int statement = 0; statement < 20; ++statement) {
+      CPPUNIT_ASSERT(forwarder_->is_avoided(proxy_->name, kGroup));
+      CPPUNIT_ASSERT(run_connect() <= milliseconds(1));
+      world_->run_for(milliseconds(200));
+    }
+  }
+
+  void a_proxy_out_of_reach_is_used_again_once_it_is_back() {
+    cut();
+    run_connect();
+    world_->run_for(seconds(3));
+    world_->heal();
+    world_->run_for(kForwardRedialLimit + kForwardDialLimit + milliseconds(50));
+    CPPUNIT_ASSERT(!forwarder_->is_avoided(proxy_->name, kGroup));
+    CPPUNIT_ASSERT(run_call().answered);
+  }
+
+  void a_frozen_proxy_is_avoided_until_it_wakes() {
+    CPPUNIT_ASSERT(run_call().answered);
+    world_->freeze("peer");
+    CPPUNIT_ASSERT(!run_call().answered);
+    forwarder_->note_no_answer(proxy_->name, kGroup);
+    world_->run_for(seconds(3));
+    CPPUNIT_ASSERT(forwarder_->is_avoided(proxy_->name, kGroup));
+    world_->thaw("peer");
+    world_->run_for(kForwardRedialLimit + kForwardAnswerLimit + milliseconds(50));
+    CPPUNIT_ASSERT(!forwarder_->is_avoided(proxy_->name, kGroup));
+  }
+
  private:
+  void cut() {
+    world_->network().faults().cut_machines("10.0.0.1", kPeer.address);
+    world_->network().faults().cut_machines(kPeer.address, "10.0.0.1");
+  }
+
+  /// How long a statement waited for the connection, which it did not get.
+  Duration run_connect() {
+    const TimePoint begun = runtime_->now();
+    Connect result;
+    runtime_->spawn("connect", connect(*runtime_, *forwarder_, proxy_, result));
+    world_->run_until([&] { return result.finished; }, seconds(6));
+    CPPUNIT_ASSERT(result.finished && !result.connected);
+    return result.ended - begun;
+  }
+
   Call run_call() {
     Call result;
     runtime_->spawn("call", call(*runtime_, *forwarder_, proxy_, result));
--- a/tests/simulation/registered_fleet_test.cpp
+++ b/tests/simulation/registered_fleet_test.cpp
@@ -6,6 +6,8 @@
 
 #include <cstdlib>
 #include <functional>
+#include <map>
+#include <string>
 
 namespace cairnhollow::simulation {
 
@@ -67,6 +69,7 @@
   CPPUNIT_TEST(nobody_is_promoted_while_acknowledged_commits_may_be_missing);
   CPPUNIT_TEST(a_proxy_cut_from_control_shows_nothing_old_after_a_promotion);
   CPPUNIT_TEST(a_proxy_cut_from_control_relays_through_others);
+  CPPUNIT_TEST(callers_of_a_proxy_that_can_serve_nothing_come_back_through_others);
   CPPUNIT_TEST(a_proxy_cut_from_control_relays_past_a_failover);
   CPPUNIT_TEST(a_proxy_cut_from_control_sends_callers_elsewhere_in_time);
   CPPUNIT_TEST(lost_proxies_leave_the_division_and_come_back);
@@ -282,6 +285,27 @@
     });
   }
 
+  void callers_of_a_proxy_that_can_serve_nothing_come_back_through_others() {
+    check([](RegisteredFleet& fleet) {
+      fleet.run_for(seconds(2));
+      fleet.cut_from_all_control("proxy-1");
+      for (const char* other : {"proxy-2", "proxy-3", "g1-b1", "g1-b2", "g1-b3"})
+        fleet.cut("proxy-1", other);
+      // Its lease is over, and it has found out who is out of reach.
+      fleet.run_for(seconds(2));
+      const TimePoint from = fleet.world().now();
+      fleet.run_for(seconds(4));
+      std::map<std::string, int> refused;
+      for (const auto& attempt : fleet.history()) {
+        const bool is_refused = attempt.outcome == standins::unfenced::AttemptOutcome::kPromisedNotKept;
+        if (is_refused && attempt.begun >= from) ++refused[attempt.session];
+      }
+      CPPUNIT_ASSERT_MESSAGE("some were refused", !refused.empty());
+      for (const auto& [session, count] : refused)
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(session + " was refused again", 1, count);
+    });
+  }
+
   void proxies_cut_from_all_control_go_on_serving() {
     check([](RegisteredFleet& fleet) {
       fleet.run_for(seconds(2));
