Tables and changes of the fleet are sent compressed

Change: zlib at its fastest level, once for all who lack the same; builds of before are asked for plain ones.

--- a/src/control/registered/lease_keeper.cpp
+++ b/src/control/registered/lease_keeper.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "wire/codec.h"
+#include "wire/compression.h"
 
 namespace cairnhollow::control::registered {
 
@@ -45,6 +46,7 @@
   follower->connection = connection;
   follower->node = hello.node;
   follower->zone = hello.zone;
+  follower->takes_compressed = hello.conversation == wire::Conversation::kServingCompressed;
   followers_.emplace(id, follower);
   while (!stopping_) {
     Reason reason;
@@ -235,7 +237,7 @@
   // A lease is worth something only together with what is in force.
   if (lacks_something && !with_delta) update.lease = Duration(0);
   if (lacks_something && with_delta) {
-    update.delta = delta_since(follower.revision_sent);
+    update.delta = delta_for(follower);
     follower.revision_sent = fleet_.revision();
   }
   update.report_interval = report_interval();
@@ -248,18 +250,20 @@
 
 bool LeaseKeeper::has_room_for(const Follower& follower) {
   if (!follower.admitted || follower.revision_sent == fleet_.revision()) return true;
-  const std::size_t size = delta_since(follower.revision_sent).size();
+  const std::size_t size = delta_for(follower).size();
   return size <= kSmallDelta || bytes_on_their_way_ == 0 ||
          bytes_on_their_way_ + size <= kMostBytesOnTheirWay;
 }
 
-const std::string& LeaseKeeper::delta_since(std::uint64_t revision) {
+const std::string& LeaseKeeper::delta_for(const Follower& follower) {
   if (deltas_to_ != fleet_.revision()) deltas_.clear();
   deltas_to_ = fleet_.revision();
-  auto found = deltas_.find(revision);
-  if (found == deltas_.end())
-    found = deltas_.emplace(revision, wire::encode(fleet_.delta_since(revision))).first;
-  return found->second;
+  const std::uint64_t since = follower.revision_sent;
+  EncodedDelta& delta = deltas_[since];
+  if (delta.plain.empty()) delta.plain = wire::encode(fleet_.delta_since(since));
+  if (!follower.takes_compressed) return delta.plain;
+  if (delta.compressed.empty()) delta.compressed = wire::compress(delta.plain);
+  return delta.compressed;
 }
 
 const std::vector<Endpoint>& LeaseKeeper::endpoints() {
--- a/src/control/registered/lease_keeper.h
+++ b/src/control/registered/lease_keeper.h
@@ -55,6 +55,7 @@
     std::shared_ptr<runtime::FrameConnection> connection;
     NodeName node;
     ZoneName zone;
+    bool takes_compressed = false;
     std::uint64_t incarnation = 0;
     Endpoint peer_endpoint;
     bool draining = false;
@@ -93,7 +94,8 @@
   registry::ProxyUpdate make_update(Follower& follower, bool with_delta);
   /// Whether what the follower lacks is small, or may be on its way beside what is on its way to others.
   [[nodiscard]] bool has_room_for(const Follower& follower);
-  const std::string& delta_since(std::uint64_t revision);
+  /// Encoded for the follower.
+  const std::string& delta_for(const Follower& follower);
   const std::vector<Endpoint>& endpoints();
   [[nodiscard]] Duration report_interval() const;
   [[nodiscard]] bool leads() const;
@@ -116,7 +118,11 @@
   std::map<NodeName, Life> lives_;
   std::uint64_t next_follower_ = 1;
   std::uint64_t deltas_to_ = 0;                  ///< the revision that the encoded deltas lead to
-  std::map<std::uint64_t, std::string> deltas_;  ///< encoded, by the revision that they begin from
+  struct EncodedDelta {
+    std::string plain;
+    std::string compressed;
+  };
+  std::map<std::uint64_t, EncodedDelta> deltas_;  ///< by the revision that they begin from
   std::vector<Endpoint> endpoints_;
   TimePoint endpoints_at_{};
   std::uint64_t pushed_revision_ = 0;
--- a/src/control/registered/registered_control_node.cpp
+++ b/src/control/registered/registered_control_node.cpp
@@ -117,9 +117,11 @@
     dispatcher_.route(wire::Conversation::kConsensus, [this](Connection connection, wire::Hello hello) {
       return raft_->serve(std::move(connection), std::move(hello.node));
     });
-    dispatcher_.route(wire::Conversation::kServing, [this](Connection connection, wire::Hello hello) {
-      return leases_.serve(std::move(connection), std::move(hello));
-    });
+    for (const auto serving : {wire::Conversation::kServing, wire::Conversation::kServingCompressed}) {
+      dispatcher_.route(serving, [this](Connection connection, wire::Hello hello) {
+        return leases_.serve(std::move(connection), std::move(hello));
+      });
+    }
     dispatcher_.route(wire::Conversation::kLeader,
                       [this](Connection connection, const wire::Hello& /*hello*/) {
                         return calls_.serve(std::move(connection));
--- a/src/session/control_conversation.h
+++ b/src/session/control_conversation.h
@@ -14,6 +14,7 @@
   Endpoint endpoint;
   std::map<std::uint64_t, TimePoint> asked;  ///< when the reports not yet answered were sent, by nonce
   TimePoint last_asked_at{};
+  bool is_compressed = false;  ///< deltas come compressed
   bool broken = false;
   bool answered = false;    ///< at least once
   std::uint64_t bytes = 0;  ///< that had come when last looked at
--- a/src/session/fleet_link.cpp
+++ b/src/session/fleet_link.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "wire/codec.h"
+#include "wire/compression.h"
 #include "wire/hello.h"
 
 namespace cairnhollow::session {
@@ -14,7 +15,7 @@
 
 wire::Hello make_hello(const SessionProxySettings& settings) {
   wire::Hello hello;
-  hello.conversation = wire::Conversation::kServing;
+  hello.conversation = wire::Conversation::kServingCompressed;
   hello.node = settings.node;
   hello.zone = settings.zone;
   hello.highest_version = hello.protocol_version;
@@ -156,10 +157,14 @@
   }
   if (update.report_interval > Duration(0)) report_interval_ = update.report_interval;
   Reason reason;
-  std::optional<registry::FleetDelta> delta;
-  if (!update.delta.empty()) delta = wire::decode<registry::FleetDelta>(update.delta, reason);
-  if (!update.delta.empty() && !delta) return take_refusal(conversation, reason);
-  if (delta) take_delta(*delta, update.delta.size());
+  if (!update.delta.empty()) {
+    std::optional<std::string> plain = update.delta;
+    if (conversation.is_compressed) plain = wire::decompress(update.delta, reason);
+    std::optional<registry::FleetDelta> delta;
+    if (plain) delta = wire::decode<registry::FleetDelta>(*plain, reason);
+    if (!delta) return take_refusal(conversation, reason);
+    take_delta(*delta, update.delta.size());
+  }
   const auto asked = conversation.asked.find(update.nonce);
   if (asked == conversation.asked.end()) return;
   if (update.lease > Duration(0)) view_.extend_lease(asked->second + update.lease);
--- a/src/session/leader_search.cpp
+++ b/src/session/leader_search.cpp
@@ -80,6 +80,7 @@
   if (conversation) conversation->close();
   if (round->over) co_return;
   if (answer) reason = *answer->refusal;
+  if (conversation && !answer) note_closed_unanswered();
   note_failure(reason, endpoint);
   if (answer) take_hint(round, reason);
 }
@@ -93,6 +94,7 @@
   auto conversation = std::make_shared<ControlConversation>();
   conversation->connection = std::move(connection);
   conversation->endpoint = std::move(endpoint);
+  conversation->is_compressed = hello_.conversation == wire::Conversation::kServingCompressed;
   co_return conversation;
 }
 
@@ -117,6 +119,12 @@
   }
 }
 
+void LeaderSearch::note_closed_unanswered() {
+  const bool was_compressed = hello_.conversation == wire::Conversation::kServingCompressed;
+  hello_.conversation =
+      was_compressed ? wire::Conversation::kServing : wire::Conversation::kServingCompressed;
+}
+
 void LeaderSearch::take_hint(const RoundPointer& round, const Reason& refusal) {
   if (refusal.code != ReasonCode::kNotLeader || refusal.peer.empty()) return;
   const Endpoint leader{refusal.peer, control_port_};
--- a/src/wire/hello.h
+++ b/src/wire/hello.h
@@ -17,6 +17,7 @@
   kServing = 4,     ///< proxy to control node of a registered fleet: ProxyReport / ProxyUpdate
   kLeader = 5,      ///< control node to leader of a registered fleet: ControlCall / ControlAnswer
   kForwarding = 6,  ///< proxy to proxy of a registered fleet: ForwardRequest / ForwardAnswer
+  kServingCompressed = 7,  ///< as kServing, with the deltas of ProxyUpdate compressed
 };
 
 /// Of builds whose Hello says no range and gets no answer; messages are in formats without a mark.
--- /dev/null
+++ b/tests/wire/compression_test.cpp
@@ -0,0 +1,57 @@
+// Compressed messages come back as they were; anything else is refused.
+#include "wire/compression.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace cairnhollow::wire {
+
+class CompressionTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CompressionTest);
+  CPPUNIT_TEST(messages_come_back_as_they_were);
+  CPPUNIT_TEST(repeated_names_shrink);
+  CPPUNIT_TEST(cut_and_damaged_messages_are_refused);
+  CPPUNIT_TEST(a_message_that_grows_beyond_the_bound_is_refused);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void messages_come_back_as_they_were() {
+    for (const std::string& message : {std::string(), std::string("a"), std::string(100000, 'x'), names()}) {
+      Reason reason;
+      const auto back = decompress(compress(message), reason);
+      CPPUNIT_ASSERT(back.has_value());
+      CPPUNIT_ASSERT(message == *back);
+    }
+  }
+
+  void repeated_names_shrink() { CPPUNIT_ASSERT(compress(names()).size() * 3 < names().size()); }
+
+  void cut_and_damaged_messages_are_refused() {
+    const std::string compressed = compress(names());
+    expect_refused(compressed.substr(0, compressed.size() / 2));
+    expect_refused(compressed + "more");
+    expect_refused("no compressed message");
+    std::string damaged = compressed;
+    damaged[damaged.size() / 2] = static_cast<char>(damaged[damaged.size() / 2] ^ 0x55);
+    expect_refused(damaged);
+  }
+
+  void a_message_that_grows_beyond_the_bound_is_refused() {
+    expect_refused(compress(std::string(kMostDecompressedBytes + 1, 'x')));
+  }
+
+ private:
+  static std::string names() {
+    std::string text;
+    for (int number = 0; number < 1000; ++number) text += "front-zone-" + std::to_string(number) + ";";
+    return text;
+  }
+  static void expect_refused(const std::string& bytes) {
+    Reason reason;
+    CPPUNIT_ASSERT(!decompress(bytes, reason).has_value());
+    CPPUNIT_ASSERT(reason.code == ReasonCode::kCorrupt);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CompressionTest);
+
+}  // namespace cairnhollow::wire
