Cut-off proxies that have just started refuse after 0.7 s; silent proxies are given up after 250 ms instead of up to 590

Change: looked at when due, 80 and 170 ms. Leases come 0.12 to 0.52 s after a common start, so a proxy without one after 0.7 s no longer holds new sessions for 0.7 s each.

--- a/src/session/fleet_view.h
+++ b/src/session/fleet_view.h
@@ -41,7 +41,8 @@
   [[nodiscard]] bool has_member_lease() const;
   /// Whether a lease is to be expected soon: the process has just started, or the last one has just run out.
   [[nodiscard]] bool expects_lease() const {
-    return runtime_.now() - std::max(lease_until_, started_) < kLeaseExpectedWithin;
+    const TimePoint now = runtime_.now();
+    return now < started_ + kFirstLeaseExpectedWithin || now < lease_until_ + kLeaseExpectedWithin;
   }
   [[nodiscard]] std::uint64_t revision() const { return revision_; }
   [[nodiscard]] std::uint64_t document_version() const { return document_version_; }
--- a/src/session/forwarder.cpp
+++ b/src/session/forwarder.cpp
@@ -54,11 +54,12 @@
       heard_at_ = runtime_.now();
       asked_at_.reset();
     }
-    co_await runtime_.sleep_for(kForwardWatchTick);
+    const TimePoint due = asked_at_ ? *asked_at_ + kForwardAnswerLimit : heard_at_ + kForwardSilence;
+    co_await runtime_.sleep_for(std::max<Duration>(due - runtime_.now(), kForwardWatchPause));
     const TimePoint now = runtime_.now();
     if (pending_.empty()) continue;
-    if (asked_at_ && now - *asked_at_ > kForwardAnswerLimit) close();
-    if (open_ && !asked_at_ && now - heard_at_ > kForwardSilence) ask_for_life();
+    if (asked_at_ && now - *asked_at_ >= kForwardAnswerLimit) close();
+    if (open_ && !asked_at_ && now - heard_at_ >= kForwardSilence) ask_for_life();
   }
 }
 
--- a/src/session/knobs.h
+++ b/src/session/knobs.h
@@ -42,7 +42,9 @@
 /// A new session waits this long for a serving lease, e.g. while the fleet starts.
 inline constexpr Duration kStartPatience = milliseconds(700);
 /// So soon after its start, or after its last lease, a proxy expects the next one; so soon after the close of
-/// a group, its next primary. What needs them waits only then.
+/// a group, its next primary. What needs them waits only then. After a common loss of power leases came 0.12
+/// to 0.52 s after the proxies' start; a proxy without one by then is cut off, and its callers are told at once.
+inline constexpr Duration kFirstLeaseExpectedWithin = milliseconds(700);
 inline constexpr Duration kLeaseExpectedWithin = milliseconds(1500);
 inline constexpr Duration kPrimaryExpectedWithin = seconds(3);
 /// A proxy that is left with less of its lease takes no new sessions: two renewals in a row have failed.
@@ -70,10 +72,11 @@
 inline constexpr Duration kForwardRedialLimit = milliseconds(800);
 inline constexpr Duration kForwardInterest = seconds(10);
 /// A proxy that answers nothing for this long while it is waited for is asked for a sign of life, which it
-/// gives before all else; without one it is given up. Looked at with the tick.
-inline constexpr Duration kForwardSilence = milliseconds(100);
-inline constexpr Duration kForwardAnswerLimit = milliseconds(250);
-inline constexpr Duration kForwardWatchTick = milliseconds(80);
+/// gives before all else; without one it is given up. A process whose share of a core is spent stands still for
+/// up to 100 ms, and is not to be given up for that. Looked at no more often than the pause.
+inline constexpr Duration kForwardSilence = milliseconds(80);
+inline constexpr Duration kForwardAnswerLimit = milliseconds(170);
+inline constexpr Duration kForwardWatchPause = milliseconds(20);
 /// A proxy that could not serve a group is not sent its statements for this long, where another can.
 inline constexpr Duration kAvoidProxy = seconds(1);
 /// A forwarded statement's answer may take this much longer than the statement itself.
