--- a/src/session/fleet_view.cpp
+++ b/src/session/fleet_view.cpp
@@ -132,8 +132,9 @@
   renewed_.notify_all();
 }
 
-void FleetView::extend_member_lease(GroupAccess& group, std::uint64_t epoch, TimePoint until) {
-  group.extend_member_lease(epoch, std::min(until, lease_until_ + registry::kServeWithoutControl));
+void FleetView::extend_member_lease(GroupAccess& group, std::uint64_t epoch, std::uint64_t membership,
+                                    TimePoint until) {
+  group.extend_member_lease(epoch, membership, std::min(until, lease_until_ + registry::kServeWithoutControl));
   renewed_.notify_all();
 }
 
--- a/src/session/fleet_view.h
+++ b/src/session/fleet_view.h
@@ -32,7 +32,8 @@
   [[nodiscard]] TimePoint lease_until() const { return lease_until_; }
   /// The group's members gave a lease for the primary of `epoch`, of use as long as control was not gone too
   /// long.
-  void extend_member_lease(GroupAccess& group, std::uint64_t epoch, TimePoint until);
+  void extend_member_lease(GroupAccess& group, std::uint64_t epoch, std::uint64_t membership,
+                           TimePoint until);
   /// Control's lease, or that of the group's members, lets this proxy use the group's primary.
   [[nodiscard]] bool holds_lease_for(const GroupAccess& group) const {
     return lease_valid() || group.has_member_lease();
--- a/src/session/group_access.cpp
+++ b/src/session/group_access.cpp
@@ -68,8 +68,8 @@
   changed_.notify_all();
 }
 
-void GroupAccess::extend_member_lease(std::uint64_t epoch, TimePoint until) {
-  if (!term_.open || term_.epoch != epoch) return;
+void GroupAccess::extend_member_lease(std::uint64_t epoch, std::uint64_t membership, TimePoint until) {
+  if (!term_.open || term_.epoch != epoch || membership_ != membership) return;
   member_lease_until_ = std::max(member_lease_until_, until);
   changed_.notify_all();
 }
@@ -79,6 +79,8 @@
   if (!use || use->entry.endpoint != entry.endpoint) {
     if (use) use->pool.close_idle();
     use = std::make_shared<BackendUse>(runtime_, dialer_, entry);
+    ++membership_;
+    member_lease_until_ = TimePoint{};
   }
   use->entry = entry;
   if (!entry.leaving) use->leaving_since.reset();
--- a/src/session/group_access.h
+++ b/src/session/group_access.h
@@ -112,8 +112,12 @@
   [[nodiscard]] bool is_primary_unreachable() const {
     return unreachable_epoch_ == term_.epoch && runtime_.now() < unreachable_until_;
   }
-  /// The group's members gave a lease for the primary of `epoch` (registry/member_lease.h).
-  void extend_member_lease(std::uint64_t epoch, TimePoint until);
+  /// The group's members gave a lease for the primary of `epoch` (registry/member_lease.h). Without effect when
+  /// the members asked are not those of now.
+  void extend_member_lease(std::uint64_t epoch, std::uint64_t membership, TimePoint until);
+  /// Grows with each member that joins. From then on control counts on this proxy to ask that one, too, so
+  /// that no lease of earlier questions may be left.
+  [[nodiscard]] std::uint64_t membership() const { return membership_; }
   [[nodiscard]] bool has_member_lease() const { return runtime_.now() < member_lease_until_; }
   /// This proxy has no link to the primary, which takes none now.
   [[nodiscard]] bool is_primary_full() {
@@ -167,6 +171,7 @@
   double usual_latency_ms_ = kFirstLatencyMs;  ///< of all backends, over a longer time
   TimePoint closed_at_{};
   TimePoint member_lease_until_{};
+  std::uint64_t membership_ = 0;
   std::uint64_t unreachable_epoch_ = 0;
   TimePoint unreachable_until_{};
   Position highest_acknowledged_;
--- a/src/session/member_lease_keeper.cpp
+++ b/src/session/member_lease_keeper.cpp
@@ -50,6 +50,7 @@
 Awaitable<void> MemberLeaseKeeper::renew(std::shared_ptr<GroupAccess> group) {
   const TimePoint asked_at = runtime_.now();
   const auto round = std::make_shared<Round>(runtime_, group->term());
+  const std::uint64_t membership = group->membership();
   for (const auto& [name, member] : group->backends()) {
     if (name == round->term.primary) continue;
     ++round->unanswered;
@@ -61,7 +62,7 @@
     in_time = co_await round->answered.wait_until(round->deadline);
   if (round->unanswered > 0 && round->failure.empty()) round->failure = "a member did not answer in time";
   if (round->failure.empty())
-    view_.extend_member_lease(*group, round->term.epoch, asked_at + registry::kMemberLease);
+    view_.extend_member_lease(*group, round->term.epoch, membership, asked_at + registry::kMemberLease);
   failed_[group->group()] = round->failure;
   if (!round->failure.empty() && !view_.holds_lease_for(*group)) note_refused(*group, round->failure);
   asking_.erase(group->group());
--- a/tests/control/registered/member_lease_model_test.cpp
+++ b/tests/control/registered/member_lease_model_test.cpp
@@ -40,6 +40,7 @@
   bool proxy_asks_all = true;
   bool lease_counts_from_question = true;
   bool proxy_stops_in_the_end = true;
+  bool new_member_ends_lease = true;
 };
 
 struct Member {
@@ -124,6 +125,7 @@
   void expand(const State& state) {
     tick(state);
     proxy_steps(state);
+    proxy_learns(state);
     for (int member = 0; member < kMembers; ++member) {
       member_answers(state, member);
       pause_steps(state, member);
@@ -172,6 +174,19 @@
     visit(lost);
   }
 
+  /// It hears of B, and says so in its next report: for the leader B is not new any more.
+  void proxy_learns(const State& state) {
+    if (state.knows_b) return;
+    State told = state;
+    told.knows_b = true;
+    told.b_new_left = 0;
+    if (guards_.new_member_ends_lease) {
+      told.lease_left = 0;
+      forget_question(told);
+    }
+    visit(told);
+  }
+
   void member_answers(const State& state, int place) {
     const Member& member = state.members[place];
     if (!state.asking || state.answered[place]) return;
@@ -285,6 +300,7 @@
     expect_violation("lease_counts_from_question",
                      [](Guards& guards) { guards.lease_counts_from_question = false; });
     expect_violation("proxy_stops_in_the_end", [](Guards& guards) { guards.proxy_stops_in_the_end = false; });
+    expect_violation("new_member_ends_lease", [](Guards& guards) { guards.new_member_ends_lease = false; });
   }
 
  private:
--- a/tests/session/group_access_test.cpp
+++ b/tests/session/group_access_test.cpp
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(reads_go_to_replicas);
   CPPUNIT_TEST(nobody_else_reads_while_the_replicas_lag);
   CPPUNIT_TEST(a_backend_that_is_avoided_or_leaves_is_no_other_reader);
+  CPPUNIT_TEST(a_member_that_joins_ends_the_lease_of_the_others);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -64,6 +65,23 @@
     CPPUNIT_ASSERT(group_->has_other_reader(need_, use("primary")));
   }
 
+  void a_member_that_joins_ends_the_lease_of_the_others() {
+    const std::uint64_t asked = group_->membership();
+    const TimePoint until = runtime_->now() + milliseconds(500);
+    group_->extend_member_lease(1, asked, until);
+    CPPUNIT_ASSERT(group_->has_member_lease());
+    group_->put_backend(backend("replica-3", 4));
+    CPPUNIT_ASSERT(!group_->has_member_lease());
+    group_->extend_member_lease(1, asked, until);
+    CPPUNIT_ASSERT_MESSAGE("those asked were not all", !group_->has_member_lease());
+    group_->extend_member_lease(1, group_->membership(), until);
+    CPPUNIT_ASSERT(group_->has_member_lease());
+    registry::BackendEntry leaves = backend("replica-3", 4);
+    leaves.leaving = true;
+    group_->put_backend(leaves);
+    CPPUNIT_ASSERT_MESSAGE("nobody joined", group_->has_member_lease());
+  }
+
   void nobody_else_reads_while_the_replicas_lag() {
     group_->note_replica(use("replica-1"), need_, std::nullopt);
     group_->note_replica(use("replica-2"), need_, std::nullopt);
