A primary that breaks off all that it is sent is replaced, whatever its status says

And the rule for primaries that most proxies can't connect to counted three fifths of all proxies, though 15 of 95 serve a group: at size it never held. Change: a proxy whose statements were all broken off, three in a row for 200 ms, says that it can't use the primary; the leader counts three fifths of those that serve the group, by the division that proxies use (src/registry/division.h, moved from the sessions), and replaces it when a successor can be proved. Ruled out: overload (its status answered in 4 ms).

--- a/src/control/registered/group_keeper.cpp
+++ b/src/control/registered/group_keeper.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "control/registered/knobs.h"
+#include "registry/division.h"
 
 namespace cairnhollow::control::registered {
 
@@ -212,8 +213,8 @@
     dead = !busy && is_dead(status, *term);
   }
   if (!dead && is_out_of_reach(group)) {
-    dead = true;
-    reason = Reason{ReasonCode::kUnreachable, "open_connection", "", "most proxies do not reach it"};
+    dead = co_await has_provable_successor(*term);
+    reason = Reason{ReasonCode::kUnreachable, "use_primary", "", "most proxies that serve it can't use it"};
   }
   if (!dead && commits_stall) {
     const bool stalled = co_await commits_stalled(group, *term);
@@ -246,7 +247,18 @@
 bool GroupKeeper::is_out_of_reach(const GroupName& group) const {
   const auto found = out_of_reach_.find(group);
   const std::size_t saying = found == out_of_reach_.end() ? 0 : found->second.proxies.size();
-  return saying >= kSuspectingProxies && saying * kOutOfReachWhole >= fleet_.proxy_count() * kOutOfReachPart;
+  return saying >= kSuspectingProxies && saying * kOutOfReachWhole >= serving_proxies(group) * kOutOfReachPart;
+}
+
+std::size_t GroupKeeper::serving_proxies(const GroupName& group) const {
+  const std::size_t proxies = fleet_.proxy_count();
+  const registry::GroupRule* rule = fleet_.find_group(group);
+  if (rule == nullptr) return proxies;
+  std::uint64_t least_slots = 0;
+  for (const registry::BackendEntry& entry : fleet_.backends_of(group)) {
+    if (entry.slots > 0) least_slots = least_slots == 0 ? entry.slots : std::min(least_slots, entry.slots);
+  }
+  return registry::serving_proxies(*rule, least_slots, proxies);
 }
 
 Awaitable<bool> GroupKeeper::commits_stalled(GroupName group, GroupTerm term) {
--- a/src/control/registered/group_keeper.h
+++ b/src/control/registered/group_keeper.h
@@ -70,8 +70,9 @@
                              const registry::GroupTerm& term) const;
   /// How many looks in a row must find the primary dead, by how many proxies suspect it.
   [[nodiscard]] int looks_needed(const registry::GroupTerm& term, std::size_t suspecting_proxies) const;
-  /// Whether most proxies can't use the primary, alive or not.
+  /// Whether most proxies that serve the group can't use the primary, alive or not.
   [[nodiscard]] bool is_out_of_reach(const GroupName& group) const;
+  [[nodiscard]] std::size_t serving_proxies(const GroupName& group) const;
   /// Whether a replica could be shown to hold all that the open term's primary acknowledged.
   Awaitable<bool> has_provable_successor(registry::GroupTerm term);
   Awaitable<bool> commits_stalled(GroupName group, registry::GroupTerm term);
--- a/src/control/registered/knobs.h
+++ b/src/control/registered/knobs.h
@@ -70,7 +70,7 @@
 inline constexpr int kDeadLooks = 2;
 /// So many proxies that suspect the same count as one look.
 inline constexpr std::size_t kSuspectingProxies = 2;
-/// A primary that this part of the proxies can't connect to is replaced, alive or not.
+/// A primary that this part of the proxies that serve its group can't use is replaced, alive or not.
 inline constexpr std::size_t kOutOfReachPart = 3;
 inline constexpr std::size_t kOutOfReachWhole = 5;
 inline constexpr Duration kOutOfReachLapse = std::chrono::milliseconds(1500);
--- /dev/null
+++ b/src/registry/division.h
@@ -0,0 +1,24 @@
+// How many proxies serve a database group. Worked out alike by the proxies, which divide the groups among
+// themselves, and by the leader, which judges what those who serve a group say of its primary.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+#include "registry/model.h"
+
+namespace cairnhollow::registry {
+
+/// Proxies that serve one group, at most, for each slot of its backends.
+inline constexpr std::uint64_t kServingProxiesPerSlot = 5;
+/// Connections of a backend kept back from the shares, for control nodes and for proxies that start.
+inline constexpr std::uint64_t kReservedConnections = 4;
+
+/// Connections to one backend that all proxies together may have; 0: no limit.
+std::uint64_t usable_connections(const GroupRule& rule);
+
+/// Of `proxies` that take work: so many that each has connections to work with, and that together they do not
+/// send a backend more than it can queue. `least_slots`: of the group's backends; 0: not known.
+std::size_t serving_proxies(const GroupRule& rule, std::uint64_t least_slots, std::size_t proxies);
+
+}  // namespace cairnhollow::registry
--- a/src/registry/messages.h
+++ b/src/registry/messages.h
@@ -33,7 +33,7 @@
   BackendName backend;
   std::uint64_t term = 0;
   bool commits_stall = false;  ///< it answers, but commits do not
-  bool unreachable = false;    ///< no connection to it can be opened
+  bool unreachable = false;    ///< no connection to it can be opened, or it breaks off all that it is sent
 
   template <class Archive>
   void serialize(Archive& archive) {
--- a/src/session/fleet_link.h
+++ b/src/session/fleet_link.h
@@ -21,7 +21,7 @@
 enum class SuspicionKind : std::uint8_t {
   kSilent,        ///< a statement has no answer
   kCommitsStall,  ///< only commits have none
-  kUnreachable,   ///< no connection to it can be opened
+  kUnreachable,   ///< no connection to it can be opened, or it breaks off all that it is sent
 };
 
 /// What it refers to outlives it; it lives until the process ends.
--- a/src/session/group_access.cpp
+++ b/src/session/group_access.cpp
@@ -5,7 +5,7 @@
 #include <string>
 #include <utility>
 
-#include "routing/subset.h"
+#include "registry/division.h"
 
 namespace cairnhollow::session {
 
@@ -58,6 +58,7 @@
   const bool other_term = term.term != term_.term || term.primary != term_.primary;
   term_ = term;
   if (other_term) positions_.clear();
+  broken_off_ = 0;
   if (primary_given_up) {
     member_lease_until_ = TimePoint{};
     commits_stall_ = false;
@@ -97,20 +98,13 @@
   changed_.notify_all();
 }
 
-std::uint64_t GroupAccess::usable_connections() const {
-  if (rule_.max_connections == 0) return 0;
-  return rule_.max_connections > kReservedConnections ? rule_.max_connections - kReservedConnections : 1;
-}
-
 std::size_t GroupAccess::serving_proxies(std::size_t proxies) const {
-  std::size_t serving = proxies;
-  const std::uint64_t usable = usable_connections();
-  if (usable > 0) serving = routing::subset_size(static_cast<std::uint32_t>(usable), proxies);
+  std::uint64_t least_slots = 0;
   for (const auto& [name, use] : backends_) {
-    const std::uint64_t by_slots = use->entry.slots * kServingProxiesPerSlot;
-    if (by_slots > 0) serving = std::min<std::size_t>(serving, by_slots);
+    const std::uint64_t slots = use->entry.slots;
+    if (slots > 0) least_slots = least_slots == 0 ? slots : std::min(least_slots, slots);
   }
-  return serving;
+  return registry::serving_proxies(rule_, least_slots, proxies);
 }
 
 bool GroupAccess::warm_one() {
@@ -137,7 +131,7 @@
   proxies_ = std::max<std::uint64_t>(proxies, 1);
   std::uint64_t share = kMostConnections;
   if (rule_.max_connections > 0)
-    share = std::clamp(usable_connections() / proxies_, kLeastConnections, kMostConnections);
+    share = std::clamp(registry::usable_connections(rule_) / proxies_, kLeastConnections, kMostConnections);
   for (const auto& [name, use] : backends_) {
     use->pool.set_limit(share);
     const std::uint64_t slots = std::max<std::uint64_t>(use->entry.slots / proxies_, 1);
@@ -244,6 +238,12 @@
       {{"group", group_.value}, {"primary", term_.primary.value}, {"epoch", std::to_string(term_.epoch)}});
 }
 
+bool GroupAccess::note_broken_off() {
+  const TimePoint now = runtime_.now();
+  if (broken_off_++ == 0) broken_off_since_ = now;
+  return broken_off_ >= kBrokenOffStatements && now - broken_off_since_ >= kBrokenOffFor;
+}
+
 bool GroupAccess::is_primary_silent(TimePoint now, bool& commits) const {
   bool silent = false;
   commits = true;
--- a/src/session/group_access.h
+++ b/src/session/group_access.h
@@ -81,8 +81,7 @@
   void remove_backend(const BackendName& name);
   /// Divides each backend's connections among those of `proxies` that serve the group.
   void share_connections(std::uint64_t proxies);
-  /// How many of `proxies` are to serve the group: so many that each has connections to work with, and that
-  /// together they do not send a backend more than it can queue.
+  /// How many of `proxies` are to serve the group.
   [[nodiscard]] std::size_t serving_proxies(std::size_t proxies) const;
   /// Opens one link to a backend that has none, so that the first statement need not wait for it. False when
   /// all have one.
@@ -130,6 +129,11 @@
   /// which.
   [[nodiscard]] bool is_primary_silent(TimePoint now, bool& commits) const;
 
+  /// The open term's primary broke off a statement. True when it has done so with all of them for a while.
+  bool note_broken_off();
+  /// It answered one.
+  void note_primary_answered() { broken_off_ = 0; }
+
   /// Commits reach no replica: some sent to the primary are not answered, and none sent later either. What
   /// would commit then is refused and not sent, so that it does not hold a link and end in doubt; one at a
   /// time still goes, to see when that is over.
@@ -153,8 +157,6 @@
   }
 
  private:
-  /// Connections to one backend that all proxies together may have; 0: no limit.
-  [[nodiscard]] std::uint64_t usable_connections() const;
   Awaitable<void> warm(std::shared_ptr<BackendUse> backend);
   [[nodiscard]] double cost_of(const BackendUse& backend) const;
 
@@ -172,6 +174,8 @@
   TimePoint closed_at_{};
   TimePoint member_lease_until_{};
   std::uint64_t membership_ = 0;
+  int broken_off_ = 0;  ///< statements that the primary broke off, one after the other
+  TimePoint broken_off_since_{};
   std::uint64_t unreachable_epoch_ = 0;
   TimePoint unreachable_until_{};
   Position highest_acknowledged_;
--- a/src/session/knobs.h
+++ b/src/session/knobs.h
@@ -55,8 +55,6 @@
 inline constexpr Duration kDialTimeout = milliseconds(350);
 /// Longest wait for a link's own exchanges: values, prepared statements, begin.
 inline constexpr Duration kLinkSetupTimeout = milliseconds(400);
-/// Proxies that serve one group, at most, for each slot of its backends.
-inline constexpr std::uint64_t kServingProxiesPerSlot = 5;
 /// After this proxy could not reach a primary that leads, statements for it go through other proxies for this
 /// long.
 inline constexpr Duration kRelayPeriod = milliseconds(1500);
@@ -105,6 +103,10 @@
 /// Commits without an answer for this long, while none sent later was answered, stall. Chosen, not measured:
 /// under kPrimarySilence, and several times the work of a statement (4 to 30 ms on the deployments).
 inline constexpr Duration kCommitStall = milliseconds(200);
+/// A primary that answers nothing, but breaks off so many statements in a row for so long, can't be used,
+/// whatever its status says. A connection that is reset once is one statement; what is sent next is answered.
+inline constexpr int kBrokenOffStatements = 3;
+inline constexpr Duration kBrokenOffFor = milliseconds(200);
 inline constexpr Duration kWatchTick = milliseconds(100);
 /// The same primary is not reported again within this time.
 inline constexpr Duration kSuspicionRepeat = milliseconds(300);
@@ -125,8 +127,7 @@
 /// Shorter serves no better since others are asked where a primary is full, and costs handshakes
 /// (docs/WORTH.md).
 inline constexpr Duration kIdleLinkLife = seconds(2);
-/// Connections kept back from the shares, for control nodes and for proxies that start.
-inline constexpr std::uint64_t kReservedConnections = 4;
+/// Connections to one backend that a proxy has at least and at most, whatever its share is.
 inline constexpr std::uint64_t kLeastConnections = 2;
 inline constexpr std::uint64_t kMostConnections = 12;
 /// After a backend refused one more connection none is opened for this long.
--- a/src/session/statement_runner.cpp
+++ b/src/session/statement_runner.cpp
@@ -258,8 +258,12 @@
   services_.metrics.count_lost_answer();
   GroupAccess& group = *attempt.order.group;
   attempt.backend->avoid_until = services_.runtime.now() + kAvoidBackend;
-  if (attempt.at_primary && group.term().epoch == attempt.epoch)
-    services_.link.report_suspicion(group, SuspicionKind::kSilent);
+  if (attempt.at_primary && group.term().epoch == attempt.epoch) {
+    const bool broke_off = reason.code == ReasonCode::kConnectionLost && attempt.sent != SendState::kNotSent;
+    const bool is_of_no_use = broke_off && group.note_broken_off();
+    services_.link.report_suspicion(group,
+                                    is_of_no_use ? SuspicionKind::kUnreachable : SuspicionKind::kSilent);
+  }
   services_.runtime.logger().log(
       LogLevel::kWarning, "answer_lost", reason,
       {{"id", attempt.order.id},
@@ -303,6 +307,7 @@
   const PinnedLink pinned{attempt.backend, attempt.link, std::nullopt, attempt.epoch, attempt.at_primary};
   attempt.link->note_state(answer.state);
   const bool current = services_.view.may_use_primary(group, attempt.epoch);
+  if (attempt.at_primary) group.note_primary_answered();
   const auto drop = [&] {
     if (order.opens_transaction) {
       services_.runtime.spawn("roll_back", roll_back(pinned));
--- a/standins/unfenced/database.cpp
+++ b/standins/unfenced/database.cpp
@@ -60,6 +60,10 @@
     stopped_ = true;
     state().running = false;
     listener_->close();
+    reset_connections();
+  }
+  void break_off(bool breaks_off) override { breaks_off_ = breaks_off; }
+  void reset_connections() override {
     for (const auto& open : open_) {
       if (const auto lines = open.lock()) lines->close();
     }
@@ -170,6 +174,10 @@
       std::string_view text = *line;
       take_word(text);
       const std::string_view id = take_word(text);
+      if (breaks_off_ && id != "-") {
+        lines->close();
+        co_return;
+      }
       Answer answer = co_await answer_text(connection, std::string(id), std::string(text));
       if (runtime_.random().unit() < settings_.lost_answers && id != "-") co_return;
       answer.state = connection.state;
@@ -328,6 +336,7 @@
   std::uint64_t heartbeats_elsewhere_ = 0;
   bool leaving_ = false;
   bool stopped_ = false;
+  bool breaks_off_ = false;
 };
 
 class PromotionCall : public runtime::Role, public runtime::HttpHandler {
--- a/standins/unfenced/database.h
+++ b/standins/unfenced/database.h
@@ -30,6 +30,10 @@
   virtual void crash() = 0;
   /// Takes itself out of the registry at once.
   virtual void deregister() = 0;
+  /// From now on, or no more, it resets the connection of each statement of a caller; its status is as ever.
+  virtual void break_off(bool breaks_off) = 0;
+  /// Resets all connections once.
+  virtual void reset_connections() = 0;
   [[nodiscard]] virtual std::uint64_t statements_run() const = 0;
   /// Heartbeats that were taken at the address that it was told of.
   [[nodiscard]] virtual std::uint64_t heartbeats_elsewhere() const = 0;
--- a/tests/simulation/registered_fleet_test.cpp
+++ b/tests/simulation/registered_fleet_test.cpp
@@ -64,6 +64,8 @@
   CPPUNIT_TEST(a_primary_cut_from_its_replicas_is_replaced);
   CPPUNIT_TEST(a_primary_whose_commits_stall_without_a_successor_serves_reads);
   CPPUNIT_TEST(a_deaf_replica_is_not_promoted_after_the_one_that_heard_has_left);
+  CPPUNIT_TEST(a_primary_that_breaks_off_what_it_is_sent_is_replaced);
+  CPPUNIT_TEST(a_primary_whose_connections_are_reset_stays);
   CPPUNIT_TEST(a_leaving_primary_hands_over);
   CPPUNIT_TEST(a_deaf_replica_is_not_promoted_over_one_that_heard);
   CPPUNIT_TEST(nobody_is_promoted_while_acknowledged_commits_may_be_missing);
@@ -208,6 +210,29 @@
     });
   }
 
+  void a_primary_that_breaks_off_what_it_is_sent_is_replaced() {
+    check([](RegisteredFleet& fleet) {
+      const std::string old_primary = fleet.primary();
+      const TimePoint from = fleet.world().now();
+      fleet.database(old_primary).break_off(true);
+      fleet.run_for(seconds(6));
+      expect_gap_below(fleet, from, milliseconds(2500));
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, fleet.group().promotions());
+      fleet.database(old_primary).break_off(false);
+      fleet.run_for(seconds(2));
+    });
+  }
+
+  void a_primary_whose_connections_are_reset_stays() {
+    check([](RegisteredFleet& fleet) {
+      for (int reset = 0; reset < 10; ++reset) {
+        fleet.database(fleet.primary()).reset_connections();
+        fleet.run_for(milliseconds(400));
+      }
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, fleet.group().promotions());
+    });
+  }
+
   void a_leaving_primary_hands_over() {
     check([](RegisteredFleet& fleet) {
       const std::string old_primary = fleet.primary();
