Proxies out of reach are logged when lost and found, and tried again when nobody asked for them for a while

Found by reading: an avoided proxy is not asked, so its dials ended after 10 s without interest and it stayed avoided for good after a longer cut. The test fails first.

--- a/src/session/forwarder.cpp
+++ b/src/session/forwarder.cpp
@@ -1,6 +1,7 @@
 #include "session/forwarder.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "session/knobs.h"
@@ -114,14 +115,29 @@
   while (!peer->is_open() && peer->is_dialling && !peer->is_unreachable && runtime_.now() < patience)
     co_await peer->dialled.wait_until(patience);
   if (peer->is_open()) co_return peer->connection;
-  peer->is_unreachable = true;
+  note_unreachable(*peer);
   reason = peer->last_reason;
-  if (!reason.failed())
-    reason = Reason{ReasonCode::kDeadlineExceeded, "open_connection", peer->endpoint.to_string(),
-                    "not opened soon"};
   co_return nullptr;
 }
 
+void Forwarder::note_unreachable(ForwardPeer& peer) {
+  if (!peer.last_reason.failed())
+    peer.last_reason = Reason{ReasonCode::kDeadlineExceeded, "open_connection", peer.endpoint.to_string(),
+                              "not opened soon"};
+  if (std::exchange(peer.is_unreachable, true)) return;
+  peer.unreachable_since = runtime_.now();
+  runtime_.logger().log(runtime::LogLevel::kWarning, "proxy_unreachable", peer.last_reason,
+                        {{"proxy", peer.name.value}});
+}
+
+void Forwarder::note_reached(ForwardPeer& peer) {
+  if (!std::exchange(peer.is_unreachable, false)) return;
+  const auto away =
+      std::chrono::duration_cast<std::chrono::milliseconds>(runtime_.now() - peer.unreachable_since);
+  runtime_.logger().log(runtime::LogLevel::kInfo, "proxy_reached",
+                        {{"proxy", peer.name.value}, {"after_ms", std::to_string(away.count())}});
+}
+
 void Forwarder::start_dialling(const PeerPointer& peer) {
   if (peer->is_dialling) return;
   peer->is_dialling = true;
@@ -139,13 +155,15 @@
     if (is_reached && peer->is_unreachable) is_reached = co_await shows_life(connection, peer->last_reason);
     if (connection && !is_reached) connection->close();
     if (is_reached) peer->connection = connection;
-    peer->is_unreachable = !is_reached;
+    if (is_reached) note_reached(*peer);
+    if (!is_reached) note_unreachable(*peer);
     peer->dialled.notify_all();
     if (!is_reached) co_await runtime_.sleep_for(runtime_.random().between(pause / 2, pause));
     pause = std::min<Duration>(pause * 2, kForwardRedialLimit);
     const bool is_wanted = runtime_.now() - peer->wanted_at < kForwardInterest;
     peer->is_dialling = !is_reached && is_wanted;
   }
+  peer->is_unreachable = false;
   peer->dialled.notify_all();
 }
 
@@ -183,7 +201,10 @@
   avoid_for(proxy, group);
   const auto found = peers_.find(proxy);
   if (found == peers_.end() || found->second->is_open()) return;
-  found->second->is_unreachable = true;
+  ForwardPeer& peer = *found->second;
+  peer.last_reason = Reason{ReasonCode::kConnectionLost, "forward", peer.endpoint.to_string(),
+                            "no answer and no sign of life"};
+  note_unreachable(peer);
   start_dialling(found->second);
 }
 
--- a/src/session/forwarder.h
+++ b/src/session/forwarder.h
@@ -65,6 +65,7 @@
   std::shared_ptr<ForwardConnection> connection;
   /// It could not be reached, or gave no answer, and no sign of life has come since.
   bool is_unreachable = false;
+  TimePoint unreachable_since{};
   bool is_dialling = false;
   TimePoint dialling_since{};
   TimePoint wanted_at{};  ///< when a statement was last to be sent there
@@ -95,8 +96,11 @@
  private:
   using PeerPointer = std::shared_ptr<ForwardPeer>;
 
+  void note_unreachable(ForwardPeer& peer);
+  void note_reached(ForwardPeer& peer);
   void start_dialling(const PeerPointer& peer);
-  /// Until the peer is reached, or nobody wants it any more.
+  /// Until the peer is reached, or nobody has wanted it for a while: then nothing is known of it any more,
+  /// and the next statement finds out.
   Awaitable<void> dial(PeerPointer peer);
   Awaitable<std::shared_ptr<ForwardConnection>> open(PeerPointer peer);
   /// Whether the other side answers.
--- a/tests/session/forwarder_test.cpp
+++ b/tests/session/forwarder_test.cpp
@@ -103,6 +103,7 @@
   CPPUNIT_TEST(nothing_is_asked_while_nothing_is_waited_for);
   CPPUNIT_TEST(a_proxy_out_of_reach_holds_statements_up_once_and_shortly);
   CPPUNIT_TEST(a_proxy_out_of_reach_is_used_again_once_it_is_back);
+  CPPUNIT_TEST(a_proxy_that_nobody_asked_for_a_while_is_tried_again);
   CPPUNIT_TEST(a_frozen_proxy_is_avoided_until_it_wakes);
   CPPUNIT_TEST_SUITE_END();
 
@@ -164,6 +165,16 @@
     CPPUNIT_ASSERT(run_call().answered);
   }
 
+  void a_proxy_that_nobody_asked_for_a_while_is_tried_again() {
+    cut();
+    run_connect();
+    world_->run_for(kForwardInterest + kForwardDialLimit + kForwardRedialLimit);
+    CPPUNIT_ASSERT_MESSAGE("avoided proxies are not asked: one would stay so for good",
+                           !forwarder_->is_avoided(proxy_->name, kGroup));
+    world_->heal();
+    CPPUNIT_ASSERT(run_call().answered);
+  }
+
   void a_frozen_proxy_is_avoided_until_it_wakes() {
     CPPUNIT_ASSERT(run_call().answered);
     world_->freeze("peer");
