A late heartbeat of a former incarnation displaces nobody

When nothing of the former one had come before, it took the address, and the one that serves there was out for good: who is displaced does not come back. Change: where a registration would displace another backend, control asks the address; if a backend of another name answers there, the registration is refused and logged. No look, no change where nobody answers clearly, as before.

--- a/simulation/registered_fleet.cpp
+++ b/simulation/registered_fleet.cpp
@@ -301,6 +301,26 @@
   return result->has_value() && (*result)->status == 200;
 }
 
+bool RegisteredFleet::is_registered(const BackendName& backend) {
+  const std::string name = leader();
+  return !name.empty() && control::registered::fleet_of(world_.role(name)).find_backend(backend) != nullptr;
+}
+
+bool RegisteredFleet::deliver_late_heartbeat(const std::string& place, const BackendName& former) {
+  DatabaseSettings settings;
+  settings.backend = former;
+  settings.endpoint = {address_of(place), kDatabasePort};
+  settings.zone = ZoneName(kZones[0]);
+  const GroupName group = members_.at(place).first->name();
+  const runtime::HttpRequest request = standins::unfenced::print_heartbeat(settings, group, {});
+  auto result = std::make_shared<std::optional<runtime::HttpResponse>>();
+  VirtualRuntime& operators = world_.runtime("operator");
+  operators.spawn("late_heartbeat",
+                  call(operators, control_endpoints(kOperatorPort).front(), request, result));
+  world_.run_until([&] { return result->has_value() && (*result)->status != 0; }, kCallTimeout);
+  return result->has_value() && (*result)->status == 200;
+}
+
 bool RegisteredFleet::is_leaving(const BackendName& backend) {
   const std::string name = leader();
   if (name.empty()) return false;
--- a/simulation/registered_fleet.h
+++ b/simulation/registered_fleet.h
@@ -63,6 +63,10 @@
   /// What the leader holds for certain of a backend, and of a group.
   bool is_leaving(const BackendName& backend);
   bool is_open(const GroupName& group);
+  /// Whether the leader holds a backend under this name.
+  bool is_registered(const BackendName& backend);
+  /// A heartbeat that a former incarnation of `place` sent comes now; true when it is acknowledged.
+  bool deliver_late_heartbeat(const std::string& place, const BackendName& former);
   /// Proxies among which the leader has the groups divided.
   std::size_t working_proxies();
   standins::unfenced::GroupModel& group(std::size_t number = 1) { return *models_[number - 1]; }
--- a/src/control/registered/group_prober.cpp
+++ b/src/control/registered/group_prober.cpp
@@ -37,6 +37,15 @@
   co_return co_await run(std::move(entry), std::move(request), deadline, reason);
 }
 
+Awaitable<bool> GroupProber::is_another(registry::BackendEntry entry, TimePoint deadline) {
+  Reason reason;
+  std::optional<session::Refusal> refusal;
+  const session::BackendAddress address{entry.endpoint, entry.group, entry.name};
+  const auto link = co_await dialer_.open(address, deadline, refusal, reason);
+  if (link) link->close();
+  co_return refusal == session::Refusal::kWrongBackend;
+}
+
 Awaitable<std::optional<session::BackendStatus>> GroupProber::run(registry::BackendEntry entry,
                                                                   session::BackendRequest request,
                                                                   TimePoint deadline, Reason& reason) {
--- a/src/control/registered/group_prober.h
+++ b/src/control/registered/group_prober.h
@@ -32,6 +32,8 @@
                                                          TimePoint deadline, Reason& reason);
   Awaitable<std::optional<session::BackendStatus>> resume(registry::BackendEntry entry, TimePoint deadline,
                                                           Reason& reason);
+  /// Whether a backend of another name answers at the entry's address. False when nobody answers clearly.
+  Awaitable<bool> is_another(registry::BackendEntry entry, TimePoint deadline);
   /// All at once; returns when all have answered or the time is over, or `enough` says that what came will
   /// do.
   using Enough = std::function<bool(const std::vector<MemberFinding>&)>;
--- a/src/control/registered/registered_control_node.cpp
+++ b/src/control/registered/registered_control_node.cpp
@@ -68,7 +68,7 @@
         promotions_(edge.make_promotions(runtime, settings_.promotion_endpoint)),
         groups_(runtime, *raft_, fleet_, calls_, leases_, prober_, *promotions_, settings_.node),
         voters_(runtime, *raft_, directory_, settings_.lost_disks_tolerated),
-        registrations_(runtime, *raft_, fleet_, calls_, voters_),
+        registrations_(runtime, *raft_, fleet_, calls_, voters_, prober_),
         operator_calls_(edge.make_operator_calls(registrations_)),
         metrics_(*raft_, fleet_, leases_),
         dispatcher_(runtime) {
--- a/src/control/registered/registration_service.cpp
+++ b/src/control/registered/registration_service.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <fmt/ranges.h>
 
+#include "control/registered/knobs.h"
 #include "registry/validation.h"
 
 namespace cairnhollow::control::registered {
@@ -70,6 +71,12 @@
   return {takers->second[std::hash<BackendName>{}(name) % takers->second.size()]};
 }
 
+Awaitable<bool> RegistrationService::is_outdated(registry::BackendEntry entry) {
+  const registry::BackendEntry* neighbour = fleet_.find_backend_at(entry.endpoint);
+  if (neighbour == nullptr || neighbour->name == entry.name) co_return false;
+  co_return co_await prober_.is_another(std::move(entry), runtime_.now() + kStatusTimeout);
+}
+
 Awaitable<std::optional<registry::Registration>> RegistrationService::register_backend(
     registry::BackendEntry entry, Reason& reason) {
   const registry::BackendEntry* held = fleet_.find_backend(entry.name);
@@ -77,6 +84,14 @@
   const registry::Registration registration = place(entry.name, entry.zone);
   // The old news is in the log already, so that it binds whoever serves.
   if (old || fleet_.is_deregistered(entry.name)) co_return registration;
+  const bool outdated = co_await is_outdated(entry);
+  if (outdated) {
+    reason = Reason{ReasonCode::kConflict, "register_backend", entry.endpoint.to_string(),
+                    "another backend answers at its address"};
+    runtime_.logger().log(LogLevel::kWarning, "backend_not_registered", reason,
+                          {{"backend", entry.name.value}, {"group", entry.group.value}});
+    co_return std::nullopt;
+  }
   const std::string name = entry.name.value;
   const bool leaving = entry.leaving;
   const std::string group = entry.group.value;
--- a/src/control/registered/registration_service.h
+++ b/src/control/registered/registration_service.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "consensus/consensus.h"
+#include "control/registered/group_prober.h"
 #include "control/registered/leader_calls.h"
 #include "control/registered/voter_keeper.h"
 #include "registry/control_service.h"
@@ -14,12 +15,14 @@
 class RegistrationService : public registry::ControlService {
  public:
   RegistrationService(runtime::Runtime& runtime, consensus::Consensus& consensus,
-                      registry::FleetStateMachine& fleet, LeaderCalls& calls, const VoterKeeper& voters)
+                      registry::FleetStateMachine& fleet, LeaderCalls& calls, const VoterKeeper& voters,
+                      GroupProber& prober)
       : runtime_(runtime),
         consensus_(consensus),
         fleet_(fleet),
         calls_(calls),
         voters_(voters),
+        prober_(prober),
         begun_(runtime.now()) {}
 
   Awaitable<bool> replace_document(registry::ConfigurationDocument document, Reason& reason) override;
@@ -34,6 +37,10 @@
   /// waited for.
   [[nodiscard]] bool may_acknowledge(Reason& reason) const;
 
+  /// Whether another backend, registered at the same address, answers there: then the registration is a late
+  /// one of an incarnation that is gone. Taken in, it would displace the other for good, since who was
+  /// displaced does not come back.
+  Awaitable<bool> is_outdated(registry::BackendEntry entry);
   /// One proxy for each backend, of its zone where there are any.
   [[nodiscard]] registry::Registration place(const BackendName& name, const ZoneName& zone);
   void refresh_takers();
@@ -43,6 +50,7 @@
   registry::FleetStateMachine& fleet_;
   LeaderCalls& calls_;
   const VoterKeeper& voters_;
+  GroupProber& prober_;
   TimePoint begun_;
   std::map<ZoneName, std::vector<Endpoint>> takers_;  ///< proxies that stay, by zone
   std::uint64_t takers_revision_ = 0;                 ///< of the fleet that they were taken from
--- a/src/registry/state_machine.cpp
+++ b/src/registry/state_machine.cpp
@@ -178,6 +178,11 @@
   return members;
 }
 
+const BackendEntry* FleetStateMachine::find_backend_at(const Endpoint& endpoint) const {
+  const auto found = at_endpoint_.find(endpoint);
+  return found == at_endpoint_.end() ? nullptr : find_backend(found->second);
+}
+
 const std::set<BackendName>& FleetStateMachine::members_of(const GroupName& group) const {
   static const std::set<BackendName> nobody;
   const auto found = members_.find(group);
--- a/src/registry/state_machine.h
+++ b/src/registry/state_machine.h
@@ -39,6 +39,8 @@
   [[nodiscard]] const BackendEntry* find_backend(const BackendName& name) const {
     return state_.backends.find(name);
   }
+  /// Who registered last at an address and is not gone; null: nobody.
+  [[nodiscard]] const BackendEntry* find_backend_at(const Endpoint& endpoint) const;
   /// Deregistered for good; a late heartbeat does not bring it back.
   [[nodiscard]] bool is_deregistered(const BackendName& name) const {
     return state_.backends.was_removed(name);
--- a/standins/unfenced/database.cpp
+++ b/standins/unfenced/database.cpp
@@ -99,17 +99,11 @@
   }
 
   runtime::HttpRequest heartbeat(bool deregisters) {
-    runtime::HttpRequest request;
-    request.target = "/instances/" + settings_.backend.value;
-    request.method = deregisters ? runtime::HttpMethod::kDelete : runtime::HttpMethod::kPut;
-    const boost::json::value body{{"Service", model_.name().value},
-                                  {"Addr", settings_.endpoint.to_string()},
-                                  {"Zone", settings_.zone.value},
-                                  {"Slots", settings_.slots},
-                                  {"State", leaving_ ? "draining" : "ready"},
-                                  {"DbRole", state().primary ? "primary" : "replica"},
-                                  {"Seq", ++sequence_}};
-    if (!deregisters) request.body = boost::json::serialize(body);
+    const Heartbeat said{leaving_, state().primary, ++sequence_};
+    runtime::HttpRequest request = print_heartbeat(settings_, model_.name(), said);
+    if (!deregisters) return request;
+    request.method = runtime::HttpMethod::kDelete;
+    request.body.clear();
     return request;
   }
 
@@ -381,6 +375,22 @@
 
 }  // namespace
 
+runtime::HttpRequest print_heartbeat(const DatabaseSettings& settings, const GroupName& group,
+                                     const Heartbeat& heartbeat) {
+  const boost::json::value body{{"Service", group.value},
+                                {"Addr", settings.endpoint.to_string()},
+                                {"Zone", settings.zone.value},
+                                {"Slots", settings.slots},
+                                {"State", heartbeat.leaving ? "draining" : "ready"},
+                                {"DbRole", heartbeat.is_primary ? "primary" : "replica"},
+                                {"Seq", heartbeat.sequence}};
+  runtime::HttpRequest request;
+  request.method = runtime::HttpMethod::kPut;
+  request.target = "/instances/" + settings.backend.value;
+  request.body = boost::json::serialize(body);
+  return request;
+}
+
 std::unique_ptr<Database> make_database(runtime::Runtime& runtime, GroupModel& model,
                                         DatabaseSettings settings) {
   return std::make_unique<DatabaseRole>(runtime, model, std::move(settings));
--- a/standins/unfenced/database.h
+++ b/standins/unfenced/database.h
@@ -39,6 +39,15 @@
   [[nodiscard]] virtual std::uint64_t heartbeats_elsewhere() const = 0;
 };
 
+/// What a backend says of itself with a heartbeat.
+struct Heartbeat {
+  bool leaving = false;
+  bool is_primary = false;
+  std::uint64_t sequence = 0;
+};
+runtime::HttpRequest print_heartbeat(const DatabaseSettings& settings, const GroupName& group,
+                                     const Heartbeat& heartbeat);
+
 /// `model` and `runtime` outlive it.
 std::unique_ptr<Database> make_database(runtime::Runtime& runtime, GroupModel& model,
                                         DatabaseSettings settings);
--- a/tests/simulation/registered_fleet_test.cpp
+++ b/tests/simulation/registered_fleet_test.cpp
@@ -92,6 +92,8 @@
   CPPUNIT_TEST(a_standby_takes_the_place_of_a_lost_voter);
   CPPUNIT_TEST(documents_survive_a_storm_of_leader_kills);
   CPPUNIT_TEST(heartbeats_that_say_nothing_new_are_answered_by_proxies);
+  CPPUNIT_TEST(a_late_heartbeat_of_a_former_incarnation_displaces_nobody);
+  CPPUNIT_TEST(a_new_incarnation_takes_the_address_of_the_one_before);
   CPPUNIT_TEST(many_backends_register_while_all_proxies_restart);
   CPPUNIT_TEST_SUITE_END();
 
@@ -633,6 +635,35 @@
     });
   }
 
+  /// Nothing that the former one sent had come before, so that its name is not known as one that is gone.
+  void a_late_heartbeat_of_a_former_incarnation_displaces_nobody() {
+    check([](RegisteredFleet& fleet) {
+      const BackendName former("g1-b2-before");
+      for (int beat = 0; beat < 3; ++beat) {
+        CPPUNIT_ASSERT(!fleet.deliver_late_heartbeat("g1-b2", former));
+        fleet.run_for(milliseconds(500));
+        CPPUNIT_ASSERT(!fleet.is_registered(former));
+        CPPUNIT_ASSERT(fleet.is_registered(BackendName("g1-b2")));
+      }
+      const std::uint64_t served = fleet.database("g1-b2").statements_run();
+      fleet.run_for(seconds(3));
+      CPPUNIT_ASSERT(fleet.database("g1-b2").statements_run() > served + 20);
+    });
+  }
+
+  /// The one before is gone without a word, and its address is answered by nobody else.
+  void a_new_incarnation_takes_the_address_of_the_one_before() {
+    check([](RegisteredFleet& fleet) {
+      fleet.vanish("g1-b2");
+      const BackendName next("g1-b2-next");
+      fleet.run_for(seconds(1));
+      CPPUNIT_ASSERT(fleet.deliver_late_heartbeat("g1-b2", next));
+      fleet.run_for(milliseconds(200));
+      CPPUNIT_ASSERT(fleet.is_registered(next));
+      CPPUNIT_ASSERT(!fleet.is_registered(BackendName("g1-b2")));
+    });
+  }
+
   void many_backends_register_while_all_proxies_restart() {
     check(
         [](RegisteredFleetSettings& settings) {
