Read again: slots, add_once and milliseconds in one place each, one question for a sign of life, a look at members less

Cause: the change had written again what stood elsewhere. The least slots of a group were worked out by proxies and by the leader, now in registry::serving_proxies; add_once stood in two modules, now src/base/add_once.h; whole milliseconds in eight places, now in_ms in base/types.h; the question for a sign of life twice in the forwarder. Members were watched twice in one look of the group keeper. ask_hinted only called ask. Left: leader and proxies count the proxies of a division differently while some leave (all admitted, those that take work).

--- a/src/base/types.h
+++ b/src/base/types.h
@@ -97,6 +97,11 @@
 
 using Duration = std::chrono::nanoseconds;
 
+/// Whole milliseconds, for log lines and messages.
+inline std::int64_t in_ms(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 /// A clock of one process that never steps back; its zero has no meaning in another process.
 struct MonotonicClock {
   using duration = Duration;
--- a/src/cli/status_tables.cpp
+++ b/src/cli/status_tables.cpp
@@ -22,9 +22,7 @@
 }
 
 /// Milliseconds, rounded down.
-std::string duration_text(Duration duration) {
-  return fmt::format("{}ms", std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
+std::string duration_text(Duration duration) { return fmt::format("{}ms", in_ms(duration)); }
 
 std::string state_of(const control::GroupMemberStatus& member) {
   std::string state = member.reachable ? "reachable" : "unreachable";
--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -1,7 +1,6 @@
 #include "consensus/election.h"
 
 #include <algorithm>
-#include <chrono>
 #include <string>
 
 namespace cairnhollow::consensus {
@@ -61,12 +60,11 @@
 }
 
 void Election::note_campaign(bool leadership_transfer) const {
-  const auto silence = std::chrono::duration_cast<std::chrono::milliseconds>(state_.runtime().now() -
-                                                                             state_.election_timer_start());
+  const std::int64_t silence = in_ms(state_.runtime().now() - state_.election_timer_start());
   state_.runtime().logger().log(runtime::LogLevel::kInfo, "consensus_campaign",
                                 {{"term", std::to_string(state_.term())},
                                  {"leader", state_.leader().value},
-                                 {"silent_ms", std::to_string(silence.count())},
+                                 {"silent_ms", std::to_string(silence)},
                                  {"transfer", leadership_transfer ? "true" : "false"}});
 }
 
--- a/src/consensus/raft_state.cpp
+++ b/src/consensus/raft_state.cpp
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <chrono>
 #include <string>
 
 #include "consensus/knobs.h"
@@ -109,10 +108,10 @@
   if (halted_) co_return;
   storage_failed_ = false;
   election_timer_start_ = runtime_.now();
-  const auto away = std::chrono::duration_cast<std::chrono::milliseconds>(runtime_.now() - failed_at);
+  const std::int64_t away = in_ms(runtime_.now() - failed_at);
   runtime_.logger().log(
       runtime::LogLevel::kInfo, "consensus_storage_recovered",
-      {{"after_ms", std::to_string(away.count())}, {"last_index", std::to_string(log_.last_index())}});
+      {{"after_ms", std::to_string(away)}, {"last_index", std::to_string(log_.last_index())}});
   observer_.configuration_changed();
   observer_.role_changed();
 }
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -104,10 +104,8 @@
       return fmt::format("{}; cause: {} gave up or lost the role", leads, before.value);
     const auto peer = core_.news().peers().find(before);
     if (!peer) return fmt::format("{}; cause: {} is not heard", leads, before.value);
-    const auto silent =
-        std::chrono::duration_cast<std::chrono::milliseconds>(runtime_.now() - peer->heard_at);
-    return fmt::format("{}; cause: {} led before and was last heard {} ms ago", leads, before.value,
-                       silent.count());
+    const std::int64_t silent = in_ms(runtime_.now() - peer->heard_at);
+    return fmt::format("{}; cause: {} led before and was last heard {} ms ago", leads, before.value, silent);
   }
 
   void describe(NewsMessage& message) const {
--- a/src/control/failover_messages.cpp
+++ b/src/control/failover_messages.cpp
@@ -4,25 +4,17 @@
 
 namespace cairnhollow::control {
 
-namespace {
-
-std::int64_t milliseconds_of(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
-}  // namespace
-
 std::string failover_started_message(const GroupObservation& observation, FailoverCause cause,
                                      Duration held) {
   std::string seen = "no primary is known";
   for (const auto& member : observation.members) {
     if (member.member.backend != observation.known.primary) continue;
-    seen = fmt::format("{} last answered {} ms ago{}", member.member.backend.value,
-                       milliseconds_of(member.silent_for), member.refused ? ", it refuses connections" : "");
+    seen = fmt::format("{} last answered {} ms ago{}", member.member.backend.value, in_ms(member.silent_for),
+                       member.refused ? ", it refuses connections" : "");
   }
   const auto reported = observation.suspected ? "; reported by a proxy" : "";
-  return fmt::format("cause: {}, found {} ms ago; {}{}", failover_cause_name(cause), milliseconds_of(held),
-                     seen, reported);
+  return fmt::format("cause: {}, found {} ms ago; {}{}", failover_cause_name(cause), in_ms(held), seen,
+                     reported);
 }
 
 std::string members_fenced_message(std::uint64_t term, const FenceResult& result) {
@@ -42,15 +34,15 @@
   return fmt::format(
       "{} is primary of term {} in place of {}; {} members fenced; cause: {}; fence {} ms, promotion {} ms",
       outcome.primary.backend.value, outcome.term, replaced.empty() ? "none" : replaced.value, outcome.fenced,
-      failover_cause_name(cause), milliseconds_of(outcome.fencing), milliseconds_of(outcome.promoting));
+      failover_cause_name(cause), in_ms(outcome.fencing), in_ms(outcome.promoting));
 }
 
 std::string failover_failed_message(const FailedAttempt& attempt, FailoverCause cause) {
   return fmt::format(
       "attempt {} in a row failed; cause: {}; it took {} ms, each call was given {} ms; the next one in {} "
       "ms",
-      attempt.failures_in_a_row, failover_cause_name(cause), milliseconds_of(attempt.took),
-      milliseconds_of(attempt.call_timeout), milliseconds_of(attempt.next_after));
+      attempt.failures_in_a_row, failover_cause_name(cause), in_ms(attempt.took), in_ms(attempt.call_timeout),
+      in_ms(attempt.next_after));
 }
 
 }  // namespace cairnhollow::control
--- a/src/control/operator_json_write.cpp
+++ b/src/control/operator_json_write.cpp
@@ -12,10 +12,6 @@
 
 namespace {
 
-std::int64_t milliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 json::object position_json(const Position& position) {
   return {{"term", position.term}, {"index", position.index}};
 }
@@ -66,7 +62,7 @@
                       {"zone", proxy.zone.value},
                       {"controlNode", proxy.control_node.value},
                       {"revision", proxy.revision},
-                      {"leaseLeftMs", milliseconds(proxy.lease_left)},
+                      {"leaseLeftMs", in_ms(proxy.lease_left)},
                       {"inFlight", proxy.in_flight},
                       {"draining", proxy.draining}};
 }
--- a/src/control/registered/control_node_directory.cpp
+++ b/src/control/registered/control_node_directory.cpp
@@ -1,18 +1,9 @@
 #include "control/registered/control_node_directory.h"
 
-#include <algorithm>
+#include "base/add_once.h"
 
 namespace cairnhollow::control::registered {
 
-namespace {
-
-void add_once(std::vector<Endpoint>& endpoints, const Endpoint& endpoint) {
-  if (std::find(endpoints.begin(), endpoints.end(), endpoint) == endpoints.end())
-    endpoints.push_back(endpoint);
-}
-
-}  // namespace
-
 std::vector<consensus::Member> ControlNodeDirectory::all_alive(TimePoint now) const {
   std::vector<consensus::Member> members;
   for (const auto& [node, presence] : presences_) {
--- a/src/control/registered/group_keeper.cpp
+++ b/src/control/registered/group_keeper.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <vector>
 
 #include "control/registered/knobs.h"
 #include "registry/division.h"
@@ -72,7 +73,6 @@
 void GroupKeeper::look_at_all() {
   const std::uint64_t revision = fleet_.revision();
   for (const auto& group : fleet_.groups()) {
-    watch_members(group.name);
     const bool unsettled = memberships_[group.name].unsettled;
     if (unsettled && settling_.insert(group.name).second)
       runtime_.spawn("settle_members", settle_members(group.name));
@@ -263,11 +263,9 @@
   const std::size_t proxies = fleet_.proxy_count();
   const registry::GroupRule* rule = fleet_.find_group(group);
   if (rule == nullptr) return proxies;
-  std::uint64_t least_slots = 0;
-  for (const registry::BackendEntry& entry : fleet_.backends_of(group)) {
-    if (entry.slots > 0) least_slots = least_slots == 0 ? entry.slots : std::min(least_slots, entry.slots);
-  }
-  return registry::serving_proxies(*rule, least_slots, proxies);
+  std::vector<std::uint64_t> slots;
+  for (const registry::BackendEntry& entry : fleet_.backends_of(group)) slots.push_back(entry.slots);
+  return registry::serving_proxies(*rule, slots, proxies);
 }
 
 Awaitable<bool> GroupKeeper::commits_stalled(GroupName group, GroupTerm term) {
--- a/src/registry/division.cpp
+++ b/src/registry/division.cpp
@@ -11,12 +11,15 @@
   return rule.max_connections > kReservedConnections ? rule.max_connections - kReservedConnections : 1;
 }
 
-std::size_t serving_proxies(const GroupRule& rule, std::uint64_t least_slots, std::size_t proxies) {
+std::size_t serving_proxies(const GroupRule& rule, const std::vector<std::uint64_t>& slots,
+                            std::size_t proxies) {
   std::size_t serving = proxies;
   const std::uint64_t usable = usable_connections(rule);
   if (usable > 0) serving = routing::subset_size(static_cast<std::uint32_t>(usable), proxies);
-  const std::uint64_t by_slots = least_slots * kServingProxiesPerSlot;
-  if (by_slots > 0) serving = std::min<std::size_t>(serving, by_slots);
+  for (const std::uint64_t of_backend : slots) {
+    const std::uint64_t by_slots = of_backend * kServingProxiesPerSlot;
+    if (by_slots > 0) serving = std::min<std::size_t>(serving, by_slots);
+  }
   return serving;
 }
 
--- a/src/registry/division.h
+++ b/src/registry/division.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <vector>
 
 #include "registry/model.h"
 
@@ -18,7 +19,8 @@
 std::uint64_t usable_connections(const GroupRule& rule);
 
 /// Of `proxies` that take work: so many that each has connections to work with, and that together they do not
-/// send a backend more than it can queue. `least_slots`: of the group's backends; 0: not known.
-std::size_t serving_proxies(const GroupRule& rule, std::uint64_t least_slots, std::size_t proxies);
+/// send a backend more than it can queue. `slots`: of each backend of the group; 0: not known.
+std::size_t serving_proxies(const GroupRule& rule, const std::vector<std::uint64_t>& slots,
+                            std::size_t proxies);
 
 }  // namespace cairnhollow::registry
--- a/src/registry/member_lease.h
+++ b/src/registry/member_lease.h
@@ -24,7 +24,7 @@
 inline constexpr Duration kMemberLeaseWait = std::chrono::milliseconds(600);
 /// A proxy uses such leases for no longer after its last lease from control. Bounds what it may not have
 /// heard of: a member that registered longer ago than this is known to every proxy that still serves. Less
-/// than the time by which an unstable core may delay a configuration (MaxStretchMs, 12 s on all deployments).
+/// than the time by which an unstable core may delay a configuration (12 s at least on all deployments).
 inline constexpr Duration kServeWithoutControl = std::chrono::seconds(10);
 
 }  // namespace cairnhollow::registry
--- a/src/session/caller_session.h
+++ b/src/session/caller_session.h
@@ -49,10 +49,9 @@
   Awaitable<bool> open();
   /// Whether the session's statements are likely to be served, here or elsewhere.
   [[nodiscard]] bool may_open() const;
-  /// Refused because this proxy does not reach the group's primary, or may not use it, and
-  /// reached no other proxy that does. The session is
-  /// ended then, so that its caller comes back through another proxy: on this one every further attempt
-  /// would meet the same.
+  /// Refused because this proxy does not reach the group's primary, or may not use it, and reached no other
+  /// proxy that does. The session is ended then, so that its caller comes back through another proxy: on this
+  /// one every further attempt would meet the same.
   [[nodiscard]] bool is_unserved_here(const Answer& answer);
   Awaitable<Answer> handle(Statement statement);
   Answer begin(const Statement& statement);
--- a/src/session/fleet_link.cpp
+++ b/src/session/fleet_link.cpp
@@ -1,8 +1,8 @@
 #include "session/fleet_link.h"
 
-#include <algorithm>
 #include <utility>
 
+#include "base/add_once.h"
 #include "wire/codec.h"
 #include "wire/compression.h"
 #include "wire/hello.h"
@@ -22,11 +22,6 @@
   return hello;
 }
 
-void add_once(std::vector<Endpoint>& endpoints, const Endpoint& endpoint) {
-  if (std::find(endpoints.begin(), endpoints.end(), endpoint) == endpoints.end())
-    endpoints.push_back(endpoint);
-}
-
 }  // namespace
 
 FleetLink::FleetLink(runtime::Runtime& runtime, const SessionProxySettings& settings, FleetView& view)
--- a/src/session/forwarder.cpp
+++ b/src/session/forwarder.cpp
@@ -1,7 +1,6 @@
 #include "session/forwarder.h"
 
 #include <algorithm>
-#include <chrono>
 #include <utility>
 
 #include "session/knobs.h"
@@ -9,6 +8,17 @@
 
 namespace cairnhollow::session {
 
+namespace {
+
+/// No transaction has this number: the other side answers at once that it is over.
+ForwardRequest ask_whether_alive() {
+  ForwardRequest request;
+  request.body = ForwardEnd{0};
+  return request;
+}
+
+}  // namespace
+
 Awaitable<std::optional<ForwardAnswer>> ForwardConnection::call(ForwardRequest request, TimePoint deadline,
                                                                 Reason& reason) {
   const std::uint64_t correlation = next_correlation_++;
@@ -65,11 +75,9 @@
 }
 
 void ForwardConnection::ask_for_life() {
-  // No transaction has this number: the other side answers at once that it is over.
   asked_at_ = runtime_.now();
-  ForwardRequest request;
+  ForwardRequest request = ask_whether_alive();
   request.correlation = next_correlation_++;
-  request.body = ForwardEnd{0};
   outgoing_.push_back(wire::encode(request));
   queued_.notify_all();
 }
@@ -132,10 +140,9 @@
 
 void Forwarder::note_reached(ForwardPeer& peer) {
   if (!std::exchange(peer.is_unreachable, false)) return;
-  const auto away =
-      std::chrono::duration_cast<std::chrono::milliseconds>(runtime_.now() - peer.unreachable_since);
+  const std::int64_t away = in_ms(runtime_.now() - peer.unreachable_since);
   runtime_.logger().log(runtime::LogLevel::kInfo, "proxy_reached",
-                        {{"proxy", peer.name.value}, {"after_ms", std::to_string(away.count())}});
+                        {{"proxy", peer.name.value}, {"after_ms", std::to_string(away)}});
 }
 
 void Forwarder::start_dialling(const PeerPointer& peer) {
@@ -189,9 +196,7 @@
 }
 
 Awaitable<bool> Forwarder::shows_life(std::shared_ptr<ForwardConnection> connection, Reason& reason) {
-  // No transaction has this number: the other side answers at once that it is over.
-  ForwardRequest request;
-  request.body = ForwardEnd{0};
+  ForwardRequest request = ask_whether_alive();
   const auto answer =
       co_await connection->call(std::move(request), runtime_.now() + kForwardAnswerLimit, reason);
   co_return answer.has_value();
--- a/src/session/group_access.cpp
+++ b/src/session/group_access.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "registry/division.h"
 
@@ -99,12 +100,9 @@
 }
 
 std::size_t GroupAccess::serving_proxies(std::size_t proxies) const {
-  std::uint64_t least_slots = 0;
-  for (const auto& [name, use] : backends_) {
-    const std::uint64_t slots = use->entry.slots;
-    if (slots > 0) least_slots = least_slots == 0 ? slots : std::min(least_slots, slots);
-  }
-  return registry::serving_proxies(rule_, least_slots, proxies);
+  std::vector<std::uint64_t> slots;
+  for (const auto& [name, use] : backends_) slots.push_back(use->entry.slots);
+  return registry::serving_proxies(rule_, slots, proxies);
 }
 
 bool GroupAccess::warm_one() {
--- a/src/session/leader_search.cpp
+++ b/src/session/leader_search.cpp
@@ -56,10 +56,6 @@
   }
 }
 
-Awaitable<void> LeaderSearch::ask_hinted(RoundPointer round, Endpoint endpoint) {
-  co_await ask(round, std::move(endpoint), kControlDial);
-}
-
 Awaitable<void> LeaderSearch::ask(RoundPointer round, Endpoint endpoint, Duration dial_limit) {
   if (!round->being_asked.insert(endpoint).second) co_return;
   Reason reason;
@@ -128,7 +124,7 @@
   if (refusal.code != ReasonCode::kNotLeader || refusal.peer.empty()) return;
   const Endpoint leader{refusal.peer, control_port_};
   if (round->being_asked.count(leader) > 0) return;
-  runtime_.spawn("leader_search_hint", ask_hinted(round, leader));
+  runtime_.spawn("leader_search_hint", ask(round, leader, kControlDial));
 }
 
 void LeaderSearch::note_failure(const Reason& reason, const Endpoint& endpoint) {
--- a/src/session/leader_search.h
+++ b/src/session/leader_search.h
@@ -49,7 +49,6 @@
 
   /// Asks one control node after the other until the round is over.
   Awaitable<void> ask_in_turn(RoundPointer round);
-  Awaitable<void> ask_hinted(RoundPointer round, Endpoint endpoint);
   Awaitable<void> ask(RoundPointer round, Endpoint endpoint, Duration dial_limit);
   Awaitable<std::shared_ptr<ControlConversation>> open(Endpoint endpoint, Duration dial_limit,
                                                        Reason& reason);
--- a/src/session/statement_attempt.h
+++ b/src/session/statement_attempt.h
@@ -9,11 +9,6 @@
 
 namespace cairnhollow::session {
 
-/// Whole milliseconds, for log lines and messages.
-inline std::int64_t in_ms(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 /// Gives back the place that a statement took, with what its answer tells of the backend.
 inline void leave_gate(StatementGate& gate, const std::optional<Answer>& answer, Duration latency) {
   if (!answer) return gate.leave_unanswered();
