--- a/src/base/types.h
+++ b/src/base/types.h
@@ -41,6 +41,8 @@
 using DomainName = Name<struct DomainTag>;      ///< a configuration log of its own; empty: the only one
 using SessionName = Name<struct SessionTag>;    ///< a client session; chosen by the caller
 using TransactionId = Name<struct TransactionTag>;
+using TenantName = Name<struct TenantTag>;  ///< who pays: callers that share limits and nothing else
+using ApiKey = Name<struct ApiKeyTag>;      ///< proves a caller's tenant; never logged, shown or counted by
 
 /// A place in a database group's log. Ordered by term, then index (Raft, section 5.3).
 struct Position {
--- a/src/cli/settings_reader.cpp
+++ b/src/cli/settings_reader.cpp
@@ -174,6 +174,19 @@
   if (number) value = static_cast<std::uint32_t>(*number);
 }
 
+void SettingsReader::read(const std::string& key, double& value, Range<double> range) {
+  const auto text = take_scalar(key, Presence::kOptional);
+  if (!text) return;
+  double number = 0;
+  const auto [end, error] = std::from_chars(text->data(), text->data() + text->size(), number);
+  const bool is_number = error == std::errc() && end == text->data() + text->size();
+  if (is_number && number >= range.lowest && number <= range.highest) {
+    value = number;
+    return;
+  }
+  report(key, fmt::format("must be a number from {} to {}", range.lowest, range.highest));
+}
+
 void SettingsReader::read(const std::string& key, std::uint64_t& value, Range<std::uint64_t> range) {
   if (const auto number = take_number(key, range)) value = *number;
 }
--- a/src/cli/settings_reader.h
+++ b/src/cli/settings_reader.h
@@ -63,6 +63,8 @@
   void read(const std::string& key, bool& value);
   void read(const std::string& key, std::uint32_t& value, Range<std::uint32_t> range);
   void read(const std::string& key, std::uint64_t& value, Range<std::uint64_t> range);
+  /// A decimal number, e.g. "0.1".
+  void read(const std::string& key, double& value, Range<double> range);
   /// A number and a unit: ns, us, ms, s, m, h. "0" needs no unit.
   void read(const std::string& key, Duration& value, Range<Duration> range);
   /// "address:port" with an IP address.
--- a/src/cli/settings_registered.cpp
+++ b/src/cli/settings_registered.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr Range<std::uint32_t> kPortRange{1, 65535};
+constexpr Range<double> kOvershootRange{0, 10};
+constexpr Range<double> kSlackRange{0, 1'000'000};
 constexpr Range<std::uint32_t> kToleranceRange{0, 3};
 
 std::optional<Endpoint> read_optional_endpoint(SettingsReader& reader, const std::string& key) {
@@ -48,6 +50,12 @@
   reader.read("control_port", control_port, kPortRange);
   reader.read("session_limit", settings.session_limit, kConnectionRange);
   reader.read("drain_limit", settings.drain_limit, kIntervalRange);
+  Duration key_bound{0};
+  reader.read("key_bound", key_bound, kIntervalRange);
+  if (key_bound > Duration(0)) settings.key_bound = key_bound;
+  reader.read("limit_window", settings.limit_window.window, kIntervalRange);
+  reader.read("limit_overshoot", settings.limit_window.overshoot, kOvershootRange);
+  reader.read("limit_slack", settings.limit_window.slack, kSlackRange);
   settings.metrics_endpoint = read_optional_endpoint(reader, "metrics_endpoint");
   settings.control_port = static_cast<std::uint16_t>(control_port);
   if (control_port == 0) reader.report("control_port", "is missing");
--- a/src/control/registered/knobs.h
+++ b/src/control/registered/knobs.h
@@ -51,6 +51,8 @@
 /// Proxies' leases are looked at this often. One whose lease ran out this long ago serves no group until it
 /// is back; it is forgotten once it can't serve by leases of the groups' members any more, either.
 inline constexpr Duration kLapsedTick = std::chrono::milliseconds(400);
+/// What all proxies hold is worked out again no more often: it costs a look at each of them.
+inline constexpr Duration kSettledLook = std::chrono::milliseconds(50);
 inline constexpr Duration kAbsentProxyAfter = std::chrono::milliseconds(200);
 inline constexpr Duration kForgetProxyAfter = registry::kServeWithoutControl + std::chrono::seconds(2);
 /// A proxy that has not answered the close of a group for this long is taken to be out of reach: two rounds
--- a/src/control/registered/leader_calls.cpp
+++ b/src/control/registered/leader_calls.cpp
@@ -64,7 +64,8 @@
 Awaitable<bool> LeaderCalls::propose(registry::Command command, Reason& reason) {
   registry::LoggedCommand logged{std::move(command)};
   const TimePoint deadline = runtime_.now() + kCommitTimeout;
-  const auto index = co_await consensus_.propose(wire::encode(logged), deadline, reason);
+  const auto index =
+      co_await consensus_.propose(wire::encode_from(logged, wire::kWrittenFormat), deadline, reason);
   co_return index.has_value();
 }
 
@@ -117,7 +118,7 @@
   if (!connection) co_return std::nullopt;
   const auto done = std::make_shared<bool>(false);
   runtime_.spawn("leader_call_limit", close_at(connection, deadline, done));
-  const bool sent = co_await connection->send(wire::encode(call), reason);
+  const bool sent = co_await connection->send(wire::encode_from(call, wire::kWrittenFormat), reason);
   std::optional<std::string> frame;
   if (sent) frame = co_await connection->receive(reason);
   *done = true;
--- a/src/control/registered/lease_keeper.cpp
+++ b/src/control/registered/lease_keeper.cpp
@@ -2,11 +2,26 @@
 
 #include <algorithm>
 
+#include "registry/budget_authority.h"
+#include "registry/settled_revision.h"
 #include "wire/codec.h"
 #include "wire/compression.h"
 
 namespace cairnhollow::control::registered {
 
+namespace {
+
+/// A fleet without tenants is told of in the format that builds before tenants read, too.
+std::string encode_delta(const registry::FleetDelta& delta) {
+  return wire::encode(delta, delta.requires_keys ? wire::kTenantsFormat : wire::kWrittenFormat);
+}
+
+std::string encode_update(const registry::ProxyUpdate& update) {
+  return wire::encode(update, update.settled_revision > 0 ? wire::kTenantsFormat : wire::kWrittenFormat);
+}
+
+}  // namespace
+
 LeaseKeeper::LeaseKeeper(runtime::Runtime& runtime, consensus::Consensus& consensus,
                          registry::FleetStateMachine& fleet, ControlNodeDirectory& directory,
                          LeaderCalls& calls, Duration serving_lease)
@@ -241,6 +256,7 @@
     follower.revision_sent = fleet_.revision();
   }
   update.report_interval = report_interval();
+  if (update.lease > Duration(0) && fleet_.requires_keys()) update.settled_revision = settled_revision();
   if (endpoints() != follower.endpoints_sent) {
     follower.endpoints_sent = endpoints();
     update.control_endpoints = endpoints();
@@ -255,12 +271,28 @@
          bytes_on_their_way_ + size <= kMostBytesOnTheirWay;
 }
 
+std::uint64_t LeaseKeeper::settled_revision() {
+  const TimePoint now = runtime_.now();
+  if (now - settled_at_ < kSettledLook) return settled_revision_;
+  settled_at_ = now;
+  std::vector<registry::ProxyKnowledge> known;
+  for (const registry::AdmittedProxy& proxy : fleet_.proxies()) {
+    const auto life = lives_.find(proxy.node);
+    const bool same_life = life != lives_.end() && life->second.incarnation == proxy.incarnation;
+    const TimePoint confirmed_before = lease_bound(proxy.node, proxy.incarnation) - serving_lease_;
+    known.push_back(
+        {same_life ? life->second.revision : 0, confirmed_before + registry::kBudgetAuthorityWait});
+  }
+  settled_revision_ = registry::settled_revision(known, fleet_.revision(), now);
+  return settled_revision_;
+}
+
 const std::string& LeaseKeeper::delta_for(const Follower& follower) {
   if (deltas_to_ != fleet_.revision()) deltas_.clear();
   deltas_to_ = fleet_.revision();
   const std::uint64_t since = follower.revision_sent;
   EncodedDelta& delta = deltas_[since];
-  if (delta.plain.empty()) delta.plain = wire::encode(fleet_.delta_since(since));
+  if (delta.plain.empty()) delta.plain = encode_delta(fleet_.delta_since(since));
   if (!follower.takes_compressed) return delta.plain;
   if (delta.compressed.empty()) delta.compressed = wire::compress(delta.plain);
   return delta.compressed;
@@ -298,7 +330,7 @@
     const std::size_t size = update.delta.size();
     bytes_on_their_way_ += size;
     Reason reason;
-    sent = co_await follower->connection->send(wire::encode(update), reason);
+    sent = co_await follower->connection->send(encode_update(update), reason);
     bytes_on_their_way_ -= size;
     if (size > kSmallDelta) room_.notify_one();
   }
--- a/src/control/registered/lease_keeper.h
+++ b/src/control/registered/lease_keeper.h
@@ -95,6 +95,8 @@
   /// Whether what the follower lacks is small, or may be on its way beside what is on its way to others.
   [[nodiscard]] bool has_room_for(const Follower& follower);
   /// Encoded for the follower.
+  /// What every proxy that may count operations has said that it holds. See registry/budget_authority.h.
+  std::uint64_t settled_revision();
   const std::string& delta_for(const Follower& follower);
   const std::vector<Endpoint>& endpoints();
   [[nodiscard]] Duration report_interval() const;
@@ -126,6 +128,8 @@
   std::vector<Endpoint> endpoints_;
   TimePoint endpoints_at_{};
   std::uint64_t pushed_revision_ = 0;
+  std::uint64_t settled_revision_ = 0;
+  TimePoint settled_at_{};  ///< when it was worked out
   std::uint64_t led_term_ = 0;
   TimePoint leads_since_{};
   bool stopping_ = false;
--- a/src/registry/delta.h
+++ b/src/registry/delta.h
@@ -23,11 +23,17 @@
   std::vector<GroupTerm> terms;
   std::vector<AdmittedProxy> proxies;  ///< they share each backend's connections
   std::vector<NodeName> removed_proxies;
+  bool requires_keys = false;  ///< as in the document
+  std::vector<TenantRule> tenants;
+  std::vector<TenantName> removed_tenants;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(is_whole, revision, document_version, transaction_idle_ms, routes, removed_routes, groups,
             removed_groups, backends, removed_backends, terms, proxies, removed_proxies);
+    wire::since(archive, wire::kTenantsFormat, requires_keys, false);
+    wire::since(archive, wire::kTenantsFormat, tenants, std::vector<TenantRule>());
+    wire::since(archive, wire::kTenantsFormat, removed_tenants, std::vector<TenantName>());
   }
 };
 
--- a/src/registry/model.h
+++ b/src/registry/model.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/types.h"
+#include "wire/format.h"
 
 namespace cairnhollow::registry {
 
@@ -28,12 +29,14 @@
   std::uint64_t target_latency_ms = 0;  ///< that callers aim at, of a whole operation
   std::uint64_t priority = 0;           ///< 0 is the highest
   std::uint64_t max_staleness_ms = 0;
+  bool is_public = false;  ///< serves callers without a key, who belong to no tenant
   bool operator==(const RouteRule&) const = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(name, database, path_prefix, group, reads, timeout_ms, target_latency_ms, priority,
             max_staleness_ms);
+    wire::since(archive, wire::kTenantsFormat, is_public, false);
   }
 };
 
@@ -49,6 +52,22 @@
   }
 };
 
+/// Callers that are told apart by their keys and limited together, over all proxies.
+struct TenantRule {
+  TenantName name;
+  std::vector<ApiKey> keys;      ///< each proves the tenant; of one tenant only
+  std::uint64_t rate_per_s = 0;  ///< operations that may begin, on average; 0 with `burst` 0: no limit
+  std::uint64_t burst = 0;       ///< operations that may begin at once after a rest
+  std::uint64_t priority = 0;    ///< as the operator gave it; kept, and not used yet
+  bool operator==(const TenantRule&) const = default;
+  [[nodiscard]] bool is_limited() const { return rate_per_s > 0 || burst > 0; }
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(name, keys, rate_per_s, burst, priority);
+  }
+};
+
 /// The whole configuration of a registered fleet. The highest version holds.
 struct ConfigurationDocument {
   std::uint64_t version = 0;
@@ -56,10 +75,15 @@
   std::vector<RouteRule> routes;
   std::vector<GroupRule> groups;
   std::uint64_t transaction_idle_ms = 0;  ///< a transaction that rests longer may be ended; 0: never
+  /// Callers prove their tenant by a key, but on public routes. False in documents that know no tenants.
+  bool requires_keys = false;
+  std::vector<TenantRule> tenants;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(version, text, routes, groups, transaction_idle_ms);
+    wire::since(archive, wire::kTenantsFormat, requires_keys, false);
+    wire::since(archive, wire::kTenantsFormat, tenants, std::vector<TenantRule>());
   }
 };
 
--- a/src/registry/revised_table.h
+++ b/src/registry/revised_table.h
@@ -11,6 +11,7 @@
 template <class Key, class Row>
 class RevisedTable {
  public:
+  bool operator==(const RevisedTable&) const = default;
   [[nodiscard]] const Row* find(const Key& key) const {
     const auto found = rows_.find(key);
     return found == rows_.end() ? nullptr : &found->second.row;
@@ -64,6 +65,7 @@
   struct Revised {
     Row row;
     std::uint64_t revision = 0;
+    bool operator==(const Revised&) const = default;
     template <class Archive>
     void serialize(Archive& archive) {
       archive(row, revision);
--- a/src/registry/state_machine.cpp
+++ b/src/registry/state_machine.cpp
@@ -33,6 +33,8 @@
   state_.transaction_idle_ms = document.transaction_idle_ms;
   replace_routes(document.routes);
   replace_groups(document.groups);
+  state_.requires_keys = document.requires_keys;
+  replace_tenants(document.tenants);
   return true;
 }
 
@@ -60,6 +62,18 @@
   }
 }
 
+void FleetStateMachine::replace_tenants(const std::vector<TenantRule>& tenants) {
+  std::set<TenantName> kept;
+  for (const TenantRule& tenant : tenants) {
+    kept.insert(tenant.name);
+    const TenantRule* held = state_.tenants.find(tenant.name);
+    if (held == nullptr || !(*held == tenant)) state_.tenants.put(tenant.name, tenant, next_revision());
+  }
+  for (const TenantRule& tenant : state_.tenants.all()) {
+    if (kept.count(tenant.name) == 0) state_.tenants.remove(tenant.name, next_revision());
+  }
+}
+
 bool FleetStateMachine::take(RegisterBackend& command) {
   BackendEntry& entry = command.entry;
   if (state_.backends.was_removed(entry.name)) return false;
@@ -150,16 +164,20 @@
 }
 
 void FleetStateMachine::bound_removed() {
-  if (state_.routes.removed_count() <= kMaxRemovedRows && state_.backends.removed_count() <= kMaxRemovedRows)
+  if (state_.routes.removed_count() <= kMaxRemovedRows &&
+      state_.backends.removed_count() <= kMaxRemovedRows && state_.tenants.removed_count() <= kMaxRemovedRows)
     return;
   state_.routes.forget_removed(state_.revision);
   state_.groups.forget_removed(state_.revision);
   state_.backends.forget_removed(state_.revision);
   state_.proxies.forget_removed(state_.revision);
+  state_.tenants.forget_removed(state_.revision);
   state_.complete_from = state_.revision;
 }
 
-std::string FleetStateMachine::take_snapshot() const { return wire::encode(state_); }
+std::string FleetStateMachine::take_snapshot() const {
+  return wire::encode(state_, state_.requires_keys ? wire::kTenantsFormat : wire::kWrittenFormat);
+}
 
 bool FleetStateMachine::restore_snapshot(const std::string& bytes, Reason& reason) {
   auto state = wire::decode<State>(bytes, reason);
@@ -201,11 +219,14 @@
   delta.backends = state_.backends.changed_since(since);
   delta.terms = state_.terms.changed_since(since);
   delta.proxies = state_.proxies.changed_since(since);
+  delta.requires_keys = state_.requires_keys;
+  delta.tenants = state_.tenants.changed_since(since);
   if (delta.is_whole) return delta;
   delta.removed_routes = state_.routes.removed_since(since);
   delta.removed_groups = state_.groups.removed_since(since);
   delta.removed_backends = state_.backends.removed_since(since);
   delta.removed_proxies = state_.proxies.removed_since(since);
+  delta.removed_tenants = state_.tenants.removed_since(since);
   return delta;
 }
 
--- a/src/registry/state_machine.h
+++ b/src/registry/state_machine.h
@@ -33,6 +33,8 @@
   /// The document as it was sent; empty before the first.
   [[nodiscard]] const std::string& document_text() const { return state_.document_text; }
   [[nodiscard]] std::vector<GroupRule> groups() const { return state_.groups.all(); }
+  [[nodiscard]] std::vector<TenantRule> tenants() const { return state_.tenants.all(); }
+  [[nodiscard]] bool requires_keys() const { return state_.requires_keys; }
   [[nodiscard]] const GroupRule* find_group(const GroupName& group) const {
     return state_.groups.find(group);
   }
@@ -84,12 +86,16 @@
     RevisedTable<BackendName, BackendEntry> backends;
     RevisedTable<GroupName, GroupTerm> terms;
     RevisedTable<NodeName, AdmittedProxy> proxies;
+    bool requires_keys = false;
+    RevisedTable<TenantName, TenantRule> tenants;
     std::uint64_t proxy_lost_at = 0;  ///< revision at which a life of a proxy was last replaced or forgotten
 
     template <class Archive>
     void serialize(Archive& archive) {
       archive(revision, complete_from, document_version, document_text, transaction_idle_ms, routes, groups,
               backends, terms, proxies, proxy_lost_at);
+      wire::since(archive, wire::kTenantsFormat, requires_keys, false);
+      wire::since(archive, wire::kTenantsFormat, tenants, RevisedTable<TenantName, TenantRule>());
     }
   };
 
@@ -107,6 +113,7 @@
   void note_backend(const BackendEntry& entry);
   void replace_routes(const std::vector<RouteRule>& routes);
   void replace_groups(const std::vector<GroupRule>& groups);
+  void replace_tenants(const std::vector<TenantRule>& tenants);
   void bound_removed();
   [[nodiscard]] std::uint64_t next_revision() const { return state_.revision + 1; }
 
--- a/src/registry/validation.cpp
+++ b/src/registry/validation.cpp
@@ -20,6 +20,26 @@
   }
 }
 
+/// Faults name tenants, never keys.
+void check_tenants(const ConfigurationDocument& document, std::vector<std::string>& faults) {
+  std::set<TenantName> names;
+  std::map<ApiKey, std::size_t> holders;
+  for (std::size_t i = 0; i < document.tenants.size(); ++i) {
+    const TenantRule& tenant = document.tenants[i];
+    if (tenant.name.empty()) faults.push_back(fmt::format("tenants[{}].name: must not be empty", i));
+    if (!names.insert(tenant.name).second)
+      faults.push_back(fmt::format("tenants[{}].name: {} stands twice", i, tenant.name.value));
+    for (std::size_t k = 0; k < tenant.keys.size(); ++k) {
+      if (tenant.keys[k].empty())
+        faults.push_back(fmt::format("tenants[{}].keys[{}]: must not be empty", i, k));
+      const auto [holder, is_new] = holders.emplace(tenant.keys[k], i);
+      if (!is_new && holder->second != i)
+        faults.push_back(
+            fmt::format("tenants[{}].keys[{}]: is a key of tenants[{}], too", i, k, holder->second));
+    }
+  }
+}
+
 }  // namespace
 
 std::vector<std::string> find_faults(const ConfigurationDocument& document) {
@@ -27,6 +47,7 @@
   if (document.version == 0) faults.emplace_back("version: must not be 0");
   std::set<GroupName> known;
   check_groups(document, known, faults);
+  check_tenants(document, faults);
   std::map<std::pair<DatabaseName, std::string>, std::size_t> places;
   for (std::size_t i = 0; i < document.routes.size(); ++i) {
     const RouteRule& route = document.routes[i];
--- a/src/session/backend_link.h
+++ b/src/session/backend_link.h
@@ -87,6 +87,7 @@
   Endpoint endpoint;
   GroupName group;
   BackendName backend;  ///< expected there
+  TenantName tenant{};  ///< whose statements the link is for; empty: nobody's, or callers without a key
 };
 
 class BackendDialer {
--- a/src/session/caller_protocol.h
+++ b/src/session/caller_protocol.h
@@ -15,7 +15,7 @@
 /// What a caller says first.
 struct SessionStart {
   DatabaseName database;
-  std::string user;
+  ApiKey key;  ///< means something only where the document requires keys
 };
 
 /// One caller's connection. One statement is open at a time; the caller waits for its answer.
--- a/src/session/caller_session.cpp
+++ b/src/session/caller_session.cpp
@@ -1,5 +1,7 @@
 #include "session/caller_session.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 #include "session/knobs.h"
@@ -36,22 +38,74 @@
   const auto start = co_await caller_->read_start(services_.runtime.now() + kStartTimeout, reason);
   if (!start) co_return false;
   database_ = start->database;
+  key_ = start->key;
   const TimePoint patience = services_.runtime.now() + kStartPatience;
   while (!may_open() && services_.view.expects_lease() && services_.runtime.now() < patience)
     co_await services_.view.renewed().wait_until(patience);
-  if (services_.view.find_route(database_) != nullptr) co_return co_await caller_->accept(reason);
   const bool leased = services_.view.lease_valid();
-  const Refusal refusal = leased ? Refusal::kUnknownDatabase : Refusal::kBusy;
+  Refusal refusal = leased ? Refusal::kUnknownDatabase : Refusal::kBusy;
+  std::string why = leased ? "no route names this database" : "no serving lease; come back later";
+  if (services_.view.find_route(database_) != nullptr) {
+    const auto fault = co_await check_key();
+    if (!fault) co_return co_await caller_->accept(reason);
+    refusal = *fault;
+    why = refusal == Refusal::kUnauthorized ? "the key is not known"
+                                            : "keys can't be confirmed now; come back soon";
+  }
   services_.metrics.count_refused(refusal);
   services_.runtime.logger().log(LogLevel::kWarning, "session_refused",
                                  {{"refusal", refusal_name(refusal)},
                                   {"database", database_.value},
                                   {"version", std::to_string(services_.view.document_version())}});
-  std::string why = leased ? "no route names this database" : "no serving lease; come back later";
   co_await caller_->refuse(refusal, std::move(why));
   co_return false;
 }
 
+Awaitable<std::optional<Refusal>> CallerSession::check_key() {
+  const TimePoint arrived = services_.runtime.now();
+  const TimePoint patience = arrived + kStartPatience;
+  FleetView& view = services_.view;
+  const auto proves_tenant = [&] {
+    const registry::RouteRule* route = view.find_route(database_);
+    if (!view.requires_keys() || (route != nullptr && route->is_public)) return true;
+    return view.tenants().find_by_key(key_) != nullptr;
+  };
+  if (!proves_tenant() && view.lease_valid()) services_.link.ask_now();
+  while (!proves_tenant() && view.expects_lease() && !view.keys_confirmed().is_confirmed_since(arrived) &&
+         services_.runtime.now() < patience)
+    co_await view.renewed().wait_until(patience);
+  if (proves_tenant()) co_return std::nullopt;
+  co_return view.keys_confirmed().is_confirmed_since(arrived) ? Refusal::kUnauthorized : Refusal::kBusy;
+}
+
+bool CallerSession::find_tenant(RunOrder& order, Answer& refusal) {
+  const FleetView& view = services_.view;
+  if (!view.requires_keys() || order.route.is_public) return true;
+  const registry::TenantRule* tenant = view.tenants().find_by_key(key_);
+  const bool confirmed = view.keys_confirmed().allows(services_.runtime.now());
+  if (tenant != nullptr && confirmed) {
+    order.key = key_;
+    order.tenant = tenant->name;
+    return true;
+  }
+  const bool unknown = tenant == nullptr;
+  refusal = refuse(unknown ? Refusal::kUnauthorized : Refusal::kBusy,
+                   unknown ? "the key proves no tenant any more"
+                           : "keys can't be confirmed without control; come back through another proxy");
+  services_.runtime.logger().log(
+      LogLevel::kWarning, "key_refused",
+      {{"id", order.id},
+       {"database", database_.value},
+       {"tenant", unknown ? "" : tenant->name.value},
+       {"version", std::to_string(view.document_version())},
+       {"confirmed_ms_ago",
+        view.keys_confirmed().confirmed_at()
+            ? std::to_string(in_ms(services_.runtime.now() - *view.keys_confirmed().confirmed_at()))
+            : "never"}});
+  let_go_after_answer();
+  return false;
+}
+
 bool CallerSession::may_open() const {
   if (services_.view.lease_valid()) return true;
   // Others may hold a lease and serve its statements.
@@ -174,6 +228,7 @@
     return std::nullopt;
   }
   order.id = statement.id;
+  if (!find_tenant(order, refusal)) return std::nullopt;
   order.text = statement.text;
   order.values = values_;
   if (committed_in_ == order.group->group()) order.committed = committed_;
@@ -204,13 +259,43 @@
   committed_in_ = order.group->group();
 }
 
+Awaitable<bool> CallerSession::admit(const RunOrder& order, std::optional<TimePoint>& token,
+                                     Answer& refusal) {
+  if (order.tenant.empty()) co_return true;
+  const AdmissionAnswer admission = co_await services_.limits.admit(order.tenant);
+  token = admission.expires_at;
+  if (admission.admission == Admission::kAdmitted) co_return true;
+  const bool is_over = admission.admission == Admission::kOverLimit;
+  refusal = refuse(is_over ? Refusal::kOverLimit : Refusal::kBusy,
+                   fmt::format("{}; come back in {} ms",
+                               is_over ? "the tenant is over its limit" : "the tenant can't be counted now",
+                               in_ms(admission.retry_after)));
+  services_.runtime.logger().log(LogLevel::kInfo, "operation_not_admitted",
+                                 {{"id", order.id},
+                                  {"tenant", order.tenant.value},
+                                  {"why", refusal.detail},
+                                  {"version", std::to_string(services_.view.document_version())}});
+  co_return false;
+}
+
+Awaitable<RunResult> CallerSession::run_admitted(RunOrder order) {
+  RunResult result;
+  std::optional<TimePoint> token;
+  const bool admitted = co_await admit(order, token, result.answer);
+  if (!admitted) co_return result;
+  const TenantName tenant = order.tenant;
+  result = co_await runner_.run(std::move(order));
+  if (result.nothing_run && token) services_.limits.give_back(tenant, *token);
+  co_return result;
+}
+
 Awaitable<Answer> CallerSession::run_single(Statement statement) {
   Answer refusal;
   auto order = make_order(statement, refusal);
   if (!order) co_return refusal;
   const bool writes = order->writes;
   const RunOrder kept = *order;
-  RunResult result = co_await runner_.run(std::move(*order));
+  RunResult result = co_await run_admitted(std::move(*order));
   if (writes) note_committed(kept, result.answer);
   served_by_ = result.served_by;
   co_return std::move(result.answer);
@@ -233,7 +318,7 @@
     served_by_ = pinned.at_primary ? ServedBy::kPrimary : ServedBy::kReplica;
   } else {
     order->opens_transaction = true;
-    RunResult result = co_await runner_.run(std::move(*order));
+    RunResult result = co_await run_admitted(std::move(*order));
     transaction_->pinned = result.pinned;
     served_by_ = result.served_by;
     answer = std::move(result.answer);
@@ -253,11 +338,15 @@
   Answer refusal;
   statement.kind = StatementKind::kRead;  // as far as the order is concerned
   auto order = make_order(statement, refusal);
-  if (!order) co_return refusal;
+  if (!order) {
+    co_await end_transaction();
+    refusal.state = TransactionState::kIdle;
+    co_return refusal;
+  }
   order->read_only_transaction = transaction_->read_only;
   if (!transaction_->pinned) {
     order->opens_transaction = true;
-    RunResult result = co_await runner_.run(std::move(*order));
+    RunResult result = co_await run_admitted(std::move(*order));
     if (result.pinned && result.answer.state == TransactionState::kIdle) {
       runner_.give_back(*result.pinned);
     } else if (result.pinned) {
--- a/src/session/caller_session.h
+++ b/src/session/caller_session.h
@@ -49,6 +49,12 @@
   Awaitable<bool> open();
   /// Whether the session's statements are likely to be served, here or elsewhere.
   [[nodiscard]] bool may_open() const;
+  /// Whether the caller may have a session on the route; else why not. A key that is not in this proxy's
+  /// document may be newer than that: control is asked before it is refused.
+  Awaitable<std::optional<Refusal>> check_key();
+  /// The tenant that the session's key proves now; empty with the refusal to answer. Ends the session after
+  /// that.
+  [[nodiscard]] bool find_tenant(RunOrder& order, Answer& refusal);
   /// Refused because this proxy does not reach the group's primary, or may not use it, and reached no other
   /// proxy that does. The session is ended then, so that its caller comes back through another proxy: on this
   /// one every further attempt would meet the same.
@@ -63,6 +69,10 @@
   Answer prepare(const Statement& statement);
   Answer deallocate(const Statement& statement);
 
+  /// Whether the tenant may begin one more operation now; else the refusal to answer. Sets the order's token.
+  Awaitable<bool> admit(const RunOrder& order, std::optional<TimePoint>& token, Answer& refusal);
+  /// Runs an operation, or opens a transaction, if its tenant may begin one.
+  Awaitable<RunResult> run_admitted(RunOrder order);
   /// The route and group that bind now; empty with the refusal to answer.
   std::optional<RunOrder> make_order(const Statement& statement, Answer& refusal);
   [[nodiscard]] bool find_shape(const Statement& statement, RunOrder& order) const;
@@ -76,6 +86,7 @@
   StatementRunner runner_;
   std::shared_ptr<CallerConnection> caller_;
   DatabaseName database_;
+  ApiKey key_;
   SessionValues values_;
   std::map<std::string, PreparedShape> prepared_;
   std::optional<Transaction> transaction_;
--- a/src/session/fleet_link.cpp
+++ b/src/session/fleet_link.cpp
@@ -162,7 +162,8 @@
   }
   const auto asked = conversation.asked.find(update.nonce);
   if (asked == conversation.asked.end()) return;
-  if (update.lease > Duration(0)) view_.extend_lease(asked->second + update.lease);
+  if (update.lease > Duration(0))
+    view_.extend_lease(asked->second, asked->second + update.lease, update.settled_revision);
   conversation.asked.erase(conversation.asked.begin(), std::next(asked));
   conversation.answered = true;
   if (connected_) return;
@@ -185,6 +186,11 @@
                          {"revision", std::to_string(view_.revision())}});
 }
 
+void FleetLink::ask_now() {
+  report_now_ = true;
+  wake_.notify_all();
+}
+
 void FleetLink::report_suspicion(const GroupAccess& group, SuspicionKind kind) {
   const registry::GroupTerm& term = group.term();
   if (!term.open) return;
--- a/src/session/fleet_link.h
+++ b/src/session/fleet_link.h
@@ -35,6 +35,8 @@
   void set_draining();
   /// Where the control node that is followed takes registrations; empty while none is.
   [[nodiscard]] std::optional<Endpoint> registration_endpoint() const;
+  /// A report is sent at once: something must be confirmed that is newer than the last one.
+  void ask_now();
   /// Told with the next report, which is sent at once. Repeats within kSuspicionRepeat are dropped.
   void report_suspicion(const GroupAccess& group, SuspicionKind kind);
 
--- a/src/session/fleet_view.cpp
+++ b/src/session/fleet_view.cpp
@@ -63,19 +63,49 @@
   }
 }
 
+void FleetView::apply_tenants(const registry::FleetDelta& delta) {
+  requires_keys_ = delta.requires_keys;
+  if (delta.is_whole) tenants_.clear();
+  for (const TenantName& name : delta.removed_tenants) tenants_.remove(name);
+  for (const registry::TenantRule& tenant : delta.tenants) tenants_.put(tenant);
+}
+
 void FleetView::apply_proxies(const registry::FleetDelta& delta) {
   if (delta.is_whole) proxies_.clear();
   for (const NodeName& name : delta.removed_proxies) proxies_.erase(name);
   for (const registry::AdmittedProxy& proxy : delta.proxies) proxies_[proxy.node] = proxy;
 }
 
-void FleetView::divide_groups() {
+namespace {
+
+routing::ProxyPointer view_of(const registry::AdmittedProxy& proxy) {
+  return std::make_shared<routing::ProxyView>(
+      routing::ProxyView{proxy.node, proxy.zone, proxy.peer_endpoint});
+}
+
+}  // namespace
+
+std::vector<routing::ProxyPointer> FleetView::changed_proxies(const registry::FleetDelta& delta) const {
+  std::vector<routing::ProxyPointer> changed;
+  for (const registry::AdmittedProxy& proxy : delta.proxies) changed.push_back(view_of(proxy));
+  for (const auto& [node, proxy] : proxies_) {
+    const auto& removed = delta.removed_proxies;
+    const bool is_gone = delta.is_whole || std::find(removed.begin(), removed.end(), node) != removed.end();
+    if (is_gone) changed.push_back(view_of(proxy));
+  }
+  return changed;
+}
+
+std::vector<routing::ProxyPointer> FleetView::takers() const {
   std::vector<routing::ProxyPointer> takers;
   for (const auto& [node, proxy] : proxies_) {
-    if (proxy.leaving) continue;
-    takers.push_back(
-        std::make_shared<routing::ProxyView>(routing::ProxyView{node, proxy.zone, proxy.peer_endpoint}));
+    if (!proxy.leaving) takers.push_back(view_of(proxy));
   }
+  return takers;
+}
+
+void FleetView::divide_groups() {
+  const std::vector<routing::ProxyPointer> takers = this->takers();
   others_ = routing::forwarding_order(takers, node_, zone_);
   std::erase_if(others_, [this](const routing::ProxyPointer& proxy) { return proxy->name == node_; });
   const routing::SubsetTable table(takers);
@@ -114,10 +144,13 @@
   document_version_ = delta.document_version;
   transaction_idle_ = std::chrono::milliseconds(delta.transaction_idle_ms);
   apply_routes(delta);
+  apply_tenants(delta);
   for (const registry::GroupRule& rule : delta.groups) access(rule.name)->set_rule(rule);
   apply_backends(delta);
   for (const registry::GroupTerm& term : delta.terms) access(term.group)->set_term(term);
+  const auto changed = changed_proxies(delta);
   apply_proxies(delta);
+  if (!changed.empty()) budgets_.set_homes(tenancy::BudgetHomes(takers(), changed), revision_);
   if (changes_division(delta)) divide_groups();
 }
 
@@ -127,7 +160,9 @@
          !delta.groups.empty() || !delta.backends.empty() || !delta.removed_backends.empty();
 }
 
-void FleetView::extend_lease(TimePoint until) {
+void FleetView::extend_lease(TimePoint asked_at, TimePoint until, std::uint64_t settled_revision) {
+  keys_confirmed_.note(asked_at);
+  budgets_.note_confirmed(asked_at, settled_revision, runtime_.now());
   lease_until_ = std::max(lease_until_, until);
   renewed_.notify_all();
 }
--- a/src/session/fleet_view.h
+++ b/src/session/fleet_view.h
@@ -9,24 +9,32 @@
 #include "registry/messages.h"
 #include "routing/subset.h"
 #include "session/group_access.h"
+#include "session/settings.h"
+#include "tenancy/budget_home.h"
+#include "tenancy/key_confirmation.h"
+#include "tenancy/tenant_directory.h"
 
 namespace cairnhollow::session {
 
 /// What it refers to outlives it; it lives until the process ends.
 class FleetView {
  public:
-  FleetView(runtime::Runtime& runtime, BackendDialer& dialer, NodeName node, ZoneName zone)
+  FleetView(runtime::Runtime& runtime, BackendDialer& dialer, const SessionProxySettings& settings)
       : runtime_(runtime),
         dialer_(dialer),
-        node_(std::move(node)),
-        zone_(std::move(zone)),
+        node_(settings.node),
+        zone_(settings.zone),
+        keys_confirmed_(settings.key_bound),
+        budgets_(settings.node, settings.limit_window),
         renewed_(runtime),
         started_(runtime.now()) {}
 
   /// Takes over what changed. Groups closed by it acknowledge nothing any more when this returns.
   void apply(const registry::FleetDelta& delta);
-  /// The copy may be trusted until then, on this process's clock.
-  void extend_lease(TimePoint until);
+  /// Control answered a question asked at `asked_at`, after a quorum round: the copy is the newest of then,
+  /// and may be trusted until `until`, on this process's clock.
+  /// `settled_revision`: no proxy acts on an older membership any more.
+  void extend_lease(TimePoint asked_at, TimePoint until, std::uint64_t settled_revision);
 
   [[nodiscard]] bool lease_valid() const { return runtime_.now() < lease_until_; }
   [[nodiscard]] TimePoint lease_until() const { return lease_until_; }
@@ -50,6 +58,14 @@
   [[nodiscard]] Duration transaction_idle() const { return transaction_idle_; }
   /// Null when no route names the database.
   [[nodiscard]] const registry::RouteRule* find_route(const DatabaseName& database) const;
+  /// Callers prove their tenant by a key, but on public routes.
+  [[nodiscard]] bool requires_keys() const { return requires_keys_; }
+  [[nodiscard]] const tenancy::TenantDirectory& tenants() const { return tenants_; }
+  [[nodiscard]] const tenancy::KeyConfirmation& keys_confirmed() const { return keys_confirmed_; }
+  /// What this proxy counts for tenants, and who counts for the others.
+  tenancy::BudgetHome& budgets() { return budgets_; }
+  [[nodiscard]] const NodeName& node() const { return node_; }
+  [[nodiscard]] const ZoneName& zone() const { return zone_; }
   /// Null when it is not registered, as far as this proxy knows.
   [[nodiscard]] const registry::BackendEntry* find_backend(const BackendName& name) const;
   /// Null when the document has no such group.
@@ -76,6 +92,11 @@
   std::shared_ptr<GroupAccess> access(const GroupName& group);
   void apply_routes(const registry::FleetDelta& delta);
   void apply_backends(const registry::FleetDelta& delta);
+  void apply_tenants(const registry::FleetDelta& delta);
+  /// Proxies that the delta names, as they are or were.
+  [[nodiscard]] std::vector<routing::ProxyPointer> changed_proxies(const registry::FleetDelta& delta) const;
+  /// Those that take new work.
+  [[nodiscard]] std::vector<routing::ProxyPointer> takers() const;
   void apply_proxies(const registry::FleetDelta& delta);
   /// Who serves each group, and how its connections are shared.
   void divide_groups();
@@ -86,6 +107,10 @@
   BackendDialer& dialer_;
   NodeName node_;
   ZoneName zone_;
+  bool requires_keys_ = false;
+  tenancy::TenantDirectory tenants_;
+  tenancy::KeyConfirmation keys_confirmed_;
+  tenancy::BudgetHome budgets_;
   runtime::Signal renewed_;
   TimePoint started_;
   TimePoint lease_until_{};
--- a/src/session/forward_messages.h
+++ b/src/session/forward_messages.h
@@ -11,6 +11,8 @@
 #include "registry/model.h"
 #include "session/stateful_pool.h"
 #include "session/statement.h"
+#include "tenancy/budget_home.h"
+#include "wire/format.h"
 
 namespace cairnhollow::session {
 
@@ -28,6 +30,8 @@
   Duration time_left{0};
   bool opens_transaction = false;
   bool read_only_transaction = false;
+  bool may_have_run = false;  ///< at another proxy that gave no answer
+  ApiKey key;  ///< of the caller; whoever runs the order asks its own document which tenant that is
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -35,6 +39,8 @@
     auto left = time_left.count();
     archive(route, id, text, prepared, argument, writes, values, committed, ago, left, opens_transaction,
             read_only_transaction);
+    wire::since(archive, wire::kTenantsFormat, key, ApiKey());
+    wire::since(archive, wire::kTenantsFormat, may_have_run, false);
     committed_ago = Duration(ago);
     time_left = Duration(left);
   }
@@ -69,9 +75,21 @@
   }
 };
 
+/// Asks a home of the tenant for tokens, one for each operation.
+struct ForwardTokens {
+  TenantName tenant;
+  std::uint64_t needed = 0;  ///< by operations that wait
+  std::uint64_t ahead = 0;   ///< by those that are likely to come while a token lives
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(tenant, needed, ahead);
+  }
+};
+
+/// The alternatives' places are part of the format: new ones go last.
 struct ForwardRequest {
   std::uint64_t correlation = 0;
-  std::variant<ForwardRun, ForwardInTransaction, ForwardEnd> body;
+  std::variant<ForwardRun, ForwardInTransaction, ForwardEnd, ForwardTokens> body;
   template <class Archive>
   void serialize(Archive& archive) {
     archive(correlation, body);
@@ -84,9 +102,13 @@
   std::uint64_t pin = 0;  ///< of the transaction opened; 0: none
   bool at_primary = false;
   bool may_try_another = false;  ///< not run, for a reason that lies with this proxy
+  bool nothing_run = false;      ///< no backend can have run the order, in any attempt
+  tenancy::Grant grant;          ///< to ForwardTokens
   template <class Archive>
   void serialize(Archive& archive) {
     archive(correlation, answer, pin, at_primary, may_try_another);
+    wire::since(archive, wire::kTenantsFormat, nothing_run, false);
+    wire::since(archive, wire::kTenantsFormat, grant, tenancy::Grant());
   }
 };
 
--- a/src/session/forward_server.cpp
+++ b/src/session/forward_server.cpp
@@ -59,6 +59,12 @@
   RunOrder order;
   order.group = services_.view.find_group(forwarded.route.group);
   if (!order.group) return std::nullopt;
+  if (services_.view.requires_keys() && !forwarded.route.is_public) {
+    const registry::TenantRule* tenant = services_.view.tenants().find_by_key(forwarded.key);
+    if (tenant == nullptr) return std::nullopt;
+    order.key = std::move(forwarded.key);
+    order.tenant = tenant->name;
+  }
   order.route = std::move(forwarded.route);
   order.id = std::move(forwarded.id);
   order.text = std::move(forwarded.text);
@@ -72,6 +78,7 @@
   order.opens_transaction = forwarded.opens_transaction;
   order.read_only_transaction = forwarded.read_only_transaction;
   order.is_forwarded = true;
+  order.may_have_run = forwarded.may_have_run;
   return order;
 }
 
@@ -81,17 +88,27 @@
     answer = co_await run(connection, std::move(*run_request));
   } else if (auto* further = std::get_if<ForwardInTransaction>(&request.body)) {
     answer = co_await run_in_transaction(connection, std::move(*further));
+  } else if (const auto* tokens = std::get_if<ForwardTokens>(&request.body)) {
+    answer.grant = grant(*tokens);
   } else {
     const std::uint64_t pin = std::get<ForwardEnd>(request.body).pin;
     co_await end_transaction(connection, pin);
   }
   answer.correlation = request.correlation;
   if (connection->ended) co_return;
-  connection->outgoing.push_back(wire::encode(answer));
+  const bool knows_tenants = services_.view.requires_keys();
+  connection->outgoing.push_back(
+      wire::encode(answer, knows_tenants ? wire::kTenantsFormat : wire::kWrittenFormat));
   if (std::exchange(connection->sending, true)) co_return;
   co_await send_answers(connection);
 }
 
+tenancy::Grant ForwardServer::grant(const ForwardTokens& request) {
+  const registry::TenantRule* tenant = services_.view.tenants().find(request.tenant);
+  if (tenant == nullptr) return {};
+  return services_.view.budgets().grant(*tenant, {request.needed, request.ahead}, services_.runtime.now());
+}
+
 Awaitable<void> ForwardServer::send_answers(std::shared_ptr<Connection> connection) {
   while (!connection->outgoing.empty() && !connection->ended) {
     for (std::string& frame : std::exchange(connection->outgoing, {})) {
@@ -112,13 +129,16 @@
   if (route != nullptr) order = to_order(std::move(request.order));
   if (!order || !services_.view.holds_lease_for(*order->group)) {
     forwarded.answer.refusal = Refusal::kBusy;
-    forwarded.answer.detail = order ? "no serving lease" : "the database or its group is not known here";
+    forwarded.answer.detail =
+        order ? "no serving lease" : "the database, its group or the key is not known here";
     forwarded.may_try_another = true;
+    forwarded.nothing_run = true;
     co_return forwarded;
   }
   const auto group = order->group;
   RunResult result = co_await runner_.run(std::move(*order));
   forwarded.answer = std::move(result.answer);
+  forwarded.nothing_run = result.nothing_run;
   forwarded.at_primary = result.served_by == ServedBy::kPrimary;
   const bool cannot_serve =
       !services_.view.holds_lease_for(*group) || group->is_primary_unreachable() || group->is_primary_full();
--- a/src/session/forwarder.cpp
+++ b/src/session/forwarder.cpp
@@ -17,6 +17,20 @@
   return request;
 }
 
+const ForwardedOrder* order_of(const ForwardRequest& request) {
+  if (const auto* run = std::get_if<ForwardRun>(&request.body)) return &run->order;
+  if (const auto* further = std::get_if<ForwardInTransaction>(&request.body)) return &further->order;
+  return nullptr;
+}
+
+/// Without keys in the format that builds before them read, too.
+std::string encode_request(const ForwardRequest& request) {
+  const ForwardedOrder* order = order_of(request);
+  if (std::holds_alternative<ForwardTokens>(request.body)) return wire::encode(request, wire::kTenantsFormat);
+  const bool needs_tenants = order != nullptr && (!order->key.empty() || order->route.is_public);
+  return wire::encode(request, needs_tenants ? wire::kTenantsFormat : wire::kWrittenFormat);
+}
+
 }  // namespace
 
 Awaitable<std::optional<ForwardAnswer>> ForwardConnection::call(ForwardRequest request, TimePoint deadline,
@@ -25,7 +39,7 @@
   request.correlation = correlation;
   const auto pending = std::make_shared<Pending>(runtime_);
   pending_[correlation] = pending;
-  outgoing_.push_back(wire::encode(request));
+  outgoing_.push_back(encode_request(request));
   queued_.notify_all();
   called_.notify_all();
   bool in_time = true;
--- a/src/session/group_access.cpp
+++ b/src/session/group_access.cpp
@@ -117,10 +117,10 @@
 Awaitable<void> GroupAccess::warm(std::shared_ptr<BackendUse> backend) {
   std::optional<Refusal> refusal;
   Reason reason;
-  SessionValues values;
+  LinkWish wish;
   const TimePoint deadline = runtime_.now() + kDialTimeout;
   const LinkDeadlines deadlines{deadline, deadline};
-  auto link = co_await backend->pool.acquire(std::move(values), deadlines, refusal, reason);
+  auto link = co_await backend->pool.acquire(std::move(wish), deadlines, refusal, reason);
   if (link) backend->pool.release(std::move(link));
   if (!link) backend->avoid_until = runtime_.now() + kAvoidBackend;
 }
--- a/src/session/knobs.h
+++ b/src/session/knobs.h
@@ -97,6 +97,15 @@
 /// What a refused caller is told to wait while a group has no primary.
 inline constexpr Duration kComeBackAfter = milliseconds(300);
 
+/// A home of a tenant is waited for this long for tokens: as long as a dial to another proxy, and a little
+/// for the answer; then the next home is asked. All three fit into the limit.
+inline constexpr Duration kHomePatience = milliseconds(60);
+inline constexpr Duration kAdmissionLimit = milliseconds(200);
+/// After all homes of a tenant had no token, none of its operations here asks again for this long: a tenant
+/// at several times its limit would ask three homes for each refusal. No token is lost by it: the homes hold
+/// them.
+inline constexpr Duration kLeastRefusalPause = milliseconds(20);
+
 /// A statement that took longer is logged with where its time went.
 inline constexpr Duration kSlowStatement = milliseconds(200);
 /// A statement at a primary without an answer for this long makes the primary suspect.
--- a/src/session/member_lease_keeper.cpp
+++ b/src/session/member_lease_keeper.cpp
@@ -73,8 +73,9 @@
   Reason reason;
   std::optional<BackendStatus> status;
   const LinkDeadlines deadlines{round->deadline, round->deadline};
-  SessionValues values;
-  const auto link = co_await member->pool.acquire(std::move(values), deadlines, refusal, reason);
+  LinkWish wish;
+  wish.any_tenant = true;
+  const auto link = co_await member->pool.acquire(std::move(wish), deadlines, refusal, reason);
   if (link) {
     runtime::SendState sent = runtime::SendState::kNotSent;
     BackendRequest request = AskStatus{};
--- a/src/session/session_metrics.cpp
+++ b/src/session/session_metrics.cpp
@@ -17,6 +17,8 @@
 SessionMetrics::SessionMetrics()
     : lost_answers_(metrics_.counter("cairnhollow_session_lost_answers_total",
                                      "Statements sent to a backend that gave no answer.")),
+      token_questions_(metrics_.counter("cairnhollow_session_token_questions_total",
+                                        "Questions to other proxies that count for a tenant.")),
       sessions_(metrics_.gauge("cairnhollow_session_open", "Sessions that are open.")),
       lease_valid_(metrics_.gauge("cairnhollow_session_lease_valid", "1 while the serving lease holds.")),
       member_leases_(metrics_.gauge("cairnhollow_session_member_leases",
@@ -34,7 +36,7 @@
         &metrics_.counter("cairnhollow_session_forwarded_total", "Statements passed on to another proxy.",
                           {{"cause", kForwardCauses[cause]}});
   }
-  for (std::size_t code = 0; code < kRefusals; ++code) {
+  for (std::size_t code = 0; code < kRefusalCount; ++code) {
     const runtime::MetricLabels labels{{"reason", refusal_name(static_cast<Refusal>(code))}};
     refused_[code] =
         &metrics_.counter("cairnhollow_session_refused_total", "Statements answered with a refusal.", labels);
--- a/src/session/session_metrics.h
+++ b/src/session/session_metrics.h
@@ -23,6 +23,7 @@
   void count_refused(Refusal refusal);
   void count_retry(Refusal refusal) { retries_[static_cast<std::size_t>(refusal)]->Increment(); }
   void count_forwarded(ForwardCause cause) { forwarded_[static_cast<std::size_t>(cause)]->Increment(); }
+  void count_token_question() { token_questions_.Increment(); }
   void count_lost_answer() { lost_answers_.Increment(); }
   void set_sessions(std::size_t sessions) { sessions_.Set(static_cast<double>(sessions)); }
   void set_member_leases(std::size_t groups) { member_leases_.Set(static_cast<double>(groups)); }
@@ -30,15 +31,14 @@
   [[nodiscard]] std::string render() const { return metrics_.render(); }
 
  private:
-  static constexpr std::size_t kRefusals = static_cast<std::size_t>(Refusal::kUnknownDatabase) + 1;
-
   runtime::Metrics metrics_;
   std::array<prometheus::Counter*, 3> served_{};
   std::array<prometheus::Histogram*, 3> latency_{};
-  std::array<prometheus::Counter*, kRefusals> refused_{};
-  std::array<prometheus::Counter*, kRefusals> retries_{};
+  std::array<prometheus::Counter*, kRefusalCount> refused_{};
+  std::array<prometheus::Counter*, kRefusalCount> retries_{};
   std::array<prometheus::Counter*, 4> forwarded_{};
   prometheus::Counter& lost_answers_;
+  prometheus::Counter& token_questions_;
   prometheus::Gauge& sessions_;
   prometheus::Gauge& lease_valid_;
   prometheus::Gauge& member_leases_;
--- a/src/session/session_proxy.cpp
+++ b/src/session/session_proxy.cpp
@@ -53,11 +53,12 @@
         settings_(std::move(settings)),
         callers_(edge.make_callers()),
         dialer_(edge.make_dialer(runtime, settings_.node)),
-        view_(runtime, *dialer_, settings_.node, settings_.zone),
+        view_(runtime, *dialer_, settings_),
         link_(runtime, settings_, view_),
         member_leases_(runtime, view_, metrics_),
         forwarder_(runtime, settings_.node, settings_.zone),
-        services_{runtime, view_, link_, metrics_, forwarder_},
+        limits_(runtime, view_, forwarder_, metrics_),
+        services_{runtime, view_, link_, metrics_, forwarder_, limits_},
         forward_server_(services_),
         known_registrations_(view_, link_),
         readiness_(
@@ -94,6 +95,7 @@
   FleetLink link_;
   MemberLeaseKeeper member_leases_;
   Forwarder forwarder_;
+  LimitClient limits_;
   SessionServices services_;
   ForwardServer forward_server_;
   KnownRegistrations known_registrations_;
--- a/src/session/session_services.h
+++ b/src/session/session_services.h
@@ -5,6 +5,7 @@
 #include "session/fleet_link.h"
 #include "session/fleet_view.h"
 #include "session/forwarder.h"
+#include "session/limit_client.h"
 #include "session/session_metrics.h"
 
 namespace cairnhollow::session {
@@ -15,6 +16,7 @@
   FleetLink& link;
   SessionMetrics& metrics;
   Forwarder& forwarder;
+  LimitClient& limits;
 };
 
 }  // namespace cairnhollow::session
--- a/src/session/settings.h
+++ b/src/session/settings.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "base/types.h"
+#include "tenancy/limit_window.h"
 
 namespace cairnhollow::session {
 
@@ -19,6 +20,10 @@
   std::uint16_t control_port = 0;  ///< on which control nodes listen for the fleet's own processes
   std::optional<Endpoint> metrics_endpoint;
   std::uint32_t session_limit = 3500;
+  /// How long after the acknowledgement of a key's removal it may still run something, on machines out of
+  /// control's reach, too; empty: not bound there.
+  std::optional<Duration> key_bound;
+  tenancy::LimitWindow limit_window;
   Duration drain_limit = std::chrono::seconds(6);  ///< from SIGTERM to the end of the process
 };
 
--- a/src/session/stateful_pool.cpp
+++ b/src/session/stateful_pool.cpp
@@ -61,24 +61,33 @@
   std::erase_if(idle_, [](const auto& link) { return !link->link().is_open(); });
 }
 
-std::shared_ptr<StatefulLink> StatefulPool::take_idle(const SessionValues& values) {
+std::shared_ptr<StatefulLink> StatefulPool::take_idle(const LinkWish& wish) {
   drop_closed();
-  if (idle_.empty()) return nullptr;
-  auto best = idle_.end() - 1;
-  for (auto candidate = idle_.rbegin(); candidate != idle_.rend(); ++candidate) {
-    if ((*candidate)->values() == values) {
-      best = std::prev(candidate.base());
+  auto best = idle_.end();
+  for (auto candidate = idle_.end(); candidate != idle_.begin();) {
+    --candidate;
+    if (!wish.any_tenant && (*candidate)->tenant() != wish.tenant) continue;
+    if ((*candidate)->values() == wish.values) {
+      best = candidate;
       break;
     }
-    if (can_extend((*candidate)->values(), values) && !can_extend((*best)->values(), values))
-      best = std::prev(candidate.base());
+    const bool extends = can_extend((*candidate)->values(), wish.values);
+    if (best == idle_.end() || (extends && !can_extend((*best)->values(), wish.values))) best = candidate;
   }
+  if (best == idle_.end()) return nullptr;
   auto link = *best;
   idle_.erase(best);
   return link;
 }
 
-Awaitable<std::shared_ptr<StatefulLink>> StatefulPool::acquire(SessionValues values, LinkDeadlines deadlines,
+void StatefulPool::make_room() {
+  const bool is_full = in_use_ + idle_.size() >= limit_ || runtime_.now() < full_until_;
+  if (idle_.empty() || !is_full) return;
+  idle_.front()->link().close();
+  idle_.erase(idle_.begin());
+}
+
+Awaitable<std::shared_ptr<StatefulLink>> StatefulPool::acquire(LinkWish wish, LinkDeadlines deadlines,
                                                                std::optional<Refusal>& refusal,
                                                                Reason& reason) {
   while (true) {
@@ -88,7 +97,7 @@
                       "the backend took no more connections a moment ago"};
       co_return nullptr;
     }
-    if (auto idle = take_idle(values)) {
+    if (auto idle = take_idle(wish)) {
       ++in_use_;
       co_return idle;
     }
@@ -100,11 +109,14 @@
     reason = Reason{ReasonCode::kOverloaded, "acquire_link", address_.backend.value, "all links are in use"};
     co_return nullptr;
   }
+  make_room();
   ++in_use_;
   const TimePoint dial_deadline = std::min(deadlines.open, runtime_.now() + kDialTimeout);
-  auto link = co_await dialer_.open(address_, dial_deadline, refusal, reason);
+  BackendAddress address = address_;
+  address.tenant = wish.tenant;
+  auto link = co_await dialer_.open(std::move(address), dial_deadline, refusal, reason);
   if (link) {
-    co_return std::make_shared<StatefulLink>(std::move(link));
+    co_return std::make_shared<StatefulLink>(std::move(link), std::move(wish.tenant));
   }
   --in_use_;
   if (refusal == Refusal::kConnectionLimit) full_until_ = runtime_.now() + kFullPause;
--- a/src/session/stateful_pool.h
+++ b/src/session/stateful_pool.h
@@ -1,5 +1,6 @@
 // Links to one backend. A link keeps the values and prepared statements that were put on it; whoever takes it
-// is given one that fits, or brings it in order.
+// is given one that fits, or brings it in order. The backend is told a link's tenant when it is opened, so a
+// link serves no other tenant, ever.
 #pragma once
 
 #include <map>
@@ -32,7 +33,8 @@
 /// One link and what is known to be on it.
 class StatefulLink {
  public:
-  explicit StatefulLink(std::shared_ptr<BackendLink> link) : link_(std::move(link)) {}
+  StatefulLink(std::shared_ptr<BackendLink> link, TenantName tenant)
+      : link_(std::move(link)), tenant_(std::move(tenant)) {}
 
   /// Makes the link's values equal to `values`, and puts `prepared` on it where it is not null. False: the
   /// link can't be used any more.
@@ -44,6 +46,7 @@
   void forget_prepared() { prepared_.clear(); }
   [[nodiscard]] const SessionValues& values() const { return values_; }
   BackendLink& link() { return *link_; }
+  [[nodiscard]] const TenantName& tenant() const { return tenant_; }
   /// Whether a transaction is open on it, as far as its answers told.
   [[nodiscard]] bool has_open_transaction() const { return transaction_open_; }
   void note_state(TransactionState state) { transaction_open_ = state != TransactionState::kIdle; }
@@ -55,6 +58,7 @@
   Awaitable<bool> run_setup(BackendRequest request, TimePoint deadline, Reason& reason);
 
   std::shared_ptr<BackendLink> link_;
+  TenantName tenant_;
   SessionValues values_;
   std::map<PreparedShape, std::string> prepared_;
   std::uint64_t next_name_ = 1;
@@ -62,6 +66,13 @@
   bool transaction_open_ = false;
 };
 
+/// Whose link is wanted, and what had best be on it.
+struct LinkWish {
+  TenantName tenant;
+  SessionValues values;
+  bool any_tenant = false;  ///< for questions of the proxy's own, which run on behalf of nobody
+};
+
 /// How long a link is waited for.
 struct LinkDeadlines {
   TimePoint free;  ///< while all links are in use
@@ -75,9 +86,10 @@
       : runtime_(runtime), dialer_(dialer), address_(std::move(address)), returned_(runtime) {}
 
   void set_limit(std::uint64_t limit) { limit_ = limit; }
-  /// An idle link, best one with these values, or a new one; waits while the limit is reached. Null on
-  /// failure; `refusal` is set when the backend itself refused a new one.
-  Awaitable<std::shared_ptr<StatefulLink>> acquire(SessionValues values, LinkDeadlines deadlines,
+  /// An idle link, best one with these values, or a new one; waits while the limit is reached by links in
+  /// use. Where idle links of other tenants reach it, the one unused for longest is closed. Null on failure;
+  /// `refusal` is set when the backend itself refused a new one.
+  Awaitable<std::shared_ptr<StatefulLink>> acquire(LinkWish wish, LinkDeadlines deadlines,
                                                    std::optional<Refusal>& refusal, Reason& reason);
   /// Gives a link back that has no transaction open and owes no answer; a closed one is dropped.
   void release(std::shared_ptr<StatefulLink> link);
@@ -92,10 +104,15 @@
   [[nodiscard]] const BackendAddress& address() const { return address_; }
 
  private:
-  std::shared_ptr<StatefulLink> take_idle(const SessionValues& values);
+  std::shared_ptr<StatefulLink> take_idle(const LinkWish& wish);
   void drop_closed();
-  /// Whether one more connection may be tried now.
-  [[nodiscard]] bool may_dial() const { return in_use_ < limit_ && runtime_.now() >= full_until_; }
+  /// Closes the idle link that was unused for longest when there are as many links as there may be, or as
+  /// the backend takes.
+  void make_room();
+  /// Whether one more connection may be tried now: at a full backend only in the place of an idle one.
+  [[nodiscard]] bool may_dial() const {
+    return in_use_ < limit_ && (runtime_.now() >= full_until_ || !idle_.empty());
+  }
 
   runtime::Runtime& runtime_;
   BackendDialer& dialer_;
--- a/src/session/statement.cpp
+++ b/src/session/statement.cpp
@@ -28,16 +28,21 @@
       return "unknown_statement";
     case Refusal::kUnknownDatabase:
       return "unknown_database";
+    case Refusal::kUnauthorized:
+      return "unauthorized";
+    case Refusal::kOverLimit:
+      return "over_limit";
   }
   return "unknown";
 }
 
-bool is_promise(Refusal refusal) { return refusal < Refusal::kInDoubt; }
+bool is_promise(Refusal refusal) { return refusal < Refusal::kInDoubt || refusal == Refusal::kOverLimit; }
 
 bool is_not_run(Refusal refusal) {
   return refusal == Refusal::kBusy || refusal == Refusal::kTooStale || refusal == Refusal::kNotPrimary ||
          refusal == Refusal::kWrongBackend || refusal == Refusal::kConnectionLimit ||
-         refusal == Refusal::kUnknownStatement;
+         refusal == Refusal::kUnknownStatement || refusal == Refusal::kUnauthorized ||
+         refusal == Refusal::kOverLimit;
 }
 
 }  // namespace cairnhollow::session
--- a/src/session/statement.h
+++ b/src/session/statement.h
@@ -53,7 +53,10 @@
   kMalformed,         ///< not a statement, or not possible in this state
   kUnknownStatement,  ///< no prepared statement of this name
   kUnknownDatabase,   ///< no route names the database
+  kUnauthorized,      ///< the key proves no tenant, or does not any more; not run
+  kOverLimit,         ///< not run: the tenant has begun as many operations as it may; a promise, as kBusy
 };
+inline constexpr std::size_t kRefusalCount = static_cast<std::size_t>(Refusal::kOverLimit) + 1;
 
 /// Stable lower-case name for logs and metrics, e.g. "in_doubt".
 const char* refusal_name(Refusal refusal);
--- a/src/session/statement_forwarding.cpp
+++ b/src/session/statement_forwarding.cpp
@@ -9,6 +9,8 @@
   const TimePoint now = services_.runtime.now();
   ForwardedOrder forwarded;
   forwarded.route = order.route;
+  forwarded.key = order.key;
+  forwarded.may_have_run = order.may_have_run;
   forwarded.id = order.id;
   forwarded.text = order.text;
   forwarded.prepared = order.prepared;
@@ -30,6 +32,7 @@
     return !services_.forwarder.is_avoided(proxy->name, group);
   });
   RunResult result;
+  result.nothing_run = !order.may_have_run;
   result.answer.refusal = Refusal::kBusy;
   result.answer.detail = "no proxy that may serve the group could be reached; come back soon";
   Reason reason;
@@ -41,7 +44,10 @@
     const bool asked_lately = services_.forwarder.is_avoided(proxies[attempt]->name, group);
     if (asked_lately && !services_.view.holds_lease_for(*order.group)) continue;
     auto forwarded = co_await forward_to(order, proxies[attempt], may_try_another, reason);
-    if (forwarded) result = std::move(*forwarded);
+    if (!forwarded) continue;
+    result = std::move(*forwarded);
+    order.may_have_run = order.may_have_run || !result.nothing_run;
+    result.nothing_run = !order.may_have_run;
   }
   if (may_try_another && !services_.view.holds_lease_for(*order.group)) {
     const bool leased = co_await wait_for_lease(order.group, refuse_limit(order));
@@ -87,6 +93,7 @@
   may_try_another = answer->may_try_another;
   if (may_try_another) services_.forwarder.avoid_for(proxy->name, order.group->group());
   result.answer = std::move(answer->answer);
+  result.nothing_run = answer->nothing_run;
   result.served_by = answer->at_primary ? ServedBy::kPrimary : ServedBy::kReplica;
   if (answer->pin > 0) {
     PinnedLink pinned;
--- a/src/session/statement_in_transaction.cpp
+++ b/src/session/statement_in_transaction.cpp
@@ -17,6 +17,7 @@
   aborted.state = TransactionState::kFailed;
   aborted.detail = "the transaction's backend was given up; nothing of it is kept";
   const auto usable = [&] {
+    if (key_fault(order)) return false;
     return !pinned.at_primary || order.read_only_transaction ||
            services_.view.may_use_primary(group, pinned.epoch);
   };
--- a/src/session/statement_runner.cpp
+++ b/src/session/statement_runner.cpp
@@ -46,6 +46,15 @@
   co_return co_await forward(std::move(order), std::move(proxies));
 }
 
+std::optional<Refusal> StatementRunner::key_fault(const RunOrder& order) const {
+  const FleetView& view = services_.view;
+  if (order.tenant.empty() && (!view.requires_keys() || order.route.is_public)) return std::nullopt;
+  const registry::TenantRule* tenant = view.tenants().find_by_key(order.key);
+  if (tenant == nullptr || tenant->name != order.tenant) return Refusal::kUnauthorized;
+  if (!view.keys_confirmed().allows(services_.runtime.now())) return Refusal::kBusy;
+  return std::nullopt;
+}
+
 bool StatementRunner::must_relay(const RunOrder& order) const {
   const GroupAccess& group = *order.group;
   if (order.is_forwarded) return false;
@@ -80,6 +89,7 @@
   const Answer& answer = attempt->result.answer;
   if (!answer.refusal && runtime.now() - attempt->order.arrived > kSlowStatement) log_slow(*attempt);
   if (answer.refusal) log_refusal(attempt->order, answer, attempt->reason, attempt->count);
+  attempt->result.nothing_run = !attempt->order.may_have_run;
   co_return std::move(attempt->result);
 }
 
@@ -156,7 +166,8 @@
   const RunOrder& order = attempt->order;
   std::optional<Refusal> refusal;
   const LinkDeadlines deadlines{gate_limit(*attempt), wait_limit(*attempt)};
-  attempt->link = co_await backend->pool.acquire(order.values, deadlines, refusal, attempt->reason);
+  LinkWish wish{order.tenant, order.values};
+  attempt->link = co_await backend->pool.acquire(std::move(wish), deadlines, refusal, attempt->reason);
   if (!attempt->link) {
     const bool full = attempt->reason.code == ReasonCode::kOverloaded;
     if (!full) backend->avoid_until = services_.runtime.now() + kAvoidBackend;
@@ -219,7 +230,16 @@
     backend->gate.leave_unanswered();
     co_return Step::kNext;
   }
+  const bool may_be_sent = co_await may_send(attempt);
+  if (!may_be_sent) {
+    if (attempt->order.opens_transaction) attempt->link->link().close();
+    backend->pool.release(attempt->link);
+    backend->gate.leave_unanswered();
+    co_return Step::kDone;
+  }
   auto answer = co_await exchange(attempt);
+  const bool not_run = answer && answer->refusal && is_not_run(*answer->refusal);
+  if (attempt->sent == SendState::kMaybeSent && !not_run) attempt->order.may_have_run = true;
   attempt->at_backend += services_.runtime.now() - attempt->sent_at;
   leave_gate(backend->gate, answer, services_.runtime.now() - attempt->sent_at);
   if (!answer) {
@@ -230,6 +250,24 @@
   co_return take_answer(*attempt, std::move(*answer));
 }
 
+Awaitable<bool> StatementRunner::may_send(std::shared_ptr<Attempt> attempt) {
+  RunOrder& order = attempt->order;
+  Answer& answer = attempt->result.answer;
+  if (order.may_have_run && !order.tenant.empty()) {
+    const AdmissionAnswer admission = co_await services_.limits.admit(order.tenant);
+    if (admission.admission != Admission::kAdmitted) {
+      answer.refusal = Refusal::kOverLimit;
+      answer.detail = "there is no token to run it once more";
+      co_return false;
+    }
+  }
+  const auto fault = key_fault(order);
+  if (!fault) co_return true;
+  answer.refusal = fault;
+  answer.detail = "the key can't be used any more";
+  co_return false;
+}
+
 Awaitable<std::optional<Answer>> StatementRunner::exchange(std::shared_ptr<Attempt> attempt) {
   const RunOrder& order = attempt->order;
   attempt->offered = true;
--- a/src/session/statement_runner.h
+++ b/src/session/statement_runner.h
@@ -17,6 +17,8 @@
 struct RunOrder {
   registry::RouteRule route;
   std::shared_ptr<GroupAccess> group;
+  ApiKey key;         ///< of the caller; empty where none is asked for
+  TenantName tenant;  ///< that the key proved when the statement came
   std::string id;
   std::string text;                       ///< passed on unchanged, unless something prepared is executed
   std::optional<PreparedShape> prepared;  ///< executed with `argument`
@@ -30,6 +32,8 @@
   bool opens_transaction = false;
   bool read_only_transaction = false;
   bool is_forwarded = false;  ///< by another proxy: it is run here or refused
+  /// A backend may have run it already: running it once more takes a token of its own.
+  bool may_have_run = false;
 };
 
 /// A transaction that is open at another proxy.
@@ -51,6 +55,7 @@
   Answer answer;
   std::optional<PinnedLink> pinned;  ///< the transaction is open there
   ServedBy served_by = ServedBy::kProxy;
+  bool nothing_run = false;  ///< no backend can have run it, in any attempt
 };
 
 class StatementRunner {
@@ -83,6 +88,9 @@
   [[nodiscard]] bool must_relay(const RunOrder& order) const;
   /// Whether no replica will do.
   [[nodiscard]] static bool needs_primary(const RunOrder& order);
+  /// Why nothing of the order may be sent to a backend now, as far as its key goes; asked last before
+  /// sending.
+  [[nodiscard]] std::optional<Refusal> key_fault(const RunOrder& order) const;
   Awaitable<RunResult> run_here(RunOrder order);
   Awaitable<RunResult> forward(RunOrder order, std::vector<routing::ProxyPointer> proxies);
   /// Waits for the lease as long as it is to be expected and the order can be refused in good time.
@@ -98,6 +106,9 @@
   Awaitable<Step> try_backend(std::shared_ptr<Attempt> attempt, std::shared_ptr<BackendUse> backend);
   Awaitable<bool> prepare_link(std::shared_ptr<Attempt> attempt, std::shared_ptr<BackendUse> backend);
   Awaitable<bool> begin_transaction(std::shared_ptr<Attempt> attempt);
+  /// Whether it may be sent to a backend now: the key is good, and what runs again has a token. Else the
+  /// attempt's answer says why not.
+  Awaitable<bool> may_send(std::shared_ptr<Attempt> attempt);
   Awaitable<std::optional<Answer>> exchange(std::shared_ptr<Attempt> attempt);
   Step take_answer(Attempt& attempt, Answer answer);
   /// A primary's success, as it was asked for.
--- /dev/null
+++ b/src/tenancy/budget_home.cpp
@@ -0,0 +1,51 @@
+#include "tenancy/budget_home.h"
+
+#include <utility>
+
+#include "registry/budget_authority.h"
+
+namespace cairnhollow::tenancy {
+
+void BudgetHome::set_homes(BudgetHomes homes, std::uint64_t revision) {
+  homes_ = std::move(homes);
+  revision_ = revision;
+  settled_since_.reset();
+  for (auto entry = counts_.begin(); entry != counts_.end();) {
+    const bool stays = homes_.is_home(entry->first, node_) && homes_.was_home(entry->first, node_);
+    entry = stays ? std::next(entry) : counts_.erase(entry);
+  }
+}
+
+void BudgetHome::note_confirmed(TimePoint confirmed_at, std::uint64_t settled_revision, TimePoint now) {
+  if (!confirmed_at_ || *confirmed_at_ < confirmed_at) confirmed_at_ = confirmed_at;
+  settled_revision_ = std::max(settled_revision_, settled_revision);
+  if (settled_revision_ >= revision_ && !settled_since_) settled_since_ = now;
+}
+
+bool BudgetHome::may_count(const Count& count, TimePoint now) const {
+  const bool confirmed = confirmed_at_ && now - *confirmed_at_ < registry::kBudgetAuthority;
+  return confirmed && settled_revision_ >= count.home_since;
+}
+
+Grant BudgetHome::grant(const registry::TenantRule& tenant, const TokenWish& wish, TimePoint now) {
+  if (!homes_.is_home(tenant.name, node_)) return {};
+  auto found = counts_.find(tenant.name);
+  // First asked for: it may be a home since the newest membership only.
+  if (found == counts_.end()) found = counts_.emplace(tenant.name, Count{revision_, std::nullopt}).first;
+  Count& count = found->second;
+  if (!may_count(count, now)) return {};
+  if (!count.bucket) {
+    const bool is_of_now = count.home_since == revision_ && settled_since_;
+    count.bucket.emplace(is_of_now ? *settled_since_ : now);
+  }
+  const HomeBudget budget = home_budget(tenant, window_);
+  Grant grant;
+  grant.tokens = count.bucket->take(wish.needed, budget, now);
+  if (grant.tokens == wish.needed && count.bucket->is_half_full(budget))
+    grant.tokens += count.bucket->take(wish.ahead, budget, now);
+  grant.outcome = grant.tokens > 0 ? GrantOutcome::kGranted : GrantOutcome::kEmpty;
+  if (grant.tokens == 0) grant.retry_after = count.bucket->time_to_token(budget);
+  return grant;
+}
+
+}  // namespace cairnhollow::tenancy
--- /dev/null
+++ b/src/tenancy/budget_homes.h
@@ -0,0 +1,35 @@
+// Which proxies count for a tenant. Pure: every proxy works it out from the membership that it follows.
+#pragma once
+
+#include <vector>
+
+#include "registry/model.h"
+#include "routing/subset.h"
+
+namespace cairnhollow::tenancy {
+
+/// The homes of tenants among the proxies that take work, before and after a change.
+///
+/// Whoever is a home among `takers` together with `changed` was one before the change as well: rendezvous
+/// hashing drops nobody out of a subset when others go. Whoever is a home among `takers` only has become one,
+/// and has to wait until those before have stopped (tenancy/budget_home.h).
+class BudgetHomes {
+ public:
+  BudgetHomes() = default;
+  /// `changed`: proxies that came, went or started anew since the view before, also those that came and went.
+  BudgetHomes(const std::vector<routing::ProxyPointer>& takers,
+              const std::vector<routing::ProxyPointer>& changed);
+
+  /// Up to kHomes proxies, in different zones as far as possible.
+  [[nodiscard]] std::vector<routing::ProxyPointer> of(const TenantName& tenant) const;
+  [[nodiscard]] bool is_home(const TenantName& tenant, const NodeName& node) const;
+  /// Whether `node`, a home now, was one all the time.
+  [[nodiscard]] bool was_home(const TenantName& tenant, const NodeName& node) const;
+
+ private:
+  routing::SubsetTable takers_;
+  routing::SubsetTable with_changed_;
+  std::vector<NodeName> changed_;
+};
+
+}  // namespace cairnhollow::tenancy
--- /dev/null
+++ b/src/tenancy/limit_window.h
@@ -0,0 +1,18 @@
+// What the operator bounds: how many operations of one tenant may run in any stretch of time.
+#pragma once
+
+#include <chrono>
+
+#include "base/types.h"
+
+namespace cairnhollow::tenancy {
+
+/// In any `window` of time at most (rate x window + burst) x (1 + overshoot) + slack operations of a tenant
+/// are run, counted over all proxies.
+struct LimitWindow {
+  Duration window = std::chrono::seconds(5);
+  double overshoot = 0.1;  ///< as a part of the limit
+  double slack = 20;       ///< operations
+};
+
+}  // namespace cairnhollow::tenancy
--- /dev/null
+++ b/src/tenancy/tenant_directory.cpp
@@ -0,0 +1,37 @@
+#include "tenancy/tenant_directory.h"
+
+namespace cairnhollow::tenancy {
+
+void TenantDirectory::clear() {
+  tenants_.clear();
+  holders_.clear();
+}
+
+void TenantDirectory::put(const registry::TenantRule& tenant) {
+  remove(tenant.name);
+  for (const ApiKey& key : tenant.keys) holders_[key] = tenant.name;
+  tenants_[tenant.name] = tenant;
+}
+
+void TenantDirectory::remove(const TenantName& name) {
+  const auto found = tenants_.find(name);
+  if (found == tenants_.end()) return;
+  // A key that has gone to another tenant meanwhile stays with that one.
+  for (const ApiKey& key : found->second.keys) {
+    const auto holder = holders_.find(key);
+    if (holder != holders_.end() && holder->second == name) holders_.erase(holder);
+  }
+  tenants_.erase(found);
+}
+
+const registry::TenantRule* TenantDirectory::find_by_key(const ApiKey& key) const {
+  const auto holder = holders_.find(key);
+  return holder == holders_.end() ? nullptr : find(holder->second);
+}
+
+const registry::TenantRule* TenantDirectory::find(const TenantName& name) const {
+  const auto found = tenants_.find(name);
+  return found == tenants_.end() ? nullptr : &found->second;
+}
+
+}  // namespace cairnhollow::tenancy
--- /dev/null
+++ b/src/tenancy/token_bucket.h
@@ -0,0 +1,46 @@
+// A token bucket that starts empty: a new one in the place of a lost one must not let through what that one
+// may have let through a moment ago.
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+
+#include "tenancy/limit_budget.h"
+
+namespace cairnhollow::tenancy {
+
+class TokenBucket {
+ public:
+  /// Empty, and fills from `now` on.
+  explicit TokenBucket(TimePoint now) : filled_at_(now) {}
+
+  /// Takes up to `wanted` tokens.
+  std::uint64_t take(std::uint64_t wanted, const HomeBudget& budget, TimePoint now) {
+    fill(budget, now);
+    const auto taken = std::min(wanted, static_cast<std::uint64_t>(tokens_));
+    tokens_ -= static_cast<double>(taken);
+    return taken;
+  }
+  /// Whether it holds more than half of what it may.
+  [[nodiscard]] bool is_half_full(const HomeBudget& budget) const { return tokens_ * 2 >= budget.depth; }
+  /// Until it holds one token.
+  [[nodiscard]] Duration time_to_token(const HomeBudget& budget) const {
+    if (tokens_ >= 1) return Duration(0);
+    if (budget.rate_per_s <= 0) return std::chrono::seconds(1);
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>((1 - tokens_) / budget.rate_per_s));
+  }
+
+ private:
+  void fill(const HomeBudget& budget, TimePoint now) {
+    const double elapsed = std::chrono::duration<double>(now - filled_at_).count();
+    tokens_ = std::min(tokens_ + elapsed * budget.rate_per_s, budget.depth);
+    filled_at_ = now;
+  }
+
+  double tokens_ = 0;
+  TimePoint filled_at_;
+};
+
+}  // namespace cairnhollow::tenancy
--- a/src/wire/format.h
+++ b/src/wire/format.h
@@ -18,9 +18,12 @@
 inline constexpr Format kReplicaWaitFormat = 2;
 /// From here on a message says its format. Hello has the range of protocol versions.
 inline constexpr Format kMarkedFormat = 3;
+/// The document has tenants with keys and limits, and routes that need no key; forwarded statements carry the
+/// caller's key.
+inline constexpr Format kTenantsFormat = 4;
 
 /// The latest that this build reads.
-inline constexpr Format kNewestFormat = kMarkedFormat;
+inline constexpr Format kNewestFormat = kTenantsFormat;
 /// What this build writes where nothing else was agreed on. Not above what the build before reads, so that
 /// builds can be mixed and an upgrade can be taken back.
 inline constexpr Format kWrittenFormat = kReplicaWaitFormat;
--- a/tests/platform/document_json_test.cpp
+++ b/tests/platform/document_json_test.cpp
@@ -25,6 +25,13 @@
   return text;
 }
 
+/// The document with these tenants.
+std::string with_tenants(const std::string& tenants) {
+  std::string text = kDocument;
+  text.pop_back();
+  return text + R"(,"Tenants":)" + tenants + "}";
+}
+
 std::string fault_of(const std::string& body) {
   Reason reason;
   const auto document = read_document(body, reason);
@@ -38,6 +45,8 @@
 class DocumentJsonTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(DocumentJsonTest);
   CPPUNIT_TEST(the_document_of_the_pages);
+  CPPUNIT_TEST(the_tenants_of_the_pages);
+  CPPUNIT_TEST(faults_of_tenants_name_their_field_and_no_key);
   CPPUNIT_TEST(the_heartbeat_of_the_pages);
   CPPUNIT_TEST(faults_name_their_field);
   CPPUNIT_TEST(every_cut_of_a_body_is_refused);
@@ -58,6 +67,44 @@
     CPPUNIT_ASSERT(registry::find_faults(*document).empty());
   }
 
+  void the_tenants_of_the_pages() {
+    Reason reason;
+    const auto without = read_document(kDocument, reason);
+    CPPUNIT_ASSERT(without && !without->requires_keys && without->tenants.empty());
+    const auto document = read_document(
+        with_tenants(
+            R"([{"Name":"miny420","ApiKeys":["bkf8","7qdq"],"Priority":1,"RatePerS":218,"Burst":200}])"),
+        reason);
+    CPPUNIT_ASSERT_MESSAGE(reason.detail, document && document->requires_keys);
+    const registry::TenantRule& tenant = document->tenants.at(0);
+    CPPUNIT_ASSERT_EQUAL(std::string("miny420"), tenant.name.value);
+    CPPUNIT_ASSERT(tenant.keys == (std::vector<ApiKey>{ApiKey("bkf8"), ApiKey("7qdq")}));
+    CPPUNIT_ASSERT(tenant.rate_per_s == 218 && tenant.burst == 200 && tenant.priority == 1);
+    const auto nobody = read_document(with_tenants("[]"), reason);
+    CPPUNIT_ASSERT_MESSAGE("the last tenant's end opens nothing", nobody && nobody->requires_keys);
+    const auto open =
+        read_document(replaced(kDocument, R"("Priority":1)", R"("Priority":1,"Public":true)"), reason);
+    CPPUNIT_ASSERT(open && open->routes[0].is_public && !open->routes[1].is_public);
+  }
+
+  void faults_of_tenants_name_their_field_and_no_key() {
+    const auto fault = [](const std::string& tenants) { return fault_of(with_tenants(tenants)); };
+    const std::string shared =
+        fault(R"([{"Name":"a","ApiKeys":["secret"]},{"Name":"b","ApiKeys":["other","secret"]}])");
+    CPPUNIT_ASSERT_EQUAL(std::string("tenants[1].keys[1]: is a key of tenants[0], too"), shared);
+    CPPUNIT_ASSERT_EQUAL(std::string("tenants[1].name: a stands twice"),
+                         fault(R"([{"Name":"a","ApiKeys":[]},{"Name":"a","ApiKeys":[]}])"));
+    CPPUNIT_ASSERT_EQUAL(std::string("tenants[0].keys[0]: must not be empty"),
+                         fault(R"([{"Name":"a","ApiKeys":[""]}])"));
+    CPPUNIT_ASSERT_EQUAL(std::string("Tenants[0].RatePerS: must be a whole number that is not negative"),
+                         fault(R"([{"Name":"a","ApiKeys":[],"RatePerS":-1}])"));
+    CPPUNIT_ASSERT_EQUAL(std::string("Tenants[0].ApiKeys: must hold texts"),
+                         fault(R"([{"Name":"a","ApiKeys":[7]}])"));
+    CPPUNIT_ASSERT_EQUAL(std::string("Tenants: must be a list"), fault(R"({"a":1})"));
+    CPPUNIT_ASSERT_EQUAL(std::string("Routes[0].Public: must be true or false"),
+                         fault_of(replaced(kDocument, R"("Priority":1)", R"("Priority":1,"Public":"yes")")));
+  }
+
   void the_heartbeat_of_the_pages() {
     Reason reason;
     const auto heartbeat = read_heartbeat("i-7f3a91c2", kHeartbeat, reason);
--- a/tests/session/stateful_pool_test.cpp
+++ b/tests/session/stateful_pool_test.cpp
@@ -48,9 +48,10 @@
 class RecordingDialer : public BackendDialer {
  public:
   explicit RecordingDialer(runtime::Runtime& runtime) : runtime_(runtime) {}
-  Awaitable<std::shared_ptr<BackendLink>> open(BackendAddress /*address*/, TimePoint deadline,
+  Awaitable<std::shared_ptr<BackendLink>> open(BackendAddress address, TimePoint deadline,
                                                std::optional<Refusal>& refusal, Reason& reason) override {
     ++dials;
+    tenants.push_back(address.tenant.value);
     if (full) {
       refusal = Refusal::kConnectionLimit;
       reason = Reason{ReasonCode::kUnreachable, "open_session", "backend", "full"};
@@ -62,6 +63,7 @@
     co_return links.back();
   }
   std::vector<std::shared_ptr<RecordingLink>> links;
+  std::vector<std::string> tenants;  ///< of each dial
   bool full = false;
   int dials = 0;
   Duration takes{0};
@@ -77,12 +79,22 @@
   bool in_order = false;
 };
 
+Awaitable<void> take_for(runtime::Runtime& runtime, StatefulPool& pool, LinkWish wish, Taken& taken) {
+  Reason reason;
+  const TimePoint deadline = runtime.now() + milliseconds(100);
+  const LinkDeadlines deadlines{deadline, deadline};
+  taken.link = co_await pool.acquire(std::move(wish), deadlines, taken.refusal, reason);
+  taken.finished = true;
+}
+
 Awaitable<void> take(runtime::Runtime& runtime, StatefulPool& pool, SessionValues values,
                      std::optional<PreparedShape> prepared, Taken& taken) {
   Reason reason;
   const TimePoint deadline = runtime.now() + milliseconds(100);
   const LinkDeadlines deadlines{deadline, deadline};
-  taken.link = co_await pool.acquire(values, deadlines, taken.refusal, reason);
+  LinkWish wish;
+  wish.values = values;
+  taken.link = co_await pool.acquire(std::move(wish), deadlines, taken.refusal, reason);
   if (taken.link) taken.in_order = co_await taken.link->bring_in_order(values, prepared, deadline, reason);
   taken.finished = true;
 }
@@ -101,6 +113,10 @@
   CPPUNIT_TEST(a_full_backend_is_not_dialled_again_at_once);
   CPPUNIT_TEST(idle_links_but_one_are_closed_in_time);
   CPPUNIT_TEST(a_new_link_may_take_longer_than_the_wait_for_a_free_one);
+  CPPUNIT_TEST(a_link_serves_one_tenant);
+  CPPUNIT_TEST(the_link_unused_for_longest_makes_room_for_another_tenant);
+  CPPUNIT_TEST(a_full_backend_takes_a_link_in_the_place_of_an_idle_one);
+  CPPUNIT_TEST(questions_of_the_proxys_own_take_any_tenants_link);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -147,6 +163,48 @@
     CPPUNIT_ASSERT(take_one({{"tag", "a"}}).link == first.link);
   }
 
+  /// Takes a link of the tenant and gives it back.
+  std::shared_ptr<StatefulLink> use(const std::string& tenant, bool any_tenant = false) {
+    Taken taken;
+    runtime_->spawn("take", take_for(*runtime_, *pool_, LinkWish{TenantName(tenant), {}, any_tenant}, taken));
+    world_->run_for(milliseconds(1));
+    CPPUNIT_ASSERT(taken.finished);
+    if (taken.link) pool_->release(taken.link);
+    return taken.link;
+  }
+
+  void a_link_serves_one_tenant() {
+    const auto first = use("one");
+    CPPUNIT_ASSERT(use("two") != first);
+    CPPUNIT_ASSERT(use("one") == first);
+    CPPUNIT_ASSERT(dialer_->tenants == (std::vector<std::string>{"one", "two"}));
+  }
+
+  void the_link_unused_for_longest_makes_room_for_another_tenant() {
+    const auto one = use("one");
+    const auto two = use("two");
+    use("one");
+    const auto three = use("three");
+    CPPUNIT_ASSERT(one->link().is_open() && !two->link().is_open());
+    CPPUNIT_ASSERT_EQUAL(std::string("three"), three->tenant().value);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("not more than the limit", std::size_t{3}, dialer_->links.size());
+  }
+
+  void a_full_backend_takes_a_link_in_the_place_of_an_idle_one() {
+    const auto one = use("one");
+    dialer_->full = true;
+    CPPUNIT_ASSERT(use("two") == nullptr);
+    dialer_->full = false;
+    CPPUNIT_ASSERT_MESSAGE("at once, not after the pause", use("two") != nullptr);
+    CPPUNIT_ASSERT(!one->link().is_open());
+  }
+
+  void questions_of_the_proxys_own_take_any_tenants_link() {
+    const auto one = use("one");
+    CPPUNIT_ASSERT(use("", true) == one);
+    CPPUNIT_ASSERT(use("") != one);
+  }
+
   void a_new_link_may_take_longer_than_the_wait_for_a_free_one() {
     dialer_->takes = milliseconds(20);
     Taken taken;
@@ -154,8 +212,8 @@
     const LinkDeadlines deadlines{now + milliseconds(8), now + milliseconds(100)};
     const auto acquire = [&]() -> Awaitable<void> {
       Reason reason;
-      SessionValues values;
-      taken.link = co_await pool_->acquire(std::move(values), deadlines, taken.refusal, reason);
+      LinkWish wish;
+      taken.link = co_await pool_->acquire(std::move(wish), deadlines, taken.refusal, reason);
       taken.finished = true;
     };
     runtime_->spawn("acquire", acquire());
--- /dev/null
+++ b/tests/tenancy/tenant_directory_test.cpp
@@ -0,0 +1,81 @@
+// Which tenant a key proves, and for how long a key may be believed.
+#include "tenancy/tenant_directory.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "tenancy/key_confirmation.h"
+
+namespace cairnhollow::tenancy {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+registry::TenantRule tenant(const std::string& name, const std::vector<std::string>& keys) {
+  registry::TenantRule rule;
+  rule.name = TenantName(name);
+  for (const std::string& key : keys) rule.keys.emplace_back(key);
+  return rule;
+}
+
+std::string holder_of(const TenantDirectory& directory, const std::string& key) {
+  const auto* found = directory.find_by_key(ApiKey(key));
+  return found == nullptr ? std::string() : found->name.value;
+}
+
+}  // namespace
+
+class TenantDirectoryTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TenantDirectoryTest);
+  CPPUNIT_TEST(a_key_proves_its_tenant_as_long_as_that_has_it);
+  CPPUNIT_TEST(a_key_that_changes_hands_proves_the_new_tenant_in_either_order);
+  CPPUNIT_TEST(keys_are_believed_until_the_bound_after_the_question);
+  CPPUNIT_TEST(without_a_bound_keys_are_always_believed);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void a_key_proves_its_tenant_as_long_as_that_has_it() {
+    TenantDirectory directory;
+    directory.put(tenant("one", {"a", "b"}));
+    CPPUNIT_ASSERT_EQUAL(std::string("one"), holder_of(directory, "b"));
+    CPPUNIT_ASSERT_EQUAL(std::string(), holder_of(directory, ""));
+    directory.put(tenant("one", {"a"}));
+    CPPUNIT_ASSERT_EQUAL(std::string(), holder_of(directory, "b"));
+    directory.remove(TenantName("one"));
+    CPPUNIT_ASSERT_EQUAL(std::string(), holder_of(directory, "a"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, directory.size());
+  }
+
+  void a_key_that_changes_hands_proves_the_new_tenant_in_either_order() {
+    for (const bool giver_first : {true, false}) {
+      TenantDirectory directory;
+      directory.put(tenant("one", {"a"}));
+      if (giver_first) directory.put(tenant("one", {}));
+      directory.put(tenant("two", {"a"}));
+      if (!giver_first) directory.put(tenant("one", {}));
+      CPPUNIT_ASSERT_EQUAL(std::string("two"), holder_of(directory, "a"));
+    }
+  }
+
+  void keys_are_believed_until_the_bound_after_the_question() {
+    KeyConfirmation keys(seconds(5));
+    const TimePoint asked{seconds(100)};
+    CPPUNIT_ASSERT_MESSAGE("never confirmed", !keys.allows(asked));
+    keys.note(asked);
+    CPPUNIT_ASSERT(keys.allows(asked + milliseconds(4899)));
+    CPPUNIT_ASSERT(!keys.allows(asked + milliseconds(4900)));
+    keys.note(asked - seconds(1));
+    CPPUNIT_ASSERT_MESSAGE("an answer to an older question", keys.allows(asked + milliseconds(4899)));
+    CPPUNIT_ASSERT(keys.is_confirmed_since(asked) && !keys.is_confirmed_since(asked + milliseconds(1)));
+  }
+
+  void without_a_bound_keys_are_always_believed() {
+    const KeyConfirmation keys(std::nullopt);
+    CPPUNIT_ASSERT(keys.allows(TimePoint{seconds(1000)}));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TenantDirectoryTest);
+
+}  // namespace cairnhollow::tenancy
--- a/tests/wire/registered_samples.cpp
+++ b/tests/wire/registered_samples.cpp
@@ -53,6 +53,16 @@
 
 GroupTerm any_term() { return {GroupName("group-1"), 4, BackendName("b-1"), true, 6, 21}; }
 
+TenantRule any_tenant() { return {TenantName("tenant-1"), {ApiKey("key-1"), ApiKey("key-2")}, 218, 200, 1}; }
+
+ConfigurationDocument any_document_with_tenants() {
+  ConfigurationDocument document = any_document();
+  document.routes.front().is_public = true;
+  document.requires_keys = true;
+  document.tenants = {any_tenant()};
+  return document;
+}
+
 std::vector<Command> any_commands() {
   return {ReplaceDocument{any_document()},
           RegisterBackend{any_backend()},
@@ -89,6 +99,47 @@
   add(samples, "registry_batch", LoggedCommand{batch});
 }
 
+/// Messages that builds before tenants can't read.
+template <class Message>
+void add_with_tenants(Samples& samples, const std::string& name, const Message& message) {
+  const auto read_again = [](const std::string& bytes, Reason& reason) -> std::optional<std::string> {
+    const auto read = wire::decode<Message>(bytes, reason);
+    if (!read) return std::nullopt;
+    return wire::encode(*read, wire::kTenantsFormat);
+  };
+  samples.push_back({name, wire::encode(message, wire::kTenantsFormat), read_again});
+}
+
+void add_tenants(Samples& samples) {
+  add_with_tenants(samples, "registry_replace_document_with_tenants",
+                   LoggedCommand{ReplaceDocument{any_document_with_tenants()}});
+  FleetDelta delta = any_delta();
+  delta.requires_keys = true;
+  delta.tenants = {any_tenant()};
+  delta.removed_tenants = {TenantName("tenant-0")};
+  add_with_tenants(samples, "fleet_delta_with_tenants", delta);
+  ProxyUpdate update;
+  update.nonce = 3;
+  update.lease = std::chrono::milliseconds(1500);
+  update.settled_revision = 11;
+  add_with_tenants(samples, "proxy_update_with_settled_revision", update);
+  session::ForwardedOrder order;
+  order.route = any_route();
+  order.id = "5c0e7a21d94b36f8";
+  order.text = "READ 1a4";
+  order.key = ApiKey("key-1");
+  order.may_have_run = true;
+  add_with_tenants(samples, "session_forward_run_with_key",
+                   session::ForwardRequest{1, session::ForwardRun{order}});
+  add_with_tenants(samples, "session_forward_tokens",
+                   session::ForwardRequest{4, session::ForwardTokens{TenantName("tenant-1"), 2, 3}});
+  session::ForwardAnswer answer;
+  answer.correlation = 4;
+  answer.nothing_run = true;
+  answer.grant = {tenancy::GrantOutcome::kEmpty, 0, std::chrono::milliseconds(40)};
+  add_with_tenants(samples, "session_forward_answer_with_grant", answer);
+}
+
 void add_snapshot(Samples& samples) {
   const auto read_again = [](const std::string& bytes, Reason& reason) -> std::optional<std::string> {
     simulation::World world({});
@@ -173,6 +224,7 @@
   add_snapshot(samples);
   add_control_messages(samples);
   add_forwarding(samples);
+  add_tenants(samples);
   return samples;
 }
 
