A tenant's statements run at few of a group's proxies; a busy primary is not taken for one out of reach

Under replica_lag a primary with 6 busy slots answered new connections later than 350 ms; most proxies then said that they could not use it and it was replaced though it served (group_closing: most proxies that serve it can't use it, with primary_examined: it answers as primary before). Change: group and tenant choose the proxies (src/tenancy/tenant_division.h), in the zone of the caller; a dial that takes long counts as unreachable only when the primary has answered nothing for 300 ms.

--- a/src/session/fleet_view.cpp
+++ b/src/session/fleet_view.cpp
@@ -4,6 +4,8 @@
 #include <set>
 
 #include "registry/member_lease.h"
+#include "session/knobs.h"
+#include "tenancy/tenant_division.h"
 
 namespace cairnhollow::session {
 
@@ -68,6 +70,7 @@
   if (delta.is_whole) tenants_.clear();
   for (const TenantName& name : delta.removed_tenants) tenants_.remove(name);
   for (const registry::TenantRule& tenant : delta.tenants) tenants_.put(tenant);
+  if (!delta.tenants.empty() || !delta.removed_tenants.empty()) forward_for_.clear();
 }
 
 void FleetView::apply_proxies(const registry::FleetDelta& delta) {
@@ -111,11 +114,14 @@
   const routing::SubsetTable table(takers);
   forward_to_.clear();
   also_serving_.clear();
+  serving_.clear();
+  forward_for_.clear();
   for (const auto& [name, group] : groups_) {
     const std::size_t size = group->serving_proxies(takers.size());
     if (size >= takers.size()) {
       group->share_connections(proxies_.size());
       also_serving_[name] = others_;
+      serving_[name] = routing::forwarding_order(takers, node_, zone_);
       continue;
     }
     const auto serving = table.serving(name, static_cast<std::uint32_t>(size));
@@ -124,6 +130,7 @@
         std::any_of(serving.begin(), serving.end(),
                     [this](const routing::ProxyPointer& proxy) { return proxy->name == node_; });
     auto order = routing::forwarding_order(serving, node_, zone_);
+    serving_[name] = order;
     std::erase_if(order, [this](const routing::ProxyPointer& proxy) { return proxy->name == node_; });
     (serves ? also_serving_ : forward_to_)[name] = std::move(order);
   }
@@ -135,6 +142,18 @@
   return found == forward_to_.end() ? nobody : found->second;
 }
 
+const std::vector<routing::ProxyPointer>& FleetView::forward_to(const GroupName& group,
+                                                                 const TenantName& tenant) {
+  if (tenant.empty()) return forward_to(group);
+  if (forward_for_.size() > kMostTenantDivisions) forward_for_.clear();
+  const auto [found, is_new] = forward_for_.try_emplace({group, tenant});
+  if (!is_new) return found->second;
+  auto order = tenancy::order_for_tenant(serving_[group], tenant, tenants_.part_of(tenant), zone_);
+  if (!order.empty() && order.front()->name == node_) order.clear();
+  found->second = std::move(order);
+  return found->second;
+}
+
 const std::vector<routing::ProxyPointer>& FleetView::also_serving(const GroupName& group) {
   return also_serving_[group];
 }
--- a/src/session/fleet_view.h
+++ b/src/session/fleet_view.h
@@ -74,6 +74,10 @@
   /// The proxies to which statements for the group are to be forwarded, first choice first. Empty: this proxy
   /// serves it. Only so many serve a group that each has connections to work with.
   [[nodiscard]] const std::vector<routing::ProxyPointer>& forward_to(const GroupName& group);
+  /// The same for one tenant's statements: a tenant's links to a group's backends are with few of the proxies
+  /// that serve it. This proxy is among them, behind others, where it serves the group as well.
+  [[nodiscard]] const std::vector<routing::ProxyPointer>& forward_to(const GroupName& group,
+                                                                     const TenantName& tenant);
   /// The other proxies that serve a group which this proxy serves as well, first choice first.
   [[nodiscard]] const std::vector<routing::ProxyPointer>& also_serving(const GroupName& group);
   /// Every other proxy that takes work, those of this zone first.
@@ -124,6 +128,9 @@
   std::map<NodeName, registry::AdmittedProxy> proxies_;
   std::map<GroupName, std::vector<routing::ProxyPointer>> forward_to_;
   std::map<GroupName, std::vector<routing::ProxyPointer>> also_serving_;
+  std::map<GroupName, std::vector<routing::ProxyPointer>> serving_;  ///< with this proxy, where it does
+  /// Worked out when wanted, from `serving_` and the tenants' limits.
+  std::map<std::pair<GroupName, TenantName>, std::vector<routing::ProxyPointer>> forward_for_;
   std::vector<routing::ProxyPointer> others_;
 };
 
--- a/src/session/knobs.h
+++ b/src/session/knobs.h
@@ -106,6 +106,9 @@
 /// them.
 inline constexpr Duration kLeastRefusalPause = milliseconds(20);
 
+/// Orders of proxies for a group and a tenant that are remembered, 0.5 KB each; then they are worked out anew.
+inline constexpr std::size_t kMostTenantDivisions = 4096;
+
 /// A statement that took longer is logged with where its time went.
 inline constexpr Duration kSlowStatement = milliseconds(200);
 /// A statement at a primary without an answer for this long makes the primary suspect.
--- a/src/session/session_proxy.cpp
+++ b/src/session/session_proxy.cpp
@@ -182,7 +182,7 @@
     reached = link || refusal;
     if (link) link->close();
   }
-  if (!reached) {
+  if (!reached && !group->has_primary_answered_lately()) {
     group->note_primary_unreachable();
     link_.report_suspicion(*group, SuspicionKind::kUnreachable);
   }
@@ -212,7 +212,8 @@
     // Proxies that start together do not open their links together.
     const Duration pause = runtime_.random().between(kWarmInterval / 2, kWarmInterval * 3 / 2);
     co_await runtime_.sleep_for(pause);
-    if (!is_ready()) continue;
+    // A link of no tenant would only have to make room.
+    if (!is_ready() || view_.requires_keys()) continue;
     for (const auto& [name, group] : view_.groups()) {
       if (view_.forward_to(name).empty() && group->warm_one()) break;
     }
--- a/src/session/statement_forwarding.cpp
+++ b/src/session/statement_forwarding.cpp
@@ -43,6 +43,10 @@
     // Without a lease the others may well be without one, too: they are not asked each time.
     const bool asked_lately = services_.forwarder.is_avoided(proxies[attempt]->name, group);
     if (asked_lately && !services_.view.holds_lease_for(*order.group)) continue;
+    if (proxies[attempt]->name == services_.view.node()) {
+      if (!services_.view.holds_lease_for(*order.group)) continue;
+      co_return co_await run_here(std::move(order));
+    }
     auto forwarded = co_await forward_to(order, proxies[attempt], may_try_another, reason);
     if (!forwarded) continue;
     result = std::move(*forwarded);
--- a/src/session/statement_in_transaction.cpp
+++ b/src/session/statement_in_transaction.cpp
@@ -51,6 +51,7 @@
   work.reset();
   const bool current = services_.view.may_use_primary(group, pinned.epoch);
   if (answer) pinned.link->note_state(answer->state);
+  if (answer && pinned.at_primary) group.note_primary_answered();
   if (!answer) {
     services_.metrics.count_lost_answer();
     if (pinned.at_primary && current) services_.link.report_suspicion(group, SuspicionKind::kSilent);
--- a/src/session/statement_runner.cpp
+++ b/src/session/statement_runner.cpp
@@ -30,7 +30,7 @@
 Awaitable<RunResult> StatementRunner::run(RunOrder order) {
   std::vector<routing::ProxyPointer> proxies;
   ForwardCause cause = ForwardCause::kServedElsewhere;
-  if (!order.is_forwarded) proxies = services_.view.forward_to(order.group->group());
+  if (!order.is_forwarded) proxies = services_.view.forward_to(order.group->group(), order.tenant);
   if (proxies.empty() && must_relay(order)) {
     proxies = services_.view.others();
     cause = services_.view.holds_lease_for(*order.group) ? ForwardCause::kPrimaryUnreachable
@@ -171,7 +171,7 @@
   if (!attempt->link) {
     const bool full = attempt->reason.code == ReasonCode::kOverloaded;
     if (!full) backend->avoid_until = services_.runtime.now() + kAvoidBackend;
-    if (!full && attempt->at_primary && !refusal) {
+    if (!full && attempt->at_primary && !refusal && !order.group->has_primary_answered_lately()) {
       services_.link.report_suspicion(*order.group, SuspicionKind::kUnreachable);
       order.group->note_primary_unreachable();
     }
--- a/src/tenancy/tenant_directory.cpp
+++ b/src/tenancy/tenant_directory.cpp
@@ -5,12 +5,14 @@
 void TenantDirectory::clear() {
   tenants_.clear();
   holders_.clear();
+  rates_ = 0;
 }
 
 void TenantDirectory::put(const registry::TenantRule& tenant) {
   remove(tenant.name);
   for (const ApiKey& key : tenant.keys) holders_[key] = tenant.name;
   tenants_[tenant.name] = tenant;
+  rates_ += tenant.rate_per_s;
 }
 
 void TenantDirectory::remove(const TenantName& name) {
@@ -21,6 +23,7 @@
     const auto holder = holders_.find(key);
     if (holder != holders_.end() && holder->second == name) holders_.erase(holder);
   }
+  rates_ -= found->second.rate_per_s;
   tenants_.erase(found);
 }
 
@@ -29,6 +32,13 @@
   return holder == holders_.end() ? nullptr : find(holder->second);
 }
 
+double TenantDirectory::part_of(const TenantName& name) const {
+  const registry::TenantRule* tenant = find(name);
+  if (tenant == nullptr) return 0;
+  if (rates_ == 0) return 1.0 / static_cast<double>(tenants_.size());
+  return static_cast<double>(tenant->rate_per_s) / static_cast<double>(rates_);
+}
+
 const registry::TenantRule* TenantDirectory::find(const TenantName& name) const {
   const auto found = tenants_.find(name);
   return found == tenants_.end() ? nullptr : &found->second;
--- a/src/tenancy/tenant_directory.h
+++ b/src/tenancy/tenant_directory.h
@@ -20,11 +20,14 @@
   [[nodiscard]] const registry::TenantRule* find_by_key(const ApiKey& key) const;
   /// Null when there is no such tenant.
   [[nodiscard]] const registry::TenantRule* find(const TenantName& name) const;
+  /// The tenant's of all tenants' rates, 0 to 1; alike for all where no tenant has a rate.
+  [[nodiscard]] double part_of(const TenantName& name) const;
   [[nodiscard]] std::size_t size() const { return tenants_.size(); }
 
  private:
   std::map<TenantName, registry::TenantRule> tenants_;
   std::unordered_map<ApiKey, TenantName> holders_;
+  std::uint64_t rates_ = 0;  ///< of all tenants, operations a second
 };
 
 }  // namespace cairnhollow::tenancy
