Taken back: a primary that answers may be called out of reach again; links of nobody are closed

Cause: with replicas 7 s behind, a group's reads fall on its primary of 6 slots. Found on the way: before the document was known each proxy opened links of no tenant to the first groups of the list, and kept one for good: 23 of 53 connections of one primary, 266 refusals there in 34 s. Links to groups that others serve are closed after 2 s, none is opened before the document, and a full backend is logged (backend_full).

--- a/src/session/group_access.cpp
+++ b/src/session/group_access.cpp
@@ -60,7 +60,6 @@
   term_ = term;
   if (other_term) positions_.clear();
   broken_off_ = 0;
-  if (other_term) primary_answered_at_ = TimePoint{};
   if (primary_given_up) {
     member_lease_until_ = TimePoint{};
     commits_stall_ = false;
--- a/src/session/group_access.h
+++ b/src/session/group_access.h
@@ -132,14 +132,7 @@
   /// The open term's primary broke off a statement. True when it has done so with all of them for a while.
   bool note_broken_off();
   /// It answered one.
-  void note_primary_answered() {
-    broken_off_ = 0;
-    primary_answered_at_ = runtime_.now();
-  }
-  /// It answered this proxy a moment ago: that a new connection takes long shows that it is busy, no more.
-  [[nodiscard]] bool has_primary_answered_lately() const {
-    return runtime_.now() - primary_answered_at_ < kPrimarySilence;
-  }
+  void note_primary_answered() { broken_off_ = 0; }
 
   /// Commits reach no replica: some sent to the primary are not answered, and none sent later either. What
   /// would commit then is refused and not sent, so that it does not hold a link and end in doubt; one at a
@@ -183,7 +176,6 @@
   std::uint64_t membership_ = 0;
   int broken_off_ = 0;  ///< statements that the primary broke off, one after the other
   TimePoint broken_off_since_{};
-  TimePoint primary_answered_at_{};
   std::uint64_t unreachable_epoch_ = 0;
   TimePoint unreachable_until_{};
   Position highest_acknowledged_;
--- a/src/session/session_proxy.cpp
+++ b/src/session/session_proxy.cpp
@@ -80,6 +80,7 @@
   Awaitable<void> dial_primary(std::shared_ptr<GroupAccess> group);
   void let_idle_go();
   void watch_lease(TimePoint now);
+  void trim_links(TimePoint now);
   /// Callers go elsewhere before the lease runs out: they are sent here for a while after this turns false.
   [[nodiscard]] bool is_ready() const {
     return !draining_ && runtime_.now() + kReadyLeaseLeft < view_.lease_until();
@@ -182,7 +183,7 @@
     reached = link || refusal;
     if (link) link->close();
   }
-  if (!reached && !group->has_primary_answered_lately()) {
+  if (!reached) {
     group->note_primary_unreachable();
     link_.report_suspicion(*group, SuspicionKind::kUnreachable);
   }
@@ -212,23 +213,33 @@
     // Proxies that start together do not open their links together.
     const Duration pause = runtime_.random().between(kWarmInterval / 2, kWarmInterval * 3 / 2);
     co_await runtime_.sleep_for(pause);
-    // A link of no tenant would only have to make room.
-    if (!is_ready() || view_.requires_keys()) continue;
+    // Who serves what, and whether links are of one tenant each, is known with the document: before it each
+    // proxy would open links to groups that others serve.
+    if (!is_ready() || view_.document_version() == 0 || view_.requires_keys()) continue;
     for (const auto& [name, group] : view_.groups()) {
       if (view_.forward_to(name).empty() && group->warm_one()) break;
     }
   }
 }
 
+void SessionProxy::trim_links(TimePoint now) {
+  for (const auto& [name, group] : view_.groups()) {
+    // Links to groups that others serve take connections from those.
+    const bool serves = view_.forward_to(name).empty();
+    const bool by_tenant = serves && view_.requires_keys();
+    const Duration life = by_tenant ? kIdleTenantLinkLife : kIdleLinkLife;
+    const std::size_t kept = serves && !by_tenant ? 1 : 0;
+    for (const auto& [backend, use] : group->backends()) use->pool.trim(now, life, kept);
+  }
+}
+
 Awaitable<void> SessionProxy::watch() {
   while (!stopped_) {
     co_await runtime_.sleep_for(kWatchTick);
     const TimePoint now = runtime_.now();
     watch_lease(now);
     watch_primaries(now);
-    for (const auto& [name, group] : view_.groups()) {
-      for (const auto& [backend, use] : group->backends()) use->pool.trim(now);
-    }
+    trim_links(now);
     const Duration idle_limit = view_.transaction_idle();
     if (idle_limit == Duration(0)) continue;
     for (const auto& [id, session] : sessions_) session->end_resting_transaction(now, idle_limit);
--- a/src/session/stateful_pool.cpp
+++ b/src/session/stateful_pool.cpp
@@ -119,11 +119,21 @@
     co_return std::make_shared<StatefulLink>(std::move(link), std::move(wish.tenant));
   }
   --in_use_;
-  if (refusal == Refusal::kConnectionLimit) full_until_ = runtime_.now() + kFullPause;
+  if (refusal == Refusal::kConnectionLimit) note_full();
   returned_.notify_one();
   co_return nullptr;
 }
 
+void StatefulPool::note_full() {
+  full_until_ = runtime_.now() + kFullPause;
+  runtime_.logger().log(runtime::LogLevel::kWarning, "backend_full",
+                        {{"group", address_.group.value},
+                         {"backend", address_.backend.value},
+                         {"in_use", std::to_string(in_use_)},
+                         {"idle", std::to_string(idle_.size())},
+                         {"limit", std::to_string(limit_)}});
+}
+
 void StatefulPool::release(std::shared_ptr<StatefulLink> link) {
   --in_use_;
   if (in_use_ + idle_.size() >= limit_) link->link().close();
@@ -132,9 +142,9 @@
   returned_.notify_one();
 }
 
-void StatefulPool::trim(TimePoint now) {
+void StatefulPool::trim(TimePoint now, Duration life, std::size_t kept) {
   drop_closed();
-  while (idle_.size() > 1 && now - idle_.front()->idle_since() > kIdleLinkLife) {
+  while (idle_.size() > kept && now - idle_.front()->idle_since() > life) {
     idle_.front()->link().close();
     idle_.erase(idle_.begin());
   }
--- a/src/session/stateful_pool.h
+++ b/src/session/stateful_pool.h
@@ -94,8 +94,8 @@
   /// Gives a link back that has no transaction open and owes no answer; a closed one is dropped.
   void release(std::shared_ptr<StatefulLink> link);
   void close_idle();
-  /// Closes links but one that have been idle for kIdleLinkLife.
-  void trim(TimePoint now);
+  /// Closes links that have been idle for `life`, but `kept` of them.
+  void trim(TimePoint now, Duration life, std::size_t kept);
   [[nodiscard]] std::size_t in_use() const { return in_use_; }
   /// Whether there is no link at all.
   [[nodiscard]] bool is_cold() const { return in_use_ == 0 && idle_.empty(); }
@@ -106,6 +106,8 @@
  private:
   std::shared_ptr<StatefulLink> take_idle(const LinkWish& wish);
   void drop_closed();
+  /// The backend refused one more connection.
+  void note_full();
   /// Closes the idle link that was unused for longest when there are as many links as there may be, or as
   /// the backend takes.
   void make_room();
--- a/src/session/statement_runner.cpp
+++ b/src/session/statement_runner.cpp
@@ -171,7 +171,7 @@
   if (!attempt->link) {
     const bool full = attempt->reason.code == ReasonCode::kOverloaded;
     if (!full) backend->avoid_until = services_.runtime.now() + kAvoidBackend;
-    if (!full && attempt->at_primary && !refusal && !order.group->has_primary_answered_lately()) {
+    if (!full && attempt->at_primary && !refusal) {
       services_.link.report_suspicion(*order.group, SuspicionKind::kUnreachable);
       order.group->note_primary_unreachable();
     }
--- a/tests/session/stateful_pool_test.cpp
+++ b/tests/session/stateful_pool_test.cpp
@@ -279,10 +279,10 @@
     const Taken second = take_one({});
     pool_->release(first.link);
     pool_->release(second.link);
-    pool_->trim(runtime_->now());
+    pool_->trim(runtime_->now(), kIdleLinkLife, 1);
     CPPUNIT_ASSERT(dialer_->links[0]->open && dialer_->links[1]->open);
     world_->run_for(seconds(3));
-    pool_->trim(runtime_->now());
+    pool_->trim(runtime_->now(), kIdleLinkLife, 1);
     CPPUNIT_ASSERT(!dialer_->links[0]->open && dialer_->links[1]->open);
   }
 
