--- a/simulation/registered_fleet.cpp
+++ b/simulation/registered_fleet.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t kBackendsPerGroup = 3;
 constexpr Duration kPromotionTakes = milliseconds(300);
 constexpr Duration kCallTimeout = milliseconds(900);
+/// After its acknowledgement a lower limit holds on all proxies that control reaches.
+constexpr Duration kLimitSettles = seconds(4);
 
 std::size_t number_of(const std::string& name) { return std::stoull(name.substr(name.rfind('-') + 1)); }
 
@@ -76,6 +78,7 @@
   settings.seeds = control_endpoints(kOperatorPort);
   settings.peer_endpoint = {address_of(name), kPeerPort};
   settings.control_port = kPeerPort;
+  settings.key_bound = settings_.key_bound;
   world_.start({name, address_of(name), settings.zone}, [settings](runtime::Runtime& runtime) {
     return session::make_session_proxy(runtime, settings, platform::session_edge());
   });
@@ -99,6 +102,7 @@
       database.control_endpoints = control_endpoints(kOperatorPort);
       database.lost_answers = settings_.lost_answers;
       database.work = settings_.work;
+      database.tenants = &tenant_history_;
       members_[name] = {models.back(), names[place]};
       GroupModel* model = models.back();
       world_.start({name, address_of(name), database.zone},
@@ -115,27 +119,35 @@
 }
 
 void RegisteredFleet::start_callers() {
-  std::vector<Endpoint> proxies;
-  for (std::size_t number = 1; number <= settings_.proxies; ++number)
-    proxies.push_back({address_of(fmt::format("proxy-{}", number)), kSessionPort});
   for (std::size_t number = 1; number <= 2 * kPolicies.size(); ++number) {
-    const PolicyOfDatabase& policy = kPolicies[number % kPolicies.size()];
-    CallerSettings caller;
-    caller.name = fmt::format("caller-{}", number);
-    caller.proxies = proxies;
-    std::rotate(caller.proxies.begin(),
-                caller.proxies.begin() + static_cast<std::ptrdiff_t>(number % proxies.size()),
-                caller.proxies.end());
-    caller.database = policy.name;
-    caller.policy = policy.policy;
-    caller.staleness = milliseconds(policy.staleness_ms);
-    CallerCounts& counts = counts_.emplace_back();
-    VirtualRuntime& runtime = world_.start_bare(
-        {caller.name, fmt::format("10.4.0.{}", number), ZoneName(kZones[number % kZones.size()])});
-    runtime.spawn("caller", run_caller(runtime, caller, history_, counts, stopped_));
+    ApiKey key;
+    if (!settings_.tenants.empty()) key = settings_.tenants[number % settings_.tenants.size()].keys.front();
+    start_caller(fmt::format("caller-{}", number), key);
   }
 }
 
+void RegisteredFleet::start_caller(const std::string& name, const ApiKey& key) {
+  const std::size_t number = next_caller_++;
+  const PolicyOfDatabase& policy = kPolicies[number % kPolicies.size()];
+  CallerSettings caller;
+  caller.name = name;
+  caller.key = key;
+  caller.tenants = &tenant_history_;
+  caller.pause = settings_.caller_pause;
+  for (std::size_t proxy = 1; proxy <= settings_.proxies; ++proxy)
+    caller.proxies.push_back({address_of(fmt::format("proxy-{}", proxy)), kSessionPort});
+  std::rotate(caller.proxies.begin(),
+              caller.proxies.begin() + static_cast<std::ptrdiff_t>(number % caller.proxies.size()),
+              caller.proxies.end());
+  caller.database = policy.name;
+  caller.policy = policy.policy;
+  caller.staleness = milliseconds(policy.staleness_ms);
+  CallerCounts& counts = counts_.emplace_back();
+  VirtualRuntime& runtime = world_.start_bare(
+      {caller.name, fmt::format("10.4.0.{}", number), ZoneName(kZones[number % kZones.size()])});
+  runtime.spawn("caller", run_caller(runtime, caller, history_, counts, stopped_));
+}
+
 std::string RegisteredFleet::document(std::uint64_t version) const {
   std::vector<DatabaseText> databases;
   databases.reserve(kPolicies.size());
@@ -145,7 +157,7 @@
   groups.reserve(settings_.groups);
   for (std::size_t group = 1; group <= settings_.groups; ++group)
     groups.push_back(fmt::format("group-{}", group));
-  return document_text(version, databases, groups);
+  return document_text(version, databases, groups, settings_.tenants);
 }
 
 namespace {
@@ -179,7 +191,11 @@
     operators.spawn("operator", call(operators, endpoints[next++ % endpoints.size()], request, result));
     const bool answered =
         world_.run_until([&] { return result->has_value() && (*result)->status != 0; }, kCallTimeout);
-    if (answered && (*result)->status == 200) return true;
+    if (answered && (*result)->status == 200) {
+      for (const registry::TenantRule& tenant : settings_.tenants)
+        tenant_history_.eras.push_back({tenant, world_.now()});
+      return true;
+    }
     world_.run_for(milliseconds(50));
   }
   return false;
@@ -223,6 +239,11 @@
       final_tokens.push_back(entry.record + " " + entry.token);
   }
   std::vector<std::string> violations = find_violations(history_, final_tokens);
+  if (!settings_.tenants.empty()) {
+    const TenantBounds bounds{settings_.key_bound, kLimitSettles, {}};
+    for (std::string& violation : find_tenant_violations(tenant_history_, bounds))
+      violations.push_back(std::move(violation));
+  }
   for (const std::string& fault : world_.faults()) violations.push_back("fault: " + fault);
   return violations;
 }
--- a/simulation/registered_fleet.h
+++ b/simulation/registered_fleet.h
@@ -24,6 +24,10 @@
   double lost_answers = 0;
   Duration work = std::chrono::milliseconds(3);  ///< of a statement at a backend
   Duration serving_lease = std::chrono::milliseconds(1500);
+  /// Callers take turns in having the first key of one of them; empty: callers need no keys.
+  std::vector<registry::TenantRule> tenants;
+  Duration key_bound = std::chrono::seconds(5);
+  Duration caller_pause = std::chrono::milliseconds(20);  ///< between a caller's operations
   bool print_log = false;
 };
 
@@ -39,6 +43,11 @@
 
   /// Sends a document of the next version to one control node after the other until it is acknowledged.
   bool send_document(Duration limit = std::chrono::seconds(5));
+  /// What the next documents say of tenants.
+  void set_tenants(std::vector<registry::TenantRule> tenants) { settings_.tenants = std::move(tenants); }
+  /// One more caller, with a key that may be anything; its name tells it from others.
+  void start_caller(const std::string& name, const ApiKey& key);
+  [[nodiscard]] const standins::unfenced::TenantHistory& tenant_history() const { return tenant_history_; }
   /// The newest document's version as some control node reads it back; 0: none answers.
   std::uint64_t read_back_version();
 
@@ -99,6 +108,8 @@
   std::map<std::string, std::pair<standins::unfenced::GroupModel*, BackendName>> members_;
   std::map<std::string, bool> wiped_;
   std::vector<standins::unfenced::Attempt> history_;
+  standins::unfenced::TenantHistory tenant_history_;
+  std::size_t next_caller_ = 1;
   std::deque<standins::unfenced::CallerCounts> counts_;
   std::uint64_t version_ = 0;
   bool stopped_ = false;
--- a/src/session/forwarder.cpp
+++ b/src/session/forwarder.cpp
@@ -231,9 +231,13 @@
   avoided_for_until_[{proxy, group}] = runtime_.now() + kAvoidProxy;
 }
 
-bool Forwarder::is_avoided(const NodeName& proxy, const GroupName& group) const {
+bool Forwarder::is_unreachable(const NodeName& proxy) const {
   const auto peer = peers_.find(proxy);
-  if (peer != peers_.end() && peer->second->is_unreachable) return true;
+  return peer != peers_.end() && peer->second->is_unreachable;
+}
+
+bool Forwarder::is_avoided(const NodeName& proxy, const GroupName& group) const {
+  if (is_unreachable(proxy)) return true;
   const auto for_group = avoided_for_until_.find({proxy, group});
   return for_group != avoided_for_until_.end() && runtime_.now() < for_group->second;
 }
--- a/src/session/forwarder.h
+++ b/src/session/forwarder.h
@@ -91,6 +91,8 @@
   void note_no_answer(const NodeName& proxy, const GroupName& group);
   /// The proxy can't serve the group now: others are tried first for a while.
   void avoid_for(const NodeName& proxy, const GroupName& group);
+  /// It was not reached when it was wanted last, and has shown no life since.
+  [[nodiscard]] bool is_unreachable(const NodeName& proxy) const;
   [[nodiscard]] bool is_avoided(const NodeName& proxy, const GroupName& group) const;
 
  private:
--- a/src/session/limit_client.cpp
+++ b/src/session/limit_client.cpp
@@ -67,6 +67,7 @@
   const auto rank = [&](const routing::ProxyPointer& home) {
     const auto silent = silent_until_.find(home->name);
     if (silent != silent_until_.end() && now < silent->second) return 3;
+    if (forwarder_.is_unreachable(home->name)) return 3;
     if (home->name == view_.node()) return 0;
     return home->zone == view_.zone() ? 1 : 2;
   };
--- a/standins/unfenced/caller.cpp
+++ b/standins/unfenced/caller.cpp
@@ -27,12 +27,14 @@
 
 class Session {
  public:
-  Session(runtime::Runtime& runtime, std::shared_ptr<runtime::LineConnection> lines)
-      : runtime_(runtime), lines_(std::move(lines)) {}
+  Session(runtime::Runtime& runtime, const CallerSettings& settings, std::string name,
+          std::shared_ptr<runtime::LineConnection> lines)
+      : runtime_(runtime), settings_(settings), name_(std::move(name)), lines_(std::move(lines)) {}
 
   Awaitable<bool> open(std::string database) {
     Reason reason;
-    std::string start = fmt::format("START {} caller\r\n", database);
+    const std::string who = settings_.key.empty() ? "caller" : settings_.key.value;
+    std::string start = fmt::format("START {} {}\r\n", database, who);
     co_await lines_->write(std::move(start), reason);
     const auto line = co_await lines_->read_line(runtime_.now() + kStatementTimeout, reason);
     co_return line && line->starts_with("READY");
@@ -41,7 +43,9 @@
   Awaitable<Reply> run(std::string text) {
     Reason reason;
     Reply reply;
-    std::string query = fmt::format("QUERY q{} {}\r\n", next_id_++, text);
+    const std::string id = fmt::format("{}.{}", name_, next_id_++);
+    std::string query = fmt::format("QUERY {} {}\r\n", id, text);
+    if (settings_.tenants != nullptr) settings_.tenants->sent.push_back({id, operation(), settings_.key, runtime_.now()});
     co_await lines_->write(std::move(query), reason);
     const TimePoint deadline = runtime_.now() + kStatementTimeout;
     while (true) {
@@ -58,13 +62,20 @@
     }
   }
   void close() { lines_->close(); }
+  /// What is sent from now on is of another operation.
+  void begin_operation() { ++operation_; }
   /// A close while nothing was asked is no failure: the caller goes elsewhere.
   [[nodiscard]] bool is_open() const { return lines_->is_open(); }
 
  private:
+  [[nodiscard]] std::string operation() const { return fmt::format("{}/{}", name_, operation_); }
+
   runtime::Runtime& runtime_;
+  const CallerSettings& settings_;
+  std::string name_;
   std::shared_ptr<runtime::LineConnection> lines_;
   std::uint64_t next_id_ = 1;
+  std::uint64_t operation_ = 0;
 };
 
 class Caller {
@@ -79,7 +90,8 @@
       const Endpoint proxy = settings_.proxies[next_proxy_++ % settings_.proxies.size()];
       auto lines = co_await runtime_.lines().connect(proxy, runtime_.now() + kConnectTimeout, reason);
       if (lines) {
-        Session session(runtime_, lines);
+        name_ = fmt::format("{}-{}", settings_.name, next_session_++);
+        Session session(runtime_, settings_, name_, lines);
         co_await run_session(session, stopped);
         session.close();
       }
@@ -89,7 +101,6 @@
 
  private:
   Awaitable<void> run_session(Session& session, const bool& stopped) {
-    name_ = fmt::format("{}-{}", settings_.name, next_session_++);
     const bool opened = co_await session.open(settings_.database);
     if (!opened) co_return;
     std::string set = "SET tag " + name_;
@@ -103,6 +114,7 @@
   }
 
   Awaitable<bool> run_operation(Session& session) {
+    session.begin_operation();
     Attempt attempt;
     attempt.session = name_;
     attempt.policy = settings_.policy;
--- a/standins/unfenced/caller.h
+++ b/standins/unfenced/caller.h
@@ -7,6 +7,7 @@
 
 #include "runtime/runtime.h"
 #include "standins/unfenced/session_history.h"
+#include "standins/unfenced/tenant_history.h"
 
 namespace cairnhollow::standins::unfenced {
 
@@ -18,6 +19,8 @@
   Duration staleness{0};
   Duration pause = std::chrono::milliseconds(20);  ///< between operations
   std::uint32_t records = 4;
+  ApiKey key;                        ///< empty: the caller has none
+  TenantHistory* tenants = nullptr;  ///< what is sent is noted there; null: nowhere
 };
 
 /// Counts beside the history.
--- a/standins/unfenced/database.cpp
+++ b/standins/unfenced/database.cpp
@@ -158,7 +158,7 @@
     std::string_view rest = *start;
     take_word(rest);
     const std::string_view service = take_word(rest);
-    take_word(rest);
+    const TenantName tenant{std::string(take_word(rest))};
     const bool expected = service == model_.name().value && rest == settings_.backend.value;
     std::string greeting = expected ? "READY I -\r\n" : "ERR MISROUTED other\r\n";
     co_await lines->write(std::move(greeting), reason);
@@ -172,7 +172,10 @@
         lines->close();
         co_return;
       }
-      Answer answer = co_await answer_text(connection, std::string(id), std::string(text));
+      const std::string statement_id(id);
+      Answer answer = co_await answer_text(connection, statement_id, std::string(text));
+      if (settings_.tenants != nullptr && answer.signature == "signed-" + statement_id)
+        settings_.tenants->runs.push_back({statement_id, tenant, runtime_.now()});
       if (runtime_.random().unit() < settings_.lost_answers && id != "-") co_return;
       answer.state = connection.state;
       const std::uint64_t applied = model_.applied(settings_.backend, runtime_.now());
--- a/standins/unfenced/database.h
+++ b/standins/unfenced/database.h
@@ -8,6 +8,7 @@
 #include "runtime/role.h"
 #include "runtime/runtime.h"
 #include "standins/unfenced/group_model.h"
+#include "standins/unfenced/tenant_history.h"
 
 namespace cairnhollow::standins::unfenced {
 
@@ -18,6 +19,7 @@
   std::vector<Endpoint> control_endpoints;  ///< where heartbeats go
   std::uint32_t slots = 4;
   Duration work = std::chrono::milliseconds(3);
+  TenantHistory* tenants = nullptr;  ///< what is run is noted there; null: nowhere
   double lost_answers = 0;  ///< share of statements that are run and not answered
 };
 
--- a/standins/unfenced/document_text.cpp
+++ b/standins/unfenced/document_text.cpp
@@ -23,10 +23,24 @@
   return "primary";
 }
 
+json::array tenant_list(const std::vector<registry::TenantRule>& tenants) {
+  json::array list;
+  for (const registry::TenantRule& tenant : tenants) {
+    json::array keys;
+    for (const ApiKey& key : tenant.keys) keys.emplace_back(key.value);
+    list.push_back(json::object{{"Name", tenant.name.value},
+                                {"ApiKeys", keys},
+                                {"RatePerS", tenant.rate_per_s},
+                                {"Burst", tenant.burst}});
+  }
+  return list;
+}
+
 }  // namespace
 
 std::string document_text(std::uint64_t version, const std::vector<DatabaseText>& databases,
-                          const std::vector<std::string>& groups) {
+                          const std::vector<std::string>& groups,
+                          const std::vector<registry::TenantRule>& tenants) {
   json::array routes;
   for (const DatabaseText& database : databases) {
     routes.push_back(json::object{{"Name", "r-" + database.name},
@@ -42,10 +56,11 @@
   json::array services;
   for (const std::string& group : groups)
     services.push_back(json::object{{"Name", group}, {"MaxConns", kMaxConnections}, {"SyncReplicas", 1}});
-  const json::object document{{"Version", version},
-                              {"Routes", routes},
-                              {"Services", services},
-                              {"Limits", json::object{{"TxnIdleMs", kTransactionIdleMs}}}};
+  json::object document{{"Version", version},
+                        {"Routes", routes},
+                        {"Services", services},
+                        {"Limits", json::object{{"TxnIdleMs", kTransactionIdleMs}}}};
+  if (!tenants.empty()) document["Tenants"] = tenant_list(tenants);
   return json::serialize(document);
 }
 
--- a/standins/unfenced/document_text.h
+++ b/standins/unfenced/document_text.h
@@ -32,8 +32,10 @@
 inline const std::vector<std::string> kZones{"kelburn", "petone", "porirua"};
 
 /// A configuration document of these databases and groups.
+/// `tenants`: empty where callers need no keys.
 std::string document_text(std::uint64_t version, const std::vector<DatabaseText>& databases,
-                          const std::vector<std::string>& groups);
+                          const std::vector<std::string>& groups,
+                          const std::vector<registry::TenantRule>& tenants = {});
 
 runtime::HttpRequest replace_document(std::string text);
 runtime::HttpRequest read_document();
--- a/tests/session/stateful_pool_test.cpp
+++ b/tests/session/stateful_pool_test.cpp
@@ -3,6 +3,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "session/knobs.h"
 #include "simulation/world.h"
 
 namespace cairnhollow::session {
