--- a/src/session/caller_session.cpp
+++ b/src/session/caller_session.cpp
@@ -264,8 +264,8 @@
   if (order.tenant.empty()) co_return true;
   const AdmissionAnswer admission = co_await services_.limits.admit(order.tenant);
   token = admission.expires_at;
-  if (admission.admission == Admission::kAdmitted) co_return true;
-  const bool is_over = admission.admission == Admission::kOverLimit;
+  if (admission.outcome == AdmissionOutcome::kAdmitted) co_return true;
+  const bool is_over = admission.outcome == AdmissionOutcome::kOverLimit;
   refusal = refuse(is_over ? Refusal::kOverLimit : Refusal::kBusy,
                    fmt::format("{}; come back in {} ms",
                                is_over ? "the tenant is over its limit" : "the tenant can't be counted now",
--- a/src/session/limit_client.cpp
+++ b/src/session/limit_client.cpp
@@ -12,27 +12,33 @@
 
 Awaitable<AdmissionAnswer> LimitClient::admit(TenantName tenant) {
   const registry::TenantRule* rule = view_.tenants().find(tenant);
-  if (rule == nullptr || !rule->is_limited())
-    co_return AdmissionAnswer{Admission::kAdmitted, Duration(0), {}};
-  auto& held = accounts_[tenant];
+  AdmissionAnswer answer{AdmissionOutcome::kAdmitted, Duration(0), {}};
+  const bool is_limited = rule != nullptr && rule->is_limited();
+  if (is_limited) answer = co_await take_or_ask(*rule);
+  const bool is_named = view_.tenants().is_large(tenant);
+  metrics_.count_admission(is_named ? tenant.value : kOtherTenants, answer.outcome);
+  co_return answer;
+}
+
+Awaitable<AdmissionAnswer> LimitClient::take_or_ask(registry::TenantRule tenant) {
+  auto& held = accounts_[tenant.name];
   if (!held) held = std::make_shared<Account>(runtime_);
   const AccountPointer account = held;
   const TimePoint begun = runtime_.now();
   account->stock.note_demand(begun);
   auto token = account->stock.take(begun);
-  if (token) co_return AdmissionAnswer{Admission::kAdmitted, Duration(0), token};
+  if (token) co_return AdmissionAnswer{AdmissionOutcome::kAdmitted, Duration(0), token};
   if (begun < account->refused_until) co_return account->last;
-  const registry::TenantRule limits = *rule;
   ++account->waiting;
   bool answered = true;
   do {
-    if (!std::exchange(account->asking, true)) runtime_.spawn("ask_homes", ask_homes(limits, account));
+    if (!std::exchange(account->asking, true)) runtime_.spawn("ask_homes", ask_homes(tenant, account));
     answered = co_await account->answered.wait_until(begun + kAdmissionLimit);
     token = account->stock.take(runtime_.now());
-  } while (!token && answered && account->last.admission == Admission::kAdmitted);
+  } while (!token && answered && account->last.outcome == AdmissionOutcome::kAdmitted);
   --account->waiting;
-  if (token) co_return AdmissionAnswer{Admission::kAdmitted, Duration(0), token};
-  if (!answered) co_return AdmissionAnswer{Admission::kNotCounted, kComeBackAfter, {}};
+  if (token) co_return AdmissionAnswer{AdmissionOutcome::kAdmitted, Duration(0), token};
+  if (!answered) co_return AdmissionAnswer{AdmissionOutcome::kNotCounted, kComeBackAfter, {}};
   co_return account->last;
 }
 
@@ -40,20 +46,20 @@
   const TimePoint asked_at = runtime_.now();
   const tenancy::TokenWish wish{std::max<std::uint64_t>(account->waiting, 1),
                                 account->stock.expected(asked_at)};
-  AdmissionAnswer answer{Admission::kNotCounted, kComeBackAfter, {}};
+  AdmissionAnswer answer{AdmissionOutcome::kNotCounted, kComeBackAfter, {}};
   for (const routing::ProxyPointer& home : order_of(tenant.name)) {
     const Grant grant = co_await ask(tenant, wish, home);
     if (grant.outcome == GrantOutcome::kNotCounting) continue;
     if (grant.outcome == GrantOutcome::kGranted) {
       account->stock.put(grant.tokens, asked_at);
-      answer.admission = Admission::kAdmitted;
+      answer.outcome = AdmissionOutcome::kAdmitted;
       break;
     }
-    answer.admission = Admission::kOverLimit;
+    answer.outcome = AdmissionOutcome::kOverLimit;
     answer.retry_after = std::min(answer.retry_after, grant.retry_after);
   }
   account->last = answer;
-  if (answer.admission != Admission::kAdmitted) {
+  if (answer.outcome != AdmissionOutcome::kAdmitted) {
     account->last.retry_after = std::clamp<Duration>(answer.retry_after, kLeastRefusalPause, kComeBackAfter);
     account->refused_until = runtime_.now() + kLeastRefusalPause;
   }
--- a/src/session/limit_client.h
+++ b/src/session/limit_client.h
@@ -14,15 +14,10 @@
 
 namespace cairnhollow::session {
 
-/// What an operation is told that wants to begin.
-enum class Admission : std::uint8_t {
-  kAdmitted,
-  kOverLimit,   ///< the tenant has used what it may
-  kNotCounted,  ///< no proxy that counts for the tenant answered
-};
-
+/// What an operation is told that wants to begin: the tenant has used what it may, or no proxy that counts
+/// for it answered.
 struct AdmissionAnswer {
-  Admission admission = Admission::kNotCounted;
+  AdmissionOutcome outcome = AdmissionOutcome::kNotCounted;
   Duration retry_after{0};  ///< when the next token is likely to be there
   /// Of the token; empty where none was needed.
   std::optional<TimePoint> expires_at;
@@ -52,6 +47,7 @@
   };
   using AccountPointer = std::shared_ptr<Account>;
 
+  Awaitable<AdmissionAnswer> take_or_ask(registry::TenantRule tenant);
   Awaitable<void> ask_homes(registry::TenantRule tenant, AccountPointer account);
   Awaitable<tenancy::Grant> ask(registry::TenantRule tenant, tenancy::TokenWish wish,
                                 routing::ProxyPointer home);
--- a/src/session/session_metrics.cpp
+++ b/src/session/session_metrics.cpp
@@ -8,6 +8,7 @@
 
 namespace {
 
+constexpr std::array<const char*, 3> kAdmissions{"admitted", "over_limit", "not_counted"};
 constexpr std::array<const char*, 3> kPlaces{"proxy", "primary", "replica"};
 constexpr std::array<const char*, 4> kForwardCauses{"served_elsewhere", "no_lease", "primary_unreachable",
                                                     "primary_full"};
@@ -51,6 +52,16 @@
   latency_[place]->Observe(std::chrono::duration<double>(took).count());
 }
 
+void SessionMetrics::count_admission(const std::string& label, AdmissionOutcome outcome) {
+  prometheus::Counter*& counter = admissions_[{label, outcome}];
+  if (counter == nullptr) {
+    counter = &metrics_.counter(
+        "cairnhollow_session_tenant_operations_total", "Operations of tenants that wanted to begin.",
+        {{"tenant", label}, {"outcome", kAdmissions[static_cast<std::size_t>(outcome)]}});
+  }
+  counter->Increment();
+}
+
 void SessionMetrics::count_refused(Refusal refusal) {
   refused_[static_cast<std::size_t>(refusal)]->Increment();
 }
--- a/src/session/session_metrics.h
+++ b/src/session/session_metrics.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <array>
+#include <map>
 #include <string>
 
 #include "runtime/metrics.h"
@@ -15,6 +16,12 @@
 /// Why a statement was passed on to another proxy.
 enum class ForwardCause : std::uint8_t { kServedElsewhere, kNoLease, kPrimaryUnreachable, kPrimaryFull };
 
+/// What became of an operation of a tenant that wanted to begin.
+enum class AdmissionOutcome : std::uint8_t { kAdmitted, kOverLimit, kNotCounted };
+
+/// Tenants that have no label of their own.
+inline constexpr const char* kOtherTenants = "others";
+
 class SessionMetrics {
  public:
   SessionMetrics();
@@ -24,6 +31,8 @@
   void count_retry(Refusal refusal) { retries_[static_cast<std::size_t>(refusal)]->Increment(); }
   void count_forwarded(ForwardCause cause) { forwarded_[static_cast<std::size_t>(cause)]->Increment(); }
   void count_token_question() { token_questions_.Increment(); }
+  /// An operation of a tenant wanted to begin. `label`: the tenant's name, or that of all that are not named.
+  void count_admission(const std::string& label, AdmissionOutcome outcome);
   void count_lost_answer() { lost_answers_.Increment(); }
   void set_sessions(std::size_t sessions) { sessions_.Set(static_cast<double>(sessions)); }
   void set_member_leases(std::size_t groups) { member_leases_.Set(static_cast<double>(groups)); }
@@ -37,6 +46,8 @@
   std::array<prometheus::Counter*, kRefusalCount> refused_{};
   std::array<prometheus::Counter*, kRefusalCount> retries_{};
   std::array<prometheus::Counter*, 4> forwarded_{};
+  std::map<std::pair<std::string, AdmissionOutcome>, prometheus::Counter*>
+      admissions_;  ///< by tenant's label
   prometheus::Counter& lost_answers_;
   prometheus::Counter& token_questions_;
   prometheus::Gauge& sessions_;
--- a/src/session/statement_runner.cpp
+++ b/src/session/statement_runner.cpp
@@ -255,7 +255,7 @@
   Answer& answer = attempt->result.answer;
   if (order.may_have_run && !order.tenant.empty()) {
     const AdmissionAnswer admission = co_await services_.limits.admit(order.tenant);
-    if (admission.admission != Admission::kAdmitted) {
+    if (admission.outcome != AdmissionOutcome::kAdmitted) {
       answer.refusal = Refusal::kOverLimit;
       answer.detail = "there is no token to run it once more";
       co_return false;
--- a/src/tenancy/tenant_directory.cpp
+++ b/src/tenancy/tenant_directory.cpp
@@ -1,9 +1,12 @@
 #include "tenancy/tenant_directory.h"
 
+#include <algorithm>
+
 namespace cairnhollow::tenancy {
 
 void TenantDirectory::clear() {
   tenants_.clear();
+  large_is_old_ = true;
   holders_.clear();
   rates_ = 0;
 }
@@ -12,6 +15,7 @@
   remove(tenant.name);
   for (const ApiKey& key : tenant.keys) holders_[key] = tenant.name;
   tenants_[tenant.name] = tenant;
+  large_is_old_ = true;
   rates_ += tenant.rate_per_s;
 }
 
@@ -25,6 +29,7 @@
   }
   rates_ -= found->second.rate_per_s;
   tenants_.erase(found);
+  large_is_old_ = true;
 }
 
 const registry::TenantRule* TenantDirectory::find_by_key(const ApiKey& key) const {
@@ -39,6 +44,22 @@
   return static_cast<double>(tenant->rate_per_s) / static_cast<double>(rates_);
 }
 
+bool TenantDirectory::is_large(const TenantName& name) const {
+  if (large_is_old_) find_large();
+  return large_.count(name) > 0;
+}
+
+void TenantDirectory::find_large() const {
+  std::vector<const registry::TenantRule*> by_rate;
+  for (const auto& [name, tenant] : tenants_) by_rate.push_back(&tenant);
+  std::stable_sort(by_rate.begin(), by_rate.end(),
+                   [](const auto* one, const auto* other) { return one->rate_per_s > other->rate_per_s; });
+  by_rate.resize(std::min(by_rate.size(), kNamedTenants));
+  large_.clear();
+  for (const registry::TenantRule* tenant : by_rate) large_.insert(tenant->name);
+  large_is_old_ = false;
+}
+
 const registry::TenantRule* TenantDirectory::find(const TenantName& name) const {
   const auto found = tenants_.find(name);
   return found == tenants_.end() ? nullptr : &found->second;
--- a/tests/tenancy/tenant_directory_test.cpp
+++ b/tests/tenancy/tenant_directory_test.cpp
@@ -30,6 +30,7 @@
   CPPUNIT_TEST_SUITE(TenantDirectoryTest);
   CPPUNIT_TEST(a_key_proves_its_tenant_as_long_as_that_has_it);
   CPPUNIT_TEST(a_key_that_changes_hands_proves_the_new_tenant_in_either_order);
+  CPPUNIT_TEST(metrics_name_the_largest_only);
   CPPUNIT_TEST(keys_are_believed_until_the_bound_after_the_question);
   CPPUNIT_TEST(without_a_bound_keys_are_always_believed);
   CPPUNIT_TEST_SUITE_END();
@@ -58,6 +59,21 @@
     }
   }
 
+  void metrics_name_the_largest_only() {
+    TenantDirectory directory;
+    for (std::uint64_t number = 0; number < 30; ++number) {
+      registry::TenantRule rule = tenant("tenant-" + std::to_string(number), {});
+      rule.rate_per_s = number;
+      directory.put(rule);
+    }
+    CPPUNIT_ASSERT(directory.is_large(TenantName("tenant-10")) &&
+                   !directory.is_large(TenantName("tenant-9")));
+    CPPUNIT_ASSERT(!directory.is_large(TenantName("nobody")));
+    directory.remove(TenantName("tenant-29"));
+    CPPUNIT_ASSERT(directory.is_large(TenantName("tenant-9")));
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(28.0 / 406, directory.part_of(TenantName("tenant-28")), 1e-9);
+  }
+
   void keys_are_believed_until_the_bound_after_the_question() {
     KeyConfirmation keys(seconds(5));
     const TimePoint asked{seconds(100)};
