--- a/src/session/fleet_view.cpp
+++ b/src/session/fleet_view.cpp
@@ -143,7 +143,7 @@
 }
 
 const std::vector<routing::ProxyPointer>& FleetView::forward_to(const GroupName& group,
-                                                                 const TenantName& tenant) {
+                                                                const TenantName& tenant) {
   if (tenant.empty()) return forward_to(group);
   if (forward_for_.size() > kMostTenantDivisions) forward_for_.clear();
   const auto [found, is_new] = forward_for_.try_emplace({group, tenant});
--- a/src/session/knobs.h
+++ b/src/session/knobs.h
@@ -106,7 +106,8 @@
 /// them.
 inline constexpr Duration kLeastRefusalPause = milliseconds(20);
 
-/// Orders of proxies for a group and a tenant that are remembered, 0.5 KB each; then they are worked out anew.
+/// Orders of proxies for a group and a tenant that are remembered, 0.5 KB each; then they are worked out
+/// anew.
 inline constexpr std::size_t kMostTenantDivisions = 4096;
 
 /// A statement that took longer is logged with where its time went.
--- a/standins/unfenced/caller.cpp
+++ b/standins/unfenced/caller.cpp
@@ -45,7 +45,8 @@
     Reply reply;
     const std::string id = fmt::format("{}.{}", name_, next_id_++);
     std::string query = fmt::format("QUERY {} {}\r\n", id, text);
-    if (settings_.tenants != nullptr) settings_.tenants->sent.push_back({id, operation(), settings_.key, runtime_.now()});
+    if (settings_.tenants != nullptr)
+      settings_.tenants->sent.push_back({id, operation(), settings_.key, runtime_.now()});
     co_await lines_->write(std::move(query), reason);
     const TimePoint deadline = runtime_.now() + kStatementTimeout;
     while (true) {
--- a/standins/unfenced/database.h
+++ b/standins/unfenced/database.h
@@ -20,7 +20,7 @@
   std::uint32_t slots = 4;
   Duration work = std::chrono::milliseconds(3);
   TenantHistory* tenants = nullptr;  ///< what is run is noted there; null: nowhere
-  double lost_answers = 0;  ///< share of statements that are run and not answered
+  double lost_answers = 0;           ///< share of statements that are run and not answered
 };
 
 /// What a test tells a running database.
--- a/standins/unfenced/tenant_history.cpp
+++ b/standins/unfenced/tenant_history.cpp
@@ -17,7 +17,8 @@
 }
 
 /// When the tenant's key was removed for good; empty: it never was.
-std::optional<TimePoint> removed_at(const TenantHistory& history, const TenantName& tenant, const ApiKey& key) {
+std::optional<TimePoint> removed_at(const TenantHistory& history, const TenantName& tenant,
+                                    const ApiKey& key) {
   std::optional<TimePoint> removed;
   bool held = false;
   for (const TenantEra& era : history.eras) {
@@ -47,7 +48,8 @@
     return;
   }
   if (holders.count(run.told) == 0) {
-    violations.push_back(fmt::format("{} was run for {}, which its key does not prove", run.id, run.told.value));
+    violations.push_back(
+        fmt::format("{} was run for {}, which its key does not prove", run.id, run.told.value));
     return;
   }
   const auto removed = removed_at(history, run.told, sent.key);
@@ -95,7 +97,8 @@
         [&](const Operation& operation) { return operation.sent_at >= begin && operation.run_at <= end; });
     const double allowed = tenancy::allowance(limit, bounds.window);
     if (static_cast<double>(within) <= allowed) continue;
-    violations.push_back(fmt::format("{} ran {} operations in a window, {} are allowed", tenant.value, within, allowed));
+    violations.push_back(
+        fmt::format("{} ran {} operations in a window, {} are allowed", tenant.value, within, allowed));
     return;
   }
 }
--- a/standins/unfenced/tenant_history.h
+++ b/standins/unfenced/tenant_history.h
@@ -44,8 +44,9 @@
   tenancy::LimitWindow window;
 };
 
-/// Every violation, in words: a statement run for another tenant than its key's, or with a key that nobody ever
-/// had, or with one that was removed too long before; more operations of a tenant in a window than allowed.
+/// Every violation, in words: a statement run for another tenant than its key's, or with a key that nobody
+/// ever had, or with one that was removed too long before; more operations of a tenant in a window than
+/// allowed.
 std::vector<std::string> find_tenant_violations(const TenantHistory& history, const TenantBounds& bounds);
 
 }  // namespace cairnhollow::standins::unfenced
--- a/tests/simulation/tenants_test.cpp
+++ b/tests/simulation/tenants_test.cpp
@@ -1,5 +1,6 @@
-// Tenants of a registered fleet in the simulator: whom backends are told, keys that are taken away, limits over
-// all proxies, each under the failures that threaten them. Judged from what callers sent and backends ran.
+// Tenants of a registered fleet in the simulator: whom backends are told, keys that are taken away, limits
+// over all proxies, each under the failures that threaten them. Judged from what callers sent and backends
+// ran.
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
 
@@ -30,15 +31,15 @@
 }
 
 std::size_t runs_of(const TenantHistory& history, const std::string& name, TimePoint from) {
-  return static_cast<std::size_t>(std::count_if(
-      history.runs.begin(), history.runs.end(),
-      [&](const auto& run) { return run.told.value == name && run.at >= from; }));
+  return static_cast<std::size_t>(
+      std::count_if(history.runs.begin(), history.runs.end(),
+                    [&](const auto& run) { return run.told.value == name && run.at >= from; }));
 }
 
 std::size_t runs_of_caller(const TenantHistory& history, const std::string& name) {
-  return static_cast<std::size_t>(std::count_if(history.runs.begin(), history.runs.end(), [&](const auto& run) {
-    return run.id.starts_with(name + "-");
-  }));
+  return static_cast<std::size_t>(
+      std::count_if(history.runs.begin(), history.runs.end(),
+                    [&](const auto& run) { return run.id.starts_with(name + "-"); }));
 }
 
 void check(const std::function<void(RegisteredFleetSettings&)>& set,
@@ -53,8 +54,8 @@
     CPPUNIT_ASSERT_MESSAGE(fmt::format("seed {}: did not start", seed), fleet.start());
     scenario(fleet);
     const auto violations = fleet.finish();
-    CPPUNIT_ASSERT_EQUAL_MESSAGE(fmt::format("seed {}: {} violations", seed, violations.size()), std::string(),
-                                 violations.empty() ? std::string() : violations.front());
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(fmt::format("seed {}: {} violations", seed, violations.size()),
+                                 std::string(), violations.empty() ? std::string() : violations.front());
   }
 }
 
@@ -147,7 +148,8 @@
       fleet.run_for(seconds(3));
       const TimePoint over = fleet.world().now();
       fleet.run_for(seconds(2));
-      CPPUNIT_ASSERT_EQUAL_MESSAGE("after the bound", std::size_t{0}, runs_of(fleet.tenant_history(), "ako", over));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE("after the bound", std::size_t{0},
+                                   runs_of(fleet.tenant_history(), "ako", over));
       for (int node = 1; node <= 3; ++node) fleet.restart(fmt::format("control-{}", node));
       fleet.run_for(seconds(3));
       const TimePoint back = fleet.world().now();
--- a/tests/standins/tenant_history_test.cpp
+++ b/tests/standins/tenant_history_test.cpp
@@ -1,4 +1,5 @@
-// The checker of tenants: each kind of violation in a history that it must reject, and those that it must pass.
+// The checker of tenants: each kind of violation in a history that it must reject, and those that it must
+// pass.
 #include "standins/unfenced/tenant_history.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -24,7 +25,8 @@
   return {rule, at(ms)};
 }
 
-void run(TenantHistory& history, const std::string& id, const std::string& key, const std::string& told, int ms) {
+void run(TenantHistory& history, const std::string& id, const std::string& key, const std::string& told,
+         int ms) {
   history.sent.push_back({id, id, ApiKey(key), at(ms)});
   history.runs.push_back({id, TenantName(told), at(ms + 20)});
 }
@@ -86,7 +88,8 @@
     TenantHistory history;
     history.eras = {era("ako", {"a"}, 10, 0)};
     // (10 x 5 + 10) x 1.1 + 20 = 86.
-    for (int number = 0; number < 86; ++number) run(history, fmt::format("s{}", number), "a", "ako", number * 50);
+    for (int number = 0; number < 86; ++number)
+      run(history, fmt::format("s{}", number), "a", "ako", number * 50);
     CPPUNIT_ASSERT_EQUAL(std::string(), first_of(history));
     run(history, "one more", "a", "ako", 4400);
     CPPUNIT_ASSERT_EQUAL(std::string("ako ran 87 operations in a window, 86 are allowed"), first_of(history));
@@ -106,10 +109,13 @@
   void a_lowered_limit_is_judged_once_it_must_hold() {
     TenantHistory history;
     history.eras = {era("ako", {"a"}, 50, 0), era("ako", {"a"}, 1, 1000)};
-    for (int number = 0; number < 200; ++number) run(history, fmt::format("s{}", number), "a", "ako", number * 20);
+    for (int number = 0; number < 200; ++number)
+      run(history, fmt::format("s{}", number), "a", "ako", number * 20);
     CPPUNIT_ASSERT_EQUAL_MESSAGE("until 5 s", std::string(), first_of(history));
-    for (int number = 0; number < 40; ++number) run(history, fmt::format("t{}", number), "a", "ako", 10100 + number * 20);
-    CPPUNIT_ASSERT_EQUAL(std::string("ako ran 27 operations in a window, 26.6 are allowed"), first_of(history));
+    for (int number = 0; number < 40; ++number)
+      run(history, fmt::format("t{}", number), "a", "ako", 10100 + number * 20);
+    CPPUNIT_ASSERT_EQUAL(std::string("ako ran 27 operations in a window, 26.6 are allowed"),
+                         first_of(history));
   }
 };
 
--- a/tests/tenancy/key_revocation_model_test.cpp
+++ b/tests/tenancy/key_revocation_model_test.cpp
@@ -15,15 +15,16 @@
 
 namespace {
 
-constexpr int kBound = 4;            ///< ticks
-constexpr int kNever = kBound + 2;   ///< an age that stands for any later one
+constexpr int kBound = 4;           ///< ticks
+constexpr int kNever = kBound + 2;  ///< an age that stands for any later one
 constexpr int kNotRemoved = -1;
 
 /// One guard left out each; all true is the design.
 struct Guards {
   bool leader_asks_quorum = true;
   bool counts_from_question = true;
-  bool confirms_with_document = true;  ///< an answer that comes before the change it belongs to confirms nothing
+  bool confirms_with_document =
+      true;  ///< an answer that comes before the change it belongs to confirms nothing
   bool proxy_stops_in_the_end = true;
   bool statements_are_checked = true;  ///< and not the opening of a session alone
   bool restart_forgets = true;
--- a/tests/tenancy/tenant_division_test.cpp
+++ b/tests/tenancy/tenant_division_test.cpp
@@ -1,4 +1,5 @@
-// Where a tenant's statements run: 84 tenants and 53 connections a backend, with 16 proxies before each group.
+// Where a tenant's statements run: 84 tenants and 53 connections a backend, with 16 proxies before each
+// group.
 #include "tenancy/tenant_division.h"
 
 #include <cppunit/extensions/HelperMacros.h>
