--- a/simulation/registered_fleet.cpp
+++ b/simulation/registered_fleet.cpp
@@ -33,7 +33,8 @@
 }  // namespace
 
 RegisteredFleet::RegisteredFleet(RegisteredFleetSettings settings)
-    : settings_(settings), world_(WorldSettings{settings.seed, {}, milliseconds(1), settings.print_log}) {}
+    : settings_(std::move(settings)),
+      world_(WorldSettings{settings_.seed, {}, milliseconds(1), settings_.print_log}) {}
 
 std::string RegisteredFleet::address_of(const std::string& name) const {
   const bool is_control = name.starts_with("control");
--- a/src/tenancy/key_confirmation.h
+++ b/src/tenancy/key_confirmation.h
@@ -16,9 +16,8 @@
 
 namespace cairnhollow::tenancy {
 
-/// Kept back from the bound, in parts of it: for clocks that do not run alike (the pages name no drift; a
-/// hundred times what crystals differ by, 50 ppm, would be 0.5%), and for the time between the check and the
-/// write to the connection.
+/// Kept back from the bound, in parts of it: for clocks that do not run alike, and for the time between the
+/// check and the write to the connection. Chosen: crystals differ by 0.005%, four hundred times less.
 inline constexpr int kKeyBoundMarginDivisor = 50;
 
 class KeyConfirmation {
--- a/tests/tenancy/tenant_division_test.cpp
+++ b/tests/tenancy/tenant_division_test.cpp
@@ -13,6 +13,7 @@
 
 std::vector<routing::ProxyPointer> proxies(int count) {
   std::vector<routing::ProxyPointer> result;
+  result.reserve(static_cast<std::size_t>(count));
   for (int number = 0; number < count; ++number) {
     result.push_back(std::make_shared<routing::ProxyView>(
         routing::ProxyView{NodeName(fmt::format("proxy-{}", number)),
