A tenant's homes are worked out once a membership; memberships are united in n log n

Cause, from reading the change again: each operation's question, and each grant, went through all proxies to find the three that count for the tenant; a whole table was united with itself by comparing every name with every other (2.25 million comparisons with 1,500 proxies at each start); the proxies that take work were listed twice a change. Change: BudgetHomes remembers what it was asked for (it is replaced with the membership), unites by name, and the list is made once. Which proxies count is as before.

--- a/src/session/fleet_view.cpp
+++ b/src/session/fleet_view.cpp
@@ -91,11 +91,12 @@
 std::vector<routing::ProxyPointer> FleetView::changed_proxies(const registry::FleetDelta& delta) const {
   std::vector<routing::ProxyPointer> changed;
   for (const registry::AdmittedProxy& proxy : delta.proxies) changed.push_back(view_of(proxy));
-  for (const auto& [node, proxy] : proxies_) {
-    const auto& removed = delta.removed_proxies;
-    const bool is_gone = delta.is_whole || std::find(removed.begin(), removed.end(), node) != removed.end();
-    if (is_gone) changed.push_back(view_of(proxy));
+  for (const NodeName& node : delta.removed_proxies) {
+    const auto held = proxies_.find(node);
+    if (held != proxies_.end()) changed.push_back(view_of(held->second));
   }
+  if (!delta.is_whole) return changed;
+  for (const auto& [node, proxy] : proxies_) changed.push_back(view_of(proxy));
   return changed;
 }
 
@@ -107,8 +108,7 @@
   return takers;
 }
 
-void FleetView::divide_groups() {
-  const std::vector<routing::ProxyPointer> takers = this->takers();
+void FleetView::divide_groups(const std::vector<routing::ProxyPointer>& takers) {
   others_ = routing::forwarding_order(takers, node_, zone_);
   std::erase_if(others_, [this](const routing::ProxyPointer& proxy) { return proxy->name == node_; });
   const routing::SubsetTable table(takers);
@@ -169,8 +169,10 @@
   for (const registry::GroupTerm& term : delta.terms) access(term.group)->set_term(term);
   const auto changed = changed_proxies(delta);
   apply_proxies(delta);
-  if (!changed.empty()) budgets_.set_homes(tenancy::BudgetHomes(takers(), changed), revision_);
-  if (changes_division(delta)) divide_groups();
+  if (!changes_division(delta)) return;
+  const auto takers = this->takers();
+  if (!changed.empty()) budgets_.set_homes(tenancy::BudgetHomes(takers, changed), revision_);
+  divide_groups(takers);
 }
 
 bool FleetView::changes_division(const registry::FleetDelta& delta) {
--- a/src/session/fleet_view.h
+++ b/src/session/fleet_view.h
@@ -60,6 +60,10 @@
   [[nodiscard]] const registry::RouteRule* find_route(const DatabaseName& database) const;
   /// Callers prove their tenant by a key, but on public routes.
   [[nodiscard]] bool requires_keys() const { return requires_keys_; }
+  /// Whether callers of the route have to prove their tenant.
+  [[nodiscard]] bool needs_key(const registry::RouteRule& route) const {
+    return requires_keys_ && !route.is_public;
+  }
   [[nodiscard]] const tenancy::TenantDirectory& tenants() const { return tenants_; }
   [[nodiscard]] const tenancy::KeyConfirmation& keys_confirmed() const { return keys_confirmed_; }
   /// What this proxy counts for tenants, and who counts for the others.
@@ -103,7 +107,7 @@
   [[nodiscard]] std::vector<routing::ProxyPointer> takers() const;
   void apply_proxies(const registry::FleetDelta& delta);
   /// Who serves each group, and how its connections are shared.
-  void divide_groups();
+  void divide_groups(const std::vector<routing::ProxyPointer>& takers);
   /// Whether it may change which proxies serve a group, or their shares of its connections.
   [[nodiscard]] static bool changes_division(const registry::FleetDelta& delta);
 
--- a/src/tenancy/budget_home.h
+++ b/src/tenancy/budget_home.h
@@ -2,8 +2,7 @@
 //
 // Invariant: at any moment at most kHomes proxies grant a tenant's tokens, each from a bucket that was empty
 // when it became a home. A proxy grants only
-// - while its copy of the membership was confirmed by control less than kBudgetAuthority ago, counted from
-// the
+// - while control confirmed its copy of the membership less than kBudgetAuthority ago, counted from the
 //   question, and
 // - when control has said that every proxy which may act on a membership older than the one that made it a
 //   home has learned of that, or has been without a confirmation for longer (registry::ProxyUpdate's
--- a/src/tenancy/budget_homes.cpp
+++ b/src/tenancy/budget_homes.cpp
@@ -17,12 +17,15 @@
                      [&](const routing::ProxyPointer& proxy) { return proxy->name == node; });
 }
 
-std::vector<routing::ProxyPointer> united(std::vector<routing::ProxyPointer> takers,
+std::vector<routing::ProxyPointer> united(const std::vector<routing::ProxyPointer>& takers,
                                           const std::vector<routing::ProxyPointer>& changed) {
-  for (const auto& proxy : changed) {
-    if (!holds(takers, proxy->name)) takers.push_back(proxy);
-  }
-  return takers;
+  std::map<NodeName, routing::ProxyPointer> by_name;
+  for (const auto& proxy : takers) by_name.emplace(proxy->name, proxy);
+  for (const auto& proxy : changed) by_name.emplace(proxy->name, proxy);
+  std::vector<routing::ProxyPointer> both;
+  both.reserve(by_name.size());
+  for (const auto& [name, proxy] : by_name) both.push_back(proxy);
+  return both;
 }
 
 }  // namespace
@@ -30,20 +33,21 @@
 BudgetHomes::BudgetHomes(const std::vector<routing::ProxyPointer>& takers,
                          const std::vector<routing::ProxyPointer>& changed)
     : takers_(takers), with_changed_(united(takers, changed)) {
-  for (const auto& proxy : changed) changed_.push_back(proxy->name);
+  for (const auto& proxy : changed) changed_.insert(proxy->name);
 }
 
-std::vector<routing::ProxyPointer> BudgetHomes::of(const TenantName& tenant) const {
-  return homes_among(takers_, tenant);
+const std::vector<routing::ProxyPointer>& BudgetHomes::of(const TenantName& tenant) const {
+  const auto [homes, is_new] = homes_.try_emplace(tenant);
+  if (is_new) homes->second = homes_among(takers_, tenant);
+  return homes->second;
 }
 
 bool BudgetHomes::is_home(const TenantName& tenant, const NodeName& node) const {
-  return holds(homes_among(takers_, tenant), node);
+  return holds(of(tenant), node);
 }
 
 bool BudgetHomes::was_home(const TenantName& tenant, const NodeName& node) const {
-  const bool is_new = std::find(changed_.begin(), changed_.end(), node) != changed_.end();
-  return !is_new && holds(homes_among(with_changed_, tenant), node);
+  return changed_.count(node) == 0 && holds(homes_among(with_changed_, tenant), node);
 }
 
 }  // namespace cairnhollow::tenancy
--- a/src/tenancy/budget_homes.h
+++ b/src/tenancy/budget_homes.h
@@ -1,6 +1,8 @@
 // Which proxies count for a tenant. Pure: every proxy works it out from the membership that it follows.
 #pragma once
 
+#include <map>
+#include <set>
 #include <vector>
 
 #include "registry/model.h"
@@ -21,7 +23,7 @@
               const std::vector<routing::ProxyPointer>& changed);
 
   /// Up to kHomes proxies, in different zones as far as possible.
-  [[nodiscard]] std::vector<routing::ProxyPointer> of(const TenantName& tenant) const;
+  [[nodiscard]] const std::vector<routing::ProxyPointer>& of(const TenantName& tenant) const;
   [[nodiscard]] bool is_home(const TenantName& tenant, const NodeName& node) const;
   /// Whether `node`, a home now, was one all the time.
   [[nodiscard]] bool was_home(const TenantName& tenant, const NodeName& node) const;
@@ -29,7 +31,9 @@
  private:
   routing::SubsetTable takers_;
   routing::SubsetTable with_changed_;
-  std::vector<NodeName> changed_;
+  std::set<NodeName> changed_;
+  /// Of tenants that were asked for: each operation asks, and a membership stays.
+  mutable std::map<TenantName, std::vector<routing::ProxyPointer>> homes_;
 };
 
 }  // namespace cairnhollow::tenancy
