--- a/src/control/registered/lease_keeper.cpp
+++ b/src/control/registered/lease_keeper.cpp
@@ -9,19 +9,6 @@
 
 namespace cairnhollow::control::registered {
 
-namespace {
-
-/// A fleet without tenants is told of in the format that builds before tenants read, too.
-std::string encode_delta(const registry::FleetDelta& delta) {
-  return wire::encode(delta, delta.requires_keys ? wire::kTenantsFormat : wire::kWrittenFormat);
-}
-
-std::string encode_update(const registry::ProxyUpdate& update) {
-  return wire::encode(update, update.settled_revision > 0 ? wire::kTenantsFormat : wire::kWrittenFormat);
-}
-
-}  // namespace
-
 LeaseKeeper::LeaseKeeper(runtime::Runtime& runtime, consensus::Consensus& consensus,
                          registry::FleetStateMachine& fleet, ControlNodeDirectory& directory,
                          LeaderCalls& calls, Duration serving_lease)
@@ -292,7 +279,8 @@
   deltas_to_ = fleet_.revision();
   const std::uint64_t since = follower.revision_sent;
   EncodedDelta& delta = deltas_[since];
-  if (delta.plain.empty()) delta.plain = encode_delta(fleet_.delta_since(since));
+  if (delta.plain.empty())
+    delta.plain = wire::encode(fleet_.delta_since(since), wire::format_with_tenants(fleet_.requires_keys()));
   if (!follower.takes_compressed) return delta.plain;
   if (delta.compressed.empty()) delta.compressed = wire::compress(delta.plain);
   return delta.compressed;
@@ -330,7 +318,8 @@
     const std::size_t size = update.delta.size();
     bytes_on_their_way_ += size;
     Reason reason;
-    sent = co_await follower->connection->send(encode_update(update), reason);
+    const wire::Format format = wire::format_with_tenants(update.settled_revision > 0);
+    sent = co_await follower->connection->send(wire::encode(update, format), reason);
     bytes_on_their_way_ -= size;
     if (size > kSmallDelta) room_.notify_one();
   }
--- a/src/control/registered/lease_keeper.h
+++ b/src/control/registered/lease_keeper.h
@@ -94,9 +94,9 @@
   registry::ProxyUpdate make_update(Follower& follower, bool with_delta);
   /// Whether what the follower lacks is small, or may be on its way beside what is on its way to others.
   [[nodiscard]] bool has_room_for(const Follower& follower);
-  /// Encoded for the follower.
   /// What every proxy that may count operations has said that it holds. See registry/budget_authority.h.
   std::uint64_t settled_revision();
+  /// Encoded for the follower.
   const std::string& delta_for(const Follower& follower);
   const std::vector<Endpoint>& endpoints();
   [[nodiscard]] Duration report_interval() const;
--- a/src/registry/state_machine.cpp
+++ b/src/registry/state_machine.cpp
@@ -25,55 +25,32 @@
   changed_.notify_all();
 }
 
+template <class Key, class Row>
+void FleetStateMachine::replace_rows(RevisedTable<Key, Row>& table, const std::vector<Row>& rows) {
+  std::set<Key> kept;
+  for (const Row& row : rows) {
+    kept.insert(row.name);
+    const Row* held = table.find(row.name);
+    if (held == nullptr || !(*held == row)) table.put(row.name, row, next_revision());
+  }
+  for (const Row& row : table.all()) {
+    if (kept.count(row.name) == 0) table.remove(row.name, next_revision());
+  }
+}
+
 bool FleetStateMachine::take(ReplaceDocument& command) {
   ConfigurationDocument& document = command.document;
   if (document.version <= state_.document_version) return false;
   state_.document_version = document.version;
   state_.document_text = std::move(document.text);
   state_.transaction_idle_ms = document.transaction_idle_ms;
-  replace_routes(document.routes);
-  replace_groups(document.groups);
+  replace_rows(state_.routes, document.routes);
+  replace_rows(state_.groups, document.groups);
   state_.requires_keys = document.requires_keys;
-  replace_tenants(document.tenants);
+  replace_rows(state_.tenants, document.tenants);
   return true;
 }
 
-void FleetStateMachine::replace_routes(const std::vector<RouteRule>& routes) {
-  std::set<RouteName> kept;
-  for (const RouteRule& route : routes) {
-    kept.insert(route.name);
-    const RouteRule* held = state_.routes.find(route.name);
-    if (held == nullptr || !(*held == route)) state_.routes.put(route.name, route, next_revision());
-  }
-  for (const RouteRule& route : state_.routes.all()) {
-    if (kept.count(route.name) == 0) state_.routes.remove(route.name, next_revision());
-  }
-}
-
-void FleetStateMachine::replace_groups(const std::vector<GroupRule>& groups) {
-  std::set<GroupName> kept;
-  for (const GroupRule& group : groups) {
-    kept.insert(group.name);
-    const GroupRule* held = state_.groups.find(group.name);
-    if (held == nullptr || !(*held == group)) state_.groups.put(group.name, group, next_revision());
-  }
-  for (const GroupRule& group : state_.groups.all()) {
-    if (kept.count(group.name) == 0) state_.groups.remove(group.name, next_revision());
-  }
-}
-
-void FleetStateMachine::replace_tenants(const std::vector<TenantRule>& tenants) {
-  std::set<TenantName> kept;
-  for (const TenantRule& tenant : tenants) {
-    kept.insert(tenant.name);
-    const TenantRule* held = state_.tenants.find(tenant.name);
-    if (held == nullptr || !(*held == tenant)) state_.tenants.put(tenant.name, tenant, next_revision());
-  }
-  for (const TenantRule& tenant : state_.tenants.all()) {
-    if (kept.count(tenant.name) == 0) state_.tenants.remove(tenant.name, next_revision());
-  }
-}
-
 bool FleetStateMachine::take(RegisterBackend& command) {
   BackendEntry& entry = command.entry;
   if (state_.backends.was_removed(entry.name)) return false;
@@ -176,7 +153,7 @@
 }
 
 std::string FleetStateMachine::take_snapshot() const {
-  return wire::encode(state_, state_.requires_keys ? wire::kTenantsFormat : wire::kWrittenFormat);
+  return wire::encode(state_, wire::format_with_tenants(state_.requires_keys));
 }
 
 bool FleetStateMachine::restore_snapshot(const std::string& bytes, Reason& reason) {
--- a/src/registry/state_machine.h
+++ b/src/registry/state_machine.h
@@ -111,9 +111,9 @@
   void put_backend(BackendEntry entry);
   bool remove_backend(const BackendName& name);
   void note_backend(const BackendEntry& entry);
-  void replace_routes(const std::vector<RouteRule>& routes);
-  void replace_groups(const std::vector<GroupRule>& groups);
-  void replace_tenants(const std::vector<TenantRule>& tenants);
+  /// Makes a table hold these rows, by their names. Rows that stay as they are keep their revision.
+  template <class Key, class Row>
+  void replace_rows(RevisedTable<Key, Row>& table, const std::vector<Row>& rows);
   void bound_removed();
   [[nodiscard]] std::uint64_t next_revision() const { return state_.revision + 1; }
 
--- a/src/session/caller_session.cpp
+++ b/src/session/caller_session.cpp
@@ -67,8 +67,8 @@
   FleetView& view = services_.view;
   const auto proves_tenant = [&] {
     const registry::RouteRule* route = view.find_route(database_);
-    if (!view.requires_keys() || (route != nullptr && route->is_public)) return true;
-    return view.tenants().find_by_key(key_) != nullptr;
+    const bool needs_key = route == nullptr ? view.requires_keys() : view.needs_key(*route);
+    return !needs_key || view.tenants().find_by_key(key_) != nullptr;
   };
   if (!proves_tenant() && view.lease_valid()) services_.link.ask_now();
   while (!proves_tenant() && view.expects_lease() && !view.keys_confirmed().is_confirmed_since(arrived) &&
@@ -80,7 +80,7 @@
 
 bool CallerSession::find_tenant(RunOrder& order, Answer& refusal) {
   const FleetView& view = services_.view;
-  if (!view.requires_keys() || order.route.is_public) return true;
+  if (!view.needs_key(order.route)) return true;
   const registry::TenantRule* tenant = view.tenants().find_by_key(key_);
   const bool confirmed = view.keys_confirmed().allows(services_.runtime.now());
   if (tenant != nullptr && confirmed) {
--- a/src/session/forward_server.cpp
+++ b/src/session/forward_server.cpp
@@ -59,7 +59,7 @@
   RunOrder order;
   order.group = services_.view.find_group(forwarded.route.group);
   if (!order.group) return std::nullopt;
-  if (services_.view.requires_keys() && !forwarded.route.is_public) {
+  if (services_.view.needs_key(forwarded.route)) {
     const registry::TenantRule* tenant = services_.view.tenants().find_by_key(forwarded.key);
     if (tenant == nullptr) return std::nullopt;
     order.key = std::move(forwarded.key);
@@ -96,9 +96,8 @@
   }
   answer.correlation = request.correlation;
   if (connection->ended) co_return;
-  const bool knows_tenants = services_.view.requires_keys();
-  connection->outgoing.push_back(
-      wire::encode(answer, knows_tenants ? wire::kTenantsFormat : wire::kWrittenFormat));
+  const wire::Format format = wire::format_with_tenants(services_.view.requires_keys());
+  connection->outgoing.push_back(wire::encode(answer, format));
   if (std::exchange(connection->sending, true)) co_return;
   co_await send_answers(connection);
 }
--- a/src/session/forwarder.cpp
+++ b/src/session/forwarder.cpp
@@ -23,12 +23,12 @@
   return nullptr;
 }
 
-/// Without keys in the format that builds before them read, too.
 std::string encode_request(const ForwardRequest& request) {
   const ForwardedOrder* order = order_of(request);
-  if (std::holds_alternative<ForwardTokens>(request.body)) return wire::encode(request, wire::kTenantsFormat);
-  const bool needs_tenants = order != nullptr && (!order->key.empty() || order->route.is_public);
-  return wire::encode(request, needs_tenants ? wire::kTenantsFormat : wire::kWrittenFormat);
+  const bool asks_tokens = std::holds_alternative<ForwardTokens>(request.body);
+  const bool has_tenants =
+      asks_tokens || (order != nullptr && (!order->key.empty() || order->route.is_public));
+  return wire::encode(request, wire::format_with_tenants(has_tenants));
 }
 
 }  // namespace
--- a/src/session/session_proxy.cpp
+++ b/src/session/session_proxy.cpp
@@ -228,7 +228,7 @@
     const bool serves = view_.forward_to(name).empty();
     // None is kept for a tenant, either: there are more tenants than links.
     const std::size_t kept = serves && !view_.requires_keys() ? 1 : 0;
-    for (const auto& [backend, use] : group->backends()) use->pool.trim(now, kIdleLinkLife, kept);
+    for (const auto& [backend, use] : group->backends()) use->pool.trim(now, kept);
   }
 }
 
--- a/src/session/stateful_pool.cpp
+++ b/src/session/stateful_pool.cpp
@@ -142,9 +142,9 @@
   returned_.notify_one();
 }
 
-void StatefulPool::trim(TimePoint now, Duration life, std::size_t kept) {
+void StatefulPool::trim(TimePoint now, std::size_t kept) {
   drop_closed();
-  while (idle_.size() > kept && now - idle_.front()->idle_since() > life) {
+  while (idle_.size() > kept && now - idle_.front()->idle_since() > kIdleLinkLife) {
     idle_.front()->link().close();
     idle_.erase(idle_.begin());
   }
--- a/src/session/stateful_pool.h
+++ b/src/session/stateful_pool.h
@@ -94,8 +94,8 @@
   /// Gives a link back that has no transaction open and owes no answer; a closed one is dropped.
   void release(std::shared_ptr<StatefulLink> link);
   void close_idle();
-  /// Closes links that have been idle for `life`, but `kept` of them.
-  void trim(TimePoint now, Duration life, std::size_t kept);
+  /// Closes links that have been idle for kIdleLinkLife, but `kept` of them.
+  void trim(TimePoint now, std::size_t kept);
   [[nodiscard]] std::size_t in_use() const { return in_use_; }
   /// Whether there is no link at all.
   [[nodiscard]] bool is_cold() const { return in_use_ == 0 && idle_.empty(); }
--- a/src/session/statement_runner.cpp
+++ b/src/session/statement_runner.cpp
@@ -48,7 +48,7 @@
 
 std::optional<Refusal> StatementRunner::key_fault(const RunOrder& order) const {
   const FleetView& view = services_.view;
-  if (order.tenant.empty() && (!view.requires_keys() || order.route.is_public)) return std::nullopt;
+  if (order.tenant.empty() && !view.needs_key(order.route)) return std::nullopt;
   const registry::TenantRule* tenant = view.tenants().find_by_key(order.key);
   if (tenant == nullptr || tenant->name != order.tenant) return Refusal::kUnauthorized;
   if (!view.keys_confirmed().allows(services_.runtime.now())) return Refusal::kBusy;
--- a/src/tenancy/tenant_division.h
+++ b/src/tenancy/tenant_division.h
@@ -20,7 +20,7 @@
 /// `part`: the tenant's of all limits, 0 to 1. The result is an order of the same proxies: the tenant's in
 /// this zone first, then the others of this zone, then those of other zones, each zone's by weight for the
 /// tenant.
-std::vector<routing::ProxyPointer> order_for_tenant(std::vector<routing::ProxyPointer> serving,
+std::vector<routing::ProxyPointer> order_for_tenant(const std::vector<routing::ProxyPointer>& serving,
                                                     const TenantName& tenant, double part,
                                                     const ZoneName& zone);
 
--- a/src/wire/format.h
+++ b/src/wire/format.h
@@ -28,6 +28,11 @@
 /// builds can be mixed and an upgrade can be taken back.
 inline constexpr Format kWrittenFormat = kReplicaWaitFormat;
 
+/// Of messages between nodes of a registered fleet: without tenants as builds before them read it, too.
+constexpr Format format_with_tenants(bool has_tenants) {
+  return has_tenants ? kTenantsFormat : kWrittenFormat;
+}
+
 /// What stands before a message of this format.
 std::string format_mark(Format format);
 
--- a/standins/unfenced/tenant_history.h
+++ b/standins/unfenced/tenant_history.h
@@ -25,7 +25,7 @@
   TimePoint at{};
 };
 
-/// From `since` on the tenant has these keys and limits. `acknowledged_at`: of the document that says so.
+/// What one document says of a tenant. `acknowledged_at`: when the operator was told that it is taken.
 struct TenantEra {
   registry::TenantRule rule;
   TimePoint acknowledged_at{};
--- a/tests/session/stateful_pool_test.cpp
+++ b/tests/session/stateful_pool_test.cpp
@@ -3,7 +3,6 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include "session/knobs.h"
 #include "simulation/world.h"
 
 namespace cairnhollow::session {
@@ -280,10 +279,10 @@
     const Taken second = take_one({});
     pool_->release(first.link);
     pool_->release(second.link);
-    pool_->trim(runtime_->now(), kIdleLinkLife, 1);
+    pool_->trim(runtime_->now(), 1);
     CPPUNIT_ASSERT(dialer_->links[0]->open && dialer_->links[1]->open);
     world_->run_for(seconds(3));
-    pool_->trim(runtime_->now(), kIdleLinkLife, 1);
+    pool_->trim(runtime_->now(), 1);
     CPPUNIT_ASSERT(!dialer_->links[0]->open && dialer_->links[1]->open);
   }
 
--- a/tests/simulation/registered_fleet_test.cpp
+++ b/tests/simulation/registered_fleet_test.cpp
@@ -1,6 +1,4 @@
 // A registered fleet under failures, in the simulator: what callers saw is judged at the end of each run.
-#include "simulation/registered_fleet.h"
-
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
 
@@ -11,6 +9,8 @@
 #include <string>
 #include <vector>
 
+#include "tests/support/registered_scenario.h"
+
 namespace cairnhollow::simulation {
 
 using std::chrono::milliseconds;
@@ -18,31 +18,9 @@
 
 namespace {
 
-/// CAIRNHOLLOW_REGISTERED_SEEDS=first-last chooses others than the short list.
-std::pair<std::uint64_t, std::uint64_t> seeds() {
-  const char* text = std::getenv("CAIRNHOLLOW_REGISTERED_SEEDS");
-  if (text == nullptr) return {1, 3};
-  const std::string range(text);
-  const auto dash = range.find('-');
-  return {std::stoull(range.substr(0, dash)), std::stoull(range.substr(dash + 1))};
-}
-
 void check(const std::function<void(RegisteredFleetSettings&)>& set,
            const std::function<void(RegisteredFleet&)>& scenario) {
-  const auto [first, last] = seeds();
-  for (std::uint64_t seed = first; seed <= last; ++seed) {
-    RegisteredFleetSettings settings;
-    settings.seed = seed;
-    settings.print_log = std::getenv("CAIRNHOLLOW_PRINT_LOG") != nullptr;
-    if (set) set(settings);
-    RegisteredFleet fleet(settings);
-    CPPUNIT_ASSERT_MESSAGE(fmt::format("seed {}: did not start", seed), fleet.start());
-    scenario(fleet);
-    const auto violations = fleet.finish();
-    const std::string first_violation = violations.empty() ? "" : violations.front();
-    CPPUNIT_ASSERT_EQUAL_MESSAGE(fmt::format("seed {}: {} violations", seed, violations.size()),
-                                 std::string(), first_violation);
-  }
+  tests::play_registered(set, scenario);
 }
 
 void check(const std::function<void(RegisteredFleet&)>& scenario) { check(nullptr, scenario); }
--- a/tests/simulation/tenants_test.cpp
+++ b/tests/simulation/tenants_test.cpp
@@ -7,7 +7,7 @@
 #include <algorithm>
 #include <functional>
 
-#include "simulation/registered_fleet.h"
+#include "tests/support/registered_scenario.h"
 
 namespace cairnhollow::simulation {
 
@@ -44,19 +44,12 @@
 
 void check(const std::function<void(RegisteredFleetSettings&)>& set,
            const std::function<void(RegisteredFleet&)>& scenario) {
-  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
-    RegisteredFleetSettings settings;
-    settings.seed = seed;
-    settings.tenants = kTenants;
-    settings.print_log = std::getenv("CAIRNHOLLOW_PRINT_LOG") != nullptr;
-    if (set) set(settings);
-    RegisteredFleet fleet(settings);
-    CPPUNIT_ASSERT_MESSAGE(fmt::format("seed {}: did not start", seed), fleet.start());
-    scenario(fleet);
-    const auto violations = fleet.finish();
-    CPPUNIT_ASSERT_EQUAL_MESSAGE(fmt::format("seed {}: {} violations", seed, violations.size()),
-                                 std::string(), violations.empty() ? std::string() : violations.front());
-  }
+  tests::play_registered(
+      [&](RegisteredFleetSettings& settings) {
+        settings.tenants = kTenants;
+        if (set) set(settings);
+      },
+      scenario);
 }
 
 void check(const std::function<void(RegisteredFleet&)>& scenario) { check(nullptr, scenario); }
