Format 5: a backend's start, cold time, evacuated zones, allowed regions

Change: fields and commands of format 5, neutral by default, so that what knows none of them is written as before (encode_from picks the least format). Nothing acts on them yet.

--- a/src/base/types.h
+++ b/src/base/types.h
@@ -37,6 +37,7 @@
 using GroupName = Name<struct GroupTag>;        ///< a database group: one primary and its replicas
 using RouteName = Name<struct RouteTag>;        ///< a route object
 using ZoneName = Name<struct ZoneTag>;          ///< a failure domain
+using RegionName = Name<struct RegionTag>;      ///< zones that are near each other, under one law
 using DatabaseName = Name<struct DatabaseTag>;  ///< what a caller's statement names
 using DomainName = Name<struct DomainTag>;      ///< a configuration log of its own; empty: the only one
 using SessionName = Name<struct SessionTag>;    ///< a client session; chosen by the caller
--- a/src/control/registered/lease_keeper.cpp
+++ b/src/control/registered/lease_keeper.cpp
@@ -280,7 +280,8 @@
   const std::uint64_t since = follower.revision_sent;
   EncodedDelta& delta = deltas_[since];
   if (delta.plain.empty())
-    delta.plain = wire::encode(fleet_.delta_since(since), wire::format_with_tenants(fleet_.requires_keys()));
+    delta.plain =
+        wire::encode_from(fleet_.delta_since(since), wire::format_with_tenants(fleet_.requires_keys()));
   if (!follower.takes_compressed) return delta.plain;
   if (delta.compressed.empty()) delta.compressed = wire::compress(delta.plain);
   return delta.compressed;
--- a/src/registry/commands.h
+++ b/src/registry/commands.h
@@ -30,9 +30,11 @@
 
 struct DeregisterBackend {
   BackendName name;
+  std::uint64_t born_ms = 0;  ///< of the life that ends; 0: the one that is held
   template <class Archive>
   void serialize(Archive& archive) {
     archive(name);
+    wire::since(archive, wire::kPlacesFormat, born_ms, std::uint64_t{0});
   }
 };
 
@@ -71,14 +73,35 @@
   std::uint64_t epoch = 0;  ///< that the sender saw; another one: no effect
   std::uint64_t term = 0;
   BackendName primary;
+  std::uint64_t primary_born_ms = 0;  ///< which life of it; 0: not known
   template <class Archive>
   void serialize(Archive& archive) {
     archive(group, epoch, term, primary);
+    wire::since(archive, wire::kPlacesFormat, primary_born_ms, std::uint64_t{0});
   }
 };
 
+/// Nothing more is to be sent to the zone's backends.
+struct BeginEvacuation {
+  ZoneName zone;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(zone);
+  }
+};
+
+/// The zone's backends may be used again.
+struct EndEvacuation {
+  ZoneName zone;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(zone);
+  }
+};
+
+/// The alternatives' places are part of the log's format: new ones go last.
 using SingleCommand = std::variant<ReplaceDocument, RegisterBackend, DeregisterBackend, AdmitProxy,
-                                   ForgetProxy, CloseGroup, OpenGroup>;
+                                   ForgetProxy, CloseGroup, OpenGroup, BeginEvacuation, EndEvacuation>;
 
 /// Commands that take effect one after the other, as one change of the state.
 struct CommandBatch {
@@ -91,7 +114,7 @@
 
 /// The alternatives' places are part of the log's format: new ones go last.
 using Command = std::variant<ReplaceDocument, RegisterBackend, DeregisterBackend, AdmitProxy, ForgetProxy,
-                             CloseGroup, OpenGroup, CommandBatch>;
+                             CloseGroup, OpenGroup, CommandBatch, BeginEvacuation, EndEvacuation>;
 
 /// One command as it stands in the log.
 struct LoggedCommand {
--- a/src/registry/delta.h
+++ b/src/registry/delta.h
@@ -26,6 +26,8 @@
   bool requires_keys = false;  ///< as in the document
   std::vector<TenantRule> tenants;
   std::vector<TenantName> removed_tenants;
+  std::vector<Evacuation> evacuations;  ///< begun
+  std::vector<ZoneName> ended_evacuations;
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -34,6 +36,8 @@
     wire::since(archive, wire::kTenantsFormat, requires_keys, false);
     wire::since(archive, wire::kTenantsFormat, tenants, std::vector<TenantRule>());
     wire::since(archive, wire::kTenantsFormat, removed_tenants, std::vector<TenantName>());
+    wire::since(archive, wire::kPlacesFormat, evacuations, std::vector<Evacuation>());
+    wire::since(archive, wire::kPlacesFormat, ended_evacuations, std::vector<ZoneName>());
   }
 };
 
--- a/src/registry/model.h
+++ b/src/registry/model.h
@@ -30,6 +30,8 @@
   std::uint64_t priority = 0;           ///< 0 is the highest
   std::uint64_t max_staleness_ms = 0;
   bool is_public = false;  ///< serves callers without a key, who belong to no tenant
+  /// Where its statements may run; empty: anywhere.
+  std::vector<RegionName> allowed_regions;
   bool operator==(const RouteRule&) const = default;
 
   template <class Archive>
@@ -37,6 +39,7 @@
     archive(name, database, path_prefix, group, reads, timeout_ms, target_latency_ms, priority,
             max_staleness_ms);
     wire::since(archive, wire::kTenantsFormat, is_public, false);
+    wire::since(archive, wire::kPlacesFormat, allowed_regions, std::vector<RegionName>());
   }
 };
 
@@ -44,11 +47,16 @@
   GroupName name;
   std::uint64_t max_connections = 0;  ///< that one backend takes from all callers; 0: no limit
   std::uint64_t synchronous_replicas = 0;
+  std::uint64_t cold_start_ms = 0;  ///< for how long a backend is slow after its start; 0: never
+  double cold_rate_per_s =
+      0;  ///< statements that a cold backend takes a second, from all callers; 0: no limit
   bool operator==(const GroupRule&) const = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(name, max_connections, synchronous_replicas);
+    wire::since(archive, wire::kPlacesFormat, cold_start_ms, std::uint64_t{0});
+    wire::since(archive, wire::kPlacesFormat, cold_rate_per_s, 0.0);
   }
 };
 
@@ -59,12 +67,15 @@
   std::uint64_t rate_per_s = 0;  ///< operations that may begin, on average; 0 with `burst` 0: no limit
   std::uint64_t burst = 0;       ///< operations that may begin at once after a rest
   std::uint64_t priority = 0;    ///< as the operator gave it; kept, and not used yet
+  /// Where its statements may run, beside what their route allows; empty: anywhere.
+  std::vector<RegionName> allowed_regions;
   bool operator==(const TenantRule&) const = default;
   [[nodiscard]] bool is_limited() const { return rate_per_s > 0 || burst > 0; }
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(name, keys, rate_per_s, burst, priority);
+    wire::since(archive, wire::kPlacesFormat, allowed_regions, std::vector<RegionName>());
   }
 };
 
@@ -87,6 +98,19 @@
   }
 };
 
+/// One life of a backend's process. A backend that starts again under its name holds nothing of what the one
+/// before held.
+struct BackendIncarnation {
+  BackendName name;
+  std::uint64_t born_ms = 0;  ///< Unix time of its start, by its own clock; 0: it tells none
+  auto operator<=>(const BackendIncarnation&) const = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(name, born_ms);
+  }
+};
+
 /// One backend as it registered itself.
 struct BackendEntry {
   BackendName name;
@@ -95,7 +119,10 @@
   ZoneName zone;
   std::uint64_t slots = 0;
   bool leaving = false;
-  std::uint64_t sequence = 0;  ///< of the registration; a lower one that comes later is old
+  std::uint64_t sequence = 0;  ///< of the registration in this life; a lower one that comes later is old
+  std::uint64_t born_ms = 0;   ///< Unix time of its start, by its own clock; 0: it tells none
+  std::uint64_t cold_ms = 0;   ///< for how much longer it was cold when it registered this; 0: it is warm
+  [[nodiscard]] BackendIncarnation incarnation() const { return {name, born_ms}; }
   /// Whether a newer registration says anything new.
   [[nodiscard]] bool same_facts(const BackendEntry& other) const {
     return group == other.group && endpoint == other.endpoint && zone == other.zone && slots == other.slots &&
@@ -105,6 +132,8 @@
   template <class Archive>
   void serialize(Archive& archive) {
     archive(name, group, endpoint, zone, slots, leaving, sequence);
+    wire::since(archive, wire::kPlacesFormat, born_ms, std::uint64_t{0});
+    wire::since(archive, wire::kPlacesFormat, cold_ms, std::uint64_t{0});
   }
 };
 
@@ -115,12 +144,25 @@
   std::uint64_t term = 0;
   BackendName primary;
   bool open = false;
-  std::uint64_t epoch = 0;      ///< grows with each change of this entry
-  std::uint64_t opened_at = 0;  ///< revision at which the primary was last known to lead
+  std::uint64_t epoch = 0;            ///< grows with each change of this entry
+  std::uint64_t opened_at = 0;        ///< revision at which the primary was last known to lead
+  std::uint64_t primary_born_ms = 0;  ///< which life of `primary` leads; 0: not known
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(group, term, primary, open, epoch, opened_at);
+    wire::since(archive, wire::kPlacesFormat, primary_born_ms, std::uint64_t{0});
+  }
+};
+
+/// Operators want nothing more sent to the backends of a zone.
+struct Evacuation {
+  ZoneName zone;
+  bool operator==(const Evacuation&) const = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(zone);
   }
 };
 
--- a/src/registry/state_machine.cpp
+++ b/src/registry/state_machine.cpp
@@ -65,6 +65,16 @@
 
 bool FleetStateMachine::take(DeregisterBackend& command) { return remove_backend(command.name); }
 
+bool FleetStateMachine::take(BeginEvacuation& command) {
+  if (is_evacuated(command.zone)) return false;
+  state_.evacuations.put(command.zone, Evacuation{command.zone}, next_revision());
+  return true;
+}
+
+bool FleetStateMachine::take(EndEvacuation& command) {
+  return state_.evacuations.remove(command.zone, next_revision());
+}
+
 bool FleetStateMachine::take(CommandBatch& command) {
   bool effective = false;
   for (SingleCommand& single : command.commands) {
@@ -136,7 +146,8 @@
   const std::uint64_t epoch = held == nullptr ? 0 : held->epoch;
   if (epoch != command.epoch || (held != nullptr && held->open)) return false;
   if (held != nullptr && command.term < held->term) return false;
-  put_term(GroupTerm{command.group, command.term, command.primary, true, epoch + 1, next_revision()});
+  put_term(GroupTerm{command.group, command.term, command.primary, true, epoch + 1, next_revision(),
+                     command.primary_born_ms});
   return true;
 }
 
@@ -149,11 +160,12 @@
   state_.backends.forget_removed(state_.revision);
   state_.proxies.forget_removed(state_.revision);
   state_.tenants.forget_removed(state_.revision);
+  state_.evacuations.forget_removed(state_.revision);
   state_.complete_from = state_.revision;
 }
 
 std::string FleetStateMachine::take_snapshot() const {
-  return wire::encode(state_, wire::format_with_tenants(state_.requires_keys));
+  return wire::encode_from(state_, wire::format_with_tenants(state_.requires_keys));
 }
 
 bool FleetStateMachine::restore_snapshot(const std::string& bytes, Reason& reason) {
@@ -198,12 +210,14 @@
   delta.proxies = state_.proxies.changed_since(since);
   delta.requires_keys = state_.requires_keys;
   delta.tenants = state_.tenants.changed_since(since);
+  delta.evacuations = state_.evacuations.changed_since(since);
   if (delta.is_whole) return delta;
   delta.removed_routes = state_.routes.removed_since(since);
   delta.removed_groups = state_.groups.removed_since(since);
   delta.removed_backends = state_.backends.removed_since(since);
   delta.removed_proxies = state_.proxies.removed_since(since);
   delta.removed_tenants = state_.tenants.removed_since(since);
+  delta.ended_evacuations = state_.evacuations.removed_since(since);
   return delta;
 }
 
--- a/src/registry/state_machine.h
+++ b/src/registry/state_machine.h
@@ -56,6 +56,10 @@
   [[nodiscard]] const std::set<BackendName>& members_of(const GroupName& group) const;
   [[nodiscard]] std::vector<BackendEntry> backends() const { return state_.backends.all(); }
   [[nodiscard]] const GroupTerm* find_term(const GroupName& group) const { return state_.terms.find(group); }
+  [[nodiscard]] std::vector<Evacuation> evacuations() const { return state_.evacuations.all(); }
+  [[nodiscard]] bool is_evacuated(const ZoneName& zone) const {
+    return state_.evacuations.find(zone) != nullptr;
+  }
   [[nodiscard]] std::vector<AdmittedProxy> proxies() const { return state_.proxies.all(); }
   [[nodiscard]] std::size_t proxy_count() const { return state_.proxies.size(); }
   [[nodiscard]] const AdmittedProxy* find_proxy(const NodeName& node) const {
@@ -89,6 +93,9 @@
     bool requires_keys = false;
     RevisedTable<TenantName, TenantRule> tenants;
     std::uint64_t proxy_lost_at = 0;  ///< revision at which a life of a proxy was last replaced or forgotten
+    /// Of removed backends, the start of the last life: what an earlier one says comes late.
+    std::map<BackendName, std::uint64_t> ended_births;
+    RevisedTable<ZoneName, Evacuation> evacuations;
 
     template <class Archive>
     void serialize(Archive& archive) {
@@ -96,6 +103,8 @@
               backends, terms, proxies, proxy_lost_at);
       wire::since(archive, wire::kTenantsFormat, requires_keys, false);
       wire::since(archive, wire::kTenantsFormat, tenants, RevisedTable<TenantName, TenantRule>());
+      wire::since(archive, wire::kPlacesFormat, ended_births, std::map<BackendName, std::uint64_t>());
+      wire::since(archive, wire::kPlacesFormat, evacuations, RevisedTable<ZoneName, Evacuation>());
     }
   };
 
@@ -106,6 +115,8 @@
   bool take(ForgetProxy& command);
   bool take(CloseGroup& command);
   bool take(OpenGroup& command);
+  bool take(BeginEvacuation& command);
+  bool take(EndEvacuation& command);
   bool take(CommandBatch& command);
   void put_term(const GroupTerm& term);
   void put_backend(BackendEntry entry);
--- a/src/session/forwarder.cpp
+++ b/src/session/forwarder.cpp
@@ -28,7 +28,7 @@
   const bool asks_tokens = std::holds_alternative<ForwardTokens>(request.body);
   const bool has_tenants =
       asks_tokens || (order != nullptr && (!order->key.empty() || order->route.is_public));
-  return wire::encode(request, wire::format_with_tenants(has_tenants));
+  return wire::encode_from(request, wire::format_with_tenants(has_tenants));
 }
 
 }  // namespace
--- a/src/wire/format.h
+++ b/src/wire/format.h
@@ -22,13 +22,18 @@
 /// caller's key.
 inline constexpr Format kTenantsFormat = 4;
 
+/// Backends tell when they started and how long they stay cold; zones can be evacuated; routes and tenants
+/// name the regions they allow.
+inline constexpr Format kPlacesFormat = 5;
+
 /// The latest that this build reads.
-inline constexpr Format kNewestFormat = kTenantsFormat;
+inline constexpr Format kNewestFormat = kPlacesFormat;
 /// What this build writes where nothing else was agreed on. Not above what the build before reads, so that
 /// builds can be mixed and an upgrade can be taken back.
 inline constexpr Format kWrittenFormat = kReplicaWaitFormat;
 
-/// Of messages between nodes of a registered fleet: without tenants as builds before them read it, too.
+/// Of messages between nodes of a registered fleet: without tenants as builds before them read it, too. What
+/// may need a later one is written by encode_from() from here on.
 constexpr Format format_with_tenants(bool has_tenants) {
   return has_tenants ? kTenantsFormat : kWrittenFormat;
 }
