placement: one pure module that decides where a statement may go

Where a statement may go, and why not elsewhere, stands in a chain of cases in the runner and in group_access. Parts that come (evacuated zones, allowed regions, cold backends) would each add theirs to it.

src/placement/ has the facts (of statement, backends, proxy, patience, key, transaction), one list of obstacles with names, and functions from facts to an answer: run there, forward to these, wait, refuse since and back in. GroupAccess makes the facts of its backends in facts_of() and lets the module choose; its choice is the one of before.

--- /dev/null
+++ b/src/placement/backend_choice.cpp
@@ -0,0 +1,132 @@
+#include "placement/backend_choice.h"
+
+#include <algorithm>
+
+namespace cairnhollow::placement {
+
+namespace {
+
+using Backends = std::span<const BackendFacts>;
+
+bool leads(const BackendFacts& backend) {
+  return may_lead(backend) && obstacle_to_new_work(backend) == Obstacle::kNone;
+}
+
+/// Whether it might run the statement in a moment, as far as its own obstacles tell.
+bool may_come_round(const BackendFacts& backend) {
+  return obstacle_to_new_work(backend) == Obstacle::kNone && (!backend.leaving || may_lead(backend));
+}
+
+/// What is over the soonest is what a caller is best told of.
+int nearness(Obstacle obstacle) {
+  if (obstacle == Obstacle::kColdLimit) return 3;
+  if (obstacle == Obstacle::kZoneEvacuated) return 2;
+  return obstacle == Obstacle::kOutsideRegions ? 1 : 0;
+}
+
+/// `choice` without a backend, by what keeps new work away from all that are left.
+void explain_closed(BackendChoice& choice, Backends backends) {
+  for (const BackendFacts& backend : backends) {
+    const Obstacle obstacle = obstacle_to_new_work(backend);
+    const bool is_first = nearness(choice.obstacle) < nearness(obstacle);
+    const bool is_sooner = choice.obstacle == obstacle && backend.back_in < choice.back_in;
+    if (obstacle == Obstacle::kNone || (!is_first && !is_sooner)) continue;
+    choice.obstacle = obstacle;
+    choice.back_in = backend.back_in;
+  }
+  choice.is_final = nearness(choice.obstacle) > 0;
+}
+
+BackendChoice choose_primary(Backends backends) {
+  BackendChoice choice;
+  choice.obstacle = Obstacle::kNoBackend;
+  for (std::size_t place = 0; place < backends.size(); ++place) {
+    const BackendFacts& backend = backends[place];
+    if (!backend.is_primary) continue;
+    choice.obstacle = obstacle_as_primary(backend);
+    if (choice.obstacle == Obstacle::kNone) choice.backend = place;
+    choice.is_final = nearness(choice.obstacle) > 0;
+    if (choice.is_final) choice.back_in = backend.back_in;
+  }
+  return choice;
+}
+
+BackendChoice refuse_read(Backends backends, bool has_leader) {
+  BackendChoice choice;
+  if (std::none_of(backends.begin(), backends.end(), may_come_round)) explain_closed(choice, backends);
+  if (choice.is_final) return choice;
+  choice.obstacle = Obstacle::kNoBackend;
+  for (const BackendFacts& backend : backends) {
+    const bool nearer = choice.obstacle == Obstacle::kNoBackend || may_come_round(backend);
+    if (nearer) choice.obstacle = obstacle_to_read(backend, has_leader);
+  }
+  return choice;
+}
+
+BackendChoice choose_reader(Backends backends) {
+  const auto leader = std::find_if(backends.begin(), backends.end(), leads);
+  const bool has_leader = leader != backends.end();
+  std::optional<std::size_t> best;
+  std::optional<std::size_t> last_choice;
+  for (std::size_t place = 0; place < backends.size(); ++place) {
+    const BackendFacts& backend = backends[place];
+    if (obstacle_to_read(backend, has_leader) != Obstacle::kNone) continue;
+    auto& slot = backend.avoided || backend.refused ? last_choice : best;
+    if (!slot || backend.cost < backends[*slot].cost) slot = place;
+  }
+  BackendChoice choice;
+  choice.backend = best;
+  if (!best && has_leader && !leader->tried)
+    choice.backend = static_cast<std::size_t>(leader - backends.begin());
+  if (!choice.backend) choice.backend = last_choice;
+  return choice.backend ? choice : refuse_read(backends, has_leader);
+}
+
+}  // namespace
+
+Obstacle obstacle_to_new_work(const BackendFacts& backend) {
+  if (!backend.region_allowed) return Obstacle::kOutsideRegions;
+  if (backend.zone_evacuated) return Obstacle::kZoneEvacuated;
+  return backend.cold_limit_reached ? Obstacle::kColdLimit : Obstacle::kNone;
+}
+
+bool may_lead(const BackendFacts& backend) {
+  return backend.is_primary && !backend.of_closed_term && !backend.leaving_grace_over;
+}
+
+bool may_be_warmed(const BackendFacts& backend) {
+  return !backend.leaving && !backend.avoided && obstacle_to_new_work(backend) == Obstacle::kNone;
+}
+
+Obstacle obstacle_to_read(const BackendFacts& backend, bool has_leader) {
+  if (backend.of_closed_term) return Obstacle::kGroupClosed;
+  const Obstacle closed = obstacle_to_new_work(backend);
+  if (closed != Obstacle::kNone) return closed;
+  if (backend.leaving) return Obstacle::kLeaving;
+  if (backend.tried) return Obstacle::kTried;
+  return backend.lags && has_leader ? Obstacle::kLags : Obstacle::kNone;
+}
+
+Obstacle obstacle_as_primary(const BackendFacts& backend) {
+  if (backend.of_closed_term) return Obstacle::kGroupClosed;
+  const Obstacle closed = obstacle_to_new_work(backend);
+  if (closed != Obstacle::kNone) return closed;
+  if (backend.leaving_grace_over) return Obstacle::kLeaving;
+  return backend.tried ? Obstacle::kTried : Obstacle::kNone;
+}
+
+Obstacle obstacle_at(const BackendFacts& backend, bool primary_only, Backends all) {
+  if (primary_only) return backend.is_primary ? obstacle_as_primary(backend) : Obstacle::kNone;
+  return obstacle_to_read(backend, std::any_of(all.begin(), all.end(), leads));
+}
+
+BackendChoice choose_backend(bool primary_only, Backends backends) {
+  return primary_only ? choose_primary(backends) : choose_reader(backends);
+}
+
+bool has_other_reader(bool primary_only, Backends backends) {
+  const BackendChoice other = choose_backend(primary_only, backends);
+  return other.backend && !backends[*other.backend].avoided && !backends[*other.backend].lags;
+}
+
+}  // namespace cairnhollow::placement
--- /dev/null
+++ b/src/placement/obstacle.cpp
@@ -0,0 +1,54 @@
+#include "placement/obstacle.h"
+
+#include <array>
+
+namespace cairnhollow::placement {
+
+namespace {
+
+struct Words {
+  const char* name;
+  const char* text;
+};
+
+/// In the order of Obstacle.
+constexpr std::array<Words, kObstacleCount> kObstacles{{
+    {"none", ""},
+    {"outside_regions", "it may run in no region that has a backend of the group"},
+    {"zone_evacuated", "the zone of the backend that could run it is evacuated"},
+    {"cold_limit", "the backend that could run it has just started and takes no more now"},
+    {"leaving", "the backend that could run it is leaving"},
+    {"lags", "no backend has the data asked for yet"},
+    {"tried", "no backend can serve it now"},
+    {"group_closed", "the group has no primary now"},
+    {"primary_given_up", "the primary was given up"},
+    {"primary_unreachable", "the primary can't be reached from here"},
+    {"primary_full", "the primary takes no more connections"},
+    {"commits_stall", "commits reach no replica now"},
+    {"backends_busy", "the backends are busy"},
+    {"no_backend", "no backend can serve it now"},
+    {"no_lease", "the serving lease has run out"},
+    {"proxies_unreachable", "no proxy that may serve the group could be reached"},
+    {"key_unauthorized", "the key can't be used any more"},
+    {"key_unconfirmed", "the key can't be used any more"},
+    {"over_limit", "there is no token to run it once more"},
+}};
+
+constexpr std::array<const char*, kForwardCauseCount> kForwardCauses{"served_elsewhere", "no_lease",
+                                                                     "primary_unreachable", "primary_full"};
+
+}  // namespace
+
+const char* obstacle_name(Obstacle obstacle) {
+  return kObstacles.at(static_cast<std::size_t>(obstacle)).name;
+}
+
+const char* obstacle_text(Obstacle obstacle) {
+  return kObstacles.at(static_cast<std::size_t>(obstacle)).text;
+}
+
+const char* forward_cause_name(ForwardCause cause) {
+  return kForwardCauses.at(static_cast<std::size_t>(cause));
+}
+
+}  // namespace cairnhollow::placement
--- /dev/null
+++ b/src/placement/placement.h
@@ -0,0 +1,71 @@
+// Where a statement may go now, and why not elsewhere. Pure: no network, no clock, no runtime; the same facts
+// give the same answer, and nothing is touched. The runner makes the facts, carries the answer out and asks
+// again after each wait (docs/design/placement.md).
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+
+#include "placement/backend_choice.h"
+#include "placement/facts.h"
+#include "placement/obstacle.h"
+
+namespace cairnhollow::placement {
+
+/// Pass the statement on to one of these, first choice first.
+struct Forwarding {
+  const ProxyList* proxies = nullptr;  ///< not empty; one of ProxyFacts
+  ForwardCause since = ForwardCause::kServedElsewhere;
+};
+/// Whether the statement is another proxy's; empty: it is decided by place_here.
+std::optional<Forwarding> place_elsewhere(const StatementNeed& need, const ProxyFacts& proxy);
+
+enum class Action : std::uint8_t {
+  kRun,     ///< at `backend`
+  kWait,    ///< until something of the group or the lease has changed, or a moment; then ask again
+  kRefuse,  ///< since `obstacle`; come back in `back_in`
+};
+
+struct Placement {
+  Action action = Action::kRefuse;
+  std::size_t backend = 0;              ///< of kRun: place in the list of facts
+  Obstacle obstacle = Obstacle::kNone;  ///< what is waited for to go, or why it is refused
+  Duration back_in{0};                  ///< of kRefuse
+};
+/// What becomes of a statement that this proxy is to run.
+Placement place_here(const StatementNeed& need, const ProxyFacts& proxy,
+                     std::span<const BackendFacts> backends, const Patience& patience);
+
+/// What becomes of the next proxy in the order of a forwarding.
+struct ProxyTurn {
+  bool is_this_proxy = false;
+  bool gave_no_answer = false;  ///< a moment ago
+};
+enum class TurnAction : std::uint8_t { kSkip, kRunHere, kSend };
+TurnAction take_turn(const ProxyTurn& turn, const ProxyFacts& proxy);
+/// No proxy took the statement: run it again from the start (kRun), wait for the lease (kWait), or refuse it.
+Placement place_unforwarded(const ProxyFacts& proxy, bool may_try_another, const Patience& patience);
+
+/// What a backend's answer "not run" may be followed by at another proxy, since what stood in the way is this
+/// proxy's own.
+bool may_another_serve(const ProxyFacts& proxy);
+
+/// Whether a caller's key lets its statements be sent.
+Obstacle key_obstacle(const KeyFacts& key);
+/// Whether a write may begin; `commits_stall`: commits sent before have no answer.
+Obstacle commit_obstacle(bool writes, bool commits_stall);
+
+enum class SendAction : std::uint8_t { kSend, kChooseAgain, kRefuse };
+struct SendDecision {
+  SendAction action = SendAction::kSend;
+  Obstacle obstacle = Obstacle::kNone;
+};
+/// The last look at a statement that has waited for a place and a link at `backend`.
+SendDecision before_sending(const SendFacts& facts, const BackendFacts& backend);
+
+/// Why a transaction may not go on at the backend where it is open: it is ended and nothing of it is kept.
+Obstacle obstacle_in_transaction(const TransactionFacts& facts, const BackendFacts& backend);
+
+}  // namespace cairnhollow::placement
--- a/src/session/group_access.cpp
+++ b/src/session/group_access.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <string>
 #include <utility>
 #include <vector>
@@ -107,7 +108,7 @@
 
 bool GroupAccess::warm_one() {
   for (const auto& [name, use] : backends_) {
-    if (use->entry.leaving || use->avoid_until > runtime_.now() || !use->pool.is_cold()) continue;
+    if (!use->pool.is_cold() || !placement::may_be_warmed(facts_of(*use, {}))) continue;
     runtime_.spawn("warm_link", warm(use));
     return true;
   }
@@ -141,9 +142,36 @@
   if (!term_.open) return nullptr;
   const auto found = backends_.find(term_.primary);
   if (found == backends_.end()) return nullptr;
-  const auto& leaving_since = found->second->leaving_since;
-  if (leaving_since && runtime_.now() - *leaving_since > kLeavingPrimaryUse) return nullptr;
-  return found->second;
+  return placement::may_lead(facts_of(*found->second, {})) ? found->second : nullptr;
+}
+
+placement::BackendFacts GroupAccess::facts_of(const BackendUse& backend,
+                                              const PlacementQuestion& question) const {
+  const TimePoint now = runtime_.now();
+  const auto& leaving_since = backend.leaving_since;
+  placement::BackendFacts facts;
+  facts.name = backend.entry.name.value;
+  facts.is_primary = backend.entry.name == term_.primary;
+  facts.of_closed_term = facts.is_primary && !term_.open;
+  facts.leaving = backend.entry.leaving;
+  facts.leaving_grace_over = leaving_since && now - *leaving_since > kLeavingPrimaryUse;
+  facts.tried = question.tried != nullptr && question.tried->count(backend.entry.name) > 0;
+  facts.avoided = backend.avoid_until > now;
+  facts.refused = backend.pool.is_refused();
+  if (question.need == nullptr || question.need->primary_only) return facts;
+  facts.lags = !facts.is_primary && backend.lag(now) > now - question.need->required_since;
+  facts.cost = cost_of(backend);
+  return facts;
+}
+
+GroupFacts GroupAccess::facts(const PlacementQuestion& question) const {
+  GroupFacts facts;
+  for (const auto& [name, use] : backends_) facts.push_back(facts_of(*use, question));
+  return facts;
+}
+
+std::shared_ptr<BackendUse> GroupAccess::backend_at(std::size_t place) const {
+  return std::next(backends_.begin(), static_cast<std::ptrdiff_t>(place))->second;
 }
 
 double GroupAccess::cost_of(const BackendUse& backend) const {
@@ -157,31 +185,15 @@
 
 std::shared_ptr<BackendUse> GroupAccess::choose_reader(const ReadNeed& need,
                                                        const std::set<BackendName>& excluded) {
-  const auto leader = primary();
-  auto usable_leader = leader && excluded.count(leader->entry.name) == 0 ? leader : nullptr;
-  if (need.primary_only) return usable_leader;
-  const TimePoint now = runtime_.now();
-  std::shared_ptr<BackendUse> best;
-  std::shared_ptr<BackendUse> avoided;
-  for (const auto& [name, use] : backends_) {
-    if (use->entry.leaving || excluded.count(name) > 0) continue;
-    // A primary of a closed group is not to be believed.
-    if (name == term_.primary && !leader) continue;
-    const bool lags = name != term_.primary && use->lag(now) > now - need.required_since;
-    if (lags && leader) continue;
-    const bool last_choice = use->avoid_until > now || use->pool.is_refused();
-    auto& slot = last_choice ? avoided : best;
-    if (!slot || cost_of(*use) < cost_of(*slot)) slot = use;
-  }
-  if (best) return best;
-  return usable_leader ? usable_leader : avoided;
+  const PlacementQuestion question{&need, &excluded};
+  const auto choice = placement::choose_backend(need.primary_only, facts(question));
+  return choice.backend ? backend_at(*choice.backend) : nullptr;
 }
 
 bool GroupAccess::has_other_reader(const ReadNeed& need, const BackendUse& backend) {
-  const TimePoint now = runtime_.now();
-  const auto other = choose_reader(need, {backend.entry.name});
-  if (!other || other->avoid_until > now) return false;
-  return other->entry.name == term_.primary || other->lag(now) <= now - need.required_since;
+  GroupFacts others = facts({&need});
+  for (placement::BackendFacts& other : others) other.tried = other.name == backend.entry.name.value;
+  return placement::has_other_reader(need.primary_only, others);
 }
 
 ReadNeed GroupAccess::need_of(const registry::RouteRule& route, const SessionCommit& committed) const {
--- a/src/session/group_access.h
+++ b/src/session/group_access.h
@@ -2,6 +2,7 @@
 // what of its log is known.
 #pragma once
 
+#include <boost/container/small_vector.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -9,6 +10,7 @@
 #include <set>
 #include <string>
 
+#include "placement/backend_choice.h"
 #include "registry/model.h"
 #include "session/position_history.h"
 #include "session/stateful_pool.h"
@@ -66,6 +68,17 @@
   TimePoint required_since{};        ///< when the primary had that position
 };
 
+/// The statement of which the facts of a backend are asked. What it does not name plays no part in them.
+struct PlacementQuestion {
+  const ReadNeed* need = nullptr;
+  const std::set<BackendName>* tried = nullptr;
+  const registry::RouteRule* route = nullptr;
+  const TenantName* tenant = nullptr;
+};
+
+/// Of the backends of one group, by name. Most groups have fewer than eight.
+using GroupFacts = boost::container::small_vector<placement::BackendFacts, 8>;
+
 class GroupAccess {
  public:
   GroupAccess(runtime::Runtime& runtime, BackendDialer& dialer, GroupName group, ZoneName zone)
@@ -94,6 +107,14 @@
   /// Notified when term or backends have changed.
   runtime::Signal& changed() { return changed_; }
 
+  /// A backend as it stands to the statement now.
+  [[nodiscard]] placement::BackendFacts facts_of(const BackendUse& backend,
+                                                 const PlacementQuestion& question) const;
+  /// The same of all, in the order of backends().
+  [[nodiscard]] GroupFacts facts(const PlacementQuestion& question) const;
+  /// The backend at this place in facts(), as long as nothing has changed since.
+  [[nodiscard]] std::shared_ptr<BackendUse> backend_at(std::size_t place) const;
+
   /// The open term's primary; null while there is none that may be used.
   std::shared_ptr<BackendUse> primary();
   /// The backend to read at, out of those not in `excluded`; null when none is left.
