--- a/src/cli/log_story.cpp
+++ b/src/cli/log_story.cpp
@@ -10,6 +10,8 @@
 #include <optional>
 #include <set>
 
+#include "placement/obstacle.h"
+
 namespace cairnhollow::cli {
 
 namespace json = boost::json;
@@ -92,6 +94,18 @@
   return subject.nodes.count(event.node) > 0;
 }
 
+/// Why a proxy refused the request by itself, in words; empty when it did not.
+std::string refusal_in_words(const LogEvent& event) {
+  const auto since = placement::find_obstacle(event.field("since"));
+  if (!since) return {};
+  std::string text = fmt::format("{:14}refused since {}", "", placement::obstacle_text(*since));
+  const std::string back_in = event.field("back_in_ms");
+  if (!back_in.empty()) text += fmt::format("; to come back in {} ms", back_in);
+  const std::string passed_over = event.field("passed_over");
+  if (!passed_over.empty()) text += fmt::format("; backends passed over: {}", passed_over);
+  return text + '\n';
+}
+
 }  // namespace
 
 std::string LogEvent::field(const std::string& name) const {
@@ -156,6 +170,7 @@
       if (!value.empty() && name != kRequestField) text += fmt::format("  {}={}", name, value);
     }
     text += '\n';
+    if (is_own) text += refusal_in_words(event);
   }
   if (story.left_out > 0)
     text += fmt::format("{} of these lines say that others of their event were left out in that second\n",
--- a/src/placement/facts.h
+++ b/src/placement/facts.h
@@ -11,10 +11,10 @@
 namespace cairnhollow::placement {
 
 struct StatementNeed {
-  bool reads = false;         ///< it, or the transaction that it opens
-  bool primary_only = false;  ///< no replica will do
-  bool opens_transaction = false;
+  bool reads = false;         ///< and no more: it, or the transaction that it opens
+  bool primary_only = false;  ///< of a read: no replica is known to have what it must see
   bool is_forwarded = false;  ///< by another proxy: it is run here or refused
+  [[nodiscard]] bool needs_primary() const { return !reads || primary_only; }
 };
 
 /// A backend as it stands to one statement. Who knows nothing of a fact leaves it as it is.
--- a/src/placement/obstacle.cpp
+++ b/src/placement/obstacle.cpp
@@ -28,7 +28,7 @@
     {"backends_busy", "the backends are busy"},
     {"no_backend", "no backend can serve it now"},
     {"no_lease", "the serving lease has run out"},
-    {"proxies_unreachable", "no proxy that may serve the group could be reached"},
+    {"no_proxy", "no proxy that may serve the group could be reached"},
     {"key_unauthorized", "the key can't be used any more"},
     {"key_unconfirmed", "the key can't be used any more"},
     {"over_limit", "there is no token to run it once more"},
@@ -47,6 +47,13 @@
   return kObstacles.at(static_cast<std::size_t>(obstacle)).text;
 }
 
+std::optional<Obstacle> find_obstacle(std::string_view name) {
+  for (std::size_t place = 0; place < kObstacles.size(); ++place) {
+    if (kObstacles[place].name == name) return static_cast<Obstacle>(place);
+  }
+  return std::nullopt;
+}
+
 const char* forward_cause_name(ForwardCause cause) {
   return kForwardCauses.at(static_cast<std::size_t>(cause));
 }
--- a/src/placement/obstacle.h
+++ b/src/placement/obstacle.h
@@ -4,6 +4,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
+#include <string_view>
 
 namespace cairnhollow::placement {
 
@@ -26,8 +28,8 @@
   kBackendsBusy,        ///< those that could run it were asked and had no room
   kNoBackend,           ///< none is known that could
   // Of this proxy and its peers.
-  kNoLease,             ///< this proxy may use no primary
-  kProxiesUnreachable,  ///< none of the proxies that may serve the group took it
+  kNoLease,  ///< this proxy may use no primary
+  kNoProxy,  ///< none of the proxies that may serve the group took it
   // Of the caller.
   kKeyUnauthorized,  ///< the key proves no tenant, or another one than when the statement came
   kKeyUnconfirmed,   ///< control did not confirm the key lately enough
@@ -40,6 +42,9 @@
 /// For people, as a part of a sentence: "the group has no primary now".
 const char* obstacle_text(Obstacle obstacle);
 
+/// The obstacle of that name; empty when there is none.
+std::optional<Obstacle> find_obstacle(std::string_view name);
+
 /// Why a statement is passed on to another proxy.
 enum class ForwardCause : std::uint8_t { kServedElsewhere, kNoLease, kPrimaryUnreachable, kPrimaryFull };
 inline constexpr std::size_t kForwardCauseCount = static_cast<std::size_t>(ForwardCause::kPrimaryFull) + 1;
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -6,6 +6,13 @@
 
 bool is_empty(const ProxyList* proxies) { return proxies == nullptr || proxies->empty(); }
 
+Placement run_at(std::size_t backend) {
+  Placement runs;
+  runs.action = Action::kRun;
+  runs.backend = backend;
+  return runs;
+}
+
 Placement refuse(Obstacle obstacle, Duration back_in) {
   Placement refused;
   refused.obstacle = obstacle;
@@ -26,8 +33,8 @@
   if (patience.offered) return Obstacle::kBackendsBusy;
   if (!proxy.holds_lease) return Obstacle::kNoLease;
   if (!proxy.group_open) return Obstacle::kGroupClosed;
-  if (need.primary_only && proxy.primary_unreachable) return Obstacle::kPrimaryUnreachable;
-  if (need.primary_only && proxy.primary_full) return Obstacle::kPrimaryFull;
+  if (need.needs_primary() && proxy.primary_unreachable) return Obstacle::kPrimaryUnreachable;
+  if (need.needs_primary() && proxy.primary_full) return Obstacle::kPrimaryFull;
   return at_backends == Obstacle::kNone ? Obstacle::kNoBackend : at_backends;
 }
 
@@ -42,7 +49,7 @@
 std::optional<Forwarding> place_elsewhere(const StatementNeed& need, const ProxyFacts& proxy) {
   if (need.is_forwarded) return std::nullopt;
   if (!is_empty(proxy.serving)) return Forwarding{proxy.serving, ForwardCause::kServedElsewhere};
-  if (!need.primary_only) return std::nullopt;
+  if (!need.needs_primary()) return std::nullopt;
   const bool is_unreachable = proxy.group_open && proxy.primary_unreachable;
   if ((!proxy.holds_lease || is_unreachable) && !is_empty(proxy.others)) {
     return Forwarding{proxy.others,
@@ -58,15 +65,10 @@
                      std::span<const BackendFacts> backends, const Patience& patience) {
   if (!patience.may_try)
     return refuse(main_obstacle(need, proxy, patience, Obstacle::kNone), patience.back_after);
-  const BackendChoice choice = choose_backend(need.primary_only, backends);
+  const BackendChoice choice = choose_backend(need.needs_primary(), backends);
   if (choice.is_final)
     return refuse(choice.obstacle, choice.back_in > Duration(0) ? choice.back_in : patience.back_after);
-  if (choice.backend && (proxy.holds_lease || !need.primary_only)) {
-    Placement runs;
-    runs.action = Action::kRun;
-    runs.backend = *choice.backend;
-    return runs;
-  }
+  if (choice.backend && (proxy.holds_lease || !need.needs_primary())) return run_at(*choice.backend);
   const Obstacle obstacle = main_obstacle(need, proxy, patience, choice.obstacle);
   return is_worth_waiting(proxy, patience) ? wait_for(obstacle) : refuse(obstacle, patience.back_after);
 }
@@ -78,9 +80,10 @@
   return proxy.holds_lease ? TurnAction::kRunHere : TurnAction::kSkip;
 }
 
-Placement place_unforwarded(const ProxyFacts& proxy, bool may_try_another, const Patience& patience) {
-  if (!may_try_another) return refuse(Obstacle::kNone, patience.back_after);
-  if (proxy.holds_lease) return refuse(Obstacle::kProxiesUnreachable, patience.back_after);
+Placement place_unforwarded(const ForwardingEnd& end, const ProxyFacts& proxy, const Patience& patience) {
+  if (!end.may_try_another) return refuse(Obstacle::kNone, patience.back_after);
+  if (proxy.holds_lease && end.has_waited) return run_at(0);
+  if (proxy.holds_lease) return refuse(Obstacle::kNoProxy, patience.back_after);
   if (proxy.expects_lease && patience.may_wait) return wait_for(Obstacle::kNoLease);
   return refuse(Obstacle::kNoLease, patience.back_after);
 }
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -45,11 +45,15 @@
 };
 enum class TurnAction : std::uint8_t { kSkip, kRunHere, kSend };
 TurnAction take_turn(const ProxyTurn& turn, const ProxyFacts& proxy);
-/// No proxy took the statement: run it again from the start (kRun), wait for the lease (kWait), or refuse it.
-Placement place_unforwarded(const ProxyFacts& proxy, bool may_try_another, const Patience& patience);
+/// How a forwarding ended that no proxy answered with success.
+struct ForwardingEnd {
+  bool may_try_another = true;  ///< it has certainly not run, or may run once more
+  bool has_waited = false;      ///< for the lease, since then
+};
+/// Run it again from the start (kRun), wait for the lease (kWait), or let it be (kRefuse).
+Placement place_unforwarded(const ForwardingEnd& end, const ProxyFacts& proxy, const Patience& patience);
 
-/// What a backend's answer "not run" may be followed by at another proxy, since what stood in the way is this
-/// proxy's own.
+/// Whether what this proxy did not run may well run at another one: what stands in the way is its own.
 bool may_another_serve(const ProxyFacts& proxy);
 
 /// Whether a caller's key lets its statements be sent.
--- a/src/session/caller_session.cpp
+++ b/src/session/caller_session.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "session/knobs.h"
+#include "session/placement_facts.h"
 
 namespace cairnhollow::session {
 
@@ -82,16 +83,19 @@
   const FleetView& view = services_.view;
   if (!view.needs_key(order.route)) return true;
   const registry::TenantRule* tenant = view.tenants().find_by_key(key_);
-  const bool confirmed = view.keys_confirmed().allows(services_.runtime.now());
-  if (tenant != nullptr && confirmed) {
+  const placement::KeyFacts key{true, tenant != nullptr,
+                                view.keys_confirmed().allows(services_.runtime.now())};
+  const auto obstacle = placement::key_obstacle(key);
+  if (obstacle == placement::Obstacle::kNone) {
     order.key = key_;
     order.tenant = tenant->name;
     return true;
   }
-  const bool unknown = tenant == nullptr;
-  refusal = refuse(unknown ? Refusal::kUnauthorized : Refusal::kBusy,
+  const bool unknown = obstacle == placement::Obstacle::kKeyUnauthorized;
+  refusal = refuse(refusal_of(obstacle),
                    unknown ? "the key proves no tenant any more"
                            : "keys can't be confirmed without control; come back through another proxy");
+  services_.metrics.count_unplaced(obstacle);
   services_.runtime.logger().log(
       LogLevel::kWarning, "key_refused",
       {{"id", order.id},
@@ -266,6 +270,7 @@
   token = admission.expires_at;
   if (admission.outcome == AdmissionOutcome::kAdmitted) co_return true;
   const bool is_over = admission.outcome == AdmissionOutcome::kOverLimit;
+  if (is_over) services_.metrics.count_unplaced(placement::Obstacle::kOverLimit);
   refusal = refuse(is_over ? Refusal::kOverLimit : Refusal::kBusy,
                    fmt::format("{}; come back in {} ms",
                                is_over ? "the tenant is over its limit" : "the tenant can't be counted now",
--- /dev/null
+++ b/src/session/placement_facts.cpp
@@ -0,0 +1,32 @@
+#include "session/placement_facts.h"
+
+namespace cairnhollow::session {
+
+placement::ProxyFacts proxy_facts(const FleetView& view, GroupAccess& group) {
+  placement::ProxyFacts facts;
+  facts.holds_lease = view.holds_lease_for(group);
+  facts.expects_lease = view.expects_lease();
+  facts.group_open = group.term().open;
+  facts.group_changing = group.is_changing();
+  facts.primary_unreachable = group.is_primary_unreachable();
+  facts.primary_full = group.is_primary_full();
+  return facts;
+}
+
+placement::KeyFacts key_facts(const FleetView& view, const registry::RouteRule& route, const ApiKey& key,
+                              const TenantName& tenant, TimePoint now) {
+  placement::KeyFacts facts;
+  facts.is_needed = !tenant.empty() || view.needs_key(route);
+  if (!facts.is_needed) return facts;
+  const registry::TenantRule* proved = view.tenants().find_by_key(key);
+  facts.proves_tenant = proved != nullptr && proved->name == tenant;
+  facts.is_confirmed = view.keys_confirmed().allows(now);
+  return facts;
+}
+
+Refusal refusal_of(placement::Obstacle obstacle) {
+  if (obstacle == placement::Obstacle::kKeyUnauthorized) return Refusal::kUnauthorized;
+  return obstacle == placement::Obstacle::kOverLimit ? Refusal::kOverLimit : Refusal::kBusy;
+}
+
+}  // namespace cairnhollow::session
--- /dev/null
+++ b/src/session/placement_facts.h
@@ -0,0 +1,20 @@
+// What the placement of a statement is decided by, as this proxy knows it now (placement/facts.h).
+#pragma once
+
+#include "placement/facts.h"
+#include "placement/obstacle.h"
+#include "session/fleet_view.h"
+#include "session/statement.h"
+
+namespace cairnhollow::session {
+
+/// Without lists of proxies.
+placement::ProxyFacts proxy_facts(const FleetView& view, GroupAccess& group);
+/// A caller's key on a route; `tenant`: what it proved when the statement came, empty where none was asked
+/// for.
+placement::KeyFacts key_facts(const FleetView& view, const registry::RouteRule& route, const ApiKey& key,
+                              const TenantName& tenant, TimePoint now);
+/// What the caller is told of the obstacle.
+Refusal refusal_of(placement::Obstacle obstacle);
+
+}  // namespace cairnhollow::session
--- a/src/session/session_metrics.cpp
+++ b/src/session/session_metrics.cpp
@@ -10,8 +10,6 @@
 
 constexpr std::array<const char*, 3> kAdmissions{"admitted", "over_limit", "not_counted"};
 constexpr std::array<const char*, 3> kPlaces{"proxy", "primary", "replica"};
-constexpr std::array<const char*, 4> kForwardCauses{"served_elsewhere", "no_lease", "primary_unreachable",
-                                                    "primary_full"};
 
 }  // namespace
 
@@ -32,10 +30,15 @@
                                           "From a statement's arrival to its answer.",
                                           runtime::latency_buckets_seconds(), labels);
   }
-  for (std::size_t cause = 0; cause < kForwardCauses.size(); ++cause) {
-    forwarded_[cause] =
-        &metrics_.counter("cairnhollow_session_forwarded_total", "Statements passed on to another proxy.",
-                          {{"cause", kForwardCauses[cause]}});
+  for (std::size_t cause = 0; cause < placement::kForwardCauseCount; ++cause) {
+    forwarded_[cause] = &metrics_.counter(
+        "cairnhollow_session_forwarded_total", "Statements passed on to another proxy.",
+        {{"cause", placement::forward_cause_name(static_cast<placement::ForwardCause>(cause))}});
+  }
+  for (std::size_t obstacle = 0; obstacle < placement::kObstacleCount; ++obstacle) {
+    unplaced_[obstacle] = &metrics_.counter(
+        "cairnhollow_session_unplaced_total", "Statements that this proxy refused by itself.",
+        {{"since", placement::obstacle_name(static_cast<placement::Obstacle>(obstacle))}});
   }
   for (std::size_t code = 0; code < kRefusalCount; ++code) {
     const runtime::MetricLabels labels{{"reason", refusal_name(static_cast<Refusal>(code))}};
--- a/src/session/session_metrics.h
+++ b/src/session/session_metrics.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 
+#include "placement/obstacle.h"
 #include "runtime/metrics.h"
 #include "session/statement.h"
 
@@ -13,9 +14,6 @@
 /// Where a statement was served.
 enum class ServedBy : std::uint8_t { kProxy, kPrimary, kReplica };
 
-/// Why a statement was passed on to another proxy.
-enum class ForwardCause : std::uint8_t { kServedElsewhere, kNoLease, kPrimaryUnreachable, kPrimaryFull };
-
 /// What became of an operation of a tenant that wanted to begin.
 enum class AdmissionOutcome : std::uint8_t { kAdmitted, kOverLimit, kNotCounted };
 
@@ -29,7 +27,13 @@
   void count_served(ServedBy by, Duration took);
   void count_refused(Refusal refusal);
   void count_retry(Refusal refusal) { retries_[static_cast<std::size_t>(refusal)]->Increment(); }
-  void count_forwarded(ForwardCause cause) { forwarded_[static_cast<std::size_t>(cause)]->Increment(); }
+  void count_forwarded(placement::ForwardCause cause) {
+    forwarded_[static_cast<std::size_t>(cause)]->Increment();
+  }
+  /// This proxy itself refused a statement, or ended a transaction.
+  void count_unplaced(placement::Obstacle obstacle) {
+    unplaced_[static_cast<std::size_t>(obstacle)]->Increment();
+  }
   void count_token_question() { token_questions_.Increment(); }
   /// An operation of a tenant wanted to begin. `label`: the tenant's name, or that of all that are not named.
   void count_admission(const std::string& label, AdmissionOutcome outcome);
@@ -45,7 +49,8 @@
   std::array<prometheus::Histogram*, 3> latency_{};
   std::array<prometheus::Counter*, kRefusalCount> refused_{};
   std::array<prometheus::Counter*, kRefusalCount> retries_{};
-  std::array<prometheus::Counter*, 4> forwarded_{};
+  std::array<prometheus::Counter*, placement::kForwardCauseCount> forwarded_{};
+  std::array<prometheus::Counter*, placement::kObstacleCount> unplaced_{};
   std::map<std::pair<std::string, AdmissionOutcome>, prometheus::Counter*>
       admissions_;  ///< by tenant's label
   prometheus::Counter& lost_answers_;
--- a/src/session/statement_attempt.h
+++ b/src/session/statement_attempt.h
@@ -42,6 +42,7 @@
   TimePoint refuse_at{};  ///< until then somebody who can serve it is waited for
   bool offered = false;   ///< a backend that could run it has been asked
   Reason reason;          ///< of the last failure
+  Unplaced unplaced;      ///< why this proxy refuses it
   RunResult result;
 
   // Of the attempt under way.
@@ -50,6 +51,7 @@
   std::uint64_t epoch = 0;
   bool at_primary = false;
   bool needs_primary = false;  ///< the answer counts only while the primary of `epoch` may be used
+  placement::SendDecision last_look;
   TimePoint sent_at{};
   runtime::SendState sent = runtime::SendState::kNotSent;
 
@@ -61,9 +63,7 @@
 
   /// Whether nothing is lost when it runs once more.
   [[nodiscard]] bool may_run_again() const { return !order.writes || order.opens_transaction; }
-  [[nodiscard]] bool is_read() const {
-    return order.opens_transaction ? order.read_only_transaction : !order.writes;
-  }
+  [[nodiscard]] bool is_read() const { return order.reads(); }
 };
 
 }  // namespace cairnhollow::session
--- a/src/session/statement_forwarding.cpp
+++ b/src/session/statement_forwarding.cpp
@@ -1,6 +1,9 @@
 // StatementRunner's part for groups that other proxies serve.
+#include <fmt/format.h>
+
 #include <algorithm>
 
+#include "session/placement_facts.h"
 #include "session/statement_runner.h"
 
 namespace cairnhollow::session {
@@ -34,31 +37,33 @@
   RunResult result;
   result.nothing_run = !order.may_have_run;
   result.answer.refusal = Refusal::kBusy;
-  result.answer.detail = "no proxy that may serve the group could be reached; come back soon";
   Reason reason;
   // Whoever runs it does so under its own lease; this proxy needs none to pass it on.
   const auto tries = std::min<std::size_t>(proxies.size(), kMaxForwards);
   bool may_try_another = true;
+  bool is_answered = false;
   for (std::size_t attempt = 0; attempt < tries && may_try_another; ++attempt) {
-    // Without a lease the others may well be without one, too: they are not asked each time.
-    const bool asked_lately = services_.forwarder.is_avoided(proxies[attempt]->name, group);
-    if (asked_lately && !services_.view.holds_lease_for(*order.group)) continue;
-    if (proxies[attempt]->name == services_.view.node()) {
-      if (!services_.view.holds_lease_for(*order.group)) continue;
-      co_return co_await run_here(std::move(order));
-    }
+    const NodeName& node = proxies[attempt]->name;
+    const placement::ProxyTurn turn{node == services_.view.node(),
+                                    services_.forwarder.is_avoided(node, group)};
+    const auto action = placement::take_turn(turn, proxy_facts(services_.view, *order.group));
+    if (action == placement::TurnAction::kSkip) continue;
+    if (action == placement::TurnAction::kRunHere) co_return co_await run_here(std::move(order));
     auto forwarded = co_await forward_to(order, proxies[attempt], may_try_another, reason);
     if (!forwarded) continue;
+    is_answered = true;
     result = std::move(*forwarded);
     order.may_have_run = order.may_have_run || !result.nothing_run;
     result.nothing_run = !order.may_have_run;
   }
-  if (may_try_another && !services_.view.holds_lease_for(*order.group)) {
-    const bool leased = co_await wait_for_lease(order.group, refuse_limit(order));
-    if (leased) co_return co_await run(std::move(order));
-    result.answer.detail = "the serving lease has run out; come back soon";
+  const auto placed = co_await await_lease(order.group, refuse_limit(order), may_try_another);
+  if (placed.action == placement::Action::kRun) co_return co_await run(std::move(order));
+  const Unplaced unplaced{placed.obstacle, placed.back_in, {}};
+  if (placed.obstacle == placement::Obstacle::kNoLease || !is_answered) {
+    result.answer.detail = fmt::format("{}; come back in {} ms", placement::obstacle_text(placed.obstacle),
+                                       in_ms(placed.back_in));
   }
-  if (result.answer.refusal) log_refusal(order, result.answer, reason, 1);
+  if (result.answer.refusal) log_refusal(order, result.answer, reason, 1, unplaced);
   co_return result;
 }
 
@@ -66,11 +71,18 @@
   return order.arrived + (order.deadline - order.arrived) / kRefusePatienceDivisor;
 }
 
-Awaitable<bool> StatementRunner::wait_for_lease(std::shared_ptr<GroupAccess> group, TimePoint refuse_at) {
-  while (!services_.view.holds_lease_for(*group) && services_.view.expects_lease() &&
-         services_.runtime.now() < refuse_at)
+Awaitable<placement::Placement> StatementRunner::await_lease(std::shared_ptr<GroupAccess> group,
+                                                             TimePoint refuse_at, bool may_try_another) {
+  placement::ForwardingEnd end{may_try_another, false};
+  placement::Patience patience;
+  patience.back_after = kComeBackAfter;
+  while (true) {
+    patience.may_wait = services_.runtime.now() < refuse_at;
+    const auto placed = placement::place_unforwarded(end, proxy_facts(services_.view, *group), patience);
+    if (placed.action != placement::Action::kWait) co_return placed;
     co_await services_.view.renewed().wait_until(refuse_at);
-  co_return services_.view.holds_lease_for(*group);
+    end.has_waited = true;
+  }
 }
 
 Awaitable<std::optional<RunResult>> StatementRunner::forward_to(RunOrder order, routing::ProxyPointer proxy,
--- a/src/session/statement_in_transaction.cpp
+++ b/src/session/statement_in_transaction.cpp
@@ -1,13 +1,41 @@
 // StatementRunner's part for transactions that are open: their further statements, commit, end.
+#include <fmt/format.h>
+
 #include <algorithm>
 
+#include "session/placement_facts.h"
 #include "session/statement_attempt.h"
 #include "session/statement_runner.h"
 
 namespace cairnhollow::session {
 
+using placement::Obstacle;
 using runtime::SendState;
 
+namespace {
+
+/// Why a transaction was ended, for its caller.
+std::string ending(Obstacle obstacle) {
+  const char* why = "the transaction's backend was given up";
+  if (obstacle == Obstacle::kCommitsStall) why = placement::obstacle_text(obstacle);
+  if (obstacle == Obstacle::kZoneEvacuated) why = "the zone of the transaction's backend is evacuated";
+  return fmt::format("{}; nothing of it is kept", why);
+}
+
+}  // namespace
+
+Obstacle StatementRunner::obstacle_in_transaction(const PinnedLink& pinned, const RunOrder& order,
+                                                  bool commits_stall) const {
+  const GroupAccess& group = *order.group;
+  placement::TransactionFacts facts;
+  facts.at_primary = pinned.at_primary;
+  facts.read_only = order.read_only_transaction;
+  facts.may_use_primary = services_.view.may_use_primary(group, pinned.epoch);
+  facts.commits_stall = commits_stall;
+  facts.key = key_facts(services_.view, order.route, order.key, order.tenant, services_.runtime.now());
+  return placement::obstacle_in_transaction(facts, group.facts_of(*pinned.backend, {}));
+}
+
 Awaitable<Answer> StatementRunner::run_pinned(PinnedLink pinned, RunOrder order, bool commits, bool wrote) {
   if (pinned.remote) co_return co_await forward_pinned(*pinned.remote, std::move(order), commits, wrote);
   GroupAccess& group = *order.group;
@@ -15,29 +43,22 @@
   Answer aborted;
   aborted.refusal = Refusal::kAborted;
   aborted.state = TransactionState::kFailed;
-  aborted.detail = "the transaction's backend was given up; nothing of it is kept";
-  const auto usable = [&] {
-    if (key_fault(order)) return false;
-    return !pinned.at_primary || order.read_only_transaction ||
-           services_.view.may_use_primary(group, pinned.epoch);
-  };
+  aborted.detail = ending(Obstacle::kNone);
   Reason reason;
-  if (commits && wrote && pinned.at_primary && group.refuses_commits()) {
-    pinned.link->link().close();
-    aborted.detail = "commits reach no replica now; nothing of it is kept";
-    log_refusal(order, aborted, reason, 0);
-    co_return aborted;
-  }
+  const bool stalls = commits && wrote && pinned.at_primary && group.refuses_commits();
+  Obstacle obstacle = obstacle_in_transaction(pinned, order, stalls);
   const TimePoint setup_deadline = std::min(order.deadline, runtime.now() + kLinkSetupTimeout);
-  bool ready = usable() && pinned.link->link().is_open();
+  bool ready = obstacle == Obstacle::kNone && pinned.link->link().is_open();
   if (ready)
     ready = co_await pinned.link->bring_in_order(order.values, order.prepared, setup_deadline, reason);
   bool entered = false;
   if (ready) entered = co_await pinned.backend->gate.enter(backend::kUrgentClass, order.deadline);
-  if (!entered || !usable()) {
+  if (entered) obstacle = obstacle_in_transaction(pinned, order, false);
+  if (!entered || obstacle != Obstacle::kNone) {
     if (entered) pinned.backend->gate.leave_unanswered();
     pinned.link->link().close();
-    log_refusal(order, aborted, reason, 0);
+    aborted.detail = ending(obstacle);
+    log_refusal(order, aborted, reason, 0, Unplaced{obstacle, Duration(0), {}});
     co_return aborted;
   }
   const TimePoint sent_at = runtime.now();
--- /dev/null
+++ b/src/session/statement_placement.cpp
@@ -0,0 +1,141 @@
+// StatementRunner's part that asks where a statement may go (placement/placement.h) and takes the answer
+// over.
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "session/placement_facts.h"
+#include "session/statement_attempt.h"
+
+namespace cairnhollow::session {
+
+using placement::Action;
+using placement::Obstacle;
+using placement::SendAction;
+
+std::optional<placement::Forwarding> StatementRunner::find_elsewhere(const RunOrder& order) const {
+  FleetView& view = services_.view;
+  GroupAccess& group = *order.group;
+  placement::ProxyFacts proxy = proxy_facts(view, group);
+  proxy.serving = &view.forward_to(group.group(), order.tenant);
+  proxy.others = &view.others();
+  if (proxy.primary_full) proxy.also_serving = &view.also_serving(group.group());
+  placement::StatementNeed need;
+  need.reads = order.reads();
+  // What a read must see takes a while to find out, and plays no part where this proxy can serve it all.
+  if (need.reads && placement::may_another_serve(proxy))
+    need.primary_only = group.need_of(order.route, order.committed).primary_only;
+  return placement::place_elsewhere(need, proxy);
+}
+
+placement::Patience StatementRunner::patience_of(const Attempt& attempt) const {
+  const TimePoint now = services_.runtime.now();
+  placement::Patience patience;
+  patience.may_try = attempt.count < kMaxAttempts && now < attempt.order.deadline;
+  patience.may_wait = now < attempt.refuse_at;
+  patience.offered = attempt.offered;
+  patience.back_after = kComeBackAfter;
+  return patience;
+}
+
+PlacementQuestion StatementRunner::question_of(const Attempt& attempt) {
+  return PlacementQuestion{&attempt.need, &attempt.excluded, &attempt.order.route, &attempt.order.tenant};
+}
+
+placement::Placement StatementRunner::look(Attempt& attempt) {
+  GroupAccess& group = *attempt.order.group;
+  attempt.need = ReadNeed{true, std::nullopt};
+  if (attempt.is_read()) attempt.need = group.need_of(attempt.order.route, attempt.order.committed);
+  placement::StatementNeed need;
+  need.reads = attempt.is_read();
+  need.primary_only = attempt.need.primary_only;
+  need.is_forwarded = attempt.order.is_forwarded;
+  const GroupFacts backends = group.facts(question_of(attempt));
+  const auto placed =
+      placement::place_here(need, proxy_facts(services_.view, group), backends, patience_of(attempt));
+  if (placed.action != Action::kRun) return placed;
+  attempt.backend = group.backend_at(placed.backend);
+  attempt.epoch = group.term().epoch;
+  attempt.at_primary = placement::may_lead(backends[placed.backend]);
+  attempt.needs_primary = need.needs_primary();
+  return placed;
+}
+
+Awaitable<bool> StatementRunner::choose(std::shared_ptr<Attempt> attempt) {
+  placement::Placement placed = look(*attempt);
+  while (placed.action == Action::kWait) {
+    attempt->excluded.clear();
+    const TimePoint again = services_.runtime.now() + kBusyPause;
+    co_await attempt->order.group->changed().wait_until(std::min(attempt->refuse_at, again));
+    placed = look(*attempt);
+  }
+  if (placed.action == Action::kRefuse) refuse(*attempt, placed.obstacle, placed.back_in);
+  co_return placed.action == Action::kRun;
+}
+
+void StatementRunner::refuse(Attempt& attempt, Obstacle since, Duration back_in) {
+  Answer& answer = attempt.result.answer;
+  answer.refusal = refusal_of(since);
+  answer.state = TransactionState::kIdle;
+  answer.detail = placement::obstacle_text(since);
+  attempt.unplaced = Unplaced{since, back_in, {}};
+  if (back_in == Duration(0)) return;
+  answer.detail += fmt::format("; come back in {} ms", in_ms(back_in));
+  const GroupFacts backends = attempt.order.group->facts(question_of(attempt));
+  for (const placement::BackendFacts& backend : backends) {
+    const Obstacle obstacle = placement::obstacle_at(backend, attempt.need.primary_only, backends);
+    if (obstacle == Obstacle::kNone) continue;
+    std::string& passed_over = attempt.unplaced.passed_over;
+    if (!passed_over.empty()) passed_over += ' ';
+    passed_over += fmt::format("{}:{}", backend.name, placement::obstacle_name(obstacle));
+  }
+}
+
+StatementRunner::Step StatementRunner::pass_over(Attempt& attempt) {
+  if (!attempt.needs_primary) attempt.excluded.insert(attempt.backend->entry.name);
+  return attempt.needs_primary ? Step::kWait : Step::kNext;
+}
+
+StatementRunner::Step StatementRunner::stop_before_sending(Attempt& attempt, bool begun) {
+  const placement::SendDecision& decision = attempt.last_look;
+  const bool is_given_up = decision.obstacle == Obstacle::kPrimaryGivenUp;
+  if (begun) {
+    if (attempt.order.opens_transaction || is_given_up) attempt.link->link().close();
+    attempt.backend->pool.release(attempt.link);
+  }
+  if (decision.action == SendAction::kChooseAgain) return Step::kNext;
+  refuse(attempt, decision.obstacle, Duration(0));
+  return Step::kDone;
+}
+
+placement::SendFacts StatementRunner::send_facts(const Attempt& attempt) const {
+  placement::SendFacts facts;
+  facts.needs_primary = attempt.needs_primary;
+  facts.may_use_primary = services_.view.may_use_primary(*attempt.order.group, attempt.epoch);
+  return facts;
+}
+
+placement::SendDecision StatementRunner::look_again(const Attempt& attempt,
+                                                    const placement::SendFacts& facts) const {
+  const GroupAccess& group = *attempt.order.group;
+  const PlacementQuestion question{nullptr, nullptr, &attempt.order.route, &attempt.order.tenant};
+  return placement::before_sending(facts, group.facts_of(*attempt.backend, question));
+}
+
+Awaitable<placement::SendDecision> StatementRunner::last_look(std::shared_ptr<Attempt> attempt) {
+  const RunOrder& order = attempt->order;
+  const FleetView& view = services_.view;
+  bool lacks_token = false;
+  const bool runs_again = order.may_have_run && !order.tenant.empty();
+  // What can't be sent in any case takes no token.
+  if (runs_again && look_again(*attempt, send_facts(*attempt)).action == SendAction::kSend) {
+    const AdmissionAnswer admission = co_await services_.limits.admit(order.tenant);
+    lacks_token = admission.outcome != AdmissionOutcome::kAdmitted;
+  }
+  placement::SendFacts facts = send_facts(*attempt);
+  facts.lacks_token = lacks_token;
+  facts.key = key_facts(view, order.route, order.key, order.tenant, services_.runtime.now());
+  co_return look_again(*attempt, facts);
+}
+
+}  // namespace cairnhollow::session
--- a/src/session/statement_runner.cpp
+++ b/src/session/statement_runner.cpp
@@ -8,6 +8,8 @@
 
 namespace cairnhollow::session {
 
+using placement::Obstacle;
+using placement::SendAction;
 using runtime::LogLevel;
 using runtime::SendState;
 
@@ -28,128 +30,44 @@
 }
 
 Awaitable<RunResult> StatementRunner::run(RunOrder order) {
-  std::vector<routing::ProxyPointer> proxies;
-  ForwardCause cause = ForwardCause::kServedElsewhere;
-  if (!order.is_forwarded) proxies = services_.view.forward_to(order.group->group(), order.tenant);
-  if (proxies.empty() && must_relay(order)) {
-    proxies = services_.view.others();
-    cause = services_.view.holds_lease_for(*order.group) ? ForwardCause::kPrimaryUnreachable
-                                                         : ForwardCause::kNoLease;
-  }
-  if (proxies.empty() && !order.is_forwarded && order.group->is_primary_full() && needs_primary(order)) {
-    // Another that serves the group may have links.
-    proxies = services_.view.also_serving(order.group->group());
-    cause = ForwardCause::kPrimaryFull;
-  }
-  if (proxies.empty()) co_return co_await run_here(std::move(order));
-  services_.metrics.count_forwarded(cause);
+  std::optional<placement::Forwarding> elsewhere;
+  if (!order.is_forwarded) elsewhere = find_elsewhere(order);
+  if (!elsewhere) co_return co_await run_here(std::move(order));
+  services_.metrics.count_forwarded(elsewhere->since);
+  std::vector<routing::ProxyPointer> proxies = *elsewhere->proxies;
   co_return co_await forward(std::move(order), std::move(proxies));
 }
 
-std::optional<Refusal> StatementRunner::key_fault(const RunOrder& order) const {
-  const FleetView& view = services_.view;
-  if (order.tenant.empty() && !view.needs_key(order.route)) return std::nullopt;
-  const registry::TenantRule* tenant = view.tenants().find_by_key(order.key);
-  if (tenant == nullptr || tenant->name != order.tenant) return Refusal::kUnauthorized;
-  if (!view.keys_confirmed().allows(services_.runtime.now())) return Refusal::kBusy;
-  return std::nullopt;
-}
-
-bool StatementRunner::must_relay(const RunOrder& order) const {
-  const GroupAccess& group = *order.group;
-  if (order.is_forwarded) return false;
-  const bool is_unreachable = group.term().open && group.is_primary_unreachable();
-  if (services_.view.holds_lease_for(group) && !is_unreachable) return false;
-  return needs_primary(order);
-}
-
-bool StatementRunner::needs_primary(const RunOrder& order) {
-  const bool reads = order.opens_transaction ? order.read_only_transaction : !order.writes;
-  return !reads || order.group->need_of(order.route, order.committed).primary_only;
-}
-
 Awaitable<RunResult> StatementRunner::run_here(RunOrder order) {
   runtime::Runtime& runtime = services_.runtime;
   auto attempt = std::make_shared<Attempt>(std::move(order));
   attempt->refuse_at = refuse_limit(attempt->order);
-  if (attempt->order.writes && attempt->order.group->refuses_commits()) co_return refuse_stalled(*attempt);
+  const bool writes = attempt->order.writes;
+  const bool stalls = writes && attempt->order.group->refuses_commits();
+  if (placement::commit_obstacle(writes, stalls) != Obstacle::kNone) co_return refuse_stalled(*attempt);
   Step step = Step::kNext;
   while (step != Step::kDone) {
-    const bool worth_trying = attempt->count < kMaxAttempts && runtime.now() < attempt->order.deadline;
-    std::shared_ptr<BackendUse> backend;
-    if (worth_trying) backend = co_await choose(attempt);
-    if (!backend) {
-      give_up(*attempt);
-      break;
-    }
+    const bool chosen = co_await choose(attempt);
+    if (!chosen) break;
     ++attempt->count;
-    step = co_await try_backend(attempt, backend);
+    step = co_await try_backend(attempt);
     if (step == Step::kWait) co_await runtime.sleep_for(kBusyPause);
   }
   const Answer& answer = attempt->result.answer;
   if (!answer.refusal && runtime.now() - attempt->order.arrived > kSlowStatement) log_slow(*attempt);
-  if (answer.refusal) log_refusal(attempt->order, answer, attempt->reason, attempt->count);
+  if (answer.refusal) log_refusal(attempt->order, answer, attempt->reason, attempt->count, attempt->unplaced);
   attempt->result.nothing_run = !attempt->order.may_have_run;
   co_return std::move(attempt->result);
 }
 
 RunResult StatementRunner::refuse_stalled(Attempt& attempt) {
-  Answer& answer = attempt.result.answer;
-  answer.refusal = Refusal::kBusy;
-  answer.detail = fmt::format("commits reach no replica now; come back in {} ms", in_ms(kComeBackAfter));
+  refuse(attempt, Obstacle::kCommitsStall, kComeBackAfter);
   attempt.reason = Reason{ReasonCode::kOverloaded, "check_commits", attempt.order.group->term().primary.value,
                           "commits sent before have no answer"};
-  log_refusal(attempt.order, answer, attempt.reason, 0);
+  log_refusal(attempt.order, attempt.result.answer, attempt.reason, 0, attempt.unplaced);
   return std::move(attempt.result);
 }
 
-Awaitable<std::shared_ptr<BackendUse>> StatementRunner::choose(std::shared_ptr<Attempt> attempt) {
-  GroupAccess& group = *attempt->order.group;
-  while (true) {
-    attempt->needs_primary = false;
-    if (attempt->is_read()) {
-      attempt->need = group.need_of(attempt->order.route, attempt->order.committed);
-    } else {
-      attempt->need = ReadNeed{true, std::nullopt};
-    }
-    const bool leased = services_.view.holds_lease_for(group);
-    std::shared_ptr<BackendUse> backend;
-    if (leased || !attempt->need.primary_only)
-      backend = group.choose_reader(attempt->need, attempt->excluded);
-    const bool is_primary = backend && group.term().open && backend->entry.name == group.term().primary;
-    if (backend && is_primary && !leased && attempt->need.primary_only) backend = nullptr;
-    if (backend) {
-      attempt->epoch = group.term().epoch;
-      attempt->at_primary = is_primary;
-      attempt->needs_primary = attempt->need.primary_only;
-      co_return backend;
-    }
-    if (!is_worth_waiting(*attempt)) co_return nullptr;
-    attempt->excluded.clear();
-    co_await group.changed().wait_until(std::min(attempt->refuse_at, services_.runtime.now() + kBusyPause));
-  }
-}
-
-bool StatementRunner::is_worth_waiting(const Attempt& attempt) const {
-  if (services_.runtime.now() >= attempt.refuse_at) return false;
-  const GroupAccess& group = *attempt.order.group;
-  if (!services_.view.holds_lease_for(group)) return services_.view.expects_lease();
-  return group.term().open || group.is_changing();
-}
-
-void StatementRunner::give_up(Attempt& attempt) {
-  const registry::GroupTerm& term = attempt.order.group->term();
-  const bool leased = services_.view.holds_lease_for(*attempt.order.group);
-  Answer& answer = attempt.result.answer;
-  answer.refusal = Refusal::kBusy;
-  answer.state = TransactionState::kIdle;
-  std::string why = "no backend can serve it now";
-  if (!leased) why = "the serving lease has run out";
-  if (leased && !term.open) why = "the group has no primary now";
-  if (attempt.offered) why = "the backends are busy";
-  answer.detail = fmt::format("{}; come back in {} ms", why, in_ms(kComeBackAfter));
-}
-
 TimePoint StatementRunner::wait_limit(const Attempt& attempt) const {
   if (!attempt.offered) return attempt.refuse_at;
   return std::min(attempt.order.deadline, services_.runtime.now() + kLeastReadPatience);
@@ -161,30 +79,37 @@
   return std::min(wait_limit(attempt), std::max(useful, services_.runtime.now() + kBusyPause));
 }
 
-Awaitable<bool> StatementRunner::prepare_link(std::shared_ptr<Attempt> attempt,
-                                              std::shared_ptr<BackendUse> backend) {
+Awaitable<bool> StatementRunner::acquire_link(std::shared_ptr<Attempt> attempt) {
   const RunOrder& order = attempt->order;
+  BackendUse& backend = *attempt->backend;
   std::optional<Refusal> refusal;
   const LinkDeadlines deadlines{gate_limit(*attempt), wait_limit(*attempt)};
   LinkWish wish{order.tenant, order.values};
-  attempt->link = co_await backend->pool.acquire(std::move(wish), deadlines, refusal, attempt->reason);
-  if (!attempt->link) {
-    const bool full = attempt->reason.code == ReasonCode::kOverloaded;
-    if (!full) backend->avoid_until = services_.runtime.now() + kAvoidBackend;
-    if (!full && attempt->at_primary && !refusal) {
-      services_.link.report_suspicion(*order.group, SuspicionKind::kUnreachable);
-      order.group->note_primary_unreachable();
-    }
-    co_return false;
+  attempt->link = co_await backend.pool.acquire(std::move(wish), deadlines, refusal, attempt->reason);
+  if (attempt->link) co_return true;
+  const bool full = attempt->reason.code == ReasonCode::kOverloaded;
+  if (!full) backend.avoid_until = services_.runtime.now() + kAvoidBackend;
+  if (!full && attempt->at_primary && !refusal) {
+    services_.link.report_suspicion(*order.group, SuspicionKind::kUnreachable);
+    order.group->note_primary_unreachable();
   }
-  const TimePoint deadline = std::min(order.deadline, services_.runtime.now() + kLinkSetupTimeout);
-  const bool ready =
-      co_await attempt->link->bring_in_order(order.values, order.prepared, deadline, attempt->reason);
-  if (ready) co_return true;
-  backend->pool.release(attempt->link);
   co_return false;
 }
 
+Awaitable<bool> StatementRunner::prepare_link(std::shared_ptr<Attempt> attempt) {
+  const bool acquired = co_await acquire_link(attempt);
+  if (!acquired) co_return false;
+  const RunOrder& order = attempt->order;
+  // What the link is brought in order by is sent there, too.
+  attempt->last_look = look_again(*attempt, send_facts(*attempt));
+  bool ready = attempt->last_look.action == SendAction::kSend;
+  const TimePoint deadline = std::min(order.deadline, services_.runtime.now() + kLinkSetupTimeout);
+  if (ready)
+    ready = co_await attempt->link->bring_in_order(order.values, order.prepared, deadline, attempt->reason);
+  if (!ready) attempt->backend->pool.release(attempt->link);
+  co_return ready;
+}
+
 Awaitable<bool> StatementRunner::begin_transaction(std::shared_ptr<Attempt> attempt) {
   Begin begin{attempt->order.read_only_transaction, std::nullopt};
   if (!attempt->need.primary_only) begin.required = attempt->need.required;
@@ -202,70 +127,37 @@
   co_return false;
 }
 
-Awaitable<StatementRunner::Step> StatementRunner::try_backend(std::shared_ptr<Attempt> attempt,
-                                                              std::shared_ptr<BackendUse> backend) {
-  attempt->backend = backend;
-  GroupAccess& group = *attempt->order.group;
+Awaitable<StatementRunner::Step> StatementRunner::try_backend(std::shared_ptr<Attempt> attempt) {
+  const std::shared_ptr<BackendUse> backend = attempt->backend;
+  attempt->last_look = {};
   const std::uint8_t priority = urgency_of(attempt->order);
   const TimePoint begun_at = services_.runtime.now();
   const bool entered = co_await backend->gate.enter(priority, gate_limit(*attempt));
   const TimePoint entered_at = services_.runtime.now();
   attempt->at_gate += entered_at - begun_at;
   attempt->path += backend->entry.name.value + ' ';
-  bool begun = false;
-  if (entered) begun = co_await prepare_link(attempt, backend);
-  attempt->at_pool += services_.runtime.now() - entered_at;
-  if (begun && attempt->order.opens_transaction) begun = co_await begin_transaction(attempt);
-  if (!entered)
+  if (!entered) {
     attempt->reason = Reason{ReasonCode::kOverloaded, "enter_gate", backend->entry.name.value,
                              "its turn would not come in time"};
-  if (!begun) {
-    if (entered) backend->gate.leave_unanswered();
-    if (!attempt->needs_primary) attempt->excluded.insert(backend->entry.name);
-    co_return attempt->needs_primary ? Step::kWait : Step::kNext;
-  }
-  if (attempt->needs_primary && !services_.view.may_use_primary(group, attempt->epoch)) {
-    attempt->link->link().close();
-    backend->pool.release(attempt->link);
-    backend->gate.leave_unanswered();
-    co_return Step::kNext;
-  }
-  const bool may_be_sent = co_await may_send(attempt);
-  if (!may_be_sent) {
-    if (attempt->order.opens_transaction) attempt->link->link().close();
-    backend->pool.release(attempt->link);
-    backend->gate.leave_unanswered();
-    co_return Step::kDone;
+    co_return pass_over(*attempt);
   }
+  bool begun = co_await prepare_link(attempt);
+  attempt->at_pool += services_.runtime.now() - entered_at;
+  if (begun && attempt->order.opens_transaction) begun = co_await begin_transaction(attempt);
+  if (begun) attempt->last_look = co_await last_look(attempt);
+  const bool may_be_sent = attempt->last_look.action == SendAction::kSend;
+  if (!begun || !may_be_sent) backend->gate.leave_unanswered();
+  if (!may_be_sent) co_return stop_before_sending(*attempt, begun);
+  if (!begun) co_return pass_over(*attempt);
   auto answer = co_await exchange(attempt);
   const bool not_run = answer && answer->refusal && is_not_run(*answer->refusal);
   if (attempt->sent == SendState::kMaybeSent && !not_run) attempt->order.may_have_run = true;
   attempt->at_backend += services_.runtime.now() - attempt->sent_at;
   leave_gate(backend->gate, answer, services_.runtime.now() - attempt->sent_at);
-  if (!answer) {
-    const Reason reason = attempt->reason;
-    backend->pool.release(attempt->link);
-    co_return take_loss(*attempt, reason);
-  }
-  co_return take_answer(*attempt, std::move(*answer));
-}
-
-Awaitable<bool> StatementRunner::may_send(std::shared_ptr<Attempt> attempt) {
-  RunOrder& order = attempt->order;
-  Answer& answer = attempt->result.answer;
-  if (order.may_have_run && !order.tenant.empty()) {
-    const AdmissionAnswer admission = co_await services_.limits.admit(order.tenant);
-    if (admission.outcome != AdmissionOutcome::kAdmitted) {
-      answer.refusal = Refusal::kOverLimit;
-      answer.detail = "there is no token to run it once more";
-      co_return false;
-    }
-  }
-  const auto fault = key_fault(order);
-  if (!fault) co_return true;
-  answer.refusal = fault;
-  answer.detail = "the key can't be used any more";
-  co_return false;
+  if (answer) co_return take_answer(*attempt, std::move(*answer));
+  const Reason reason = attempt->reason;
+  backend->pool.release(attempt->link);
+  co_return take_loss(*attempt, reason);
 }
 
 Awaitable<std::optional<Answer>> StatementRunner::exchange(std::shared_ptr<Attempt> attempt) {
--- a/src/session/statement_runner.h
+++ b/src/session/statement_runner.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 
+#include "placement/placement.h"
 #include "session/forward_messages.h"
 #include "session/session_services.h"
 #include "session/stateful_pool.h"
@@ -34,6 +35,8 @@
   bool is_forwarded = false;  ///< by another proxy: it is run here or refused
   /// A backend may have run it already: running it once more takes a token of its own.
   bool may_have_run = false;
+  /// It, or the transaction that it opens, changes nothing.
+  [[nodiscard]] bool reads() const { return opens_transaction ? read_only_transaction : !writes; }
 };
 
 /// A transaction that is open at another proxy.
@@ -58,6 +61,13 @@
   bool nothing_run = false;  ///< no backend can have run it, in any attempt
 };
 
+/// Why this proxy itself refused a statement, for the log.
+struct Unplaced {
+  placement::Obstacle since = placement::Obstacle::kNone;
+  Duration back_in{0};
+  std::string passed_over;  ///< the group's backends, each with what stood in the way there
+};
+
 class StatementRunner {
  public:
   explicit StatementRunner(SessionServices services) : services_(services) {}
@@ -78,23 +88,22 @@
   struct Attempt;
   enum class Step : std::uint8_t { kDone, kNext, kWait };
 
-  [[nodiscard]] bool is_worth_waiting(const Attempt& attempt) const;
   /// Until when something is waited for at a backend.
   [[nodiscard]] TimePoint wait_limit(const Attempt& attempt) const;
   /// The same for a backend's gate: who would come through later would be late, and make others late.
   [[nodiscard]] TimePoint gate_limit(const Attempt& attempt) const;
 
-  /// Whether it needs a primary that this proxy does not reach, or may not use for want of a lease.
-  [[nodiscard]] bool must_relay(const RunOrder& order) const;
-  /// Whether no replica will do.
-  [[nodiscard]] static bool needs_primary(const RunOrder& order);
-  /// Why nothing of the order may be sent to a backend now, as far as its key goes; asked last before
-  /// sending.
-  [[nodiscard]] std::optional<Refusal> key_fault(const RunOrder& order) const;
+  /// Another proxy that is to run the order, as far as this one knows now.
+  [[nodiscard]] std::optional<placement::Forwarding> find_elsewhere(const RunOrder& order) const;
+  [[nodiscard]] placement::Patience patience_of(const Attempt& attempt) const;
+  [[nodiscard]] static PlacementQuestion question_of(const Attempt& attempt);
+  /// Where the attempt may go now. Takes the backend over that is to run it.
+  placement::Placement look(Attempt& attempt);
   Awaitable<RunResult> run_here(RunOrder order);
   Awaitable<RunResult> forward(RunOrder order, std::vector<routing::ProxyPointer> proxies);
-  /// Waits for the lease as long as it is to be expected and the order can be refused in good time.
-  Awaitable<bool> wait_for_lease(std::shared_ptr<GroupAccess> group, TimePoint refuse_at);
+  /// No proxy took the order: waits for the lease as long as that is worth it.
+  Awaitable<placement::Placement> await_lease(std::shared_ptr<GroupAccess> group, TimePoint refuse_at,
+                                              bool may_try_another);
   [[nodiscard]] static TimePoint refuse_limit(const RunOrder& order);
   Awaitable<std::optional<RunResult>> forward_to(RunOrder order, routing::ProxyPointer proxy,
                                                  bool& may_try_another, Reason& reason);
@@ -102,13 +111,22 @@
   Awaitable<void> end_remote(RemotePin remote);
   [[nodiscard]] ForwardedOrder to_forwarded(const RunOrder& order) const;
 
-  Awaitable<std::shared_ptr<BackendUse>> choose(std::shared_ptr<Attempt> attempt);
-  Awaitable<Step> try_backend(std::shared_ptr<Attempt> attempt, std::shared_ptr<BackendUse> backend);
-  Awaitable<bool> prepare_link(std::shared_ptr<Attempt> attempt, std::shared_ptr<BackendUse> backend);
+  /// False when it is refused.
+  Awaitable<bool> choose(std::shared_ptr<Attempt> attempt);
+  Awaitable<Step> try_backend(std::shared_ptr<Attempt> attempt);
+  Awaitable<bool> prepare_link(std::shared_ptr<Attempt> attempt);
+  Awaitable<bool> acquire_link(std::shared_ptr<Attempt> attempt);
   Awaitable<bool> begin_transaction(std::shared_ptr<Attempt> attempt);
-  /// Whether it may be sent to a backend now: the key is good, and what runs again has a token. Else the
-  /// attempt's answer says why not.
-  Awaitable<bool> may_send(std::shared_ptr<Attempt> attempt);
+  /// What may have changed while it waited for the backend, but the key.
+  [[nodiscard]] placement::SendFacts send_facts(const Attempt& attempt) const;
+  [[nodiscard]] placement::SendDecision look_again(const Attempt& attempt,
+                                                   const placement::SendFacts& facts) const;
+  /// The last look before it is sent, at its key as well: what runs again takes a token of its own.
+  Awaitable<placement::SendDecision> last_look(std::shared_ptr<Attempt> attempt);
+  /// It does not go to the backend for which it has waited.
+  Step stop_before_sending(Attempt& attempt, bool begun);
+  /// Nothing could be begun at the backend.
+  Step pass_over(Attempt& attempt);
   Awaitable<std::optional<Answer>> exchange(std::shared_ptr<Attempt> attempt);
   Step take_answer(Attempt& attempt, Answer answer);
   /// A primary's success, as it was asked for.
@@ -121,13 +139,17 @@
   /// up meanwhile is in doubt.
   void take_primary_answer(GroupAccess& group, PrimaryAnswer primary, Answer& answer);
   Step take_loss(Attempt& attempt, const Reason& reason);
-  void give_up(Attempt& attempt);
+  /// The attempt's answer: not run, since this stands in the way.
+  void refuse(Attempt& attempt, placement::Obstacle since, Duration back_in);
   /// A write, while writes sent before have no answer.
   RunResult refuse_stalled(Attempt& attempt);
+  [[nodiscard]] placement::Obstacle obstacle_in_transaction(const PinnedLink& pinned, const RunOrder& order,
+                                                            bool commits_stall) const;
   [[nodiscard]] BackendRequest make_request(const RunOrder& order, const StatefulLink& link,
                                             std::optional<Position> required) const;
   void log_slow(const Attempt& attempt);
-  void log_refusal(const RunOrder& order, const Answer& answer, const Reason& reason, int attempts);
+  void log_refusal(const RunOrder& order, const Answer& answer, const Reason& reason, int attempts,
+                   const Unplaced& unplaced = {});
 
   SessionServices services_;
 };
--- a/tests/cli/log_story_test.cpp
+++ b/tests/cli/log_story_test.cpp
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(lines_of_the_request_and_of_what_was_believed);
   CPPUNIT_TEST(printed_from_the_first_line_on);
   CPPUNIT_TEST(an_unknown_request_is_said_so);
+  CPPUNIT_TEST(a_proxys_own_refusal_is_told_in_words);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -67,6 +68,20 @@
     CPPUNIT_ASSERT(
         print_story(story, "q9").starts_with("q9: none of 9 lines names it (1 could not be read)"));
   }
+
+  void a_proxys_own_refusal_is_told_in_words() {
+    std::istringstream lines(
+        R"({"time":"2026-12-02T10:00:01.000000Z","node":"proxy-1","event":"statement_refused","id":"q1","since":"zone_evacuated","back_in_ms":"300","passed_over":"b1:zone_evacuated b2:lags"})");
+    LogReader reader;
+    reader.read(lines);
+    const std::string text = print_story(reader.story_of("q1"), "q1");
+    CPPUNIT_ASSERT_MESSAGE(text,
+                           text.find("\n              refused since the zone of the backend that could run "
+                                     "it is evacuated; to come back in 300 ms; backends passed over: "
+                                     "b1:zone_evacuated b2:lags\n") != std::string::npos);
+    const std::string other = print_story(story_of("q7"), "q7");
+    CPPUNIT_ASSERT_MESSAGE("a backend's refusal", other.find("refused since") == std::string::npos);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LogStoryTest);
--- /dev/null
+++ b/tests/placement/backend_choice_test.cpp
@@ -0,0 +1,265 @@
+// Which backend of a group runs a statement: one row for each case.
+#include "placement/backend_choice.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+namespace cairnhollow::placement {
+namespace {
+
+using std::chrono::milliseconds;
+using Backends = std::vector<BackendFacts>;
+
+BackendFacts replica(std::string_view name, double cost = 10) {
+  BackendFacts facts;
+  facts.name = name;
+  facts.cost = cost;
+  return facts;
+}
+
+BackendFacts primary() {
+  BackendFacts facts = replica("primary", 20);
+  facts.is_primary = true;
+  return facts;
+}
+
+template <class Change>
+BackendFacts with(BackendFacts facts, Change change) {
+  change(facts);
+  return facts;
+}
+
+BackendFacts leaving(BackendFacts facts) {
+  return with(facts, [](auto& backend) { backend.leaving = true; });
+}
+BackendFacts leaving_too_long(BackendFacts facts) {
+  return with(leaving(facts), [](auto& backend) { backend.leaving_grace_over = true; });
+}
+BackendFacts of_closed_term(BackendFacts facts) {
+  return with(facts, [](auto& backend) { backend.of_closed_term = true; });
+}
+BackendFacts tried(BackendFacts facts) {
+  return with(facts, [](auto& backend) { backend.tried = true; });
+}
+BackendFacts avoided(BackendFacts facts) {
+  return with(facts, [](auto& backend) { backend.avoided = true; });
+}
+BackendFacts refused(BackendFacts facts) {
+  return with(facts, [](auto& backend) { backend.refused = true; });
+}
+BackendFacts lagging(BackendFacts facts) {
+  return with(facts, [](auto& backend) { backend.lags = true; });
+}
+BackendFacts evacuated(BackendFacts facts) {
+  return with(facts, [](auto& backend) { backend.zone_evacuated = true; });
+}
+BackendFacts outside(BackendFacts facts) {
+  return with(facts, [](auto& backend) { backend.region_allowed = false; });
+}
+BackendFacts cold(BackendFacts facts, milliseconds back_in = milliseconds(0)) {
+  return with(facts, [back_in](auto& backend) {
+    backend.cold_limit_reached = true;
+    backend.back_in = back_in;
+  });
+}
+
+struct Row {
+  std::string what;
+  Backends backends;
+  std::string chosen;  ///< empty: none
+  Obstacle obstacle = Obstacle::kNone;
+  bool is_final = false;
+};
+
+void check(bool primary_only, const std::vector<Row>& rows) {
+  for (const Row& row : rows) {
+    const BackendChoice choice = choose_backend(primary_only, row.backends);
+    const std::string chosen(choice.backend ? row.backends.at(*choice.backend).name : "");
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(row.what, row.chosen, chosen);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(row.what, std::string(obstacle_name(row.obstacle)),
+                                 std::string(obstacle_name(choice.obstacle)));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(row.what, row.is_final, choice.is_final);
+  }
+}
+
+}  // namespace
+
+class BackendChoiceTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(BackendChoiceTest);
+  CPPUNIT_TEST(what_needs_the_primary);
+  CPPUNIT_TEST(a_read_goes_where_it_costs_least);
+  CPPUNIT_TEST(a_read_passes_over);
+  CPPUNIT_TEST(what_failed_a_moment_ago_goes_last);
+  CPPUNIT_TEST(a_primary_that_may_not_be_believed_serves_no_read);
+  CPPUNIT_TEST(nobody_is_left_to_read_at);
+  CPPUNIT_TEST(new_work_is_kept_away);
+  CPPUNIT_TEST(the_soonest_time_to_come_back_is_told);
+  CPPUNIT_TEST(another_reader);
+  CPPUNIT_TEST(warming);
+  CPPUNIT_TEST(each_backend_tells_its_obstacle);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void what_needs_the_primary() {
+    const BackendFacts other = replica("r1");
+    check(true, {
+                    {"it leads", {primary(), other}, "primary"},
+                    {"unknown", {other}, "", Obstacle::kNoBackend},
+                    {"no backends", {}, "", Obstacle::kNoBackend},
+                    {"group closed", {of_closed_term(primary()), other}, "", Obstacle::kGroupClosed},
+                    {"leaves and still leads", {leaving(primary()), other}, "primary"},
+                    {"left", {leaving_too_long(primary()), other}, "", Obstacle::kLeaving},
+                    {"tried", {tried(primary()), other}, "", Obstacle::kTried},
+                    {"avoided: there is no other", {avoided(primary()), other}, "primary"},
+                    {"refused: there is no other", {refused(primary()), other}, "primary"},
+                    {"evacuated", {evacuated(primary()), other}, "", Obstacle::kZoneEvacuated, true},
+                    {"outside", {outside(primary()), other}, "", Obstacle::kOutsideRegions, true},
+                    {"cold", {cold(primary()), other}, "", Obstacle::kColdLimit, true},
+                    {"another one may lead soon",
+                     {of_closed_term(evacuated(primary())), other},
+                     "",
+                     Obstacle::kGroupClosed},
+                    {"other backends don't matter", {primary(), evacuated(other)}, "primary"},
+                });
+  }
+
+  void a_read_goes_where_it_costs_least() {
+    check(false, {
+                     {"cheapest", {primary(), replica("r1", 12), replica("r2", 11)}, "r2"},
+                     {"the first of equals", {primary(), replica("r1"), replica("r2")}, "r1"},
+                     {"the primary, when it is cheapest", {primary(), replica("r1", 30)}, "primary"},
+                     {"the primary alone", {primary()}, "primary"},
+                 });
+  }
+
+  void a_read_passes_over() {
+    const BackendFacts dear = replica("dear", 15);
+    check(false, {
+                     {"a leaving one", {primary(), leaving(replica("r1")), dear}, "dear"},
+                     {"one tried", {primary(), tried(replica("r1")), dear}, "dear"},
+                     {"one that lags", {primary(), lagging(replica("r1")), dear}, "dear"},
+                     {"all that lag", {primary(), lagging(replica("r1")), lagging(dear)}, "primary"},
+                     {"lag, and the primary was tried",
+                      {tried(primary()), lagging(replica("r1"))},
+                      "",
+                      Obstacle::kLags},
+                     {"lag counts for nothing where nobody leads", {lagging(replica("r1"))}, "r1"},
+                     {"a leaving primary, for any other", {leaving(primary()), replica("r1", 90)}, "r1"},
+                     {"but not for none", {leaving(primary()), leaving(replica("r1"))}, "primary"},
+                 });
+  }
+
+  void what_failed_a_moment_ago_goes_last() {
+    const BackendFacts failed = avoided(replica("failed", 1));
+    const BackendFacts full = refused(replica("full", 1));
+    check(
+        false,
+        {
+            {"failed", {primary(), failed, replica("r1")}, "r1"},
+            {"full", {primary(), full, replica("r1")}, "r1"},
+            {"behind the primary", {primary(), failed, full}, "primary"},
+            {"behind a primary that failed, too", {avoided(primary()), failed}, "primary"},
+            {"when all else was tried", {tried(primary()), failed, full}, "failed"},
+            {"the cheapest of them", {tried(primary()), failed, avoided(replica("cheaper", 0.5))}, "cheaper"},
+        });
+  }
+
+  void a_primary_that_may_not_be_believed_serves_no_read() {
+    const BackendFacts closed = with(of_closed_term(primary()), [](auto& backend) { backend.cost = 1; });
+    check(false, {
+                     {"group closed", {closed, replica("r1")}, "r1"},
+                     {"and nobody else", {closed}, "", Obstacle::kGroupClosed},
+                     {"a replica that lags all the same", {closed, lagging(replica("r1"))}, "r1"},
+                     {"left too long", {leaving_too_long(primary()), lagging(replica("r1"))}, "r1"},
+                 });
+  }
+
+  void nobody_is_left_to_read_at() {
+    check(false, {
+                     {"no backends", {}, "", Obstacle::kNoBackend},
+                     {"all tried", {tried(primary()), tried(replica("r1"))}, "", Obstacle::kTried},
+                     {"all leave", {leaving(replica("r1")), leaving(replica("r2"))}, "", Obstacle::kLeaving},
+                 });
+  }
+
+  void new_work_is_kept_away() {
+    const BackendFacts other = replica("r2", 50);
+    check(false,
+          {
+              {"evacuated", {evacuated(replica("r1")), other}, "r2"},
+              {"outside", {outside(replica("r1")), other}, "r2"},
+              {"cold", {cold(replica("r1")), other}, "r2"},
+              {"a primary, too", {evacuated(primary()), other}, "r2"},
+              {"whoever lags is better than that", {evacuated(primary()), lagging(other)}, "r2"},
+              {"whoever failed is", {cold(primary()), avoided(other)}, "r2"},
+              {"all evacuated", {evacuated(primary()), evacuated(other)}, "", Obstacle::kZoneEvacuated, true},
+              {"all outside", {outside(primary()), outside(other)}, "", Obstacle::kOutsideRegions, true},
+              {"all cold", {cold(primary()), cold(other)}, "", Obstacle::kColdLimit, true},
+              {"a leaving one won't come back",
+               {evacuated(primary()), leaving(other)},
+               "",
+               Obstacle::kZoneEvacuated,
+               true},
+              {"one tried may", {evacuated(replica("r1")), tried(primary())}, "", Obstacle::kTried},
+              {"one of a closed group may",
+               {of_closed_term(primary()), evacuated(other)},
+               "",
+               Obstacle::kGroupClosed},
+              {"evacuation ends sooner than a rule",
+               {outside(primary()), evacuated(other)},
+               "",
+               Obstacle::kZoneEvacuated,
+               true},
+              {"cold ends sooner still",
+               {cold(replica("r1")), outside(primary()), evacuated(other)},
+               "",
+               Obstacle::kColdLimit,
+               true},
+          });
+  }
+
+  void the_soonest_time_to_come_back_is_told() {
+    const Backends both{cold(replica("r1"), milliseconds(900)), cold(replica("r2"), milliseconds(400))};
+    CPPUNIT_ASSERT(choose_backend(false, both).back_in == Duration(milliseconds(400)));
+    const Backends leader{cold(primary(), milliseconds(700)), cold(replica("r2"), milliseconds(400))};
+    CPPUNIT_ASSERT(choose_backend(true, leader).back_in == Duration(milliseconds(700)));
+    CPPUNIT_ASSERT(choose_backend(false, leader).back_in == Duration(milliseconds(400)));
+  }
+
+  void another_reader() {
+    CPPUNIT_ASSERT(has_other_reader(false, Backends{tried(replica("r1")), replica("r2")}));
+    CPPUNIT_ASSERT(has_other_reader(false, Backends{tried(replica("r1")), primary()}));
+    CPPUNIT_ASSERT(!has_other_reader(false, Backends{tried(replica("r1"))}));
+    CPPUNIT_ASSERT(!has_other_reader(false, Backends{tried(replica("r1")), avoided(replica("r2"))}));
+    CPPUNIT_ASSERT(!has_other_reader(false, Backends{tried(replica("r1")), lagging(replica("r2"))}));
+    CPPUNIT_ASSERT(!has_other_reader(false, Backends{tried(replica("r1")), evacuated(replica("r2"))}));
+    CPPUNIT_ASSERT_MESSAGE("full is no failure",
+                           has_other_reader(false, Backends{tried(replica("r1")), refused(replica("r2"))}));
+  }
+
+  void warming() {
+    CPPUNIT_ASSERT(may_be_warmed(primary()));
+    CPPUNIT_ASSERT(may_be_warmed(refused(replica("r1"))));
+    for (const BackendFacts& backend :
+         {leaving(primary()), avoided(primary()), evacuated(primary()), outside(primary()), cold(primary())})
+      CPPUNIT_ASSERT(!may_be_warmed(backend));
+  }
+
+  void each_backend_tells_its_obstacle() {
+    const Backends group{primary(), lagging(replica("r1"))};
+    CPPUNIT_ASSERT(obstacle_at(group[1], false, group) == Obstacle::kLags);
+    CPPUNIT_ASSERT(obstacle_at(group[1], true, group) == Obstacle::kNone);
+    const Backends closed{evacuated(primary()), lagging(replica("r1"))};
+    CPPUNIT_ASSERT(obstacle_at(closed[0], true, closed) == Obstacle::kZoneEvacuated);
+    CPPUNIT_ASSERT(obstacle_at(closed[0], false, closed) == Obstacle::kZoneEvacuated);
+    CPPUNIT_ASSERT(obstacle_at(closed[1], false, closed) == Obstacle::kNone);
+    const BackendFacts all_at_once = outside(evacuated(cold(primary())));
+    CPPUNIT_ASSERT(obstacle_to_new_work(all_at_once) == Obstacle::kOutsideRegions);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BackendChoiceTest);
+
+}  // namespace cairnhollow::placement
--- /dev/null
+++ b/tests/placement/placement_test.cpp
@@ -0,0 +1,326 @@
+// Where a statement may go now: one row for each case of what the proxy knows.
+#include "placement/placement.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cairnhollow::placement {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kBackAfter = milliseconds(300);
+
+/// Leased, with a primary.
+ProxyFacts healthy() {
+  ProxyFacts facts;
+  facts.holds_lease = true;
+  facts.group_open = true;
+  return facts;
+}
+
+template <class Facts, class Change>
+Facts with(Facts facts, Change change) {
+  change(facts);
+  return facts;
+}
+
+ProxyFacts unleased() {
+  return with(healthy(), [](auto& proxy) { proxy.holds_lease = false; });
+}
+ProxyFacts unleased_yet() {
+  return with(unleased(), [](auto& proxy) { proxy.expects_lease = true; });
+}
+ProxyFacts closed() {
+  return with(healthy(), [](auto& proxy) { proxy.group_open = false; });
+}
+ProxyFacts changing() {
+  return with(closed(), [](auto& proxy) { proxy.group_changing = true; });
+}
+ProxyFacts unreachable() {
+  return with(healthy(), [](auto& proxy) { proxy.primary_unreachable = true; });
+}
+ProxyFacts full() {
+  return with(healthy(), [](auto& proxy) { proxy.primary_full = true; });
+}
+
+constexpr StatementNeed kWrite{false, false, false};
+constexpr StatementNeed kRead{true, false, false};
+constexpr StatementNeed kReadAtPrimary{true, true, false};
+constexpr StatementNeed kForwardedWrite{false, false, true};
+
+BackendFacts backend(bool is_primary) {
+  BackendFacts facts;
+  facts.is_primary = is_primary;
+  return facts;
+}
+
+Patience patience(bool may_wait) {
+  Patience patience;
+  patience.may_wait = may_wait;
+  patience.back_after = kBackAfter;
+  return patience;
+}
+Patience used_up() {
+  return with(patience(true), [](auto& facts) { facts.may_try = false; });
+}
+Patience offered() {
+  return with(patience(false), [](auto& facts) { facts.offered = true; });
+}
+
+const char* action_name(Action action) {
+  if (action == Action::kRun) return "run";
+  return action == Action::kWait ? "wait" : "refuse";
+}
+
+/// "run", or what is done and since when.
+std::string text_of(const Placement& placed) {
+  if (placed.action == Action::kRun) return "run " + std::to_string(placed.backend);
+  return std::string(action_name(placed.action)) + " " + obstacle_name(placed.obstacle);
+}
+
+}  // namespace
+
+class PlacementTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PlacementTest);
+  CPPUNIT_TEST(what_is_passed_on);
+  CPPUNIT_TEST(what_is_run_here);
+  CPPUNIT_TEST(what_is_waited_for);
+  CPPUNIT_TEST(what_is_refused);
+  CPPUNIT_TEST(what_keeps_new_work_away_is_never_waited_for);
+  CPPUNIT_TEST(turns_of_proxies);
+  CPPUNIT_TEST(what_no_proxy_took);
+  CPPUNIT_TEST(what_another_proxy_may_serve);
+  CPPUNIT_TEST(names_are_told_apart);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void what_is_passed_on() {
+    struct Row {
+      std::string what;
+      StatementNeed need;
+      ProxyFacts proxy;
+      std::string answer;  ///< empty: run here
+    };
+    const auto among = [this](ProxyFacts proxy) {
+      proxy.others = &others_;
+      proxy.also_serving = &also_serving_;
+      return proxy;
+    };
+    const auto elsewhere = [this, among](ProxyFacts proxy) {
+      proxy.serving = &serving_;
+      return among(proxy);
+    };
+    const ProxyFacts closed_unreachable = with(unreachable(), [](auto& proxy) { proxy.group_open = false; });
+    const ProxyFacts unleased_unreachable =
+        with(unreachable(), [](auto& proxy) { proxy.holds_lease = false; });
+    const ProxyFacts full_unreachable = with(full(), [this](auto& proxy) {
+      proxy.primary_unreachable = true;
+      proxy.others = &nobody_;
+      proxy.also_serving = &also_serving_;
+    });
+    const std::vector<Row> rows{
+        {"served here", kWrite, among(healthy()), ""},
+        {"served elsewhere", kWrite, elsewhere(healthy()), "serving served_elsewhere"},
+        {"a read, too", kRead, elsewhere(healthy()), "serving served_elsewhere"},
+        {"served elsewhere comes first", kWrite, elsewhere(unleased()), "serving served_elsewhere"},
+        {"once is enough", kForwardedWrite, elsewhere(unleased()), ""},
+        {"no lease", kWrite, among(unleased()), "others no_lease"},
+        {"no lease, a read at the primary", kReadAtPrimary, among(unleased()), "others no_lease"},
+        {"no lease, a read at replicas", kRead, among(unleased()), ""},
+        {"no lease, nobody else", kWrite, unleased(), ""},
+        {"unreachable", kWrite, among(unreachable()), "others primary_unreachable"},
+        {"unreachable, a read at replicas", kRead, among(unreachable()), ""},
+        {"unreachable, but closed", kWrite, among(closed_unreachable), ""},
+        {"unreachable and no lease", kWrite, among(unleased_unreachable), "others no_lease"},
+        {"full", kWrite, among(full()), "also_serving primary_full"},
+        {"full, a read at replicas", kRead, among(full()), ""},
+        {"full, nobody else", kWrite, full(), ""},
+        {"full, forwarded already", kForwardedWrite, among(full()), ""},
+        {"unreachable, full, nobody but those that serve it", kWrite, full_unreachable,
+         "also_serving primary_full"},
+        {"closed", kWrite, among(closed()), ""},
+    };
+    for (const Row& row : rows) {
+      const auto forwarding = place_elsewhere(row.need, row.proxy);
+      std::string answer;
+      if (forwarding) answer = name_of(forwarding->proxies) + " " + forward_cause_name(forwarding->since);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.what, row.answer, answer);
+    }
+  }
+
+  void what_is_run_here() {
+    check({
+        {"a write", kWrite, healthy(), {backend(true), backend(false)}, patience(true), "run 0"},
+        {"a read", kRead, healthy(), {backend(true), backend(false)}, patience(true), "run 0"},
+        {"a read at a replica without lease", kRead, unleased(), {backend(false)}, patience(true), "run 0"},
+        {"a read while the group is closed", kRead, closed(), {backend(false)}, patience(true), "run 0"},
+        {"when there is no more time to wait", kWrite, healthy(), {backend(true)}, patience(false), "run 0"},
+        {"once more", kWrite, healthy(), {backend(true)}, offered(), "run 0"},
+        {"though the primary seems full", kForwardedWrite, full(), {backend(true)}, patience(true), "run 0"},
+    });
+  }
+
+  void what_is_waited_for() {
+    const BackendFacts tried = with(backend(true), [](auto& facts) { facts.tried = true; });
+    const BackendFacts old = with(backend(true), [](auto& facts) { facts.of_closed_term = true; });
+    check({
+        {"a lease", kWrite, unleased_yet(), {backend(true)}, patience(true), "wait no_lease"},
+        {"not for long", kWrite, unleased_yet(), {backend(true)}, patience(false), "refuse no_lease"},
+        {"not for one that won't come",
+         kWrite,
+         unleased(),
+         {backend(true)},
+         patience(true),
+         "refuse no_lease"},
+        {"a primary", kWrite, changing(), {old}, patience(true), "wait group_closed"},
+        {"not for long", kWrite, changing(), {old}, patience(false), "refuse group_closed"},
+        {"not for one that won't come", kWrite, closed(), {old}, patience(true), "refuse group_closed"},
+        {"a backend's row", kWrite, healthy(), {}, patience(true), "wait no_backend"},
+        {"another try", kRead, healthy(), {tried}, patience(true), "wait tried"},
+    });
+  }
+
+  void what_is_refused() {
+    const BackendFacts left = with(backend(true), [](auto& facts) { facts.leaving_grace_over = true; });
+    const BackendFacts tried = with(backend(true), [](auto& facts) { facts.tried = true; });
+    check({
+        {"nobody", kRead, healthy(), {}, patience(false), "refuse no_backend"},
+        {"left", kWrite, healthy(), {left}, patience(false), "refuse leaving"},
+        {"tried", kRead, healthy(), {tried}, patience(false), "refuse tried"},
+        {"out of attempts", kWrite, healthy(), {backend(true)}, used_up(), "refuse no_backend"},
+        {"out of attempts, no lease", kWrite, unleased_yet(), {backend(true)}, used_up(), "refuse no_lease"},
+        {"out of attempts, closed", kWrite, changing(), {backend(true)}, used_up(), "refuse group_closed"},
+        {"out of attempts, unreachable",
+         kWrite,
+         unreachable(),
+         {backend(true)},
+         used_up(),
+         "refuse primary_unreachable"},
+        {"out of attempts, full", kWrite, full(), {backend(true)}, used_up(), "refuse primary_full"},
+        {"a read is not for the primary alone",
+         kRead,
+         full(),
+         {backend(true)},
+         used_up(),
+         "refuse no_backend"},
+        {"they were asked", kWrite, unleased(), {tried}, offered(), "refuse backends_busy"},
+    });
+    const Placement refused = place_here(kWrite, closed(), {}, patience(false));
+    CPPUNIT_ASSERT(refused.back_in == kBackAfter);
+  }
+
+  void what_keeps_new_work_away_is_never_waited_for() {
+    const BackendFacts evacuated = with(backend(true), [](auto& facts) { facts.zone_evacuated = true; });
+    const BackendFacts outside = with(backend(true), [](auto& facts) { facts.region_allowed = false; });
+    BackendFacts cold = with(backend(true), [](auto& facts) { facts.cold_limit_reached = true; });
+    check({
+        {"evacuated", kWrite, healthy(), {evacuated}, patience(true), "refuse zone_evacuated"},
+        {"outside", kReadAtPrimary, healthy(), {outside}, patience(true), "refuse outside_regions"},
+        {"cold", kRead, healthy(), {cold}, patience(true), "refuse cold_limit"},
+        {"without lease", kWrite, unleased_yet(), {evacuated}, patience(true), "refuse zone_evacuated"},
+        {"though others were asked", kWrite, healthy(), {evacuated}, offered(), "refuse zone_evacuated"},
+        {"a replica serves reads", kRead, healthy(), {evacuated, backend(false)}, patience(true), "run 1"},
+        {"but no write",
+         kWrite,
+         healthy(),
+         {evacuated, backend(false)},
+         patience(true),
+         "refuse zone_evacuated"},
+    });
+    CPPUNIT_ASSERT(place_here(kWrite, healthy(), {{cold}}, patience(true)).back_in == kBackAfter);
+    cold.back_in = milliseconds(40);
+    CPPUNIT_ASSERT(place_here(kWrite, healthy(), {{cold}}, patience(true)).back_in ==
+                   Duration(milliseconds(40)));
+  }
+
+  void turns_of_proxies() {
+    const ProxyTurn other;
+    const ProxyTurn silent{false, true};
+    const ProxyTurn self{true, false};
+    CPPUNIT_ASSERT(take_turn(other, healthy()) == TurnAction::kSend);
+    CPPUNIT_ASSERT(take_turn(other, unleased()) == TurnAction::kSend);
+    CPPUNIT_ASSERT(take_turn(silent, healthy()) == TurnAction::kSend);
+    CPPUNIT_ASSERT(take_turn(silent, unleased()) == TurnAction::kSkip);
+    CPPUNIT_ASSERT(take_turn(self, healthy()) == TurnAction::kRunHere);
+    CPPUNIT_ASSERT(take_turn(self, unleased()) == TurnAction::kSkip);
+  }
+
+  void what_no_proxy_took() {
+    struct Row {
+      std::string what;
+      ForwardingEnd end;
+      ProxyFacts proxy;
+      Patience patience;
+      std::string answer;
+    };
+    const std::vector<Row> rows{
+        {"answered, or in doubt", {false, false}, unleased_yet(), patience(true), "refuse none"},
+        {"nobody took it", {true, false}, healthy(), patience(true), "refuse no_proxy"},
+        {"a lease is to come", {true, false}, unleased_yet(), patience(true), "wait no_lease"},
+        {"too late", {true, true}, unleased_yet(), patience(false), "refuse no_lease"},
+        {"none is to come", {true, false}, unleased(), patience(true), "refuse no_lease"},
+        {"it came", {true, true}, healthy(), patience(false), "run 0"},
+    };
+    for (const Row& row : rows)
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.what, row.answer,
+                                   text_of(place_unforwarded(row.end, row.proxy, row.patience)));
+  }
+
+  void what_another_proxy_may_serve() {
+    CPPUNIT_ASSERT(!may_another_serve(healthy()));
+    CPPUNIT_ASSERT(!may_another_serve(changing()));
+    CPPUNIT_ASSERT(may_another_serve(unleased()));
+    CPPUNIT_ASSERT(may_another_serve(unreachable()));
+    CPPUNIT_ASSERT(may_another_serve(full()));
+  }
+
+  void names_are_told_apart() {
+    std::set<std::string> names;
+    for (std::size_t place = 0; place < kObstacleCount; ++place) {
+      const auto obstacle = static_cast<Obstacle>(place);
+      names.insert(obstacle_name(obstacle));
+      CPPUNIT_ASSERT(find_obstacle(obstacle_name(obstacle)) == obstacle);
+      const bool says_something = std::string(obstacle_text(obstacle)) != "";
+      CPPUNIT_ASSERT_EQUAL(obstacle != Obstacle::kNone, says_something);
+    }
+    CPPUNIT_ASSERT_EQUAL(kObstacleCount, names.size());
+    CPPUNIT_ASSERT(!find_obstacle("busy"));
+    CPPUNIT_ASSERT_EQUAL(std::string("none"), std::string(obstacle_name(Obstacle::kNone)));
+    CPPUNIT_ASSERT_EQUAL(std::string("over_limit"), std::string(obstacle_name(Obstacle::kOverLimit)));
+    CPPUNIT_ASSERT_EQUAL(std::string("primary_full"),
+                         std::string(forward_cause_name(ForwardCause::kPrimaryFull)));
+  }
+
+ private:
+  struct Row {
+    std::string what;
+    StatementNeed need;
+    ProxyFacts proxy;
+    std::vector<BackendFacts> backends;
+    Patience patience;
+    std::string answer;
+  };
+  static void check(const std::vector<Row>& rows) {
+    for (const Row& row : rows)
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.what, row.answer,
+                                   text_of(place_here(row.need, row.proxy, row.backends, row.patience)));
+  }
+  std::string name_of(const ProxyList* proxies) const {
+    if (proxies == &serving_) return "serving";
+    if (proxies == &others_) return "others";
+    return proxies == &also_serving_ ? "also_serving" : "nobody";
+  }
+
+  const ProxyList nobody_;
+  const ProxyList serving_{std::make_shared<routing::ProxyView>()};
+  const ProxyList others_{std::make_shared<routing::ProxyView>()};
+  const ProxyList also_serving_{std::make_shared<routing::ProxyView>()};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlacementTest);
+
+}  // namespace cairnhollow::placement
--- a/tests/session/group_access_test.cpp
+++ b/tests/session/group_access_test.cpp
@@ -39,6 +39,10 @@
   CPPUNIT_TEST(nobody_else_reads_while_the_replicas_lag);
   CPPUNIT_TEST(a_backend_that_is_avoided_or_leaves_is_no_other_reader);
   CPPUNIT_TEST(a_member_that_joins_ends_the_lease_of_the_others);
+  CPPUNIT_TEST(facts_are_neutral_of_what_is_not_known);
+  CPPUNIT_TEST(facts_follow_what_is_known);
+  CPPUNIT_TEST(a_leaving_primary_is_used_for_a_while);
+  CPPUNIT_TEST(a_primary_of_a_closed_group_is_not_used);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -103,6 +107,51 @@
     CPPUNIT_ASSERT(group_->has_other_reader(need_, use("replica-1")));
   }
 
+  void facts_are_neutral_of_what_is_not_known() {
+    const GroupFacts facts = group_->facts({&need_});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, facts.size());
+    for (const placement::BackendFacts& backend : facts) {
+      CPPUNIT_ASSERT(placement::obstacle_to_read(backend, true) == placement::Obstacle::kNone);
+      CPPUNIT_ASSERT(backend.region_allowed && !backend.transaction_grace_over);
+      CPPUNIT_ASSERT(backend.cost > 0);
+    }
+    CPPUNIT_ASSERT(facts[0].is_primary && !facts[1].is_primary && !facts[2].is_primary);
+    CPPUNIT_ASSERT(group_->backend_at(1)->entry.name == BackendName("replica-1"));
+  }
+
+  void facts_follow_what_is_known() {
+    const std::set<BackendName> tried{BackendName("replica-1")};
+    const PlacementQuestion question{&need_, &tried};
+    use("replica-2").avoid_until = runtime_->now() + seconds(1);
+    group_->note_replica(use("replica-2"), need_, std::nullopt);
+    CPPUNIT_ASSERT(group_->facts_of(use("replica-1"), question).tried);
+    const placement::BackendFacts facts = group_->facts_of(use("replica-2"), question);
+    CPPUNIT_ASSERT(facts.avoided && facts.lags && !facts.tried && !facts.refused);
+    CPPUNIT_ASSERT_EQUAL(std::string("replica-2"), std::string(facts.name));
+    CPPUNIT_ASSERT_MESSAGE("asked of no read", !group_->facts_of(use("replica-2"), {}).lags);
+  }
+
+  void a_leaving_primary_is_used_for_a_while() {
+    registry::BackendEntry leaving = backend("primary", 1);
+    leaving.leaving = true;
+    group_->put_backend(leaving);
+    CPPUNIT_ASSERT(group_->primary() != nullptr);
+    world_->run_for(seconds(6));
+    CPPUNIT_ASSERT(group_->primary() == nullptr);
+    group_->put_backend(backend("primary", 1));
+    CPPUNIT_ASSERT_MESSAGE("it stays", group_->primary() != nullptr);
+  }
+
+  void a_primary_of_a_closed_group_is_not_used() {
+    group_->set_term({GroupName("group"), 1, BackendName("primary"), false, 2, 1});
+    CPPUNIT_ASSERT(group_->primary() == nullptr);
+    CPPUNIT_ASSERT(group_->facts_of(use("primary"), {}).of_closed_term);
+    need_.primary_only = true;
+    CPPUNIT_ASSERT(group_->choose_reader(need_, {}) == nullptr);
+    need_.primary_only = false;
+    CPPUNIT_ASSERT(group_->choose_reader(need_, {})->entry.name.value != "primary");
+  }
+
  private:
   BackendUse& use(const std::string& name) { return *group_->backends().at(BackendName(name)); }
 
