A statement is looked at after each wait on its way; tests of the last look

Cause: a place at the gate, a link, the link's order and a begin each take a while, and each sends something to the backend. Looked at only before the link's order and before the statement, a former primary was still dialled and a transaction begun there.

LastLookTest runs the runner on a bare runtime with scripted links: key removed or unconfirmed meanwhile, lease lost, primary replaced, before dialling, before the link's order, before the begin, before the statement, and in open transactions.

--- a/src/session/statement_placement.cpp
+++ b/src/session/statement_placement.cpp
@@ -118,8 +118,12 @@
 placement::SendDecision StatementRunner::look_again(const Attempt& attempt,
                                                     const placement::SendFacts& facts) const {
   const GroupAccess& group = *attempt.order.group;
-  const PlacementQuestion question{nullptr, nullptr, &attempt.order.route, &attempt.order.tenant};
-  return placement::before_sending(facts, group.facts_of(*attempt.backend, question));
+  return placement::before_sending(facts, group.facts_of(*attempt.backend, question_of(attempt)));
+}
+
+bool StatementRunner::may_go_on(Attempt& attempt) const {
+  attempt.last_look = look_again(attempt, send_facts(attempt));
+  return attempt.last_look.action == SendAction::kSend;
 }
 
 Awaitable<placement::SendDecision> StatementRunner::last_look(std::shared_ptr<Attempt> attempt) {
--- a/src/session/statement_runner.cpp
+++ b/src/session/statement_runner.cpp
@@ -97,15 +97,16 @@
 }
 
 Awaitable<bool> StatementRunner::prepare_link(std::shared_ptr<Attempt> attempt) {
+  if (!may_go_on(*attempt)) co_return false;
   const bool acquired = co_await acquire_link(attempt);
   if (!acquired) co_return false;
   const RunOrder& order = attempt->order;
   // What the link is brought in order by is sent there, too.
-  attempt->last_look = look_again(*attempt, send_facts(*attempt));
-  bool ready = attempt->last_look.action == SendAction::kSend;
+  bool ready = may_go_on(*attempt);
   const TimePoint deadline = std::min(order.deadline, services_.runtime.now() + kLinkSetupTimeout);
   if (ready)
     ready = co_await attempt->link->bring_in_order(order.values, order.prepared, deadline, attempt->reason);
+  if (ready && order.opens_transaction) ready = may_go_on(*attempt);
   if (!ready) attempt->backend->pool.release(attempt->link);
   co_return ready;
 }
--- a/src/session/statement_runner.h
+++ b/src/session/statement_runner.h
@@ -121,6 +121,8 @@
   [[nodiscard]] placement::SendFacts send_facts(const Attempt& attempt) const;
   [[nodiscard]] placement::SendDecision look_again(const Attempt& attempt,
                                                    const placement::SendFacts& facts) const;
+  /// The same, kept as the attempt's last look; after each wait on the way.
+  bool may_go_on(Attempt& attempt) const;
   /// The last look before it is sent, at its key as well: what runs again takes a token of its own.
   Awaitable<placement::SendDecision> last_look(std::shared_ptr<Attempt> attempt);
   /// It does not go to the backend for which it has waited.
--- a/tests/session/last_look_test.cpp
+++ b/tests/session/last_look_test.cpp
@@ -3,6 +3,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
 #include <functional>
 
 #include "simulation/world.h"
@@ -22,7 +23,11 @@
 /// What all links of the backends share.
 struct Backends {
   std::map<std::string, int> statements;  ///< by backend
+  std::map<std::string, int> dials;       ///< the same
   int begun = 0;
+  int values = 0;  ///< set on links
+  Duration statement_takes{0};
+  std::function<void()> while_dialling;
   /// Done while a link is brought in order, which takes that long.
   std::function<void()> meanwhile;
   Duration takes{0};
@@ -38,11 +43,17 @@
     sent = runtime::SendState::kMaybeSent;
     Answer answer;
     answer.signature = name_;
+    answer.position = Position{1, 10};
     if (std::holds_alternative<SetValue>(request)) {
+      ++backends_.values;
       co_await runtime_.sleep_for(backends_.takes);
       if (backends_.meanwhile) backends_.meanwhile();
     }
-    if (std::holds_alternative<PassOn>(request)) ++backends_.statements[name_];
+    if (std::holds_alternative<PassOn>(request)) {
+      ++backends_.statements[name_];
+      co_await runtime_.sleep_for(backends_.statement_takes);
+      if (!open_) co_return std::nullopt;
+    }
     if (std::holds_alternative<Begin>(request)) {
       ++backends_.begun;
       in_transaction_ = true;
@@ -72,6 +83,8 @@
   Awaitable<std::shared_ptr<BackendLink>> open(BackendAddress address, TimePoint /*deadline*/,
                                                std::optional<Refusal>& /*refusal*/,
                                                Reason& /*reason*/) override {
+    ++backends_.dials[address.backend.value];
+    if (backends_.while_dialling) backends_.while_dialling();
     co_return std::make_shared<ScriptedLink>(runtime_, backends_, address.backend.value);
   }
 
@@ -153,6 +166,8 @@
   CPPUNIT_TEST(a_key_not_confirmed_any_more_runs_nothing);
   CPPUNIT_TEST(a_lease_lost_meanwhile_runs_nothing);
   CPPUNIT_TEST(a_primary_replaced_meanwhile_gets_nothing);
+  CPPUNIT_TEST(a_former_primarys_link_is_not_brought_in_order);
+  CPPUNIT_TEST(a_former_primary_is_not_dialled);
   CPPUNIT_TEST(a_transaction_is_not_begun_without_lease);
   CPPUNIT_TEST(a_transaction_ends_with_its_key);
   CPPUNIT_TEST(a_transaction_ends_with_a_key_that_is_removed_while_it_waits);
@@ -215,14 +230,36 @@
     CPPUNIT_ASSERT_EQUAL(1, sent("two"));
   }
 
+  void a_former_primarys_link_is_not_brought_in_order() {
+    backends().while_dialling = [this] { replace_primary(); };
+    const RunResult result = run(order());
+    CPPUNIT_ASSERT(result.answer.succeeded());
+    CPPUNIT_ASSERT_EQUAL(1, sent("two"));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("only at the one that leads now", 1, backends().values);
+  }
+
+  void a_former_primary_is_not_dialled() {
+    backends().statement_takes = milliseconds(100);
+    std::array<RunResult, 3> results;
+    for (RunResult& result : results) runtime_->spawn("run", keep(proxy_->runner.run(order()), result));
+    world_->run_for(milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("the third waits for its turn", 2, sent("one"));
+    replace_primary();
+    world_->run_for(milliseconds(1200));
+    CPPUNIT_ASSERT_EQUAL(2, backends().dials["one"]);
+    CPPUNIT_ASSERT_EQUAL(2, sent("one"));
+    CPPUNIT_ASSERT_EQUAL(1, sent("two"));
+  }
+
   void a_transaction_is_not_begun_without_lease() {
+    lose_lease_after(milliseconds(50));
     RunOrder opening = order();
     opening.opens_transaction = true;
-    lose_lease_after(milliseconds(50));
     backends().takes = milliseconds(100);
     const RunResult result = run(opening);
     CPPUNIT_ASSERT(result.answer.refusal == Refusal::kBusy);
     CPPUNIT_ASSERT(!result.pinned);
+    CPPUNIT_ASSERT_EQUAL(0, backends().begun);
     CPPUNIT_ASSERT_EQUAL(0, sent("one"));
   }
 
