Backends' starts and cold time, allowed regions, cold starts, zones and their bounds are read

Cause: what a restart, an evacuation, cold backends and allowed regions need stands in registrations, the document and the deployment's settings, and was passed over. Change: `born` is whole milliseconds (absent: none; anything else is refused with its name), a cold start's length and rate may be fractions, allowed regions are texts; settings name the zones with their regions, how long after an evacuation something may still be sent, and the bound for cold backends. Conclusion: nothing uses the values yet.

--- a/src/cli/settings_reader.cpp
+++ b/src/cli/settings_reader.cpp
@@ -61,6 +61,8 @@
   return endpoint;
 }
 
+constexpr const char* kNameReason =
+    "must be a name: lower-case letters, digits, '-' and '.', beginning and ending with a letter or digit";
 constexpr const char* kEndpointReason =
     "must be an IP address and a port, such as 127.0.0.1:4000 or [::1]:4000";
 
@@ -249,12 +251,30 @@
 std::optional<std::string> SettingsReader::read_name(const std::string& key, Presence presence) {
   auto text = take_scalar(key, presence);
   if (!text || is_name(*text)) return text;
-  report(
-      key,
-      "must be a name: lower-case letters, digits, '-' and '.', beginning and ending with a letter or digit");
+  report(key, kNameReason);
   return std::nullopt;
 }
 
+std::map<std::string, std::string> SettingsReader::read_name_pairs(const std::string& key) {
+  std::map<std::string, std::string> pairs;
+  const auto node = take(key, Presence::kOptional);
+  if (!node) return pairs;
+  if (!node->IsMap()) {
+    report_at(key, *node, "must be a mapping of names to names");
+    return pairs;
+  }
+  for (const auto& entry : *node) {
+    const std::string name = entry.first.IsScalar() ? entry.first.Scalar() : "";
+    const std::string value = entry.second.IsScalar() ? entry.second.Scalar() : "";
+    if (!is_name(name) || !is_name(value)) {
+      report_at(key, entry.first, kNameReason);
+    } else if (!pairs.emplace(name, value).second) {
+      report_at(key, entry.first, fmt::format("names {} twice", name));
+    }
+  }
+  return pairs;
+}
+
 std::optional<std::size_t> SettingsReader::read_choice(const std::string& key,
                                                        const std::vector<std::string>& choices) {
   const auto text = take_scalar(key, Presence::kOptional);
--- a/src/cli/settings_reader.h
+++ b/src/cli/settings_reader.h
@@ -76,6 +76,11 @@
   void read(const std::string& key, Name<Tag>& value, Presence presence = Presence::kOptional) {
     if (const auto text = read_name(key, presence)) value.value = *text;
   }
+  /// A mapping of names to names.
+  template <class Key, class Value>
+  void read(const std::string& key, std::map<Name<Key>, Name<Value>>& values) {
+    for (auto& [name, value] : read_name_pairs(key)) values[Name<Key>(name)] = Name<Value>(value);
+  }
   /// A list of texts.
   void read(const std::string& key, std::vector<std::string>& values,
             Presence presence = Presence::kOptional);
@@ -98,6 +103,7 @@
   std::optional<std::string> take_scalar(const std::string& key, Presence presence);
   std::optional<std::uint64_t> take_number(const std::string& key, Range<std::uint64_t> range);
   std::optional<std::string> read_name(const std::string& key, Presence presence);
+  std::map<std::string, std::string> read_name_pairs(const std::string& key);
   void report_at(const std::string& key, const YAML::Node& node, std::string reason);
   [[nodiscard]] std::string field_of(const std::string& key) const { return prefix_ + key; }
   [[nodiscard]] int line_of(const YAML::Node& node) const;
--- a/src/cli/settings_registered.cpp
+++ b/src/cli/settings_registered.cpp
@@ -56,6 +56,10 @@
   reader.read("limit_window", settings.limit_window.window, kIntervalRange);
   reader.read("limit_overshoot", settings.limit_window.overshoot, kOvershootRange);
   reader.read("limit_slack", settings.limit_window.slack, kSlackRange);
+  reader.read("zone_regions", settings.zone_regions);
+  reader.read("evacuation_bound", settings.evacuation_bound, kDelayRange);
+  reader.read("cold_overshoot", settings.cold_overshoot, kOvershootRange);
+  reader.read("cold_slack", settings.cold_slack, kSlackRange);
   settings.metrics_endpoint = read_optional_endpoint(reader, "metrics_endpoint");
   settings.control_port = static_cast<std::uint16_t>(control_port);
   if (control_port == 0) reader.report("control_port", "is missing");
@@ -76,6 +80,7 @@
   reader.read("serving_lease", settings.serving_lease, kIntervalRange);
   reader.read("election_timeout", settings.election_timeout, kIntervalRange);
   reader.read("heartbeat_interval", settings.heartbeat_interval, kIntervalRange);
+  reader.read("zone_regions", settings.zone_regions);
   settings.metrics_endpoint = read_optional_endpoint(reader, "metrics_endpoint");
   return settings;
 }
--- a/src/session/settings.h
+++ b/src/session/settings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -24,6 +25,14 @@
   /// control's reach, too; empty: not bound there.
   std::optional<Duration> key_bound;
   tenancy::LimitWindow limit_window;
+  /// The deployment's zones and where they are; empty: not known.
+  std::map<ZoneName, RegionName> zone_regions;
+  /// How long after a zone's evacuation was acknowledged something may still be sent there; 0: not bound.
+  Duration evacuation_bound{0};
+  /// Within a second a cold backend gets no more than its rate times `cold_overshoot` plus `cold_slack`, from
+  /// all proxies together. Both 0: not bound.
+  double cold_overshoot = 0;
+  double cold_slack = 0;                           ///< statements
   Duration drain_limit = std::chrono::seconds(6);  ///< from SIGTERM to the end of the process
 };
 
--- a/tests/cli/settings_programs_test.cpp
+++ b/tests/cli/settings_programs_test.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 #include <fmt/ranges.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 
@@ -86,6 +87,9 @@
   CPPUNIT_TEST(a_backend_stands_once_in_its_group);
   CPPUNIT_TEST(empty_settings_name_every_required_key);
   CPPUNIT_TEST(a_registered_fleets_programs_need_their_endpoints);
+  CPPUNIT_TEST(a_deployments_zones_are_read_with_their_regions);
+  CPPUNIT_TEST(a_deployment_without_places_binds_nothing);
+  CPPUNIT_TEST(zones_that_are_no_names_are_faults);
   CPPUNIT_TEST(the_port_of_registrations_is_kept_free);
   CPPUNIT_TEST(the_page_lists_exactly_the_keys_that_are_read);
   CPPUNIT_TEST_SUITE_END();
@@ -220,6 +224,44 @@
                          fmt::format("{}", fmt::join(fields, " ")));
   }
 
+  void a_deployments_zones_are_read_with_their_regions() {
+    const std::string places = "zone_regions: { a: north, b: south }\n";
+    const std::string bounds = "evacuation_bound: 5000ms\ncold_overshoot: 1.5\ncold_slack: 5\n";
+    SettingsReader proxy = read(joined(places, bounds));
+    const auto settings = read_session_proxy_settings(proxy);
+    faults_.clear();
+    SettingsReader control = read(places);
+    const auto control_settings = read_registered_control_settings(control);
+    const std::map<ZoneName, RegionName> expected = {{ZoneName("a"), RegionName("north")},
+                                                     {ZoneName("b"), RegionName("south")}};
+    CPPUNIT_ASSERT(settings.zone_regions == expected);
+    CPPUNIT_ASSERT(control_settings.zone_regions == expected);
+    CPPUNIT_ASSERT(settings.evacuation_bound == milliseconds(5000));
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1.5, settings.cold_overshoot, 0.0);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(5.0, settings.cold_slack, 0.0);
+  }
+
+  void a_deployment_without_places_binds_nothing() {
+    SettingsReader proxy = read("zone_regions: {  }\n");
+    const auto settings = read_session_proxy_settings(proxy);
+    CPPUNIT_ASSERT(settings.zone_regions.empty());
+    CPPUNIT_ASSERT(settings.evacuation_bound == Duration(0));
+    CPPUNIT_ASSERT(settings.cold_overshoot == 0 && settings.cold_slack == 0);
+  }
+
+  void zones_that_are_no_names_are_faults() {
+    for (const std::string places :
+         {"[a, b]", "{ a: [north] }", "{ a: north, A!: south }", "{ a: '' }", "{ a: north, a: south }"}) {
+      faults_.clear();
+      SettingsReader control = read("zone_regions: " + places);
+      read_registered_control_settings(control);
+      const bool found = std::any_of(faults_.begin(), faults_.end(), [](const SettingsFault& fault) {
+        return fault.field == "zone_regions";
+      });
+      CPPUNIT_ASSERT_MESSAGE(places, found);
+    }
+  }
+
   void the_port_of_registrations_is_kept_free() {
     SettingsReader proxy = read(
         "{fleet: registered, node: p-1, zone: a, session_endpoint: '127.0.0.1:1', readiness_endpoint: "
--- a/tests/platform/document_json_test.cpp
+++ b/tests/platform/document_json_test.cpp
@@ -48,6 +48,10 @@
   CPPUNIT_TEST(the_tenants_of_the_pages);
   CPPUNIT_TEST(faults_of_tenants_name_their_field_and_no_key);
   CPPUNIT_TEST(the_heartbeat_of_the_pages);
+  CPPUNIT_TEST(a_backends_start_and_cold_time_are_read);
+  CPPUNIT_TEST(a_start_that_is_not_whole_is_refused);
+  CPPUNIT_TEST(places_and_cold_starts_of_a_document_are_read);
+  CPPUNIT_TEST(places_and_cold_starts_that_can_not_be_read_name_their_field);
   CPPUNIT_TEST(faults_name_their_field);
   CPPUNIT_TEST(every_cut_of_a_body_is_refused);
   CPPUNIT_TEST_SUITE_END();
@@ -119,6 +123,73 @@
     CPPUNIT_ASSERT_EQUAL(std::string("Addr: must be an IP address and a port"), reason.detail);
   }
 
+  void a_backends_start_and_cold_time_are_read() {
+    Reason reason;
+    const auto without = read_heartbeat("i", kHeartbeat, reason);
+    CPPUNIT_ASSERT(without && without->entry.born_ms == 0 && without->entry.cold_ms == 0);
+    const std::string cold = replaced(kHeartbeat, R"("ColdRemainingMs":0)", R"("ColdRemainingMs":1500)");
+    const auto born =
+        read_heartbeat("i", replaced(cold, R"("Seq":4)", R"("Seq":4,"born":1790000000123)"), reason);
+    CPPUNIT_ASSERT_MESSAGE(reason.detail, born);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1790000000123}, born->entry.born_ms);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1500}, born->entry.cold_ms);
+    const auto silent = read_heartbeat("i", replaced(kHeartbeat, R"("ColdRemainingMs":0,)", ""), reason);
+    CPPUNIT_ASSERT(silent && silent->entry.cold_ms == 0);
+  }
+
+  void a_start_that_is_not_whole_is_refused() {
+    for (const std::string born :
+         {"1790000000123.5", "\"1790000000123\"", "null", "-1", "1e300", "[1]", "true"}) {
+      Reason reason;
+      const auto heartbeat =
+          read_heartbeat("i", replaced(kHeartbeat, R"("Seq":4)", R"("Seq":4,"born":)" + born), reason);
+      CPPUNIT_ASSERT_MESSAGE(born, !heartbeat);
+      CPPUNIT_ASSERT_EQUAL(std::string("born: must be a whole number that is not negative"), reason.detail);
+    }
+  }
+
+  void places_and_cold_starts_of_a_document_are_read() {
+    Reason reason;
+    std::string text =
+        replaced(kDocument, R"("SyncReplicas":1)", R"("ColdStartS":2.5,"ColdPerS":7.25,"SyncReplicas":1)");
+    text = replaced(text, R"("Priority":1,)", R"("Priority":1,"AllowedRegions":["north","south"],)");
+    text.pop_back();
+    text += R"(,"Tenants":[{"Name":"a","ApiKeys":[],"AllowedRegions":["north"]},)"
+            R"({"Name":"b","ApiKeys":[],"AllowedRegions":[]}]})";
+    const auto document = read_document(text, reason);
+    CPPUNIT_ASSERT_MESSAGE(reason.detail, document);
+    CPPUNIT_ASSERT_EQUAL(text, document->text);
+    const std::vector<RegionName> both = {RegionName("north"), RegionName("south")};
+    CPPUNIT_ASSERT(document->routes[0].allowed_regions == both);
+    CPPUNIT_ASSERT(document->routes[1].allowed_regions.empty());
+    CPPUNIT_ASSERT(document->tenants[0].allowed_regions == std::vector<RegionName>{RegionName("north")});
+    CPPUNIT_ASSERT(document->tenants[1].allowed_regions.empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2500}, document->groups[0].cold_start_ms);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(7.25, document->groups[0].cold_rate_per_s, 0.0);
+    const auto without = read_document(kDocument, reason);
+    CPPUNIT_ASSERT(without && without->groups[0].cold_start_ms == 0 &&
+                   without->groups[0].cold_rate_per_s == 0);
+  }
+
+  void places_and_cold_starts_that_can_not_be_read_name_their_field() {
+    const auto group = [](const std::string& more) {
+      return fault_of(replaced(kDocument, R"("SyncReplicas":1)", R"("SyncReplicas":1,)" + more));
+    };
+    CPPUNIT_ASSERT_EQUAL(std::string("Services[0].ColdPerS: must be a number that is not negative"),
+                         group(R"("ColdPerS":-0.5)"));
+    CPPUNIT_ASSERT_EQUAL(std::string("Services[0].ColdPerS: must be a number that is not negative"),
+                         group(R"("ColdPerS":"many")"));
+    CPPUNIT_ASSERT_EQUAL(std::string("Services[0].ColdStartS: is too long"), group(R"("ColdStartS":1e12)"));
+    const auto route = [](const std::string& regions) {
+      return fault_of(
+          replaced(kDocument, R"("Priority":1,)", R"("Priority":1,"AllowedRegions":)" + regions + ","));
+    };
+    CPPUNIT_ASSERT_EQUAL(std::string("Routes[0].AllowedRegions: must be a list"), route(R"("north")"));
+    for (const std::string regions : {"[7]", R"([""])", R"(["north",null])"})
+      CPPUNIT_ASSERT_EQUAL(std::string("Routes[0].AllowedRegions: must hold texts that are not empty"),
+                           route(regions));
+  }
+
   void faults_name_their_field() {
     CPPUNIT_ASSERT_EQUAL(std::string("routes[0].timeout: must not be 0"),
                          fault_of(replaced(kDocument, "\"TimeoutMs\":800", "\"TimeoutMs\":0")));
