--- a/tests/control/registered/registration_refusal_test.cpp
+++ b/tests/control/registered/registration_refusal_test.cpp
@@ -4,6 +4,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "control/registered/control_metrics.h"
 #include "simulation/world.h"
 #include "wire/codec.h"
 
@@ -97,6 +98,7 @@
   CPPUNIT_TEST(without_a_quorum_nothing_is_said_to_be_unknown);
   CPPUNIT_TEST(a_backend_of_a_group_that_went_takes_its_leave);
   CPPUNIT_TEST(an_address_at_which_another_answers_is_counted);
+  CPPUNIT_TEST(refusals_are_shown_by_cause);
   CPPUNIT_TEST(the_names_that_are_logged_are_bounded);
   CPPUNIT_TEST_SUITE_END();
 
@@ -174,6 +176,23 @@
     CPPUNIT_ASSERT(held("b-1") != nullptr && held("b-2") == nullptr);
   }
 
+  void refusals_are_shown_by_cause() {
+    const Reason reason{ReasonCode::kInvalidArgument, "read_body", "", "Slots: is missing"};
+    parts_->service.note_refused({registry::RegistrationFault::kMissingField, "b-1", reason});
+    std::string text;
+    const auto run = [&]() -> Awaitable<void> {
+      runtime::HttpRequest request;
+      request.target = "/metrics";
+      const auto response = co_await parts_->metrics.handle(std::move(request), 1);
+      text = response.body;
+    };
+    parts_->runtime.spawn("metrics", run());
+    world_->run_for(milliseconds(10));
+    const std::string name = "cairnhollow_registry_registrations_refused_total";
+    CPPUNIT_ASSERT(text.find(name + "{cause=\"missing_field\"} 1") != std::string::npos);
+    CPPUNIT_ASSERT(text.find(name + "{cause=\"unknown_group\"} 0") != std::string::npos);
+  }
+
   void the_names_that_are_logged_are_bounded() {
     CPPUNIT_ASSERT_EQUAL(std::string("a?b?"), registry::printable_name("a\nb\xff"));
     CPPUNIT_ASSERT_EQUAL(registry::kMostLoggedName,
@@ -190,7 +209,9 @@
           calls(runtime, consensus, directory, NodeName("control-1"), Endpoint{"10.0.0.1", 7000}),
           voters(runtime, consensus, directory, 0),
           prober(runtime, dialer),
-          service(runtime, consensus, fleet, calls, voters, prober) {}
+          service(runtime, consensus, fleet, calls, voters, prober),
+          leases(runtime, consensus, fleet, directory, calls, milliseconds(1500)),
+          metrics(consensus, fleet, leases, service.refused()) {}
 
     runtime::Runtime& runtime;
     registry::FleetStateMachine fleet;
@@ -201,6 +222,8 @@
     StrangerOrSilence dialer;
     GroupProber prober;
     RegistrationService service;
+    LeaseKeeper leases;
+    ControlMetrics metrics;
   };
 
   /// kNone: it was taken. Else why not.
