--- a/src/control/registered/control_metrics.cpp
+++ b/src/control/registered/control_metrics.cpp
@@ -34,6 +34,16 @@
   gauge("cairnhollow_registry_backends", "Backends registered.", fleet_.backends().size());
   gauge("cairnhollow_registry_proxies", "Proxies that may hold a lease.", fleet_.proxies().size());
   gauge("cairnhollow_registry_followers", "Proxies connected to this node.", leases_.followers());
+  const auto counter = [&](const char* name, const char* help, std::uint64_t value) {
+    metrics.counter(name, help).Increment(static_cast<double>(value));
+  };
+  const RegistrationCounts& counts = registrations_.counts();
+  counter("cairnhollow_registry_registrations_outdated_total",
+          "Registrations of lives of backends that were over.", counts.outdated);
+  counter("cairnhollow_registry_incarnations_replaced_total",
+          "Registrations that put another life in the place of one of the same name.", counts.replaced);
+  counter("cairnhollow_registry_unproved_promotions_total",
+          "Primaries promoted although acknowledged commits may be gone.", groups_.unproved_promotions());
   return metrics.render();
 }
 
--- a/src/control/registered/control_metrics.h
+++ b/src/control/registered/control_metrics.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include "consensus/consensus.h"
+#include "control/registered/group_keeper.h"
 #include "control/registered/lease_keeper.h"
+#include "control/registered/registration_service.h"
 #include "registry/state_machine.h"
 #include "runtime/http.h"
 
@@ -12,8 +14,13 @@
 class ControlMetrics : public runtime::HttpHandler {
  public:
   ControlMetrics(const consensus::Consensus& consensus, const registry::FleetStateMachine& fleet,
-                 const LeaseKeeper& leases)
-      : consensus_(consensus), fleet_(fleet), leases_(leases) {}
+                 const LeaseKeeper& leases, const GroupKeeper& groups,
+                 const RegistrationService& registrations)
+      : consensus_(consensus),
+        fleet_(fleet),
+        leases_(leases),
+        groups_(groups),
+        registrations_(registrations) {}
 
   Awaitable<runtime::HttpResponse> handle(runtime::HttpRequest request,
                                           runtime::HttpConnectionId connection) override;
@@ -24,6 +31,8 @@
   const consensus::Consensus& consensus_;
   const registry::FleetStateMachine& fleet_;
   const LeaseKeeper& leases_;
+  const GroupKeeper& groups_;
+  const RegistrationService& registrations_;
 };
 
 }  // namespace cairnhollow::control::registered
--- a/src/control/registered/group_failover.cpp
+++ b/src/control/registered/group_failover.cpp
@@ -1,4 +1,6 @@
 // GroupKeeper's part for closed groups: from the close to the next primary.
+#include <fmt/format.h>
+
 #include <algorithm>
 
 #include "control/registered/group_keeper.h"
@@ -61,15 +63,24 @@
   facts.highest_acknowledged = progress.highest_acknowledged;
   watch_members(closed.group);
   facts.members_are_stable = are_members_settled(closed.group);
+  const Membership& membership = memberships_[closed.group];
+  facts.replaced_life_is_unsettled = membership.unsettled && membership.was_replaced;
   // A dead primary does not answer: it is not waited for when the replicas' answers will do.
   const auto enough = [facts](const std::vector<MemberFinding>& findings) mutable {
     facts.members = findings;
     const bool all_replicas = std::all_of(findings.begin(), findings.end(), [&](const MemberFinding& member) {
       return member.status || member.entry.name == facts.closed.primary;
     });
-    return all_replicas && choose_promotion(facts, false).verdict == PromotionVerdict::kPromote;
+    if (!all_replicas) return false;
+    const PromotionChoice choice = choose_promotion(facts, false);
+    return choice.verdict == PromotionVerdict::kPromote && !choice.is_unproved;
   };
-  facts.members = co_await prober_.ask_all(fleet_.backends_of(closed.group), enough);
+  std::vector<MemberFinding> members;
+  for (registry::BackendEntry& entry : fleet_.backends_of(closed.group)) {
+    const bool joined = entry.tells_birth() && fleet_.backend_revision(entry.name) > closed.opened_at;
+    members.push_back({std::move(entry), std::nullopt, joined});
+  }
+  facts.members = co_await prober_.ask_all(std::move(members), enough);
   co_return facts;
 }
 
@@ -80,6 +91,24 @@
   return {PromotionVerdict::kNotYet, {}, 0, "a proxy that did not answer may still use the old primary"};
 }
 
+MemberFinding GroupKeeper::chosen_member(const PromotionFacts& facts, const BackendName& backend) {
+  for (const MemberFinding& member : facts.members) {
+    if (member.entry.name == backend) return member;
+  }
+  return {};
+}
+
+void GroupKeeper::note_unproved(const PromotionFacts& facts, const MemberFinding& chosen) {
+  ++unproved_promotions_;
+  const Position& kept = chosen.status->received;
+  const Position& known = facts.highest_acknowledged;
+  runtime_.logger().log(runtime::LogLevel::kError, "promotion_unproved",
+                        {{"group", facts.closed.group.value},
+                         {"backend", chosen.entry.name.value},
+                         {"kept", fmt::format("{}.{}", kept.term, kept.index)},
+                         {"acknowledged", fmt::format("{}.{}", known.term, known.index)}});
+}
+
 Awaitable<void> GroupKeeper::replace_primary(GroupTerm closed) {
   const PromotionFacts facts = co_await gather_facts(closed);
   const PromotionChoice choice = choose_next(facts);
@@ -93,18 +122,20 @@
     co_await runtime_.sleep_for(kFailoverRetry);
     co_return;
   }
+  const MemberFinding member = chosen_member(facts, choice.backend);
   std::optional<std::uint64_t> term = choice.term;
   if (choice.verdict == PromotionVerdict::kPromote) {
     term.reset();
-    const bool ordered = co_await promote(closed, choice.backend);
-    if (ordered) term = co_await wait_promoted(closed, choice.backend);
+    const bool ordered = co_await promote(closed, member.entry.incarnation());
+    if (ordered) term = co_await wait_promoted(closed, member);
   }
   // The order may still take effect: the members stay paused.
   if (!term) co_return;
   out_of_reach_.erase(closed.group);
   // Its commits need a replica: these receive again while the group is opened.
   runtime_.spawn("resume_members", resume_members(closed.group));
-  const bool opened = co_await open(closed, choice.backend, *term, choice.why);
+  const bool opened = co_await open(closed, member.entry.incarnation(), *term, choice.why);
+  if (opened && choice.is_unproved) note_unproved(facts, member);
   if (opened && choice.backend != closed.primary)
     runtime_.spawn("step_down", step_down(closed.group, closed.primary, *term));
 }
@@ -131,30 +162,38 @@
   }
 }
 
-Awaitable<bool> GroupKeeper::promote(GroupTerm closed, BackendName backend) {
+Awaitable<bool> GroupKeeper::promote(GroupTerm closed, registry::BackendIncarnation chosen) {
   Reason reason;
   const TimePoint asked = runtime_.now();
   const auto confirmed = co_await consensus_.read_barrier(asked + kCommitTimeout, reason);
   if (!confirmed || !leads() || runtime_.now() - asked > kPromotionFreshness) co_return false;
-  registry::PromotionOrder order{closed.group, backend, node_, consensus_.term()};
+  const registry::BackendEntry* entry = fleet_.find_backend(chosen.name);
+  if (entry == nullptr || entry->incarnation() != chosen) co_return false;
+  registry::PromotionOrder order{closed.group, chosen.name, node_, consensus_.term()};
   const TimePoint deadline = runtime_.now() + kPromotionCallTimeout;
   const bool taken = co_await promotions_.promote(order, deadline, reason);
-  GroupTerm chosen = closed;
-  chosen.primary = backend;
-  log(taken ? "promotion_ordered" : "promotion_unclear", chosen, taken ? "taken" : reason.to_string());
+  GroupTerm ordered = closed;
+  ordered.primary = chosen.name;
+  log(taken ? "promotion_ordered" : "promotion_unclear", ordered, taken ? "taken" : reason.to_string());
   // Without a clear answer it may have been taken: the backend's own status tells.
   co_return taken || reason.code != ReasonCode::kConflict;
 }
 
-Awaitable<std::optional<std::uint64_t>> GroupKeeper::wait_promoted(GroupTerm closed, BackendName backend) {
+Awaitable<std::optional<std::uint64_t>> GroupKeeper::wait_promoted(GroupTerm closed, MemberFinding chosen) {
   const TimePoint limit = runtime_.now() + kPromotionLimit;
   Reason reason;
   while (leads() && runtime_.now() < limit) {
-    const registry::BackendEntry* entry = fleet_.find_backend(backend);
-    if (entry == nullptr) co_return std::nullopt;
+    const registry::BackendEntry* entry = fleet_.find_backend(chosen.entry.name);
+    if (entry == nullptr || entry->incarnation() != chosen.entry.incarnation()) co_return std::nullopt;
     const registry::BackendEntry asked = *entry;
     const auto status = co_await prober_.ask(asked, runtime_.now() + kStatusTimeout, reason);
-    if (status && status->is_primary && status->term > closed.term) co_return status->term;
+    if (status && status->is_primary && status->term > closed.term) {
+      const bool has_log = !asked.tells_birth() || status->received >= chosen.status->received;
+      if (has_log) co_return status->term;
+      closed.primary = chosen.entry.name;
+      log("promoted_without_its_log", closed, "it started again before it led");
+      co_return std::nullopt;
+    }
     co_await runtime_.sleep_for(kPromotionPoll);
   }
   co_return std::nullopt;
--- a/src/control/registered/group_keeper.cpp
+++ b/src/control/registered/group_keeper.cpp
@@ -105,14 +105,23 @@
 }
 
 void GroupKeeper::watch_members(const GroupName& group) {
-  const std::set<BackendName>& members = fleet_.members_of(group);
+  std::set<registry::BackendIncarnation> members = fleet_.incarnations_of(group);
   const auto [membership, is_new] = memberships_.try_emplace(group);
-  const auto& before = membership->second.members;
-  if (!is_new && before == members) return;
-  const bool lost = !std::includes(members.begin(), members.end(), before.begin(), before.end());
-  if (is_new || lost) membership->second.left_at = runtime_.now();
-  if (lost) membership->second.unsettled = true;
-  membership->second.members = members;
+  if (is_new) membership->second.left_at = runtime_.now();
+  note_members(membership->second, std::move(members));
+}
+
+void GroupKeeper::note_members(Membership& membership, std::set<registry::BackendIncarnation> members) {
+  if (membership.members == members) return;
+  for (const registry::BackendIncarnation& former : membership.members) {
+    if (members.count(former) > 0) continue;
+    membership.left_at = runtime_.now();
+    membership.unsettled = true;
+    const auto next = members.lower_bound({former.name, 0});
+    const bool replaced = next != members.end() && next->name == former.name;
+    membership.was_replaced = membership.was_replaced || replaced;
+  }
+  membership.members = std::move(members);
 }
 
 Awaitable<void> GroupKeeper::settle_members(GroupName group) {
@@ -129,15 +138,20 @@
   const registry::BackendEntry entry = *primary;
   Reason reason;
   const auto leading = co_await prober_.ask(entry, runtime_.now() + kStatusTimeout, reason);
-  if (!leading || is_dead(leading, *term)) co_return;
+  if (term->is_restarted_primary(entry) || is_dead(leading, *term)) {
+    co_await runtime_.sleep_for(kFailoverRetry);
+    co_return;
+  }
   const auto findings = co_await prober_.ask_all(fleet_.backends_of(group));
   const bool held = std::any_of(findings.begin(), findings.end(), [&](const MemberFinding& member) {
     return member.entry.name != term->primary && !member.entry.leaving && member.status &&
            member.status->received >= leading->received;
   });
   const auto membership = memberships_.find(group);
-  if (held && membership != memberships_.end() && membership->second.left_at == left_at)
+  if (held && membership != memberships_.end() && membership->second.left_at == left_at) {
     membership->second.unsettled = false;
+    membership->second.was_replaced = false;
+  }
   if (!held) co_await runtime_.sleep_for(kFailoverRetry);
 }
 
@@ -153,6 +167,8 @@
   if (!term) return begin(group, discover(group));
   if (!term->open) return begin(group, fail_over(group));
   const registry::BackendEntry* primary = fleet_.find_backend(term->primary);
+  if (primary != nullptr && term->is_restarted_primary(*primary))
+    return begin(group, give_up_restarted(group));
   const bool leaves = primary == nullptr || primary->leaving;
   if (leaves && has_successor(group, term->primary)) return begin(group, hand_over(group));
   const auto suspicion = suspicions_.find(group);
@@ -194,14 +210,23 @@
   if (leader != nullptr) {
     GroupTerm none;
     none.group = group;
-    const BackendName primary = leader->entry.name;
     std::string why = "it leads already";
-    co_await open(none, primary, leader->status->term, std::move(why));
+    co_await open(none, leader->entry.incarnation(), leader->status->term, std::move(why));
   } else {
     co_await runtime_.sleep_for(kFailoverRetry);
   }
 }
 
+Awaitable<void> GroupKeeper::give_up_restarted(GroupName group) {
+  const auto term = term_of(group);
+  const registry::BackendEntry* next = term ? fleet_.find_backend(term->primary) : nullptr;
+  if (next == nullptr || !leads()) co_return;
+  std::string why = fmt::format("the primary born at {} is over, one born at {} has its name",
+                                term->primary_born_ms, next->born_ms);
+  const bool closed = co_await close(*term, std::move(why));
+  if (!closed) co_await runtime_.sleep_for(kFailoverRetry);
+}
+
 bool GroupKeeper::is_dead(const std::optional<session::BackendStatus>& status, const GroupTerm& term) const {
   return !status || !status->is_primary || status->term != term.term;
 }
@@ -291,7 +316,8 @@
   PromotionFacts facts = co_await gather_facts(term);
   // Nobody has closed the term yet; the closed group is judged again, with what the proxies say.
   facts.all_acknowledgers_answered = false;
-  co_return choose_promotion(facts, false).verdict == PromotionVerdict::kPromote;
+  const PromotionChoice choice = choose_promotion(facts, false);
+  co_return choice.verdict == PromotionVerdict::kPromote && !choice.is_unproved;
 }
 
 Awaitable<void> GroupKeeper::hand_over(GroupName group) {
@@ -326,14 +352,15 @@
   co_return closed;
 }
 
-Awaitable<bool> GroupKeeper::open(GroupTerm closed, BackendName primary, std::uint64_t term,
+Awaitable<bool> GroupKeeper::open(GroupTerm closed, registry::BackendIncarnation primary, std::uint64_t term,
                                   std::string why) {
   Reason reason;
-  registry::Command command = registry::OpenGroup{closed.group, closed.epoch, term, primary};
+  registry::Command command =
+      registry::OpenGroup{closed.group, closed.epoch, term, primary.name, primary.born_ms};
   const bool done = co_await calls_.submit(std::move(command), reason);
   GroupTerm opened = closed;
   opened.term = term;
-  opened.primary = primary;
+  opened.primary = primary.name;
   log(done ? "group_opened" : "group_not_opened", opened, done ? why : reason.to_string());
   co_return done;
 }
--- a/src/control/registered/group_keeper.h
+++ b/src/control/registered/group_keeper.h
@@ -32,6 +32,8 @@
 
   void start();
   void stop();
+  /// Promotions without proof, as the lives that held the newest commits were over.
+  [[nodiscard]] std::uint64_t unproved_promotions() const { return unproved_promotions_; }
   /// `proxy` suspects a primary.
   void note_suspicion(const NodeName& proxy, const registry::PrimarySuspicion& suspicion);
 
@@ -49,7 +51,7 @@
   /// death then knows at once whether the replicas' word is enough, instead of after kMembersSettleTime (3
   /// s). What it hears late it takes to have happened late, which errs on the safe side.
   void watch_all_members();
-  /// Notes who has left a group, and when.
+  /// Notes which lives have left a group, and when.
   void watch_members(const GroupName& group);
   /// Looks whether a member that stayed holds what the primary held when one left.
   Awaitable<void> settle_members(GroupName group);
@@ -61,6 +63,8 @@
 
   /// A group without a term: whoever leads already is the first primary.
   Awaitable<void> discover(GroupName group);
+  /// Another life of the primary has registered: the one that led is over.
+  Awaitable<void> give_up_restarted(GroupName group);
   /// The primary is suspected.
   Awaitable<void> examine(GroupName group, bool commits_stall, std::size_t suspecting_proxies);
   /// The primary leaves: it is replaced once another backend has all of its log.
@@ -81,7 +85,8 @@
   Awaitable<bool> has_provable_successor(registry::GroupTerm term);
   Awaitable<bool> commits_stalled(GroupName group, registry::GroupTerm term);
   Awaitable<bool> close(registry::GroupTerm term, std::string why);
-  Awaitable<bool> open(registry::GroupTerm closed, BackendName primary, std::uint64_t term, std::string why);
+  Awaitable<bool> open(registry::GroupTerm closed, registry::BackendIncarnation primary, std::uint64_t term,
+                       std::string why);
   /// Until no proxy uses the closed term's primary any more, or it can't be told. False: this node does not
   /// lead.
   Awaitable<bool> wait_closed(registry::GroupTerm closed);
@@ -91,14 +96,20 @@
   Awaitable<PromotionFacts> gather_facts(registry::GroupTerm closed);
   /// kPromote only if no silent proxy can use the old primary.
   [[nodiscard]] PromotionChoice choose_next(const PromotionFacts& facts);
+  /// What is found of the chosen backend; of its name only if it is gone from `facts`.
+  [[nodiscard]] static MemberFinding chosen_member(const PromotionFacts& facts, const BackendName& backend);
+  /// Commits may be missing; counts and logs it.
+  void note_unproved(const PromotionFacts& facts, const MemberFinding& chosen);
   /// Leaves members paused only while an order may still take effect.
   Awaitable<void> replace_primary(registry::GroupTerm closed);
   /// Lets paused members receive again, as long as this node leads for certain.
   Awaitable<void> resume_members(GroupName group);
   /// What an earlier leader may have left paused.
   Awaitable<void> resume_left_members();
-  Awaitable<bool> promote(registry::GroupTerm closed, BackendName backend);
-  Awaitable<std::optional<std::uint64_t>> wait_promoted(registry::GroupTerm closed, BackendName backend);
+  /// False also when another life of the backend has registered.
+  Awaitable<bool> promote(registry::GroupTerm closed, registry::BackendIncarnation chosen);
+  /// The term that `chosen` leads, with no less than it was chosen for: else it has started again meanwhile.
+  Awaitable<std::optional<std::uint64_t>> wait_promoted(registry::GroupTerm closed, MemberFinding chosen);
   Awaitable<void> step_down(GroupName group, BackendName old_primary, std::uint64_t term);
   [[nodiscard]] bool leads() const;
   void log(const char* event, const registry::GroupTerm& term, const std::string& why);
@@ -116,12 +127,15 @@
   std::set<GroupName> busy_;
   std::set<GroupName> settling_;  ///< whose members are being compared after one left
   struct Membership {
-    std::set<BackendName> members;
+    std::set<registry::BackendIncarnation> members;
     TimePoint left_at{};  ///< when a member was last found gone, or this node began to look
     /// A member left that may have been the only one to hold acknowledged commits beside the primary, and no
     /// other was seen to hold as much as the primary since.
     bool unsettled = false;
+    bool was_replaced = false;  ///< while unsettled: such a member came back under its name, as another life
   };
+  /// Members come, and leave, as lives: one that started again has left with all that it held.
+  void note_members(Membership& membership, std::set<registry::BackendIncarnation> members);
   std::map<GroupName, Membership> memberships_;
   std::optional<std::uint64_t> watched_revision_;  ///< of the fleet, up to which they are noted
   std::map<GroupName, Suspicion> suspicions_;
@@ -131,6 +145,7 @@
     std::map<NodeName, TimePoint> proxies;
   };
   std::map<GroupName, OutOfReach> out_of_reach_;
+  std::uint64_t unproved_promotions_ = 0;
   std::optional<std::uint64_t> settled_revision_;  ///< of the fleet, at which no group needed anything
   bool resumed_left_ = false;                      ///< since this node leads
   bool stopping_ = false;
--- a/src/control/registered/group_prober.cpp
+++ b/src/control/registered/group_prober.cpp
@@ -46,14 +46,20 @@
   co_return refusal == session::Refusal::kWrongBackend;
 }
 
+std::shared_ptr<session::BackendLink> GroupProber::take_idle(const registry::BackendEntry& entry) {
+  const auto idle = idle_.find(entry.name);
+  if (idle == idle_.end()) return nullptr;
+  const IdleLink held = std::move(idle->second);
+  idle_.erase(idle);
+  if (held.to == entry.incarnation()) return held.link;
+  held.link->close();
+  return nullptr;
+}
+
 Awaitable<std::optional<session::BackendStatus>> GroupProber::run(registry::BackendEntry entry,
                                                                   session::BackendRequest request,
                                                                   TimePoint deadline, Reason& reason) {
-  std::shared_ptr<session::BackendLink> link;
-  if (const auto idle = idle_.find(entry.name); idle != idle_.end()) {
-    link = idle->second;
-    idle_.erase(idle);
-  }
+  std::shared_ptr<session::BackendLink> link = take_idle(entry);
   if (!link || !link->is_open()) {
     std::optional<session::Refusal> refusal;
     const session::BackendAddress address{entry.endpoint, entry.group, entry.name};
@@ -63,7 +69,7 @@
   runtime::SendState sent = runtime::SendState::kNotSent;
   const auto answer = co_await link->run(std::move(request), deadline, sent, reason);
   if (!answer) co_return std::nullopt;
-  idle_[entry.name] = link;
+  idle_[entry.name] = IdleLink{entry.incarnation(), link};
   if (answer->refusal) {
     reason =
         Reason{ReasonCode::kOverloaded, "ask_status", link->peer(), session::refusal_name(*answer->refusal)};
@@ -82,10 +88,10 @@
   survey->answered.notify_all();
 }
 
-Awaitable<std::vector<MemberFinding>> GroupProber::ask_all(std::vector<registry::BackendEntry> entries,
+Awaitable<std::vector<MemberFinding>> GroupProber::ask_all(std::vector<MemberFinding> members,
                                                            Enough enough) {
   const auto survey = std::make_shared<Survey>(runtime_);
-  for (auto& entry : entries) survey->findings.push_back(MemberFinding{std::move(entry), std::nullopt});
+  survey->findings = std::move(members);
   survey->unanswered = survey->findings.size();
   for (std::size_t place = 0; place < survey->findings.size(); ++place)
     runtime_.spawn("group_probe", ask_one(survey, place));
@@ -93,4 +99,10 @@
   co_return survey->findings;
 }
 
+Awaitable<std::vector<MemberFinding>> GroupProber::ask_all(std::vector<registry::BackendEntry> entries) {
+  std::vector<MemberFinding> members;
+  for (registry::BackendEntry& entry : entries) members.push_back({std::move(entry), std::nullopt, false});
+  co_return co_await ask_all(std::move(members));
+}
+
 }  // namespace cairnhollow::control::registered
--- a/src/control/registered/group_prober.h
+++ b/src/control/registered/group_prober.h
@@ -37,8 +37,8 @@
   /// All at once; returns when all have answered or the time is over, or `enough` says that what came will
   /// do.
   using Enough = std::function<bool(const std::vector<MemberFinding>&)>;
-  Awaitable<std::vector<MemberFinding>> ask_all(std::vector<registry::BackendEntry> entries,
-                                                Enough enough = nullptr);
+  Awaitable<std::vector<MemberFinding>> ask_all(std::vector<MemberFinding> members, Enough enough = nullptr);
+  Awaitable<std::vector<MemberFinding>> ask_all(std::vector<registry::BackendEntry> entries);
 
  private:
   struct Survey;
@@ -49,7 +49,13 @@
 
   runtime::Runtime& runtime_;
   session::BackendDialer& dialer_;
-  std::map<BackendName, std::shared_ptr<session::BackendLink>> idle_;
+  struct IdleLink {
+    registry::BackendIncarnation to;
+    std::shared_ptr<session::BackendLink> link;
+  };
+  /// An idle link to this life of the backend; null: there is none. One to another life is closed.
+  std::shared_ptr<session::BackendLink> take_idle(const registry::BackendEntry& entry);
+  std::map<BackendName, IdleLink> idle_;
 };
 
 }  // namespace cairnhollow::control::registered
--- a/src/control/registered/member_pauses.cpp
+++ b/src/control/registered/member_pauses.cpp
@@ -9,6 +9,7 @@
 namespace cairnhollow::control::registered {
 
 using registry::BackendEntry;
+using registry::BackendIncarnation;
 using registry::GroupTerm;
 
 namespace {
@@ -27,12 +28,12 @@
 void MemberPauses::note_members() {
   if (noted_revision_ == fleet_.revision()) return;
   noted_revision_ = fleet_.revision();
-  std::map<BackendName, Known> known;
+  std::map<BackendIncarnation, Known> known;
   for (const auto& group : fleet_.groups()) {
-    for (const BackendName& name : fleet_.members_of(group.name)) {
-      const auto before = known_.find(name);
-      const Known now{runtime_.now(), fleet_.backend_revision(name)};
-      known.emplace(name, before == known_.end() ? now : before->second);
+    for (const BackendIncarnation& member : fleet_.incarnations_of(group.name)) {
+      const auto before = known_.find(member);
+      const Known now{runtime_.now(), fleet_.backend_revision(member.name)};
+      known.emplace(member, before == known_.end() ? now : before->second);
     }
   }
   known_ = std::move(known);
@@ -43,7 +44,7 @@
   if (pauses.epoch != closed.epoch) pauses = GroupPauses{closed.epoch, {}};
   const auto answers = std::make_shared<Answers>(runtime_);
   for (const BackendEntry& member : fleet_.backends_of(closed.group)) {
-    if (member.name == closed.primary || pauses.since.count(member.name) > 0) continue;
+    if (closed.is_led_by(member) || pauses.since.count(member.incarnation()) > 0) continue;
     ++answers->missing;
     runtime_.spawn("pause_member", pause_one(answers, member, closed));
   }
@@ -59,7 +60,7 @@
   if (!status) status = co_await prober_.ask(member, deadline, reason);
   const bool paused = status && status->pause_term >= pause_term(closed);
   GroupPauses& pauses = paused_[closed.group];
-  if (paused && pauses.epoch == closed.epoch) pauses.since[member.name] = runtime_.now();
+  if (paused && pauses.epoch == closed.epoch) pauses.since[member.incarnation()] = runtime_.now();
   runtime_.logger().log(paused ? runtime::LogLevel::kInfo : runtime::LogLevel::kWarning,
                         paused ? "member_paused" : "member_not_paused", reason,
                         {{"group", closed.group.value},
@@ -72,7 +73,7 @@
   answers->changed.notify_all();
 }
 
-TimePoint MemberPauses::known_at(const BackendName& member, std::uint64_t silent_revision) const {
+TimePoint MemberPauses::known_at(const BackendIncarnation& member, std::uint64_t silent_revision) const {
   const auto found = known_.find(member);
   const Known known = found == known_.end() ? Known{runtime_.now(), fleet_.revision()} : found->second;
   if (silent_revision >= known.revision) return known.since;
@@ -80,7 +81,7 @@
   return known.since + registry::kServeWithoutControl + registry::kMemberLease;
 }
 
-TimePoint MemberPauses::quiet_at(const BackendName& member, TimePoint paused_at,
+TimePoint MemberPauses::quiet_at(const BackendIncarnation& member, TimePoint paused_at,
                                  std::uint64_t silent_revision) const {
   return std::max(paused_at + registry::kMemberLeaseWait, known_at(member, silent_revision));
 }
@@ -89,8 +90,11 @@
   TimePoint quiet = TimePoint::max();
   const auto found = paused_.find(closed.group);
   if (found == paused_.end() || found->second.epoch != closed.epoch) return quiet;
-  for (const auto& [member, since] : found->second.since)
+  for (const auto& [member, since] : found->second.since) {
+    const BackendEntry* entry = fleet_.find_backend(member.name);
+    if (entry == nullptr || entry->incarnation() != member) continue;
     quiet = std::min(quiet, quiet_at(member, since, silent_revision));
+  }
   return quiet;
 }
 
@@ -98,22 +102,24 @@
                         const std::vector<MemberFinding>& findings, const BackendName& candidate) const {
   const auto found = paused_.find(closed.group);
   if (found == paused_.end() || found->second.epoch != closed.epoch) return false;
-  const auto since = found->second.since.find(candidate);
-  if (since == found->second.since.end()) return false;
-  const bool still_paused = std::any_of(findings.begin(), findings.end(), [&](const MemberFinding& member) {
+  const auto still_paused = std::find_if(findings.begin(), findings.end(), [&](const MemberFinding& member) {
     return member.entry.name == candidate && member.status && member.status->pause_term >= pause_term(closed);
   });
-  return still_paused && runtime_.now() >= quiet_at(candidate, since->second, silent_revision);
+  if (still_paused == findings.end()) return false;
+  const BackendIncarnation life = still_paused->entry.incarnation();
+  const auto since = found->second.since.find(life);
+  if (since == found->second.since.end()) return false;
+  return runtime_.now() >= quiet_at(life, since->second, silent_revision);
 }
 
 Awaitable<void> MemberPauses::resume(GroupName group) {
   const auto found = paused_.find(group);
   if (found == paused_.end()) co_return;
-  const std::map<BackendName, TimePoint> since = std::move(found->second.since);
+  const std::map<BackendIncarnation, TimePoint> since = std::move(found->second.since);
   paused_.erase(found);
   const auto answers = std::make_shared<Answers>(runtime_);
   for (const BackendEntry& member : fleet_.backends_of(group)) {
-    if (since.count(member.name) == 0) continue;
+    if (since.count(member.incarnation()) == 0) continue;
     ++answers->missing;
     runtime_.spawn("resume_member", resume_one(answers, member));
   }
--- a/src/control/registered/member_pauses.h
+++ b/src/control/registered/member_pauses.h
@@ -20,14 +20,15 @@
   MemberPauses(runtime::Runtime& runtime, registry::FleetStateMachine& fleet, GroupProber& prober)
       : runtime_(runtime), fleet_(fleet), prober_(prober) {}
 
-  /// Notes since when, and at which revision of the fleet, each backend is known here. Called on every
-  /// control node, so that a new leader knows it of the backends that it applied as a follower: committed by
-  /// then, they were told with every later lease.
+  /// Notes since when, and at which revision of the fleet, each life of a backend is known here. Called on
+  /// every control node, so that a new leader knows it of the backends that it applied as a follower:
+  /// committed by then, they were told with every later lease.
   void note_members();
   /// Pauses the members that may follow the closed group's primary and are not paused for it yet, all at
   /// once.
   Awaitable<void> pause(registry::GroupTerm closed);
-  /// When a paused member may be promoted at the earliest; `TimePoint::max()` while none is paused.
+  /// When a paused member may be promoted at the earliest; `TimePoint::max()` while none is paused. Lives
+  /// that are over count for nothing.
   /// `silent_revision`: what each proxy that may hold one knows of the fleet, at least.
   [[nodiscard]] TimePoint quiet_at(const registry::GroupTerm& closed, std::uint64_t silent_revision) const;
   /// Whether no silent proxy can use the closed term's primary once `candidate` is promoted: each of them
@@ -50,7 +51,8 @@
  private:
   struct GroupPauses {
     std::uint64_t epoch = 0;
-    std::map<BackendName, TimePoint> since;  ///< when the member had answered the pause
+    /// When the member had answered the pause. Its next life is not paused.
+    std::map<registry::BackendIncarnation, TimePoint> since;
   };
   struct Answers;
 
@@ -58,9 +60,10 @@
                             registry::GroupTerm closed);
   Awaitable<void> resume_one(std::shared_ptr<Answers> answers, registry::BackendEntry member);
   /// When each proxy that still serves knows `member`; a time that is past if it does already.
-  [[nodiscard]] TimePoint known_at(const BackendName& member, std::uint64_t silent_revision) const;
+  [[nodiscard]] TimePoint known_at(const registry::BackendIncarnation& member,
+                                   std::uint64_t silent_revision) const;
   /// When leases that `member` gave before its pause are over, at proxies that may not know it as well.
-  [[nodiscard]] TimePoint quiet_at(const BackendName& member, TimePoint paused_at,
+  [[nodiscard]] TimePoint quiet_at(const registry::BackendIncarnation& member, TimePoint paused_at,
                                    std::uint64_t silent_revision) const;
 
   runtime::Runtime& runtime_;
@@ -70,7 +73,7 @@
     TimePoint since{};
     std::uint64_t revision = 0;
   };
-  std::map<BackendName, Known> known_;
+  std::map<registry::BackendIncarnation, Known> known_;
   std::uint64_t noted_revision_ = 0;
   std::map<GroupName, GroupPauses> paused_;
 };
--- a/src/control/registered/promotion_choice.cpp
+++ b/src/control/registered/promotion_choice.cpp
@@ -2,12 +2,31 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <utility>
+
 namespace cairnhollow::control::registered {
 
 namespace {
 
 bool is_old_primary(const MemberFinding& member, const PromotionFacts& facts) {
-  return member.entry.name == facts.closed.primary;
+  return facts.closed.is_led_by(member.entry);
+}
+
+bool is_restarted_primary(const MemberFinding& member, const PromotionFacts& facts) {
+  return facts.closed.is_restarted_primary(member.entry);
+}
+
+bool leads_closed_term(const MemberFinding& member, const PromotionFacts& facts) {
+  return member.status && member.status->is_primary && member.status->term == facts.closed.term;
+}
+
+/// Whether its status is that of the life which led the closed term. One that tells its start may answer in
+/// its next life before that one has registered.
+bool shows_old_log(const MemberFinding& member, const PromotionFacts& facts) {
+  if (!member.status || !is_old_primary(member, facts)) return false;
+  if (!member.entry.tells_birth()) return true;
+  return leads_closed_term(member, facts) && !is_blank(member, facts);
 }
 
 /// A primary of a term above the closed one: an order that was given before has taken effect.
@@ -15,16 +34,24 @@
   const MemberFinding* newest = nullptr;
   for (const MemberFinding& member : facts.members) {
     if (!member.status || !member.status->is_primary || member.status->term <= facts.closed.term) continue;
+    if (is_blank(member, facts)) continue;
     if (newest == nullptr || member.status->term > newest->status->term) newest = &member;
   }
   return newest;
 }
 
-/// The furthest log among the replicas; of equal ones, a backend that stays.
+/// Whether it may follow: a replica, or the primary's next life where that leads the closed term again.
+bool may_follow(const MemberFinding& member, const PromotionFacts& facts) {
+  if (!member.status || is_old_primary(member, facts)) return false;
+  if (!member.status->is_primary) return true;
+  return is_restarted_primary(member, facts) && leads_closed_term(member, facts);
+}
+
+/// The furthest log among those who may follow; of equal ones, a backend that stays.
 const MemberFinding* find_furthest(const PromotionFacts& facts) {
   const MemberFinding* best = nullptr;
   for (const MemberFinding& member : facts.members) {
-    if (!member.status || is_old_primary(member, facts) || member.status->is_primary) continue;
+    if (!may_follow(member, facts)) continue;
     if (best == nullptr) {
       best = &member;
       continue;
@@ -37,6 +64,22 @@
   return best;
 }
 
+/// Whether what it shows can be compared with: it answers, and has not lost what it held.
+bool was_compared(const MemberFinding& member, const PromotionFacts& facts) {
+  return member.status && !is_blank(member, facts);
+}
+
+/// Whether its log reaches the highest position that any proxy acknowledged in the closed term, all earlier
+/// commits included.
+bool reaches_acknowledged(const MemberFinding& candidate, const PromotionFacts& facts) {
+  if (!facts.all_acknowledgers_answered) return false;
+  const Position& position = candidate.status->received;
+  // Proxies that started since the term opened know of no commits of earlier ones; entries of this term say
+  // that it has them.
+  const bool has_earlier = !candidate.joined_in_term || position.term >= facts.closed.term;
+  return has_earlier && position >= facts.highest_acknowledged;
+}
+
 struct Proof {
   bool holds_all = false;
   std::string why;
@@ -44,26 +87,54 @@
 
 Proof prove(const MemberFinding& candidate, const PromotionFacts& facts) {
   const Position& position = candidate.status->received;
-  if (facts.all_acknowledgers_answered && position >= facts.highest_acknowledged)
+  if (is_blank(candidate, facts)) return {false, candidate.entry.name.value + " has lost its log"};
+  if (reaches_acknowledged(candidate, facts))
     return {true, "it reaches the highest position that any proxy acknowledged"};
   bool any_replica_missing = false;
   for (const MemberFinding& member : facts.members) {
-    if (is_old_primary(member, facts)) {
-      if (member.status && position >= member.status->received)
-        return {true, "it reaches the old primary's position"};
-      continue;
-    }
-    if (!member.status) any_replica_missing = true;
+    if (shows_old_log(member, facts) && position >= member.status->received)
+      return {true, "it reaches the old primary's position"};
+    // The primary's next life was no replica of it.
+    if (member.entry.name == facts.closed.primary) continue;
+    if (!was_compared(member, facts)) any_replica_missing = true;
   }
-  const bool nobody_left = facts.members_are_stable || position >= facts.highest_acknowledged;
+  const bool reaches_known = !facts.replaced_life_is_unsettled && position >= facts.highest_acknowledged;
+  const bool nobody_left = facts.members_are_stable || reaches_known;
   if (!any_replica_missing && facts.synchronous_replicas > 0 && nobody_left)
     return {true, "it is the furthest of all replicas"};
   return {false, fmt::format("{} at {}.{} may lack acknowledged commits", candidate.entry.name.value,
                              position.term, position.index)};
 }
 
+/// Whether nobody can be found any more who holds more: the primary's life is over, and all others answer.
+bool is_nothing_left(const PromotionFacts& facts) {
+  bool primary_is_over = false;
+  for (const MemberFinding& member : facts.members) {
+    if (is_restarted_primary(member, facts)) {
+      primary_is_over = true;
+      continue;
+    }
+    if (!member.status) return false;
+  }
+  return primary_is_over;
+}
+
+PromotionChoice follow_with(const MemberFinding& candidate, const PromotionFacts& facts, std::string why) {
+  const bool leads = leads_closed_term(candidate, facts);
+  const PromotionVerdict verdict = leads ? PromotionVerdict::kReopen : PromotionVerdict::kPromote;
+  return {verdict, candidate.entry.name, leads ? candidate.status->term : 0, std::move(why)};
+}
+
 }  // namespace
 
+bool is_blank(const MemberFinding& member, const PromotionFacts& facts) {
+  if (!member.entry.tells_birth() || !member.status || member.status->received.index > 0) return false;
+  if (facts.highest_acknowledged.index > 0) return true;
+  return std::any_of(facts.members.begin(), facts.members.end(), [](const MemberFinding& other) {
+    return other.status && other.status->received.index > 0;
+  });
+}
+
 PromotionChoice choose_promotion(const PromotionFacts& facts, bool reopen_allowed) {
   if (const MemberFinding* newer = find_newer_primary(facts))
     return {PromotionVerdict::kAdopt, newer->entry.name, newer->status->term,
@@ -71,12 +142,17 @@
   const MemberFinding* candidate = find_furthest(facts);
   Proof proof;
   if (candidate != nullptr) proof = prove(*candidate, facts);
-  if (proof.holds_all) return {PromotionVerdict::kPromote, candidate->entry.name, 0, proof.why};
+  if (proof.holds_all) return follow_with(*candidate, facts, proof.why);
   for (const MemberFinding& member : facts.members) {
-    const bool leads = member.status && member.status->is_primary && is_old_primary(member, facts);
+    const bool leads = shows_old_log(member, facts) && member.status->is_primary;
     if (leads && reopen_allowed && !member.entry.leaving)
       return {PromotionVerdict::kReopen, member.entry.name, member.status->term, "it answers as before"};
   }
+  if (candidate != nullptr && is_nothing_left(facts)) {
+    PromotionChoice choice = follow_with(*candidate, facts, "it is the furthest that is left");
+    choice.is_unproved = true;
+    return choice;
+  }
   return {PromotionVerdict::kNotYet, {}, 0, candidate == nullptr ? "no replica answers" : proof.why};
 }
 
--- a/src/control/registered/promotion_choice.h
+++ b/src/control/registered/promotion_choice.h
@@ -14,14 +14,19 @@
 struct MemberFinding {
   registry::BackendEntry entry;
   std::optional<session::BackendStatus> status;  ///< empty: it did not answer
+  /// It was registered, or changed, since the closed term opened: it may be a life that began since.
+  bool joined_in_term = false;
 };
 
 struct PromotionFacts {
   registry::GroupTerm closed;  ///< the term that is given up
   std::uint64_t synchronous_replicas = 0;
   std::vector<MemberFinding> members;
-  /// No backend has left the group for so long that whoever stayed has received all that it held.
+  /// No life of a backend has left the group for so long that whoever stayed has received all that it held.
   bool members_are_stable = false;
+  /// A life that was replaced under its name may have been the only one beside the primary to hold
+  /// acknowledged commits, and no other was seen to hold as much as the primary since.
+  bool replaced_life_is_unsettled = false;
   /// Every proxy that may have acknowledged anything in that term has said its highest position.
   bool all_acknowledgers_answered = false;
   /// Every admitted proxy has answered the close, so that none uses the closed term's primary.
@@ -44,11 +49,18 @@
   BackendName backend;
   std::uint64_t term = 0;  ///< of kReopen and kAdopt
   std::string why;         ///< for the log
+  /// Acknowledged commits may be gone with the lives that held them: nobody is left who could have more.
+  bool is_unproved = false;
 };
 
-/// Invariant: with one synchronous replica an acknowledged commit is on the primary and on a replica. So the
-/// furthest log holds it when all replicas were compared, or the old primary was, or when it reaches the
-/// highest position that any proxy acknowledged. `reopen_allowed`: the old primary was not given up for good.
+/// Whether the member tells its start and shows an empty log while others, or proxies, know of more: a life
+/// that has lost what its name held, registered already or not. It proves nothing.
+bool is_blank(const MemberFinding& member, const PromotionFacts& facts);
+
+/// Invariant: with one synchronous replica an acknowledged commit is on the primary and on a replica, each in
+/// one life. So the furthest log holds it when all replicas were compared, or the old primary was, or when it
+/// reaches the highest position that any proxy acknowledged. `reopen_allowed`: the old primary was not given
+/// up for good.
 PromotionChoice choose_promotion(const PromotionFacts& facts, bool reopen_allowed);
 
 }  // namespace cairnhollow::control::registered
--- a/src/control/registered/registration_service.cpp
+++ b/src/control/registered/registration_service.cpp
@@ -77,13 +77,39 @@
   co_return co_await prober_.is_another(std::move(entry), runtime_.now() + kStatusTimeout);
 }
 
+bool RegistrationService::is_of_former_life(const registry::BackendEntry& entry) const {
+  if (fleet_.is_deregistered(entry.name, entry.born_ms)) return true;
+  const registry::BackendEntry* held = fleet_.find_backend(entry.name);
+  if (held != nullptr && entry.is_before_life_of(*held)) return true;
+  const registry::BackendEntry* neighbour = fleet_.find_backend_at(entry.endpoint);
+  return neighbour != nullptr && neighbour->name != entry.name && entry.is_before_life_of(*neighbour);
+}
+
+void RegistrationService::note_outdated(const registry::BackendEntry& entry) {
+  ++counts_.outdated;
+  const registry::BackendEntry* held = fleet_.find_backend(entry.name);
+  if (held == nullptr) held = fleet_.find_backend_at(entry.endpoint);
+  const std::uint64_t held_born = held != nullptr ? held->born_ms : fleet_.ended_birth(entry.name);
+  runtime_.logger().log(LogLevel::kInfo, "registration_outdated",
+                        {{"backend", entry.name.value},
+                         {"group", entry.group.value},
+                         {"born", std::to_string(entry.born_ms)},
+                         {"held", held != nullptr ? held->name.value : "none"},
+                         {"held_born", std::to_string(held_born)}});
+}
+
 Awaitable<std::optional<registry::Registration>> RegistrationService::register_backend(
     registry::BackendEntry entry, Reason& reason) {
   const registry::BackendEntry* held = fleet_.find_backend(entry.name);
-  const bool old = held != nullptr && (held->same_facts(entry) || entry.sequence <= held->sequence);
   const registry::Registration registration = place(entry.name, entry.zone);
   // The old news is in the log already, so that it binds whoever serves.
-  if (old || fleet_.is_deregistered(entry.name)) co_return registration;
+  if (is_of_former_life(entry)) {
+    note_outdated(entry);
+    co_return registration;
+  }
+  if (held != nullptr && !entry.supersedes(*held)) co_return registration;
+  const std::uint64_t former_born = held == nullptr ? 0 : held->born_ms;
+  const bool replaces = held != nullptr && held->born_ms != entry.born_ms;
   const bool outdated = co_await is_outdated(entry);
   if (outdated) {
     reason = Reason{ReasonCode::kConflict, "register_backend", entry.endpoint.to_string(),
@@ -92,20 +118,29 @@
                           {{"backend", entry.name.value}, {"group", entry.group.value}});
     co_return std::nullopt;
   }
-  const std::string name = entry.name.value;
-  const bool leaving = entry.leaving;
-  const std::string group = entry.group.value;
+  const registry::BackendEntry said = entry;
   registry::SingleCommand command = registry::RegisterBackend{std::move(entry)};
   const bool done = co_await calls_.submit_gathered(std::move(command), reason);
   runtime_.logger().log(done ? LogLevel::kInfo : LogLevel::kWarning,
                         done ? "backend_registered" : "backend_not_registered", reason,
-                        {{"backend", name}, {"group", group}, {"leaving", leaving ? "true" : "false"}});
+                        {{"backend", said.name.value},
+                         {"group", said.group.value},
+                         {"born", std::to_string(said.born_ms)},
+                         {"leaving", said.leaving ? "true" : "false"}});
   if (!done) co_return std::nullopt;
+  if (replaces) {
+    ++counts_.replaced;
+    runtime_.logger().log(LogLevel::kInfo, "incarnation_replaced",
+                          {{"backend", said.name.value},
+                           {"group", said.group.value},
+                           {"former_born", std::to_string(former_born)},
+                           {"born", std::to_string(said.born_ms)}});
+  }
   co_return registration;
 }
 
 Awaitable<bool> RegistrationService::deregister_backend(BackendName name, Reason& reason) {
-  if (fleet_.is_deregistered(name)) co_return true;
+  if (fleet_.find_backend(name) == nullptr && fleet_.is_deregistered(name)) co_return true;
   const std::string text = name.value;
   registry::SingleCommand command = registry::DeregisterBackend{std::move(name)};
   const bool done = co_await calls_.submit_gathered(std::move(command), reason);
--- a/src/control/registered/registration_service.h
+++ b/src/control/registered/registration_service.h
@@ -11,6 +11,12 @@
 
 namespace cairnhollow::control::registered {
 
+/// Registrations that were acknowledged here and changed more, or less, than others do.
+struct RegistrationCounts {
+  std::uint64_t outdated = 0;  ///< of a life before the one that holds: without effect
+  std::uint64_t replaced = 0;  ///< of a life that takes the place of another of its name
+};
+
 /// What it refers to outlives it.
 class RegistrationService : public registry::ControlService {
  public:
@@ -30,6 +36,7 @@
   Awaitable<std::optional<registry::Registration>> register_backend(registry::BackendEntry entry,
                                                                     Reason& reason) override;
   Awaitable<bool> deregister_backend(BackendName name, Reason& reason) override;
+  [[nodiscard]] const RegistrationCounts& counts() const { return counts_; }
 
  private:
   Awaitable<bool> confirm(Reason& reason);
@@ -37,6 +44,10 @@
   /// waited for.
   [[nodiscard]] bool may_acknowledge(Reason& reason) const;
 
+  /// Whether the entry is of a life that is over, by what the log holds of its name and its address.
+  [[nodiscard]] bool is_of_former_life(const registry::BackendEntry& entry) const;
+  /// Logs and counts one that is.
+  void note_outdated(const registry::BackendEntry& entry);
   /// Whether another backend, registered at the same address, answers there: then the registration is a late
   /// one of an incarnation that is gone. Taken in, it would displace the other for good, since who was
   /// displaced does not come back.
@@ -52,6 +63,7 @@
   const VoterKeeper& voters_;
   GroupProber& prober_;
   TimePoint begun_;
+  RegistrationCounts counts_;
   std::map<ZoneName, std::vector<Endpoint>> takers_;  ///< proxies that stay, by zone
   std::uint64_t takers_revision_ = 0;                 ///< of the fleet that they were taken from
   TimePoint takers_at_{};
--- a/src/registry/model.h
+++ b/src/registry/model.h
@@ -123,10 +123,21 @@
   std::uint64_t born_ms = 0;   ///< Unix time of its start, by its own clock; 0: it tells none
   std::uint64_t cold_ms = 0;   ///< for how much longer it was cold when it registered this; 0: it is warm
   [[nodiscard]] BackendIncarnation incarnation() const { return {name, born_ms}; }
+  /// Whether it tells which life it is of.
+  [[nodiscard]] bool tells_birth() const { return born_ms != 0; }
   /// Whether a newer registration says anything new.
   [[nodiscard]] bool same_facts(const BackendEntry& other) const {
-    return group == other.group && endpoint == other.endpoint && zone == other.zone && slots == other.slots &&
-           leaving == other.leaving;
+    return born_ms == other.born_ms && group == other.group && endpoint == other.endpoint &&
+           zone == other.zone && slots == other.slots && leaving == other.leaving;
+  }
+  /// Whether this one, of the same name or address, belongs to the past of `held`: of an earlier life, or of
+  /// none where `held` tells one.
+  [[nodiscard]] bool is_before_life_of(const BackendEntry& held) const { return born_ms < held.born_ms; }
+  /// Whether it changes what `held`, of the same name, says: it is of a later life, or of the same one with
+  /// news.
+  [[nodiscard]] bool supersedes(const BackendEntry& held) const {
+    if (born_ms != held.born_ms) return born_ms > held.born_ms;
+    return sequence > held.sequence && !same_facts(held);
   }
 
   template <class Archive>
@@ -147,6 +158,15 @@
   std::uint64_t epoch = 0;            ///< grows with each change of this entry
   std::uint64_t opened_at = 0;        ///< revision at which the primary was last known to lead
   std::uint64_t primary_born_ms = 0;  ///< which life of `primary` leads; 0: not known
+  /// Whether a backend of the primary's name is known to be another life of it, which does not lead.
+  [[nodiscard]] bool is_restarted_primary(const BackendEntry& entry) const {
+    return entry.name == primary && entry.born_ms != 0 && primary_born_ms != 0 &&
+           entry.born_ms != primary_born_ms;
+  }
+  /// Whether the backend is the primary, as far as is known.
+  [[nodiscard]] bool is_led_by(const BackendEntry& entry) const {
+    return entry.name == primary && !is_restarted_primary(entry);
+  }
 
   template <class Archive>
   void serialize(Archive& archive) {
--- a/src/registry/state_machine.cpp
+++ b/src/registry/state_machine.cpp
@@ -53,17 +53,30 @@
 
 bool FleetStateMachine::take(RegisterBackend& command) {
   BackendEntry& entry = command.entry;
-  if (state_.backends.was_removed(entry.name)) return false;
+  if (is_deregistered(entry.name, entry.born_ms)) return false;
   const BackendEntry* held = state_.backends.find(entry.name);
-  if (held != nullptr && (entry.sequence <= held->sequence || held->same_facts(entry))) return false;
-  // An address belongs to who registered there last.
-  const auto other = at_endpoint_.find(entry.endpoint);
-  if (other != at_endpoint_.end() && other->second != entry.name) remove_backend(BackendName(other->second));
+  if (held != nullptr && !entry.supersedes(*held)) return false;
+  if (!take_address(entry)) return false;
   put_backend(std::move(entry));
   return true;
 }
 
-bool FleetStateMachine::take(DeregisterBackend& command) { return remove_backend(command.name); }
+bool FleetStateMachine::take_address(const BackendEntry& entry) {
+  const auto found = at_endpoint_.find(entry.endpoint);
+  if (found == at_endpoint_.end() || found->second == entry.name) return true;
+  const BackendEntry* other = state_.backends.find(found->second);
+  // An address belongs to who started there last, or registered there last where both tell no start.
+  if (entry.is_before_life_of(*other)) return false;
+  remove_backend(BackendName(found->second));
+  return true;
+}
+
+bool FleetStateMachine::take(DeregisterBackend& command) {
+  const BackendEntry* held = state_.backends.find(command.name);
+  // Of a former life: the one that is held goes on.
+  if (held != nullptr && command.born_ms != 0 && command.born_ms < held->born_ms) return false;
+  return remove_backend(command.name);
+}
 
 bool FleetStateMachine::take(BeginEvacuation& command) {
   if (is_evacuated(command.zone)) return false;
@@ -97,6 +110,7 @@
   }
   note_backend(entry);
   const BackendName name = entry.name;
+  state_.ended_births.erase(name);
   state_.backends.put(name, std::move(entry), next_revision());
 }
 
@@ -105,6 +119,7 @@
   if (held == nullptr) return false;
   members_[held->group].erase(name);
   at_endpoint_.erase(held->endpoint);
+  if (held->tells_birth()) state_.ended_births[name] = held->born_ms;
   return state_.backends.remove(name, next_revision());
 }
 
@@ -161,9 +176,15 @@
   state_.proxies.forget_removed(state_.revision);
   state_.tenants.forget_removed(state_.revision);
   state_.evacuations.forget_removed(state_.revision);
+  bound_ended_births();
   state_.complete_from = state_.revision;
 }
 
+void FleetStateMachine::bound_ended_births() {
+  std::erase_if(state_.ended_births,
+                [this](const auto& ended) { return !state_.backends.was_removed(ended.first); });
+}
+
 std::string FleetStateMachine::take_snapshot() const {
   return wire::encode_from(state_, wire::format_with_tenants(state_.requires_keys));
 }
@@ -196,6 +217,12 @@
   return found == members_.end() ? nobody : found->second;
 }
 
+std::set<BackendIncarnation> FleetStateMachine::incarnations_of(const GroupName& group) const {
+  std::set<BackendIncarnation> members;
+  for (const BackendName& name : members_of(group)) members.insert(state_.backends.find(name)->incarnation());
+  return members;
+}
+
 FleetDelta FleetStateMachine::delta_since(std::uint64_t revision) const {
   FleetDelta delta;
   delta.is_whole = revision == 0 || revision < state_.complete_from;
--- a/src/registry/state_machine.h
+++ b/src/registry/state_machine.h
@@ -43,9 +43,15 @@
   }
   /// Who registered last at an address and is not gone; null: nobody.
   [[nodiscard]] const BackendEntry* find_backend_at(const Endpoint& endpoint) const;
-  /// Deregistered for good; a late heartbeat does not bring it back.
-  [[nodiscard]] bool is_deregistered(const BackendName& name) const {
-    return state_.backends.was_removed(name);
+  /// The life of that start was deregistered for good, or is before one that was; a late heartbeat does not
+  /// bring it back.
+  [[nodiscard]] bool is_deregistered(const BackendName& name, std::uint64_t born_ms = 0) const {
+    return state_.backends.was_removed(name) && born_ms <= ended_birth(name);
+  }
+  /// The start of the last life of a removed backend; 0: it told none, or is not known.
+  [[nodiscard]] std::uint64_t ended_birth(const BackendName& name) const {
+    const auto found = state_.ended_births.find(name);
+    return found == state_.ended_births.end() ? 0 : found->second;
   }
   /// The fleet's revision at which the backend was put as it is now: who holds a later one knows it.
   [[nodiscard]] std::uint64_t backend_revision(const BackendName& name) const {
@@ -54,6 +60,8 @@
   [[nodiscard]] std::vector<BackendEntry> backends_of(const GroupName& group) const;
   /// Names of the group's backends; empty where none registered.
   [[nodiscard]] const std::set<BackendName>& members_of(const GroupName& group) const;
+  /// The group's backends, each as the life that is registered.
+  [[nodiscard]] std::set<BackendIncarnation> incarnations_of(const GroupName& group) const;
   [[nodiscard]] std::vector<BackendEntry> backends() const { return state_.backends.all(); }
   [[nodiscard]] const GroupTerm* find_term(const GroupName& group) const { return state_.terms.find(group); }
   [[nodiscard]] std::vector<Evacuation> evacuations() const { return state_.evacuations.all(); }
@@ -121,6 +129,11 @@
   void put_term(const GroupTerm& term);
   void put_backend(BackendEntry entry);
   bool remove_backend(const BackendName& name);
+  /// Takes out who registered at the entry's address before. False: the entry comes late, another started
+  /// there after it.
+  bool take_address(const BackendEntry& entry);
+  /// Ended lives are remembered as long as their names are.
+  void bound_ended_births();
   void note_backend(const BackendEntry& entry);
   /// Makes a table hold these rows, by their names. Rows that stay as they are keep their revision.
   template <class Key, class Row>
--- a/src/session/group_access.cpp
+++ b/src/session/group_access.cpp
@@ -45,6 +45,18 @@
   }
 }
 
+bool BackendUse::note_shown(std::uint64_t term, Position position) {
+  if (term != shown_term_) shown_ = Position{};
+  shown_term_ = term;
+  // Entries of earlier terms may still be rolled back.
+  if (position.term == term) {
+    const bool holds_less = position < shown_;
+    shown_ = std::max(shown_, position);
+    return !holds_less;
+  }
+  return shown_.index == 0;
+}
+
 void GroupAccess::note_replica(BackendUse& backend, const ReadNeed& need, std::optional<Position> shown) {
   const TimePoint now = runtime_.now();
   if (!shown) return backend.note_applied(now - need.required_since, false, now);
@@ -56,7 +68,8 @@
 void GroupAccess::set_term(const registry::GroupTerm& term) {
   const bool primary_given_up = term_.open && (!term.open || term.epoch != term_.epoch);
   if (term_.open && !term.open) closed_at_ = runtime_.now();
-  const bool other_term = term.term != term_.term || term.primary != term_.primary;
+  const bool other_term = term.term != term_.term || term.primary != term_.primary ||
+                          term.primary_born_ms != term_.primary_born_ms;
   term_ = term;
   if (other_term) positions_.clear();
   broken_off_ = 0;
@@ -78,7 +91,9 @@
 
 void GroupAccess::put_backend(const registry::BackendEntry& entry) {
   auto& use = backends_[entry.name];
-  if (!use || use->entry.endpoint != entry.endpoint) {
+  const bool is_other_life = use && use->entry.incarnation() != entry.incarnation();
+  if (!use || is_other_life || use->entry.endpoint != entry.endpoint) {
+    if (is_other_life) retire(*use);
     if (use) use->pool.close_idle();
     use = std::make_shared<BackendUse>(runtime_, dialer_, entry);
     ++membership_;
@@ -91,6 +106,14 @@
   changed_.notify_all();
 }
 
+void GroupAccess::retire(BackendUse& use) {
+  use.pool.retire();
+  if (use.entry.name != term_.primary) return;
+  // What the former life was sent is in doubt, and what it showed says nothing of the next one.
+  for (const auto& [key, work] : work_) work.link->close();
+  positions_.clear();
+}
+
 void GroupAccess::remove_backend(const BackendName& name) {
   const auto found = backends_.find(name);
   if (found == backends_.end()) return;
@@ -140,7 +163,7 @@
 std::shared_ptr<BackendUse> GroupAccess::primary() {
   if (!term_.open) return nullptr;
   const auto found = backends_.find(term_.primary);
-  if (found == backends_.end()) return nullptr;
+  if (found == backends_.end() || is_primary_restarted()) return nullptr;
   const auto& leaving_since = found->second->leaving_since;
   if (leaving_since && runtime_.now() - *leaving_since > kLeavingPrimaryUse) return nullptr;
   return found->second;
@@ -184,6 +207,12 @@
   return other->entry.name == term_.primary || other->lag(now) <= now - need.required_since;
 }
 
+std::optional<Position> GroupAccess::required_of(const BackendUse& backend, const ReadNeed& need) const {
+  if (!need.primary_only) return need.required;
+  if (!backend.entry.tells_birth() || backend.entry.name != term_.primary) return std::nullopt;
+  return positions_.last();
+}
+
 ReadNeed GroupAccess::need_of(const registry::RouteRule& route, const SessionCommit& committed) const {
   ReadNeed need;
   need.primary_only = true;
--- a/src/session/group_access.h
+++ b/src/session/group_access.h
@@ -38,12 +38,17 @@
   /// How far a replica is thought to be behind its primary. Halves with each kLagHalfLife without news, since
   /// one that is passed over tells nothing.
   [[nodiscard]] Duration lag(TimePoint now) const;
+  /// It showed a position of `term`, the open one. False: a lower one than before, so that it has started
+  /// again and holds less, as what tells its start may. Entries of an open term are never taken back.
+  bool note_shown(std::uint64_t term, Position position);
 
  private:
   double latency_ms_ = kFirstLatencyMs;
   TimePoint latency_noted_at_{};
   Duration lag_{0};
   TimePoint lag_noted_at_{};
+  Position shown_;  ///< the highest of `shown_term_`
+  std::uint64_t shown_term_ = 0;
 };
 
 /// Statements at a primary; the key is only for taking one out again.
@@ -77,6 +82,7 @@
 
   void set_term(const registry::GroupTerm& term);
   void set_rule(const registry::GroupRule& rule) { rule_ = rule; }
+  /// Another life of a backend is another backend: nothing that is known of the former one is said of it.
   void put_backend(const registry::BackendEntry& entry);
   void remove_backend(const BackendName& name);
   /// Divides each backend's connections among those of `proxies` that serve the group.
@@ -94,12 +100,20 @@
   /// Notified when term or backends have changed.
   runtime::Signal& changed() { return changed_; }
 
-  /// The open term's primary; null while there is none that may be used.
+  /// The open term's primary; null while there is none that may be used, as when another life has its name.
   std::shared_ptr<BackendUse> primary();
+  /// Another life has registered under the name of the open term's primary.
+  [[nodiscard]] bool is_primary_restarted() const {
+    const auto found = backends_.find(term_.primary);
+    return found != backends_.end() && term_.is_restarted_primary(found->second->entry);
+  }
   /// The backend to read at, out of those not in `excluded`; null when none is left.
   std::shared_ptr<BackendUse> choose_reader(const ReadNeed& need, const std::set<BackendName>& excluded);
   /// Whether a backend beside `backend` is likely to serve such a read now.
   [[nodiscard]] bool has_other_reader(const ReadNeed& need, const BackendUse& backend);
+  /// What `backend` must show to hold before it runs a read with this need, or begins a transaction; empty:
+  /// nothing. A primary that tells its start may have started again, and then lacks what it showed before.
+  [[nodiscard]] std::optional<Position> required_of(const BackendUse& backend, const ReadNeed& need) const;
   /// What a read must see under these rules; primary_only when a replica can't be shown to have it.
   [[nodiscard]] ReadNeed need_of(const registry::RouteRule& route, const SessionCommit& committed) const;
 
@@ -159,6 +173,8 @@
  private:
   Awaitable<void> warm(std::shared_ptr<BackendUse> backend);
   [[nodiscard]] double cost_of(const BackendUse& backend) const;
+  /// `use` is of a life that is over, or at another address.
+  void retire(BackendUse& use);
 
   runtime::Runtime& runtime_;
   BackendDialer& dialer_;
--- a/src/session/known_registrations.h
+++ b/src/session/known_registrations.h
@@ -8,14 +8,17 @@
 namespace cairnhollow::session {
 
 /// What it refers to outlives it. What the view holds is committed: it may be old, but then it is not newer
-/// than what the backend says, and a difference sends the backend to control.
+/// than what the backend says, and a difference sends the backend to control. A heartbeat of a life before
+/// the one that is held says nothing new either.
 class KnownRegistrations : public registry::RegistrationRelay {
  public:
   KnownRegistrations(const FleetView& view, const FleetLink& link) : view_(view), link_(link) {}
 
   [[nodiscard]] bool knows(const registry::BackendEntry& entry) const override {
     const registry::BackendEntry* held = view_.find_backend(entry.name);
-    return held != nullptr && held->same_facts(entry);
+    if (held == nullptr) return false;
+    const bool is_late = entry.tells_birth() && entry.is_before_life_of(*held);
+    return is_late || held->same_facts(entry);
   }
   [[nodiscard]] std::optional<Endpoint> control_endpoint() const override {
     return link_.registration_endpoint();
--- a/src/session/member_lease_keeper.cpp
+++ b/src/session/member_lease_keeper.cpp
@@ -57,6 +57,7 @@
     runtime_.spawn("member_lease_ask", ask(round, member));
   }
   if (round->unanswered == 0) round->failure = "no member may follow the primary";
+  if (group->is_primary_restarted()) round->failure = "the primary has started again";
   bool in_time = true;
   while (round->unanswered > 0 && round->failure.empty() && in_time)
     in_time = co_await round->answered.wait_until(round->deadline);
@@ -93,6 +94,9 @@
                                  status->is_primary ? "primary" : "replica", status->term, round->term.term);
   } else if (status->pause_term > 0) {
     round->failure = fmt::format("{} is paused for term {}", name, status->pause_term);
+  } else if (member->entry.tells_birth() && !member->note_shown(status->term, status->received)) {
+    // Its pause, if there was one, ended with the life that the round was to ask.
+    round->failure = fmt::format("{} shows less than before, so that it has started again", name);
   }
   round->answered.notify_all();
 }
--- a/src/session/stateful_pool.cpp
+++ b/src/session/stateful_pool.cpp
@@ -91,6 +91,11 @@
                                                                std::optional<Refusal>& refusal,
                                                                Reason& reason) {
   while (true) {
+    if (retired_) {
+      reason = Reason{ReasonCode::kUnreachable, "acquire_link", address_.backend.value,
+                      "the backend has started again"};
+      co_return nullptr;
+    }
     if (is_refused()) {
       refusal = Refusal::kConnectionLimit;
       reason = Reason{ReasonCode::kOverloaded, "acquire_link", address_.backend.value,
@@ -115,6 +120,7 @@
   BackendAddress address = address_;
   address.tenant = wish.tenant;
   auto link = co_await dialer_.open(std::move(address), dial_deadline, refusal, reason);
+  if (link && retired_) link->close();
   if (link) {
     co_return std::make_shared<StatefulLink>(std::move(link), std::move(wish.tenant));
   }
@@ -136,7 +142,7 @@
 
 void StatefulPool::release(std::shared_ptr<StatefulLink> link) {
   --in_use_;
-  if (in_use_ + idle_.size() >= limit_) link->link().close();
+  if (retired_ || in_use_ + idle_.size() >= limit_) link->link().close();
   link->set_idle_since(runtime_.now());
   if (link->link().is_open()) idle_.push_back(std::move(link));
   returned_.notify_one();
@@ -150,6 +156,12 @@
   }
 }
 
+void StatefulPool::retire() {
+  retired_ = true;
+  close_idle();
+  returned_.notify_all();
+}
+
 void StatefulPool::close_idle() {
   for (const auto& link : idle_) link->link().close();
   idle_.clear();
--- a/src/session/stateful_pool.h
+++ b/src/session/stateful_pool.h
@@ -94,6 +94,8 @@
   /// Gives a link back that has no transaction open and owes no answer; a closed one is dropped.
   void release(std::shared_ptr<StatefulLink> link);
   void close_idle();
+  /// The backend's life is over: no link is given any more, and those in use close when they are given back.
+  void retire();
   /// Closes links that have been idle for kIdleLinkLife, but `kept` of them.
   void trim(TimePoint now, std::size_t kept);
   [[nodiscard]] std::size_t in_use() const { return in_use_; }
@@ -124,6 +126,7 @@
   std::uint64_t limit_ = 2;
   TimePoint full_until_{};  ///< the backend refused one more connection
   std::size_t in_use_ = 0;
+  bool retired_ = false;
 };
 
 }  // namespace cairnhollow::session
--- a/src/session/statement_runner.cpp
+++ b/src/session/statement_runner.cpp
@@ -185,17 +185,24 @@
   co_return false;
 }
 
+void StatementRunner::note_too_stale(Attempt& attempt) {
+  GroupAccess& group = *attempt.order.group;
+  if (!attempt.need.primary_only) return group.note_replica(*attempt.backend, attempt.need, std::nullopt);
+  // A primary without what it showed before has started again.
+  attempt.link->link().close();
+  services_.link.report_suspicion(group, SuspicionKind::kSilent);
+}
+
 Awaitable<bool> StatementRunner::begin_transaction(std::shared_ptr<Attempt> attempt) {
-  Begin begin{attempt->order.read_only_transaction, std::nullopt};
-  if (!attempt->need.primary_only) begin.required = attempt->need.required;
+  const auto required = attempt->order.group->required_of(*attempt->backend, attempt->need);
+  const Begin begin{attempt->order.read_only_transaction, required};
   const TimePoint deadline = std::min(attempt->order.deadline, services_.runtime.now() + kLinkSetupTimeout);
   SendState sent = SendState::kNotSent;
   BackendRequest request = begin;
   const auto answer = co_await attempt->link->link().run(std::move(request), deadline, sent, attempt->reason);
   if (answer && answer->succeeded()) co_return true;
   if (answer) services_.metrics.count_retry(*answer->refusal);
-  if (answer && *answer->refusal == Refusal::kTooStale)
-    attempt->order.group->note_replica(*attempt->backend, attempt->need, std::nullopt);
+  if (answer && *answer->refusal == Refusal::kTooStale) note_too_stale(*attempt);
   if (answer && *answer->refusal == Refusal::kNotPrimary)
     services_.link.report_suspicion(*attempt->order.group, SuspicionKind::kSilent);
   attempt->backend->pool.release(attempt->link);
@@ -281,8 +288,8 @@
     const Duration patience = std::max<Duration>(target / kReadPatienceDivisor, kLeastReadPatience);
     deadline = std::min(deadline, attempt->sent_at + patience);
   }
-  std::optional<Position> required;
-  if (!order.opens_transaction && !attempt->need.primary_only) required = attempt->need.required;
+  const bool reads = !order.opens_transaction && attempt->is_read();
+  const auto required = reads ? order.group->required_of(*attempt->backend, attempt->need) : std::nullopt;
   std::optional<WorkScope> work;
   if (attempt->at_primary) {
     const bool commits = order.writes && !order.opens_transaction;
@@ -360,7 +367,7 @@
     if (*answer.refusal == Refusal::kNotPrimary && attempt.at_primary && current)
       services_.link.report_suspicion(group, SuspicionKind::kSilent);
     if (*answer.refusal == Refusal::kWrongBackend) attempt.link->link().close();
-    if (*answer.refusal == Refusal::kTooStale) group.note_replica(backend, attempt.need, std::nullopt);
+    if (*answer.refusal == Refusal::kTooStale) note_too_stale(attempt);
     attempt.reason = Reason{ReasonCode::kOverloaded, "run_statement", backend.entry.name.value,
                             refusal_name(*answer.refusal)};
     drop();
--- a/src/session/statement_runner.h
+++ b/src/session/statement_runner.h
@@ -105,6 +105,8 @@
   Awaitable<std::shared_ptr<BackendUse>> choose(std::shared_ptr<Attempt> attempt);
   Awaitable<Step> try_backend(std::shared_ptr<Attempt> attempt, std::shared_ptr<BackendUse> backend);
   Awaitable<bool> prepare_link(std::shared_ptr<Attempt> attempt, std::shared_ptr<BackendUse> backend);
+  /// The chosen backend lacks the position that it was asked for.
+  void note_too_stale(Attempt& attempt);
   Awaitable<bool> begin_transaction(std::shared_ptr<Attempt> attempt);
   /// Whether it may be sent to a backend now: the key is good, and what runs again has a token. Else the
   /// attempt's answer says why not.
