--- a/simulation/registered_fleet.cpp
+++ b/simulation/registered_fleet.cpp
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "platform/edge.h"
+#include "simulation/registered_fleet_ports.h"
 #include "standins/unfenced/document_text.h"
 
 namespace cairnhollow::simulation {
@@ -16,11 +17,6 @@
 
 namespace {
 
-constexpr std::uint16_t kPeerPort = 7440;
-constexpr std::uint16_t kOperatorPort = 8782;
-constexpr std::uint16_t kSessionPort = 8784;
-constexpr std::uint16_t kReadinessPort = 8785;
-constexpr std::uint16_t kDatabasePort = 9000;
 constexpr const char* kPromotionAddress = "10.9.0.1";
 constexpr std::size_t kBackendsPerGroup = 3;
 constexpr Duration kPromotionTakes = milliseconds(300);
@@ -104,6 +100,7 @@
       database.lost_answers = settings_.lost_answers;
       database.work = settings_.work;
       database.tenants = &tenant_history_;
+      database.tells_birth = settings_.backends_tell_birth;
       members_[name] = {models.back(), names[place]};
       GroupModel* model = models.back();
       world_.start({name, address_of(name), database.zone},
@@ -313,41 +310,18 @@
   return newest;
 }
 
-bool RegisteredFleet::is_ready(const std::string& proxy) {
-  runtime::HttpRequest request;
-  request.target = platform::session_edge().readiness_path;
-  auto result = std::make_shared<std::optional<runtime::HttpResponse>>();
-  VirtualRuntime& operators = world_.runtime("operator");
-  operators.spawn("operator", call(operators, {address_of(proxy), kReadinessPort}, request, result));
-  world_.run_until([&] { return result->has_value() && (*result)->status != 0; }, kCallTimeout);
-  return result->has_value() && (*result)->status == 200;
-}
-
-bool RegisteredFleet::is_registered(const BackendName& backend) {
-  const std::string name = leader();
-  return !name.empty() && control::registered::fleet_of(world_.role(name)).find_backend(backend) != nullptr;
-}
-
-bool RegisteredFleet::deliver_late_heartbeat(const std::string& place, const BackendName& former) {
-  DatabaseSettings settings;
-  settings.backend = former;
-  settings.endpoint = {address_of(place), kDatabasePort};
-  settings.zone = ZoneName(kZones[0]);
-  const GroupName group = members_.at(place).first->name();
-  const runtime::HttpRequest request = standins::unfenced::print_heartbeat(settings, group, {});
+unsigned RegisteredFleet::ask(const Endpoint& endpoint, runtime::HttpRequest request) {
   auto result = std::make_shared<std::optional<runtime::HttpResponse>>();
   VirtualRuntime& operators = world_.runtime("operator");
-  operators.spawn("late_heartbeat",
-                  call(operators, control_endpoints(kOperatorPort).front(), request, result));
+  operators.spawn("operator", call(operators, endpoint, std::move(request), result));
   world_.run_until([&] { return result->has_value() && (*result)->status != 0; }, kCallTimeout);
-  return result->has_value() && (*result)->status == 200;
+  return result->has_value() ? (*result)->status : 0;
 }
 
-bool RegisteredFleet::is_leaving(const BackendName& backend) {
-  const std::string name = leader();
-  if (name.empty()) return false;
-  const auto* entry = control::registered::fleet_of(world_.role(name)).find_backend(backend);
-  return entry != nullptr && entry->leaving;
+bool RegisteredFleet::is_ready(const std::string& proxy) {
+  runtime::HttpRequest request;
+  request.target = platform::session_edge().readiness_path;
+  return ask({address_of(proxy), kReadinessPort}, std::move(request)) == 200;
 }
 
 bool RegisteredFleet::is_open(const GroupName& group) {
--- a/simulation/registered_fleet.h
+++ b/simulation/registered_fleet.h
@@ -28,6 +28,7 @@
   std::vector<registry::TenantRule> tenants;
   Duration key_bound = std::chrono::seconds(5);
   Duration caller_pause = std::chrono::milliseconds(20);  ///< between a caller's operations
+  bool backends_tell_birth = false;
   bool print_log = false;
 };
 
@@ -55,6 +56,8 @@
   void kill(const std::string& name);
   void vanish(const std::string& name);
   void restart(const std::string& name);
+  /// A database ends, and starts again under its name with nothing of its log.
+  void restart_empty(const std::string& name);
   /// SIGTERM: the node drains, then ends.
   void terminate(const std::string& name);
   /// Kills a control node and starts it again on an empty disk.
@@ -76,6 +79,11 @@
   bool is_registered(const BackendName& backend);
   /// A heartbeat that a former incarnation of `place` sent comes now; true when it is acknowledged.
   bool deliver_late_heartbeat(const std::string& place, const BackendName& former);
+  /// The start of the life of a backend that the leader holds; 0: none.
+  std::uint64_t registered_birth(const BackendName& backend);
+  /// A heartbeat that a life of `place` sent comes now, at `node` (a control node or proxy); the status.
+  unsigned deliver_heartbeat(const std::string& node, const std::string& place,
+                             const standins::unfenced::Heartbeat& heartbeat);
   /// Proxies among which the leader has the groups divided.
   std::size_t working_proxies();
   standins::unfenced::GroupModel& group(std::size_t number = 1) { return *models_[number - 1]; }
@@ -98,6 +106,11 @@
   void start_databases();
   void start_callers();
   std::string document(std::uint64_t version) const;
+  /// The status of the answer; 0: there was none.
+  unsigned ask(const Endpoint& endpoint, runtime::HttpRequest request);
+  unsigned deliver(const std::string& node, const std::string& place, const BackendName& backend,
+                   const standins::unfenced::Heartbeat& heartbeat);
+  [[nodiscard]] static ZoneName zone_of(const std::string& place);
   [[nodiscard]] std::string address_of(const std::string& name) const;
   [[nodiscard]] std::vector<Endpoint> control_endpoints(std::uint16_t port) const;
 
--- a/src/control/registered/promotion_choice.cpp
+++ b/src/control/registered/promotion_choice.cpp
@@ -74,12 +74,38 @@
 bool reaches_acknowledged(const MemberFinding& candidate, const PromotionFacts& facts) {
   if (!facts.all_acknowledgers_answered) return false;
   const Position& position = candidate.status->received;
-  // Proxies that started since the term opened know of no commits of earlier ones; entries of this term say
-  // that it has them.
+  // Proxies that started since the term opened know of no commits of earlier ones. Entries of this term say
+  // that a log has those; that of a life which joined since may lack them.
   const bool has_earlier = !candidate.joined_in_term || position.term >= facts.closed.term;
   return has_earlier && position >= facts.highest_acknowledged;
 }
 
+/// Whether the group never had a commit, for all that can be known: it had one term, and no proxy was lost
+/// that may have acknowledged anything in it.
+bool is_unwritten(const PromotionFacts& facts) {
+  constexpr std::uint64_t kEpochOfFirstClose = 2;
+  return facts.closed.epoch <= kEpochOfFirstClose && facts.all_acknowledgers_answered &&
+         facts.highest_acknowledged.index == 0;
+}
+
+/// Whether an empty log says nothing, as a life that tells its start may have lost what it held.
+bool is_empty_of_unknown(const MemberFinding& candidate, const PromotionFacts& facts) {
+  return candidate.entry.tells_birth() && candidate.status->received.index == 0 && !is_unwritten(facts);
+}
+
+bool reaches_old_primary(const MemberFinding& candidate, const PromotionFacts& facts) {
+  return std::any_of(facts.members.begin(), facts.members.end(), [&](const MemberFinding& member) {
+    return shows_old_log(member, facts) && candidate.status->received >= member.status->received;
+  });
+}
+
+bool all_replicas_compared(const PromotionFacts& facts) {
+  return std::all_of(facts.members.begin(), facts.members.end(), [&](const MemberFinding& member) {
+    // The primary's next life was no replica of it.
+    return member.entry.name == facts.closed.primary || was_compared(member, facts);
+  });
+}
+
 struct Proof {
   bool holds_all = false;
   std::string why;
@@ -87,23 +113,18 @@
 
 Proof prove(const MemberFinding& candidate, const PromotionFacts& facts) {
   const Position& position = candidate.status->received;
-  if (is_blank(candidate, facts)) return {false, candidate.entry.name.value + " has lost its log"};
+  const std::string name = candidate.entry.name.value;
+  if (is_blank(candidate, facts)) return {false, name + " has lost its log"};
+  if (reaches_old_primary(candidate, facts)) return {true, "it reaches the old primary's position"};
+  if (is_empty_of_unknown(candidate, facts)) return {false, name + " may have lost its log"};
   if (reaches_acknowledged(candidate, facts))
     return {true, "it reaches the highest position that any proxy acknowledged"};
-  bool any_replica_missing = false;
-  for (const MemberFinding& member : facts.members) {
-    if (shows_old_log(member, facts) && position >= member.status->received)
-      return {true, "it reaches the old primary's position"};
-    // The primary's next life was no replica of it.
-    if (member.entry.name == facts.closed.primary) continue;
-    if (!was_compared(member, facts)) any_replica_missing = true;
-  }
   const bool reaches_known = !facts.replaced_life_is_unsettled && position >= facts.highest_acknowledged;
   const bool nobody_left = facts.members_are_stable || reaches_known;
-  if (!any_replica_missing && facts.synchronous_replicas > 0 && nobody_left)
+  if (all_replicas_compared(facts) && facts.synchronous_replicas > 0 && nobody_left)
     return {true, "it is the furthest of all replicas"};
-  return {false, fmt::format("{} at {}.{} may lack acknowledged commits", candidate.entry.name.value,
-                             position.term, position.index)};
+  return {false,
+          fmt::format("{} at {}.{} may lack acknowledged commits", name, position.term, position.index)};
 }
 
 /// Whether nobody can be found any more who holds more: the primary's life is over, and all others answer.
--- a/src/session/group_access.h
+++ b/src/session/group_access.h
@@ -166,6 +166,8 @@
   void note_replica(BackendUse& backend, const ReadNeed& need, std::optional<Position> shown);
   /// A primary of the open term showed `position` to a question sent at `asked_at`.
   void note_primary_position(TimePoint asked_at, Position position) { positions_.note(asked_at, position); }
+  /// What it showed last; empty: nothing since the last change of primary.
+  [[nodiscard]] std::optional<Position> primary_shown() const { return positions_.last(); }
   [[nodiscard]] const std::map<BackendName, std::shared_ptr<BackendUse>>& backends() const {
     return backends_;
   }
--- a/src/session/member_lease_keeper.cpp
+++ b/src/session/member_lease_keeper.cpp
@@ -16,6 +16,7 @@
       : term(asked_term), answered(runtime), deadline(runtime.now() + kMemberRoundLimit) {}
 
   registry::GroupTerm term;
+  Position primary_shows;  ///< what the primary showed last, as far as this proxy knows
   std::size_t unanswered = 0;
   std::string failure;  ///< empty: every answer so far allows the lease
   runtime::Signal answered;
@@ -51,6 +52,7 @@
   const TimePoint asked_at = runtime_.now();
   const auto round = std::make_shared<Round>(runtime_, group->term());
   const std::uint64_t membership = group->membership();
+  round->primary_shows = std::max(group->highest_acknowledged(), group->primary_shown().value_or(Position{}));
   for (const auto& [name, member] : group->backends()) {
     if (name == round->term.primary) continue;
     ++round->unanswered;
@@ -94,13 +96,18 @@
                                  status->is_primary ? "primary" : "replica", status->term, round->term.term);
   } else if (status->pause_term > 0) {
     round->failure = fmt::format("{} is paused for term {}", name, status->pause_term);
-  } else if (member->entry.tells_birth() && !member->note_shown(status->term, status->received)) {
+  } else if (member->entry.tells_birth() && has_lost_log(*round, *member, status->received)) {
     // Its pause, if there was one, ended with the life that the round was to ask.
-    round->failure = fmt::format("{} shows less than before, so that it has started again", name);
+    round->failure = fmt::format("{} shows less than it should, so that it has started again", name);
   }
   round->answered.notify_all();
 }
 
+bool MemberLeaseKeeper::has_lost_log(const Round& round, BackendUse& member, Position received) {
+  const bool is_blank = received.index == 0 && round.primary_shows.index > 0;
+  return !member.note_shown(round.term.term, received) || is_blank;
+}
+
 void MemberLeaseKeeper::note_refused(const GroupAccess& group, const std::string& why) {
   std::string& told = told_[group.group()];
   if (told == why) return;
--- a/standins/unfenced/database.cpp
+++ b/standins/unfenced/database.cpp
@@ -38,7 +38,10 @@
 class DatabaseRole : public Database {
  public:
   DatabaseRole(runtime::Runtime& runtime, GroupModel& model, DatabaseSettings settings)
-      : runtime_(runtime), model_(model), settings_(std::move(settings)) {}
+      : runtime_(runtime), model_(model), settings_(std::move(settings)) {
+    const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(runtime.now().time_since_epoch());
+    if (settings_.tells_birth) born_ms_ = 1 + static_cast<std::uint64_t>(now.count());
+  }
 
   Awaitable<bool> start(Reason& reason) override {
     listener_ = runtime_.lines().listen(settings_.endpoint, reason);
@@ -99,7 +102,7 @@
   }
 
   runtime::HttpRequest heartbeat(bool deregisters) {
-    const Heartbeat said{leaving_, state().primary, ++sequence_};
+    const Heartbeat said{leaving_, state().primary, ++sequence_, born_ms_};
     runtime::HttpRequest request = print_heartbeat(settings_, model_.name(), said);
     if (!deregisters) return request;
     request.method = runtime::HttpMethod::kDelete;
@@ -328,6 +331,7 @@
   std::vector<std::weak_ptr<runtime::LineConnection>> open_;
   std::size_t next_control_ = 0;
   std::uint64_t sequence_ = 0;
+  std::uint64_t born_ms_ = 0;
   std::uint64_t statements_run_ = 0;
   std::optional<Endpoint> heartbeat_endpoint_;  ///< told in an answer; until a heartbeat fails there
   std::uint64_t heartbeats_elsewhere_ = 0;
@@ -380,13 +384,14 @@
 
 runtime::HttpRequest print_heartbeat(const DatabaseSettings& settings, const GroupName& group,
                                      const Heartbeat& heartbeat) {
-  const boost::json::value body{{"Service", group.value},
-                                {"Addr", settings.endpoint.to_string()},
-                                {"Zone", settings.zone.value},
-                                {"Slots", settings.slots},
-                                {"State", heartbeat.leaving ? "draining" : "ready"},
-                                {"DbRole", heartbeat.is_primary ? "primary" : "replica"},
-                                {"Seq", heartbeat.sequence}};
+  boost::json::object body{{"Service", group.value},
+                           {"Addr", settings.endpoint.to_string()},
+                           {"Zone", settings.zone.value},
+                           {"Slots", settings.slots},
+                           {"State", heartbeat.leaving ? "draining" : "ready"},
+                           {"DbRole", heartbeat.is_primary ? "primary" : "replica"},
+                           {"Seq", heartbeat.sequence}};
+  if (heartbeat.born_ms > 0) body["born"] = heartbeat.born_ms;
   runtime::HttpRequest request;
   request.method = runtime::HttpMethod::kPut;
   request.target = "/instances/" + settings.backend.value;
--- a/standins/unfenced/database.h
+++ b/standins/unfenced/database.h
@@ -21,6 +21,7 @@
   Duration work = std::chrono::milliseconds(3);
   TenantHistory* tenants = nullptr;  ///< what is run is noted there; null: nowhere
   double lost_answers = 0;           ///< share of statements that are run and not answered
+  bool tells_birth = false;          ///< heartbeats say when it started
 };
 
 /// What a test tells a running database.
@@ -46,6 +47,7 @@
   bool leaving = false;
   bool is_primary = false;
   std::uint64_t sequence = 0;
+  std::uint64_t born_ms = 0;  ///< 0: not said
 };
 runtime::HttpRequest print_heartbeat(const DatabaseSettings& settings, const GroupName& group,
                                      const Heartbeat& heartbeat);
--- a/standins/unfenced/group_model.cpp
+++ b/standins/unfenced/group_model.cpp
@@ -89,6 +89,12 @@
   if (!member.primary && term > newest_term_) member.pause_term = term;
 }
 
+void GroupModel::forget(const BackendName& name) {
+  const Duration lag = members_.at(name).lag;
+  members_[name] = MemberState{};
+  members_[name].lag = lag;
+}
+
 std::uint64_t GroupModel::applied(const BackendName& name, TimePoint now) const {
   const MemberState& member = members_.at(name);
   std::uint64_t count = 0;
--- a/standins/unfenced/group_model.h
+++ b/standins/unfenced/group_model.h
@@ -61,6 +61,9 @@
   void pause(const BackendName& name, std::uint64_t term);
   void resume(const BackendName& name) { members_.at(name).pause_term = 0; }
 
+  /// Starts again with nothing; its next life is what it is told to be.
+  void forget(const BackendName& name);
+
   /// Entries applied at `now`.
   [[nodiscard]] std::uint64_t applied(const BackendName& name, TimePoint now) const;
   /// Tokens of one record at one member, in order, joined by commas.
--- a/tests/control/registered/member_lease_model_test.cpp
+++ b/tests/control/registered/member_lease_model_test.cpp
@@ -2,8 +2,10 @@
 // two members that may follow the primary, and the leader that promotes one of them. Time passes in ticks.
 // The promise: from the moment a promotion takes effect the proxy holds no lease for the old primary.
 //
-// Assumed, as the design does: clocks run alike within the margin of the leader's wait, and no member
-// restarts between the leader's last look at it and the effect of the promotion (0.3 s).
+// A member may start again under its name between any two steps: it has no pause and no log then, until it
+// has caught up with the old primary, and nobody has heard of its new life. Assumed, as the design does:
+// clocks run alike within the margin of the leader's wait, and no member restarts *and catches up* between
+// the leader's last look at it and the effect of the promotion (0.3 s).
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
 
@@ -41,11 +43,13 @@
   bool lease_counts_from_question = true;
   bool proxy_stops_in_the_end = true;
   bool new_member_ends_lease = true;
+  bool proxy_minds_lost_log = true;
 };
 
 struct Member {
   bool paused = false;
   bool leads_next_term = false;
+  bool lost_log = false;  ///< it started again, and has not caught up
   auto operator<=>(const Member&) const = default;
 };
 
@@ -111,9 +115,10 @@
     std::string text;
     for (int place = 0; place < kMembers; ++place) {
       const Member& member = state.members[place];
-      text += fmt::format("{}{}{} pause {} wait {}, ", place == 0 ? "A" : "B", member.paused ? " paused" : "",
-                          member.leads_next_term ? " leads" : "", static_cast<int>(state.pauses[place]),
-                          state.wait_left[place]);
+      text +=
+          fmt::format("{}{}{}{} pause {} wait {}, ", place == 0 ? "A" : "B", member.paused ? " paused" : "",
+                      member.leads_next_term ? " leads" : "", member.lost_log ? " lost" : "",
+                      static_cast<int>(state.pauses[place]), state.wait_left[place]);
     }
     return text + fmt::format(
                       "lease {} serve {} asking {} age {} answered {}{} B new {} promoting {} leader {} "
@@ -131,6 +136,7 @@
       pause_steps(state, member);
       promotion_steps(state, member);
       restart(state, member);
+      catch_up(state, member);
     }
     next_leader(state);
   }
@@ -193,6 +199,7 @@
     if (place == 1 && !state.knows_b) return;
     if (member.paused && guards_.proxy_minds_pause) return;
     if (member.leads_next_term && guards_.proxy_minds_term) return;
+    if (member.lost_log && guards_.proxy_minds_lost_log) return;
     State told = state;
     told.answered[place] = true;
     visit(told);
@@ -236,7 +243,7 @@
     }
     if (state.promoting != place) return;
     State led = state;
-    led.members[place] = Member{false, true};
+    led.members[place] = Member{false, true, led.members[place].lost_log};
     led.done = true;
     visit(led);
     // The others receive again once the new primary was seen to lead.
@@ -245,13 +252,21 @@
   }
 
   void restart(const State& state, int place) {
-    if (state.promoting >= 0 || state.restarts >= kMostRestarts) return;
+    if (state.restarts >= kMostRestarts) return;
     State restarted = state;
     ++restarted.restarts;
-    restarted.members[place].paused = false;
+    restarted.members[place] = Member{false, false, true};
     visit(restarted);
   }
 
+  /// From the old primary, which may still run.
+  void catch_up(const State& state, int place) {
+    if (!state.members[place].lost_log || state.members[place].paused || state.promoting >= 0) return;
+    State caught_up = state;
+    caught_up.members[place].lost_log = false;
+    visit(caught_up);
+  }
+
   /// Finds the group closed, and knows nothing of the pauses of the one before.
   void next_leader(const State& state) {
     if (state.done || state.promoting >= 0 || state.leaders >= kMostLeaders) return;
@@ -301,6 +316,7 @@
                      [](Guards& guards) { guards.lease_counts_from_question = false; });
     expect_violation("proxy_stops_in_the_end", [](Guards& guards) { guards.proxy_stops_in_the_end = false; });
     expect_violation("new_member_ends_lease", [](Guards& guards) { guards.new_member_ends_lease = false; });
+    expect_violation("proxy_minds_lost_log", [](Guards& guards) { guards.proxy_minds_lost_log = false; });
   }
 
  private:
--- /dev/null
+++ b/tests/control/registered/member_pauses_test.cpp
@@ -0,0 +1,163 @@
+// A pause is of one life of a member: the next one under its name is not paused, and not known as long.
+#include "control/registered/member_pauses.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "registry/member_lease.h"
+#include "simulation/world.h"
+#include "wire/codec.h"
+
+namespace cairnhollow::control::registered {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint64_t kTerm = 3;
+constexpr std::uint64_t kKnowsAll = 1'000'000;
+
+/// Every member answers as a replica that is paused.
+class PausedLink : public session::BackendLink {
+ public:
+  Awaitable<std::optional<session::Answer>> run(session::BackendRequest /*request*/, TimePoint /*deadline*/,
+                                                runtime::SendState& /*sent*/, Reason& /*reason*/) override {
+    co_return session::Answer{};
+  }
+  std::optional<session::BackendStatus> read_status(const session::Answer& /*answer*/,
+                                                    Reason& /*reason*/) override {
+    return session::BackendStatus{false, kTerm, {kTerm, 7}, kTerm + 1};
+  }
+  void close() override { open_ = false; }
+  [[nodiscard]] bool is_open() const override { return open_; }
+  [[nodiscard]] std::string peer() const override { return "member"; }
+
+ private:
+  bool open_ = true;
+};
+
+class PausedDialer : public session::BackendDialer {
+ public:
+  Awaitable<std::shared_ptr<session::BackendLink>> open(session::BackendAddress /*address*/,
+                                                        TimePoint /*deadline*/,
+                                                        std::optional<session::Refusal>& /*refusal*/,
+                                                        Reason& /*reason*/) override {
+    links.push_back(std::make_shared<PausedLink>());
+    co_return links.back();
+  }
+  std::vector<std::shared_ptr<PausedLink>> links;
+};
+
+}  // namespace
+
+class MemberPausesTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(MemberPausesTest);
+  CPPUNIT_TEST(a_pause_ends_with_the_life_that_was_paused);
+  CPPUNIT_TEST(a_next_life_is_new_to_silent_proxies);
+  CPPUNIT_TEST(the_next_life_of_the_primary_is_paused_as_well);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    world_ = std::make_unique<simulation::World>(simulation::WorldSettings{});
+    runtime_ = &world_->start_bare({"node", "10.0.0.1", ZoneName("a")});
+    fleet_ = std::make_unique<registry::FleetStateMachine>(*runtime_);
+    prober_ = std::make_unique<GroupProber>(*runtime_, dialer_);
+    pauses_ = std::make_unique<MemberPauses>(*runtime_, *fleet_, *prober_);
+    registry::ConfigurationDocument document;
+    document.version = 1;
+    document.groups = {registry::GroupRule{GroupName("records"), 30, 1}};
+    apply(registry::ReplaceDocument{document});
+    put("old", 1, 1000);
+    put("a", 2, 1000);
+    closed_.group = GroupName("records");
+    closed_.term = kTerm;
+    closed_.primary = BackendName("old");
+    closed_.primary_born_ms = 1000;
+    closed_.epoch = 2;
+  }
+  void tearDown() override {
+    pauses_.reset();
+    prober_.reset();
+    fleet_.reset();
+    dialer_.links.clear();
+    world_.reset();
+  }
+
+  void a_pause_ends_with_the_life_that_was_paused() {
+    pause();
+    world_->run_for(registry::kMemberLeaseWait);
+    CPPUNIT_ASSERT(hold("a", kKnowsAll));
+    const auto former = dialer_.links.back();
+    put("a", 2, 2000);
+    CPPUNIT_ASSERT_MESSAGE("another was paused", !hold("a", kKnowsAll));
+    CPPUNIT_ASSERT(pauses_->quiet_at(closed_, kKnowsAll) == TimePoint::max());
+    pause();
+    CPPUNIT_ASSERT_MESSAGE("asked over a link of its own", !former->is_open());
+    CPPUNIT_ASSERT_MESSAGE("paused just now", !hold("a", kKnowsAll));
+    world_->run_for(registry::kMemberLeaseWait);
+    CPPUNIT_ASSERT(hold("a", kKnowsAll));
+  }
+
+  void a_next_life_is_new_to_silent_proxies() {
+    world_->run_for(registry::kServeWithoutControl + registry::kMemberLease);
+    pause();
+    world_->run_for(registry::kMemberLeaseWait);
+    CPPUNIT_ASSERT(hold("a", 0));
+    put("a", 2, 2000);
+    pause();
+    world_->run_for(registry::kMemberLeaseWait);
+    CPPUNIT_ASSERT(!hold("a", 0));
+    world_->run_for(registry::kServeWithoutControl + registry::kMemberLease);
+    CPPUNIT_ASSERT(hold("a", 0));
+  }
+
+  void the_next_life_of_the_primary_is_paused_as_well() {
+    pause();
+    world_->run_for(registry::kMemberLeaseWait);
+    CPPUNIT_ASSERT(!hold("old", kKnowsAll));
+    put("old", 1, 2000);
+    pause();
+    world_->run_for(registry::kMemberLeaseWait);
+    CPPUNIT_ASSERT(hold("old", kKnowsAll));
+  }
+
+ private:
+  void apply(registry::Command command) {
+    registry::LoggedCommand logged{std::move(command)};
+    fleet_->apply(++index_, wire::encode_from(logged, wire::kWrittenFormat));
+  }
+  void put(const std::string& name, std::uint16_t port, std::uint64_t born_ms) {
+    registry::BackendEntry entry;
+    entry.name = BackendName(name);
+    entry.group = GroupName("records");
+    entry.endpoint = {"10.0.0.9", port};
+    entry.born_ms = born_ms;
+    entry.sequence = 1;
+    apply(registry::RegisterBackend{entry});
+    pauses_->note_members();
+  }
+  void pause() {
+    runtime_->spawn("pause", pauses_->pause(closed_));
+    world_->run_for(milliseconds(50));
+  }
+  bool hold(const std::string& name, std::uint64_t silent_revision) {
+    const session::BackendStatus paused{false, kTerm, {kTerm, 7}, kTerm + 1};
+    std::vector<MemberFinding> findings;
+    for (const auto& entry : fleet_->backends()) findings.push_back({entry, paused, false});
+    return pauses_->hold(closed_, silent_revision, findings, BackendName(name));
+  }
+
+  std::unique_ptr<simulation::World> world_;
+  runtime::Runtime* runtime_ = nullptr;
+  std::unique_ptr<registry::FleetStateMachine> fleet_;
+  PausedDialer dialer_;
+  std::unique_ptr<GroupProber> prober_;
+  std::unique_ptr<MemberPauses> pauses_;
+  registry::GroupTerm closed_;
+  std::uint64_t index_ = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MemberPausesTest);
+
+}  // namespace cairnhollow::control::registered
--- a/tests/control/registered/promotion_choice_test.cpp
+++ b/tests/control/registered/promotion_choice_test.cpp
@@ -47,6 +47,14 @@
   CPPUNIT_TEST(a_primary_of_a_newer_term_is_adopted);
   CPPUNIT_TEST(of_equal_ones_who_stays);
   CPPUNIT_TEST(not_without_a_synchronous_replica);
+  CPPUNIT_TEST(not_by_a_primary_that_answers_with_nothing);
+  CPPUNIT_TEST(a_restarted_primary_is_not_the_old_one);
+  CPPUNIT_TEST(a_replica_without_its_log_was_not_compared);
+  CPPUNIT_TEST(a_replaced_life_may_have_been_the_only_one_to_hold_a_commit);
+  CPPUNIT_TEST(nothing_left_keeps_to_the_furthest);
+  CPPUNIT_TEST(who_joined_in_the_term_needs_entries_of_it);
+  CPPUNIT_TEST(a_newer_primary_without_a_log_is_not_adopted);
+  CPPUNIT_TEST(a_group_without_commits_gets_a_primary);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -126,6 +134,130 @@
     loose.synchronous_replicas = 0;
     CPPUNIT_ASSERT(choose_promotion(loose, true).verdict == PromotionVerdict::kNotYet);
   }
+
+  void not_by_a_primary_that_answers_with_nothing() {
+    // It started again and has not registered yet: its former life's position is not known.
+    auto known =
+        facts({life("old", 1000, replica(0)), life("a", 1000, replica(7)), life("b", 1000, std::nullopt)});
+    known.closed.primary_born_ms = 1000;
+    CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kNotYet);
+    known.members.front().status = leading(0);
+    CPPUNIT_ASSERT_MESSAGE("nor used again",
+                           choose_promotion(known, true).verdict == PromotionVerdict::kNotYet);
+    known.members.front().status = leading(7);
+    CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kPromote);
+    known.members.front().status = leading(8);
+    CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kReopen);
+  }
+
+  void a_restarted_primary_is_not_the_old_one() {
+    auto known =
+        facts({life("old", 2000, leading(3)), life("a", 1000, replica(7)), life("b", 1000, std::nullopt)});
+    known.closed.primary_born_ms = 1000;
+    CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kNotYet);
+    known.all_acknowledgers_answered = true;
+    known.highest_acknowledged = {3, 7};
+    const auto choice = choose_promotion(known, true);
+    CPPUNIT_ASSERT(choice.verdict == PromotionVerdict::kPromote && !choice.is_unproved);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), choice.backend.value);
+    // It came back with its log, as primary: then it may go on, as the life that it is.
+    known.members.front().status = leading(8);
+    CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kReopen);
+  }
+
+  void a_replica_without_its_log_was_not_compared() {
+    auto known =
+        facts({life("old", 1000, std::nullopt), life("a", 1000, replica(7)), life("b", 1000, replica(0))});
+    known.members_are_stable = true;
+    CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kNotYet);
+    for (MemberFinding& member : known.members) member.entry.born_ms = 0;
+    CPPUNIT_ASSERT_MESSAGE("who tells no start loses no log",
+                           choose_promotion(known, true).verdict == PromotionVerdict::kPromote);
+  }
+
+  void a_replaced_life_may_have_been_the_only_one_to_hold_a_commit() {
+    auto known =
+        facts({life("old", 1000, std::nullopt), life("a", 1000, replica(7)), life("b", 2000, replica(5))});
+    known.highest_acknowledged = {3, 6};  // a proxy did not answer
+    CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kPromote);
+    known.replaced_life_is_unsettled = true;
+    CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kNotYet);
+    known.all_acknowledgers_answered = true;
+    CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kPromote);
+  }
+
+  void nothing_left_keeps_to_the_furthest() {
+    // Both that held the newest commits started again.
+    auto known =
+        facts({life("old", 2000, replica(0)), life("a", 1000, replica(7)), life("b", 2000, replica(0))});
+    known.closed.primary_born_ms = 1000;
+    known.replaced_life_is_unsettled = true;
+    known.highest_acknowledged = {3, 9};
+    const auto choice = choose_promotion(known, true);
+    CPPUNIT_ASSERT(choice.verdict == PromotionVerdict::kPromote && choice.is_unproved);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), choice.backend.value);
+    known.members.back().status.reset();
+    CPPUNIT_ASSERT_MESSAGE("one that does not answer may hold them",
+                           choose_promotion(known, true).verdict == PromotionVerdict::kNotYet);
+    known.members.back().status = replica(0);
+    known.members.front().entry.born_ms = 1000;
+    CPPUNIT_ASSERT_MESSAGE("so may the old primary's life",
+                           choose_promotion(known, true).verdict == PromotionVerdict::kNotYet);
+  }
+
+  void who_joined_in_the_term_needs_entries_of_it() {
+    // No proxy acknowledged anything in this term; those that did before have started again since.
+    auto known =
+        facts({life("old", 1000, std::nullopt), life("a", 2000, session::BackendStatus{false, 3, {2, 5}}),
+               life("b", 1000, std::nullopt)});
+    known.all_acknowledgers_answered = true;
+    CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kPromote);
+    known.members[1].joined_in_term = true;
+    CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kNotYet);
+    known.members[1].status = replica(6);
+    CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kPromote);
+    known.members[1].joined_in_term = false;
+    known.members[1].status = replica(0);
+    known.closed.epoch = 4;
+    CPPUNIT_ASSERT_MESSAGE("it may have joined unregistered",
+                           choose_promotion(known, true).verdict == PromotionVerdict::kNotYet);
+  }
+
+  void a_newer_primary_without_a_log_is_not_adopted() {
+    auto known =
+        facts({life("old", 1000, std::nullopt), life("a", 1000, leading(0, 4)), life("b", 1000, replica(7))});
+    CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kNotYet);
+    known.members[1].status = leading(6, 4);
+    CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kAdopt);
+  }
+
+  void a_group_without_commits_gets_a_primary() {
+    auto known =
+        facts({life("old", 1000, std::nullopt), life("a", 1000, replica(0)), life("b", 1000, std::nullopt)});
+    known.members_are_stable = true;
+    known.closed.epoch = 2;
+    known.all_acknowledgers_answered = true;
+    CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kPromote);
+    known.members.back().status = replica(0);
+    known.all_acknowledgers_answered = false;
+    CPPUNIT_ASSERT_MESSAGE("a proxy was lost that may know better",
+                           choose_promotion(known, true).verdict == PromotionVerdict::kNotYet);
+    known.all_acknowledgers_answered = true;
+    known.closed.epoch = 4;
+    CPPUNIT_ASSERT_MESSAGE("there may be commits of an earlier term",
+                           choose_promotion(known, true).verdict == PromotionVerdict::kNotYet);
+    known.members.front().status = leading(0);
+    CPPUNIT_ASSERT_MESSAGE("the primary shows that there is none",
+                           choose_promotion(known, true).verdict == PromotionVerdict::kPromote);
+  }
+
+ private:
+  static MemberFinding life(const std::string& name, std::uint64_t born_ms,
+                            std::optional<session::BackendStatus> status) {
+    MemberFinding member = finding(name, status);
+    member.entry.born_ms = born_ms;
+    return member;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PromotionChoiceTest);
--- /dev/null
+++ b/tests/control/registered/registration_service_test.cpp
@@ -0,0 +1,142 @@
+// What a control node does with registrations of lives of backends that are over, or that replace others.
+#include "control/registered/registration_service.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "simulation/world.h"
+#include "tests/support/applied_log.h"
+
+namespace cairnhollow::control::registered {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Nobody answers clearly at any address.
+class SilentDialer : public session::BackendDialer {
+ public:
+  Awaitable<std::shared_ptr<session::BackendLink>> open(session::BackendAddress /*address*/,
+                                                        TimePoint /*deadline*/,
+                                                        std::optional<session::Refusal>& /*refusal*/,
+                                                        Reason& /*reason*/) override {
+    co_return nullptr;
+  }
+};
+
+registry::BackendEntry life(const std::string& name, std::uint64_t sequence, std::uint64_t born_ms) {
+  registry::BackendEntry entry;
+  entry.name = BackendName(name);
+  entry.group = GroupName("records");
+  entry.endpoint = {"10.0.0.9", 9000};
+  entry.sequence = sequence;
+  entry.born_ms = born_ms;
+  return entry;
+}
+
+/// One control node that leads.
+struct Node {
+  explicit Node(runtime::Runtime& runtime)
+      : fleet(runtime),
+        log(fleet),
+        directory({}, log),
+        calls(runtime, log, directory, NodeName("node"), {"10.0.0.1", 7440}),
+        voters(runtime, log, directory, 0),
+        prober(runtime, dialer),
+        service(runtime, log, fleet, calls, voters, prober) {}
+
+  registry::FleetStateMachine fleet;
+  tests::AppliedLog log;
+  ControlNodeDirectory directory;
+  LeaderCalls calls;
+  VoterKeeper voters;
+  SilentDialer dialer;
+  GroupProber prober;
+  RegistrationService service;
+};
+
+}  // namespace
+
+class RegistrationServiceTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RegistrationServiceTest);
+  CPPUNIT_TEST(a_next_life_is_taken_and_a_late_word_of_the_former_one_is_not);
+  CPPUNIT_TEST(a_removed_backend_comes_back_in_its_next_life);
+  CPPUNIT_TEST(a_former_backend_of_the_address_displaces_nobody);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    world_ = std::make_unique<simulation::World>(simulation::WorldSettings{});
+    runtime_ = &world_->start_bare({"node", "10.0.0.1", ZoneName("a")});
+    node_ = std::make_unique<Node>(*runtime_);
+  }
+  void tearDown() override {
+    node_.reset();
+    world_.reset();
+  }
+
+  void a_next_life_is_taken_and_a_late_word_of_the_former_one_is_not() {
+    CPPUNIT_ASSERT(say(life("b1", 70, 1000)));
+    CPPUNIT_ASSERT(say(life("b1", 1, 2000)));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2000}, held("b1")->born_ms);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, node_->service.counts().replaced);
+    registry::BackendEntry late = life("b1", 71, 1000);
+    late.leaving = true;
+    CPPUNIT_ASSERT_MESSAGE("acknowledged, since it binds whoever serves", say(late));
+    CPPUNIT_ASSERT(!held("b1")->leaving);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, node_->service.counts().outdated);
+  }
+
+  void a_removed_backend_comes_back_in_its_next_life() {
+    CPPUNIT_ASSERT(say(life("b1", 5, 1000)));
+    CPPUNIT_ASSERT(remove("b1"));
+    CPPUNIT_ASSERT(say(life("b1", 6, 1000)));
+    CPPUNIT_ASSERT(held("b1") == nullptr);
+    CPPUNIT_ASSERT(say(life("b1", 1, 2000)));
+    CPPUNIT_ASSERT(held("b1") != nullptr);
+    CPPUNIT_ASSERT_MESSAGE("and may be removed again", remove("b1"));
+    CPPUNIT_ASSERT(held("b1") == nullptr);
+  }
+
+  void a_former_backend_of_the_address_displaces_nobody() {
+    CPPUNIT_ASSERT(say(life("b2", 1, 2000)));
+    CPPUNIT_ASSERT(say(life("b1", 9, 1000)));
+    CPPUNIT_ASSERT(held("b2") != nullptr);
+    CPPUNIT_ASSERT(held("b1") == nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, node_->service.counts().outdated);
+  }
+
+ private:
+  const registry::BackendEntry* held(const std::string& name) {
+    return node_->fleet.find_backend(BackendName(name));
+  }
+  bool say(const registry::BackendEntry& entry) {
+    return run([&](Reason& reason) -> Awaitable<bool> {
+      const auto taken = co_await node_->service.register_backend(entry, reason);
+      co_return taken.has_value();
+    });
+  }
+  bool remove(const std::string& name) {
+    return run([&](Reason& reason) { return node_->service.deregister_backend(BackendName(name), reason); });
+  }
+  template <class Call>
+  bool run(const Call& call) {
+    std::optional<bool> done;
+    Reason reason;
+    const auto task = [&]() -> Awaitable<void> {
+      const bool taken = co_await call(reason);
+      done = taken;
+    };
+    runtime_->spawn("call", task());
+    world_->run_until([&] { return done.has_value(); }, seconds(2));
+    return done.value_or(false);
+  }
+
+  std::unique_ptr<simulation::World> world_;
+  runtime::Runtime* runtime_ = nullptr;
+  std::unique_ptr<Node> node_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RegistrationServiceTest);
+
+}  // namespace cairnhollow::control::registered
--- a/tests/session/group_access_test.cpp
+++ b/tests/session/group_access_test.cpp
@@ -21,6 +21,24 @@
   }
 };
 
+/// Only closed, and asked whether it was.
+class ClosableLink : public BackendLink {
+ public:
+  Awaitable<std::optional<Answer>> run(BackendRequest /*request*/, TimePoint /*deadline*/,
+                                       runtime::SendState& /*sent*/, Reason& /*reason*/) override {
+    co_return std::nullopt;
+  }
+  std::optional<BackendStatus> read_status(const Answer& /*answer*/, Reason& /*reason*/) override {
+    return std::nullopt;
+  }
+  void close() override { open_ = false; }
+  [[nodiscard]] bool is_open() const override { return open_; }
+  [[nodiscard]] std::string peer() const override { return "peer"; }
+
+ private:
+  bool open_ = true;
+};
+
 registry::BackendEntry backend(const std::string& name, std::uint16_t port) {
   registry::BackendEntry entry;
   entry.name = BackendName(name);
@@ -39,6 +57,11 @@
   CPPUNIT_TEST(nobody_else_reads_while_the_replicas_lag);
   CPPUNIT_TEST(a_backend_that_is_avoided_or_leaves_is_no_other_reader);
   CPPUNIT_TEST(a_member_that_joins_ends_the_lease_of_the_others);
+  CPPUNIT_TEST(another_life_is_another_backend);
+  CPPUNIT_TEST(another_life_of_the_primary_is_not_used);
+  CPPUNIT_TEST(work_at_a_former_life_of_the_primary_is_given_up);
+  CPPUNIT_TEST(a_primary_that_tells_its_start_is_asked_for_what_it_showed);
+  CPPUNIT_TEST(a_member_that_shows_less_of_the_term_has_started_again);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -82,6 +105,77 @@
     CPPUNIT_ASSERT_MESSAGE("nobody joined", group_->has_member_lease());
   }
 
+  void another_life_is_another_backend() {
+    group_->put_backend(life("replica-1", 2, 1000));
+    group_->note_replica(use("replica-1"), need_, std::nullopt);
+    const auto former = group_->backends().at(BackendName("replica-1"));
+    CPPUNIT_ASSERT(former->lag(runtime_->now()) > Duration(0));
+    const std::uint64_t asked = group_->membership();
+    const TimePoint until = runtime_->now() + milliseconds(500);
+    group_->extend_member_lease(1, asked, until);
+    group_->put_backend(life("replica-1", 2, 1000));
+    CPPUNIT_ASSERT_MESSAGE("the same life", group_->has_member_lease());
+    group_->put_backend(life("replica-1", 2, 2000));
+    CPPUNIT_ASSERT(!group_->has_member_lease());
+    group_->extend_member_lease(1, asked, until);
+    CPPUNIT_ASSERT_MESSAGE("the former life was asked", !group_->has_member_lease());
+    CPPUNIT_ASSERT(group_->backends().at(BackendName("replica-1")) != former);
+    CPPUNIT_ASSERT(use("replica-1").lag(runtime_->now()) == Duration(0));
+    Reason reason;
+    CPPUNIT_ASSERT(!acquire(former->pool, reason));
+    CPPUNIT_ASSERT(reason.code == ReasonCode::kUnreachable);
+  }
+
+  void another_life_of_the_primary_is_not_used() {
+    group_->put_backend(life("primary", 1, 1000));
+    registry::GroupTerm term{GroupName("group"), 1, BackendName("primary"), true, 3, 1, 1000};
+    group_->set_term(term);
+    CPPUNIT_ASSERT(group_->primary());
+    group_->put_backend(life("primary", 1, 2000));
+    CPPUNIT_ASSERT(!group_->primary());
+    CPPUNIT_ASSERT(group_->is_primary_restarted());
+    const auto reader = group_->choose_reader(need_, {BackendName("replica-1"), BackendName("replica-2")});
+    CPPUNIT_ASSERT_MESSAGE("nor for reads", !reader);
+    term.epoch = 5;
+    term.primary_born_ms = 2000;
+    group_->set_term(term);
+    CPPUNIT_ASSERT_MESSAGE("once it leads itself", group_->primary());
+  }
+
+  void work_at_a_former_life_of_the_primary_is_given_up() {
+    group_->put_backend(life("primary", 1, 1000));
+    group_->note_primary_position(runtime_->now(), {1, 12});
+    const auto link = std::make_shared<ClosableLink>();
+    group_->begin_work({link, runtime_->now(), true});
+    group_->put_backend(life("replica-1", 2, 2000));
+    CPPUNIT_ASSERT_MESSAGE("not the primary's", link->is_open());
+    group_->put_backend(life("primary", 1, 2000));
+    CPPUNIT_ASSERT(!link->is_open());
+    CPPUNIT_ASSERT(!group_->required_of(use("primary"), ReadNeed{true, std::nullopt, {}}));
+  }
+
+  void a_primary_that_tells_its_start_is_asked_for_what_it_showed() {
+    const ReadNeed at_primary{true, std::nullopt, {}};
+    group_->note_primary_position(runtime_->now(), {1, 12});
+    CPPUNIT_ASSERT_MESSAGE("it tells none", !group_->required_of(use("primary"), at_primary));
+    group_->put_backend(life("primary", 1, 1000));
+    CPPUNIT_ASSERT_MESSAGE("nothing shown by this life", !group_->required_of(use("primary"), at_primary));
+    group_->note_primary_position(runtime_->now(), {1, 13});
+    CPPUNIT_ASSERT(group_->required_of(use("primary"), at_primary) == Position({1, 13}));
+    CPPUNIT_ASSERT(group_->required_of(use("replica-1"), need_) == need_.required);
+  }
+
+  void a_member_that_shows_less_of_the_term_has_started_again() {
+    BackendUse& member = use("replica-1");
+    CPPUNIT_ASSERT_MESSAGE("entries of an earlier term", member.note_shown(4, {3, 40}));
+    CPPUNIT_ASSERT_MESSAGE("rolled back", member.note_shown(4, {3, 38}));
+    CPPUNIT_ASSERT(member.note_shown(4, {4, 39}));
+    CPPUNIT_ASSERT(member.note_shown(4, {4, 39}));
+    CPPUNIT_ASSERT(!member.note_shown(4, {4, 38}));
+    CPPUNIT_ASSERT(!member.note_shown(4, {1, 0}));
+    CPPUNIT_ASSERT_MESSAGE("another term", member.note_shown(5, {4, 38}));
+  }
+
   void nobody_else_reads_while_the_replicas_lag() {
     group_->note_replica(use("replica-1"), need_, std::nullopt);
     group_->note_replica(use("replica-2"), need_, std::nullopt);
@@ -104,6 +198,25 @@
   }
 
  private:
+  static registry::BackendEntry life(const std::string& name, std::uint16_t port, std::uint64_t born_ms) {
+    registry::BackendEntry entry = backend(name, port);
+    entry.born_ms = born_ms;
+    return entry;
+  }
+  std::shared_ptr<StatefulLink> acquire(StatefulPool& pool, Reason& reason) {
+    std::shared_ptr<StatefulLink> link;
+    std::optional<Refusal> refusal;
+    bool done = false;
+    const TimePoint deadline = runtime_->now() + milliseconds(100);
+    const auto task = [&]() -> Awaitable<void> {
+      link = co_await pool.acquire(LinkWish{}, LinkDeadlines{deadline, deadline}, refusal, reason);
+      done = true;
+    };
+    runtime_->spawn("acquire", task());
+    world_->run_until([&] { return done; }, seconds(1));
+    return link;
+  }
+
   BackendUse& use(const std::string& name) { return *group_->backends().at(BackendName(name)); }
 
   std::unique_ptr<simulation::World> world_;
--- a/tests/wire/registered_samples.cpp
+++ b/tests/wire/registered_samples.cpp
@@ -32,7 +32,9 @@
           800,
           150,
           2,
-          2500};
+          2500,
+          false,
+          {}};
 }
 
 BackendEntry any_backend() {
@@ -53,7 +55,9 @@
 
 GroupTerm any_term() { return {GroupName("group-1"), 4, BackendName("b-1"), true, 6, 21}; }
 
-TenantRule any_tenant() { return {TenantName("tenant-1"), {ApiKey("key-1"), ApiKey("key-2")}, 218, 200, 1}; }
+TenantRule any_tenant() {
+  return {TenantName("tenant-1"), {ApiKey("key-1"), ApiKey("key-2")}, 218, 200, 1, {}};
+}
 
 ConfigurationDocument any_document_with_tenants() {
   ConfigurationDocument document = any_document();
@@ -140,6 +144,59 @@
   add_with_tenants(samples, "session_forward_answer_with_grant", answer);
 }
 
+/// Messages that tell lives of backends, which builds before can't read.
+template <class Message>
+void add_with_lives(Samples& samples, const std::string& name, const Message& message) {
+  const auto read_again = [](const std::string& bytes, Reason& reason) -> std::optional<std::string> {
+    const auto read = wire::decode<Message>(bytes, reason);
+    if (!read) return std::nullopt;
+    return wire::encode(*read, wire::kPlacesFormat);
+  };
+  samples.push_back({name, wire::encode(message, wire::kPlacesFormat), read_again});
+}
+
+BackendEntry any_life() {
+  BackendEntry entry = any_backend();
+  entry.born_ms = 1'795'000'000'123;
+  entry.cold_ms = 400;
+  return entry;
+}
+
+std::string snapshot_with_lives() {
+  simulation::World world({});
+  FleetStateMachine machine(world.start_bare({"node", "10.0.0.1", ZoneName("a")}));
+  BackendEntry removed = any_life();
+  removed.name = BackendName("b-0");
+  removed.endpoint.port = 9001;
+  const OpenGroup open{GroupName("group-1"), 0, 4, BackendName("b-1"), any_life().born_ms};
+  const std::vector<Command> commands{RegisterBackend{any_life()}, RegisterBackend{removed},
+                                      DeregisterBackend{removed.name, removed.born_ms}, open};
+  std::uint64_t index = 0;
+  for (const Command& command : commands)
+    machine.apply(++index, wire::encode(LoggedCommand{command}, wire::kPlacesFormat));
+  return machine.take_snapshot();
+}
+
+void add_lives(Samples& samples) {
+  add_with_lives(samples, "registry_register_backend_with_life", LoggedCommand{RegisterBackend{any_life()}});
+  add_with_lives(samples, "registry_deregister_backend_with_life",
+                 LoggedCommand{DeregisterBackend{BackendName("b-1"), any_life().born_ms}});
+  add_with_lives(
+      samples, "registry_open_group_with_life",
+      LoggedCommand{OpenGroup{GroupName("group-1"), 0, 4, BackendName("b-1"), any_life().born_ms}});
+  FleetDelta delta = any_delta();
+  delta.backends = {any_life()};
+  delta.terms.front().primary_born_ms = any_life().born_ms;
+  add_with_lives(samples, "fleet_delta_with_lives", delta);
+  const auto read_again = [](const std::string& bytes, Reason& reason) -> std::optional<std::string> {
+    simulation::World world({});
+    FleetStateMachine machine(world.start_bare({"node", "10.0.0.1", ZoneName("a")}));
+    if (!machine.restore_snapshot(bytes, reason)) return std::nullopt;
+    return machine.take_snapshot();
+  };
+  samples.push_back({"registry_snapshot_with_lives", snapshot_with_lives(), read_again});
+}
+
 void add_snapshot(Samples& samples) {
   const auto read_again = [](const std::string& bytes, Reason& reason) -> std::optional<std::string> {
     simulation::World world({});
@@ -225,6 +282,7 @@
   add_control_messages(samples);
   add_forwarding(samples);
   add_tenants(samples);
+  add_lives(samples);
   return samples;
 }
 
