--- a/src/control/registered/promotion_choice.cpp
+++ b/src/control/registered/promotion_choice.cpp
@@ -114,7 +114,6 @@
 Proof prove(const MemberFinding& candidate, const PromotionFacts& facts) {
   const Position& position = candidate.status->received;
   const std::string name = candidate.entry.name.value;
-  if (is_blank(candidate, facts)) return {false, name + " has lost its log"};
   if (reaches_old_primary(candidate, facts)) return {true, "it reaches the old primary's position"};
   if (is_empty_of_unknown(candidate, facts)) return {false, name + " may have lost its log"};
   if (reaches_acknowledged(candidate, facts))
--- a/tests/control/registered/promotion_choice_test.cpp
+++ b/tests/control/registered/promotion_choice_test.cpp
@@ -54,6 +54,7 @@
   CPPUNIT_TEST(nothing_left_keeps_to_the_furthest);
   CPPUNIT_TEST(who_joined_in_the_term_needs_entries_of_it);
   CPPUNIT_TEST(a_newer_primary_without_a_log_is_not_adopted);
+  CPPUNIT_TEST(a_primary_without_what_proxies_acknowledged_is_not_the_old_one);
   CPPUNIT_TEST(a_group_without_commits_gets_a_primary);
   CPPUNIT_TEST_SUITE_END();
 
@@ -231,6 +232,16 @@
     CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kAdopt);
   }
 
+  void a_primary_without_what_proxies_acknowledged_is_not_the_old_one() {
+    // Both answer in a next life that has not registered; the other replica does not answer.
+    auto known =
+        facts({life("old", 1000, leading(0)), life("a", 1000, replica(0)), life("b", 1000, std::nullopt)});
+    known.closed.primary_born_ms = 1000;
+    CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kPromote);
+    known.highest_acknowledged = {3, 4};
+    CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kNotYet);
+  }
+
   void a_group_without_commits_gets_a_primary() {
     auto known =
         facts({life("old", 1000, std::nullopt), life("a", 1000, replica(0)), life("b", 1000, std::nullopt)});
