--- a/tests/wire/format_test.cpp
+++ b/tests/wire/format_test.cpp
@@ -160,7 +160,7 @@
     CPPUNIT_ASSERT(!decode<Grown>(bytes, reason));
     CPPUNIT_ASSERT(reason.code == ReasonCode::kUnsupported);
     CPPUNIT_ASSERT_EQUAL(
-        std::string("written in format 8, and this build reads formats up to 4: run the newer build"),
+        std::string("written in format 9, and this build reads formats up to 5: run the newer build"),
         reason.detail);
   }
 };
