--- a/src/control/registered/control_metrics.cpp
+++ b/src/control/registered/control_metrics.cpp
@@ -41,8 +41,18 @@
     metrics
         .counter("cairnhollow_registry_registrations_refused_total",
                  "Registrations that name no backend to use.", {{"cause", cause}})
-        .Increment(static_cast<double>(refused_.of(fault)));
+        .Increment(static_cast<double>(registrations_.refused().of(fault)));
   }
+  const auto counter = [&](const char* name, const char* help, std::uint64_t value) {
+    metrics.counter(name, help).Increment(static_cast<double>(value));
+  };
+  const RegistrationCounts& counts = registrations_.counts();
+  counter("cairnhollow_registry_registrations_outdated_total",
+          "Registrations of lives of backends that were over.", counts.outdated);
+  counter("cairnhollow_registry_incarnations_replaced_total",
+          "Registrations that put another life in the place of one of the same name.", counts.replaced);
+  counter("cairnhollow_registry_unproved_promotions_total",
+          "Primaries promoted although acknowledged commits may be gone.", groups_.unproved_promotions());
   return metrics.render();
 }
 
--- a/src/session/statement_runner.h
+++ b/src/session/statement_runner.h
@@ -116,6 +116,8 @@
   Awaitable<Step> try_backend(std::shared_ptr<Attempt> attempt);
   Awaitable<bool> prepare_link(std::shared_ptr<Attempt> attempt);
   Awaitable<bool> acquire_link(std::shared_ptr<Attempt> attempt);
+  /// The chosen backend lacks the position that it was asked for.
+  void note_too_stale(Attempt& attempt);
   Awaitable<bool> begin_transaction(std::shared_ptr<Attempt> attempt);
   /// What may have changed while it waited for the backend, but the key.
   [[nodiscard]] placement::SendFacts send_facts(const Attempt& attempt) const;
