--- a/src/control/registered/control_metrics.cpp
+++ b/src/control/registered/control_metrics.cpp
@@ -1,5 +1,6 @@
 #include "control/registered/control_metrics.h"
 
+#include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 
 #include "runtime/metrics.h"
@@ -34,6 +35,16 @@
   gauge("cairnhollow_registry_backends", "Backends registered.", fleet_.backends().size());
   gauge("cairnhollow_registry_proxies", "Proxies that may hold a lease.", fleet_.proxies().size());
   gauge("cairnhollow_registry_followers", "Proxies connected to this node.", leases_.followers());
+  gauge("cairnhollow_registry_evacuated_zones", "Zones to whose backends nothing is to be sent.",
+        fleet_.evacuations().size());
+  for (std::size_t outcome = 0; outcome < kOrderOutcomes; ++outcome) {
+    const auto kind = static_cast<OrderOutcome>(outcome);
+    metrics
+        .counter("cairnhollow_registry_evacuation_orders_total",
+                 "Orders to evacuate a zone or to take it back, as this node answered them.",
+                 {{"outcome", outcome_name(kind)}})
+        .Increment(static_cast<double>(evacuations_.count(kind)));
+  }
   return metrics.render();
 }
 
--- a/src/control/registered/control_metrics.h
+++ b/src/control/registered/control_metrics.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "consensus/consensus.h"
+#include "control/registered/evacuation_orders.h"
 #include "control/registered/lease_keeper.h"
 #include "registry/state_machine.h"
 #include "runtime/http.h"
@@ -12,8 +13,8 @@
 class ControlMetrics : public runtime::HttpHandler {
  public:
   ControlMetrics(const consensus::Consensus& consensus, const registry::FleetStateMachine& fleet,
-                 const LeaseKeeper& leases)
-      : consensus_(consensus), fleet_(fleet), leases_(leases) {}
+                 const LeaseKeeper& leases, const EvacuationOrders& evacuations)
+      : consensus_(consensus), fleet_(fleet), leases_(leases), evacuations_(evacuations) {}
 
   Awaitable<runtime::HttpResponse> handle(runtime::HttpRequest request,
                                           runtime::HttpConnectionId connection) override;
@@ -24,6 +25,7 @@
   const consensus::Consensus& consensus_;
   const registry::FleetStateMachine& fleet_;
   const LeaseKeeper& leases_;
+  const EvacuationOrders& evacuations_;
 };
 
 }  // namespace cairnhollow::control::registered
--- a/src/control/registered/group_failover.cpp
+++ b/src/control/registered/group_failover.cpp
@@ -62,17 +62,28 @@
   watch_members(closed.group);
   facts.members_are_stable = are_members_settled(closed.group);
   // A dead primary does not answer: it is not waited for when the replicas' answers will do.
-  const auto enough = [facts](const std::vector<MemberFinding>& findings) mutable {
+  const auto enough = [this, facts](const std::vector<MemberFinding>& findings) mutable {
     facts.members = findings;
+    mark_evacuated(facts.members);
     const bool all_replicas = std::all_of(findings.begin(), findings.end(), [&](const MemberFinding& member) {
       return member.status || member.entry.name == facts.closed.primary;
     });
-    return all_replicas && choose_promotion(facts, false).verdict == PromotionVerdict::kPromote;
+    if (!all_replicas) return false;
+    const PromotionChoice choice = choose_promotion(facts, false);
+    // One in an evacuated zone may follow only a primary that surely does not run.
+    const registry::BackendEntry* chosen = fleet_.find_backend(choice.backend);
+    return choice.verdict == PromotionVerdict::kPromote && chosen != nullptr &&
+           !fleet_.is_evacuated(chosen->zone);
   };
   facts.members = co_await prober_.ask_all(fleet_.backends_of(closed.group), enough);
+  mark_evacuated(facts.members);
   co_return facts;
 }
 
+void GroupKeeper::mark_evacuated(std::vector<MemberFinding>& members) const {
+  for (MemberFinding& member : members) member.evacuated = fleet_.is_evacuated(member.entry.zone);
+}
+
 PromotionChoice GroupKeeper::choose_next(const PromotionFacts& facts) {
   PromotionChoice choice = choose_promotion(facts, true);
   if (choice.verdict != PromotionVerdict::kPromote || facts.all_proxies_answered) return choice;
--- a/src/control/registered/group_keeper.cpp
+++ b/src/control/registered/group_keeper.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <limits>
 #include <vector>
 
 #include "control/registered/knobs.h"
@@ -89,11 +90,24 @@
   return *term;
 }
 
-bool GroupKeeper::has_successor(const GroupName& group, const BackendName& primary) const {
-  const auto members = fleet_.backends_of(group);
-  return std::any_of(members.begin(), members.end(), [&](const registry::BackendEntry& entry) {
-    return entry.name != primary && !entry.leaving;
-  });
+bool GroupKeeper::is_successor(const registry::BackendEntry& entry, const GroupTerm& term) const {
+  if (entry.name == term.primary || entry.leaving) return false;
+  if (!fleet_.is_evacuated(entry.zone)) return true;
+  // Inside an evacuated zone it would serve nobody; neither does a primary that is inside, too, or gone.
+  const registry::BackendEntry* primary = fleet_.find_backend(term.primary);
+  return primary == nullptr || (primary->leaving && fleet_.is_evacuated(primary->zone));
+}
+
+std::string GroupKeeper::handover_cause(const GroupTerm& term) const {
+  const registry::BackendEntry* primary = fleet_.find_backend(term.primary);
+  const bool leaves = primary == nullptr || primary->leaving;
+  const bool evacuated = primary != nullptr && fleet_.is_evacuated(primary->zone);
+  if (!leaves && !evacuated) return {};
+  const auto members = fleet_.backends_of(term.group);
+  const bool any = std::any_of(members.begin(), members.end(),
+                               [&](const registry::BackendEntry& entry) { return is_successor(entry, term); });
+  if (!any) return {};
+  return leaves ? "the primary leaves" : "the zone " + primary->zone.value + " is evacuated";
 }
 
 void GroupKeeper::watch_all_members() {
@@ -152,9 +166,8 @@
   const auto term = term_of(group);
   if (!term) return begin(group, discover(group));
   if (!term->open) return begin(group, fail_over(group));
-  const registry::BackendEntry* primary = fleet_.find_backend(term->primary);
-  const bool leaves = primary == nullptr || primary->leaving;
-  if (leaves && has_successor(group, term->primary)) return begin(group, hand_over(group));
+  moving_.erase(group);
+  if (!handover_cause(*term).empty()) return begin(group, hand_over(group));
   const auto suspicion = suspicions_.find(group);
   if (suspicion == suspicions_.end()) return;
   const Suspicion suspected = suspicion->second;
@@ -303,18 +316,58 @@
   for (const MemberFinding& member : findings) {
     if (!member.status) continue;
     if (member.entry.name == term->primary) primary = member.status->received;
-    if (member.entry.name != term->primary && !member.entry.leaving)
+    if (is_successor(member.entry, *term))
       successor = std::max(successor.value_or(Position{}), member.status->received);
   }
-  const bool ready = successor && (!primary || successor->index + kHandOverLag >= primary->index);
-  if (ready && leads()) {
-    std::string why = "the primary leaves";
+  bool ready = successor && (!primary || successor->index + kHandOverLag >= primary->index);
+  const registry::BackendEntry* entry = fleet_.find_backend(term->primary);
+  // One that leaves ends soon, and many leave one after the other by themselves.
+  const bool moves = entry != nullptr && !entry->leaving;
+  if (ready && moves) ready = co_await take_move(group);
+  std::string why = handover_cause(*term);
+  if (ready && leads() && !why.empty()) {
     co_await close(*term, std::move(why));
   } else {
     co_await runtime_.sleep_for(kFailoverRetry);
   }
 }
 
+Awaitable<bool> GroupKeeper::take_move(GroupName group) {
+  ready_moves_.insert(group);
+  co_await runtime_.sleep_for(kHandOverGathering);
+  const TimePoint now = runtime_.now();
+  // One that can't be opened again does not hold up the others.
+  std::erase_if(moving_, [now](const auto& entry) { return now - entry.second > kPromotionLimit; });
+  std::size_t free = kMostHandOvers - std::min(moving_.size(), kMostHandOvers);
+  bool taken = false;
+  for (const GroupName& ready : groups_by_urgency()) {
+    if (free == 0 || taken) break;
+    if (ready_moves_.count(ready) == 0) continue;
+    --free;
+    taken = ready == group;
+  }
+  ready_moves_.erase(group);
+  if (taken) moving_[group] = now;
+  co_return taken;
+}
+
+std::vector<GroupName> GroupKeeper::groups_by_urgency() const {
+  std::map<GroupName, std::uint64_t> urgency;
+  for (const registry::RouteRule& route : fleet_.routes()) {
+    const auto [found, is_new] = urgency.try_emplace(route.group, route.priority);
+    if (!is_new) found->second = std::min(found->second, route.priority);
+  }
+  std::vector<GroupName> groups;
+  for (const auto& group : fleet_.groups()) groups.push_back(group.name);
+  const auto of = [&](const GroupName& group) {
+    const auto found = urgency.find(group);
+    return found == urgency.end() ? std::numeric_limits<std::uint64_t>::max() : found->second;
+  };
+  std::stable_sort(groups.begin(), groups.end(),
+                   [&](const GroupName& one, const GroupName& other) { return of(one) < of(other); });
+  return groups;
+}
+
 Awaitable<bool> GroupKeeper::close(GroupTerm term, std::string why) {
   log("group_closing", term, why);
   Reason reason;
--- a/src/control/registered/group_keeper.h
+++ b/src/control/registered/group_keeper.h
@@ -63,13 +63,21 @@
   Awaitable<void> discover(GroupName group);
   /// The primary is suspected.
   Awaitable<void> examine(GroupName group, bool commits_stall, std::size_t suspecting_proxies);
-  /// The primary leaves: it is replaced once another backend has all of its log.
+  /// The primary leaves, or its zone is evacuated: it is replaced once another backend has all of its log.
   Awaitable<void> hand_over(GroupName group);
+  /// Whether the group may be moved out of an evacuated zone now: so many at once, those first that are
+  /// wanted most urgently. Takes a place, which is given back when the group is open again.
+  Awaitable<bool> take_move(GroupName group);
   /// The group is closed: until it is open again.
   Awaitable<void> fail_over(GroupName group);
 
   [[nodiscard]] std::optional<registry::GroupTerm> term_of(const GroupName& group) const;
-  [[nodiscard]] bool has_successor(const GroupName& group, const BackendName& primary) const;
+  /// Why the primary is to be replaced while it runs; empty: it is not. Names who could follow.
+  [[nodiscard]] std::string handover_cause(const registry::GroupTerm& term) const;
+  /// Whether a backend may take over from `primary`, null where that is gone, in a planned change.
+  [[nodiscard]] bool is_successor(const registry::BackendEntry& entry, const registry::GroupTerm& term) const;
+  /// Groups by how urgently they are wanted: the most urgent route that leads there, then the name.
+  [[nodiscard]] std::vector<GroupName> groups_by_urgency() const;
   [[nodiscard]] bool is_dead(const std::optional<session::BackendStatus>& status,
                              const registry::GroupTerm& term) const;
   /// How many looks in a row must find the primary dead, by how many proxies suspect it.
@@ -89,6 +97,7 @@
   Awaitable<void> wait_member_leases(registry::GroupTerm closed);
   /// What is known of the group, for the choice of its next primary.
   Awaitable<PromotionFacts> gather_facts(registry::GroupTerm closed);
+  void mark_evacuated(std::vector<MemberFinding>& members) const;
   /// kPromote only if no silent proxy can use the old primary.
   [[nodiscard]] PromotionChoice choose_next(const PromotionFacts& facts);
   /// Leaves members paused only while an order may still take effect.
@@ -132,6 +141,8 @@
   };
   std::map<GroupName, OutOfReach> out_of_reach_;
   std::optional<std::uint64_t> settled_revision_;  ///< of the fleet, at which no group needed anything
+  std::map<GroupName, TimePoint> moving_;  ///< out of evacuated zones: closed, or about to be, since
+  std::set<GroupName> ready_moves_;  ///< groups that could be moved and wait for a place
   bool resumed_left_ = false;                      ///< since this node leads
   bool stopping_ = false;
 };
--- a/src/control/registered/knobs.h
+++ b/src/control/registered/knobs.h
@@ -12,6 +12,14 @@
 
 /// Longest wait for a command to be committed, or for a quorum round, on behalf of a caller.
 inline constexpr Duration kCommitTimeout = std::chrono::milliseconds(800);
+/// An order of an operator that found no leader is given again after the pause, for as long as the limit: an
+/// election takes 0.07 to 0.3 s, and is begun 0.4 s after the leader was last heard.
+inline constexpr Duration kOrderRetryPause = std::chrono::milliseconds(30);
+inline constexpr Duration kOrderPatience = std::chrono::milliseconds(1800);
+/// Groups whose primaries are moved out of evacuated zones at once: each makes every proxy close and open its
+/// statements there, and takes one promotion. Groups that are ready within the gathering go by urgency.
+inline constexpr std::size_t kMostHandOvers = 3;
+inline constexpr Duration kHandOverGathering = std::chrono::milliseconds(20);
 /// Commands that may be gathered go to the log at most once in this time, each time with at most so many.
 inline constexpr Duration kGathering = std::chrono::milliseconds(20);
 inline constexpr std::size_t kMostGathered = 512;
--- a/src/control/registered/promotion_choice.cpp
+++ b/src/control/registered/promotion_choice.cpp
@@ -20,11 +20,16 @@
   return newest;
 }
 
-/// The furthest log among the replicas; of equal ones, a backend that stays.
-const MemberFinding* find_furthest(const PromotionFacts& facts) {
+bool may_follow(const MemberFinding& member, const PromotionFacts& facts) {
+  return member.status && !is_old_primary(member, facts) && !member.status->is_primary;
+}
+
+/// The furthest log among the replicas in evacuated zones, or among the others; of equal ones, a backend that
+/// stays.
+const MemberFinding* find_furthest(const PromotionFacts& facts, bool evacuated) {
   const MemberFinding* best = nullptr;
   for (const MemberFinding& member : facts.members) {
-    if (!member.status || is_old_primary(member, facts) || member.status->is_primary) continue;
+    if (!may_follow(member, facts) || member.evacuated != evacuated) continue;
     if (best == nullptr) {
       best = &member;
       continue;
@@ -37,6 +42,13 @@
   return best;
 }
 
+const MemberFinding* find_old_primary(const PromotionFacts& facts) {
+  for (const MemberFinding& member : facts.members) {
+    if (is_old_primary(member, facts)) return &member;
+  }
+  return nullptr;
+}
+
 struct Proof {
   bool holds_all = false;
   std::string why;
@@ -47,6 +59,7 @@
   if (facts.all_acknowledgers_answered && position >= facts.highest_acknowledged)
     return {true, "it reaches the highest position that any proxy acknowledged"};
   bool any_replica_missing = false;
+  bool is_furthest = true;
   for (const MemberFinding& member : facts.members) {
     if (is_old_primary(member, facts)) {
       if (member.status && position >= member.status->received)
@@ -54,9 +67,10 @@
       continue;
     }
     if (!member.status) any_replica_missing = true;
+    if (may_follow(member, facts) && member.status->received > position) is_furthest = false;
   }
   const bool nobody_left = facts.members_are_stable || position >= facts.highest_acknowledged;
-  if (!any_replica_missing && facts.synchronous_replicas > 0 && nobody_left)
+  if (!any_replica_missing && is_furthest && facts.synchronous_replicas > 0 && nobody_left)
     return {true, "it is the furthest of all replicas"};
   return {false, fmt::format("{} at {}.{} may lack acknowledged commits", candidate.entry.name.value,
                              position.term, position.index)};
@@ -68,16 +82,24 @@
   if (const MemberFinding* newer = find_newer_primary(facts))
     return {PromotionVerdict::kAdopt, newer->entry.name, newer->status->term,
             "it leads a higher term already"};
-  const MemberFinding* candidate = find_furthest(facts);
-  Proof proof;
-  if (candidate != nullptr) proof = prove(*candidate, facts);
-  if (proof.holds_all) return {PromotionVerdict::kPromote, candidate->entry.name, 0, proof.why};
-  for (const MemberFinding& member : facts.members) {
-    const bool leads = member.status && member.status->is_primary && is_old_primary(member, facts);
-    if (leads && reopen_allowed && !member.entry.leaving)
-      return {PromotionVerdict::kReopen, member.entry.name, member.status->term, "it answers as before"};
+  const MemberFinding* outside = find_furthest(facts, false);
+  const MemberFinding* inside = find_furthest(facts, true);
+  const MemberFinding* old = find_old_primary(facts);
+  const bool old_leads = old != nullptr && old->status && old->status->is_primary;
+  Proof proof{false, "no replica answers"};
+  if (outside != nullptr) proof = prove(*outside, facts);
+  if (proof.holds_all) return {PromotionVerdict::kPromote, outside->entry.name, 0, proof.why};
+  if (inside != nullptr && !old_leads) {
+    const Proof of_inside = prove(*inside, facts);
+    if (of_inside.holds_all)
+      return {PromotionVerdict::kPromote, inside->entry.name, 0,
+              of_inside.why + "; its zone is evacuated, and nobody outside may follow yet"};
   }
-  return {PromotionVerdict::kNotYet, {}, 0, candidate == nullptr ? "no replica answers" : proof.why};
+  if (old_leads && old->evacuated && outside != nullptr)
+    return {PromotionVerdict::kNotYet, {}, 0, "its zone is evacuated, and " + proof.why};
+  if (old_leads && reopen_allowed && !old->entry.leaving)
+    return {PromotionVerdict::kReopen, old->entry.name, old->status->term, "it answers as before"};
+  return {PromotionVerdict::kNotYet, {}, 0, proof.why};
 }
 
 }  // namespace cairnhollow::control::registered
--- a/src/control/registered/promotion_choice.h
+++ b/src/control/registered/promotion_choice.h
@@ -14,6 +14,7 @@
 struct MemberFinding {
   registry::BackendEntry entry;
   std::optional<session::BackendStatus> status;  ///< empty: it did not answer
+  bool evacuated = false;                        ///< its zone is: as primary it would serve nobody
 };
 
 struct PromotionFacts {
@@ -49,6 +50,9 @@
 /// Invariant: with one synchronous replica an acknowledged commit is on the primary and on a replica. So the
 /// furthest log holds it when all replicas were compared, or the old primary was, or when it reaches the
 /// highest position that any proxy acknowledged. `reopen_allowed`: the old primary was not given up for good.
+/// One outside evacuated zones that can be shown to hold all of it comes first, also when it is not the
+/// furthest. One inside follows only a primary that does not answer: then no commit is lost, and the others
+/// catch up from it. While an old primary in an evacuated zone runs, one outside is waited for.
 PromotionChoice choose_promotion(const PromotionFacts& facts, bool reopen_allowed);
 
 }  // namespace cairnhollow::control::registered
--- a/src/control/registered/registered_control_node.cpp
+++ b/src/control/registered/registered_control_node.cpp
@@ -70,7 +70,7 @@
         voters_(runtime, *raft_, directory_, settings_.lost_disks_tolerated),
         registrations_(runtime, *raft_, fleet_, calls_, voters_, prober_),
         operator_calls_(edge.make_operator_calls(registrations_)),
-        metrics_(*raft_, fleet_, leases_),
+        metrics_(*raft_, fleet_, leases_, registrations_.evacuations()),
         dispatcher_(runtime) {
     leases_.on_suspicion([this](const NodeName& proxy, const registry::PrimarySuspicion& said) {
       groups_.note_suspicion(proxy, said);
--- a/src/control/registered/registration_service.cpp
+++ b/src/control/registered/registration_service.cpp
@@ -15,12 +15,22 @@
   co_return index.has_value();
 }
 
-bool RegistrationService::may_acknowledge(Reason& reason) const {
+bool RegistrationService::may_acknowledge(const char* step, Reason& reason) const {
   if (voters_.is_complete() || runtime_.now() > begun_ + kFormationPatience) return true;
-  reason = Reason{ReasonCode::kNoQuorum, "replace_document", "", "the consensus group is not complete yet"};
+  reason = Reason{ReasonCode::kNoQuorum, step, "", "the consensus group is not complete yet"};
   return false;
 }
 
+Awaitable<bool> RegistrationService::begin_evacuation(ZoneName zone, Reason& reason) {
+  if (!may_acknowledge("evacuate_zone", reason)) co_return false;
+  co_return co_await evacuations_.take(std::move(zone), true, reason);
+}
+
+Awaitable<bool> RegistrationService::end_evacuation(ZoneName zone, Reason& reason) {
+  if (!may_acknowledge("evacuate_zone", reason)) co_return false;
+  co_return co_await evacuations_.take(std::move(zone), false, reason);
+}
+
 Awaitable<bool> RegistrationService::replace_document(registry::ConfigurationDocument document,
                                                       Reason& reason) {
   const std::string version = std::to_string(document.version);
@@ -31,7 +41,7 @@
     runtime_.logger().log(LogLevel::kInfo, "document_refused", reason, {{"version", version}});
     co_return false;
   }
-  if (!may_acknowledge(reason)) co_return false;
+  if (!may_acknowledge("replace_document", reason)) co_return false;
   bool done = false;
   if (document.version <= fleet_.document_version()) {
     done = co_await confirm(reason);
--- a/src/control/registered/registration_service.h
+++ b/src/control/registered/registration_service.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "consensus/consensus.h"
+#include "control/registered/evacuation_orders.h"
 #include "control/registered/group_prober.h"
 #include "control/registered/leader_calls.h"
 #include "control/registered/voter_keeper.h"
@@ -16,13 +17,14 @@
  public:
   RegistrationService(runtime::Runtime& runtime, consensus::Consensus& consensus,
                       registry::FleetStateMachine& fleet, LeaderCalls& calls, const VoterKeeper& voters,
-                      GroupProber& prober)
+                      GroupProber& prober, std::vector<ZoneName> zones = {})
       : runtime_(runtime),
         consensus_(consensus),
         fleet_(fleet),
         calls_(calls),
         voters_(voters),
         prober_(prober),
+        evacuations_(runtime, consensus, fleet, calls, std::move(zones)),
         begun_(runtime.now()) {}
 
   Awaitable<bool> replace_document(registry::ConfigurationDocument document, Reason& reason) override;
@@ -30,12 +32,16 @@
   Awaitable<std::optional<registry::Registration>> register_backend(registry::BackendEntry entry,
                                                                     Reason& reason) override;
   Awaitable<bool> deregister_backend(BackendName name, Reason& reason) override;
+  Awaitable<bool> begin_evacuation(ZoneName zone, Reason& reason) override;
+  Awaitable<bool> end_evacuation(ZoneName zone, Reason& reason) override;
+
+  [[nodiscard]] const EvacuationOrders& evacuations() const { return evacuations_; }
 
  private:
   Awaitable<bool> confirm(Reason& reason);
   /// The first voters alone might not keep what is acknowledged; for a while after the start the others are
   /// waited for.
-  [[nodiscard]] bool may_acknowledge(Reason& reason) const;
+  [[nodiscard]] bool may_acknowledge(const char* step, Reason& reason) const;
 
   /// Whether another backend, registered at the same address, answers there: then the registration is a late
   /// one of an incarnation that is gone. Taken in, it would displace the other for good, since who was
@@ -51,6 +57,7 @@
   LeaderCalls& calls_;
   const VoterKeeper& voters_;
   GroupProber& prober_;
+  EvacuationOrders evacuations_;
   TimePoint begun_;
   std::map<ZoneName, std::vector<Endpoint>> takers_;  ///< proxies that stay, by zone
   std::uint64_t takers_revision_ = 0;                 ///< of the fleet that they were taken from
--- a/src/registry/control_service.h
+++ b/src/registry/control_service.h
@@ -29,6 +29,12 @@
   /// Answers once what the backend says of itself is known for good; empty: no clear outcome, ask again.
   virtual Awaitable<std::optional<Registration>> register_backend(BackendEntry entry, Reason& reason) = 0;
   virtual Awaitable<bool> deregister_backend(BackendName name, Reason& reason) = 0;
+  /// True once it is durable that nothing more is to be sent to the zone's backends, as far as no later order
+  /// ends it. kNotFound: no such zone. Other codes: no clear outcome, ask again. An order that holds already
+  /// is confirmed by a quorum round that began after the call.
+  virtual Awaitable<bool> begin_evacuation(ZoneName zone, Reason& reason) = 0;
+  /// The same for the end: the zone's backends may be used again.
+  virtual Awaitable<bool> end_evacuation(ZoneName zone, Reason& reason) = 0;
 };
 
 /// What a proxy does for backends that say again what the fleet knows: so that their number times their
--- a/src/registry/state_machine.cpp
+++ b/src/registry/state_machine.cpp
@@ -153,7 +153,9 @@
 
 void FleetStateMachine::bound_removed() {
   if (state_.routes.removed_count() <= kMaxRemovedRows &&
-      state_.backends.removed_count() <= kMaxRemovedRows && state_.tenants.removed_count() <= kMaxRemovedRows)
+      state_.backends.removed_count() <= kMaxRemovedRows &&
+      state_.tenants.removed_count() <= kMaxRemovedRows &&
+      state_.evacuations.removed_count() <= kMaxRemovedRows)
     return;
   state_.routes.forget_removed(state_.revision);
   state_.groups.forget_removed(state_.revision);
--- a/src/registry/state_machine.h
+++ b/src/registry/state_machine.h
@@ -33,6 +33,7 @@
   /// The document as it was sent; empty before the first.
   [[nodiscard]] const std::string& document_text() const { return state_.document_text; }
   [[nodiscard]] std::vector<GroupRule> groups() const { return state_.groups.all(); }
+  [[nodiscard]] std::vector<RouteRule> routes() const { return state_.routes.all(); }
   [[nodiscard]] std::vector<TenantRule> tenants() const { return state_.tenants.all(); }
   [[nodiscard]] bool requires_keys() const { return state_.requires_keys; }
   [[nodiscard]] const GroupRule* find_group(const GroupName& group) const {
@@ -60,6 +61,10 @@
   [[nodiscard]] bool is_evacuated(const ZoneName& zone) const {
     return state_.evacuations.find(zone) != nullptr;
   }
+  /// The zone was evacuated once and is not now, as far as that is remembered.
+  [[nodiscard]] bool was_evacuated(const ZoneName& zone) const {
+    return state_.evacuations.was_removed(zone);
+  }
   [[nodiscard]] std::vector<AdmittedProxy> proxies() const { return state_.proxies.all(); }
   [[nodiscard]] std::size_t proxy_count() const { return state_.proxies.size(); }
   [[nodiscard]] const AdmittedProxy* find_proxy(const NodeName& node) const {
--- a/src/session/caller_session.cpp
+++ b/src/session/caller_session.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "session/knobs.h"
+#include "session/statement_attempt.h"
 
 namespace cairnhollow::session {
 
@@ -389,6 +390,14 @@
   if (transaction_ && now - transaction_->last_used >= limit) abort_transaction();
 }
 
+void CallerSession::end_evacuated_transaction() {
+  if (!transaction_ || !transaction_->pinned || transaction_->failed) return;
+  if (answering_ || !runner_.is_off_limits(*transaction_->pinned)) return;
+  abort_transaction();
+  transaction_->failure = kEvacuatedTransaction;
+  services_.metrics.count_evacuated_transaction();
+}
+
 void CallerSession::abort_transaction() {
   if (answering_ || !transaction_ || transaction_->failed) return;
   transaction_->failed = true;
--- a/src/session/caller_session.h
+++ b/src/session/caller_session.h
@@ -27,6 +27,8 @@
   /// Gives up a transaction that has rested for longer than `limit`; the caller hears of it with its next
   /// statement.
   void end_resting_transaction(TimePoint now, Duration limit);
+  /// Gives up a transaction that is open in a zone that is left, unless a statement of it is being answered.
+  void end_evacuated_transaction();
   /// Gives up the transaction that is open, unless a statement of it is being answered.
   void abort_transaction();
   /// Ends the session now, or after the answer that is owed.
--- /dev/null
+++ b/src/session/evacuated_zones.h
@@ -0,0 +1,52 @@
+// Which zones' backends a proxy is to leave, and since when it knows.
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "base/types.h"
+#include "session/knobs.h"
+
+namespace cairnhollow::session {
+
+/// Two moments count. From the first, when this proxy heard, nothing new goes to a replica of the zone; its
+/// primaries and open transactions go on, so that control can hand over while they run. From the second on
+/// nothing goes there at all. Whoever holds control's lease heard at most one lease after operators were told
+/// that the order holds, so the second moment lies within the bound that they were promised.
+class EvacuatedZones {
+ public:
+  /// `bound`: so long after an order's acknowledgement nothing more is sent to the zone; 0: the usual one.
+  explicit EvacuatedZones(Duration bound = Duration(0)) {
+    if (bound == Duration(0)) bound = kUsualEvacuationBound;
+    const Duration left = bound - kLongestServingLease - kEvacuationMargin;
+    grace_ = std::clamp(left, Duration(0), bound / 2);
+  }
+
+  /// True when it was not known. One that is known keeps its moment.
+  bool begin(const ZoneName& zone, TimePoint now) { return since_.emplace(zone, now).second; }
+  /// True when it was known.
+  bool end(const ZoneName& zone) { return since_.erase(zone) > 0; }
+  /// Those that are not in `kept`.
+  [[nodiscard]] std::vector<ZoneName> others_than(const std::set<ZoneName>& kept) const {
+    std::vector<ZoneName> others;
+    for (const auto& [zone, since] : since_) {
+      if (kept.count(zone) == 0) others.push_back(zone);
+    }
+    return others;
+  }
+  [[nodiscard]] std::size_t size() const { return since_.size(); }
+  [[nodiscard]] bool is_evacuated(const ZoneName& zone) const { return since_.count(zone) > 0; }
+  /// Whether nothing at all may be sent there any more.
+  [[nodiscard]] bool is_off_limits(const ZoneName& zone, TimePoint now) const {
+    const auto found = since_.find(zone);
+    return found != since_.end() && now - found->second >= grace_;
+  }
+
+ private:
+  Duration grace_{0};
+  std::map<ZoneName, TimePoint> since_;
+};
+
+}  // namespace cairnhollow::session
--- a/src/session/fleet_view.cpp
+++ b/src/session/fleet_view.cpp
@@ -11,7 +11,7 @@
 
 std::shared_ptr<GroupAccess> FleetView::access(const GroupName& group) {
   auto& access = groups_[group];
-  if (!access) access = std::make_shared<GroupAccess>(runtime_, dialer_, group, zone_);
+  if (!access) access = std::make_shared<GroupAccess>(runtime_, dialer_, group, zone_, evacuated_);
   return access;
 }
 
@@ -65,6 +65,36 @@
   }
 }
 
+void FleetView::apply_evacuations(const registry::FleetDelta& delta) {
+  std::set<ZoneName> begun;
+  for (const registry::Evacuation& evacuation : delta.evacuations) begun.insert(evacuation.zone);
+  std::vector<ZoneName> ended = delta.ended_evacuations;
+  if (delta.is_whole) ended = evacuated_->others_than(begun);
+  bool changed = false;
+  for (const ZoneName& zone : ended) {
+    if (!evacuated_->end(zone)) continue;
+    changed = true;
+    log_evacuation("evacuation_over", zone, delta.revision);
+  }
+  for (const ZoneName& zone : begun) {
+    if (!evacuated_->begin(zone, runtime_.now())) continue;
+    changed = true;
+    log_evacuation("evacuation_in_force", zone, delta.revision);
+  }
+  if (!changed) return;
+  for (const auto& [name, group] : groups_) group->note_evacuations();
+}
+
+void FleetView::log_evacuation(const char* event, const ZoneName& zone, std::uint64_t revision) {
+  // Known since the last answer of control, at the latest: so old may the order be.
+  const auto confirmed = keys_confirmed_.confirmed_at();
+  const std::string age = confirmed ? std::to_string(in_ms(runtime_.now() - *confirmed)) : "unknown";
+  runtime_.logger().log(runtime::LogLevel::kInfo, event,
+                        {{"zone", zone.value},
+                         {"revision", std::to_string(revision)},
+                         {"at_most_ms_old", age}});
+}
+
 void FleetView::apply_tenants(const registry::FleetDelta& delta) {
   requires_keys_ = delta.requires_keys;
   if (delta.is_whole) tenants_.clear();
@@ -162,6 +192,7 @@
   revision_ = delta.revision;
   document_version_ = delta.document_version;
   transaction_idle_ = std::chrono::milliseconds(delta.transaction_idle_ms);
+  apply_evacuations(delta);
   apply_routes(delta);
   apply_tenants(delta);
   for (const registry::GroupRule& rule : delta.groups) access(rule.name)->set_rule(rule);
--- a/src/session/fleet_view.h
+++ b/src/session/fleet_view.h
@@ -24,6 +24,7 @@
         dialer_(dialer),
         node_(settings.node),
         zone_(settings.zone),
+        evacuated_(std::make_shared<EvacuatedZones>(settings.evacuation_bound)),
         keys_confirmed_(settings.key_bound),
         budgets_(settings.node, settings.limit_window),
         renewed_(runtime),
@@ -68,6 +69,7 @@
   [[nodiscard]] const tenancy::KeyConfirmation& keys_confirmed() const { return keys_confirmed_; }
   /// What this proxy counts for tenants, and who counts for the others.
   tenancy::BudgetHome& budgets() { return budgets_; }
+  [[nodiscard]] const EvacuatedZones& evacuated() const { return *evacuated_; }
   [[nodiscard]] const NodeName& node() const { return node_; }
   [[nodiscard]] const ZoneName& zone() const { return zone_; }
   /// Null when it is not registered, as far as this proxy knows.
@@ -100,6 +102,8 @@
   std::shared_ptr<GroupAccess> access(const GroupName& group);
   void apply_routes(const registry::FleetDelta& delta);
   void apply_backends(const registry::FleetDelta& delta);
+  void apply_evacuations(const registry::FleetDelta& delta);
+  void log_evacuation(const char* event, const ZoneName& zone, std::uint64_t revision);
   void apply_tenants(const registry::FleetDelta& delta);
   /// Proxies that the delta names, as they are or were.
   [[nodiscard]] std::vector<routing::ProxyPointer> changed_proxies(const registry::FleetDelta& delta) const;
@@ -115,6 +119,7 @@
   BackendDialer& dialer_;
   NodeName node_;
   ZoneName zone_;
+  std::shared_ptr<EvacuatedZones> evacuated_;
   bool requires_keys_ = false;
   tenancy::TenantDirectory tenants_;
   tenancy::KeyConfirmation keys_confirmed_;
--- a/src/session/forward_server.cpp
+++ b/src/session/forward_server.cpp
@@ -39,6 +39,8 @@
   }
   const auto connection = std::make_shared<Connection>();
   connection->frames = frames;
+  std::erase_if(connections_, [](const auto& known) { return known.expired(); });
+  connections_.push_back(connection);
   while (!stopping_) {
     const auto frame = co_await frames->receive(reason);
     std::optional<ForwardRequest> request;
@@ -175,6 +177,19 @@
   co_return forwarded;
 }
 
+void ForwardServer::end_evacuated_transactions() {
+  for (const auto& known : connections_) {
+    const auto connection = known.lock();
+    if (!connection) continue;
+    for (const auto& [number, pin] : connection->pins) {
+      if (pin->running || !pin->link.link->link().is_open() || !runner_.is_off_limits(pin->link)) continue;
+      // Who forwarded hears of it with the transaction's next statement.
+      runner_.abort(pin->link);
+      services_.metrics.count_evacuated_transaction();
+    }
+  }
+}
+
 Awaitable<void> ForwardServer::end_transaction(std::shared_ptr<Connection> connection, std::uint64_t pin) {
   const auto found = connection->pins.find(pin);
   if (found == connection->pins.end()) co_return;
--- a/src/session/forward_server.h
+++ b/src/session/forward_server.h
@@ -18,6 +18,8 @@
   /// False when the endpoint can't be bound.
   bool start(const Endpoint& endpoint, Reason& reason);
   void stop();
+  /// Gives up what other proxies' callers have open in zones that are left.
+  void end_evacuated_transactions();
 
  private:
   /// One open transaction. At most one statement of it runs at a time.
@@ -51,6 +53,7 @@
 
   SessionServices services_;
   StatementRunner runner_;
+  std::vector<std::weak_ptr<Connection>> connections_;
   std::unique_ptr<runtime::FrameListener> listener_;
   bool stopping_ = false;
 };
--- a/src/session/group_access.cpp
+++ b/src/session/group_access.cpp
@@ -80,7 +80,7 @@
   auto& use = backends_[entry.name];
   if (!use || use->entry.endpoint != entry.endpoint) {
     if (use) use->pool.close_idle();
-    use = std::make_shared<BackendUse>(runtime_, dialer_, entry);
+    use = std::make_shared<BackendUse>(runtime_, dialer_, entry, evacuated_);
     ++membership_;
     member_lease_until_ = TimePoint{};
   }
@@ -107,7 +107,8 @@
 
 bool GroupAccess::warm_one() {
   for (const auto& [name, use] : backends_) {
-    if (use->entry.leaving || use->avoid_until > runtime_.now() || !use->pool.is_cold()) continue;
+    if (use->entry.leaving || use->is_evacuated()) continue;
+    if (use->avoid_until > runtime_.now() || !use->pool.is_cold()) continue;
     runtime_.spawn("warm_link", warm(use));
     return true;
   }
@@ -143,9 +144,23 @@
   if (found == backends_.end()) return nullptr;
   const auto& leaving_since = found->second->leaving_since;
   if (leaving_since && runtime_.now() - *leaving_since > kLeavingPrimaryUse) return nullptr;
+  if (found->second->is_off_limits(runtime_.now())) return nullptr;
   return found->second;
 }
 
+bool GroupAccess::is_primary_off_limits() const {
+  if (!term_.open) return false;
+  const auto found = backends_.find(term_.primary);
+  return found != backends_.end() && found->second->is_off_limits(runtime_.now());
+}
+
+void GroupAccess::close_evacuated_links() {
+  for (const auto& [name, use] : backends_) {
+    const bool leads = term_.open && name == term_.primary;
+    if (leads ? use->is_off_limits(runtime_.now()) : use->is_evacuated()) use->pool.close_idle();
+  }
+}
+
 double GroupAccess::cost_of(const BackendUse& backend) const {
   const double slots = static_cast<double>(std::max<std::uint64_t>(backend.entry.slots, 1));
   const double waiting = static_cast<double>(backend.gate.running() + backend.gate.waiting()) / slots;
@@ -164,7 +179,7 @@
   std::shared_ptr<BackendUse> best;
   std::shared_ptr<BackendUse> avoided;
   for (const auto& [name, use] : backends_) {
-    if (use->entry.leaving || excluded.count(name) > 0) continue;
+    if (use->entry.leaving || use->is_evacuated() || excluded.count(name) > 0) continue;
     // A primary of a closed group is not to be believed.
     if (name == term_.primary && !leader) continue;
     const bool lags = name != term_.primary && use->lag(now) > now - need.required_since;
@@ -192,7 +207,8 @@
   const Duration staleness = std::chrono::milliseconds(route.max_staleness_ms);
   const auto newest = positions_.newest();
   // While the group is open the next read renews what is known, before it is too old.
-  if (term_.open && (!newest || now - *newest > staleness / kPositionRefreshDivisor)) return need;
+  const bool may_ask = term_.open && !is_primary_off_limits();
+  if (may_ask && (!newest || now - *newest > staleness / kPositionRefreshDivisor)) return need;
   need.required = positions_.covering(now - staleness);
   if (!need.required) return need;
   need.required_since = positions_.first_seen(*need.required).value_or(now);
--- a/src/session/group_access.h
+++ b/src/session/group_access.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "registry/model.h"
+#include "session/evacuated_zones.h"
 #include "session/position_history.h"
 #include "session/stateful_pool.h"
 #include "session/statement_gate.h"
@@ -18,10 +19,17 @@
 
 /// A backend and how it has done lately.
 struct BackendUse {
-  BackendUse(runtime::Runtime& runtime, BackendDialer& dialer, const registry::BackendEntry& backend)
+  BackendUse(runtime::Runtime& runtime, BackendDialer& dialer, const registry::BackendEntry& backend,
+             std::shared_ptr<const EvacuatedZones> evacuated)
       : entry(backend),
         pool(runtime, dialer, BackendAddress{backend.endpoint, backend.group, backend.name}),
-        gate(runtime) {}
+        gate(runtime),
+        evacuated_(std::move(evacuated)) {}
+
+  /// Its zone is to be left: nothing new goes there, but for a primary that nobody follows yet.
+  [[nodiscard]] bool is_evacuated() const { return evacuated_->is_evacuated(entry.zone); }
+  /// Its zone is left: nothing at all may be sent there.
+  [[nodiscard]] bool is_off_limits(TimePoint now) const { return evacuated_->is_off_limits(entry.zone, now); }
 
   registry::BackendEntry entry;
   StatefulPool pool;
@@ -44,6 +52,7 @@
   TimePoint latency_noted_at_{};
   Duration lag_{0};
   TimePoint lag_noted_at_{};
+  std::shared_ptr<const EvacuatedZones> evacuated_;
 };
 
 /// Statements at a primary; the key is only for taking one out again.
@@ -68,11 +77,14 @@
 
 class GroupAccess {
  public:
-  GroupAccess(runtime::Runtime& runtime, BackendDialer& dialer, GroupName group, ZoneName zone)
+  /// `evacuated`: as the proxy knows them; it may change at any time.
+  GroupAccess(runtime::Runtime& runtime, BackendDialer& dialer, GroupName group, ZoneName zone,
+              std::shared_ptr<const EvacuatedZones> evacuated)
       : runtime_(runtime),
         dialer_(dialer),
         group_(std::move(group)),
         zone_(std::move(zone)),
+        evacuated_(std::move(evacuated)),
         changed_(runtime) {}
 
   void set_term(const registry::GroupTerm& term);
@@ -94,6 +106,13 @@
   /// Notified when term or backends have changed.
   runtime::Signal& changed() { return changed_; }
 
+  /// Zones were evacuated, or given back: whoever waits looks again.
+  void note_evacuations() { changed_.notify_all(); }
+  /// The open term's primary is in a zone that is left, and nobody outside leads yet.
+  [[nodiscard]] bool is_primary_off_limits() const;
+  /// Closes what is not in use of links to evacuated zones.
+  void close_evacuated_links();
+
   /// The open term's primary; null while there is none that may be used.
   std::shared_ptr<BackendUse> primary();
   /// The backend to read at, out of those not in `excluded`; null when none is left.
@@ -164,6 +183,7 @@
   BackendDialer& dialer_;
   GroupName group_;
   ZoneName zone_;
+  std::shared_ptr<const EvacuatedZones> evacuated_;
   registry::GroupTerm term_;
   registry::GroupRule rule_;
   std::map<BackendName, std::shared_ptr<BackendUse>> backends_;
--- a/src/session/knobs.h
+++ b/src/session/knobs.h
@@ -157,6 +157,16 @@
 /// A backend that leaves as primary is used no longer than this.
 inline constexpr Duration kLeavingPrimaryUse = seconds(5);
 
+/// Of the time in which an evacuated zone must be left, what passes until a proxy with a lease has heard
+/// (control's lease, of which deployments have 1.5 s), and what is kept for a process that stands still
+/// between its last look and the sending.
+inline constexpr Duration kLongestServingLease = milliseconds(1500);
+inline constexpr Duration kEvacuationMargin = milliseconds(500);
+/// Where the settings name no bound: that of the one deployment that has such orders.
+inline constexpr Duration kUsualEvacuationBound = seconds(5);
+/// What a caller is told to wait where only backends of evacuated zones could serve it.
+inline constexpr Duration kEvacuatedComeBack = seconds(1);
+
 /// What a backend is thought to take before anything is known.
 inline constexpr double kFirstLatencyMs = 15.0;
 /// A read goes to another zone when the backends of its own are slower by this. Bytes between zones cost
--- a/src/session/session_metrics.h
+++ b/src/session/session_metrics.h
@@ -33,6 +33,11 @@
   void count_token_question() { token_questions_.Increment(); }
   /// An operation of a tenant wanted to begin. `label`: the tenant's name, or that of all that are not named.
   void count_admission(const std::string& label, AdmissionOutcome outcome);
+  /// Refused since only backends of evacuated zones could serve it.
+  void count_evacuated_refusal() { evacuated_refusals_.Increment(); }
+  /// A transaction was given up since its backend's zone is evacuated.
+  void count_evacuated_transaction() { evacuated_transactions_.Increment(); }
+  void set_evacuated_zones(std::size_t zones) { evacuated_zones_.Set(static_cast<double>(zones)); }
   void count_lost_answer() { lost_answers_.Increment(); }
   void set_sessions(std::size_t sessions) { sessions_.Set(static_cast<double>(sessions)); }
   void set_member_leases(std::size_t groups) { member_leases_.Set(static_cast<double>(groups)); }
@@ -50,6 +55,9 @@
       admissions_;  ///< by tenant's label
   prometheus::Counter& lost_answers_;
   prometheus::Counter& token_questions_;
+  prometheus::Counter& evacuated_refusals_;
+  prometheus::Counter& evacuated_transactions_;
+  prometheus::Gauge& evacuated_zones_;
   prometheus::Gauge& sessions_;
   prometheus::Gauge& lease_valid_;
   prometheus::Gauge& member_leases_;
--- a/src/session/session_proxy.cpp
+++ b/src/session/session_proxy.cpp
@@ -81,6 +81,8 @@
   void let_idle_go();
   void watch_lease(TimePoint now);
   void trim_links(TimePoint now);
+  /// Ends what is open in zones that are left.
+  void leave_evacuated();
   /// Callers go elsewhere before the lease runs out: they are sent here for a while after this turns false.
   [[nodiscard]] bool is_ready() const {
     return !draining_ && runtime_.now() + kReadyLeaseLeft < view_.lease_until();
@@ -232,6 +234,14 @@
   }
 }
 
+void SessionProxy::leave_evacuated() {
+  metrics_.set_evacuated_zones(view_.evacuated().size());
+  if (view_.evacuated().size() == 0) return;
+  for (const auto& [id, session] : sessions_) session->end_evacuated_transaction();
+  forward_server_.end_evacuated_transactions();
+  for (const auto& [name, group] : view_.groups()) group->close_evacuated_links();
+}
+
 Awaitable<void> SessionProxy::watch() {
   while (!stopped_) {
     co_await runtime_.sleep_for(kWatchTick);
@@ -239,6 +249,7 @@
     watch_lease(now);
     watch_primaries(now);
     trim_links(now);
+    leave_evacuated();
     const Duration idle_limit = view_.transaction_idle();
     if (idle_limit == Duration(0)) continue;
     for (const auto& [id, session] : sessions_) session->end_resting_transaction(now, idle_limit);
--- a/src/session/statement_attempt.h
+++ b/src/session/statement_attempt.h
@@ -9,6 +9,10 @@
 
 namespace cairnhollow::session {
 
+/// What the caller of a transaction hears whose backend's zone is left.
+inline constexpr const char* kEvacuatedTransaction =
+    "the zone of the transaction's backend is evacuated; nothing of it is kept";
+
 /// Gives back the place that a statement took, with what its answer tells of the backend.
 inline void leave_gate(StatementGate& gate, const std::optional<Answer>& answer, Duration latency) {
   if (!answer) return gate.leave_unanswered();
--- a/src/session/statement_in_transaction.cpp
+++ b/src/session/statement_in_transaction.cpp
@@ -17,7 +17,7 @@
   aborted.state = TransactionState::kFailed;
   aborted.detail = "the transaction's backend was given up; nothing of it is kept";
   const auto usable = [&] {
-    if (key_fault(order)) return false;
+    if (key_fault(order) || pinned.backend->is_off_limits(runtime.now())) return false;
     return !pinned.at_primary || order.read_only_transaction ||
            services_.view.may_use_primary(group, pinned.epoch);
   };
@@ -34,6 +34,7 @@
     ready = co_await pinned.link->bring_in_order(order.values, order.prepared, setup_deadline, reason);
   bool entered = false;
   if (ready) entered = co_await pinned.backend->gate.enter(backend::kUrgentClass, order.deadline);
+  if (pinned.backend->is_off_limits(runtime.now())) aborted.detail = kEvacuatedTransaction;
   if (!entered || !usable()) {
     if (entered) pinned.backend->gate.leave_unanswered();
     pinned.link->link().close();
@@ -75,6 +76,8 @@
   Reason reason;
   SendState sent = SendState::kNotSent;
   const TimePoint deadline = services_.runtime.now() + kLinkSetupTimeout;
+  // The end of its link ends it as well.
+  if (pinned.backend->is_off_limits(services_.runtime.now())) pinned.link->link().close();
   if (pinned.link->link().is_open()) {
     BackendRequest request = Rollback{};
     const auto answer = co_await pinned.link->link().run(std::move(request), deadline, sent, reason);
--- a/src/session/statement_runner.cpp
+++ b/src/session/statement_runner.cpp
@@ -130,9 +130,16 @@
   }
 }
 
+bool StatementRunner::is_out_of_use(const Attempt& attempt) const {
+  if (attempt.at_primary) return attempt.backend->is_off_limits(services_.runtime.now());
+  return attempt.backend->is_evacuated();
+}
+
 bool StatementRunner::is_worth_waiting(const Attempt& attempt) const {
   if (services_.runtime.now() >= attempt.refuse_at) return false;
   const GroupAccess& group = *attempt.order.group;
+  // Nobody outside may come for as long as the operators want.
+  if (group.is_primary_off_limits()) return false;
   if (!services_.view.holds_lease_for(group)) return services_.view.expects_lease();
   return group.term().open || group.is_changing();
 }
@@ -147,7 +154,13 @@
   if (!leased) why = "the serving lease has run out";
   if (leased && !term.open) why = "the group has no primary now";
   if (attempt.offered) why = "the backends are busy";
-  answer.detail = fmt::format("{}; come back in {} ms", why, in_ms(kComeBackAfter));
+  Duration come_back = kComeBackAfter;
+  if (attempt.order.group->is_primary_off_limits()) {
+    services_.metrics.count_evacuated_refusal();
+    why = fmt::format("the zone of {} is evacuated and no backend outside may serve it", term.primary.value);
+    come_back = kEvacuatedComeBack;
+  }
+  answer.detail = fmt::format("{}; come back in {} ms", why, in_ms(come_back));
 }
 
 TimePoint StatementRunner::wait_limit(const Attempt& attempt) const {
@@ -178,14 +191,19 @@
     co_return false;
   }
   const TimePoint deadline = std::min(order.deadline, services_.runtime.now() + kLinkSetupTimeout);
-  const bool ready =
-      co_await attempt->link->bring_in_order(order.values, order.prepared, deadline, attempt->reason);
+  bool ready = !is_out_of_use(*attempt);
+  if (ready)
+    ready = co_await attempt->link->bring_in_order(order.values, order.prepared, deadline, attempt->reason);
   if (ready) co_return true;
   backend->pool.release(attempt->link);
   co_return false;
 }
 
 Awaitable<bool> StatementRunner::begin_transaction(std::shared_ptr<Attempt> attempt) {
+  if (is_out_of_use(*attempt)) {
+    attempt->backend->pool.release(attempt->link);
+    co_return false;
+  }
   Begin begin{attempt->order.read_only_transaction, std::nullopt};
   if (!attempt->need.primary_only) begin.required = attempt->need.required;
   const TimePoint deadline = std::min(attempt->order.deadline, services_.runtime.now() + kLinkSetupTimeout);
@@ -213,7 +231,7 @@
   attempt->at_gate += entered_at - begun_at;
   attempt->path += backend->entry.name.value + ' ';
   bool begun = false;
-  if (entered) begun = co_await prepare_link(attempt, backend);
+  if (entered && !is_out_of_use(*attempt)) begun = co_await prepare_link(attempt, backend);
   attempt->at_pool += services_.runtime.now() - entered_at;
   if (begun && attempt->order.opens_transaction) begun = co_await begin_transaction(attempt);
   if (!entered)
@@ -237,6 +255,12 @@
     backend->gate.leave_unanswered();
     co_return Step::kDone;
   }
+  if (is_out_of_use(*attempt)) {
+    attempt->link->link().close();
+    backend->pool.release(attempt->link);
+    backend->gate.leave_unanswered();
+    co_return Step::kNext;
+  }
   auto answer = co_await exchange(attempt);
   const bool not_run = answer && answer->refusal && is_not_run(*answer->refusal);
   if (attempt->sent == SendState::kMaybeSent && !not_run) attempt->order.may_have_run = true;
--- a/src/session/statement_runner.h
+++ b/src/session/statement_runner.h
@@ -71,6 +71,10 @@
   /// The same, unless nothing is open there any more.
   Awaitable<void> end(PinnedLink pinned);
   void give_back(const PinnedLink& pinned);
+  /// Whether nothing may be sent to the transaction's backend any more since its zone is left.
+  [[nodiscard]] bool is_off_limits(const PinnedLink& pinned) const {
+    return pinned.backend && pinned.backend->is_off_limits(services_.runtime.now());
+  }
   /// Gives the transaction up at once: a commit can't be sent any more.
   void abort(const PinnedLink& pinned);
 
@@ -79,6 +83,9 @@
   enum class Step : std::uint8_t { kDone, kNext, kWait };
 
   [[nodiscard]] bool is_worth_waiting(const Attempt& attempt) const;
+  /// Whether nothing may be sent to the attempt's backend since its zone is evacuated; asked again after
+  /// each wait, last before sending.
+  [[nodiscard]] bool is_out_of_use(const Attempt& attempt) const;
   /// Until when something is waited for at a backend.
   [[nodiscard]] TimePoint wait_limit(const Attempt& attempt) const;
   /// The same for a backend's gate: who would come through later would be late, and make others late.
--- a/tests/platform/registration_calls_test.cpp
+++ b/tests/platform/registration_calls_test.cpp
@@ -33,6 +33,8 @@
     co_return registry::Registration{Endpoint{"10.1.0.8", 7441}};
   }
   Awaitable<bool> deregister_backend(BackendName, Reason&) override { co_return true; }
+  Awaitable<bool> begin_evacuation(ZoneName, Reason&) override { co_return false; }
+  Awaitable<bool> end_evacuation(ZoneName, Reason&) override { co_return false; }
 };
 
 }  // namespace
--- a/tests/session/group_access_test.cpp
+++ b/tests/session/group_access_test.cpp
@@ -45,7 +45,8 @@
   void setUp() override {
     world_ = std::make_unique<simulation::World>(simulation::WorldSettings{});
     runtime_ = &world_->start_bare({"proxy", "10.0.0.1", ZoneName("a")});
-    group_ = std::make_unique<GroupAccess>(*runtime_, dialer_, GroupName("group"), ZoneName("a"));
+    group_ = std::make_unique<GroupAccess>(*runtime_, dialer_, GroupName("group"), ZoneName("a"),
+                                             evacuated_);
     group_->put_backend(backend("primary", 1));
     group_->put_backend(backend("replica-1", 2));
     group_->put_backend(backend("replica-2", 3));
