--- a/simulation/registered_fleet.cpp
+++ b/simulation/registered_fleet.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t kBackendsPerGroup = 3;
 constexpr Duration kPromotionTakes = milliseconds(300);
 constexpr Duration kCallTimeout = milliseconds(900);
+/// An order waits at a control node for the next leader.
+constexpr Duration kOrderTimeout = milliseconds(2500);
 /// After its acknowledgement a lower limit holds on all proxies that control reaches.
 constexpr Duration kLimitSettles = seconds(4);
 
@@ -80,6 +82,7 @@
   settings.peer_endpoint = {address_of(name), kPeerPort};
   settings.control_port = kPeerPort;
   settings.key_bound = settings_.key_bound;
+  settings.evacuation_bound = settings_.evacuation_bound;
   world_.start({name, address_of(name), settings.zone}, [settings](runtime::Runtime& runtime) {
     return session::make_session_proxy(runtime, settings, platform::session_edge());
   });
@@ -104,6 +107,7 @@
       database.lost_answers = settings_.lost_answers;
       database.work = settings_.work;
       database.tenants = &tenant_history_;
+      database.zones = &zone_history_;
       members_[name] = {models.back(), names[place]};
       GroupModel* model = models.back();
       world_.start({name, address_of(name), database.zone},
@@ -167,7 +171,8 @@
 Awaitable<void> call(runtime::Runtime& runtime, Endpoint endpoint, runtime::HttpRequest request,
                      std::shared_ptr<std::optional<runtime::HttpResponse>> result) {
   Reason reason;
-  const TimePoint deadline = runtime.now() + kCallTimeout;
+  const bool is_order = request.target.starts_with("/evacuations");
+  const TimePoint deadline = runtime.now() + (is_order ? kOrderTimeout : kCallTimeout);
   *result = runtime::HttpResponse{};
   (*result)->status = 0;
   const auto connection = co_await runtime.http().connect(endpoint, deadline, reason);
@@ -202,6 +207,47 @@
   return false;
 }
 
+unsigned RegisteredFleet::ask_evacuation(const std::string& control, const std::string& zone, bool begins) {
+  const runtime::HttpRequest request = standins::unfenced::order_evacuation(ZoneName(zone), begins);
+  auto result = std::make_shared<std::optional<runtime::HttpResponse>>();
+  VirtualRuntime& operators = world_.runtime("operator");
+  const TimePoint sent_at = world_.now();
+  operators.spawn("operator", call(operators, {address_of(control), kOperatorPort}, request, result));
+  world_.run_until([&] { return result->has_value() && (*result)->status != 0; }, kOrderTimeout);
+  const unsigned status = result->has_value() ? (*result)->status : 0;
+  if (status == 200) zone_history_.orders.push_back({ZoneName(zone), begins, sent_at, world_.now()});
+  return status;
+}
+
+std::optional<Duration> RegisteredFleet::order_evacuation(const std::string& zone, bool begins,
+                                                          Duration limit) {
+  const TimePoint begun = world_.now();
+  for (std::size_t attempt = 0; world_.now() < begun + limit; ++attempt) {
+    const std::string control = fmt::format("control-{}", 1 + attempt % settings_.control_nodes);
+    if (ask_evacuation(control, zone, begins) == 200) return world_.now() - begun;
+    world_.run_for(milliseconds(50));
+  }
+  return std::nullopt;
+}
+
+bool RegisteredFleet::is_evacuated(const std::string& zone) {
+  const std::string name = leader();
+  return !name.empty() && control::registered::fleet_of(world_.role(name)).is_evacuated(ZoneName(zone));
+}
+
+std::string RegisteredFleet::zone_of(const std::string& backend) {
+  return kZones[static_cast<std::size_t>(backend.back() - '1') % kZones.size()];
+}
+
+bool RegisteredFleet::is_led_from(std::size_t group, const std::string& zone) {
+  const BackendName* leader = models_[group - 1]->leader();
+  return leader != nullptr && zone_of(leader->value) == zone;
+}
+
+Endpoint RegisteredFleet::sessions_at(const std::string& proxy) const {
+  return {address_of(proxy), kSessionPort};
+}
+
 std::uint64_t RegisteredFleet::read_back_version() {
   for (int attempt = 0; attempt < 30; ++attempt) {
     const auto endpoints = control_endpoints(kOperatorPort);
@@ -245,6 +291,8 @@
     for (std::string& violation : find_tenant_violations(tenant_history_, bounds))
       violations.push_back(std::move(violation));
   }
+  for (std::string& violation : find_evacuation_violations(zone_history_, settings_.evacuation_bound))
+    violations.push_back(std::move(violation));
   for (const std::string& fault : world_.faults()) violations.push_back("fault: " + fault);
   return violations;
 }
--- a/simulation/registered_fleet.h
+++ b/simulation/registered_fleet.h
@@ -27,6 +27,7 @@
   /// Callers take turns in having the first key of one of them; empty: callers need no keys.
   std::vector<registry::TenantRule> tenants;
   Duration key_bound = std::chrono::seconds(5);
+  Duration evacuation_bound = std::chrono::seconds(5);
   Duration caller_pause = std::chrono::milliseconds(20);  ///< between a caller's operations
   bool print_log = false;
 };
@@ -43,6 +44,19 @@
 
   /// Sends a document of the next version to one control node after the other until it is acknowledged.
   bool send_document(Duration limit = std::chrono::seconds(5));
+  /// Sends an order to evacuate a zone, or to take that back, to one control node after the other until it is
+  /// acknowledged. How long that took; empty: it was not within `limit`.
+  std::optional<Duration> order_evacuation(const std::string& zone, bool begins,
+                                           Duration limit = std::chrono::seconds(5));
+  /// The status of one control node's answer to such an order; 0: none came.
+  unsigned ask_evacuation(const std::string& control, const std::string& zone, bool begins);
+  /// Whether the leader holds the zone for evacuated.
+  bool is_evacuated(const std::string& zone);
+  /// Where a backend is.
+  static std::string zone_of(const std::string& backend);
+  /// Whether the group's backend that leads by its own account is in the zone.
+  bool is_led_from(std::size_t group, const std::string& zone);
+  [[nodiscard]] Endpoint sessions_at(const std::string& proxy) const;
   /// What the next documents say of tenants.
   void set_tenants(std::vector<registry::TenantRule> tenants) { settings_.tenants = std::move(tenants); }
   /// One more caller, with a key that may be anything; its name tells it from others.
@@ -109,6 +123,7 @@
   std::map<std::string, bool> wiped_;
   std::vector<standins::unfenced::Attempt> history_;
   standins::unfenced::TenantHistory tenant_history_;
+  standins::unfenced::ZoneHistory zone_history_;
   std::size_t next_caller_ = 1;
   std::deque<standins::unfenced::CallerCounts> counts_;
   std::uint64_t version_ = 0;
--- a/src/control/registered/group_keeper.cpp
+++ b/src/control/registered/group_keeper.cpp
@@ -104,8 +104,9 @@
   const bool evacuated = primary != nullptr && fleet_.is_evacuated(primary->zone);
   if (!leaves && !evacuated) return {};
   const auto members = fleet_.backends_of(term.group);
-  const bool any = std::any_of(members.begin(), members.end(),
-                               [&](const registry::BackendEntry& entry) { return is_successor(entry, term); });
+  const bool any = std::any_of(members.begin(), members.end(), [&](const registry::BackendEntry& entry) {
+    return is_successor(entry, term);
+  });
   if (!any) return {};
   return leaves ? "the primary leaves" : "the zone " + primary->zone.value + " is evacuated";
 }
--- a/src/control/registered/group_keeper.h
+++ b/src/control/registered/group_keeper.h
@@ -141,8 +141,8 @@
   };
   std::map<GroupName, OutOfReach> out_of_reach_;
   std::optional<std::uint64_t> settled_revision_;  ///< of the fleet, at which no group needed anything
-  std::map<GroupName, TimePoint> moving_;  ///< out of evacuated zones: closed, or about to be, since
-  std::set<GroupName> ready_moves_;  ///< groups that could be moved and wait for a place
+  std::map<GroupName, TimePoint> moving_;          ///< out of evacuated zones: closed, or about to be, since
+  std::set<GroupName> ready_moves_;                ///< groups that could be moved and wait for a place
   bool resumed_left_ = false;                      ///< since this node leads
   bool stopping_ = false;
 };
--- a/src/session/fleet_view.cpp
+++ b/src/session/fleet_view.cpp
@@ -89,10 +89,9 @@
   // Known since the last answer of control, at the latest: so old may the order be.
   const auto confirmed = keys_confirmed_.confirmed_at();
   const std::string age = confirmed ? std::to_string(in_ms(runtime_.now() - *confirmed)) : "unknown";
-  runtime_.logger().log(runtime::LogLevel::kInfo, event,
-                        {{"zone", zone.value},
-                         {"revision", std::to_string(revision)},
-                         {"at_most_ms_old", age}});
+  runtime_.logger().log(
+      runtime::LogLevel::kInfo, event,
+      {{"zone", zone.value}, {"revision", std::to_string(revision)}, {"at_most_ms_old", age}});
 }
 
 void FleetView::apply_tenants(const registry::FleetDelta& delta) {
--- a/src/session/session_metrics.cpp
+++ b/src/session/session_metrics.cpp
@@ -22,8 +22,9 @@
                                         "Questions to other proxies that count for a tenant.")),
       evacuated_refusals_(metrics_.counter("cairnhollow_session_evacuated_refusals_total",
                                            "Statements that only evacuated backends could serve.")),
-      evacuated_transactions_(metrics_.counter("cairnhollow_session_evacuated_transactions_total",
-                                               "Transactions given up as their backend's zone is evacuated.")),
+      evacuated_transactions_(
+          metrics_.counter("cairnhollow_session_evacuated_transactions_total",
+                           "Transactions given up as their backend's zone is evacuated.")),
       evacuated_zones_(metrics_.gauge("cairnhollow_session_evacuated_zones",
                                       "Zones to whose backends this proxy sends nothing new.")),
       sessions_(metrics_.gauge("cairnhollow_session_open", "Sessions that are open.")),
--- a/standins/unfenced/database.cpp
+++ b/standins/unfenced/database.cpp
@@ -168,6 +168,9 @@
       std::string_view text = *line;
       take_word(text);
       const std::string_view id = take_word(text);
+      if (settings_.zones != nullptr && id != "-")
+        settings_.zones->arrived.push_back(
+            {std::string(id), settings_.backend, settings_.zone, runtime_.now()});
       if (breaks_off_ && id != "-") {
         lines->close();
         co_return;
--- a/standins/unfenced/document_text.cpp
+++ b/standins/unfenced/document_text.cpp
@@ -72,6 +72,13 @@
   return request;
 }
 
+runtime::HttpRequest order_evacuation(const ZoneName& zone, bool begins) {
+  runtime::HttpRequest request;
+  request.method = begins ? runtime::HttpMethod::kPost : runtime::HttpMethod::kDelete;
+  request.target = "/evacuations/" + zone.value;
+  return request;
+}
+
 runtime::HttpRequest read_document() {
   runtime::HttpRequest request;
   request.target = kDocumentPath;
--- a/standins/unfenced/document_text.h
+++ b/standins/unfenced/document_text.h
@@ -39,6 +39,8 @@
 
 runtime::HttpRequest replace_document(std::string text);
 runtime::HttpRequest read_document();
+/// An order to evacuate a zone, or to take that back.
+runtime::HttpRequest order_evacuation(const ZoneName& zone, bool begins);
 /// 0 when the text is no document.
 std::uint64_t version_of(const std::string& text);
 
--- a/tests/control/registered/promotion_choice_test.cpp
+++ b/tests/control/registered/promotion_choice_test.cpp
@@ -16,6 +16,11 @@
   return member;
 }
 
+MemberFinding evacuated(MemberFinding member) {
+  member.evacuated = true;
+  return member;
+}
+
 session::BackendStatus replica(std::uint64_t index, std::uint64_t term = 3) {
   return {false, term, {term, index}};
 }
@@ -47,6 +52,12 @@
   CPPUNIT_TEST(a_primary_of_a_newer_term_is_adopted);
   CPPUNIT_TEST(of_equal_ones_who_stays);
   CPPUNIT_TEST(not_without_a_synchronous_replica);
+  CPPUNIT_TEST(one_outside_evacuated_zones_comes_first);
+  CPPUNIT_TEST(one_outside_that_is_behind_proves_nothing_by_being_the_furthest_there);
+  CPPUNIT_TEST(one_inside_follows_a_dead_primary_when_nobody_outside_is_proved);
+  CPPUNIT_TEST(nobody_inside_follows_a_primary_that_runs);
+  CPPUNIT_TEST(an_evacuated_primary_that_runs_is_not_used_again_while_one_outside_catches_up);
+  CPPUNIT_TEST(an_evacuated_primary_leads_on_where_nobody_is_outside);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -57,6 +68,60 @@
     CPPUNIT_ASSERT_EQUAL(std::string("b"), choice.backend.value);
   }
 
+  void one_outside_evacuated_zones_comes_first() {
+    const auto equal = choose_promotion(
+        facts({finding("old", std::nullopt), evacuated(finding("a", replica(9))), finding("b", replica(9))}),
+        true);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), equal.backend.value);
+    auto known =
+        facts({finding("old", std::nullopt), evacuated(finding("a", replica(9))), finding("b", replica(7))});
+    known.all_acknowledgers_answered = true;
+    known.highest_acknowledged = {3, 7};
+    const auto behind = choose_promotion(known, true);
+    CPPUNIT_ASSERT(behind.verdict == PromotionVerdict::kPromote);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("it holds all that was acknowledged", std::string("b"),
+                                 behind.backend.value);
+  }
+
+  void one_outside_that_is_behind_proves_nothing_by_being_the_furthest_there() {
+    auto known =
+        facts({finding("old", leading(9)), evacuated(finding("a", replica(9))), finding("b", replica(7))});
+    known.members_are_stable = true;
+    const auto choice = choose_promotion(known, false);
+    CPPUNIT_ASSERT(choice.verdict == PromotionVerdict::kNotYet);
+  }
+
+  void one_inside_follows_a_dead_primary_when_nobody_outside_is_proved() {
+    auto known =
+        facts({finding("old", std::nullopt), evacuated(finding("a", replica(9))), finding("b", replica(7))});
+    known.members_are_stable = true;
+    const auto choice = choose_promotion(known, true);
+    CPPUNIT_ASSERT(choice.verdict == PromotionVerdict::kPromote);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("no commit is lost", std::string("a"), choice.backend.value);
+  }
+
+  void nobody_inside_follows_a_primary_that_runs() {
+    const auto choice = choose_promotion(
+        facts({finding("old", leading(9)), evacuated(finding("a", replica(9))), finding("b", replica(7))}),
+        true);
+    CPPUNIT_ASSERT(choice.verdict == PromotionVerdict::kReopen);
+  }
+
+  void an_evacuated_primary_that_runs_is_not_used_again_while_one_outside_catches_up() {
+    const auto choice = choose_promotion(
+        facts({evacuated(finding("old", leading(9))), finding("a", replica(8)), finding("b", replica(7))}),
+        true);
+    CPPUNIT_ASSERT(choice.verdict == PromotionVerdict::kNotYet);
+  }
+
+  void an_evacuated_primary_leads_on_where_nobody_is_outside() {
+    const auto choice =
+        choose_promotion(facts({evacuated(finding("old", leading(9))), evacuated(finding("a", replica(9))),
+                                evacuated(finding("b", replica(7)))}),
+                         true);
+    CPPUNIT_ASSERT(choice.verdict == PromotionVerdict::kReopen);
+  }
+
   void not_with_a_replica_missing() {
     const auto choice = choose_promotion(
         facts({finding("old", std::nullopt), finding("a", replica(7)), finding("b", std::nullopt)}), true);
--- a/tests/registry/state_machine_test.cpp
+++ b/tests/registry/state_machine_test.cpp
@@ -51,6 +51,8 @@
   CPPUNIT_TEST(a_snapshot_restores_everything);
   CPPUNIT_TEST(a_batch_is_one_change);
   CPPUNIT_TEST(members_follow_every_way_a_backend_comes_and_goes);
+  CPPUNIT_TEST(the_last_order_for_a_zone_holds);
+  CPPUNIT_TEST(evacuations_reach_followers_and_survive_a_snapshot);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -74,6 +76,39 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, machine_->document_version());
   }
 
+  void the_last_order_for_a_zone_holds() {
+    const ZoneName erie("erie");
+    apply(BeginEvacuation{erie});
+    CPPUNIT_ASSERT(machine_->is_evacuated(erie));
+    CPPUNIT_ASSERT(!machine_->is_evacuated(ZoneName("huron")));
+    const std::uint64_t begun = machine_->revision();
+    apply(BeginEvacuation{erie});
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("the same again changes nothing", begun, machine_->revision());
+    apply(EndEvacuation{erie});
+    CPPUNIT_ASSERT(!machine_->is_evacuated(erie));
+    CPPUNIT_ASSERT_MESSAGE("its name stays known", machine_->was_evacuated(erie));
+    apply(EndEvacuation{erie});
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("nor does its end", begun + 1, machine_->revision());
+    apply(BeginEvacuation{erie});
+    CPPUNIT_ASSERT(machine_->is_evacuated(erie));
+  }
+
+  void evacuations_reach_followers_and_survive_a_snapshot() {
+    apply(BeginEvacuation{ZoneName("erie")});
+    const std::uint64_t before = machine_->revision();
+    apply(EndEvacuation{ZoneName("erie")});
+    apply(BeginEvacuation{ZoneName("huron")});
+    Reason reason;
+    CPPUNIT_ASSERT(machine_->restore_snapshot(machine_->take_snapshot(), reason));
+    const FleetDelta delta = machine_->delta_since(before);
+    CPPUNIT_ASSERT(delta.evacuations == std::vector<Evacuation>{{ZoneName("huron")}});
+    CPPUNIT_ASSERT(delta.ended_evacuations == std::vector<ZoneName>{ZoneName("erie")});
+    const FleetDelta whole = machine_->delta_since(0);
+    CPPUNIT_ASSERT(whole.is_whole && whole.evacuations == delta.evacuations);
+    const auto sent = wire::decode<FleetDelta>(wire::encode_from(whole, wire::kWrittenFormat), reason);
+    CPPUNIT_ASSERT_MESSAGE("also on the wire", sent && sent->evacuations == delta.evacuations);
+  }
+
   void a_batch_is_one_change() {
     apply(RegisterBackend{backend("b0", 9, 1)});
     const std::uint64_t before = machine_->revision();
