--- a/simulation/registered_fleet.cpp
+++ b/simulation/registered_fleet.cpp
@@ -169,10 +169,10 @@
 
 /// One call to a control node; the status is 0 when there was no answer.
 Awaitable<void> call(runtime::Runtime& runtime, Endpoint endpoint, runtime::HttpRequest request,
-                     std::shared_ptr<std::optional<runtime::HttpResponse>> result) {
+                     std::shared_ptr<std::optional<runtime::HttpResponse>> result,
+                     Duration limit = kCallTimeout) {
   Reason reason;
-  const bool is_order = request.target.starts_with("/evacuations");
-  const TimePoint deadline = runtime.now() + (is_order ? kOrderTimeout : kCallTimeout);
+  const TimePoint deadline = runtime.now() + limit;
   *result = runtime::HttpResponse{};
   (*result)->status = 0;
   const auto connection = co_await runtime.http().connect(endpoint, deadline, reason);
@@ -212,7 +212,8 @@
   auto result = std::make_shared<std::optional<runtime::HttpResponse>>();
   VirtualRuntime& operators = world_.runtime("operator");
   const TimePoint sent_at = world_.now();
-  operators.spawn("operator", call(operators, {address_of(control), kOperatorPort}, request, result));
+  operators.spawn("operator",
+                  call(operators, {address_of(control), kOperatorPort}, request, result, kOrderTimeout));
   world_.run_until([&] { return result->has_value() && (*result)->status != 0; }, kOrderTimeout);
   const unsigned status = result->has_value() ? (*result)->status : 0;
   if (status == 200) zone_history_.orders.push_back({ZoneName(zone), begins, sent_at, world_.now()});
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -54,6 +54,7 @@
     line_.every_line = flag("--all");
     line_.paths = arguments_.at("--filename").asStringList();
     read_objects();
+    if (flag("evacuate")) read_evacuation();
     read_label_words();
     line_.target = selector("--to").value_or(config::Selector{});
     if (has("--since")) line_.since = number("--since");
@@ -123,6 +124,7 @@
         {"delete", Command::kDelete},
         {"label", Command::kLabel},
         {"drain", Command::kDrain},
+        {"evacuate", Command::kDrain},
         {"status", Command::kStatus},
         {"events", Command::kEvents},
         {"explain", Command::kExplain},
@@ -176,6 +178,16 @@
       fail(fmt::format("KIND: '{}' is none of proxy, backend, group, route", word));
   }
 
+  /// In a declared fleet a zone is a label, and a drained backend is one to which nothing new is sent.
+  void read_evacuation() {
+    if (line_.selector) fail("--selector: evacuate takes a zone");
+    Reason fault;
+    line_.kind = config::ObjectKind::kBackend;
+    line_.selector = config::parse_selector("zone=" + text("ZONE"), fault);
+    if (!line_.selector) fail(fmt::format("ZONE: {}", fault.detail));
+    line_.undo = flag("--end");
+  }
+
   /// The words behind `label KIND` are names and label changes.
   void read_label_words() {
     for (const auto& word : arguments_.at("WORD").asStringList()) {
--- a/src/cli/usage.cpp
+++ b/src/cli/usage.cpp
@@ -16,6 +16,7 @@
   cairnhollow delete KIND [NAME...] [--server=ADDRESS]... [options]
   cairnhollow label KIND WORD... [--server=ADDRESS]... [options]
   cairnhollow drain KIND [NAME...] [--server=ADDRESS]... [options]
+  cairnhollow evacuate ZONE [--end] [--server=ADDRESS]... [options]
   cairnhollow status [NAME...] [--server=ADDRESS]... [options]
   cairnhollow events [NAME...] [--server=ADDRESS]... [options]
   cairnhollow explain DATABASE KEY [--label=LABEL]... [--server=ADDRESS]... [options]
@@ -38,6 +39,8 @@
   delete      Deletes objects, all or none.
   label       Sets (key=value) or removes (key-) labels of named or selected objects.
   drain       Takes new work away from proxies or backends; --undo gives it back.
+  evacuate    Takes new work away from all backends with the label zone=ZONE, as drain does; --end gives it
+              back.
   status      Shows control nodes, database groups and proxies; of a large fleet a summary by zone with the
               groups and proxies that need a look. Names or -l show only those groups, backends and proxies.
   events      Shows failovers, elections, drains, member changes and their causes; with names or -l those
@@ -63,6 +66,7 @@
   --at-revision=NUMBER              With --change-id: the revision seen when the id was chosen ('wait' prints
                                     it); a repeat says the same.
   --undo                            With drain: give work again.
+  --end                             With evacuate: the zone's backends may be used again.
   --all                             With get and status: print every line. Else tables of get end after
                                     200 objects, and status summarizes more than 50 groups or 100 proxies.
   --to=SELECTOR                     With switchover: which backends may become primary.
--- a/src/session/settings.h
+++ b/src/session/settings.h
@@ -27,7 +27,7 @@
   tenancy::LimitWindow limit_window;
   /// The deployment's zones and where they are; empty: not known.
   std::map<ZoneName, RegionName> zone_regions;
-  /// How long after a zone's evacuation was acknowledged something may still be sent there; 0: not bound.
+  /// How long after a zone's evacuation was acknowledged something may still be sent there; 0: 5 s.
   Duration evacuation_bound{0};
   /// Within a second a cold backend gets no more than its rate times `cold_overshoot` plus `cold_slack`, from
   /// all proxies together. Both 0: not bound.
--- a/tests/cli/command_line_test.cpp
+++ b/tests/cli/command_line_test.cpp
@@ -29,6 +29,9 @@
     CPPUNIT_ASSERT(parse({"delete", "-f", "x"}).command == Command::kDelete);
     CPPUNIT_ASSERT(parse({"label", "proxy", "p", "a=b"}).command == Command::kLabel);
     CPPUNIT_ASSERT(parse({"drain", "proxies", "p"}).command == Command::kDrain);
+    CPPUNIT_ASSERT(parse({"evacuate", "petone"}).command == Command::kDrain);
+    CPPUNIT_ASSERT(!parse({"evacuate", "petone"}).undo);
+    CPPUNIT_ASSERT(parse({"evacuate", "petone", "--end"}).undo);
     CPPUNIT_ASSERT(parse({"status"}).command == Command::kStatus);
     CPPUNIT_ASSERT(parse({"events", "--since", "4"}).since == 4U);
     CPPUNIT_ASSERT(!parse({"events"}).since);
@@ -85,6 +88,9 @@
         {{"label", "all", "a", "a=b"}, "KIND: name one kind"},
         {{"delete", "backend", "a", "-l", "x=y"}, "not both"},
         {{"drain", "route", "r"}, "KIND: only a proxy or backend drains"},
+        {{"evacuate", "petone", "-l", "a=b"}, "evacuate takes a zone"},
+        {{"evacuate", "pet one"}, "ZONE"},
+        {{"evacuate"}, "--help"},
         {{"member", "add", "n"}, "--endpoint: is required"},
         {{"member", "add", "n", "--endpoint", "1.2.3.4:5"}, "--zone: is required"},
         {{"switchover"}, "name a group or select groups"},
--- a/tests/cli/commands_test.cpp
+++ b/tests/cli/commands_test.cpp
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(apply_creates_configures_and_leaves_unchanged);
   CPPUNIT_TEST(label_and_get_by_selector);
   CPPUNIT_TEST(drain_and_undo);
+  CPPUNIT_TEST(evacuate_a_zone_and_end_it);
   CPPUNIT_TEST(delete_by_name);
   CPPUNIT_TEST(delete_by_manifest);
   CPPUNIT_TEST(of_two_operators_on_one_version_exactly_one_wins);
@@ -95,6 +96,17 @@
         !contains(fleet_->run({"get", "backend", "orders-b", "-o", "yaml"}).output, "drain: true"));
   }
 
+  void evacuate_a_zone_and_end_it() {
+    fleet_->run_with_manifest("apply", kTwoBackends);
+    CPPUNIT_ASSERT(fleet_->run({"evacuate", "petone"}).code == ExitCode::kDone);
+    CPPUNIT_ASSERT(contains(fleet_->run({"get", "backend", "orders-b", "-o", "yaml"}).output, "drain: true"));
+    CPPUNIT_ASSERT(
+        !contains(fleet_->run({"get", "backend", "orders-a", "-o", "yaml"}).output, "drain: true"));
+    CPPUNIT_ASSERT(fleet_->run({"evacuate", "petone", "--end"}).code == ExitCode::kDone);
+    CPPUNIT_ASSERT(
+        !contains(fleet_->run({"get", "backend", "orders-b", "-o", "yaml"}).output, "drain: true"));
+  }
+
   void delete_by_name() {
     fleet_->run_with_manifest("apply", kTwoBackends);
     const auto deleted = fleet_->run({"delete", "backend", "orders-a"});
