--- a/src/control/registered/control_metrics.cpp
+++ b/src/control/registered/control_metrics.cpp
@@ -53,6 +53,16 @@
           "Registrations that put another life in the place of one of the same name.", counts.replaced);
   counter("cairnhollow_registry_unproved_promotions_total",
           "Primaries promoted although acknowledged commits may be gone.", groups_.unproved_promotions());
+  gauge("cairnhollow_registry_evacuated_zones", "Zones to whose backends nothing is to be sent.",
+        fleet_.evacuations().size());
+  for (std::size_t outcome = 0; outcome < kOrderOutcomes; ++outcome) {
+    const auto kind = static_cast<OrderOutcome>(outcome);
+    metrics
+        .counter("cairnhollow_registry_evacuation_orders_total",
+                 "Orders to evacuate a zone or to take it back, as this node answered them.",
+                 {{"outcome", outcome_name(kind)}})
+        .Increment(static_cast<double>(registrations_.evacuations().count(kind)));
+  }
   return metrics.render();
 }
 
--- a/src/control/registered/control_metrics.h
+++ b/src/control/registered/control_metrics.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "consensus/consensus.h"
+#include "control/registered/evacuation_orders.h"
 #include "control/registered/group_keeper.h"
 #include "control/registered/lease_keeper.h"
 #include "control/registered/registration_service.h"
--- a/src/control/registered/group_failover.cpp
+++ b/src/control/registered/group_failover.cpp
@@ -66,14 +66,18 @@
   const Membership& membership = memberships_[closed.group];
   facts.replaced_life_is_unsettled = membership.unsettled && membership.was_replaced;
   // A dead primary does not answer: it is not waited for when the replicas' answers will do.
-  const auto enough = [facts](const std::vector<MemberFinding>& findings) mutable {
+  const auto enough = [this, facts](const std::vector<MemberFinding>& findings) mutable {
     facts.members = findings;
+    mark_evacuated(facts.members);
     const bool all_replicas = std::all_of(findings.begin(), findings.end(), [&](const MemberFinding& member) {
       return member.status || member.entry.name == facts.closed.primary;
     });
     if (!all_replicas) return false;
     const PromotionChoice choice = choose_promotion(facts, false);
-    return choice.verdict == PromotionVerdict::kPromote && !choice.is_unproved;
+    // One in an evacuated zone may follow only a primary that surely does not run.
+    const registry::BackendEntry* chosen = fleet_.find_backend(choice.backend);
+    const bool outside = chosen != nullptr && !fleet_.is_evacuated(chosen->zone);
+    return choice.verdict == PromotionVerdict::kPromote && !choice.is_unproved && outside;
   };
   std::vector<MemberFinding> members;
   for (registry::BackendEntry& entry : fleet_.backends_of(closed.group)) {
@@ -81,9 +85,14 @@
     members.push_back({std::move(entry), std::nullopt, joined});
   }
   facts.members = co_await prober_.ask_all(std::move(members), enough);
+  mark_evacuated(facts.members);
   co_return facts;
 }
 
+void GroupKeeper::mark_evacuated(std::vector<MemberFinding>& members) const {
+  for (MemberFinding& member : members) member.evacuated = fleet_.is_evacuated(member.entry.zone);
+}
+
 PromotionChoice GroupKeeper::choose_next(const PromotionFacts& facts) {
   PromotionChoice choice = choose_promotion(facts, true);
   if (choice.verdict != PromotionVerdict::kPromote || facts.all_proxies_answered) return choice;
--- a/src/control/registered/promotion_choice.cpp
+++ b/src/control/registered/promotion_choice.cpp
@@ -47,11 +47,12 @@
   return is_restarted_primary(member, facts) && leads_closed_term(member, facts);
 }
 
-/// The furthest log among those who may follow; of equal ones, a backend that stays.
-const MemberFinding* find_furthest(const PromotionFacts& facts) {
+/// The furthest log among those who may follow in evacuated zones, or among the others; of equal ones, a
+/// backend that stays.
+const MemberFinding* find_furthest(const PromotionFacts& facts, bool evacuated) {
   const MemberFinding* best = nullptr;
   for (const MemberFinding& member : facts.members) {
-    if (!may_follow(member, facts)) continue;
+    if (!may_follow(member, facts) || member.evacuated != evacuated) continue;
     if (best == nullptr) {
       best = &member;
       continue;
@@ -106,6 +107,20 @@
   });
 }
 
+const MemberFinding* find_old_primary(const PromotionFacts& facts) {
+  for (const MemberFinding& member : facts.members) {
+    if (is_old_primary(member, facts)) return &member;
+  }
+  return nullptr;
+}
+
+/// Whether nobody who may follow holds more.
+bool is_furthest_of_all(const MemberFinding& candidate, const PromotionFacts& facts) {
+  return std::all_of(facts.members.begin(), facts.members.end(), [&](const MemberFinding& member) {
+    return !may_follow(member, facts) || member.status->received <= candidate.status->received;
+  });
+}
+
 struct Proof {
   bool holds_all = false;
   std::string why;
@@ -120,7 +135,8 @@
     return {true, "it reaches the highest position that any proxy acknowledged"};
   const bool reaches_known = !facts.replaced_life_is_unsettled && position >= facts.highest_acknowledged;
   const bool nobody_left = facts.members_are_stable || reaches_known;
-  if (all_replicas_compared(facts) && facts.synchronous_replicas > 0 && nobody_left)
+  const bool is_furthest = is_furthest_of_all(candidate, facts);
+  if (is_furthest && all_replicas_compared(facts) && facts.synchronous_replicas > 0 && nobody_left)
     return {true, "it is the furthest of all replicas"};
   return {false,
           fmt::format("{} at {}.{} may lack acknowledged commits", name, position.term, position.index)};
@@ -145,6 +161,17 @@
   return {verdict, candidate.entry.name, leads ? candidate.status->term : 0, std::move(why)};
 }
 
+/// Whoever is left with the most, wherever it is: more of what was acknowledged cannot be had.
+PromotionChoice follow_unproved(const MemberFinding* outside, const MemberFinding* inside,
+                                const PromotionFacts& facts) {
+  const bool inside_has_more =
+      inside != nullptr && (outside == nullptr || inside->status->received > outside->status->received);
+  PromotionChoice choice =
+      follow_with(inside_has_more ? *inside : *outside, facts, "it is the furthest that is left");
+  choice.is_unproved = true;
+  return choice;
+}
+
 }  // namespace
 
 bool is_blank(const MemberFinding& member, const PromotionFacts& facts) {
@@ -159,21 +186,26 @@
   if (const MemberFinding* newer = find_newer_primary(facts))
     return {PromotionVerdict::kAdopt, newer->entry.name, newer->status->term,
             "it leads a higher term already"};
-  const MemberFinding* candidate = find_furthest(facts);
-  Proof proof;
-  if (candidate != nullptr) proof = prove(*candidate, facts);
-  if (proof.holds_all) return follow_with(*candidate, facts, proof.why);
-  for (const MemberFinding& member : facts.members) {
-    const bool leads = shows_old_log(member, facts) && member.status->is_primary;
-    if (leads && reopen_allowed && !member.entry.leaving)
-      return {PromotionVerdict::kReopen, member.entry.name, member.status->term, "it answers as before"};
-  }
-  if (candidate != nullptr && is_nothing_left(facts)) {
-    PromotionChoice choice = follow_with(*candidate, facts, "it is the furthest that is left");
-    choice.is_unproved = true;
-    return choice;
+  const MemberFinding* outside = find_furthest(facts, false);
+  const MemberFinding* inside = find_furthest(facts, true);
+  const MemberFinding* old = find_old_primary(facts);
+  const bool old_leads = old != nullptr && shows_old_log(*old, facts) && old->status->is_primary;
+  Proof proof{false, "no replica answers"};
+  if (outside != nullptr) proof = prove(*outside, facts);
+  if (proof.holds_all) return follow_with(*outside, facts, proof.why);
+  if (inside != nullptr && !old_leads) {
+    const Proof of_inside = prove(*inside, facts);
+    if (of_inside.holds_all)
+      return follow_with(*inside, facts,
+                         of_inside.why + "; its zone is evacuated, and nobody outside may follow yet");
   }
-  return {PromotionVerdict::kNotYet, {}, 0, candidate == nullptr ? "no replica answers" : proof.why};
+  if (old_leads && old->evacuated && outside != nullptr)
+    return {PromotionVerdict::kNotYet, {}, 0, "its zone is evacuated, and " + proof.why};
+  if (old_leads && reopen_allowed && !old->entry.leaving)
+    return {PromotionVerdict::kReopen, old->entry.name, old->status->term, "it answers as before"};
+  if ((outside != nullptr || inside != nullptr) && is_nothing_left(facts))
+    return follow_unproved(outside, inside, facts);
+  return {PromotionVerdict::kNotYet, {}, 0, proof.why};
 }
 
 }  // namespace cairnhollow::control::registered
--- a/src/control/registered/promotion_choice.h
+++ b/src/control/registered/promotion_choice.h
@@ -16,6 +16,7 @@
   std::optional<session::BackendStatus> status;  ///< empty: it did not answer
   /// It was registered, or changed, since the closed term opened: it may be a life that began since.
   bool joined_in_term = false;
+  bool evacuated = false;  ///< its zone is: as primary it would serve nobody
 };
 
 struct PromotionFacts {
@@ -61,6 +62,9 @@
 /// one life. So the furthest log holds it when all replicas were compared, or the old primary was, or when it
 /// reaches the highest position that any proxy acknowledged. `reopen_allowed`: the old primary was not given
 /// up for good.
+/// One outside evacuated zones that can be shown to hold all of it comes first, also when it is not the
+/// furthest. One inside follows only a primary that does not answer: then no commit is lost, and the others
+/// catch up from it. While an old primary in an evacuated zone runs, one outside is waited for.
 PromotionChoice choose_promotion(const PromotionFacts& facts, bool reopen_allowed);
 
 }  // namespace cairnhollow::control::registered
--- a/src/control/registered/registered_control_node.cpp
+++ b/src/control/registered/registered_control_node.cpp
@@ -51,6 +51,12 @@
   return peers;
 }
 
+std::vector<ZoneName> zones_of(const RegisteredControlSettings& settings) {
+  std::vector<ZoneName> zones;
+  for (const auto& [zone, region] : settings.zone_regions) zones.push_back(zone);
+  return zones;
+}
+
 /// The parts' coroutines refer to it until the process ends.
 class RegisteredControlNode : public runtime::Role {
  public:
@@ -68,7 +74,7 @@
         promotions_(edge.make_promotions(runtime, settings_.promotion_endpoint)),
         groups_(runtime, *raft_, fleet_, calls_, leases_, prober_, *promotions_, settings_.node),
         voters_(runtime, *raft_, directory_, settings_.lost_disks_tolerated),
-        registrations_(runtime, *raft_, fleet_, calls_, voters_, prober_),
+        registrations_(runtime, *raft_, fleet_, calls_, voters_, prober_, zones_of(settings_)),
         operator_calls_(edge.make_operator_calls(registrations_)),
         metrics_(*raft_, fleet_, leases_, groups_, registrations_),
         dispatcher_(runtime) {
--- a/src/control/registered/registration_service.h
+++ b/src/control/registered/registration_service.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "consensus/consensus.h"
+#include "control/registered/evacuation_orders.h"
 #include "control/registered/group_prober.h"
 #include "control/registered/leader_calls.h"
 #include "control/registered/voter_keeper.h"
@@ -22,13 +23,14 @@
  public:
   RegistrationService(runtime::Runtime& runtime, consensus::Consensus& consensus,
                       registry::FleetStateMachine& fleet, LeaderCalls& calls, const VoterKeeper& voters,
-                      GroupProber& prober)
+                      GroupProber& prober, std::vector<ZoneName> zones = {})
       : runtime_(runtime),
         consensus_(consensus),
         fleet_(fleet),
         calls_(calls),
         voters_(voters),
         prober_(prober),
+        evacuations_(runtime, consensus, fleet, calls, std::move(zones)),
         begun_(runtime.now()) {}
 
   Awaitable<bool> replace_document(registry::ConfigurationDocument document, Reason& reason) override;
@@ -39,12 +41,16 @@
   void note_refused(const registry::RefusedRegistration& refused) override;
   [[nodiscard]] const registry::RegistrationFaultCounts& refused() const { return refused_; }
   [[nodiscard]] const RegistrationCounts& counts() const { return counts_; }
+  Awaitable<bool> begin_evacuation(ZoneName zone, Reason& reason) override;
+  Awaitable<bool> end_evacuation(ZoneName zone, Reason& reason) override;
+
+  [[nodiscard]] const EvacuationOrders& evacuations() const { return evacuations_; }
 
  private:
   Awaitable<bool> confirm(Reason& reason);
   /// The first voters alone might not keep what is acknowledged; for a while after the start the others are
   /// waited for.
-  [[nodiscard]] bool may_acknowledge(Reason& reason) const;
+  [[nodiscard]] bool may_acknowledge(const char* step, Reason& reason) const;
 
   /// Whether the document names the entry's group, as far as this node knows it. Before the first document
   /// every group may be one. A backend that is held stays one of its group until it ends, so that it can
@@ -71,6 +77,7 @@
   LeaderCalls& calls_;
   const VoterKeeper& voters_;
   GroupProber& prober_;
+  EvacuationOrders evacuations_;
   TimePoint begun_;
   RegistrationCounts counts_;
   std::map<ZoneName, std::vector<Endpoint>> takers_;  ///< proxies that stay, by zone
--- a/src/registry/control_service.h
+++ b/src/registry/control_service.h
@@ -34,6 +34,12 @@
   virtual Awaitable<bool> deregister_backend(BackendName name, Reason& reason) = 0;
   /// A registration could not be read: to be counted and logged.
   virtual void note_refused(const RefusedRegistration& /*refused*/) {}
+  /// True once it is durable that nothing more is to be sent to the zone's backends, as far as no later order
+  /// ends it. kNotFound: no such zone. Other codes: no clear outcome, ask again. An order that holds already
+  /// is confirmed by a quorum round that began after the call.
+  virtual Awaitable<bool> begin_evacuation(ZoneName zone, Reason& reason) = 0;
+  /// The same for the end: the zone's backends may be used again.
+  virtual Awaitable<bool> end_evacuation(ZoneName zone, Reason& reason) = 0;
 };
 
 /// What a proxy does for backends that say again what the fleet knows: so that their number times their
--- a/src/session/caller_session.cpp
+++ b/src/session/caller_session.cpp
@@ -11,6 +11,13 @@
 
 using runtime::LogLevel;
 
+namespace {
+
+constexpr const char* kEvacuated =
+    "the zone of the transaction's backend is evacuated; nothing of it is kept";
+
+}  // namespace
+
 Awaitable<void> CallerSession::run() {
   const auto self = shared_from_this();
   const bool opened = co_await open();
@@ -394,6 +401,14 @@
   if (transaction_ && now - transaction_->last_used >= limit) abort_transaction();
 }
 
+void CallerSession::end_evacuated_transaction() {
+  if (!transaction_ || !transaction_->pinned || transaction_->failed) return;
+  if (answering_ || !runner_.is_off_limits(*transaction_->pinned)) return;
+  abort_transaction();
+  transaction_->failure = kEvacuated;
+  services_.metrics.count_evacuated_transaction();
+}
+
 void CallerSession::abort_transaction() {
   if (answering_ || !transaction_ || transaction_->failed) return;
   transaction_->failed = true;
--- a/src/session/group_access.cpp
+++ b/src/session/group_access.cpp
@@ -96,7 +96,7 @@
   if (!use || is_other_life || use->entry.endpoint != entry.endpoint) {
     if (is_other_life) retire(*use);
     if (use) use->pool.close_idle();
-    use = std::make_shared<BackendUse>(runtime_, dialer_, entry);
+    use = std::make_shared<BackendUse>(runtime_, dialer_, entry, evacuated_);
     ++membership_;
     member_lease_until_ = TimePoint{};
   }
@@ -165,7 +165,8 @@
   if (!term_.open) return nullptr;
   const auto found = backends_.find(term_.primary);
   if (found == backends_.end()) return nullptr;
-  return placement::may_lead(facts_of(*found->second, {})) ? found->second : nullptr;
+  const placement::BackendFacts facts = facts_of(*found->second, {});
+  return placement::may_lead(facts) && !facts.zone_evacuated ? found->second : nullptr;
 }
 
 placement::BackendFacts GroupAccess::facts_of(const BackendUse& backend,
@@ -178,6 +179,10 @@
   facts.of_closed_term = facts.is_primary && (!term_.open || is_primary_restarted());
   facts.leaving = backend.entry.leaving;
   facts.leaving_grace_over = leaving_since && now - *leaving_since > kLeavingPrimaryUse;
+  // A primary goes on for a while, so that it is followed while it runs.
+  facts.transaction_grace_over = backend.is_off_limits(now);
+  facts.zone_evacuated = facts.is_primary ? facts.transaction_grace_over : backend.is_evacuated();
+  if (facts.zone_evacuated) facts.back_in = kEvacuatedComeBack;
   facts.tried = question.tried != nullptr && question.tried->count(backend.entry.name) > 0;
   facts.avoided = backend.avoid_until > now;
   facts.refused = backend.pool.is_refused();
@@ -197,6 +202,19 @@
   return std::next(backends_.begin(), static_cast<std::ptrdiff_t>(place))->second;
 }
 
+bool GroupAccess::is_primary_off_limits() const {
+  if (!term_.open) return false;
+  const auto found = backends_.find(term_.primary);
+  return found != backends_.end() && found->second->is_off_limits(runtime_.now());
+}
+
+void GroupAccess::close_evacuated_links() {
+  for (const auto& [name, use] : backends_) {
+    const bool leads = term_.open && name == term_.primary;
+    if (leads ? use->is_off_limits(runtime_.now()) : use->is_evacuated()) use->pool.close_idle();
+  }
+}
+
 double GroupAccess::cost_of(const BackendUse& backend) const {
   const double slots = static_cast<double>(std::max<std::uint64_t>(backend.entry.slots, 1));
   const double waiting = static_cast<double>(backend.gate.running() + backend.gate.waiting()) / slots;
@@ -233,7 +251,8 @@
   const Duration staleness = std::chrono::milliseconds(route.max_staleness_ms);
   const auto newest = positions_.newest();
   // While the group is open the next read renews what is known, before it is too old.
-  if (term_.open && (!newest || now - *newest > staleness / kPositionRefreshDivisor)) return need;
+  const bool may_ask = term_.open && !is_primary_off_limits();
+  if (may_ask && (!newest || now - *newest > staleness / kPositionRefreshDivisor)) return need;
   need.required = positions_.covering(now - staleness);
   if (!need.required) return need;
   need.required_since = positions_.first_seen(*need.required).value_or(now);
--- a/src/session/group_access.h
+++ b/src/session/group_access.h
@@ -12,6 +12,7 @@
 
 #include "placement/backend_choice.h"
 #include "registry/model.h"
+#include "session/evacuated_zones.h"
 #include "session/position_history.h"
 #include "session/stateful_pool.h"
 #include "session/statement_gate.h"
@@ -20,10 +21,17 @@
 
 /// A backend and how it has done lately.
 struct BackendUse {
-  BackendUse(runtime::Runtime& runtime, BackendDialer& dialer, const registry::BackendEntry& backend)
+  BackendUse(runtime::Runtime& runtime, BackendDialer& dialer, const registry::BackendEntry& backend,
+             std::shared_ptr<const EvacuatedZones> evacuated)
       : entry(backend),
         pool(runtime, dialer, BackendAddress{backend.endpoint, backend.group, backend.name}),
-        gate(runtime) {}
+        gate(runtime),
+        evacuated_(std::move(evacuated)) {}
+
+  /// Its zone is to be left: nothing new goes there, but for a primary that nobody follows yet.
+  [[nodiscard]] bool is_evacuated() const { return evacuated_->is_evacuated(entry.zone); }
+  /// Its zone is left: nothing at all may be sent there.
+  [[nodiscard]] bool is_off_limits(TimePoint now) const { return evacuated_->is_off_limits(entry.zone, now); }
 
   registry::BackendEntry entry;
   StatefulPool pool;
@@ -51,6 +59,7 @@
   TimePoint lag_noted_at_{};
   Position shown_;  ///< the highest of `shown_term_`
   std::uint64_t shown_term_ = 0;
+  std::shared_ptr<const EvacuatedZones> evacuated_;
 };
 
 /// Statements at a primary; the key is only for taking one out again.
@@ -86,11 +95,14 @@
 
 class GroupAccess {
  public:
-  GroupAccess(runtime::Runtime& runtime, BackendDialer& dialer, GroupName group, ZoneName zone)
+  /// `evacuated`: as the proxy knows them; it may change at any time.
+  GroupAccess(runtime::Runtime& runtime, BackendDialer& dialer, GroupName group, ZoneName zone,
+              std::shared_ptr<const EvacuatedZones> evacuated)
       : runtime_(runtime),
         dialer_(dialer),
         group_(std::move(group)),
         zone_(std::move(zone)),
+        evacuated_(std::move(evacuated)),
         changed_(runtime) {}
 
   void set_term(const registry::GroupTerm& term);
@@ -113,6 +125,12 @@
   /// Notified when term or backends have changed.
   runtime::Signal& changed() { return changed_; }
 
+  /// Zones were evacuated, or given back: whoever waits looks again.
+  void note_evacuations() { changed_.notify_all(); }
+  /// The open term's primary is in a zone that is left, and nobody outside leads yet.
+  [[nodiscard]] bool is_primary_off_limits() const;
+  /// Closes what is not in use of links to evacuated zones.
+  void close_evacuated_links();
   /// A backend as it stands to the statement now.
   [[nodiscard]] placement::BackendFacts facts_of(const BackendUse& backend,
                                                  const PlacementQuestion& question) const;
@@ -203,6 +221,7 @@
   BackendDialer& dialer_;
   GroupName group_;
   ZoneName zone_;
+  std::shared_ptr<const EvacuatedZones> evacuated_;
   registry::GroupTerm term_;
   registry::GroupRule rule_;
   std::map<BackendName, std::shared_ptr<BackendUse>> backends_;
--- a/src/session/session_metrics.cpp
+++ b/src/session/session_metrics.cpp
@@ -18,6 +18,11 @@
                                      "Statements sent to a backend that gave no answer.")),
       token_questions_(metrics_.counter("cairnhollow_session_token_questions_total",
                                         "Questions to other proxies that count for a tenant.")),
+      evacuated_transactions_(
+          metrics_.counter("cairnhollow_session_evacuated_transactions_total",
+                           "Transactions given up as their backend's zone is evacuated.")),
+      evacuated_zones_(metrics_.gauge("cairnhollow_session_evacuated_zones",
+                                      "Zones to whose backends this proxy sends nothing new.")),
       sessions_(metrics_.gauge("cairnhollow_session_open", "Sessions that are open.")),
       lease_valid_(metrics_.gauge("cairnhollow_session_lease_valid", "1 while the serving lease holds.")),
       member_leases_(metrics_.gauge("cairnhollow_session_member_leases",
--- a/src/session/session_metrics.h
+++ b/src/session/session_metrics.h
@@ -41,6 +41,9 @@
   void count_registration_refused(registry::RegistrationFault fault) {
     registrations_refused_[static_cast<std::size_t>(fault)]->Increment();
   }
+  /// A transaction was given up since its backend's zone is evacuated.
+  void count_evacuated_transaction() { evacuated_transactions_.Increment(); }
+  void set_evacuated_zones(std::size_t zones) { evacuated_zones_.Set(static_cast<double>(zones)); }
   void count_lost_answer() { lost_answers_.Increment(); }
   void set_sessions(std::size_t sessions) { sessions_.Set(static_cast<double>(sessions)); }
   void set_member_leases(std::size_t groups) { member_leases_.Set(static_cast<double>(groups)); }
@@ -60,6 +63,8 @@
       admissions_;  ///< by tenant's label
   prometheus::Counter& lost_answers_;
   prometheus::Counter& token_questions_;
+  prometheus::Counter& evacuated_transactions_;
+  prometheus::Gauge& evacuated_zones_;
   prometheus::Gauge& sessions_;
   prometheus::Gauge& lease_valid_;
   prometheus::Gauge& member_leases_;
--- a/src/session/statement_in_transaction.cpp
+++ b/src/session/statement_in_transaction.cpp
@@ -96,6 +96,8 @@
   Reason reason;
   SendState sent = SendState::kNotSent;
   const TimePoint deadline = services_.runtime.now() + kLinkSetupTimeout;
+  // The end of its link ends it as well.
+  if (pinned.backend->is_off_limits(services_.runtime.now())) pinned.link->link().close();
   if (pinned.link->link().is_open()) {
     BackendRequest request = Rollback{};
     const auto answer = co_await pinned.link->link().run(std::move(request), deadline, sent, reason);
--- a/src/session/statement_runner.h
+++ b/src/session/statement_runner.h
@@ -81,6 +81,10 @@
   /// The same, unless nothing is open there any more.
   Awaitable<void> end(PinnedLink pinned);
   void give_back(const PinnedLink& pinned);
+  /// Whether nothing may be sent to the transaction's backend any more since its zone is left.
+  [[nodiscard]] bool is_off_limits(const PinnedLink& pinned) const {
+    return pinned.backend && pinned.backend->is_off_limits(services_.runtime.now());
+  }
   /// Gives the transaction up at once: a commit can't be sent any more.
   void abort(const PinnedLink& pinned);
 
--- /dev/null
+++ b/tests/platform/evacuation_calls_test.cpp
@@ -0,0 +1,107 @@
+// Orders to evacuate zones as control nodes answer them.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "platform/control_calls.h"
+#include "simulation/world.h"
+
+namespace cairnhollow::platform {
+
+namespace {
+
+/// Notes orders, and answers as it is told to.
+class NotingService : public registry::ControlService {
+ public:
+  Awaitable<bool> replace_document(registry::ConfigurationDocument, Reason&) override { co_return false; }
+  Awaitable<std::optional<std::string>> read_document(Reason&) override { co_return std::nullopt; }
+  Awaitable<std::optional<registry::Registration>> register_backend(registry::BackendEntry,
+                                                                    Reason&) override {
+    co_return std::nullopt;
+  }
+  Awaitable<bool> deregister_backend(BackendName, Reason&) override { co_return false; }
+  Awaitable<bool> begin_evacuation(ZoneName zone, Reason& reason) override {
+    orders.push_back("begin " + zone.value);
+    reason = answer;
+    co_return !answer.failed();
+  }
+  Awaitable<bool> end_evacuation(ZoneName zone, Reason& reason) override {
+    orders.push_back("end " + zone.value);
+    reason = answer;
+    co_return !answer.failed();
+  }
+
+  std::vector<std::string> orders;
+  Reason answer;
+};
+
+}  // namespace
+
+class EvacuationCallsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EvacuationCallsTest);
+  CPPUNIT_TEST(both_orders_are_passed_on);
+  CPPUNIT_TEST(an_unknown_zone_is_named);
+  CPPUNIT_TEST(without_a_clear_outcome_it_may_be_sent_again);
+  CPPUNIT_TEST(what_is_no_name_of_a_zone_is_refused);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    world_ = std::make_unique<simulation::World>(simulation::WorldSettings{});
+    runtime_ = &world_->start_bare({"node", "10.0.0.1", ZoneName("a")});
+    calls_ = make_control_calls(service_);
+  }
+  void tearDown() override { world_.reset(); }
+
+  void both_orders_are_passed_on() {
+    CPPUNIT_ASSERT_EQUAL(200U, call(runtime::HttpMethod::kPost, "/evacuations/gl-erie").status);
+    CPPUNIT_ASSERT_EQUAL(200U, call(runtime::HttpMethod::kDelete, "/evacuations/gl-erie").status);
+    CPPUNIT_ASSERT(service_.orders == (std::vector<std::string>{"begin gl-erie", "end gl-erie"}));
+  }
+
+  void an_unknown_zone_is_named() {
+    service_.answer = Reason{ReasonCode::kNotFound, "evacuate_zone", "gl-eire", "no such zone is known"};
+    for (const auto method : {runtime::HttpMethod::kPost, runtime::HttpMethod::kDelete}) {
+      const auto response = call(method, "/evacuations/gl-eire");
+      CPPUNIT_ASSERT_EQUAL(404U, response.status);
+      CPPUNIT_ASSERT(response.body.find("gl-eire") != std::string::npos);
+    }
+  }
+
+  void without_a_clear_outcome_it_may_be_sent_again() {
+    service_.answer = Reason{ReasonCode::kNoQuorum, "submit", "", "no leader is known here"};
+    CPPUNIT_ASSERT_EQUAL(503U, call(runtime::HttpMethod::kPost, "/evacuations/gl-erie").status);
+  }
+
+  void what_is_no_name_of_a_zone_is_refused() {
+    const std::vector<std::string> names{"", "a/b", "a%20b", "a b", std::string(200, 'a'), "\xff"};
+    for (const std::string& name : names) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(name, 400U,
+                                   call(runtime::HttpMethod::kPost, "/evacuations/" + name).status);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(name, 400U,
+                                   call(runtime::HttpMethod::kDelete, "/evacuations/" + name).status);
+    }
+    CPPUNIT_ASSERT_EQUAL(404U, call(runtime::HttpMethod::kGet, "/evacuations/gl-erie").status);
+    CPPUNIT_ASSERT(service_.orders.empty());
+  }
+
+ private:
+  runtime::HttpResponse call(runtime::HttpMethod method, const std::string& target) {
+    runtime::HttpRequest request;
+    request.method = method;
+    request.target = target;
+    std::optional<runtime::HttpResponse> response;
+    const auto handle = [&]() -> Awaitable<void> { response = co_await calls_->handle(request, 1); };
+    runtime_->spawn("handle", handle());
+    world_->run_for(std::chrono::milliseconds(10));
+    CPPUNIT_ASSERT(response);
+    return *response;
+  }
+
+  NotingService service_;
+  std::unique_ptr<simulation::World> world_;
+  runtime::Runtime* runtime_ = nullptr;
+  std::unique_ptr<runtime::HttpHandler> calls_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EvacuationCallsTest);
+
+}  // namespace cairnhollow::platform
--- a/tests/platform/registration_calls_test.cpp
+++ b/tests/platform/registration_calls_test.cpp
@@ -43,6 +43,9 @@
   }
   void note_refused(const registry::RefusedRegistration& said) override { refused.push_back(said); }
 
+  Awaitable<bool> begin_evacuation(ZoneName, Reason&) override { co_return false; }
+  Awaitable<bool> end_evacuation(ZoneName, Reason&) override { co_return false; }
+
   ReasonCode refuses_as = ReasonCode::kNone;
   int taken = 0;
   std::vector<registry::RefusedRegistration> refused;
--- a/tests/session/group_access_test.cpp
+++ b/tests/session/group_access_test.cpp
@@ -57,6 +57,10 @@
   CPPUNIT_TEST(nobody_else_reads_while_the_replicas_lag);
   CPPUNIT_TEST(a_backend_that_is_avoided_or_leaves_is_no_other_reader);
   CPPUNIT_TEST(a_member_that_joins_ends_the_lease_of_the_others);
+  CPPUNIT_TEST(nothing_new_goes_to_replicas_of_an_evacuated_zone);
+  CPPUNIT_TEST(a_primary_of_an_evacuated_zone_is_used_for_half_of_the_bound);
+  CPPUNIT_TEST(a_zone_that_is_given_back_is_used_again);
+  CPPUNIT_TEST(no_link_is_opened_ahead_to_an_evacuated_zone);
   CPPUNIT_TEST(facts_are_neutral_of_what_is_not_known);
   CPPUNIT_TEST(facts_follow_what_is_known);
   CPPUNIT_TEST(a_leaving_primary_is_used_for_a_while);
@@ -72,7 +76,7 @@
   void setUp() override {
     world_ = std::make_unique<simulation::World>(simulation::WorldSettings{});
     runtime_ = &world_->start_bare({"proxy", "10.0.0.1", ZoneName("a")});
-    group_ = std::make_unique<GroupAccess>(*runtime_, dialer_, GroupName("group"), ZoneName("a"));
+    group_ = std::make_unique<GroupAccess>(*runtime_, dialer_, GroupName("group"), ZoneName("a"), evacuated_);
     group_->put_backend(backend("primary", 1));
     group_->put_backend(backend("replica-1", 2));
     group_->put_backend(backend("replica-2", 3));
@@ -92,6 +96,55 @@
     CPPUNIT_ASSERT(group_->has_other_reader(need_, use("primary")));
   }
 
+  void nothing_new_goes_to_replicas_of_an_evacuated_zone() {
+    registry::BackendEntry inside = backend("replica-1", 2);
+    inside.zone = ZoneName("b");
+    group_->put_backend(inside);
+    evacuated_->begin(ZoneName("b"), runtime_->now());
+    CPPUNIT_ASSERT_EQUAL(std::string("replica-2"), group_->choose_reader(need_, {})->entry.name.value);
+    CPPUNIT_ASSERT_EQUAL(std::string("primary"),
+                         group_->choose_reader(need_, {BackendName("replica-2")})->entry.name.value);
+    CPPUNIT_ASSERT(group_->primary() != nullptr);
+  }
+
+  void a_primary_of_an_evacuated_zone_is_used_for_half_of_the_bound() {
+    evacuated_->begin(ZoneName("a"), runtime_->now());
+    world_->run_for(milliseconds(2400));
+    CPPUNIT_ASSERT(group_->primary() != nullptr);
+    CPPUNIT_ASSERT(!group_->is_primary_off_limits());
+    world_->run_for(milliseconds(100));
+    CPPUNIT_ASSERT(group_->primary() == nullptr);
+    CPPUNIT_ASSERT(group_->is_primary_off_limits());
+    ReadNeed at_primary;
+    at_primary.primary_only = true;
+    CPPUNIT_ASSERT(group_->choose_reader(at_primary, {}) == nullptr);
+    CPPUNIT_ASSERT(group_->choose_reader(need_, {}) == nullptr);
+    group_->set_term({GroupName("group"), 2, BackendName("elsewhere"), true, 2, 2});
+    CPPUNIT_ASSERT_MESSAGE("another one leads", !group_->is_primary_off_limits());
+  }
+
+  void a_zone_that_is_given_back_is_used_again() {
+    evacuated_->begin(ZoneName("a"), runtime_->now());
+    world_->run_for(seconds(3));
+    evacuated_->end(ZoneName("a"));
+    CPPUNIT_ASSERT(group_->primary() != nullptr);
+    CPPUNIT_ASSERT(group_->choose_reader(need_, {})->entry.name.value != "primary");
+    evacuated_->begin(ZoneName("a"), runtime_->now());
+    CPPUNIT_ASSERT_MESSAGE("the time counts anew", group_->primary() != nullptr);
+    world_->run_for(seconds(2));
+    CPPUNIT_ASSERT(!evacuated_->begin(ZoneName("a"), runtime_->now()));
+    world_->run_for(seconds(1));
+    CPPUNIT_ASSERT_MESSAGE("news that are none do not lengthen it", group_->primary() == nullptr);
+  }
+
+  void no_link_is_opened_ahead_to_an_evacuated_zone() {
+    CPPUNIT_ASSERT(group_->warm_one());
+    world_->run_for(seconds(1));
+    evacuated_->begin(ZoneName("a"), runtime_->now());
+    world_->run_for(seconds(3));
+    CPPUNIT_ASSERT(!group_->warm_one());
+  }
+
   void a_member_that_joins_ends_the_lease_of_the_others() {
     const std::uint64_t asked = group_->membership();
     const TimePoint until = runtime_->now() + milliseconds(500);
@@ -273,6 +326,7 @@
   std::unique_ptr<simulation::World> world_;
   runtime::Runtime* runtime_ = nullptr;
   NoDialer dialer_;
+  std::shared_ptr<EvacuatedZones> evacuated_ = std::make_shared<EvacuatedZones>(seconds(5));
   std::unique_ptr<GroupAccess> group_;
   ReadNeed need_;
 };
