--- a/src/registry/validation.cpp
+++ b/src/registry/validation.cpp
@@ -10,6 +10,18 @@
 
 namespace {
 
+/// Regions that no machine is in yet are no fault: machines may come later.
+void check_regions(const std::vector<RegionName>& regions, const std::string& field,
+                   std::vector<std::string>& faults) {
+  std::set<RegionName> known;
+  for (std::size_t i = 0; i < regions.size(); ++i) {
+    if (regions[i].empty())
+      faults.push_back(fmt::format("{}.allowed_regions[{}]: must not be empty", field, i));
+    if (!known.insert(regions[i]).second)
+      faults.push_back(fmt::format("{}.allowed_regions[{}]: {} stands twice", field, i, regions[i].value));
+  }
+}
+
 void check_groups(const ConfigurationDocument& document, std::set<GroupName>& known,
                   std::vector<std::string>& faults) {
   for (std::size_t i = 0; i < document.groups.size(); ++i) {
@@ -29,6 +41,7 @@
     if (tenant.name.empty()) faults.push_back(fmt::format("tenants[{}].name: must not be empty", i));
     if (!names.insert(tenant.name).second)
       faults.push_back(fmt::format("tenants[{}].name: {} stands twice", i, tenant.name.value));
+    check_regions(tenant.allowed_regions, fmt::format("tenants[{}]", i), faults);
     for (std::size_t k = 0; k < tenant.keys.size(); ++k) {
       if (tenant.keys[k].empty())
         faults.push_back(fmt::format("tenants[{}].keys[{}]: must not be empty", i, k));
@@ -54,6 +67,7 @@
     if (known.count(route.group) == 0)
       faults.push_back(fmt::format("routes[{}].group: {} is unknown", i, route.group.value));
     if (route.timeout_ms == 0) faults.push_back(fmt::format("routes[{}].timeout: must not be 0", i));
+    check_regions(route.allowed_regions, fmt::format("routes[{}]", i), faults);
     const auto [first, is_new] = places.emplace(std::pair(route.database, route.path_prefix), i);
     if (!is_new) {
       faults.push_back(fmt::format("routes[{}].database: {} with prefix {} stands in routes[{}] already", i,
--- /dev/null
+++ b/tests/locality/allowed_regions_test.cpp
@@ -0,0 +1,78 @@
+// Where a statement may go by the lists of its route and its tenant.
+#include "locality/allowed_regions.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace cairnhollow::locality {
+
+namespace {
+
+std::vector<RegionName> regions(const std::vector<std::string>& names) {
+  std::vector<RegionName> list;
+  for (const std::string& name : names) list.emplace_back(name);
+  return list;
+}
+
+struct Case {
+  const char* what;
+  std::vector<std::string> of_route;
+  std::vector<std::string> of_tenant;
+  std::string allowed;  ///< of the zones n1, n2, s1, e1 and `dark`, whose region nothing tells
+  std::string text;
+};
+
+const std::vector<Case> kCases{
+    {"no list binds", {}, {}, "n1 n2 s1 e1 dark", "any"},
+    {"the route's", {"north"}, {}, "n1 n2", "north"},
+    {"the tenant's", {}, {"south"}, "s1", "south"},
+    {"both bind", {"north", "south"}, {"south", "east"}, "s1", "south"},
+    {"alike", {"north", "east"}, {"east", "north"}, "n1 n2 e1", "north, east"},
+    {"nothing in common", {"north"}, {"south"}, "", "none"},
+    {"a region that no zone has", {"west"}, {}, "", "west"},
+    {"one more that no zone has yet", {"west", "east"}, {}, "e1", "west, east"},
+};
+
+}  // namespace
+
+class AllowedRegionsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AllowedRegionsTest);
+  CPPUNIT_TEST(both_lists_bind);
+  CPPUNIT_TEST(the_extremes);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void both_lists_bind() {
+    for (const Case& one : kCases) {
+      const AllowedRegions allowed(map_, regions(one.of_route), regions(one.of_tenant));
+      std::string zones;
+      for (const char* zone : {"n1", "n2", "s1", "e1", "dark"}) {
+        if (!allowed.allows(ZoneName(zone))) continue;
+        if (!zones.empty()) zones += ' ';
+        zones += zone;
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(one.what, one.allowed, zones);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(one.what, one.text, allowed.to_string());
+    }
+  }
+
+  void the_extremes() {
+    CPPUNIT_ASSERT(AllowedRegions().is_anywhere());
+    CPPUNIT_ASSERT(!AllowedRegions().is_nowhere());
+    CPPUNIT_ASSERT(AllowedRegions(map_, {}, {}).is_anywhere());
+    const AllowedRegions nowhere(map_, regions({"north"}), regions({"south"}));
+    CPPUNIT_ASSERT(nowhere.is_nowhere());
+    CPPUNIT_ASSERT(!nowhere.is_anywhere());
+    const AllowedRegions unknown(map_, regions({"west"}), {});
+    CPPUNIT_ASSERT_MESSAGE("a zone of it may come", !unknown.is_nowhere());
+  }
+
+ private:
+  RegionMap map_{{{ZoneName("n1"), RegionName("north")},
+                  {ZoneName("n2"), RegionName("north")},
+                  {ZoneName("s1"), RegionName("south")},
+                  {ZoneName("e1"), RegionName("east")}}};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AllowedRegionsTest);
+
+}  // namespace cairnhollow::locality
