--- a/src/control/registered/group_failover.cpp
+++ b/src/control/registered/group_failover.cpp
@@ -59,6 +59,7 @@
   facts.all_proxies_answered = progress.all_answered;
   facts.silent_revision = progress.silent_revision;
   facts.highest_acknowledged = progress.highest_acknowledged;
+  facts.allowing_routes = regions_.allowing_routes(closed.group, fleet_.backends_of(closed.group));
   watch_members(closed.group);
   facts.members_are_stable = are_members_settled(closed.group);
   // A dead primary does not answer: it is not waited for when the replicas' answers will do.
--- a/src/control/registered/group_keeper.cpp
+++ b/src/control/registered/group_keeper.cpp
@@ -14,7 +14,8 @@
 
 GroupKeeper::GroupKeeper(runtime::Runtime& runtime, consensus::Consensus& consensus,
                          registry::FleetStateMachine& fleet, LeaderCalls& calls, LeaseKeeper& leases,
-                         GroupProber& prober, registry::PromotionCaller& promotions, NodeName node)
+                         GroupProber& prober, registry::PromotionCaller& promotions, NodeName node,
+                         locality::RegionMap regions)
     : runtime_(runtime),
       consensus_(consensus),
       fleet_(fleet),
@@ -24,6 +25,7 @@
       pauses_(runtime, fleet, prober),
       promotions_(promotions),
       node_(std::move(node)),
+      regions_(fleet, std::move(regions)),
       wake_(runtime) {}
 
 void GroupKeeper::start() { runtime_.spawn("group_keeper", run()); }
--- a/src/control/registered/group_keeper.h
+++ b/src/control/registered/group_keeper.h
@@ -16,6 +16,7 @@
 #include "control/registered/leader_calls.h"
 #include "control/registered/lease_keeper.h"
 #include "control/registered/member_pauses.h"
+#include "control/registered/region_preference.h"
 #include "registry/control_service.h"
 #include "registry/state_machine.h"
 #include "runtime/runtime.h"
@@ -28,7 +29,7 @@
  public:
   GroupKeeper(runtime::Runtime& runtime, consensus::Consensus& consensus, registry::FleetStateMachine& fleet,
               LeaderCalls& calls, LeaseKeeper& leases, GroupProber& prober,
-              registry::PromotionCaller& promotions, NodeName node);
+              registry::PromotionCaller& promotions, NodeName node, locality::RegionMap regions);
 
   void start();
   void stop();
@@ -112,6 +113,7 @@
   MemberPauses pauses_;
   registry::PromotionCaller& promotions_;
   NodeName node_;
+  RegionPreference regions_;
   runtime::Signal wake_;
   std::set<GroupName> busy_;
   std::set<GroupName> settling_;  ///< whose members are being compared after one left
--- a/src/control/registered/promotion_choice.cpp
+++ b/src/control/registered/promotion_choice.cpp
@@ -37,24 +37,36 @@
   return best;
 }
 
+std::size_t routes_at(const MemberFinding& member, const PromotionFacts& facts) {
+  const auto found = facts.allowing_routes.find(member.entry.name);
+  return found == facts.allowing_routes.end() ? 0 : found->second;
+}
+
 struct Proof {
   bool holds_all = false;
   std::string why;
 };
 
-Proof prove(const MemberFinding& candidate, const PromotionFacts& facts) {
+/// By its own position, wherever other replicas are.
+Proof prove_alone(const MemberFinding& candidate, const PromotionFacts& facts) {
   const Position& position = candidate.status->received;
   if (facts.all_acknowledgers_answered && position >= facts.highest_acknowledged)
     return {true, "it reaches the highest position that any proxy acknowledged"};
-  bool any_replica_missing = false;
   for (const MemberFinding& member : facts.members) {
-    if (is_old_primary(member, facts)) {
-      if (member.status && position >= member.status->received)
-        return {true, "it reaches the old primary's position"};
-      continue;
-    }
-    if (!member.status) any_replica_missing = true;
+    if (is_old_primary(member, facts) && member.status && position >= member.status->received)
+      return {true, "it reaches the old primary's position"};
   }
+  return {};
+}
+
+/// Of the furthest replica.
+Proof prove(const MemberFinding& candidate, const PromotionFacts& facts) {
+  Proof alone = prove_alone(candidate, facts);
+  if (alone.holds_all) return alone;
+  const Position& position = candidate.status->received;
+  bool any_replica_missing = false;
+  for (const MemberFinding& member : facts.members)
+    any_replica_missing = any_replica_missing || (!is_old_primary(member, facts) && !member.status);
   const bool nobody_left = facts.members_are_stable || position >= facts.highest_acknowledged;
   if (!any_replica_missing && facts.synchronous_replicas > 0 && nobody_left)
     return {true, "it is the furthest of all replicas"};
@@ -62,6 +74,31 @@
                              position.term, position.index)};
 }
 
+/// Where more of the group's routes may write than at the furthest, the furthest of those; null: nowhere.
+const MemberFinding* find_preferred(const MemberFinding& furthest, const PromotionFacts& facts) {
+  if (facts.allowing_routes.empty()) return nullptr;
+  const MemberFinding* best = nullptr;
+  for (const MemberFinding& member : facts.members) {
+    if (!member.status || is_old_primary(member, facts) || member.status->is_primary) continue;
+    if (member.entry.leaving || !prove_alone(member, facts).holds_all) continue;
+    const std::size_t routes = routes_at(member, facts);
+    if (routes <= routes_at(furthest, facts)) continue;
+    const std::size_t best_routes = best == nullptr ? 0 : routes_at(*best, facts);
+    const bool further = best != nullptr && member.status->received > best->status->received;
+    if (routes > best_routes || (routes == best_routes && further)) best = &member;
+  }
+  return best;
+}
+
+PromotionChoice promote(const MemberFinding& furthest, const Proof& proof, const PromotionFacts& facts) {
+  const MemberFinding* preferred = find_preferred(furthest, facts);
+  if (preferred == nullptr) return {PromotionVerdict::kPromote, furthest.entry.name, 0, proof.why};
+  return {PromotionVerdict::kPromote, preferred->entry.name, 0,
+          fmt::format("{}; {} of the group's routes may write there, {} at {}",
+                      prove_alone(*preferred, facts).why, routes_at(*preferred, facts),
+                      routes_at(furthest, facts), furthest.entry.name.value)};
+}
+
 }  // namespace
 
 PromotionChoice choose_promotion(const PromotionFacts& facts, bool reopen_allowed) {
@@ -71,7 +108,7 @@
   const MemberFinding* candidate = find_furthest(facts);
   Proof proof;
   if (candidate != nullptr) proof = prove(*candidate, facts);
-  if (proof.holds_all) return {PromotionVerdict::kPromote, candidate->entry.name, 0, proof.why};
+  if (proof.holds_all) return promote(*candidate, proof, facts);
   for (const MemberFinding& member : facts.members) {
     const bool leads = member.status && member.status->is_primary && is_old_primary(member, facts);
     if (leads && reopen_allowed && !member.entry.leaving)
--- a/src/control/registered/promotion_choice.h
+++ b/src/control/registered/promotion_choice.h
@@ -1,6 +1,8 @@
 // Which backend may follow a primary that was given up, by what is proved of the logs. Pure: no I/O.
 #pragma once
 
+#include <cstddef>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -30,6 +32,8 @@
   /// Of those that answered. May be beyond the last acknowledged commit: a backend shows where its log is,
   /// other commits under way included.
   Position highest_acknowledged;
+  /// How many of the group's routes may write at each member; empty: all everywhere, or it is not known.
+  std::map<BackendName, std::size_t> allowing_routes;
 };
 
 enum class PromotionVerdict : std::uint8_t {
@@ -48,7 +52,8 @@
 
 /// Invariant: with one synchronous replica an acknowledged commit is on the primary and on a replica. So the
 /// furthest log holds it when all replicas were compared, or the old primary was, or when it reaches the
-/// highest position that any proxy acknowledged. `reopen_allowed`: the old primary was not given up for good.
+/// highest position that any proxy acknowledged. One that is not the furthest is chosen, for a region that
+/// more of the group's routes allow, only where it is proved without being the furthest. `reopen_allowed`: the old primary was not given up for good.
 PromotionChoice choose_promotion(const PromotionFacts& facts, bool reopen_allowed);
 
 }  // namespace cairnhollow::control::registered
--- a/src/control/registered/settings.h
+++ b/src/control/registered/settings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -26,6 +27,8 @@
       std::chrono::milliseconds(60);  ///< until a leader was heard since the start
   Duration heartbeat_interval = std::chrono::milliseconds(100);
   std::optional<Endpoint> metrics_endpoint;
+  /// The deployment's zones and where they are; empty: not known.
+  std::map<ZoneName, RegionName> zone_regions;
 };
 
 }  // namespace cairnhollow::control::registered
--- a/src/registry/state_machine.h
+++ b/src/registry/state_machine.h
@@ -32,6 +32,7 @@
   [[nodiscard]] std::uint64_t document_version() const { return state_.document_version; }
   /// The document as it was sent; empty before the first.
   [[nodiscard]] const std::string& document_text() const { return state_.document_text; }
+  [[nodiscard]] std::vector<RouteRule> routes() const { return state_.routes.all(); }
   [[nodiscard]] std::vector<GroupRule> groups() const { return state_.groups.all(); }
   [[nodiscard]] std::vector<TenantRule> tenants() const { return state_.tenants.all(); }
   [[nodiscard]] bool requires_keys() const { return state_.requires_keys; }
--- a/tests/control/registered/promotion_choice_test.cpp
+++ b/tests/control/registered/promotion_choice_test.cpp
@@ -33,6 +33,13 @@
   return all;
 }
 
+/// "b" is the furthest; at "a" two more of the group's routes may write.
+PromotionFacts facts_with_regions() {
+  auto known = facts({finding("old", std::nullopt), finding("a", replica(8)), finding("b", replica(9))});
+  known.allowing_routes = {{BackendName("a"), 3}, {BackendName("b"), 1}, {BackendName("old"), 5}};
+  return known;
+}
+
 }  // namespace
 
 class PromotionChoiceTest : public CppUnit::TestFixture {
@@ -47,6 +54,8 @@
   CPPUNIT_TEST(a_primary_of_a_newer_term_is_adopted);
   CPPUNIT_TEST(of_equal_ones_who_stays);
   CPPUNIT_TEST(not_without_a_synchronous_replica);
+  CPPUNIT_TEST(of_proved_ones_where_most_routes_may_write);
+  CPPUNIT_TEST(a_region_never_stands_in_for_the_proof);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -126,6 +135,36 @@
     loose.synchronous_replicas = 0;
     CPPUNIT_ASSERT(choose_promotion(loose, true).verdict == PromotionVerdict::kNotYet);
   }
+
+  void of_proved_ones_where_most_routes_may_write() {
+    auto known = facts_with_regions();
+    known.all_acknowledgers_answered = true;
+    known.highest_acknowledged = {3, 8};
+    const auto choice = choose_promotion(known, true);
+    CPPUNIT_ASSERT(choice.verdict == PromotionVerdict::kPromote);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), choice.backend.value);
+    CPPUNIT_ASSERT_EQUAL(std::string("it reaches the highest position that any proxy acknowledged; 3 of the "
+                                     "group's routes may write there, 1 at b"),
+                         choice.why);
+    known.members[1].entry.leaving = true;
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), choose_promotion(known, true).backend.value);
+    known.members[1].entry.leaving = false;
+    known.allowing_routes.clear();
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), choose_promotion(known, true).backend.value);
+  }
+
+  void a_region_never_stands_in_for_the_proof() {
+    auto known = facts_with_regions();
+    // Only the furthest of all replicas is proved: an acknowledged commit may be on it and not on the other.
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), choose_promotion(known, true).backend.value);
+    known.all_acknowledgers_answered = true;
+    known.highest_acknowledged = {3, 9};
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), choose_promotion(known, true).backend.value);
+    // The old primary answers, and holds what only the furthest has as well.
+    known.all_acknowledgers_answered = false;
+    known.members[0].status = leading(9);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), choose_promotion(known, true).backend.value);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PromotionChoiceTest);
