--- a/src/control/registered/promotion_choice.h
+++ b/src/control/registered/promotion_choice.h
@@ -53,7 +53,8 @@
 /// Invariant: with one synchronous replica an acknowledged commit is on the primary and on a replica. So the
 /// furthest log holds it when all replicas were compared, or the old primary was, or when it reaches the
 /// highest position that any proxy acknowledged. One that is not the furthest is chosen, for a region that
-/// more of the group's routes allow, only where it is proved without being the furthest. `reopen_allowed`: the old primary was not given up for good.
+/// more of the group's routes allow, only where it is proved without being the furthest. `reopen_allowed`:
+/// the old primary was not given up for good.
 PromotionChoice choose_promotion(const PromotionFacts& facts, bool reopen_allowed);
 
 }  // namespace cairnhollow::control::registered
--- a/src/session/caller_session.cpp
+++ b/src/session/caller_session.cpp
@@ -229,6 +229,8 @@
   }
   order.id = statement.id;
   if (!find_tenant(order, refusal)) return std::nullopt;
+  order.allowed =
+      transaction_ ? transaction_->allowed : services_.view.allowed_regions(order.route, order.tenant);
   order.text = statement.text;
   order.values = values_;
   if (committed_in_ == order.group->group()) order.committed = committed_;
@@ -248,6 +250,7 @@
   transaction.read_only = statement.kind == StatementKind::kBeginReadOnly;
   transaction.route = order->route;
   transaction.group = order->group;
+  transaction.allowed = order->allowed;
   transaction.last_used = services_.runtime.now();
   transaction_ = std::move(transaction);
   return done();
--- a/src/session/fleet_view.cpp
+++ b/src/session/fleet_view.cpp
@@ -158,6 +158,24 @@
   return also_serving_[group];
 }
 
+locality::AllowedRegions FleetView::allowed_regions(const registry::RouteRule& route,
+                                                    const TenantName& tenant) const {
+  const registry::TenantRule* rule = nullptr;
+  if (!tenant.empty() && tenants_.any_names_regions()) rule = tenants_.find(tenant);
+  if (rule != nullptr) return {regions_, route.allowed_regions, rule->allowed_regions};
+  if (route.allowed_regions.empty()) return {};
+  return {regions_, route.allowed_regions, {}};
+}
+
+std::vector<routing::ProxyPointer> FleetView::in_regions(const std::vector<routing::ProxyPointer>& proxies,
+                                                         const locality::AllowedRegions& allowed) const {
+  std::vector<routing::ProxyPointer> inside = proxies;
+  std::erase_if(inside, [&](const routing::ProxyPointer& proxy) {
+    return proxy->name != node_ && !allowed.allows(proxy->zone);
+  });
+  return inside;
+}
+
 void FleetView::apply(const registry::FleetDelta& delta) {
   revision_ = delta.revision;
   document_version_ = delta.document_version;
--- a/src/session/fleet_view.h
+++ b/src/session/fleet_view.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <vector>
 
+#include "locality/allowed_regions.h"
 #include "registry/delta.h"
 #include "registry/messages.h"
 #include "routing/subset.h"
@@ -24,6 +25,7 @@
         dialer_(dialer),
         node_(settings.node),
         zone_(settings.zone),
+        regions_(settings.zone_regions),
         keys_confirmed_(settings.key_bound),
         budgets_(settings.node, settings.limit_window),
         renewed_(runtime),
@@ -64,6 +66,10 @@
   [[nodiscard]] bool needs_key(const registry::RouteRule& route) const {
     return requires_keys_ && !route.is_public;
   }
+  /// Where a statement of the route and tenant may go by the document of now. What it refers to lives as long
+  /// as this view.
+  [[nodiscard]] locality::AllowedRegions allowed_regions(const registry::RouteRule& route,
+                                                         const TenantName& tenant) const;
   [[nodiscard]] const tenancy::TenantDirectory& tenants() const { return tenants_; }
   [[nodiscard]] const tenancy::KeyConfirmation& keys_confirmed() const { return keys_confirmed_; }
   /// What this proxy counts for tenants, and who counts for the others.
@@ -86,6 +92,9 @@
   [[nodiscard]] const std::vector<routing::ProxyPointer>& also_serving(const GroupName& group);
   /// Every other proxy that takes work, those of this zone first.
   [[nodiscard]] const std::vector<routing::ProxyPointer>& others() const { return others_; }
+  /// Those of `proxies` to which a statement's text may be sent, and this proxy, which has it.
+  [[nodiscard]] std::vector<routing::ProxyPointer> in_regions(
+      const std::vector<routing::ProxyPointer>& proxies, const locality::AllowedRegions& allowed) const;
   /// What is to be told of every closed group.
   [[nodiscard]] std::vector<registry::ClosedGroup> closed_groups() const;
 
@@ -115,6 +124,7 @@
   BackendDialer& dialer_;
   NodeName node_;
   ZoneName zone_;
+  const locality::RegionMap regions_;
   bool requires_keys_ = false;
   tenancy::TenantDirectory tenants_;
   tenancy::KeyConfirmation keys_confirmed_;
--- a/src/session/forward_server.cpp
+++ b/src/session/forward_server.cpp
@@ -66,6 +66,7 @@
     order.tenant = tenant->name;
   }
   order.route = std::move(forwarded.route);
+  order.allowed = services_.view.allowed_regions(order.route, order.tenant);
   order.id = std::move(forwarded.id);
   order.text = std::move(forwarded.text);
   order.prepared = std::move(forwarded.prepared);
--- a/src/tenancy/tenant_directory.cpp
+++ b/src/tenancy/tenant_directory.cpp
@@ -9,6 +9,7 @@
   large_is_old_ = true;
   holders_.clear();
   rates_ = 0;
+  naming_regions_ = 0;
 }
 
 void TenantDirectory::put(const registry::TenantRule& tenant) {
@@ -17,6 +18,7 @@
   tenants_[tenant.name] = tenant;
   large_is_old_ = true;
   rates_ += tenant.rate_per_s;
+  if (!tenant.allowed_regions.empty()) ++naming_regions_;
 }
 
 void TenantDirectory::remove(const TenantName& name) {
@@ -28,6 +30,7 @@
     if (holder != holders_.end() && holder->second == name) holders_.erase(holder);
   }
   rates_ -= found->second.rate_per_s;
+  if (!found->second.allowed_regions.empty()) --naming_regions_;
   tenants_.erase(found);
   large_is_old_ = true;
 }
--- a/src/tenancy/tenant_directory.h
+++ b/src/tenancy/tenant_directory.h
@@ -28,6 +28,8 @@
   [[nodiscard]] double part_of(const TenantName& name) const;
   /// Whether the tenant is one of the kNamedTenants with the highest rates.
   [[nodiscard]] bool is_large(const TenantName& name) const;
+  /// Whether some tenant names the regions in which its statements run.
+  [[nodiscard]] bool any_names_regions() const { return naming_regions_ > 0; }
   [[nodiscard]] std::size_t size() const { return tenants_.size(); }
 
  private:
@@ -35,6 +37,7 @@
 
   std::map<TenantName, registry::TenantRule> tenants_;
   std::unordered_map<ApiKey, TenantName> holders_;
+  std::size_t naming_regions_ = 0;
   std::uint64_t rates_ = 0;             ///< of all tenants, operations a second
   mutable std::set<TenantName> large_;  ///< worked out when asked for
   mutable bool large_is_old_ = true;
--- a/tests/control/registered/region_preference_test.cpp
+++ b/tests/control/registered/region_preference_test.cpp
@@ -44,8 +44,8 @@
     auto& runtime = world_->start_bare({"control", "10.0.0.1", ZoneName("n1")});
     fleet_ = std::make_unique<registry::FleetStateMachine>(runtime);
     preference_ = std::make_unique<RegionPreference>(
-        *fleet_, locality::RegionMap(
-                     {{ZoneName("n1"), RegionName("north")}, {ZoneName("s1"), RegionName("south")}}));
+        *fleet_,
+        locality::RegionMap({{ZoneName("n1"), RegionName("north")}, {ZoneName("s1"), RegionName("south")}}));
   }
 
   void tearDown() override {
@@ -81,7 +81,7 @@
     command.document.version = version;
     command.document.routes = std::move(routes);
     command.document.groups = {registry::GroupRule{GroupName("records"), 30, 1}};
-    fleet_->apply(version, wire::encode(registry::Command{command}));
+    fleet_->apply(version, wire::encode(registry::LoggedCommand{registry::Command{command}}));
   }
   std::size_t at(const std::string& name) {
     return preference_->allowing_routes(GroupName("records"), members_)[BackendName(name)];
