--- a/simulation/registered_fleet.cpp
+++ b/simulation/registered_fleet.cpp
@@ -6,7 +6,9 @@
 #include <set>
 
 #include "platform/edge.h"
+#include "session/forward_messages.h"
 #include "standins/unfenced/document_text.h"
+#include "wire/codec.h"
 
 namespace cairnhollow::simulation {
 
@@ -64,6 +66,7 @@
   settings.first_start = !wiped_[name];
   settings.serving_lease = settings_.serving_lease;
   settings.promotion_endpoint = {kPromotionAddress, kOperatorPort};
+  settings.zone_regions = settings_.zone_regions;
   world_.start({name, address_of(name), settings.zone}, [settings](runtime::Runtime& runtime) {
     return control::registered::make_registered_control_node(runtime, settings, platform::control_edge());
   });
@@ -80,6 +83,7 @@
   settings.peer_endpoint = {address_of(name), kPeerPort};
   settings.control_port = kPeerPort;
   settings.key_bound = settings_.key_bound;
+  settings.zone_regions = settings_.zone_regions;
   world_.start({name, address_of(name), settings.zone}, [settings](runtime::Runtime& runtime) {
     return session::make_session_proxy(runtime, settings, platform::session_edge());
   });
@@ -104,6 +108,7 @@
       database.lost_answers = settings_.lost_answers;
       database.work = settings_.work;
       database.tenants = &tenant_history_;
+      database.regions = &region_history_;
       members_[name] = {models.back(), names[place]};
       GroupModel* model = models.back();
       world_.start({name, address_of(name), database.zone},
@@ -143,6 +148,11 @@
   caller.database = policy.name;
   caller.policy = policy.policy;
   caller.staleness = milliseconds(policy.staleness_ms);
+  TenantName tenant;
+  for (const registry::TenantRule& rule : settings_.tenants) {
+    if (std::find(rule.keys.begin(), rule.keys.end(), key) != rule.keys.end()) tenant = rule.name;
+  }
+  region_history_.callers[name] = {policy.name, tenant};
   CallerCounts& counts = counts_.emplace_back();
   VirtualRuntime& runtime = world_.start_bare(
       {caller.name, fmt::format("10.4.0.{}", number), ZoneName(kZones[number % kZones.size()])});
@@ -152,8 +162,11 @@
 std::string RegisteredFleet::document(std::uint64_t version) const {
   std::vector<DatabaseText> databases;
   databases.reserve(kPolicies.size());
-  for (const PolicyOfDatabase& policy : kPolicies)
-    databases.push_back({policy.name, policy.policy, policy.staleness_ms, "group-1"});
+  for (const PolicyOfDatabase& policy : kPolicies) {
+    const auto regions = settings_.database_regions.find(policy.name);
+    databases.push_back({policy.name, policy.policy, policy.staleness_ms, "group-1", {}});
+    if (regions != settings_.database_regions.end()) databases.back().allowed_regions = regions->second;
+  }
   std::vector<std::string> groups;
   groups.reserve(settings_.groups);
   for (std::size_t group = 1; group <= settings_.groups; ++group)
@@ -195,6 +208,7 @@
     if (answered && (*result)->status == 200) {
       for (const registry::TenantRule& tenant : settings_.tenants)
         tenant_history_.eras.push_back({tenant, world_.now()});
+      note_regions();
       return true;
     }
     world_.run_for(milliseconds(50));
@@ -217,7 +231,31 @@
   return 0;
 }
 
+void RegisteredFleet::note_regions() {
+  RegionEra era{settings_.database_regions, {}, world_.now()};
+  for (const registry::TenantRule& tenant : settings_.tenants)
+    era.by_tenant[tenant.name] = tenant.allowed_regions;
+  region_history_.eras.push_back(std::move(era));
+}
+
+void RegisteredFleet::record_forwarded(const std::string& receiver, const std::string& frame) {
+  Reason reason;
+  const auto request = wire::decode<session::ForwardRequest>(frame, reason);
+  if (!request) return;
+  const auto* run = std::get_if<session::ForwardRun>(&request->body);
+  const auto* further = std::get_if<session::ForwardInTransaction>(&request->body);
+  if (run == nullptr && further == nullptr) return;
+  const session::ForwardedOrder& order = run != nullptr ? run->order : further->order;
+  const ZoneName zone(kZones[(number_of(receiver) - 1) % kZones.size()]);
+  region_history_.placed.push_back({order.id, zone, false, world_.now()});
+}
+
 bool RegisteredFleet::start() {
+  region_history_.zone_regions = settings_.zone_regions;
+  world_.network().record_frames(
+      [this](const std::string& sender, const std::string& receiver, const std::string& frame) {
+        if (sender.starts_with("proxy-") && receiver.starts_with("proxy-")) record_forwarded(receiver, frame);
+      });
   for (std::size_t number = 1; number <= settings_.control_nodes; ++number) start_control(number);
   for (std::size_t number = 1; number <= settings_.proxies; ++number) start_proxy(number);
   start_databases();
@@ -245,6 +283,8 @@
     for (std::string& violation : find_tenant_violations(tenant_history_, bounds))
       violations.push_back(std::move(violation));
   }
+  for (std::string& violation : find_region_violations(region_history_, kLimitSettles))
+    violations.push_back(std::move(violation));
   for (const std::string& fault : world_.faults()) violations.push_back("fault: " + fault);
   return violations;
 }
--- a/simulation/registered_fleet.h
+++ b/simulation/registered_fleet.h
@@ -12,6 +12,7 @@
 #include "standins/unfenced/caller.h"
 #include "standins/unfenced/database.h"
 #include "standins/unfenced/group_model.h"
+#include "standins/unfenced/region_history.h"
 
 namespace cairnhollow::simulation {
 
@@ -28,6 +29,9 @@
   std::vector<registry::TenantRule> tenants;
   Duration key_bound = std::chrono::seconds(5);
   Duration caller_pause = std::chrono::milliseconds(20);  ///< between a caller's operations
+  std::map<ZoneName, RegionName> zone_regions;            ///< empty: no process knows a region
+  /// What documents say of the databases' regions; a database that is not named may run anywhere.
+  std::map<std::string, std::vector<RegionName>> database_regions;
   bool print_log = false;
 };
 
@@ -45,6 +49,11 @@
   bool send_document(Duration limit = std::chrono::seconds(5));
   /// What the next documents say of tenants.
   void set_tenants(std::vector<registry::TenantRule> tenants) { settings_.tenants = std::move(tenants); }
+  /// What the next documents say of the databases' regions.
+  void set_database_regions(std::map<std::string, std::vector<RegionName>> regions) {
+    settings_.database_regions = std::move(regions);
+  }
+  [[nodiscard]] const standins::unfenced::RegionHistory& region_history() const { return region_history_; }
   /// One more caller, with a key that may be anything; its name tells it from others.
   void start_caller(const std::string& name, const ApiKey& key);
   [[nodiscard]] const standins::unfenced::TenantHistory& tenant_history() const { return tenant_history_; }
@@ -98,6 +107,9 @@
   void start_databases();
   void start_callers();
   std::string document(std::uint64_t version) const;
+  /// Notes each statement that one proxy sends to another.
+  void record_forwarded(const std::string& receiver, const std::string& frame);
+  void note_regions();
   [[nodiscard]] std::string address_of(const std::string& name) const;
   [[nodiscard]] std::vector<Endpoint> control_endpoints(std::uint16_t port) const;
 
@@ -109,6 +121,7 @@
   std::map<std::string, bool> wiped_;
   std::vector<standins::unfenced::Attempt> history_;
   standins::unfenced::TenantHistory tenant_history_;
+  standins::unfenced::RegionHistory region_history_;
   std::size_t next_caller_ = 1;
   std::deque<standins::unfenced::CallerCounts> counts_;
   std::uint64_t version_ = 0;
--- a/simulation/virtual_network.h
+++ b/simulation/virtual_network.h
@@ -48,6 +48,10 @@
   void observe_requests(RequestObserver observer) { request_observer_ = std::move(observer); }
   /// As observe_requests(), beside it and for the whole run: for what the checkers judge.
   void record_requests(RequestObserver recorder) { request_recorder_ = std::move(recorder); }
+  /// Called for each frame or line as a process sends it; for what checkers judge.
+  using FrameRecorder =
+      std::function<void(const std::string& sender, const std::string& receiver, const std::string& frame)>;
+  void record_frames(FrameRecorder recorder) { frame_recorder_ = std::move(recorder); }
 
   [[nodiscard]] const TrafficByPeer& traffic_of(const std::string& process_name) {
     return traffic_[process_name];
@@ -78,6 +82,7 @@
   std::map<std::uint64_t, std::pair<std::shared_ptr<StreamEnd>, std::shared_ptr<StreamEnd>>> streams_;
   std::map<std::string, TrafficByPeer> traffic_;
   RequestObserver request_observer_;
+  FrameRecorder frame_recorder_;
   RequestObserver request_recorder_;
   std::uint64_t next_stream_id_ = 1;
 };
--- a/simulation/virtual_stream.cpp
+++ b/simulation/virtual_stream.cpp
@@ -47,6 +47,9 @@
   if (request != nullptr && network_.request_recorder_) {
     network_.request_recorder_(process_.settings().name, peer_name_, *request);
   }
+  const auto* frame = std::get_if<std::string>(&message);
+  if (frame != nullptr && network_.frame_recorder_)
+    network_.frame_recorder_(process_.settings().name, peer_name_, *frame);
   const std::size_t size = wire_size(message);
   outgoing_.bytes += size;
   network_.traffic_[process_.settings().name][peer_name_] += size;
--- a/src/session/group_access.cpp
+++ b/src/session/group_access.cpp
@@ -158,6 +158,9 @@
   facts.tried = question.tried != nullptr && question.tried->count(backend.entry.name) > 0;
   facts.avoided = backend.avoid_until > now;
   facts.refused = backend.pool.is_refused();
+  if (question.need != nullptr && question.need->allowed != nullptr)
+    facts.region_allowed = question.need->allowed->allows(backend.entry.zone);
+  if (!facts.region_allowed) facts.back_in = kOutsideRegionsComeBack;
   if (question.need == nullptr || question.need->primary_only) return facts;
   facts.lags = !facts.is_primary && backend.lag(now) > now - question.need->required_since;
   facts.cost = cost_of(backend);
@@ -196,15 +199,29 @@
   return placement::has_other_reader(need.primary_only, others);
 }
 
-ReadNeed GroupAccess::need_of(const registry::RouteRule& route, const SessionCommit& committed) const {
+bool GroupAccess::is_primary_outside(const locality::AllowedRegions& allowed) const {
+  if (allowed.is_anywhere() || !term_.open) return false;
+  const auto leader = backends_.find(term_.primary);
+  return leader != backends_.end() && !allowed.allows(leader->second->entry.zone);
+}
+
+bool GroupAccess::wants_position(Duration staleness) const {
+  const auto newest = positions_.newest();
+  return !newest || runtime_.now() - *newest > staleness / kPositionRefreshDivisor;
+}
+
+ReadNeed GroupAccess::need_of(const registry::RouteRule& route, const SessionCommit& committed,
+                              const locality::AllowedRegions* allowed) const {
   ReadNeed need;
   need.primary_only = true;
+  need.allowed = allowed;
   if (route.reads == registry::ReadPolicy::kPrimary) return need;
   const TimePoint now = runtime_.now();
   const Duration staleness = std::chrono::milliseconds(route.max_staleness_ms);
-  const auto newest = positions_.newest();
-  // While the group is open the next read renews what is known, before it is too old.
-  if (term_.open && (!newest || now - *newest > staleness / kPositionRefreshDivisor)) return need;
+  // While the group is open the next read renews what is known, before it is too old; not one that may not go
+  // to the primary.
+  const bool may_renew = term_.open && (allowed == nullptr || !is_primary_outside(*allowed));
+  if (may_renew && wants_position(staleness)) return need;
   need.required = positions_.covering(now - staleness);
   if (!need.required) return need;
   need.required_since = positions_.first_seen(*need.required).value_or(now);
--- a/src/session/group_access.h
+++ b/src/session/group_access.h
@@ -9,7 +9,9 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
+#include "locality/allowed_regions.h"
 #include "placement/backend_choice.h"
 #include "registry/model.h"
 #include "session/position_history.h"
@@ -66,6 +68,8 @@
   bool primary_only = false;
   std::optional<Position> required;  ///< of a replica
   TimePoint required_since{};        ///< when the primary had that position
+  /// Where it may run; the statement's, which outlives this. Null: anywhere.
+  const locality::AllowedRegions* allowed = nullptr;
 };
 
 /// The statement of which the facts of a backend are asked. What it does not name plays no part in them.
@@ -122,7 +126,18 @@
   /// Whether a backend beside `backend` is likely to serve such a read now.
   [[nodiscard]] bool has_other_reader(const ReadNeed& need, const BackendUse& backend);
   /// What a read must see under these rules; primary_only when a replica can't be shown to have it.
-  [[nodiscard]] ReadNeed need_of(const registry::RouteRule& route, const SessionCommit& committed) const;
+  [[nodiscard]] ReadNeed need_of(const registry::RouteRule& route, const SessionCommit& committed,
+                                 const locality::AllowedRegions* allowed = nullptr) const;
+  /// A primary leads, and is in a region where what is bound to these may not run.
+  [[nodiscard]] bool is_primary_outside(const locality::AllowedRegions& allowed) const;
+  /// Whether reads of such staleness, none of which may go to the primary, need a newer position of it soon.
+  [[nodiscard]] bool wants_position(Duration staleness) const;
+  /// The primary is to be asked for its position on behalf of such reads; false while it is being asked.
+  bool begin_position_question() { return !std::exchange(asking_position_, true); }
+  void end_position_question() {
+    asking_position_ = false;
+    changed_.notify_all();
+  }
 
   /// This proxy does not reach the primary of the open term, which may lead all the same.
   void note_primary_unreachable() {
@@ -202,6 +217,7 @@
   Position highest_acknowledged_;
   TimePoint answered_commit_sent_{};  ///< the latest sending of those that were answered
   bool commits_stall_ = false;
+  bool asking_position_ = false;
   PositionHistory positions_;
   runtime::Signal changed_;
 };
--- a/src/session/knobs.h
+++ b/src/session/knobs.h
@@ -97,6 +97,13 @@
 /// What a refused caller is told to wait while a group has no primary.
 inline constexpr Duration kComeBackAfter = milliseconds(300);
 
+/// The same where all backends that could run it are outside the regions that it may be run in. Only a change
+/// of primary, of backends or of the document helps, and those come a few times an hour at most; chosen.
+inline constexpr Duration kOutsideRegionsComeBack = seconds(5);
+/// A read that may not go to the primary waits this long for the primary's position, where none is known: a
+/// new connection and an exchange across regions.
+inline constexpr Duration kPositionPatience = milliseconds(200);
+
 /// A home of a tenant is waited for this long for tokens: as long as a dial to another proxy, and a little
 /// for the answer; then the next home is asked. All three fit into the limit.
 inline constexpr Duration kHomePatience = milliseconds(60);
--- a/standins/unfenced/database.cpp
+++ b/standins/unfenced/database.cpp
@@ -176,6 +176,8 @@
       Answer answer = co_await answer_text(connection, statement_id, std::string(text));
       if (settings_.tenants != nullptr && answer.signature == "signed-" + statement_id)
         settings_.tenants->runs.push_back({statement_id, tenant, runtime_.now()});
+      if (settings_.regions != nullptr && answer.signature == "signed-" + statement_id)
+        settings_.regions->placed.push_back({statement_id, settings_.zone, true, runtime_.now()});
       if (runtime_.random().unit() < settings_.lost_answers && id != "-") co_return;
       answer.state = connection.state;
       const std::uint64_t applied = model_.applied(settings_.backend, runtime_.now());
--- a/standins/unfenced/database.h
+++ b/standins/unfenced/database.h
@@ -8,6 +8,7 @@
 #include "runtime/role.h"
 #include "runtime/runtime.h"
 #include "standins/unfenced/group_model.h"
+#include "standins/unfenced/region_history.h"
 #include "standins/unfenced/tenant_history.h"
 
 namespace cairnhollow::standins::unfenced {
@@ -20,6 +21,7 @@
   std::uint32_t slots = 4;
   Duration work = std::chrono::milliseconds(3);
   TenantHistory* tenants = nullptr;  ///< what is run is noted there; null: nowhere
+  RegionHistory* regions = nullptr;  ///< the same
   double lost_answers = 0;           ///< share of statements that are run and not answered
 };
 
--- a/standins/unfenced/document_text.cpp
+++ b/standins/unfenced/document_text.cpp
@@ -23,15 +23,23 @@
   return "primary";
 }
 
+json::array region_list(const std::vector<RegionName>& regions) {
+  json::array list;
+  for (const RegionName& region : regions) list.emplace_back(region.value);
+  return list;
+}
+
 json::array tenant_list(const std::vector<registry::TenantRule>& tenants) {
   json::array list;
   for (const registry::TenantRule& tenant : tenants) {
     json::array keys;
     for (const ApiKey& key : tenant.keys) keys.emplace_back(key.value);
-    list.push_back(json::object{{"Name", tenant.name.value},
-                                {"ApiKeys", keys},
-                                {"RatePerS", tenant.rate_per_s},
-                                {"Burst", tenant.burst}});
+    json::object one{{"Name", tenant.name.value},
+                     {"ApiKeys", keys},
+                     {"RatePerS", tenant.rate_per_s},
+                     {"Burst", tenant.burst}};
+    if (!tenant.allowed_regions.empty()) one["AllowedRegions"] = region_list(tenant.allowed_regions);
+    list.push_back(std::move(one));
   }
   return list;
 }
@@ -43,15 +51,17 @@
                           const std::vector<registry::TenantRule>& tenants) {
   json::array routes;
   for (const DatabaseText& database : databases) {
-    routes.push_back(json::object{{"Name", "r-" + database.name},
-                                  {"Hostname", database.name},
-                                  {"PathPrefix", "/"},
-                                  {"RouteKind", word_of(database.reads)},
-                                  {"TimeoutMs", kTimeoutMs},
-                                  {"TargetLatencyMs", kTargetLatencyMs},
-                                  {"Priority", 1},
-                                  {"Service", database.group},
-                                  {"MaxStalenessMs", database.staleness_ms}});
+    json::object route{{"Name", "r-" + database.name},
+                       {"Hostname", database.name},
+                       {"PathPrefix", "/"},
+                       {"RouteKind", word_of(database.reads)},
+                       {"TimeoutMs", kTimeoutMs},
+                       {"TargetLatencyMs", kTargetLatencyMs},
+                       {"Priority", 1},
+                       {"Service", database.group},
+                       {"MaxStalenessMs", database.staleness_ms}};
+    if (!database.allowed_regions.empty()) route["AllowedRegions"] = region_list(database.allowed_regions);
+    routes.push_back(std::move(route));
   }
   json::array services;
   for (const std::string& group : groups)
