--- a/src/session/fleet_view.cpp
+++ b/src/session/fleet_view.cpp
@@ -41,7 +41,11 @@
   for (const registry::RouteRule& route : delta.routes) routes_[route.name] = route;
   if (!delta.is_whole && delta.removed_routes.empty() && delta.routes.empty()) return;
   by_database_.clear();
-  for (const auto& [name, route] : routes_) by_database_.emplace(route.database, name);
+  routes_name_regions_ = false;
+  for (const auto& [name, route] : routes_) {
+    by_database_.emplace(route.database, name);
+    routes_name_regions_ = routes_name_regions_ || !route.allowed_regions.empty();
+  }
 }
 
 void FleetView::apply_backends(const registry::FleetDelta& delta) {
@@ -176,6 +180,26 @@
   return inside;
 }
 
+bool FleetView::names_regions() const { return routes_name_regions_ || tenants_.any_names_regions(); }
+
+void FleetView::note_zone(const ZoneName& zone) {
+  if (regions_.find(zone) != nullptr || !told_unknown_.insert(zone).second) return;
+  runtime_.logger().log(runtime::LogLevel::kWarning, "region_unknown",
+                        {{"zone", zone.value}, {"version", std::to_string(document_version_)}});
+}
+
+void FleetView::note_unknown_regions(const registry::FleetDelta& delta) {
+  if (!names_regions()) return;
+  for (const registry::BackendEntry& backend : delta.backends) note_zone(backend.zone);
+  for (const registry::AdmittedProxy& proxy : delta.proxies) note_zone(proxy.zone);
+  if (delta.routes.empty() && delta.tenants.empty()) return;
+  // These lists may be the first ones.
+  for (const auto& [name, group] : groups_) {
+    for (const auto& [backend, use] : group->backends()) note_zone(use->entry.zone);
+  }
+  for (const auto& [node, proxy] : proxies_) note_zone(proxy.zone);
+}
+
 void FleetView::apply(const registry::FleetDelta& delta) {
   revision_ = delta.revision;
   document_version_ = delta.document_version;
@@ -187,6 +211,7 @@
   for (const registry::GroupTerm& term : delta.terms) access(term.group)->set_term(term);
   const auto changed = changed_proxies(delta);
   apply_proxies(delta);
+  note_unknown_regions(delta);
   if (!changes_division(delta)) return;
   const auto takers = this->takers();
   if (!changed.empty()) budgets_.set_homes(tenancy::BudgetHomes(takers, changed), revision_);
--- a/src/session/fleet_view.h
+++ b/src/session/fleet_view.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 #include "locality/allowed_regions.h"
@@ -110,6 +111,11 @@
   void apply_routes(const registry::FleetDelta& delta);
   void apply_backends(const registry::FleetDelta& delta);
   void apply_tenants(const registry::FleetDelta& delta);
+  /// Some route or tenant names the regions in which its statements run.
+  [[nodiscard]] bool names_regions() const;
+  /// Logs zones that lists of regions shut out, since no setting tells where they are.
+  void note_unknown_regions(const registry::FleetDelta& delta);
+  void note_zone(const ZoneName& zone);
   /// Proxies that the delta names, as they are or were.
   [[nodiscard]] std::vector<routing::ProxyPointer> changed_proxies(const registry::FleetDelta& delta) const;
   /// Those that take new work.
@@ -136,6 +142,8 @@
   std::uint64_t document_version_ = 0;
   Duration transaction_idle_{0};
   std::map<RouteName, registry::RouteRule> routes_;
+  bool routes_name_regions_ = false;
+  std::set<ZoneName> told_unknown_;  ///< zones that were logged
   std::map<DatabaseName, RouteName> by_database_;
   std::map<GroupName, std::shared_ptr<GroupAccess>> groups_;
   std::map<BackendName, GroupName> group_of_;
--- a/standins/unfenced/document_text.h
+++ b/standins/unfenced/document_text.h
@@ -16,7 +16,7 @@
   registry::ReadPolicy reads = registry::ReadPolicy::kPrimary;
   std::uint64_t staleness_ms = 0;
   std::string group;
-  std::vector<RegionName> allowed_regions;  ///< empty: the document says nothing of them
+  std::vector<RegionName> allowed_regions{};  ///< empty: the document says nothing of them
 };
 
 /// The databases that tests declare: one for each read policy.
