--- a/src/session/statement_runner.cpp
+++ b/src/session/statement_runner.cpp
@@ -28,17 +28,19 @@
 }
 
 Awaitable<RunResult> StatementRunner::run(RunOrder order) {
+  if (!order.allowed.is_anywhere() && is_shut_out(order)) co_return refuse_outside(order);
   std::vector<routing::ProxyPointer> proxies;
   ForwardCause cause = ForwardCause::kServedElsewhere;
-  if (!order.is_forwarded) proxies = services_.view.forward_to(order.group->group(), order.tenant);
+  if (!order.is_forwarded)
+    proxies = inside(services_.view.forward_to(order.group->group(), order.tenant), order);
   if (proxies.empty() && must_relay(order)) {
-    proxies = services_.view.others();
+    proxies = inside(services_.view.others(), order);
     cause = services_.view.holds_lease_for(*order.group) ? ForwardCause::kPrimaryUnreachable
                                                          : ForwardCause::kNoLease;
   }
   if (proxies.empty() && !order.is_forwarded && order.group->is_primary_full() && needs_primary(order)) {
     // Another that serves the group may have links.
-    proxies = services_.view.also_serving(order.group->group());
+    proxies = inside(services_.view.also_serving(order.group->group()), order);
     cause = ForwardCause::kPrimaryFull;
   }
   if (proxies.empty()) co_return co_await run_here(std::move(order));
@@ -65,7 +67,7 @@
 
 bool StatementRunner::needs_primary(const RunOrder& order) {
   const bool reads = order.opens_transaction ? order.read_only_transaction : !order.writes;
-  return !reads || order.group->need_of(order.route, order.committed).primary_only;
+  return !reads || order.group->need_of(order.route, order.committed, &order.allowed).primary_only;
 }
 
 Awaitable<RunResult> StatementRunner::run_here(RunOrder order) {
@@ -73,6 +75,7 @@
   auto attempt = std::make_shared<Attempt>(std::move(order));
   attempt->refuse_at = refuse_limit(attempt->order);
   if (attempt->order.writes && attempt->order.group->refuses_commits()) co_return refuse_stalled(*attempt);
+  if (!attempt->order.allowed.is_anywhere()) co_await bring_position(attempt);
   Step step = Step::kNext;
   while (step != Step::kDone) {
     const bool worth_trying = attempt->count < kMaxAttempts && runtime.now() < attempt->order.deadline;
@@ -108,9 +111,9 @@
   while (true) {
     attempt->needs_primary = false;
     if (attempt->is_read()) {
-      attempt->need = group.need_of(attempt->order.route, attempt->order.committed);
+      attempt->need = group.need_of(attempt->order.route, attempt->order.committed, &attempt->order.allowed);
     } else {
-      attempt->need = ReadNeed{true, std::nullopt};
+      attempt->need = ReadNeed{true, std::nullopt, {}, &attempt->order.allowed};
     }
     const bool leased = services_.view.holds_lease_for(group);
     std::shared_ptr<BackendUse> backend;
@@ -124,7 +127,8 @@
       attempt->needs_primary = attempt->need.primary_only;
       co_return backend;
     }
-    if (!is_worth_waiting(*attempt)) co_return nullptr;
+    const auto choice = placement::choose_backend(attempt->need.primary_only, group.facts({&attempt->need}));
+    if (choice.is_final || !is_worth_waiting(*attempt)) co_return nullptr;
     attempt->excluded.clear();
     co_await group.changed().wait_until(std::min(attempt->refuse_at, services_.runtime.now() + kBusyPause));
   }
--- a/src/session/statement_runner.h
+++ b/src/session/statement_runner.h
@@ -94,6 +94,15 @@
   /// Why nothing of the order may be sent to a backend now, as far as its key goes; asked last before
   /// sending.
   [[nodiscard]] std::optional<Refusal> key_fault(const RunOrder& order) const;
+  /// Those of `proxies` to which the order's text may be sent; none when this proxy is the first of them.
+  [[nodiscard]] std::vector<routing::ProxyPointer> inside(const std::vector<routing::ProxyPointer>& proxies,
+                                                          const RunOrder& order) const;
+  /// Whether all that could run the order is outside its regions, so that waiting would not help.
+  [[nodiscard]] static bool is_shut_out(const RunOrder& order);
+  RunResult refuse_outside(const RunOrder& order);
+  /// A read that may not go to the primary has the primary's position asked for, and waits for it where none
+  /// is known.
+  Awaitable<void> bring_position(std::shared_ptr<Attempt> attempt);
   Awaitable<RunResult> run_here(RunOrder order);
   Awaitable<RunResult> forward(RunOrder order, std::vector<routing::ProxyPointer> proxies);
   /// Waits for the lease as long as it is to be expected and the order can be refused in good time.
--- /dev/null
+++ b/tests/session/group_regions_test.cpp
@@ -0,0 +1,132 @@
+// Which backends of a group a statement may use that is bound to regions, and how its reads are kept going
+// beside a primary outside.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "session/group_access.h"
+#include "session/knobs.h"
+#include "simulation/world.h"
+
+namespace cairnhollow::session {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+class NoDialer : public BackendDialer {
+ public:
+  Awaitable<std::shared_ptr<BackendLink>> open(BackendAddress /*address*/, TimePoint /*deadline*/,
+                                               std::optional<Refusal>& /*refusal*/,
+                                               Reason& /*reason*/) override {
+    co_return nullptr;
+  }
+};
+
+registry::BackendEntry backend(const std::string& name, std::uint16_t port, const std::string& zone) {
+  registry::BackendEntry entry;
+  entry.name = BackendName(name);
+  entry.group = GroupName("group");
+  entry.endpoint = {"10.0.0.9", port};
+  entry.zone = ZoneName(zone);
+  entry.slots = 2;
+  return entry;
+}
+
+}  // namespace
+
+class GroupRegionsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(GroupRegionsTest);
+  CPPUNIT_TEST(reads_stay_inside);
+  CPPUNIT_TEST(a_primary_outside_does_not_stand_in_for_a_replica_that_lags);
+  CPPUNIT_TEST(what_nobody_inside_can_run_is_refused_for_good);
+  CPPUNIT_TEST(beside_a_primary_outside_older_positions_serve_until_they_are_too_old);
+  CPPUNIT_TEST(one_position_question_at_a_time);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    world_ = std::make_unique<simulation::World>(simulation::WorldSettings{});
+    runtime_ = &world_->start_bare({"proxy", "10.0.0.1", ZoneName("n1")});
+    group_ = std::make_unique<GroupAccess>(*runtime_, dialer_, GroupName("group"), ZoneName("n1"));
+    group_->put_backend(backend("primary", 1, "n1"));
+    group_->put_backend(backend("near", 2, "n1"));
+    group_->put_backend(backend("south", 3, "s1"));
+    group_->set_term({GroupName("group"), 1, BackendName("primary"), true, 1, 1});
+    world_->run_for(milliseconds(100));
+    need_.required = Position{1, 10};
+    need_.required_since = runtime_->now();
+    need_.allowed = &south_;
+  }
+  void tearDown() override {
+    group_.reset();
+    world_.reset();
+  }
+
+  void reads_stay_inside() {
+    CPPUNIT_ASSERT_EQUAL(std::string("south"), group_->choose_reader(need_, {})->entry.name.value);
+    CPPUNIT_ASSERT(!group_->has_other_reader(need_, *group_->backends().at(BackendName("south"))));
+    CPPUNIT_ASSERT(group_->choose_reader(need_, {BackendName("south")}) == nullptr);
+    const locality::AllowedRegions anywhere;
+    need_.allowed = &anywhere;
+    CPPUNIT_ASSERT_EQUAL(std::string("near"), group_->choose_reader(need_, {})->entry.name.value);
+  }
+
+  void a_primary_outside_does_not_stand_in_for_a_replica_that_lags() {
+    group_->note_replica(*group_->backends().at(BackendName("south")), need_, std::nullopt);
+    CPPUNIT_ASSERT_EQUAL(std::string("south"), group_->choose_reader(need_, {})->entry.name.value);
+  }
+
+  void what_nobody_inside_can_run_is_refused_for_good() {
+    need_.primary_only = true;
+    auto choice = placement::choose_backend(true, group_->facts({&need_}));
+    CPPUNIT_ASSERT(!choice.backend && choice.is_final);
+    CPPUNIT_ASSERT(choice.obstacle == placement::Obstacle::kOutsideRegions);
+    CPPUNIT_ASSERT(choice.back_in == kOutsideRegionsComeBack);
+    group_->remove_backend(BackendName("south"));
+    need_.primary_only = false;
+    choice = placement::choose_backend(false, group_->facts({&need_}));
+    CPPUNIT_ASSERT(!choice.backend && choice.is_final);
+    // The next primary may be inside: that is waited for.
+    group_->put_backend(backend("south", 3, "s1"));
+    group_->set_term({GroupName("group"), 1, BackendName("primary"), false, 2, 1});
+    CPPUNIT_ASSERT(!placement::choose_backend(true, group_->facts({&need_})).is_final);
+  }
+
+  void beside_a_primary_outside_older_positions_serve_until_they_are_too_old() {
+    registry::RouteRule route;
+    route.reads = registry::ReadPolicy::kBoundedStaleness;
+    route.max_staleness_ms = 1500;
+    CPPUNIT_ASSERT(group_->is_primary_outside(south_));
+    CPPUNIT_ASSERT(group_->need_of(route, {}, &south_).primary_only);
+    group_->note_primary_position(runtime_->now(), {1, 7});
+    world_->run_for(milliseconds(1000));
+    CPPUNIT_ASSERT(group_->wants_position(milliseconds(1500)));
+    CPPUNIT_ASSERT_MESSAGE("renews what is known", group_->need_of(route, {}).primary_only);
+    const ReadNeed bound = group_->need_of(route, {}, &south_);
+    CPPUNIT_ASSERT(!bound.primary_only && bound.required == Position({1, 7}));
+    CPPUNIT_ASSERT(bound.allowed == &south_);
+    world_->run_for(milliseconds(600));
+    CPPUNIT_ASSERT_MESSAGE("too old", group_->need_of(route, {}, &south_).primary_only);
+  }
+
+  void one_position_question_at_a_time() {
+    CPPUNIT_ASSERT(group_->begin_position_question());
+    CPPUNIT_ASSERT(!group_->begin_position_question());
+    group_->end_position_question();
+    CPPUNIT_ASSERT(group_->begin_position_question());
+  }
+
+ private:
+  const locality::RegionMap map_{
+      {{ZoneName("n1"), RegionName("north")}, {ZoneName("s1"), RegionName("south")}}};
+  const locality::AllowedRegions south_{map_, {RegionName("south")}, {}};
+  std::unique_ptr<simulation::World> world_;
+  runtime::Runtime* runtime_ = nullptr;
+  NoDialer dialer_;
+  std::unique_ptr<GroupAccess> group_;
+  ReadNeed need_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GroupRegionsTest);
+
+}  // namespace cairnhollow::session
