--- a/src/session/group_access.cpp
+++ b/src/session/group_access.cpp
@@ -158,8 +158,7 @@
   facts.tried = question.tried != nullptr && question.tried->count(backend.entry.name) > 0;
   facts.avoided = backend.avoid_until > now;
   facts.refused = backend.pool.is_refused();
-  if (question.need != nullptr && question.need->allowed != nullptr)
-    facts.region_allowed = question.need->allowed->allows(backend.entry.zone);
+  if (question.allowed != nullptr) facts.region_allowed = question.allowed->allows(backend.entry.zone);
   if (!facts.region_allowed) facts.back_in = kOutsideRegionsComeBack;
   if (question.need == nullptr || question.need->primary_only) return facts;
   facts.lags = !facts.is_primary && backend.lag(now) > now - question.need->required_since;
@@ -188,13 +187,13 @@
 
 std::shared_ptr<BackendUse> GroupAccess::choose_reader(const ReadNeed& need,
                                                        const std::set<BackendName>& excluded) {
-  const PlacementQuestion question{&need, &excluded};
+  const PlacementQuestion question{&need, &excluded, need.allowed};
   const auto choice = placement::choose_backend(need.primary_only, facts(question));
   return choice.backend ? backend_at(*choice.backend) : nullptr;
 }
 
 bool GroupAccess::has_other_reader(const ReadNeed& need, const BackendUse& backend) {
-  GroupFacts others = facts({&need});
+  GroupFacts others = facts({&need, nullptr, need.allowed});
   for (placement::BackendFacts& other : others) other.tried = other.name == backend.entry.name.value;
   return placement::has_other_reader(need.primary_only, others);
 }
--- a/src/session/group_access.h
+++ b/src/session/group_access.h
@@ -76,8 +76,7 @@
 struct PlacementQuestion {
   const ReadNeed* need = nullptr;
   const std::set<BackendName>* tried = nullptr;
-  const registry::RouteRule* route = nullptr;
-  const TenantName* tenant = nullptr;
+  const locality::AllowedRegions* allowed = nullptr;  ///< null: anywhere
 };
 
 /// Of the backends of one group, by name. Most groups have fewer than eight.
--- a/src/session/statement_regions.cpp
+++ b/src/session/statement_regions.cpp
@@ -1,6 +1,4 @@
 // StatementRunner's part for statements that are bound to regions. Those that are not never come here.
-#include <fmt/format.h>
-
 #include <algorithm>
 
 #include "placement/backend_choice.h"
@@ -12,46 +10,41 @@
 
 namespace {
 
-bool reads_only(const RunOrder& order) {
-  return order.opens_transaction ? order.read_only_transaction : !order.writes;
-}
-
 /// Whether a replica that is recent enough may run it.
 bool may_use_replicas(const RunOrder& order) {
-  return reads_only(order) && order.route.reads != registry::ReadPolicy::kPrimary;
+  return order.reads() && order.route.reads != registry::ReadPolicy::kPrimary;
 }
 
 }  // namespace
 
-std::vector<routing::ProxyPointer> StatementRunner::inside(const std::vector<routing::ProxyPointer>& proxies,
-                                                           const RunOrder& order) const {
-  if (order.allowed.is_anywhere()) return proxies;
-  auto allowed = services_.view.in_regions(proxies, order.allowed);
+const placement::ProxyList* StatementRunner::keep_inside(const placement::ProxyList& proxies,
+                                                         const RunOrder& order,
+                                                         placement::ProxyList& kept) const {
+  if (order.allowed.is_anywhere()) return &proxies;
+  kept = services_.view.in_regions(proxies, order.allowed);
   // The first choice is this proxy: nothing is to be passed on.
-  if (!allowed.empty() && allowed.front()->name == services_.view.node()) allowed.clear();
-  return allowed;
+  if (!kept.empty() && kept.front()->name == services_.view.node()) kept.clear();
+  return &kept;
 }
 
 bool StatementRunner::is_shut_out(const RunOrder& order) {
   if (order.allowed.is_nowhere()) return true;
   ReadNeed need;
   need.primary_only = !may_use_replicas(order);
-  need.allowed = &order.allowed;
-  const auto choice = placement::choose_backend(need.primary_only, order.group->facts({&need}));
+  const auto choice =
+      placement::choose_backend(need.primary_only, order.group->facts({&need, nullptr, &order.allowed}));
   return choice.is_final && choice.obstacle == placement::Obstacle::kOutsideRegions;
 }
 
-RunResult StatementRunner::refuse_outside(const RunOrder& order) {
-  RunResult result;
-  result.nothing_run = !order.may_have_run;
-  result.answer.refusal = Refusal::kBusy;
-  result.answer.detail = fmt::format("{} is in the regions that it may run in ({}); come back in {} ms",
-                                     may_use_replicas(order) ? "no backend" : "no primary",
-                                     order.allowed.to_string(), in_ms(kOutsideRegionsComeBack));
-  const Reason reason{ReasonCode::kNoBackend, "check_regions", order.group->term().primary.value,
-                      placement::obstacle_name(placement::Obstacle::kOutsideRegions)};
-  log_refusal(order, result.answer, reason, 0);
-  return result;
+RunResult StatementRunner::refuse_outside(RunOrder order) {
+  Attempt attempt(std::move(order));
+  attempt.need.primary_only = !may_use_replicas(attempt.order);
+  refuse(attempt, placement::Obstacle::kOutsideRegions, kOutsideRegionsComeBack);
+  attempt.reason = Reason{ReasonCode::kNoBackend, "check_regions", attempt.order.group->term().primary.value,
+                          "allowed regions: " + attempt.order.allowed.to_string()};
+  log_refusal(attempt.order, attempt.result.answer, attempt.reason, 0, attempt.unplaced);
+  attempt.result.nothing_run = !attempt.order.may_have_run;
+  return std::move(attempt.result);
 }
 
 Awaitable<void> StatementRunner::bring_position(std::shared_ptr<Attempt> attempt) {
--- a/tests/session/group_regions_test.cpp
+++ b/tests/session/group_regions_test.cpp
@@ -78,18 +78,18 @@
 
   void what_nobody_inside_can_run_is_refused_for_good() {
     need_.primary_only = true;
-    auto choice = placement::choose_backend(true, group_->facts({&need_}));
+    auto choice = placement::choose_backend(true, group_->facts({&need_, nullptr, &south_}));
     CPPUNIT_ASSERT(!choice.backend && choice.is_final);
     CPPUNIT_ASSERT(choice.obstacle == placement::Obstacle::kOutsideRegions);
     CPPUNIT_ASSERT(choice.back_in == kOutsideRegionsComeBack);
     group_->remove_backend(BackendName("south"));
     need_.primary_only = false;
-    choice = placement::choose_backend(false, group_->facts({&need_}));
+    choice = placement::choose_backend(false, group_->facts({&need_, nullptr, &south_}));
     CPPUNIT_ASSERT(!choice.backend && choice.is_final);
     // The next primary may be inside: that is waited for.
     group_->put_backend(backend("south", 3, "s1"));
     group_->set_term({GroupName("group"), 1, BackendName("primary"), false, 2, 1});
-    CPPUNIT_ASSERT(!placement::choose_backend(true, group_->facts({&need_})).is_final);
+    CPPUNIT_ASSERT(!placement::choose_backend(true, group_->facts({&need_, nullptr, &south_})).is_final);
   }
 
   void beside_a_primary_outside_older_positions_serve_until_they_are_too_old() {
