--- /dev/null
+++ b/tests/session/statement_regions_test.cpp
@@ -0,0 +1,244 @@
+// A statement that is bound to regions at one proxy: refused at once where nothing inside can run it, and the
+// primary's position that reads beside a primary outside live by.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "session/position_question.h"
+#include "session/statement_runner.h"
+#include "simulation/world.h"
+
+namespace cairnhollow::session {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const GroupName kGroup("group");
+
+/// Answers a status as the primary of term 1; `meanwhile` is done first.
+struct StatusScript {
+  std::function<void()> meanwhile;
+  int statuses = 0;
+  int statements = 0;
+};
+
+class StatusLink : public BackendLink {
+ public:
+  StatusLink(runtime::Runtime& runtime, StatusScript& script) : runtime_(runtime), script_(script) {}
+  Awaitable<std::optional<Answer>> run(BackendRequest request, TimePoint /*deadline*/,
+                                       runtime::SendState& sent, Reason& /*reason*/) override {
+    sent = runtime::SendState::kMaybeSent;
+    co_await runtime_.sleep_for(milliseconds(3));
+    if (std::holds_alternative<AskStatus>(request)) {
+      ++script_.statuses;
+      if (script_.meanwhile) script_.meanwhile();
+    }
+    if (std::holds_alternative<PassOn>(request)) ++script_.statements;
+    co_return Answer{};
+  }
+  std::optional<BackendStatus> read_status(const Answer& /*answer*/, Reason& /*reason*/) override {
+    return BackendStatus{true, 1, Position{1, 9}};
+  }
+  void close() override { open_ = false; }
+  [[nodiscard]] bool is_open() const override { return open_; }
+  [[nodiscard]] std::string peer() const override { return "link"; }
+
+ private:
+  runtime::Runtime& runtime_;
+  StatusScript& script_;
+  bool open_ = true;
+};
+
+class StatusDialer : public BackendDialer {
+ public:
+  StatusDialer(runtime::Runtime& runtime, StatusScript& script) : runtime_(runtime), script_(script) {}
+  Awaitable<std::shared_ptr<BackendLink>> open(BackendAddress /*address*/, TimePoint /*deadline*/,
+                                               std::optional<Refusal>& /*refusal*/,
+                                               Reason& /*reason*/) override {
+    co_return std::make_shared<StatusLink>(runtime_, script_);
+  }
+
+ private:
+  runtime::Runtime& runtime_;
+  StatusScript& script_;
+};
+
+registry::BackendEntry entry(const std::string& name, std::uint16_t port, const std::string& zone) {
+  registry::BackendEntry entry;
+  entry.name = BackendName(name);
+  entry.group = kGroup;
+  entry.endpoint = {"10.0.0.9", port};
+  entry.zone = ZoneName(zone);
+  entry.slots = 2;
+  return entry;
+}
+
+/// The primary is in the north, a replica in the south.
+registry::FleetDelta fleet() {
+  registry::FleetDelta delta;
+  delta.is_whole = true;
+  delta.revision = 1;
+  delta.document_version = 1;
+  registry::RouteRule route;
+  route.name = RouteName("route");
+  route.database = DatabaseName("records");
+  route.group = kGroup;
+  route.reads = registry::ReadPolicy::kBoundedStaleness;
+  route.max_staleness_ms = 1500;
+  route.timeout_ms = 900;
+  route.target_latency_ms = 600;
+  delta.routes = {route};
+  delta.groups = {registry::GroupRule{kGroup, 0, 1, 0, 0}};
+  delta.backends = {entry("primary", 1, "n1"), entry("replica", 2, "s1")};
+  delta.terms = {{kGroup, 1, BackendName("primary"), true, 1, 1, 0}};
+  delta.proxies = {{NodeName("proxy"), 1, ZoneName("s1"), {"10.0.0.1", 7000}, false},
+                   {NodeName("other"), 1, ZoneName("s1"), {"10.0.0.2", 7000}, false}};
+  return delta;
+}
+
+SessionProxySettings settings() {
+  SessionProxySettings settings;
+  settings.node = NodeName("proxy");
+  settings.zone = ZoneName("s1");
+  settings.zone_regions = {{ZoneName("n1"), RegionName("north")}, {ZoneName("s1"), RegionName("south")}};
+  return settings;
+}
+
+struct Proxy {
+  explicit Proxy(runtime::Runtime& runtime)
+      : dialer(runtime, script),
+        view(runtime, dialer, own),
+        link(runtime, own, view),
+        forwarder(runtime, NodeName("proxy"), ZoneName("s1")),
+        limits(runtime, view, forwarder, metrics),
+        runner({runtime, view, link, metrics, forwarder, limits}) {
+    view.apply(fleet());
+    view.extend_lease(runtime.now(), runtime.now() + seconds(60), 1);
+  }
+
+  const SessionProxySettings own = settings();
+  StatusScript script;
+  StatusDialer dialer;
+  FleetView view;
+  FleetLink link;
+  SessionMetrics metrics;
+  Forwarder forwarder;
+  LimitClient limits;
+  StatementRunner runner;
+};
+
+}  // namespace
+
+class StatementRegionsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StatementRegionsTest);
+  CPPUNIT_TEST(a_write_whose_primary_is_outside_is_refused_at_once);
+  CPPUNIT_TEST(what_may_run_nowhere_waits_for_no_primary);
+  CPPUNIT_TEST(what_is_shut_out_is_not_passed_on);
+  CPPUNIT_TEST(a_bounded_read_has_the_position_asked_for);
+  CPPUNIT_TEST(a_position_of_a_primary_that_was_replaced_does_not_count);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    world_ = std::make_unique<simulation::World>(simulation::WorldSettings{});
+    runtime_ = &world_->start_bare({"proxy", "10.0.0.1", ZoneName("s1")});
+    proxy_ = std::make_unique<Proxy>(*runtime_);
+    group_ = proxy_->view.find_group(kGroup);
+  }
+  void tearDown() override {
+    group_.reset();
+    proxy_.reset();
+    world_.reset();
+  }
+
+  void a_write_whose_primary_is_outside_is_refused_at_once() { check_refused(write_in({"south"}, {})); }
+
+  void what_may_run_nowhere_waits_for_no_primary() {
+    group_->set_term({kGroup, 1, BackendName("primary"), false, 2, 1, 0});
+    check_refused(write_in({"south"}, {"north"}));
+  }
+
+  void what_is_shut_out_is_not_passed_on() {
+    group_->note_primary_unreachable();
+    check_refused(write_in({"south"}, {}));
+    const std::string metrics = proxy_->metrics.render();
+    CPPUNIT_ASSERT(metrics.find("forwarded_total{cause=\"primary_unreachable\"} 0") != std::string::npos);
+  }
+
+  void a_bounded_read_has_the_position_asked_for() {
+    RunOrder order = write_in({"south"}, {});
+    order.writes = false;
+    const RunResult result = run(order);
+    CPPUNIT_ASSERT(result.answer.succeeded());
+    CPPUNIT_ASSERT_EQUAL(1, proxy_->script.statuses);
+    CPPUNIT_ASSERT_EQUAL(1, proxy_->script.statements);
+  }
+
+  void a_position_of_a_primary_that_was_replaced_does_not_count() {
+    proxy_->script.meanwhile = [this] {
+      group_->set_term({kGroup, 2, BackendName("replica"), true, 3, 2, 0});
+    };
+    ask_position(*runtime_, proxy_->view, group_);
+    world_->run_for(milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(1, proxy_->script.statuses);
+    CPPUNIT_ASSERT(group_->wants_position(milliseconds(1500)));
+    proxy_->script.meanwhile = nullptr;
+    ask_position(*runtime_, proxy_->view, group_);
+    world_->run_for(milliseconds(50));
+    CPPUNIT_ASSERT(!group_->wants_position(milliseconds(1500)));
+  }
+
+ private:
+  RunOrder write_in(const std::vector<std::string>& of_route, const std::vector<std::string>& of_tenant) {
+    std::vector<RegionName> route;
+    std::vector<RegionName> tenant;
+    for (const std::string& region : of_route) route.emplace_back(region);
+    for (const std::string& region : of_tenant) tenant.emplace_back(region);
+    RunOrder order;
+    order.route = *proxy_->view.find_route(DatabaseName("records"));
+    order.group = group_;
+    order.allowed = locality::AllowedRegions(map_, route, tenant);
+    order.id = "id";
+    order.text = "text";
+    order.writes = true;
+    order.arrived = runtime_->now();
+    order.deadline = order.arrived + milliseconds(900);
+    return order;
+  }
+
+  /// The time that it takes goes to `took_`.
+  RunResult run(const RunOrder& order) {
+    std::optional<RunResult> result;
+    runtime_->spawn("run", keep(order, result));
+    world_->run_until([&] { return result.has_value(); }, seconds(2));
+    CPPUNIT_ASSERT(result);
+    return *result;
+  }
+  Awaitable<void> keep(RunOrder order, std::optional<RunResult>& result) {
+    const TimePoint begun = runtime_->now();
+    result = co_await proxy_->runner.run(std::move(order));
+    took_ = runtime_->now() - begun;
+  }
+
+  void check_refused(const RunOrder& order) {
+    const RunResult result = run(order);
+    CPPUNIT_ASSERT(result.answer.refusal == Refusal::kBusy);
+    CPPUNIT_ASSERT(result.nothing_run);
+    CPPUNIT_ASSERT(result.answer.detail.find("come back in 5000 ms") != std::string::npos);
+    CPPUNIT_ASSERT_MESSAGE("at once", took_ < milliseconds(2));
+    const std::string metrics = proxy_->metrics.render();
+    CPPUNIT_ASSERT(metrics.find("unplaced_total{since=\"outside_regions\"} 1") != std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(0, proxy_->script.statements);
+  }
+
+  const locality::RegionMap map_{settings().zone_regions};
+  Duration took_{0};
+  std::unique_ptr<simulation::World> world_;
+  runtime::Runtime* runtime_ = nullptr;
+  std::unique_ptr<Proxy> proxy_;
+  std::shared_ptr<GroupAccess> group_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StatementRegionsTest);
+
+}  // namespace cairnhollow::session
