--- a/simulation/registered_fleet.h
+++ b/simulation/registered_fleet.h
@@ -12,6 +12,7 @@
 #include "standins/unfenced/caller.h"
 #include "standins/unfenced/database.h"
 #include "standins/unfenced/group_model.h"
+#include "standins/unfenced/region_history.h"
 
 namespace cairnhollow::simulation {
 
@@ -30,6 +31,9 @@
   Duration evacuation_bound = std::chrono::seconds(5);
   Duration caller_pause = std::chrono::milliseconds(20);  ///< between a caller's operations
   bool backends_tell_birth = false;
+  std::map<ZoneName, RegionName> zone_regions;            ///< empty: no process knows a region
+  /// What documents say of the databases' regions; a database that is not named may run anywhere.
+  std::map<std::string, std::vector<RegionName>> database_regions;
   bool print_log = false;
 };
 
@@ -54,12 +58,17 @@
   /// Whether the leader holds the zone for evacuated.
   bool is_evacuated(const std::string& zone);
   /// Where a backend is.
-  static std::string zone_of(const std::string& backend);
+  static ZoneName zone_of(const std::string& backend);
   /// Whether the group's backend that leads by its own account is in the zone.
   bool is_led_from(std::size_t group, const std::string& zone);
   [[nodiscard]] Endpoint sessions_at(const std::string& proxy) const;
   /// What the next documents say of tenants.
   void set_tenants(std::vector<registry::TenantRule> tenants) { settings_.tenants = std::move(tenants); }
+  /// What the next documents say of the databases' regions.
+  void set_database_regions(std::map<std::string, std::vector<RegionName>> regions) {
+    settings_.database_regions = std::move(regions);
+  }
+  [[nodiscard]] const standins::unfenced::RegionHistory& region_history() const { return region_history_; }
   /// One more caller, with a key that may be anything; its name tells it from others.
   void start_caller(const std::string& name, const ApiKey& key);
   [[nodiscard]] const standins::unfenced::TenantHistory& tenant_history() const { return tenant_history_; }
@@ -124,7 +133,9 @@
   unsigned ask(const Endpoint& endpoint, runtime::HttpRequest request);
   unsigned deliver(const std::string& node, const std::string& place, const BackendName& backend,
                    const standins::unfenced::Heartbeat& heartbeat);
-  [[nodiscard]] static ZoneName zone_of(const std::string& place);
+  /// Notes each statement that one proxy sends to another.
+  void record_forwarded(const std::string& receiver, const std::string& frame);
+  void note_regions();
   [[nodiscard]] std::string address_of(const std::string& name) const;
   [[nodiscard]] std::vector<Endpoint> control_endpoints(std::uint16_t port) const;
 
@@ -137,6 +148,7 @@
   std::vector<standins::unfenced::Attempt> history_;
   standins::unfenced::TenantHistory tenant_history_;
   standins::unfenced::ZoneHistory zone_history_;
+  standins::unfenced::RegionHistory region_history_;
   std::size_t next_caller_ = 1;
   std::deque<standins::unfenced::CallerCounts> counts_;
   std::uint64_t version_ = 0;
--- a/src/control/registered/promotion_choice.cpp
+++ b/src/control/registered/promotion_choice.cpp
@@ -121,25 +121,39 @@
   });
 }
 
+std::size_t routes_at(const MemberFinding& member, const PromotionFacts& facts) {
+  const auto found = facts.allowing_routes.find(member.entry.name);
+  return found == facts.allowing_routes.end() ? 0 : found->second;
+}
+
 struct Proof {
   bool holds_all = false;
   std::string why;
 };
 
-Proof prove(const MemberFinding& candidate, const PromotionFacts& facts) {
+/// By its own position, wherever other replicas are.
+Proof prove_alone(const MemberFinding& candidate, const PromotionFacts& facts) {
   const Position& position = candidate.status->received;
   const std::string name = candidate.entry.name.value;
   if (reaches_old_primary(candidate, facts)) return {true, "it reaches the old primary's position"};
   if (is_empty_of_unknown(candidate, facts)) return {false, name + " may have lost its log"};
   if (reaches_acknowledged(candidate, facts))
     return {true, "it reaches the highest position that any proxy acknowledged"};
+  return {false,
+          fmt::format("{} at {}.{} may lack acknowledged commits", name, position.term, position.index)};
+}
+
+/// Also by comparison with all others.
+Proof prove(const MemberFinding& candidate, const PromotionFacts& facts) {
+  Proof alone = prove_alone(candidate, facts);
+  if (alone.holds_all || is_empty_of_unknown(candidate, facts)) return alone;
+  const Position& position = candidate.status->received;
   const bool reaches_known = !facts.replaced_life_is_unsettled && position >= facts.highest_acknowledged;
   const bool nobody_left = facts.members_are_stable || reaches_known;
   const bool is_furthest = is_furthest_of_all(candidate, facts);
   if (is_furthest && all_replicas_compared(facts) && facts.synchronous_replicas > 0 && nobody_left)
     return {true, "it is the furthest of all replicas"};
-  return {false,
-          fmt::format("{} at {}.{} may lack acknowledged commits", name, position.term, position.index)};
+  return alone;
 }
 
 /// Whether nobody can be found any more who holds more: the primary's life is over, and all others answer.
@@ -172,6 +186,32 @@
   return choice;
 }
 
+/// Where more of the group's routes may write than at the furthest, the furthest of those; null: nowhere.
+const MemberFinding* find_preferred(const MemberFinding& furthest, const PromotionFacts& facts) {
+  if (facts.allowing_routes.empty()) return nullptr;
+  const MemberFinding* best = nullptr;
+  for (const MemberFinding& member : facts.members) {
+    if (!may_follow(member, facts) || member.evacuated != furthest.evacuated) continue;
+    if (member.entry.leaving || !prove_alone(member, facts).holds_all) continue;
+    const std::size_t routes = routes_at(member, facts);
+    if (routes <= routes_at(furthest, facts)) continue;
+    const std::size_t best_routes = best == nullptr ? 0 : routes_at(*best, facts);
+    const bool further = best != nullptr && member.status->received > best->status->received;
+    if (routes > best_routes || (routes == best_routes && further)) best = &member;
+  }
+  return best;
+}
+
+PromotionChoice follow_preferred(const MemberFinding& furthest, const Proof& proof,
+                                 const PromotionFacts& facts) {
+  const MemberFinding* preferred = find_preferred(furthest, facts);
+  if (preferred == nullptr) return follow_with(furthest, facts, proof.why);
+  return follow_with(*preferred, facts,
+                     fmt::format("{}; {} of the group's routes may write there, {} at {}",
+                                 prove_alone(*preferred, facts).why, routes_at(*preferred, facts),
+                                 routes_at(furthest, facts), furthest.entry.name.value));
+}
+
 }  // namespace
 
 bool is_blank(const MemberFinding& member, const PromotionFacts& facts) {
@@ -192,7 +232,7 @@
   const bool old_leads = old != nullptr && shows_old_log(*old, facts) && old->status->is_primary;
   Proof proof{false, "no replica answers"};
   if (outside != nullptr) proof = prove(*outside, facts);
-  if (proof.holds_all) return follow_with(*outside, facts, proof.why);
+  if (proof.holds_all) return follow_preferred(*outside, proof, facts);
   if (inside != nullptr && !old_leads) {
     const Proof of_inside = prove(*inside, facts);
     if (of_inside.holds_all)
--- a/src/control/registered/promotion_choice.h
+++ b/src/control/registered/promotion_choice.h
@@ -1,6 +1,8 @@
 // Which backend may follow a primary that was given up, by what is proved of the logs. Pure: no I/O.
 #pragma once
 
+#include <cstddef>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -36,6 +38,8 @@
   /// Of those that answered. May be beyond the last acknowledged commit: a backend shows where its log is,
   /// other commits under way included.
   Position highest_acknowledged;
+  /// How many of the group's routes may write at each member; empty: all everywhere, or it is not known.
+  std::map<BackendName, std::size_t> allowing_routes;
 };
 
 enum class PromotionVerdict : std::uint8_t {
@@ -65,6 +69,8 @@
 /// One outside evacuated zones that can be shown to hold all of it comes first, also when it is not the
 /// furthest. One inside follows only a primary that does not answer: then no commit is lost, and the others
 /// catch up from it. While an old primary in an evacuated zone runs, one outside is waited for.
+/// One that is not the furthest is chosen, for a region that more of the group's routes allow, only where it
+/// is proved without being the furthest.
 PromotionChoice choose_promotion(const PromotionFacts& facts, bool reopen_allowed);
 
 }  // namespace cairnhollow::control::registered
--- a/src/session/fleet_view.h
+++ b/src/session/fleet_view.h
@@ -3,8 +3,10 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
+#include "locality/allowed_regions.h"
 #include "registry/delta.h"
 #include "registry/messages.h"
 #include "routing/subset.h"
@@ -25,6 +27,7 @@
         node_(settings.node),
         zone_(settings.zone),
         evacuated_(std::make_shared<EvacuatedZones>(settings.evacuation_bound)),
+        regions_(settings.zone_regions),
         keys_confirmed_(settings.key_bound),
         budgets_(settings.node, settings.limit_window),
         renewed_(runtime),
@@ -65,6 +68,10 @@
   [[nodiscard]] bool needs_key(const registry::RouteRule& route) const {
     return requires_keys_ && !route.is_public;
   }
+  /// Where a statement of the route and tenant may go by the document of now. What it refers to lives as long
+  /// as this view.
+  [[nodiscard]] locality::AllowedRegions allowed_regions(const registry::RouteRule& route,
+                                                         const TenantName& tenant) const;
   [[nodiscard]] const tenancy::TenantDirectory& tenants() const { return tenants_; }
   [[nodiscard]] const tenancy::KeyConfirmation& keys_confirmed() const { return keys_confirmed_; }
   /// What this proxy counts for tenants, and who counts for the others.
@@ -88,6 +95,9 @@
   [[nodiscard]] const std::vector<routing::ProxyPointer>& also_serving(const GroupName& group);
   /// Every other proxy that takes work, those of this zone first.
   [[nodiscard]] const std::vector<routing::ProxyPointer>& others() const { return others_; }
+  /// Those of `proxies` to which a statement's text may be sent, and this proxy, which has it.
+  [[nodiscard]] std::vector<routing::ProxyPointer> in_regions(
+      const std::vector<routing::ProxyPointer>& proxies, const locality::AllowedRegions& allowed) const;
   /// What is to be told of every closed group.
   [[nodiscard]] std::vector<registry::ClosedGroup> closed_groups() const;
 
@@ -105,6 +115,11 @@
   void apply_evacuations(const registry::FleetDelta& delta);
   void log_evacuation(const char* event, const ZoneName& zone, std::uint64_t revision);
   void apply_tenants(const registry::FleetDelta& delta);
+  /// Some route or tenant names the regions in which its statements run.
+  [[nodiscard]] bool names_regions() const;
+  /// Logs zones that lists of regions shut out, since no setting tells where they are.
+  void note_unknown_regions(const registry::FleetDelta& delta);
+  void note_zone(const ZoneName& zone);
   /// Proxies that the delta names, as they are or were.
   [[nodiscard]] std::vector<routing::ProxyPointer> changed_proxies(const registry::FleetDelta& delta) const;
   /// Those that take new work.
@@ -120,6 +135,7 @@
   NodeName node_;
   ZoneName zone_;
   std::shared_ptr<EvacuatedZones> evacuated_;
+  const locality::RegionMap regions_;
   bool requires_keys_ = false;
   tenancy::TenantDirectory tenants_;
   tenancy::KeyConfirmation keys_confirmed_;
@@ -131,6 +147,8 @@
   std::uint64_t document_version_ = 0;
   Duration transaction_idle_{0};
   std::map<RouteName, registry::RouteRule> routes_;
+  bool routes_name_regions_ = false;
+  std::set<ZoneName> told_unknown_;  ///< zones that were logged
   std::map<DatabaseName, RouteName> by_database_;
   std::map<GroupName, std::shared_ptr<GroupAccess>> groups_;
   std::map<BackendName, GroupName> group_of_;
--- a/src/session/group_access.h
+++ b/src/session/group_access.h
@@ -9,7 +9,9 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
+#include "locality/allowed_regions.h"
 #include "placement/backend_choice.h"
 #include "registry/model.h"
 #include "session/evacuated_zones.h"
@@ -80,14 +82,15 @@
   bool primary_only = false;
   std::optional<Position> required;  ///< of a replica
   TimePoint required_since{};        ///< when the primary had that position
+  /// Where it may run; the statement's, which outlives this. Null: anywhere.
+  const locality::AllowedRegions* allowed = nullptr;
 };
 
 /// The statement of which the facts of a backend are asked. What it does not name plays no part in them.
 struct PlacementQuestion {
   const ReadNeed* need = nullptr;
   const std::set<BackendName>* tried = nullptr;
-  const registry::RouteRule* route = nullptr;
-  const TenantName* tenant = nullptr;
+  const locality::AllowedRegions* allowed = nullptr;  ///< null: anywhere
 };
 
 /// Of the backends of one group, by name. Most groups have fewer than eight.
@@ -154,7 +157,18 @@
   /// nothing. A primary that tells its start may have started again, and then lacks what it showed before.
   [[nodiscard]] std::optional<Position> required_of(const BackendUse& backend, const ReadNeed& need) const;
   /// What a read must see under these rules; primary_only when a replica can't be shown to have it.
-  [[nodiscard]] ReadNeed need_of(const registry::RouteRule& route, const SessionCommit& committed) const;
+  [[nodiscard]] ReadNeed need_of(const registry::RouteRule& route, const SessionCommit& committed,
+                                 const locality::AllowedRegions* allowed = nullptr) const;
+  /// A primary leads, and is in a region where what is bound to these may not run.
+  [[nodiscard]] bool is_primary_outside(const locality::AllowedRegions& allowed) const;
+  /// Whether reads of such staleness, none of which may go to the primary, need a newer position of it soon.
+  [[nodiscard]] bool wants_position(Duration staleness) const;
+  /// The primary is to be asked for its position on behalf of such reads; false while it is being asked.
+  bool begin_position_question() { return !std::exchange(asking_position_, true); }
+  void end_position_question() {
+    asking_position_ = false;
+    changed_.notify_all();
+  }
 
   /// This proxy does not reach the primary of the open term, which may lead all the same.
   void note_primary_unreachable() {
@@ -239,6 +253,7 @@
   Position highest_acknowledged_;
   TimePoint answered_commit_sent_{};  ///< the latest sending of those that were answered
   bool commits_stall_ = false;
+  bool asking_position_ = false;
   PositionHistory positions_;
   runtime::Signal changed_;
 };
--- a/src/session/statement_placement.cpp
+++ b/src/session/statement_placement.cpp
@@ -13,18 +13,20 @@
 using placement::Obstacle;
 using placement::SendAction;
 
-std::optional<placement::Forwarding> StatementRunner::find_elsewhere(const RunOrder& order) const {
+std::optional<placement::Forwarding> StatementRunner::find_elsewhere(const RunOrder& order,
+                                                                     PeersInside& inside) const {
   FleetView& view = services_.view;
   GroupAccess& group = *order.group;
   placement::ProxyFacts proxy = proxy_facts(view, group);
-  proxy.serving = &view.forward_to(group.group(), order.tenant);
-  proxy.others = &view.others();
-  if (proxy.primary_full) proxy.also_serving = &view.also_serving(group.group());
+  proxy.serving = keep_inside(view.forward_to(group.group(), order.tenant), order, inside.serving);
+  proxy.others = keep_inside(view.others(), order, inside.others);
+  if (proxy.primary_full)
+    proxy.also_serving = keep_inside(view.also_serving(group.group()), order, inside.also_serving);
   placement::StatementNeed need;
   need.reads = order.reads();
   // What a read must see takes a while to find out, and plays no part where this proxy can serve it all.
   if (need.reads && placement::may_another_serve(proxy))
-    need.primary_only = group.need_of(order.route, order.committed).primary_only;
+    need.primary_only = group.need_of(order.route, order.committed, &order.allowed).primary_only;
   return placement::place_elsewhere(need, proxy);
 }
 
@@ -39,13 +41,14 @@
 }
 
 PlacementQuestion StatementRunner::question_of(const Attempt& attempt) {
-  return PlacementQuestion{&attempt.need, &attempt.excluded, &attempt.order.route, &attempt.order.tenant};
+  return PlacementQuestion{&attempt.need, &attempt.excluded, &attempt.order.allowed};
 }
 
 placement::Placement StatementRunner::look(Attempt& attempt) {
   GroupAccess& group = *attempt.order.group;
-  attempt.need = ReadNeed{true, std::nullopt};
-  if (attempt.is_read()) attempt.need = group.need_of(attempt.order.route, attempt.order.committed);
+  const RunOrder& order = attempt.order;
+  attempt.need = ReadNeed{true, std::nullopt, {}, &order.allowed};
+  if (attempt.is_read()) attempt.need = group.need_of(order.route, order.committed, &order.allowed);
   placement::StatementNeed need;
   need.reads = attempt.is_read();
   need.primary_only = attempt.need.primary_only;
--- a/src/session/statement_runner.cpp
+++ b/src/session/statement_runner.cpp
@@ -30,8 +30,10 @@
 }
 
 Awaitable<RunResult> StatementRunner::run(RunOrder order) {
+  if (!order.allowed.is_anywhere() && is_shut_out(order)) co_return refuse_outside(std::move(order));
   std::optional<placement::Forwarding> elsewhere;
-  if (!order.is_forwarded) elsewhere = find_elsewhere(order);
+  PeersInside inside;
+  if (!order.is_forwarded) elsewhere = find_elsewhere(order, inside);
   if (!elsewhere) co_return co_await run_here(std::move(order));
   services_.metrics.count_forwarded(elsewhere->since);
   std::vector<routing::ProxyPointer> proxies = *elsewhere->proxies;
@@ -45,6 +47,7 @@
   const bool writes = attempt->order.writes;
   const bool stalls = writes && attempt->order.group->refuses_commits();
   if (placement::commit_obstacle(writes, stalls) != Obstacle::kNone) co_return refuse_stalled(*attempt);
+  if (!attempt->order.allowed.is_anywhere()) co_await bring_position(attempt);
   Step step = Step::kNext;
   while (step != Step::kDone) {
     const bool chosen = co_await choose(attempt);
--- a/src/session/statement_runner.h
+++ b/src/session/statement_runner.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 
+#include "locality/allowed_regions.h"
 #include "placement/placement.h"
 #include "session/forward_messages.h"
 #include "session/session_services.h"
@@ -20,6 +21,8 @@
   std::shared_ptr<GroupAccess> group;
   ApiKey key;         ///< of the caller; empty where none is asked for
   TenantName tenant;  ///< that the key proved when the statement came
+  /// Where it may go. A transaction's are decided when it begins.
+  locality::AllowedRegions allowed;
   std::string id;
   std::string text;                       ///< passed on unchanged, unless something prepared is executed
   std::optional<PreparedShape> prepared;  ///< executed with `argument`
@@ -97,8 +100,24 @@
   /// The same for a backend's gate: who would come through later would be late, and make others late.
   [[nodiscard]] TimePoint gate_limit(const Attempt& attempt) const;
 
-  /// Another proxy that is to run the order, as far as this one knows now.
-  [[nodiscard]] std::optional<placement::Forwarding> find_elsewhere(const RunOrder& order) const;
+  /// Proxies to which an order may be sent that is bound to regions.
+  struct PeersInside {
+    placement::ProxyList serving;
+    placement::ProxyList also_serving;
+    placement::ProxyList others;
+  };
+  /// Another proxy that is to run the order, as far as this one knows now. The answer may refer to `inside`.
+  std::optional<placement::Forwarding> find_elsewhere(const RunOrder& order, PeersInside& inside) const;
+  /// `proxies`, or in `kept` those of them to which the order's text may be sent; none when this proxy is the
+  /// first of them.
+  const placement::ProxyList* keep_inside(const placement::ProxyList& proxies, const RunOrder& order,
+                                          placement::ProxyList& kept) const;
+  /// Whether all that could run the order is outside its regions, so that waiting would not help.
+  [[nodiscard]] static bool is_shut_out(const RunOrder& order);
+  RunResult refuse_outside(RunOrder order);
+  /// A read that may not go to the primary has the primary's position asked for, and waits for it where none
+  /// is known.
+  Awaitable<void> bring_position(std::shared_ptr<Attempt> attempt);
   [[nodiscard]] placement::Patience patience_of(const Attempt& attempt) const;
   [[nodiscard]] static PlacementQuestion question_of(const Attempt& attempt);
   /// Where the attempt may go now. Takes the backend over that is to run it.
--- a/standins/unfenced/database.h
+++ b/standins/unfenced/database.h
@@ -8,6 +8,7 @@
 #include "runtime/role.h"
 #include "runtime/runtime.h"
 #include "standins/unfenced/group_model.h"
+#include "standins/unfenced/region_history.h"
 #include "standins/unfenced/tenant_history.h"
 #include "standins/unfenced/zone_history.h"
 
@@ -22,6 +23,7 @@
   Duration work = std::chrono::milliseconds(3);
   TenantHistory* tenants = nullptr;  ///< what is run is noted there; null: nowhere
   ZoneHistory* zones = nullptr;      ///< what callers' statements come is noted there; null: nowhere
+  RegionHistory* regions = nullptr;  ///< the same
   double lost_answers = 0;           ///< share of statements that are run and not answered
   bool tells_birth = false;          ///< heartbeats say when it started
 };
--- a/tests/control/registered/promotion_choice_test.cpp
+++ b/tests/control/registered/promotion_choice_test.cpp
@@ -38,6 +38,13 @@
   return all;
 }
 
+/// "b" is the furthest; at "a" two more of the group's routes may write.
+PromotionFacts facts_with_regions() {
+  auto known = facts({finding("old", std::nullopt), finding("a", replica(8)), finding("b", replica(9))});
+  known.allowing_routes = {{BackendName("a"), 3}, {BackendName("b"), 1}, {BackendName("old"), 5}};
+  return known;
+}
+
 }  // namespace
 
 class PromotionChoiceTest : public CppUnit::TestFixture {
@@ -67,6 +74,8 @@
   CPPUNIT_TEST(nobody_inside_follows_a_primary_that_runs);
   CPPUNIT_TEST(an_evacuated_primary_that_runs_is_not_used_again_while_one_outside_catches_up);
   CPPUNIT_TEST(an_evacuated_primary_leads_on_where_nobody_is_outside);
+  CPPUNIT_TEST(of_proved_ones_where_most_routes_may_write);
+  CPPUNIT_TEST(a_region_never_stands_in_for_the_proof);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -335,6 +344,34 @@
     MemberFinding member = finding(name, status);
     member.entry.born_ms = born_ms;
     return member;
+  void of_proved_ones_where_most_routes_may_write() {
+    auto known = facts_with_regions();
+    known.all_acknowledgers_answered = true;
+    known.highest_acknowledged = {3, 8};
+    const auto choice = choose_promotion(known, true);
+    CPPUNIT_ASSERT(choice.verdict == PromotionVerdict::kPromote);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), choice.backend.value);
+    CPPUNIT_ASSERT_EQUAL(std::string("it reaches the highest position that any proxy acknowledged; 3 of the "
+                                     "group's routes may write there, 1 at b"),
+                         choice.why);
+    known.members[1].entry.leaving = true;
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), choose_promotion(known, true).backend.value);
+    known.members[1].entry.leaving = false;
+    known.allowing_routes.clear();
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), choose_promotion(known, true).backend.value);
+  }
+
+  void a_region_never_stands_in_for_the_proof() {
+    auto known = facts_with_regions();
+    // Only the furthest of all replicas is proved: an acknowledged commit may be on it and not on the other.
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), choose_promotion(known, true).backend.value);
+    known.all_acknowledgers_answered = true;
+    known.highest_acknowledged = {3, 9};
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), choose_promotion(known, true).backend.value);
+    // The old primary answers, and holds what only the furthest has as well.
+    known.all_acknowledgers_answered = false;
+    known.members[0].status = leading(9);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), choose_promotion(known, true).backend.value);
   }
 };
 
