--- /dev/null
+++ b/tests/control/registered/group_keeper_lives_test.cpp
@@ -0,0 +1,210 @@
+// What the leader does when backends of a group start again under their names.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+
+#include "control/registered/group_keeper.h"
+#include "simulation/world.h"
+#include "tests/support/applied_log.h"
+#include "wire/codec.h"
+
+namespace cairnhollow::control::registered {
+
+namespace {
+
+using session::BackendStatus;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint64_t kTerm = 3;
+const GroupName kGroup("records");
+
+/// What each backend answers now; who is not there does not answer.
+using Statuses = std::map<BackendName, BackendStatus>;
+
+class StatusLink : public session::BackendLink {
+ public:
+  StatusLink(const Statuses& statuses, BackendName backend)
+      : statuses_(statuses), backend_(std::move(backend)) {}
+  Awaitable<std::optional<session::Answer>> run(session::BackendRequest /*request*/, TimePoint /*deadline*/,
+                                                runtime::SendState& /*sent*/, Reason& /*reason*/) override {
+    std::optional<session::Answer> answer;
+    if (statuses_.count(backend_) > 0) answer.emplace();
+    co_return answer;
+  }
+  std::optional<BackendStatus> read_status(const session::Answer& /*answer*/, Reason& /*reason*/) override {
+    return statuses_.at(backend_);
+  }
+  void close() override { open_ = false; }
+  [[nodiscard]] bool is_open() const override { return open_; }
+  [[nodiscard]] std::string peer() const override { return backend_.value; }
+
+ private:
+  const Statuses& statuses_;
+  BackendName backend_;
+  bool open_ = true;
+};
+
+class StatusDialer : public session::BackendDialer {
+ public:
+  explicit StatusDialer(const Statuses& statuses) : statuses_(statuses) {}
+  Awaitable<std::shared_ptr<session::BackendLink>> open(session::BackendAddress address,
+                                                        TimePoint /*deadline*/,
+                                                        std::optional<session::Refusal>& /*refusal*/,
+                                                        Reason& /*reason*/) override {
+    co_return std::make_shared<StatusLink>(statuses_, address.backend);
+  }
+
+ private:
+  const Statuses& statuses_;
+};
+
+/// Promotes at once; the backend `forgets` has started again just before.
+class Promotions : public registry::PromotionCaller {
+ public:
+  explicit Promotions(Statuses& statuses) : statuses_(statuses) {}
+  Awaitable<bool> promote(registry::PromotionOrder order, TimePoint /*deadline*/,
+                          Reason& /*reason*/) override {
+    ++orders;
+    BackendStatus& status = statuses_[order.backend];
+    status.is_primary = true;
+    status.term = kTerm + 1;
+    if (order.backend == forgets) status.received = {1, 0};
+    co_return true;
+  }
+  int orders = 0;
+  BackendName forgets;
+
+ private:
+  Statuses& statuses_;
+};
+
+struct Leader {
+  explicit Leader(runtime::Runtime& runtime)
+      : fleet(runtime),
+        log(fleet),
+        directory({}, log),
+        calls(runtime, log, directory, NodeName("node"), {"10.0.0.1", 7440}),
+        leases(runtime, log, fleet, directory, calls, milliseconds(1500)),
+        dialer(statuses),
+        prober(runtime, dialer),
+        promotions(statuses),
+        keeper(runtime, log, fleet, calls, leases, prober, promotions, NodeName("node")) {}
+
+  Statuses statuses;
+  registry::FleetStateMachine fleet;
+  tests::AppliedLog log;
+  ControlNodeDirectory directory;
+  LeaderCalls calls;
+  LeaseKeeper leases;
+  StatusDialer dialer;
+  GroupProber prober;
+  Promotions promotions;
+  GroupKeeper keeper;
+};
+
+}  // namespace
+
+class GroupKeeperLivesTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(GroupKeeperLivesTest);
+  CPPUNIT_TEST(another_life_of_the_primary_is_given_up_at_once);
+  CPPUNIT_TEST(who_leads_with_less_than_it_had_is_not_opened);
+  CPPUNIT_TEST(a_replaced_life_may_have_held_the_newest_commits);
+  CPPUNIT_TEST(a_promotion_without_proof_is_counted);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    world_ = std::make_unique<simulation::World>(simulation::WorldSettings{});
+    runtime_ = &world_->start_bare({"node", "10.0.0.1", ZoneName("a")});
+    leader_ = std::make_unique<Leader>(*runtime_);
+    registry::ConfigurationDocument document;
+    document.version = 1;
+    document.groups = {registry::GroupRule{kGroup, 30, 1}};
+    apply(registry::ReplaceDocument{document});
+    put("p", 1, 1000, BackendStatus{true, kTerm, {kTerm, 9}});
+    put("a", 2, 1000, BackendStatus{false, kTerm, {kTerm, 9}});
+    put("b", 3, 1000, BackendStatus{false, kTerm, {kTerm, 6}});
+    apply(registry::OpenGroup{kGroup, 0, kTerm, BackendName("p"), 1000});
+    leader_->keeper.start();
+    world_->run_for(seconds(4));
+  }
+  void tearDown() override {
+    world_.reset();
+    leader_.reset();
+  }
+
+  void another_life_of_the_primary_is_given_up_at_once() {
+    put("p", 1, 2000, BackendStatus{false, 1, {1, 0}});
+    world_->run_for(seconds(1));
+    CPPUNIT_ASSERT(term().open);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), term().primary.value);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1000}, term().primary_born_ms);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, leader_->keeper.unproved_promotions());
+  }
+
+  void who_leads_with_less_than_it_had_is_not_opened() {
+    leader_->promotions.forgets = BackendName("a");
+    put("p", 1, 2000, BackendStatus{false, 1, {1, 0}});
+    world_->run_for(seconds(2));
+    CPPUNIT_ASSERT_EQUAL(2, leader_->promotions.orders);
+    CPPUNIT_ASSERT(term().open);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("the furthest that is left", std::string("b"), term().primary.value);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, leader_->keeper.unproved_promotions());
+  }
+
+  /// A proxy that may have acknowledged something is gone, too, and the primary does not answer.
+  void a_replaced_life_may_have_held_the_newest_commits() {
+    apply(registry::AdmitProxy{{NodeName("proxy"), 1, ZoneName("a"), {}, false}});
+    apply(registry::ForgetProxy{NodeName("proxy"), 1});
+    leader_->statuses.erase(BackendName("p"));
+    put("a", 2, 2000, BackendStatus{false, kTerm, {kTerm, 4}});
+    world_->run_for(seconds(1));
+    apply(registry::CloseGroup{kGroup, term().epoch});
+    world_->run_for(seconds(4));
+    CPPUNIT_ASSERT(!term().open);
+    CPPUNIT_ASSERT_EQUAL(0, leader_->promotions.orders);
+    leader_->statuses[BackendName("p")] = BackendStatus{true, kTerm, {kTerm, 9}};
+    world_->run_for(seconds(1));
+    CPPUNIT_ASSERT_MESSAGE("only the primary holds them", term().open && term().primary.value == "p");
+  }
+
+  void a_promotion_without_proof_is_counted() {
+    apply(registry::AdmitProxy{{NodeName("proxy"), 1, ZoneName("a"), {}, false}});
+    apply(registry::ForgetProxy{NodeName("proxy"), 1});
+    leader_->statuses.erase(BackendName("p"));
+    put("a", 2, 2000, BackendStatus{false, 1, {1, 0}});
+    world_->run_for(seconds(1));
+    put("p", 1, 2000, BackendStatus{false, 1, {1, 0}});
+    world_->run_for(seconds(2));
+    CPPUNIT_ASSERT(term().open);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("the furthest that is left", std::string("b"), term().primary.value);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, leader_->keeper.unproved_promotions());
+  }
+
+ private:
+  const registry::GroupTerm& term() { return *leader_->fleet.find_term(kGroup); }
+  void apply(registry::Command command) {
+    registry::LoggedCommand logged{std::move(command)};
+    leader_->fleet.apply(++index_, wire::encode_from(logged, wire::kWrittenFormat));
+  }
+  void put(const std::string& name, std::uint16_t port, std::uint64_t born_ms, BackendStatus status) {
+    registry::BackendEntry entry;
+    entry.name = BackendName(name);
+    entry.group = kGroup;
+    entry.endpoint = {"10.0.0.9", port};
+    entry.born_ms = born_ms;
+    entry.sequence = 1;
+    leader_->statuses[entry.name] = status;
+    apply(registry::RegisterBackend{entry});
+  }
+
+  std::unique_ptr<simulation::World> world_;
+  runtime::Runtime* runtime_ = nullptr;
+  std::unique_ptr<Leader> leader_;
+  std::uint64_t index_ = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GroupKeeperLivesTest);
+
+}  // namespace cairnhollow::control::registered
--- a/tests/registry/state_machine_test.cpp
+++ b/tests/registry/state_machine_test.cpp
@@ -184,6 +184,8 @@
     apply(RegisterBackend{life("b1", 1, 1, 3000)});
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{3000}, born(b1));
     CPPUNIT_ASSERT(!machine_->is_deregistered(b1, 3000));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("the entry orders from here on", std::uint64_t{0},
+                                 machine_->ended_birth(b1));
   }
 
   void what_tells_no_start_displaces_nothing_that_does() {
--- a/tests/simulation/incarnations_test.cpp
+++ b/tests/simulation/incarnations_test.cpp
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(a_primary_that_starts_again_empty_is_replaced);
   CPPUNIT_TEST(an_empty_replica_is_not_counted_for_a_primary_that_is_cut_off);
   CPPUNIT_TEST(a_member_without_its_log_gives_no_lease);
+  CPPUNIT_TEST(a_member_that_was_never_asked_before_gives_none_either);
   CPPUNIT_TEST(databases_start_again_one_after_the_other);
   CPPUNIT_TEST_SUITE_END();
 
@@ -133,6 +134,24 @@
     });
   }
 
+  /// No round has seen what its former life held: an empty log is enough.
+  void a_member_that_was_never_asked_before_gives_none_either() {
+    check([](RegisteredFleet& fleet) {
+      const std::string replica = replica_beside(fleet);
+      fleet.run_for(seconds(2));
+      fleet.cut(fleet.primary(), replica);
+      for (const char* proxy : {"proxy-1", "proxy-2", "proxy-3"}) fleet.cut_from_all_control(proxy);
+      fleet.restart_empty(replica);
+      fleet.run_for(milliseconds(2500));
+      const std::uint64_t before = fleet.acknowledged();
+      fleet.run_for(seconds(2));
+      CPPUNIT_ASSERT_EQUAL(before, fleet.acknowledged());
+      fleet.heal();
+      fleet.run_for(seconds(3));
+      CPPUNIT_ASSERT(fleet.acknowledged() > before + 20);
+    });
+  }
+
   void databases_start_again_one_after_the_other() {
     check([](RegisteredFleet& fleet) {
       for (int round = 0; round < 6; ++round) {
