Pure move: what counts limits over all proxies leaves src/tenancy for src/limits

Cause: a tenant's limit and what a cold backend may be sent are the same promise (so many in any stretch of time, whoever sends). The code that keeps it stood among keys and tenants. Change: limit_window, limit_budget, token_bucket, token_stock, budget_home and budget_homes move with their test, with folder and namespace; nothing else. src/tenancy keeps keys, the directory of tenants and their division.

--- a/src/tenancy/budget_home.cpp
+++ b/src/limits/budget_home.cpp
@@ -1,10 +1,10 @@
-#include "tenancy/budget_home.h"
+#include "limits/budget_home.h"
 
 #include <utility>
 
 #include "registry/budget_authority.h"
 
-namespace cairnhollow::tenancy {
+namespace cairnhollow::limits {
 
 void BudgetHome::set_homes(BudgetHomes homes, std::uint64_t revision) {
   homes_ = std::move(homes);
@@ -48,4 +48,4 @@
   return grant;
 }
 
-}  // namespace cairnhollow::tenancy
+}  // namespace cairnhollow::limits
--- a/src/tenancy/budget_home.h
+++ b/src/limits/budget_home.h
@@ -7,7 +7,7 @@
 // - when control has said that every proxy which may act on a membership older than the one that made it a
 //   home has learned of that, or has been without a confirmation for longer (registry::ProxyUpdate's
 //   settled_revision).
-// So the one whose place it took has stopped. tests/tenancy/budget_home_test.cpp plays changes of membership,
+// So the one whose place it took has stopped. tests/limits/budget_home_test.cpp plays changes of membership,
 // cuts, freezes and restarts and counts what runs in every window.
 #pragma once
 
@@ -15,12 +15,12 @@
 #include <map>
 #include <optional>
 
+#include "limits/budget_homes.h"
+#include "limits/limit_budget.h"
+#include "limits/token_bucket.h"
 #include "registry/model.h"
-#include "tenancy/budget_homes.h"
-#include "tenancy/limit_budget.h"
-#include "tenancy/token_bucket.h"
 
-namespace cairnhollow::tenancy {
+namespace cairnhollow::limits {
 
 enum class GrantOutcome : std::uint8_t {
   kGranted,
@@ -80,4 +80,4 @@
   std::optional<TimePoint> settled_since_;
 };
 
-}  // namespace cairnhollow::tenancy
+}  // namespace cairnhollow::limits
--- a/src/tenancy/budget_homes.cpp
+++ b/src/limits/budget_homes.cpp
@@ -1,10 +1,10 @@
-#include "tenancy/budget_homes.h"
+#include "limits/budget_homes.h"
 
 #include <algorithm>
 
-#include "tenancy/limit_budget.h"
+#include "limits/limit_budget.h"
 
-namespace cairnhollow::tenancy {
+namespace cairnhollow::limits {
 
 namespace {
 
@@ -50,4 +50,4 @@
   return changed_.count(node) == 0 && holds(homes_among(with_changed_, tenant), node);
 }
 
-}  // namespace cairnhollow::tenancy
+}  // namespace cairnhollow::limits
--- a/src/tenancy/budget_homes.h
+++ b/src/limits/budget_homes.h
@@ -8,13 +8,13 @@
 #include "registry/model.h"
 #include "routing/subset.h"
 
-namespace cairnhollow::tenancy {
+namespace cairnhollow::limits {
 
 /// The homes of tenants among the proxies that take work, before and after a change.
 ///
 /// Whoever is a home among `takers` together with `changed` was one before the change as well: rendezvous
 /// hashing drops nobody out of a subset when others go. Whoever is a home among `takers` only has become one,
-/// and has to wait until those before have stopped (tenancy/budget_home.h).
+/// and has to wait until those before have stopped (limits/budget_home.h).
 class BudgetHomes {
  public:
   BudgetHomes() = default;
@@ -36,4 +36,4 @@
   mutable std::map<TenantName, std::vector<routing::ProxyPointer>> homes_;
 };
 
-}  // namespace cairnhollow::tenancy
+}  // namespace cairnhollow::limits
--- a/src/tenancy/limit_budget.cpp
+++ b/src/limits/limit_budget.cpp
@@ -1,8 +1,8 @@
-#include "tenancy/limit_budget.h"
+#include "limits/limit_budget.h"
 
 #include <algorithm>
 
-namespace cairnhollow::tenancy {
+namespace cairnhollow::limits {
 
 namespace {
 
@@ -23,4 +23,4 @@
   return {rate / kHomes, std::max(depths / kHomes, 1.0)};
 }
 
-}  // namespace cairnhollow::tenancy
+}  // namespace cairnhollow::limits
--- a/src/tenancy/limit_budget.h
+++ b/src/limits/limit_budget.h
@@ -13,10 +13,10 @@
 
 #include <cstddef>
 
+#include "limits/limit_window.h"
 #include "registry/model.h"
-#include "tenancy/limit_window.h"
 
-namespace cairnhollow::tenancy {
+namespace cairnhollow::limits {
 
 /// Proxies that count for one tenant. Two of three give two thirds of the rate, which is what a tenant that
 /// uses 0.6 of its limit needs while one of them is away; one would give nothing. Chosen, not measured.
@@ -36,4 +36,4 @@
 /// Operations that may run in any window.
 double allowance(const registry::TenantRule& tenant, const LimitWindow& window);
 
-}  // namespace cairnhollow::tenancy
+}  // namespace cairnhollow::limits
--- a/src/tenancy/limit_window.h
+++ b/src/limits/limit_window.h
@@ -5,7 +5,7 @@
 
 #include "base/types.h"
 
-namespace cairnhollow::tenancy {
+namespace cairnhollow::limits {
 
 /// In any `window` of time at most (rate x window + burst) x (1 + overshoot) + slack operations of a tenant
 /// are run, counted over all proxies.
@@ -15,4 +15,4 @@
   double slack = 20;       ///< operations
 };
 
-}  // namespace cairnhollow::tenancy
+}  // namespace cairnhollow::limits
--- a/src/tenancy/token_bucket.h
+++ b/src/limits/token_bucket.h
@@ -6,9 +6,9 @@
 #include <chrono>
 #include <cstdint>
 
-#include "tenancy/limit_budget.h"
+#include "limits/limit_budget.h"
 
-namespace cairnhollow::tenancy {
+namespace cairnhollow::limits {
 
 class TokenBucket {
  public:
@@ -43,4 +43,4 @@
   TimePoint filled_at_;
 };
 
-}  // namespace cairnhollow::tenancy
+}  // namespace cairnhollow::limits
--- a/src/tenancy/token_stock.h
+++ b/src/limits/token_stock.h
@@ -7,9 +7,9 @@
 #include <deque>
 #include <optional>
 
-#include "tenancy/limit_budget.h"
+#include "limits/limit_budget.h"
 
-namespace cairnhollow::tenancy {
+namespace cairnhollow::limits {
 
 /// Demand is averaged over this time: several lives of a token, so that a pause does not end asking ahead.
 inline constexpr Duration kDemandMemory = std::chrono::seconds(1);
@@ -54,4 +54,4 @@
   TimePoint noted_at_{};
 };
 
-}  // namespace cairnhollow::tenancy
+}  // namespace cairnhollow::limits
--- a/src/session/fleet_view.cpp
+++ b/src/session/fleet_view.cpp
@@ -171,7 +171,7 @@
   apply_proxies(delta);
   if (!changes_division(delta)) return;
   const auto takers = this->takers();
-  if (!changed.empty()) budgets_.set_homes(tenancy::BudgetHomes(takers, changed), revision_);
+  if (!changed.empty()) budgets_.set_homes(limits::BudgetHomes(takers, changed), revision_);
   divide_groups(takers);
 }
 
--- a/src/session/fleet_view.h
+++ b/src/session/fleet_view.h
@@ -5,12 +5,12 @@
 #include <memory>
 #include <vector>
 
+#include "limits/budget_home.h"
 #include "registry/delta.h"
 #include "registry/messages.h"
 #include "routing/subset.h"
 #include "session/group_access.h"
 #include "session/settings.h"
-#include "tenancy/budget_home.h"
 #include "tenancy/key_confirmation.h"
 #include "tenancy/tenant_directory.h"
 
@@ -67,7 +67,7 @@
   [[nodiscard]] const tenancy::TenantDirectory& tenants() const { return tenants_; }
   [[nodiscard]] const tenancy::KeyConfirmation& keys_confirmed() const { return keys_confirmed_; }
   /// What this proxy counts for tenants, and who counts for the others.
-  tenancy::BudgetHome& budgets() { return budgets_; }
+  limits::BudgetHome& budgets() { return budgets_; }
   [[nodiscard]] const NodeName& node() const { return node_; }
   [[nodiscard]] const ZoneName& zone() const { return zone_; }
   /// Null when it is not registered, as far as this proxy knows.
@@ -118,7 +118,7 @@
   bool requires_keys_ = false;
   tenancy::TenantDirectory tenants_;
   tenancy::KeyConfirmation keys_confirmed_;
-  tenancy::BudgetHome budgets_;
+  limits::BudgetHome budgets_;
   runtime::Signal renewed_;
   TimePoint started_;
   TimePoint lease_until_{};
--- a/src/session/forward_messages.h
+++ b/src/session/forward_messages.h
@@ -8,10 +8,10 @@
 #include <variant>
 
 #include "base/reason.h"
+#include "limits/budget_home.h"
 #include "registry/model.h"
 #include "session/stateful_pool.h"
 #include "session/statement.h"
-#include "tenancy/budget_home.h"
 #include "wire/format.h"
 
 namespace cairnhollow::session {
@@ -103,12 +103,12 @@
   bool at_primary = false;
   bool may_try_another = false;  ///< not run, for a reason that lies with this proxy
   bool nothing_run = false;      ///< no backend can have run the order, in any attempt
-  tenancy::Grant grant;          ///< to ForwardTokens
+  limits::Grant grant;           ///< to ForwardTokens
   template <class Archive>
   void serialize(Archive& archive) {
     archive(correlation, answer, pin, at_primary, may_try_another);
     wire::since(archive, wire::kTenantsFormat, nothing_run, false);
-    wire::since(archive, wire::kTenantsFormat, grant, tenancy::Grant());
+    wire::since(archive, wire::kTenantsFormat, grant, limits::Grant());
   }
 };
 
--- a/src/session/forward_server.cpp
+++ b/src/session/forward_server.cpp
@@ -102,7 +102,7 @@
   co_await send_answers(connection);
 }
 
-tenancy::Grant ForwardServer::grant(const ForwardTokens& request) {
+limits::Grant ForwardServer::grant(const ForwardTokens& request) {
   const registry::TenantRule* tenant = services_.view.tenants().find(request.tenant);
   if (tenant == nullptr) return {};
   return services_.view.budgets().grant(*tenant, {request.needed, request.ahead}, services_.runtime.now());
--- a/src/session/forward_server.h
+++ b/src/session/forward_server.h
@@ -44,7 +44,7 @@
                                               ForwardInTransaction request);
   Awaitable<void> end_transaction(std::shared_ptr<Connection> connection, std::uint64_t pin);
   /// Tokens of a tenant whose home this proxy may be.
-  tenancy::Grant grant(const ForwardTokens& request);
+  limits::Grant grant(const ForwardTokens& request);
   Awaitable<void> send_answers(std::shared_ptr<Connection> connection);
   /// Empty when this proxy knows no such group, or no tenant of the caller's key.
   std::optional<RunOrder> to_order(ForwardedOrder order);
--- a/src/session/limit_client.cpp
+++ b/src/session/limit_client.cpp
@@ -7,8 +7,8 @@
 
 namespace cairnhollow::session {
 
-using tenancy::Grant;
-using tenancy::GrantOutcome;
+using limits::Grant;
+using limits::GrantOutcome;
 
 Awaitable<AdmissionAnswer> LimitClient::admit(TenantName tenant) {
   const registry::TenantRule* rule = view_.tenants().find(tenant);
@@ -44,8 +44,8 @@
 
 Awaitable<void> LimitClient::ask_homes(registry::TenantRule tenant, AccountPointer account) {
   const TimePoint asked_at = runtime_.now();
-  const tenancy::TokenWish wish{std::max<std::uint64_t>(account->waiting, 1),
-                                account->stock.expected(asked_at)};
+  const limits::TokenWish wish{std::max<std::uint64_t>(account->waiting, 1),
+                               account->stock.expected(asked_at)};
   AdmissionAnswer answer{AdmissionOutcome::kNotCounted, kComeBackAfter, {}};
   for (const routing::ProxyPointer& home : order_of(tenant.name)) {
     const Grant grant = co_await ask(tenant, wish, home);
@@ -82,7 +82,7 @@
   return homes;
 }
 
-Awaitable<Grant> LimitClient::ask(registry::TenantRule tenant, tenancy::TokenWish wish,
+Awaitable<Grant> LimitClient::ask(registry::TenantRule tenant, limits::TokenWish wish,
                                   routing::ProxyPointer home) {
   if (home->name == view_.node()) co_return view_.budgets().grant(tenant, wish, runtime_.now());
   metrics_.count_token_question();
--- a/src/session/limit_client.h
+++ b/src/session/limit_client.h
@@ -4,13 +4,13 @@
 #include <map>
 #include <memory>
 
+#include "limits/budget_home.h"
+#include "limits/token_stock.h"
 #include "runtime/runtime.h"
 #include "runtime/signal.h"
 #include "session/fleet_view.h"
 #include "session/forwarder.h"
 #include "session/session_metrics.h"
-#include "tenancy/budget_home.h"
-#include "tenancy/token_stock.h"
 
 namespace cairnhollow::session {
 
@@ -38,7 +38,7 @@
  private:
   struct Account {
     explicit Account(runtime::Runtime& runtime) : answered(runtime) {}
-    tenancy::TokenStock stock;
+    limits::TokenStock stock;
     bool asking = false;
     std::uint64_t waiting = 0;  ///< operations
     AdmissionAnswer last;       ///< of the question asked last
@@ -49,8 +49,8 @@
 
   Awaitable<AdmissionAnswer> take_or_ask(registry::TenantRule tenant);
   Awaitable<void> ask_homes(registry::TenantRule tenant, AccountPointer account);
-  Awaitable<tenancy::Grant> ask(registry::TenantRule tenant, tenancy::TokenWish wish,
-                                routing::ProxyPointer home);
+  Awaitable<limits::Grant> ask(registry::TenantRule tenant, limits::TokenWish wish,
+                               routing::ProxyPointer home);
   /// This proxy, those of its zone, the others; those that did not answer a moment ago last.
   [[nodiscard]] std::vector<routing::ProxyPointer> order_of(const TenantName& tenant) const;
 
--- a/src/session/settings.h
+++ b/src/session/settings.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "base/types.h"
-#include "tenancy/limit_window.h"
+#include "limits/limit_window.h"
 
 namespace cairnhollow::session {
 
@@ -23,7 +23,7 @@
   /// How long after the acknowledgement of a key's removal it may still run something, on machines out of
   /// control's reach, too; empty: not bound there.
   std::optional<Duration> key_bound;
-  tenancy::LimitWindow limit_window;
+  limits::LimitWindow limit_window;
   Duration drain_limit = std::chrono::seconds(6);  ///< from SIGTERM to the end of the process
 };
 
--- a/standins/unfenced/tenant_history.cpp
+++ b/standins/unfenced/tenant_history.cpp
@@ -6,7 +6,7 @@
 #include <optional>
 #include <set>
 
-#include "tenancy/limit_budget.h"
+#include "limits/limit_budget.h"
 
 namespace cairnhollow::standins::unfenced {
 
@@ -95,7 +95,7 @@
     const auto within = std::count_if(
         operations.begin(), operations.begin() + static_cast<std::ptrdiff_t>(last) + 1,
         [&](const Operation& operation) { return operation.sent_at >= begin && operation.run_at <= end; });
-    const double allowed = tenancy::allowance(limit, bounds.window);
+    const double allowed = limits::allowance(limit, bounds.window);
     if (static_cast<double>(within) <= allowed) continue;
     violations.push_back(
         fmt::format("{} ran {} operations in a window, {} are allowed", tenant.value, within, allowed));
--- a/standins/unfenced/tenant_history.h
+++ b/standins/unfenced/tenant_history.h
@@ -5,8 +5,8 @@
 #include <string>
 #include <vector>
 
+#include "limits/limit_window.h"
 #include "registry/model.h"
-#include "tenancy/limit_window.h"
 
 namespace cairnhollow::standins::unfenced {
 
@@ -41,7 +41,7 @@
 struct TenantBounds {
   Duration key_bound{0};      ///< how long after the acknowledgement of its removal a key may run something
   Duration limit_settles{0};  ///< how long after the acknowledgement of a lower limit it must hold
-  tenancy::LimitWindow window;
+  limits::LimitWindow window;
 };
 
 /// Every violation, in words: a statement run for another tenant than its key's, or with a key that nobody
--- a/tests/tenancy/budget_home_test.cpp
+++ b/tests/limits/budget_home_test.cpp
@@ -1,7 +1,7 @@
 // Limits over all proxies: whatever happens to proxies, control and the paths between them, no window sees
 // more operations of a tenant than the operator allows. A tenant at many times its limit asks all the time,
 // which is the load that tells: every token that two proxies grant for one is used.
-#include "tenancy/budget_home.h"
+#include "limits/budget_home.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
@@ -14,11 +14,11 @@
 #include <set>
 #include <vector>
 
+#include "limits/token_stock.h"
 #include "registry/budget_authority.h"
 #include "registry/settled_revision.h"
-#include "tenancy/token_stock.h"
 
-namespace cairnhollow::tenancy {
+namespace cairnhollow::limits {
 
 namespace {
 
@@ -453,4 +453,4 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BudgetHomeTest);
 
-}  // namespace cairnhollow::tenancy
+}  // namespace cairnhollow::limits
--- a/tests/wire/registered_samples.cpp
+++ b/tests/wire/registered_samples.cpp
@@ -136,7 +136,7 @@
   session::ForwardAnswer answer;
   answer.correlation = 4;
   answer.nothing_run = true;
-  answer.grant = {tenancy::GrantOutcome::kEmpty, 0, std::chrono::milliseconds(40)};
+  answer.grant = {limits::GrantOutcome::kEmpty, 0, std::chrono::milliseconds(40)};
   add_with_tenants(samples, "session_forward_answer_with_grant", answer);
 }
 
