--- a/simulation/registered_fleet.cpp
+++ b/simulation/registered_fleet.cpp
@@ -80,6 +80,8 @@
   settings.peer_endpoint = {address_of(name), kPeerPort};
   settings.control_port = kPeerPort;
   settings.key_bound = settings_.key_bound;
+  settings.cold_overshoot = settings_.cold_overshoot;
+  settings.cold_slack = settings_.cold_slack;
   world_.start({name, address_of(name), settings.zone}, [settings](runtime::Runtime& runtime) {
     return session::make_session_proxy(runtime, settings, platform::session_edge());
   });
@@ -158,7 +160,7 @@
   groups.reserve(settings_.groups);
   for (std::size_t group = 1; group <= settings_.groups; ++group)
     groups.push_back(fmt::format("group-{}", group));
-  return document_text(version, databases, groups, settings_.tenants);
+  return document_text(version, databases, groups, settings_.tenants, settings_.cold_rate_per_s);
 }
 
 namespace {
--- a/simulation/registered_fleet.h
+++ b/simulation/registered_fleet.h
@@ -28,6 +28,10 @@
   std::vector<registry::TenantRule> tenants;
   Duration key_bound = std::chrono::seconds(5);
   Duration caller_pause = std::chrono::milliseconds(20);  ///< between a caller's operations
+  /// What the document says of cold backends, and how far the proxies may go beyond; 0: no limit.
+  double cold_rate_per_s = 0;
+  double cold_overshoot = 1.5;
+  double cold_slack = 5;
   bool print_log = false;
 };
 
--- a/src/control/registered/lease_keeper.cpp
+++ b/src/control/registered/lease_keeper.cpp
@@ -243,7 +243,7 @@
     follower.revision_sent = fleet_.revision();
   }
   update.report_interval = report_interval();
-  if (update.lease > Duration(0) && fleet_.requires_keys()) update.settled_revision = settled_revision();
+  if (update.lease > Duration(0) && fleet_.has_shared_limits()) update.settled_revision = settled_revision();
   if (endpoints() != follower.endpoints_sent) {
     follower.endpoints_sent = endpoints();
     update.control_endpoints = endpoints();
--- a/src/limits/budget_home.cpp
+++ b/src/limits/budget_home.cpp
@@ -27,18 +27,18 @@
   return confirmed && settled_revision_ >= count.home_since;
 }
 
-Grant BudgetHome::grant(const registry::TenantRule& tenant, const TokenWish& wish, TimePoint now) {
-  if (!homes_.is_home(tenant.name, node_)) return {};
-  auto found = counts_.find(tenant.name);
+Grant BudgetHome::grant(const Limit& limit, const TokenWish& wish, TimePoint now) {
+  if (!homes_.is_home(limit.of, node_)) return {};
+  auto found = counts_.find(limit.of);
   // First asked for: it may be a home since the newest membership only.
-  if (found == counts_.end()) found = counts_.emplace(tenant.name, Count{revision_, std::nullopt}).first;
+  if (found == counts_.end()) found = counts_.emplace(limit.of, Count{revision_, std::nullopt}).first;
   Count& count = found->second;
   if (!may_count(count, now)) return {};
   if (!count.bucket) {
     const bool is_of_now = count.home_since == revision_ && settled_since_;
     count.bucket.emplace(is_of_now ? *settled_since_ : now);
   }
-  const HomeBudget budget = home_budget(tenant, window_);
+  const HomeBudget budget = home_budget(limit);
   Grant grant;
   grant.tokens = count.bucket->take(wish.needed, budget, now);
   if (grant.tokens == wish.needed && count.bucket->is_half_full(budget))
--- a/src/limits/budget_home.h
+++ b/src/limits/budget_home.h
@@ -1,7 +1,7 @@
-// What a proxy counts for the tenants whose home it is.
+// What a proxy counts for what it is a home of: tenants and cold backends.
 //
-// Invariant: at any moment at most kHomes proxies grant a tenant's tokens, each from a bucket that was empty
-// when it became a home. A proxy grants only
+// Invariant: at any moment at most kHomes proxies grant tokens of one limited thing, each from a bucket that
+// was empty when it became a home. A proxy grants only
 // - while control confirmed its copy of the membership less than kBudgetAuthority ago, counted from the
 //   question, and
 // - when control has said that every proxy which may act on a membership older than the one that made it a
@@ -18,14 +18,13 @@
 #include "limits/budget_homes.h"
 #include "limits/limit_budget.h"
 #include "limits/token_bucket.h"
-#include "registry/model.h"
 
 namespace cairnhollow::limits {
 
 enum class GrantOutcome : std::uint8_t {
   kGranted,
-  kEmpty,       ///< the tenant has used what it may; `retry_after` says when there will be more
-  kNotCounting  ///< this proxy may not count for the tenant now
+  kEmpty,       ///< what may pass has passed; `retry_after` says when there will be more
+  kNotCounting  ///< this proxy may not count for it now
 };
 
 struct Grant {
@@ -42,7 +41,7 @@
   }
 };
 
-/// Tokens asked for: those that operations wait for, and more for those that are likely to come soon.
+/// Tokens asked for: those that are waited for, and more for those that are likely to come soon.
 struct TokenWish {
   std::uint64_t needed = 0;
   std::uint64_t ahead = 0;  ///< granted only while there are plenty
@@ -50,7 +49,7 @@
 
 class BudgetHome {
  public:
-  BudgetHome(NodeName node, LimitWindow window) : node_(std::move(node)), window_(window) {}
+  explicit BudgetHome(NodeName node) : node_(std::move(node)) {}
 
   /// The membership of `revision` holds from now on, on this proxy.
   void set_homes(BudgetHomes homes, std::uint64_t revision);
@@ -59,7 +58,7 @@
   void note_confirmed(TimePoint confirmed_at, std::uint64_t settled_revision, TimePoint now);
   [[nodiscard]] const BudgetHomes& homes() const { return homes_; }
 
-  Grant grant(const registry::TenantRule& tenant, const TokenWish& wish, TimePoint now);
+  Grant grant(const Limit& limit, const TokenWish& wish, TimePoint now);
 
  private:
   struct Count {
@@ -70,10 +69,9 @@
   [[nodiscard]] bool may_count(const Count& count, TimePoint now) const;
 
   NodeName node_;
-  LimitWindow window_;
   BudgetHomes homes_;
   std::uint64_t revision_ = 0;
-  std::map<TenantName, Count> counts_;
+  std::map<LimitedName, Count> counts_;
   std::optional<TimePoint> confirmed_at_;
   std::uint64_t settled_revision_ = 0;
   /// Since when nobody acts on an older membership than this proxy's; empty: somebody may.
--- a/src/limits/budget_homes.cpp
+++ b/src/limits/budget_homes.cpp
@@ -8,8 +8,10 @@
 
 namespace {
 
-std::vector<routing::ProxyPointer> homes_among(const routing::SubsetTable& table, const TenantName& tenant) {
-  return table.serving(GroupName("tenant " + tenant.value), static_cast<std::uint32_t>(kHomes));
+std::vector<routing::ProxyPointer> homes_among(const routing::SubsetTable& table,
+                                               const LimitedName& limited) {
+  return table.serving(GroupName(kind_name(limited.kind) + (" " + limited.name)),
+                       static_cast<std::uint32_t>(kHomes));
 }
 
 bool holds(const std::vector<routing::ProxyPointer>& proxies, const NodeName& node) {
@@ -36,18 +38,18 @@
   for (const auto& proxy : changed) changed_.insert(proxy->name);
 }
 
-const std::vector<routing::ProxyPointer>& BudgetHomes::of(const TenantName& tenant) const {
-  const auto [homes, is_new] = homes_.try_emplace(tenant);
-  if (is_new) homes->second = homes_among(takers_, tenant);
+const std::vector<routing::ProxyPointer>& BudgetHomes::of(const LimitedName& limited) const {
+  const auto [homes, is_new] = homes_.try_emplace(limited);
+  if (is_new) homes->second = homes_among(takers_, limited);
   return homes->second;
 }
 
-bool BudgetHomes::is_home(const TenantName& tenant, const NodeName& node) const {
-  return holds(of(tenant), node);
+bool BudgetHomes::is_home(const LimitedName& limited, const NodeName& node) const {
+  return holds(of(limited), node);
 }
 
-bool BudgetHomes::was_home(const TenantName& tenant, const NodeName& node) const {
-  return changed_.count(node) == 0 && holds(homes_among(with_changed_, tenant), node);
+bool BudgetHomes::was_home(const LimitedName& limited, const NodeName& node) const {
+  return changed_.count(node) == 0 && holds(homes_among(with_changed_, limited), node);
 }
 
 }  // namespace cairnhollow::limits
--- a/src/limits/budget_homes.h
+++ b/src/limits/budget_homes.h
@@ -1,16 +1,17 @@
-// Which proxies count for a tenant. Pure: every proxy works it out from the membership that it follows.
+// Which proxies count for what is limited. Pure: every proxy works it out from the membership that it
+// follows.
 #pragma once
 
 #include <map>
 #include <set>
 #include <vector>
 
-#include "registry/model.h"
+#include "limits/limit.h"
 #include "routing/subset.h"
 
 namespace cairnhollow::limits {
 
-/// The homes of tenants among the proxies that take work, before and after a change.
+/// The homes of all that is limited among the proxies that take work, before and after a change.
 ///
 /// Whoever is a home among `takers` together with `changed` was one before the change as well: rendezvous
 /// hashing drops nobody out of a subset when others go. Whoever is a home among `takers` only has become one,
@@ -23,17 +24,17 @@
               const std::vector<routing::ProxyPointer>& changed);
 
   /// Up to kHomes proxies, in different zones as far as possible.
-  [[nodiscard]] const std::vector<routing::ProxyPointer>& of(const TenantName& tenant) const;
-  [[nodiscard]] bool is_home(const TenantName& tenant, const NodeName& node) const;
+  [[nodiscard]] const std::vector<routing::ProxyPointer>& of(const LimitedName& limited) const;
+  [[nodiscard]] bool is_home(const LimitedName& limited, const NodeName& node) const;
   /// Whether `node`, a home now, was one all the time.
-  [[nodiscard]] bool was_home(const TenantName& tenant, const NodeName& node) const;
+  [[nodiscard]] bool was_home(const LimitedName& limited, const NodeName& node) const;
 
  private:
   routing::SubsetTable takers_;
   routing::SubsetTable with_changed_;
   std::set<NodeName> changed_;
-  /// Of tenants that were asked for: each operation asks, and a membership stays.
-  mutable std::map<TenantName, std::vector<routing::ProxyPointer>> homes_;
+  /// Of those that were asked for: each operation asks, and a membership stays.
+  mutable std::map<LimitedName, std::vector<routing::ProxyPointer>> homes_;
 };
 
 }  // namespace cairnhollow::limits
--- a/src/limits/limit_budget.cpp
+++ b/src/limits/limit_budget.cpp
@@ -10,17 +10,18 @@
 
 }  // namespace
 
-double allowance(const registry::TenantRule& tenant, const LimitWindow& window) {
-  const double in_window = static_cast<double>(tenant.rate_per_s) * seconds_of(window.window);
-  return (in_window + static_cast<double>(tenant.burst)) * (1 + window.overshoot) + window.slack;
+double allowance(const Limit& limit) {
+  const double in_window = limit.rate_per_s * seconds_of(limit.window.window);
+  return (in_window + limit.burst) * (1 + limit.window.overshoot) + limit.window.slack;
 }
 
-HomeBudget home_budget(const registry::TenantRule& tenant, const LimitWindow& window) {
-  const auto rate = static_cast<double>(tenant.rate_per_s);
-  const double granted = rate * seconds_of(window.window + kGrantLife);
-  const double depths = allowance(tenant, window) - granted;
-  // Less than one token a home would let nothing pass, ever.
-  return {rate / kHomes, std::max(depths / kHomes, 1.0)};
+HomeBudget home_budget(const Limit& limit) {
+  constexpr double kLeastDepths = kHomes;
+  const double allowed = allowance(limit);
+  if (allowed < kLeastDepths) return {0, 0};
+  const double counted_s = seconds_of(limit.window.window + kGrantLife);
+  const double rate = std::min(limit.rate_per_s, (allowed - kLeastDepths) / counted_s);
+  return {rate / kHomes, (allowed - rate * counted_s) / kHomes};
 }
 
 }  // namespace cairnhollow::limits
--- a/src/limits/limit_window.h
+++ b/src/limits/limit_window.h
@@ -1,4 +1,4 @@
-// What the operator bounds: how many operations of one tenant may run in any stretch of time.
+// What the operator bounds: how many operations or statements may run in any stretch of time.
 #pragma once
 
 #include <chrono>
@@ -7,8 +7,8 @@
 
 namespace cairnhollow::limits {
 
-/// In any `window` of time at most (rate x window + burst) x (1 + overshoot) + slack operations of a tenant
-/// are run, counted over all proxies.
+/// In any `window` of time at most (rate x window + burst) x (1 + overshoot) + slack operations are
+/// run, counted over all proxies.
 struct LimitWindow {
   Duration window = std::chrono::seconds(5);
   double overshoot = 0.1;  ///< as a part of the limit
--- a/src/limits/token_stock.h
+++ b/src/limits/token_stock.h
@@ -1,4 +1,5 @@
-// Tokens that a proxy holds for a tenant's next operations, asked for a little ahead.
+// Tokens that a proxy holds for the next operations of a tenant, or statements to a cold backend, asked for a
+// little ahead.
 #pragma once
 
 #include <algorithm>
--- a/src/registry/model.h
+++ b/src/registry/model.h
@@ -123,10 +123,11 @@
   std::uint64_t born_ms = 0;   ///< Unix time of its start, by its own clock; 0: it tells none
   std::uint64_t cold_ms = 0;   ///< for how much longer it was cold when it registered this; 0: it is warm
   [[nodiscard]] BackendIncarnation incarnation() const { return {name, born_ms}; }
-  /// Whether a newer registration says anything new.
+  /// Whether a newer registration says nothing new. Turning cold or warm is news; what is left of the cold
+  /// time is none.
   [[nodiscard]] bool same_facts(const BackendEntry& other) const {
     return group == other.group && endpoint == other.endpoint && zone == other.zone && slots == other.slots &&
-           leaving == other.leaving;
+           leaving == other.leaving && (cold_ms > 0) == (other.cold_ms > 0);
   }
 
   template <class Archive>
--- a/src/registry/state_machine.cpp
+++ b/src/registry/state_machine.cpp
@@ -46,6 +46,7 @@
   state_.transaction_idle_ms = document.transaction_idle_ms;
   replace_rows(state_.routes, document.routes);
   replace_rows(state_.groups, document.groups);
+  note_groups();
   state_.requires_keys = document.requires_keys;
   replace_rows(state_.tenants, document.tenants);
   return true;
@@ -84,6 +85,12 @@
   return effective;
 }
 
+void FleetStateMachine::note_groups() {
+  const std::vector<GroupRule> groups = state_.groups.all();
+  limits_cold_backends_ = std::any_of(groups.begin(), groups.end(),
+                                      [](const GroupRule& group) { return group.cold_rate_per_s > 0; });
+}
+
 void FleetStateMachine::put_term(const GroupTerm& term) {
   state_.terms.put(term.group, term, next_revision());
   terms_revision_ = next_revision();
@@ -175,6 +182,7 @@
   members_.clear();
   at_endpoint_.clear();
   for (const BackendEntry& entry : state_.backends.all()) note_backend(entry);
+  note_groups();
   changed_.notify_all();
   return true;
 }
--- a/src/registry/state_machine.h
+++ b/src/registry/state_machine.h
@@ -35,6 +35,8 @@
   [[nodiscard]] std::vector<GroupRule> groups() const { return state_.groups.all(); }
   [[nodiscard]] std::vector<TenantRule> tenants() const { return state_.tenants.all(); }
   [[nodiscard]] bool requires_keys() const { return state_.requires_keys; }
+  /// Whether proxies count for tenants or cold backends together.
+  [[nodiscard]] bool has_shared_limits() const { return state_.requires_keys || limits_cold_backends_; }
   [[nodiscard]] const GroupRule* find_group(const GroupName& group) const {
     return state_.groups.find(group);
   }
@@ -125,6 +127,7 @@
   /// Makes a table hold these rows, by their names. Rows that stay as they are keep their revision.
   template <class Key, class Row>
   void replace_rows(RevisedTable<Key, Row>& table, const std::vector<Row>& rows);
+  void note_groups();
   void bound_removed();
   [[nodiscard]] std::uint64_t next_revision() const { return state_.revision + 1; }
 
@@ -132,6 +135,7 @@
   // Worked out of `state_.backends`, so that no command and no look at one group goes through all of them.
   std::map<GroupName, std::set<BackendName>> members_;
   std::map<Endpoint, BackendName> at_endpoint_;
+  bool limits_cold_backends_ = false;  ///< some group has a cold rate
   std::uint64_t terms_revision_ = 0;
   runtime::Signal changed_;
 };
--- a/src/session/caller_session.cpp
+++ b/src/session/caller_session.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "session/knobs.h"
+#include "tenancy/tenant_limit.h"
 
 namespace cairnhollow::session {
 
@@ -285,7 +286,7 @@
   if (!admitted) co_return result;
   const TenantName tenant = order.tenant;
   result = co_await runner_.run(std::move(order));
-  if (result.nothing_run && token) services_.limits.give_back(tenant, *token);
+  if (result.nothing_run && token) services_.limits.give_back(tenancy::limited(tenant), *token);
   co_return result;
 }
 
--- a/src/session/fleet_view.cpp
+++ b/src/session/fleet_view.cpp
@@ -6,12 +6,15 @@
 #include "registry/member_lease.h"
 #include "session/knobs.h"
 #include "tenancy/tenant_division.h"
+#include "tenancy/tenant_limit.h"
 
 namespace cairnhollow::session {
 
 std::shared_ptr<GroupAccess> FleetView::access(const GroupName& group) {
   auto& access = groups_[group];
-  if (!access) access = std::make_shared<GroupAccess>(runtime_, dialer_, group, zone_);
+  if (!access)
+    access = std::make_shared<GroupAccess>(runtime_, dialer_, group, zone_,
+                                           limits_cold_ ? &keys_confirmed_ : nullptr);
   return access;
 }
 
@@ -30,6 +33,20 @@
   return found == backends.end() ? nullptr : &found->second->entry;
 }
 
+std::optional<limits::Limit> FleetView::tenant_limit(const TenantName& tenant) const {
+  const registry::TenantRule* rule = tenants_.find(tenant);
+  if (rule == nullptr) return std::nullopt;
+  return tenancy::limit_of(*rule, limit_window_);
+}
+
+std::optional<limits::Limit> FleetView::cold_limit(const BackendName& backend) const {
+  const auto group = group_of_.find(backend);
+  if (group == group_of_.end()) return std::nullopt;
+  const double rate = groups_.at(group->second)->cold_rate_per_s();
+  if (rate <= 0 || !limits_cold_) return std::nullopt;
+  return session::cold_limit(backend, rate, cold_window_);
+}
+
 std::shared_ptr<GroupAccess> FleetView::find_group(const GroupName& group) {
   const auto found = groups_.find(group);
   return found == groups_.end() ? nullptr : found->second;
@@ -166,6 +183,9 @@
   apply_tenants(delta);
   for (const registry::GroupRule& rule : delta.groups) access(rule.name)->set_rule(rule);
   apply_backends(delta);
+  for (const ZoneName& zone : delta.ended_evacuations) {
+    for (const auto& [name, group] : groups_) group->note_evacuation_ended(zone);
+  }
   for (const registry::GroupTerm& term : delta.terms) access(term.group)->set_term(term);
   const auto changed = changed_proxies(delta);
   apply_proxies(delta);
--- a/src/session/fleet_view.h
+++ b/src/session/fleet_view.h
@@ -9,6 +9,7 @@
 #include "registry/delta.h"
 #include "registry/messages.h"
 #include "routing/subset.h"
+#include "session/cold_backend.h"
 #include "session/group_access.h"
 #include "session/settings.h"
 #include "tenancy/key_confirmation.h"
@@ -25,7 +26,10 @@
         node_(settings.node),
         zone_(settings.zone),
         keys_confirmed_(settings.key_bound),
-        budgets_(settings.node, settings.limit_window),
+        limit_window_(settings.limit_window),
+        cold_window_{kColdWindow, settings.cold_overshoot - 1, settings.cold_slack},
+        limits_cold_(settings.cold_overshoot > 0 || settings.cold_slack > 0),
+        budgets_(settings.node),
         renewed_(runtime),
         started_(runtime.now()) {}
 
@@ -66,7 +70,13 @@
   }
   [[nodiscard]] const tenancy::TenantDirectory& tenants() const { return tenants_; }
   [[nodiscard]] const tenancy::KeyConfirmation& keys_confirmed() const { return keys_confirmed_; }
-  /// What this proxy counts for tenants, and who counts for the others.
+  [[nodiscard]] const limits::LimitWindow& limit_window() const { return limit_window_; }
+  /// Empty: there is no such tenant.
+  [[nodiscard]] std::optional<limits::Limit> tenant_limit(const TenantName& tenant) const;
+  /// What may be sent to the backend while it is cold, whether it is now or not. Empty: it is not known here,
+  /// or its group limits nothing.
+  [[nodiscard]] std::optional<limits::Limit> cold_limit(const BackendName& backend) const;
+  /// What this proxy counts for tenants and cold backends, and who counts for the others.
   limits::BudgetHome& budgets() { return budgets_; }
   [[nodiscard]] const NodeName& node() const { return node_; }
   [[nodiscard]] const ZoneName& zone() const { return zone_; }
@@ -118,6 +128,9 @@
   bool requires_keys_ = false;
   tenancy::TenantDirectory tenants_;
   tenancy::KeyConfirmation keys_confirmed_;
+  limits::LimitWindow limit_window_;
+  limits::LimitWindow cold_window_;
+  bool limits_cold_;  ///< what is sent to cold backends is bound
   limits::BudgetHome budgets_;
   runtime::Signal renewed_;
   TimePoint started_;
--- a/src/session/forward_messages.h
+++ b/src/session/forward_messages.h
@@ -75,14 +75,17 @@
   }
 };
 
-/// Asks a home of the tenant for tokens, one for each operation.
+/// Asks a home of the tenant, or of the cold backend where one is named, for tokens, one for each operation
+/// or statement.
 struct ForwardTokens {
   TenantName tenant;
   std::uint64_t needed = 0;  ///< by operations that wait
   std::uint64_t ahead = 0;   ///< by those that are likely to come while a token lives
+  BackendName cold_backend;
   template <class Archive>
   void serialize(Archive& archive) {
     archive(tenant, needed, ahead);
+    wire::since(archive, wire::kPlacesFormat, cold_backend, BackendName());
   }
 };
 
--- a/src/session/forward_server.cpp
+++ b/src/session/forward_server.cpp
@@ -84,28 +84,32 @@
 
 Awaitable<void> ForwardServer::handle(std::shared_ptr<Connection> connection, ForwardRequest request) {
   ForwardAnswer answer;
+  bool is_grant = false;
   if (auto* run_request = std::get_if<ForwardRun>(&request.body)) {
     answer = co_await run(connection, std::move(*run_request));
   } else if (auto* further = std::get_if<ForwardInTransaction>(&request.body)) {
     answer = co_await run_in_transaction(connection, std::move(*further));
   } else if (const auto* tokens = std::get_if<ForwardTokens>(&request.body)) {
     answer.grant = grant(*tokens);
+    is_grant = true;
   } else {
     const std::uint64_t pin = std::get<ForwardEnd>(request.body).pin;
     co_await end_transaction(connection, pin);
   }
   answer.correlation = request.correlation;
   if (connection->ended) co_return;
-  const wire::Format format = wire::format_with_tenants(services_.view.requires_keys());
+  const wire::Format format = wire::format_with_tenants(is_grant || services_.view.requires_keys());
   connection->outgoing.push_back(wire::encode(answer, format));
   if (std::exchange(connection->sending, true)) co_return;
   co_await send_answers(connection);
 }
 
 limits::Grant ForwardServer::grant(const ForwardTokens& request) {
-  const registry::TenantRule* tenant = services_.view.tenants().find(request.tenant);
-  if (tenant == nullptr) return {};
-  return services_.view.budgets().grant(*tenant, {request.needed, request.ahead}, services_.runtime.now());
+  FleetView& view = services_.view;
+  const auto limit = request.cold_backend.empty() ? view.tenant_limit(request.tenant)
+                                                  : view.cold_limit(request.cold_backend);
+  if (!limit) return {};
+  return view.budgets().grant(*limit, {request.needed, request.ahead}, services_.runtime.now());
 }
 
 Awaitable<void> ForwardServer::send_answers(std::shared_ptr<Connection> connection) {
--- a/src/session/group_access.cpp
+++ b/src/session/group_access.cpp
@@ -108,7 +108,9 @@
 
 bool GroupAccess::warm_one() {
   for (const auto& [name, use] : backends_) {
-    if (!use->pool.is_cold() || !placement::may_be_warmed(facts_of(*use, {}))) continue;
+    if (!use->pool.has_no_link() || !placement::may_be_warmed(facts_of(*use, {}))) continue;
+    // A cold one's slots are for statements.
+    if (is_cold(*use)) continue;
     runtime_.spawn("warm_link", warm(use));
     return true;
   }
@@ -122,6 +124,8 @@
   const TimePoint deadline = runtime_.now() + kDialTimeout;
   const LinkDeadlines deadlines{deadline, deadline};
   auto link = co_await backend->pool.acquire(std::move(wish), deadlines, refusal, reason);
+  if (link) backend->rebirth.note_reached(runtime_.now());
+  if (!link && !refusal) backend->rebirth.note_unreachable();
   if (link) backend->pool.release(std::move(link));
   if (!link) backend->avoid_until = runtime_.now() + kAvoidBackend;
 }
@@ -138,6 +142,22 @@
   }
 }
 
+bool GroupAccess::is_cold(const BackendUse& backend) const {
+  if (rule_.cold_rate_per_s <= 0 || confirmation_ == nullptr) return false;
+  if (backend.entry.cold_ms > 0 || runtime_.now() < backend.cold_until) return true;
+  return backend.rebirth.may_be_reborn(*confirmation_);
+}
+
+bool GroupAccess::is_cold_limit_reached(const BackendUse& backend) const {
+  return runtime_.now() < backend.cold_limit_reached_until && is_cold(backend);
+}
+
+void GroupAccess::note_evacuation_ended(const ZoneName& zone) {
+  for (const auto& [name, use] : backends_) {
+    if (use->entry.zone == zone) use->cold_until = runtime_.now() + kColdAfterEvacuation;
+  }
+}
+
 std::shared_ptr<BackendUse> GroupAccess::primary() {
   if (!term_.open) return nullptr;
   const auto found = backends_.find(term_.primary);
@@ -158,6 +178,8 @@
   facts.tried = question.tried != nullptr && question.tried->count(backend.entry.name) > 0;
   facts.avoided = backend.avoid_until > now;
   facts.refused = backend.pool.is_refused();
+  facts.cold_limit_reached = is_cold_limit_reached(backend);
+  if (facts.cold_limit_reached) facts.back_in = backend.cold_limit_reached_until - now;
   if (question.need == nullptr || question.need->primary_only) return facts;
   facts.lags = !facts.is_primary && backend.lag(now) > now - question.need->required_since;
   facts.cost = cost_of(backend);
@@ -180,6 +202,7 @@
   double cost = backend.latency_ms(runtime_.now(), usual_latency_ms_) * (1.0 + waiting);
   if (backend.entry.zone != zone_) cost += kOtherZoneCostMs;
   if (backend.entry.name == term_.primary) cost += kPrimaryReadCostMs;
+  if (is_cold(backend)) cost += kColdCostMs;
   return cost;
 }
 
--- a/src/session/group_access.h
+++ b/src/session/group_access.h
@@ -12,6 +12,7 @@
 
 #include "placement/backend_choice.h"
 #include "registry/model.h"
+#include "session/cold_backend.h"
 #include "session/position_history.h"
 #include "session/stateful_pool.h"
 #include "session/statement_gate.h"
@@ -30,6 +31,9 @@
   StatementGate gate;
   TimePoint avoid_until{};
   std::optional<TimePoint> leaving_since;  ///< when this proxy heard of it
+  RebirthWatch rebirth;
+  TimePoint cold_until{};                ///< whatever it says, since its zone was evacuated
+  TimePoint cold_limit_reached_until{};  ///< no token for it before
 
   void note_latency(double took_ms, double usual_ms, TimePoint now);
   /// Of statements, smoothed. Goes back to `usual_ms` without news, since a backend that is passed over for
@@ -81,11 +85,14 @@
 
 class GroupAccess {
  public:
-  GroupAccess(runtime::Runtime& runtime, BackendDialer& dialer, GroupName group, ZoneName zone)
+  /// `confirmation`: control's, of the copy that this is a part of; null: cold backends are not limited.
+  GroupAccess(runtime::Runtime& runtime, BackendDialer& dialer, GroupName group, ZoneName zone,
+              const tenancy::KeyConfirmation* confirmation = nullptr)
       : runtime_(runtime),
         dialer_(dialer),
         group_(std::move(group)),
         zone_(std::move(zone)),
+        confirmation_(confirmation),
         changed_(runtime) {}
 
   void set_term(const registry::GroupTerm& term);
@@ -115,6 +122,15 @@
   /// The backend at this place in facts(), as long as nothing has changed since.
   [[nodiscard]] std::shared_ptr<BackendUse> backend_at(std::size_t place) const;
 
+  /// Statements a second to a cold backend, from all proxies; 0: no limit.
+  [[nodiscard]] double cold_rate_per_s() const { return rule_.cold_rate_per_s; }
+  /// Whether each statement to the backend takes a token (session/cold_backend.h).
+  [[nodiscard]] bool is_cold(const BackendUse& backend) const;
+  /// Whether it is cold and there was no token for it a moment ago.
+  [[nodiscard]] bool is_cold_limit_reached(const BackendUse& backend) const;
+  /// Its backends may have turned cold meanwhile.
+  void note_evacuation_ended(const ZoneName& zone);
+
   /// The open term's primary; null while there is none that may be used.
   std::shared_ptr<BackendUse> primary();
   /// The backend to read at, out of those not in `excluded`; null when none is left.
@@ -185,6 +201,7 @@
   BackendDialer& dialer_;
   GroupName group_;
   ZoneName zone_;
+  const tenancy::KeyConfirmation* confirmation_;
   registry::GroupTerm term_;
   registry::GroupRule rule_;
   std::map<BackendName, std::shared_ptr<BackendUse>> backends_;
--- a/src/session/limit_client.cpp
+++ b/src/session/limit_client.cpp
@@ -4,24 +4,47 @@
 #include <utility>
 
 #include "session/knobs.h"
+#include "tenancy/tenant_limit.h"
 
 namespace cairnhollow::session {
 
 using limits::Grant;
 using limits::GrantOutcome;
 
+namespace {
+
+ForwardTokens question(const limits::LimitedName& limited, const limits::TokenWish& wish) {
+  ForwardTokens tokens{TenantName(), wish.needed, wish.ahead, BackendName()};
+  if (limited.kind == limits::LimitedKind::kTenant) {
+    tokens.tenant = TenantName(limited.name);
+  } else {
+    tokens.cold_backend = BackendName(limited.name);
+  }
+  return tokens;
+}
+
+}  // namespace
+
 Awaitable<AdmissionAnswer> LimitClient::admit(TenantName tenant) {
   const registry::TenantRule* rule = view_.tenants().find(tenant);
   AdmissionAnswer answer{AdmissionOutcome::kAdmitted, Duration(0), {}};
   const bool is_limited = rule != nullptr && rule->is_limited();
-  if (is_limited) answer = co_await take_or_ask(*rule);
+  if (is_limited) answer = co_await take_or_ask(tenancy::limit_of(*rule, view_.limit_window()));
   const bool is_named = view_.tenants().is_large(tenant);
   metrics_.count_admission(is_named ? tenant.value : kOtherTenants, answer.outcome);
   co_return answer;
 }
 
-Awaitable<AdmissionAnswer> LimitClient::take_or_ask(registry::TenantRule tenant) {
-  auto& held = accounts_[tenant.name];
+Awaitable<AdmissionAnswer> LimitClient::admit_to_cold(BackendName backend) {
+  auto limit = view_.cold_limit(backend);
+  if (!limit) co_return AdmissionAnswer{AdmissionOutcome::kAdmitted, Duration(0), {}};
+  const AdmissionAnswer answer = co_await take_or_ask(std::move(*limit));
+  metrics_.count_cold_statement(answer.outcome);
+  co_return answer;
+}
+
+Awaitable<AdmissionAnswer> LimitClient::take_or_ask(limits::Limit limit) {
+  auto& held = accounts_[limit.of];
   if (!held) held = std::make_shared<Account>(runtime_);
   const AccountPointer account = held;
   const TimePoint begun = runtime_.now();
@@ -32,7 +55,7 @@
   ++account->waiting;
   bool answered = true;
   do {
-    if (!std::exchange(account->asking, true)) runtime_.spawn("ask_homes", ask_homes(tenant, account));
+    if (!std::exchange(account->asking, true)) runtime_.spawn("ask_homes", ask_homes(limit, account));
     answered = co_await account->answered.wait_until(begun + kAdmissionLimit);
     token = account->stock.take(runtime_.now());
   } while (!token && answered && account->last.outcome == AdmissionOutcome::kAdmitted);
@@ -42,13 +65,13 @@
   co_return account->last;
 }
 
-Awaitable<void> LimitClient::ask_homes(registry::TenantRule tenant, AccountPointer account) {
+Awaitable<void> LimitClient::ask_homes(limits::Limit limit, AccountPointer account) {
   const TimePoint asked_at = runtime_.now();
   const limits::TokenWish wish{std::max<std::uint64_t>(account->waiting, 1),
                                account->stock.expected(asked_at)};
   AdmissionAnswer answer{AdmissionOutcome::kNotCounted, kComeBackAfter, {}};
-  for (const routing::ProxyPointer& home : order_of(tenant.name)) {
-    const Grant grant = co_await ask(tenant, wish, home);
+  for (const routing::ProxyPointer& home : order_of(limit.of)) {
+    const Grant grant = co_await ask(limit, wish, home);
     if (grant.outcome == GrantOutcome::kNotCounting) continue;
     if (grant.outcome == GrantOutcome::kGranted) {
       account->stock.put(grant.tokens, asked_at);
@@ -67,8 +90,8 @@
   account->answered.notify_all();
 }
 
-std::vector<routing::ProxyPointer> LimitClient::order_of(const TenantName& tenant) const {
-  auto homes = view_.budgets().homes().of(tenant);
+std::vector<routing::ProxyPointer> LimitClient::order_of(const limits::LimitedName& limited) const {
+  auto homes = view_.budgets().homes().of(limited);
   const TimePoint now = runtime_.now();
   const auto rank = [&](const routing::ProxyPointer& home) {
     const auto silent = silent_until_.find(home->name);
@@ -82,9 +105,8 @@
   return homes;
 }
 
-Awaitable<Grant> LimitClient::ask(registry::TenantRule tenant, limits::TokenWish wish,
-                                  routing::ProxyPointer home) {
-  if (home->name == view_.node()) co_return view_.budgets().grant(tenant, wish, runtime_.now());
+Awaitable<Grant> LimitClient::ask(limits::Limit limit, limits::TokenWish wish, routing::ProxyPointer home) {
+  if (home->name == view_.node()) co_return view_.budgets().grant(limit, wish, runtime_.now());
   metrics_.count_token_question();
   Reason reason;
   const TimePoint deadline = runtime_.now() + kHomePatience;
@@ -92,18 +114,18 @@
   std::optional<ForwardAnswer> answer;
   if (connection) {
     ForwardRequest request;
-    request.body = ForwardTokens{tenant.name, wish.needed, wish.ahead};
+    request.body = question(limit.of, wish);
     answer = co_await connection->call(std::move(request), deadline, reason);
   }
   if (answer) co_return answer->grant;
   silent_until_[home->name] = runtime_.now() + kAvoidProxy;
   runtime_.logger().log(runtime::LogLevel::kWarning, "tokens_not_granted", reason,
-                        {{"tenant", tenant.name.value}, {"home", home->name.value}});
+                        {{limits::field_name(limit.of.kind), limit.of.name}, {"home", home->name.value}});
   co_return Grant{};
 }
 
-void LimitClient::give_back(const TenantName& tenant, TimePoint expires_at) {
-  const auto found = accounts_.find(tenant);
+void LimitClient::give_back(const limits::LimitedName& limited, TimePoint expires_at) {
+  const auto found = accounts_.find(limited);
   if (found != accounts_.end()) found->second->stock.give_back(expires_at);
 }
 
--- a/src/session/limit_client.h
+++ b/src/session/limit_client.h
@@ -1,4 +1,5 @@
-// Asks the homes of a tenant for tokens, one for each operation that is to run.
+// Asks the homes of what is limited for tokens: one for each operation of a tenant, and for each statement to
+// a cold backend.
 #pragma once
 
 #include <map>
@@ -14,8 +15,8 @@
 
 namespace cairnhollow::session {
 
-/// What an operation is told that wants to begin: the tenant has used what it may, or no proxy that counts
-/// for it answered.
+/// What an operation is told that wants to begin, or a statement that wants to be sent: what may pass has
+/// passed, or no proxy that counts answered.
 struct AdmissionAnswer {
   AdmissionOutcome outcome = AdmissionOutcome::kNotCounted;
   Duration retry_after{0};  ///< when the next token is likely to be there
@@ -32,8 +33,11 @@
   /// A token for one operation of the tenant, to be run at once. A tenant that is not known, or has no limit,
   /// needs none.
   Awaitable<AdmissionAnswer> admit(TenantName tenant);
+  /// A token for one statement to the backend, to be sent before it expires. One that has no limit now needs
+  /// none, and the answer has none.
+  Awaitable<AdmissionAnswer> admit_to_cold(BackendName backend);
   /// Nothing was run with a token that expires then.
-  void give_back(const TenantName& tenant, TimePoint expires_at);
+  void give_back(const limits::LimitedName& limited, TimePoint expires_at);
 
  private:
   struct Account {
@@ -47,18 +51,17 @@
   };
   using AccountPointer = std::shared_ptr<Account>;
 
-  Awaitable<AdmissionAnswer> take_or_ask(registry::TenantRule tenant);
-  Awaitable<void> ask_homes(registry::TenantRule tenant, AccountPointer account);
-  Awaitable<limits::Grant> ask(registry::TenantRule tenant, limits::TokenWish wish,
-                               routing::ProxyPointer home);
+  Awaitable<AdmissionAnswer> take_or_ask(limits::Limit limit);
+  Awaitable<void> ask_homes(limits::Limit limit, AccountPointer account);
+  Awaitable<limits::Grant> ask(limits::Limit limit, limits::TokenWish wish, routing::ProxyPointer home);
   /// This proxy, those of its zone, the others; those that did not answer a moment ago last.
-  [[nodiscard]] std::vector<routing::ProxyPointer> order_of(const TenantName& tenant) const;
+  [[nodiscard]] std::vector<routing::ProxyPointer> order_of(const limits::LimitedName& limited) const;
 
   runtime::Runtime& runtime_;
   FleetView& view_;
   Forwarder& forwarder_;
   SessionMetrics& metrics_;
-  std::map<TenantName, AccountPointer> accounts_;
+  std::map<limits::LimitedName, AccountPointer> accounts_;
   std::map<NodeName, TimePoint> silent_until_;
 };
 
--- a/src/session/session_metrics.cpp
+++ b/src/session/session_metrics.cpp
@@ -37,6 +37,12 @@
         &metrics_.counter("cairnhollow_session_forwarded_total", "Statements passed on to another proxy.",
                           {{"cause", kForwardCauses[cause]}});
   }
+  for (std::size_t outcome = 0; outcome < kAdmissions.size(); ++outcome) {
+    cold_statements_[outcome] = &metrics_.counter(
+        "cairnhollow_session_cold_statements_total",
+        "Statements that were to be sent to a cold backend: a token each, or refused there.",
+        {{"outcome", kAdmissions[outcome]}});
+  }
   for (std::size_t code = 0; code < kRefusalCount; ++code) {
     const runtime::MetricLabels labels{{"reason", refusal_name(static_cast<Refusal>(code))}};
     refused_[code] =
--- a/src/session/session_metrics.h
+++ b/src/session/session_metrics.h
@@ -33,6 +33,10 @@
   void count_token_question() { token_questions_.Increment(); }
   /// An operation of a tenant wanted to begin. `label`: the tenant's name, or that of all that are not named.
   void count_admission(const std::string& label, AdmissionOutcome outcome);
+  /// A statement was to be sent to a cold backend.
+  void count_cold_statement(AdmissionOutcome outcome) {
+    cold_statements_[static_cast<std::size_t>(outcome)]->Increment();
+  }
   void count_lost_answer() { lost_answers_.Increment(); }
   void set_sessions(std::size_t sessions) { sessions_.Set(static_cast<double>(sessions)); }
   void set_member_leases(std::size_t groups) { member_leases_.Set(static_cast<double>(groups)); }
@@ -48,6 +52,7 @@
   std::array<prometheus::Counter*, 4> forwarded_{};
   std::map<std::pair<std::string, AdmissionOutcome>, prometheus::Counter*>
       admissions_;  ///< by tenant's label
+  std::array<prometheus::Counter*, 3> cold_statements_{};
   prometheus::Counter& lost_answers_;
   prometheus::Counter& token_questions_;
   prometheus::Gauge& sessions_;
--- a/src/session/stateful_pool.cpp
+++ b/src/session/stateful_pool.cpp
@@ -58,7 +58,8 @@
 }
 
 void StatefulPool::drop_closed() {
-  std::erase_if(idle_, [](const auto& link) { return !link->link().is_open(); });
+  const auto lost = std::erase_if(idle_, [](const auto& link) { return !link->link().is_open(); });
+  lost_idle_ = lost_idle_ || lost > 0;
 }
 
 std::shared_ptr<StatefulLink> StatefulPool::take_idle(const LinkWish& wish) {
--- a/src/session/stateful_pool.h
+++ b/src/session/stateful_pool.h
@@ -94,13 +94,15 @@
   /// Gives a link back that has no transaction open and owes no answer; a closed one is dropped.
   void release(std::shared_ptr<StatefulLink> link);
   void close_idle();
+  /// Whether an idle link ended by itself since this was asked last.
+  bool take_lost_idle() { return std::exchange(lost_idle_, false); }
   /// Closes links that have been idle for kIdleLinkLife, but `kept` of them.
   void trim(TimePoint now, std::size_t kept);
   [[nodiscard]] std::size_t in_use() const { return in_use_; }
   /// Whether there is no link at all.
-  [[nodiscard]] bool is_cold() const { return in_use_ == 0 && idle_.empty(); }
+  [[nodiscard]] bool has_no_link() const { return in_use_ == 0 && idle_.empty(); }
   /// Whether there is no link and the backend refused to take one a moment ago.
-  [[nodiscard]] bool is_refused() const { return is_cold() && runtime_.now() < full_until_; }
+  [[nodiscard]] bool is_refused() const { return has_no_link() && runtime_.now() < full_until_; }
   [[nodiscard]] const BackendAddress& address() const { return address_; }
 
  private:
@@ -124,6 +126,7 @@
   std::uint64_t limit_ = 2;
   TimePoint full_until_{};  ///< the backend refused one more connection
   std::size_t in_use_ = 0;
+  bool lost_idle_ = false;
 };
 
 }  // namespace cairnhollow::session
--- a/src/session/statement_attempt.h
+++ b/src/session/statement_attempt.h
@@ -40,8 +40,10 @@
   std::set<BackendName> excluded;
   ReadNeed need;
   TimePoint refuse_at{};  ///< until then somebody who can serve it is waited for
-  bool offered = false;   ///< a backend that could run it has been asked
-  Reason reason;          ///< of the last failure
+  /// To the next token, where a cold backend had none.
+  std::optional<Duration> cold_wait;
+  bool offered = false;  ///< a backend that could run it has been asked
+  Reason reason;         ///< of the last failure
   RunResult result;
 
   // Of the attempt under way.
@@ -49,7 +51,8 @@
   std::shared_ptr<StatefulLink> link;
   std::uint64_t epoch = 0;
   bool at_primary = false;
-  bool needs_primary = false;  ///< the answer counts only while the primary of `epoch` may be used
+  bool needs_primary = false;           ///< the answer counts only while the primary of `epoch` may be used
+  std::optional<TimePoint> cold_token;  ///< not used yet, and of use until then
   TimePoint sent_at{};
   runtime::SendState sent = runtime::SendState::kNotSent;
 
--- /dev/null
+++ b/src/session/statement_cold.cpp
@@ -0,0 +1,100 @@
+// StatementRunner's part for cold backends: a token for each statement that is sent to one.
+#include <algorithm>
+#include <utility>
+
+#include "session/statement_attempt.h"
+#include "session/statement_runner.h"
+
+namespace cairnhollow::session {
+
+using runtime::LogLevel;
+
+bool StatementRunner::holds_cold_token(const Attempt& attempt) const {
+  if (!attempt.order.group->is_cold(*attempt.backend)) return true;
+  return attempt.cold_token && services_.runtime.now() < *attempt.cold_token;
+}
+
+Awaitable<bool> StatementRunner::pass_cold(std::shared_ptr<Attempt> attempt) {
+  if (holds_cold_token(*attempt)) co_return true;
+  const AdmissionAnswer admission =
+      co_await services_.limits.admit_to_cold(BackendName(attempt->backend->entry.name));
+  attempt->cold_token = admission.expires_at;
+  if (admission.outcome == AdmissionOutcome::kAdmitted) co_return true;
+  note_cold_limit(*attempt->order.group, *attempt->backend, admission);
+  attempt->reason = Reason{ReasonCode::kOverloaded, "pass_cold", attempt->backend->entry.name.value,
+                           "there is no token for the cold backend"};
+  attempt->cold_wait = admission.retry_after;
+  attempt->excluded.insert(attempt->backend->entry.name);
+  co_return false;
+}
+
+void StatementRunner::note_cold_limit(const GroupAccess& group, BackendUse& backend,
+                                      const AdmissionAnswer& admission) {
+  const TimePoint now = services_.runtime.now();
+  const bool is_news = !group.is_cold_limit_reached(backend);
+  backend.cold_limit_reached_until = now + admission.retry_after;
+  if (!is_news) return;
+  const bool is_over = admission.outcome == AdmissionOutcome::kOverLimit;
+  services_.runtime.logger().log(LogLevel::kInfo, "cold_limit_reached",
+                                 {{"group", group.group().value},
+                                  {"backend", backend.entry.name.value},
+                                  {"why", is_over ? "over its rate" : "no home counts for it"},
+                                  {"retry_ms", std::to_string(in_ms(admission.retry_after))}});
+}
+
+bool StatementRunner::note_cold_wait(Attempt& attempt) {
+  if (attempt.cold_wait) return true;
+  const PlacementQuestion question{&attempt.need, &attempt.excluded};
+  const auto choice =
+      placement::choose_backend(attempt.need.primary_only, attempt.order.group->facts(question));
+  if (choice.backend || !choice.is_final || choice.obstacle != placement::Obstacle::kColdLimit) return false;
+  attempt.cold_wait = choice.back_in;
+  return true;
+}
+
+StatementRunner::Step StatementRunner::refuse(Attempt& attempt) {
+  give_up(attempt);
+  return Step::kDone;
+}
+
+void StatementRunner::withdraw(Attempt& attempt) {
+  if (attempt.order.opens_transaction) attempt.link->link().close();
+  attempt.backend->pool.release(attempt.link);
+  attempt.backend->gate.leave_unanswered();
+}
+
+void StatementRunner::give_cold_token_back(Attempt& attempt) {
+  const auto token = std::exchange(attempt.cold_token, std::nullopt);
+  if (token) services_.limits.give_back(limited(attempt.backend->entry.name), *token);
+}
+
+void StatementRunner::note_dial(BackendUse& backend, bool has_link, bool was_refused) {
+  // Idle links that ended by themselves may have ended with their backend's process.
+  if (backend.pool.take_lost_idle() || (!has_link && !was_refused)) backend.rebirth.note_unreachable();
+  if (has_link) backend.rebirth.note_reached(services_.runtime.now());
+}
+
+void StatementRunner::note_loss(const GroupAccess& group, BackendUse& backend, std::uint64_t epoch,
+                                const Reason& reason) {
+  const bool is_own = group.term().epoch != epoch;
+  if (!is_own && reason.code == ReasonCode::kConnectionLost) backend.rebirth.note_unreachable();
+}
+
+Awaitable<bool> StatementRunner::wait_for_cold_token(std::shared_ptr<GroupAccess> group,
+                                                     std::shared_ptr<BackendUse> backend,
+                                                     TimePoint deadline) {
+  runtime::Runtime& runtime = services_.runtime;
+  while (group->is_cold(*backend)) {
+    const AdmissionAnswer admission =
+        co_await services_.limits.admit_to_cold(BackendName(backend->entry.name));
+    const TimePoint now = runtime.now();
+    if (admission.expires_at && now < *admission.expires_at) co_return true;
+    // One that is not known any more gets no tokens.
+    const bool is_gone = admission.outcome == AdmissionOutcome::kAdmitted && !admission.expires_at;
+    if (is_gone || now + admission.retry_after >= deadline) co_return false;
+    co_await runtime.sleep_for(std::max<Duration>(admission.retry_after, kBusyPause));
+  }
+  co_return true;
+}
+
+}  // namespace cairnhollow::session
--- a/src/session/statement_in_transaction.cpp
+++ b/src/session/statement_in_transaction.cpp
@@ -1,4 +1,5 @@
-// StatementRunner's part for transactions that are open: their further statements, commit, end.
+// StatementRunner's part for transactions that are open: their further statements, commit, end; and what is
+// asked of a backend inside and outside of them.
 #include <algorithm>
 
 #include "session/statement_attempt.h"
@@ -8,6 +9,12 @@
 
 using runtime::SendState;
 
+BackendRequest StatementRunner::make_request(const RunOrder& order, const StatefulLink& link,
+                                             std::optional<Position> required) const {
+  if (!order.prepared) return PassOn{order.id, order.text, required};
+  return Execute{order.id, link.prepared_name(*order.prepared), order.argument, required};
+}
+
 Awaitable<Answer> StatementRunner::run_pinned(PinnedLink pinned, RunOrder order, bool commits, bool wrote) {
   if (pinned.remote) co_return co_await forward_pinned(*pinned.remote, std::move(order), commits, wrote);
   GroupAccess& group = *order.group;
@@ -34,7 +41,10 @@
     ready = co_await pinned.link->bring_in_order(order.values, order.prepared, setup_deadline, reason);
   bool entered = false;
   if (ready) entered = co_await pinned.backend->gate.enter(backend::kUrgentClass, order.deadline);
-  if (!entered || !usable()) {
+  bool passed = entered;
+  if (entered && group.is_cold(*pinned.backend))
+    passed = co_await wait_for_cold_token(order.group, pinned.backend, order.deadline);
+  if (!passed || !usable()) {
     if (entered) pinned.backend->gate.leave_unanswered();
     pinned.link->link().close();
     log_refusal(order, aborted, reason, 0);
@@ -54,6 +64,7 @@
   if (answer && pinned.at_primary) group.note_primary_answered();
   if (!answer) {
     services_.metrics.count_lost_answer();
+    note_loss(group, *pinned.backend, pinned.epoch, reason);
     if (pinned.at_primary && current) services_.link.report_suspicion(group, SuspicionKind::kSilent);
     const bool in_doubt = commits && wrote && sent == SendState::kMaybeSent;
     if (in_doubt) aborted.refusal = Refusal::kInDoubt;
--- a/src/session/statement_log.cpp
+++ b/src/session/statement_log.cpp
@@ -1,4 +1,6 @@
 // What StatementRunner logs of statements: refusals, and where the time of slow ones went.
+#include <fmt/format.h>
+
 #include <chrono>
 
 #include "session/statement_attempt.h"
@@ -43,4 +45,14 @@
        {"waited_ms", std::to_string(in_ms(services_.runtime.now() - order.arrived))}});
 }
 
+RunResult StatementRunner::refuse_stalled(Attempt& attempt) {
+  Answer& answer = attempt.result.answer;
+  answer.refusal = Refusal::kBusy;
+  answer.detail = fmt::format("commits reach no replica now; come back in {} ms", in_ms(kComeBackAfter));
+  attempt.reason = Reason{ReasonCode::kOverloaded, "check_commits", attempt.order.group->term().primary.value,
+                          "commits sent before have no answer"};
+  log_refusal(attempt.order, answer, attempt.reason, 0);
+  return std::move(attempt.result);
+}
+
 }  // namespace cairnhollow::session
--- a/src/session/statement_runner.cpp
+++ b/src/session/statement_runner.cpp
@@ -21,12 +21,6 @@
 
 }  // namespace
 
-BackendRequest StatementRunner::make_request(const RunOrder& order, const StatefulLink& link,
-                                             std::optional<Position> required) const {
-  if (!order.prepared) return PassOn{order.id, order.text, required};
-  return Execute{order.id, link.prepared_name(*order.prepared), order.argument, required};
-}
-
 Awaitable<RunResult> StatementRunner::run(RunOrder order) {
   std::vector<routing::ProxyPointer> proxies;
   ForwardCause cause = ForwardCause::kServedElsewhere;
@@ -84,6 +78,7 @@
     }
     ++attempt->count;
     step = co_await try_backend(attempt, backend);
+    give_cold_token_back(*attempt);
     if (step == Step::kWait) co_await runtime.sleep_for(kBusyPause);
   }
   const Answer& answer = attempt->result.answer;
@@ -93,16 +88,6 @@
   co_return std::move(attempt->result);
 }
 
-RunResult StatementRunner::refuse_stalled(Attempt& attempt) {
-  Answer& answer = attempt.result.answer;
-  answer.refusal = Refusal::kBusy;
-  answer.detail = fmt::format("commits reach no replica now; come back in {} ms", in_ms(kComeBackAfter));
-  attempt.reason = Reason{ReasonCode::kOverloaded, "check_commits", attempt.order.group->term().primary.value,
-                          "commits sent before have no answer"};
-  log_refusal(attempt.order, answer, attempt.reason, 0);
-  return std::move(attempt.result);
-}
-
 Awaitable<std::shared_ptr<BackendUse>> StatementRunner::choose(std::shared_ptr<Attempt> attempt) {
   GroupAccess& group = *attempt->order.group;
   while (true) {
@@ -124,7 +109,8 @@
       attempt->needs_primary = attempt->need.primary_only;
       co_return backend;
     }
-    if (!is_worth_waiting(*attempt)) co_return nullptr;
+    const bool is_final = note_cold_wait(*attempt);
+    if (is_final || !is_worth_waiting(*attempt)) co_return nullptr;
     attempt->excluded.clear();
     co_await group.changed().wait_until(std::min(attempt->refuse_at, services_.runtime.now() + kBusyPause));
   }
@@ -147,7 +133,9 @@
   if (!leased) why = "the serving lease has run out";
   if (leased && !term.open) why = "the group has no primary now";
   if (attempt.offered) why = "the backends are busy";
-  answer.detail = fmt::format("{}; come back in {} ms", why, in_ms(kComeBackAfter));
+  if (attempt.cold_wait) why = "the only backend that can serve it is cold and takes no more now";
+  answer.detail =
+      fmt::format("{}; come back in {} ms", why, in_ms(attempt.cold_wait.value_or(kComeBackAfter)));
 }
 
 TimePoint StatementRunner::wait_limit(const Attempt& attempt) const {
@@ -168,8 +156,9 @@
   const LinkDeadlines deadlines{gate_limit(*attempt), wait_limit(*attempt)};
   LinkWish wish{order.tenant, order.values};
   attempt->link = co_await backend->pool.acquire(std::move(wish), deadlines, refusal, attempt->reason);
+  const bool full = !attempt->link && attempt->reason.code == ReasonCode::kOverloaded;
+  note_dial(*backend, attempt->link != nullptr, full || refusal);
   if (!attempt->link) {
-    const bool full = attempt->reason.code == ReasonCode::kOverloaded;
     if (!full) backend->avoid_until = services_.runtime.now() + kAvoidBackend;
     if (!full && attempt->at_primary && !refusal) {
       services_.link.report_suspicion(*order.group, SuspicionKind::kUnreachable);
@@ -206,6 +195,9 @@
                                                               std::shared_ptr<BackendUse> backend) {
   attempt->backend = backend;
   GroupAccess& group = *attempt->order.group;
+  bool admitted = holds_cold_token(*attempt);
+  if (!admitted) admitted = co_await pass_cold(attempt);
+  if (!admitted) co_return attempt->needs_primary ? refuse(*attempt) : Step::kNext;
   const std::uint8_t priority = urgency_of(attempt->order);
   const TimePoint begun_at = services_.runtime.now();
   const bool entered = co_await backend->gate.enter(priority, gate_limit(*attempt));
@@ -224,6 +216,13 @@
     if (!attempt->needs_primary) attempt->excluded.insert(backend->entry.name);
     co_return attempt->needs_primary ? Step::kWait : Step::kNext;
   }
+  // The link took its time, and may have shown that the backend is another life.
+  bool passed = holds_cold_token(*attempt);
+  if (!passed) passed = co_await pass_cold(attempt);
+  if (!passed) {
+    withdraw(*attempt);
+    co_return attempt->needs_primary ? refuse(*attempt) : Step::kNext;
+  }
   if (attempt->needs_primary && !services_.view.may_use_primary(group, attempt->epoch)) {
     attempt->link->link().close();
     backend->pool.release(attempt->link);
@@ -231,12 +230,11 @@
     co_return Step::kNext;
   }
   const bool may_be_sent = co_await may_send(attempt);
-  if (!may_be_sent) {
-    if (attempt->order.opens_transaction) attempt->link->link().close();
-    backend->pool.release(attempt->link);
-    backend->gate.leave_unanswered();
-    co_return Step::kDone;
+  if (!may_be_sent || !holds_cold_token(*attempt)) {
+    withdraw(*attempt);
+    co_return may_be_sent ? Step::kNext : Step::kDone;
   }
+  attempt->cold_token.reset();
   auto answer = co_await exchange(attempt);
   const bool not_run = answer && answer->refusal && is_not_run(*answer->refusal);
   if (attempt->sent == SendState::kMaybeSent && !not_run) attempt->order.may_have_run = true;
@@ -296,6 +294,7 @@
   services_.metrics.count_lost_answer();
   GroupAccess& group = *attempt.order.group;
   attempt.backend->avoid_until = services_.runtime.now() + kAvoidBackend;
+  note_loss(group, *attempt.backend, attempt.epoch, reason);
   if (attempt.at_primary && group.term().epoch == attempt.epoch) {
     const bool broke_off = reason.code == ReasonCode::kConnectionLost && attempt.sent != SendState::kNotSent;
     const bool is_of_no_use = broke_off && group.note_broken_off();
--- a/src/session/statement_runner.h
+++ b/src/session/statement_runner.h
@@ -109,6 +109,25 @@
   /// Whether it may be sent to a backend now: the key is good, and what runs again has a token. Else the
   /// attempt's answer says why not.
   Awaitable<bool> may_send(std::shared_ptr<Attempt> attempt);
+  /// Whether the attempt's backend is not cold, or the attempt has a token that may be used now; asked last
+  /// before sending.
+  [[nodiscard]] bool holds_cold_token(const Attempt& attempt) const;
+  /// Takes a token where the attempt's backend is cold. False: there is none, and it is passed over.
+  Awaitable<bool> pass_cold(std::shared_ptr<Attempt> attempt);
+  /// Whether only cold backends without a token are left, or one had none already.
+  static bool note_cold_wait(Attempt& attempt);
+  void note_cold_limit(const GroupAccess& group, BackendUse& backend, const AdmissionAnswer& admission);
+  /// Nothing is sent in this attempt: gives link and place at the gate back.
+  static void withdraw(Attempt& attempt);
+  void give_cold_token_back(Attempt& attempt);
+  /// A link to the backend was asked for. `was_refused`: an answer came, if not the one wanted.
+  void note_dial(BackendUse& backend, bool has_link, bool was_refused);
+  /// A backend broke off what it was sent in `epoch`; later on this proxy itself closes its links.
+  static void note_loss(const GroupAccess& group, BackendUse& backend, std::uint64_t epoch,
+                        const Reason& reason);
+  /// For a statement that can go nowhere else. False: its time ended first.
+  Awaitable<bool> wait_for_cold_token(std::shared_ptr<GroupAccess> group, std::shared_ptr<BackendUse> backend,
+                                      TimePoint deadline);
   Awaitable<std::optional<Answer>> exchange(std::shared_ptr<Attempt> attempt);
   Step take_answer(Attempt& attempt, Answer answer);
   /// A primary's success, as it was asked for.
@@ -122,6 +141,8 @@
   void take_primary_answer(GroupAccess& group, PrimaryAnswer primary, Answer& answer);
   Step take_loss(Attempt& attempt, const Reason& reason);
   void give_up(Attempt& attempt);
+  /// The same, and no other backend is tried.
+  Step refuse(Attempt& attempt);
   /// A write, while writes sent before have no answer.
   RunResult refuse_stalled(Attempt& attempt);
   [[nodiscard]] BackendRequest make_request(const RunOrder& order, const StatefulLink& link,
--- /dev/null
+++ b/src/tenancy/tenant_limit.h
@@ -0,0 +1,18 @@
+// A tenant's limit, as src/limits counts it.
+#pragma once
+
+#include "limits/limit.h"
+#include "registry/model.h"
+
+namespace cairnhollow::tenancy {
+
+inline limits::LimitedName limited(const TenantName& tenant) {
+  return {limits::LimitedKind::kTenant, tenant.value};
+}
+
+inline limits::Limit limit_of(const registry::TenantRule& tenant, const limits::LimitWindow& window) {
+  return {limited(tenant.name), static_cast<double>(tenant.rate_per_s), static_cast<double>(tenant.burst),
+          window};
+}
+
+}  // namespace cairnhollow::tenancy
--- a/standins/unfenced/database.cpp
+++ b/standins/unfenced/database.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <map>
@@ -44,6 +45,7 @@
     listener_ = runtime_.lines().listen(settings_.endpoint, reason);
     if (!listener_) co_return false;
     state().running = true;
+    if (settings_.cold_for > Duration(0)) turn_cold(settings_.cold_for);
     runtime_.spawn("database_accept", accept());
     runtime_.spawn("database_replicate", replicate());
     runtime_.spawn("database_heartbeat", beat());
@@ -63,6 +65,8 @@
     reset_connections();
   }
   void break_off(bool breaks_off) override { breaks_off_ = breaks_off; }
+  void turn_cold(Duration rest) override { cold_until_ = runtime_.now() + rest; }
+  [[nodiscard]] const std::vector<TimePoint>& arrivals() const override { return arrivals_; }
   void reset_connections() override {
     for (const auto& open : open_) {
       if (const auto lines = open.lock()) lines->close();
@@ -99,7 +103,8 @@
   }
 
   runtime::HttpRequest heartbeat(bool deregisters) {
-    const Heartbeat said{leaving_, state().primary, ++sequence_};
+    const Duration cold = std::max(cold_until_ - runtime_.now(), Duration(0));
+    const Heartbeat said{leaving_, state().primary, ++sequence_, static_cast<std::uint64_t>(in_ms(cold))};
     runtime::HttpRequest request = print_heartbeat(settings_, model_.name(), said);
     if (!deregisters) return request;
     request.method = runtime::HttpMethod::kDelete;
@@ -172,6 +177,7 @@
         lines->close();
         co_return;
       }
+      if (id != "-") arrivals_.push_back(runtime_.now());
       const std::string statement_id(id);
       Answer answer = co_await answer_text(connection, statement_id, std::string(text));
       if (settings_.tenants != nullptr && answer.signature == "signed-" + statement_id)
@@ -333,6 +339,8 @@
   std::uint64_t heartbeats_elsewhere_ = 0;
   bool leaving_ = false;
   bool stopped_ = false;
+  TimePoint cold_until_{};
+  std::vector<TimePoint> arrivals_;
   bool breaks_off_ = false;
 };
 
@@ -385,6 +393,7 @@
                                 {"Zone", settings.zone.value},
                                 {"Slots", settings.slots},
                                 {"State", heartbeat.leaving ? "draining" : "ready"},
+                                {"ColdRemainingMs", heartbeat.cold_ms},
                                 {"DbRole", heartbeat.is_primary ? "primary" : "replica"},
                                 {"Seq", heartbeat.sequence}};
   runtime::HttpRequest request;
--- a/standins/unfenced/database.h
+++ b/standins/unfenced/database.h
@@ -20,6 +20,7 @@
   std::uint32_t slots = 4;
   Duration work = std::chrono::milliseconds(3);
   TenantHistory* tenants = nullptr;  ///< what is run is noted there; null: nowhere
+  Duration cold_for{0};              ///< from its start on
   double lost_answers = 0;           ///< share of statements that are run and not answered
 };
 
@@ -34,6 +35,10 @@
   virtual void deregister() = 0;
   /// From now on, or no more, it resets the connection of each statement of a caller; its status is as ever.
   virtual void break_off(bool breaks_off) = 0;
+  /// It says that it is cold for so long, or warm, from the next heartbeat on.
+  virtual void turn_cold(Duration rest) = 0;
+  /// When each read, write or commit of a caller arrived.
+  [[nodiscard]] virtual const std::vector<TimePoint>& arrivals() const = 0;
   /// Resets all connections once.
   virtual void reset_connections() = 0;
   [[nodiscard]] virtual std::uint64_t statements_run() const = 0;
@@ -46,6 +51,7 @@
   bool leaving = false;
   bool is_primary = false;
   std::uint64_t sequence = 0;
+  std::uint64_t cold_ms = 0;
 };
 runtime::HttpRequest print_heartbeat(const DatabaseSettings& settings, const GroupName& group,
                                      const Heartbeat& heartbeat);
--- a/standins/unfenced/document_text.cpp
+++ b/standins/unfenced/document_text.cpp
@@ -16,6 +16,7 @@
 constexpr std::uint64_t kTargetLatencyMs = 150;
 constexpr std::uint64_t kMaxConnections = 30;
 constexpr std::uint64_t kTransactionIdleMs = 3000;
+constexpr std::uint64_t kColdStartS = 5;
 
 const char* word_of(registry::ReadPolicy reads) {
   if (reads == registry::ReadPolicy::kBoundedStaleness) return "bounded_staleness";
@@ -40,7 +41,7 @@
 
 std::string document_text(std::uint64_t version, const std::vector<DatabaseText>& databases,
                           const std::vector<std::string>& groups,
-                          const std::vector<registry::TenantRule>& tenants) {
+                          const std::vector<registry::TenantRule>& tenants, double cold_rate_per_s) {
   json::array routes;
   for (const DatabaseText& database : databases) {
     routes.push_back(json::object{{"Name", "r-" + database.name},
@@ -54,8 +55,14 @@
                                   {"MaxStalenessMs", database.staleness_ms}});
   }
   json::array services;
-  for (const std::string& group : groups)
-    services.push_back(json::object{{"Name", group}, {"MaxConns", kMaxConnections}, {"SyncReplicas", 1}});
+  for (const std::string& group : groups) {
+    json::object service{{"Name", group}, {"MaxConns", kMaxConnections}, {"SyncReplicas", 1}};
+    if (cold_rate_per_s > 0) {
+      service["ColdStartS"] = kColdStartS;
+      service["ColdPerS"] = cold_rate_per_s;
+    }
+    services.push_back(std::move(service));
+  }
   json::object document{{"Version", version},
                         {"Routes", routes},
                         {"Services", services},
--- a/standins/unfenced/document_text.h
+++ b/standins/unfenced/document_text.h
@@ -32,10 +32,11 @@
 inline const std::vector<std::string> kZones{"kelburn", "petone", "porirua"};
 
 /// A configuration document of these databases and groups.
-/// `tenants`: empty where callers need no keys.
+/// `tenants`: empty where callers need no keys. `cold_rate_per_s`: of each group's cold backends; 0: no
+/// limit.
 std::string document_text(std::uint64_t version, const std::vector<DatabaseText>& databases,
                           const std::vector<std::string>& groups,
-                          const std::vector<registry::TenantRule>& tenants = {});
+                          const std::vector<registry::TenantRule>& tenants = {}, double cold_rate_per_s = 0);
 
 runtime::HttpRequest replace_document(std::string text);
 runtime::HttpRequest read_document();
--- a/standins/unfenced/tenant_history.cpp
+++ b/standins/unfenced/tenant_history.cpp
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "limits/limit_budget.h"
+#include "tenancy/tenant_limit.h"
 
 namespace cairnhollow::standins::unfenced {
 
@@ -95,7 +96,7 @@
     const auto within = std::count_if(
         operations.begin(), operations.begin() + static_cast<std::ptrdiff_t>(last) + 1,
         [&](const Operation& operation) { return operation.sent_at >= begin && operation.run_at <= end; });
-    const double allowed = limits::allowance(limit, bounds.window);
+    const double allowed = limits::allowance(tenancy::limit_of(limit, bounds.window));
     if (static_cast<double>(within) <= allowed) continue;
     violations.push_back(
         fmt::format("{} ran {} operations in a window, {} are allowed", tenant.value, within, allowed));
--- /dev/null
+++ b/tests/limits/cold_backend_limit_test.cpp
@@ -0,0 +1,108 @@
+// Cold backends: summed over all proxies, no second sees more statements sent to one than it may take,
+// whatever happens to proxies, control and the paths between them.
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+
+#include <string>
+
+#include "limits/limit_play.h"
+#include "session/cold_backend.h"
+
+namespace cairnhollow::limits {
+
+namespace {
+
+using play::Guards;
+using play::seeds;
+using play::with_short_lease;
+using play::worst_of;
+
+const LimitWindow kUsual{session::kColdWindow, 0.5, 5};
+/// Leaves each home one token beside its rate.
+const LimitWindow kTight{session::kColdWindow, 0.25, 3};
+
+Limit cold(double rate, const LimitWindow& window = kUsual) {
+  return session::cold_limit(BackendName("db-1"), rate, window);
+}
+
+}  // namespace
+
+class ColdBackendLimitTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ColdBackendLimitTest);
+  CPPUNIT_TEST(no_second_sees_more_than_is_allowed);
+  CPPUNIT_TEST(each_guard_is_needed);
+  CPPUNIT_TEST(the_parts_of_all_homes_fit_into_the_allowance);
+  CPPUNIT_TEST(a_bucket_holds_a_token_where_that_is_allowed);
+  CPPUNIT_TEST(a_tenant_and_a_backend_of_one_name_are_counted_apart);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void no_second_sees_more_than_is_allowed() {
+    for (const double rate : {1.0, 6.0, 20.0, 60.0}) {
+      const double worst = worst_of(seeds() / 2, {}, cold(rate));
+      CPPUNIT_ASSERT_MESSAGE(fmt::format("rate {}: {} of what is allowed", rate, worst), worst <= 1.0);
+      CPPUNIT_ASSERT_MESSAGE(fmt::format("rate {}: the load presses, {}", rate, worst), worst > 0.5);
+    }
+    const double tight = worst_of(seeds(), {}, cold(60, kTight));
+    CPPUNIT_ASSERT_MESSAGE(fmt::format("{} of what is allowed", tight), tight <= 1.0);
+    const double short_lease = worst_of(seeds(), with_short_lease(4), cold(60, kTight));
+    CPPUNIT_ASSERT_MESSAGE(fmt::format("{} with a short lease", short_lease), short_lease <= 1.0);
+  }
+
+  void each_guard_is_needed() {
+    const auto expect_needed = [](const std::string& name, bool Guards::*guard, Guards guards = {}) {
+      guards.*guard = false;
+      const double worst = worst_of(400, guards, cold(60, kTight));
+      CPPUNIT_ASSERT_MESSAGE(fmt::format("{}: {} of what is allowed", name, worst), worst > 1.0);
+    };
+    expect_needed("waits until settled", &Guards::waits_until_settled);
+    expect_needed("authority ends", &Guards::authority_ends);
+    expect_needed("returning home is new", &Guards::returning_home_is_new, with_short_lease(1));
+    expect_needed("tokens expire", &Guards::tokens_expire);
+  }
+
+  void the_parts_of_all_homes_fit_into_the_allowance() {
+    for (const double rate : {0.5, 3.0, 12.5, 80.0}) {
+      for (const LimitWindow& window : {kUsual, kTight, LimitWindow{session::kColdWindow, 0, 4},
+                                        LimitWindow{session::kColdWindow, -1, 5}}) {
+        const Limit limit = cold(rate, window);
+        const HomeBudget budget = home_budget(limit);
+        const double most = kHomes * (budget.rate_per_s * 1.25 + budget.depth);
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("rate {}: {} of {}", rate, most, allowance(limit)),
+                               most <= allowance(limit) + 1e-9);
+      }
+    }
+  }
+
+  void a_bucket_holds_a_token_where_that_is_allowed() {
+    const HomeBudget usual = home_budget(cold(3));
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, usual.rate_per_s, 1e-9);
+    CPPUNIT_ASSERT(usual.depth >= 1);
+    const HomeBudget lowered = home_budget(cold(40, {session::kColdWindow, 0, 0}));
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, lowered.depth, 1e-9);
+    CPPUNIT_ASSERT(lowered.rate_per_s * kHomes > 29);
+    const HomeBudget nothing = home_budget(cold(2, {session::kColdWindow, 0, 0}));
+    CPPUNIT_ASSERT_EQUAL(0.0, nothing.rate_per_s);
+    CPPUNIT_ASSERT_MESSAGE("two statements a second can't be divided in three", nothing.depth < 1);
+  }
+
+  void a_tenant_and_a_backend_of_one_name_are_counted_apart() {
+    const LimitedName tenant{LimitedKind::kTenant, "one"};
+    const LimitedName backend{LimitedKind::kColdBackend, "one"};
+    const auto proxy = std::make_shared<routing::ProxyView>(
+        routing::ProxyView{NodeName("p"), ZoneName("a"), {"10.0.0.1", 1}});
+    BudgetHome home(NodeName("p"));
+    home.set_homes(BudgetHomes({proxy}, {proxy}), 1);
+    home.note_confirmed(TimePoint(play::seconds(10)), 1, TimePoint(play::seconds(10)));
+    const TimePoint later(play::seconds(12));
+    const Limit tenant_limit{tenant, 3, 0, kUsual};
+    const Limit backend_limit{backend, 3, 0, kUsual};
+    CPPUNIT_ASSERT(home.grant(tenant_limit, {1, 0}, later).outcome == GrantOutcome::kGranted);
+    CPPUNIT_ASSERT(home.grant(tenant_limit, {1, 0}, later).outcome == GrantOutcome::kEmpty);
+    CPPUNIT_ASSERT(home.grant(backend_limit, {1, 0}, later).outcome == GrantOutcome::kGranted);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ColdBackendLimitTest);
+
+}  // namespace cairnhollow::limits
--- a/tests/registry/state_machine_test.cpp
+++ b/tests/registry/state_machine_test.cpp
@@ -43,6 +43,8 @@
   CPPUNIT_TEST_SUITE(FleetStateMachineTest);
   CPPUNIT_TEST(the_highest_version_holds);
   CPPUNIT_TEST(late_registrations_are_old);
+  CPPUNIT_TEST(turning_cold_or_warm_is_news);
+  CPPUNIT_TEST(proxies_count_together_for_tenants_and_cold_backends);
   CPPUNIT_TEST(an_address_belongs_to_who_registered_last);
   CPPUNIT_TEST(a_deregistered_backend_stays_away);
   CPPUNIT_TEST(a_group_opens_and_closes_by_epoch);
@@ -74,6 +76,53 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, machine_->document_version());
   }
 
+  void turning_cold_or_warm_is_news() {
+    BackendEntry entry = backend("b1", 1, 1);
+    entry.cold_ms = 5000;
+    apply(RegisterBackend{entry});
+    const std::uint64_t before = machine_->revision();
+    entry.sequence = 2;
+    entry.cold_ms = 4600;
+    apply(RegisterBackend{entry});
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("what is left is no news", before, machine_->revision());
+    entry.sequence = 3;
+    entry.cold_ms = 0;
+    apply(RegisterBackend{entry});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, machine_->find_backend(entry.name)->cold_ms);
+    BackendEntry late = entry;
+    late.sequence = 2;
+    late.cold_ms = 4600;
+    apply(RegisterBackend{late});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, machine_->find_backend(entry.name)->cold_ms);
+    entry.sequence = 9;
+    entry.cold_ms = 3000;
+    apply(RegisterBackend{entry});
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("without a restart", std::uint64_t{3000},
+                                 machine_->find_backend(entry.name)->cold_ms);
+  }
+
+  void proxies_count_together_for_tenants_and_cold_backends() {
+    ConfigurationDocument sent = document(1, {route("decks")});
+    apply(ReplaceDocument{sent});
+    CPPUNIT_ASSERT(!machine_->has_shared_limits());
+    sent.version = 2;
+    sent.groups[0].cold_rate_per_s = 4;
+    apply(ReplaceDocument{sent});
+    CPPUNIT_ASSERT(machine_->has_shared_limits());
+    Reason reason;
+    const std::string snapshot = machine_->take_snapshot();
+    sent.version = 3;
+    sent.groups[0].cold_rate_per_s = 0;
+    apply(ReplaceDocument{sent});
+    CPPUNIT_ASSERT(!machine_->has_shared_limits());
+    CPPUNIT_ASSERT(machine_->restore_snapshot(snapshot, reason));
+    CPPUNIT_ASSERT(machine_->has_shared_limits());
+    sent.version = 4;
+    sent.requires_keys = true;
+    apply(ReplaceDocument{sent});
+    CPPUNIT_ASSERT(machine_->has_shared_limits());
+  }
+
   void a_batch_is_one_change() {
     apply(RegisterBackend{backend("b0", 9, 1)});
     const std::uint64_t before = machine_->revision();
--- /dev/null
+++ b/tests/session/cold_backend_test.cpp
@@ -0,0 +1,200 @@
+// When a backend is used as a cold one, and what that does to the choice.
+#include "session/cold_backend.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "session/fleet_view.h"
+#include "simulation/world.h"
+
+namespace cairnhollow::session {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+class NoDialer : public BackendDialer {
+ public:
+  Awaitable<std::shared_ptr<BackendLink>> open(BackendAddress /*address*/, TimePoint /*deadline*/,
+                                               std::optional<Refusal>& /*refusal*/,
+                                               Reason& /*reason*/) override {
+    ++dials;
+    co_return nullptr;
+  }
+  int dials = 0;
+};
+
+const GroupName kGroup("group");
+
+registry::BackendEntry backend(const std::string& name, std::uint16_t port, std::uint64_t cold_ms = 0) {
+  registry::BackendEntry entry;
+  entry.name = BackendName(name);
+  entry.group = kGroup;
+  entry.endpoint = {"10.0.0.9", port};
+  entry.zone = ZoneName("a");
+  entry.slots = 2;
+  entry.cold_ms = cold_ms;
+  return entry;
+}
+
+registry::FleetDelta fleet(double cold_rate) {
+  registry::FleetDelta delta;
+  delta.is_whole = true;
+  delta.revision = 1;
+  registry::GroupRule rule;
+  rule.name = kGroup;
+  rule.cold_start_ms = 5000;
+  rule.cold_rate_per_s = cold_rate;
+  delta.groups = {rule};
+  delta.backends = {backend("primary", 1), backend("cold", 2, 4000), backend("warm", 3)};
+  delta.terms = {{kGroup, 1, BackendName("primary"), true, 1, 1, 0}};
+  return delta;
+}
+
+SessionProxySettings settings(double overshoot, double slack) {
+  SessionProxySettings settings;
+  settings.node = NodeName("proxy");
+  settings.zone = ZoneName("a");
+  settings.cold_overshoot = overshoot;
+  settings.cold_slack = slack;
+  return settings;
+}
+
+}  // namespace
+
+class ColdBackendTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ColdBackendTest);
+  CPPUNIT_TEST(a_backend_is_cold_until_it_says_otherwise);
+  CPPUNIT_TEST(nothing_is_limited_where_nothing_is_bound);
+  CPPUNIT_TEST(a_cold_one_is_not_preferred_since_it_is_idle);
+  CPPUNIT_TEST(a_cold_one_without_tokens_is_passed_over);
+  CPPUNIT_TEST(no_links_are_opened_ahead_to_a_cold_one);
+  CPPUNIT_TEST(a_zone_that_comes_back_is_cold_for_a_while);
+  CPPUNIT_TEST(a_backend_that_was_gone_is_cold_until_control_confirms);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    world_ = std::make_unique<simulation::World>(simulation::WorldSettings{});
+    runtime_ = &world_->start_bare({"proxy", "10.0.0.1", ZoneName("a")});
+    start(1.5, 5, 10);
+  }
+  void tearDown() override {
+    view_.reset();
+    world_.reset();
+  }
+
+  void a_backend_is_cold_until_it_says_otherwise() {
+    CPPUNIT_ASSERT(is_cold("cold"));
+    CPPUNIT_ASSERT(!is_cold("warm"));
+    const auto limit = view_->cold_limit(BackendName("cold"));
+    CPPUNIT_ASSERT(limit);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(20.0, limits::allowance(*limit), 1e-9);
+    world_->run_for(seconds(20));
+    CPPUNIT_ASSERT_MESSAGE("no proxy counts its time down", is_cold("cold"));
+    group().put_backend(backend("cold", 2, 0));
+    CPPUNIT_ASSERT(!is_cold("cold"));
+    CPPUNIT_ASSERT(!view_->cold_limit(BackendName("unknown")));
+  }
+
+  void nothing_is_limited_where_nothing_is_bound() {
+    start(1.5, 5, 0);
+    CPPUNIT_ASSERT_MESSAGE("the group has no rate", !is_cold("cold"));
+    CPPUNIT_ASSERT(!view_->cold_limit(BackendName("cold")));
+    start(0, 0, 10);
+    CPPUNIT_ASSERT_MESSAGE("the operator bounds nothing", !is_cold("cold"));
+    CPPUNIT_ASSERT(!view_->cold_limit(BackendName("cold")));
+  }
+
+  void a_cold_one_is_not_preferred_since_it_is_idle() {
+    CPPUNIT_ASSERT_EQUAL(std::string("warm"), chosen({}));
+    group().put_backend(backend("cold", 2, 0));
+    group().put_backend(backend("warm", 3, 4000));
+    CPPUNIT_ASSERT_EQUAL(std::string("cold"), chosen({}));
+    CPPUNIT_ASSERT_MESSAGE("the primary is nearer than a cold replica",
+                           chosen({BackendName("cold")}) == "primary");
+  }
+
+  void a_cold_one_without_tokens_is_passed_over() {
+    const std::set<BackendName> others{BackendName("warm"), BackendName("primary")};
+    CPPUNIT_ASSERT_EQUAL(std::string("cold"), chosen(others));
+    use("cold").cold_limit_reached_until = runtime_->now() + milliseconds(80);
+    CPPUNIT_ASSERT_EQUAL(std::string(), chosen(others));
+    const auto facts = group().facts_of(use("cold"), {});
+    CPPUNIT_ASSERT(facts.cold_limit_reached);
+    CPPUNIT_ASSERT(facts.back_in == milliseconds(80));
+    world_->run_for(milliseconds(81));
+    CPPUNIT_ASSERT_EQUAL(std::string("cold"), chosen(others));
+    use("warm").cold_limit_reached_until = runtime_->now() + seconds(1);
+    CPPUNIT_ASSERT_MESSAGE("a warm one has no limit", !group().facts_of(use("warm"), {}).cold_limit_reached);
+  }
+
+  void no_links_are_opened_ahead_to_a_cold_one() {
+    for (const char* name : {"warm", "primary"}) use(name).entry.leaving = true;
+    CPPUNIT_ASSERT(!group().warm_one());
+    use("cold").entry.cold_ms = 0;
+    CPPUNIT_ASSERT(group().warm_one());
+  }
+
+  void a_zone_that_comes_back_is_cold_for_a_while() {
+    registry::FleetDelta delta;
+    delta.revision = 2;
+    delta.ended_evacuations = {ZoneName("b")};
+    view_->apply(delta);
+    CPPUNIT_ASSERT_MESSAGE("another zone", !is_cold("warm"));
+    delta.revision = 3;
+    delta.ended_evacuations = {ZoneName("a")};
+    view_->apply(delta);
+    CPPUNIT_ASSERT(is_cold("warm"));
+    world_->run_for(kColdAfterEvacuation - milliseconds(1));
+    CPPUNIT_ASSERT(is_cold("warm"));
+    world_->run_for(milliseconds(2));
+    CPPUNIT_ASSERT(!is_cold("warm"));
+  }
+
+  void a_backend_that_was_gone_is_cold_until_control_confirms() {
+    RebirthWatch& rebirth = use("warm").rebirth;
+    rebirth.note_reached(runtime_->now());
+    CPPUNIT_ASSERT_MESSAGE("it was never gone", !is_cold("warm"));
+    rebirth.note_unreachable();
+    confirm(runtime_->now() + seconds(60));
+    CPPUNIT_ASSERT_MESSAGE("whatever is confirmed while it is gone", is_cold("warm"));
+    start(1.5, 5, 10);
+    use("warm").rebirth.note_unreachable();
+    use("warm").rebirth.note_reached(runtime_->now());
+    const TimePoint reached = runtime_->now();
+    confirm(reached + kRebornNews - milliseconds(1));
+    world_->run_for(seconds(30));
+    use("warm").rebirth.note_reached(runtime_->now());
+    CPPUNIT_ASSERT_MESSAGE("asked too early, and time alone proves nothing", is_cold("warm"));
+    confirm(reached + kRebornNews);
+    CPPUNIT_ASSERT(!is_cold("warm"));
+  }
+
+ private:
+  void start(double overshoot, double slack, double rate) {
+    view_ = std::make_unique<FleetView>(*runtime_, dialer_, settings(overshoot, slack));
+    view_->apply(fleet(rate));
+    need_.required = Position{1, 10};
+    need_.required_since = runtime_->now();
+    world_->run_for(milliseconds(100));
+  }
+  void confirm(TimePoint asked_at) { view_->extend_lease(asked_at, asked_at, 1); }
+  GroupAccess& group() { return *view_->find_group(kGroup); }
+  BackendUse& use(const std::string& name) { return *group().backends().at(BackendName(name)); }
+  bool is_cold(const std::string& name) { return group().is_cold(use(name)); }
+  std::string chosen(const std::set<BackendName>& excluded) {
+    const auto reader = group().choose_reader(need_, excluded);
+    return reader ? reader->entry.name.value : std::string();
+  }
+
+  std::unique_ptr<simulation::World> world_;
+  runtime::Runtime* runtime_ = nullptr;
+  NoDialer dialer_;
+  std::unique_ptr<FleetView> view_;
+  ReadNeed need_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ColdBackendTest);
+
+}  // namespace cairnhollow::session
