--- a/tests/limits/budget_home_test.cpp
+++ b/tests/limits/budget_home_test.cpp
@@ -9,8 +9,8 @@
 #include <string>
 #include <vector>
 
-#include "limits/limit_play.h"
 #include "limits/token_bucket.h"
+#include "tests/limits/limit_play.h"
 
 namespace cairnhollow::limits {
 
--- a/tests/limits/cold_backend_limit_test.cpp
+++ b/tests/limits/cold_backend_limit_test.cpp
@@ -5,8 +5,8 @@
 
 #include <string>
 
-#include "limits/limit_play.h"
 #include "session/cold_backend.h"
+#include "tests/limits/limit_play.h"
 
 namespace cairnhollow::limits {
 
--- a/tests/simulation/cold_backends_test.cpp
+++ b/tests/simulation/cold_backends_test.cpp
@@ -11,6 +11,7 @@
 
 namespace cairnhollow::simulation {
 
+using standins::unfenced::Database;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
--- a/tests/wire/registered_samples.cpp
+++ b/tests/wire/registered_samples.cpp
@@ -32,7 +32,9 @@
           800,
           150,
           2,
-          2500};
+          2500,
+          false,
+          {}};
 }
 
 BackendEntry any_backend() {
@@ -53,7 +55,9 @@
 
 GroupTerm any_term() { return {GroupName("group-1"), 4, BackendName("b-1"), true, 6, 21}; }
 
-TenantRule any_tenant() { return {TenantName("tenant-1"), {ApiKey("key-1"), ApiKey("key-2")}, 218, 200, 1}; }
+TenantRule any_tenant() {
+  return {TenantName("tenant-1"), {ApiKey("key-1"), ApiKey("key-2")}, 218, 200, 1, {}};
+}
 
 ConfigurationDocument any_document_with_tenants() {
   ConfigurationDocument document = any_document();
@@ -99,6 +103,17 @@
   add(samples, "registry_batch", LoggedCommand{batch});
 }
 
+/// Messages that builds before cold backends can't read.
+template <class Message>
+void add_with_places(Samples& samples, const std::string& name, const Message& message) {
+  const auto read_again = [](const std::string& bytes, Reason& reason) -> std::optional<std::string> {
+    const auto read = wire::decode<Message>(bytes, reason);
+    if (!read) return std::nullopt;
+    return wire::encode(*read, wire::kPlacesFormat);
+  };
+  samples.push_back({name, wire::encode(message, wire::kPlacesFormat), read_again});
+}
+
 /// Messages that builds before tenants can't read.
 template <class Message>
 void add_with_tenants(Samples& samples, const std::string& name, const Message& message) {
@@ -132,7 +147,10 @@
   add_with_tenants(samples, "session_forward_run_with_key",
                    session::ForwardRequest{1, session::ForwardRun{order}});
   add_with_tenants(samples, "session_forward_tokens",
-                   session::ForwardRequest{4, session::ForwardTokens{TenantName("tenant-1"), 2, 3}});
+                   session::ForwardRequest{4, session::ForwardTokens{TenantName("tenant-1"), 2, 3, {}}});
+  add_with_places(
+      samples, "session_forward_tokens_for_cold_backend",
+      session::ForwardRequest{6, session::ForwardTokens{TenantName(), 2, 1, BackendName("g1-b1")}});
   session::ForwardAnswer answer;
   answer.correlation = 4;
   answer.nothing_run = true;
