--- a/src/session/statement_attempt.h
+++ b/src/session/statement_attempt.h
@@ -40,10 +40,9 @@
   std::set<BackendName> excluded;
   ReadNeed need;
   TimePoint refuse_at{};  ///< until then somebody who can serve it is waited for
-  /// To the next token, where a cold backend had none.
-  std::optional<Duration> cold_wait;
-  bool offered = false;  ///< a backend that could run it has been asked
-  Reason reason;         ///< of the last failure
+  bool offered = false;   ///< a backend that could run it has been asked
+  Reason reason;          ///< of the last failure
+  Unplaced unplaced;      ///< why this proxy refuses it
   RunResult result;
 
   // Of the attempt under way.
@@ -53,6 +52,7 @@
   bool at_primary = false;
   bool needs_primary = false;           ///< the answer counts only while the primary of `epoch` may be used
   std::optional<TimePoint> cold_token;  ///< not used yet, and of use until then
+  placement::SendDecision last_look;
   TimePoint sent_at{};
   runtime::SendState sent = runtime::SendState::kNotSent;
 
@@ -64,9 +64,7 @@
 
   /// Whether nothing is lost when it runs once more.
   [[nodiscard]] bool may_run_again() const { return !order.writes || order.opens_transaction; }
-  [[nodiscard]] bool is_read() const {
-    return order.opens_transaction ? order.read_only_transaction : !order.writes;
-  }
+  [[nodiscard]] bool is_read() const { return order.reads(); }
 };
 
 }  // namespace cairnhollow::session
--- a/src/session/statement_cold.cpp
+++ b/src/session/statement_cold.cpp
@@ -23,8 +23,6 @@
   note_cold_limit(*attempt->order.group, *attempt->backend, admission);
   attempt->reason = Reason{ReasonCode::kOverloaded, "pass_cold", attempt->backend->entry.name.value,
                            "there is no token for the cold backend"};
-  attempt->cold_wait = admission.retry_after;
-  attempt->excluded.insert(attempt->backend->entry.name);
   co_return false;
 }
 
@@ -42,27 +40,6 @@
                                   {"retry_ms", std::to_string(in_ms(admission.retry_after))}});
 }
 
-bool StatementRunner::note_cold_wait(Attempt& attempt) {
-  if (attempt.cold_wait) return true;
-  const PlacementQuestion question{&attempt.need, &attempt.excluded};
-  const auto choice =
-      placement::choose_backend(attempt.need.primary_only, attempt.order.group->facts(question));
-  if (choice.backend || !choice.is_final || choice.obstacle != placement::Obstacle::kColdLimit) return false;
-  attempt.cold_wait = choice.back_in;
-  return true;
-}
-
-StatementRunner::Step StatementRunner::refuse(Attempt& attempt) {
-  give_up(attempt);
-  return Step::kDone;
-}
-
-void StatementRunner::withdraw(Attempt& attempt) {
-  if (attempt.order.opens_transaction) attempt.link->link().close();
-  attempt.backend->pool.release(attempt.link);
-  attempt.backend->gate.leave_unanswered();
-}
-
 void StatementRunner::give_cold_token_back(Attempt& attempt) {
   const auto token = std::exchange(attempt.cold_token, std::nullopt);
   if (token) services_.limits.give_back(limited(attempt.backend->entry.name), *token);
--- a/src/session/statement_log.cpp
+++ b/src/session/statement_log.cpp
@@ -1,6 +1,4 @@
 // What StatementRunner logs of statements: refusals, and where the time of slow ones went.
-#include <fmt/format.h>
-
 #include <chrono>
 
 #include "session/statement_attempt.h"
@@ -27,7 +25,9 @@
 }
 
 void StatementRunner::log_refusal(const RunOrder& order, const Answer& answer, const Reason& reason,
-                                  int attempts) {
+                                  int attempts, const Unplaced& unplaced) {
+  const bool is_own = unplaced.since != placement::Obstacle::kNone;
+  if (is_own) services_.metrics.count_unplaced(unplaced.since);
   const registry::GroupTerm& term = order.group->term();
   const Duration lease_left = services_.view.lease_until() - services_.runtime.now();
   services_.runtime.logger().log(
@@ -35,6 +35,9 @@
       {{"id", order.id},
        {"refusal", refusal_name(*answer.refusal)},
        {"why", answer.detail},
+       {"since", is_own ? placement::obstacle_name(unplaced.since) : ""},
+       {"passed_over", unplaced.passed_over},
+       {"back_in_ms", unplaced.back_in > Duration(0) ? std::to_string(in_ms(unplaced.back_in)) : ""},
        {"database", order.route.database.value},
        {"group", term.group.value},
        {"term", std::to_string(term.term)},
@@ -45,14 +48,4 @@
        {"waited_ms", std::to_string(in_ms(services_.runtime.now() - order.arrived))}});
 }
 
-RunResult StatementRunner::refuse_stalled(Attempt& attempt) {
-  Answer& answer = attempt.result.answer;
-  answer.refusal = Refusal::kBusy;
-  answer.detail = fmt::format("commits reach no replica now; come back in {} ms", in_ms(kComeBackAfter));
-  attempt.reason = Reason{ReasonCode::kOverloaded, "check_commits", attempt.order.group->term().primary.value,
-                          "commits sent before have no answer"};
-  log_refusal(attempt.order, answer, attempt.reason, 0);
-  return std::move(attempt.result);
-}
-
 }  // namespace cairnhollow::session
