--- a/src/session/limit_client.cpp
+++ b/src/session/limit_client.cpp
@@ -56,7 +56,9 @@
   bool answered = true;
   do {
     if (!std::exchange(account->asking, true)) runtime_.spawn("ask_homes", ask_homes(limit, account));
-    answered = co_await account->answered.wait_until(begun + kAdmissionLimit);
+    // Where this process counts itself, all is answered before the spawn returns.
+    answered = !account->asking;
+    if (!answered) answered = co_await account->answered.wait_until(begun + kAdmissionLimit);
     token = account->stock.take(runtime_.now());
   } while (!token && answered && account->last.outcome == AdmissionOutcome::kAdmitted);
   --account->waiting;
--- /dev/null
+++ b/tests/session/cold_sending_test.cpp
@@ -0,0 +1,310 @@
+// What is sent to a cold backend has a token that holds at that moment, in a transaction as well.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <functional>
+
+#include "session/statement_runner.h"
+#include "simulation/world.h"
+
+namespace cairnhollow::session {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const GroupName kGroup("group");
+const BackendName kBackend("db-1");
+const DatabaseName kDatabase("database");
+
+/// What all links to the backend share.
+struct Backend {
+  int statements = 0;
+  std::uint64_t position = 0;
+  Duration setup_takes{0};
+  std::function<void()> during_setup;
+  bool is_gone = false;
+};
+
+class CountingLink : public BackendLink {
+ public:
+  CountingLink(runtime::Runtime& runtime, Backend& backend) : runtime_(runtime), backend_(backend) {}
+
+  Awaitable<std::optional<Answer>> run(BackendRequest request, TimePoint /*deadline*/,
+                                       runtime::SendState& sent, Reason& /*reason*/) override {
+    sent = runtime::SendState::kMaybeSent;
+    if (std::holds_alternative<SetValue>(request)) {
+      co_await runtime_.sleep_for(backend_.setup_takes);
+      if (backend_.during_setup) backend_.during_setup();
+    }
+    if (std::holds_alternative<PassOn>(request)) ++backend_.statements;
+    if (std::holds_alternative<Begin>(request)) in_transaction_ = true;
+    Answer answer;
+    answer.position = Position{1, ++backend_.position};
+    answer.state = in_transaction_ ? TransactionState::kOpen : TransactionState::kIdle;
+    co_return answer;
+  }
+  std::optional<BackendStatus> read_status(const Answer& /*answer*/, Reason& /*reason*/) override {
+    return std::nullopt;
+  }
+  void close() override { open_ = false; }
+  [[nodiscard]] bool is_open() const override { return open_; }
+  [[nodiscard]] std::string peer() const override { return kBackend.value; }
+
+ private:
+  runtime::Runtime& runtime_;
+  Backend& backend_;
+  bool in_transaction_ = false;
+  bool open_ = true;
+};
+
+class CountingDialer : public BackendDialer {
+ public:
+  CountingDialer(runtime::Runtime& runtime, Backend& backend) : runtime_(runtime), backend_(backend) {}
+  Awaitable<std::shared_ptr<BackendLink>> open(BackendAddress /*address*/, TimePoint /*deadline*/,
+                                               std::optional<Refusal>& /*refusal*/, Reason& reason) override {
+    if (backend_.is_gone) reason = Reason{ReasonCode::kConnectionLost, "open", kBackend.value, "is gone"};
+    if (backend_.is_gone) co_return nullptr;
+    co_return std::make_shared<CountingLink>(runtime_, backend_);
+  }
+
+ private:
+  runtime::Runtime& runtime_;
+  Backend& backend_;
+};
+
+registry::BackendEntry entry(std::uint64_t cold_ms) {
+  registry::BackendEntry entry;
+  entry.name = kBackend;
+  entry.group = kGroup;
+  entry.endpoint = {"10.0.0.9", 1};
+  entry.zone = ZoneName("a");
+  entry.slots = 20;
+  entry.cold_ms = cold_ms;
+  return entry;
+}
+
+/// This proxy is the only one, and counts for all.
+registry::FleetDelta fleet(double cold_rate, std::uint64_t cold_ms) {
+  registry::FleetDelta delta;
+  delta.is_whole = true;
+  delta.revision = 1;
+  delta.document_version = 1;
+  registry::RouteRule route;
+  route.name = RouteName("route");
+  route.database = kDatabase;
+  route.group = kGroup;
+  route.timeout_ms = 900;
+  route.target_latency_ms = 1800;
+  delta.routes = {route};
+  registry::GroupRule rule;
+  rule.name = kGroup;
+  rule.cold_rate_per_s = cold_rate;
+  delta.groups = {rule};
+  delta.backends = {entry(cold_ms)};
+  delta.terms = {{kGroup, 1, kBackend, true, 1, 1, 0}};
+  delta.proxies = {{NodeName("proxy"), 1, ZoneName("a"), {"10.0.0.1", 7440}, false}};
+  return delta;
+}
+
+SessionProxySettings settings() {
+  SessionProxySettings settings;
+  settings.node = NodeName("proxy");
+  settings.zone = ZoneName("a");
+  settings.cold_overshoot = 1.5;
+  settings.cold_slack = 5;
+  return settings;
+}
+
+/// A proxy's part that runs statements, without its network.
+struct Proxy {
+  Proxy(runtime::Runtime& runtime, const registry::FleetDelta& delta)
+      : dialer(runtime, backend),
+        view(runtime, dialer, settings()),
+        link(runtime, settings(), view),
+        forwarder(runtime, NodeName("proxy"), ZoneName("a")),
+        limits(runtime, view, forwarder, metrics),
+        runner({runtime, view, link, metrics, forwarder, limits}) {
+    view.apply(delta);
+  }
+
+  Backend backend;
+  CountingDialer dialer;
+  FleetView view;
+  FleetLink link;
+  SessionMetrics metrics;
+  Forwarder forwarder;
+  LimitClient limits;
+  StatementRunner runner;
+};
+
+}  // namespace
+
+class ColdSendingTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ColdSendingTest);
+  CPPUNIT_TEST(what_is_above_the_limit_is_refused_at_once);
+  CPPUNIT_TEST(a_token_is_used_once);
+  CPPUNIT_TEST(a_token_that_expired_sends_nothing);
+  CPPUNIT_TEST(a_backend_that_turns_cold_meanwhile_gets_nothing_without_a_token);
+  CPPUNIT_TEST(a_transaction_waits_for_its_tokens);
+  CPPUNIT_TEST(a_transaction_without_a_token_is_given_up);
+  CPPUNIT_TEST(a_backend_that_was_gone_is_sent_its_cold_rate);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    world_ = std::make_unique<simulation::World>(simulation::WorldSettings{});
+    runtime_ = &world_->start_bare({"proxy", "10.0.0.1", ZoneName("a")});
+  }
+  void tearDown() override {
+    proxy_.reset();
+    world_.reset();
+  }
+
+  void what_is_above_the_limit_is_refused_at_once() {
+    // A third of the rate from a bucket of (1.5 + 5) / 3 tokens: two after a while.
+    start(6, 5000);
+    const auto results = run_side_by_side(6, milliseconds(20));
+    CPPUNIT_ASSERT_EQUAL(2, backend().statements);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{6}, results.size());
+    int refused = 0;
+    for (const RunResult& result : results) {
+      if (result.answer.succeeded()) continue;
+      ++refused;
+      CPPUNIT_ASSERT(result.answer.refusal == Refusal::kBusy);
+      CPPUNIT_ASSERT(result.nothing_run);
+      CPPUNIT_ASSERT_MESSAGE(result.answer.detail,
+                             result.answer.detail.find("come back in") != std::string::npos);
+    }
+    CPPUNIT_ASSERT_EQUAL(4, refused);
+  }
+
+  void a_token_is_used_once() {
+    start(6, 5000);
+    for (int round = 0; round < 8; ++round) run_side_by_side(1, milliseconds(25));
+    CPPUNIT_ASSERT_EQUAL(2, backend().statements);
+  }
+
+  void a_token_that_expired_sends_nothing() {
+    start(1, 5000);
+    backend().setup_takes = milliseconds(300);
+    const auto results = run_side_by_side(1, milliseconds(1000));
+    CPPUNIT_ASSERT(results.at(0).answer.refusal == Refusal::kBusy);
+    CPPUNIT_ASSERT_EQUAL(0, backend().statements);
+  }
+
+  void a_backend_that_turns_cold_meanwhile_gets_nothing_without_a_token() {
+    start(1, 5000);
+    run_side_by_side(1, milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("the only token is used", 1, backend().statements);
+    group()->put_backend(entry(0));
+    backend().during_setup = [this] { group()->put_backend(entry(4000)); };
+    const auto results = run_side_by_side(1, milliseconds(50), "second");
+    CPPUNIT_ASSERT(results.at(0).answer.refusal == Refusal::kBusy);
+    CPPUNIT_ASSERT_EQUAL(1, backend().statements);
+  }
+
+  void a_transaction_waits_for_its_tokens() {
+    start(6, 0);
+    const PinnedLink pinned = open_transaction();
+    group()->put_backend(entry(5000));
+    for (int further = 0; further < 2; ++further)
+      CPPUNIT_ASSERT(run_pinned(pinned, milliseconds(20)).succeeded());
+    CPPUNIT_ASSERT_EQUAL(3, backend().statements);
+    CPPUNIT_ASSERT(run_pinned(pinned, milliseconds(900)).succeeded());
+    CPPUNIT_ASSERT_EQUAL(4, backend().statements);
+  }
+
+  void a_transaction_without_a_token_is_given_up() {
+    start(1, 0);
+    const PinnedLink pinned = open_transaction();
+    group()->put_backend(entry(5000));
+    CPPUNIT_ASSERT(run_pinned(pinned, milliseconds(900)).succeeded());
+    const Answer answer = run_pinned(pinned, milliseconds(1000));
+    CPPUNIT_ASSERT(answer.refusal == Refusal::kAborted);
+    CPPUNIT_ASSERT_EQUAL(2, backend().statements);
+    CPPUNIT_ASSERT_MESSAGE("the backend rolls it back", !pinned.link->link().is_open());
+  }
+
+  void a_backend_that_was_gone_is_sent_its_cold_rate() {
+    start(6, 0);
+    run_side_by_side(5, milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("it is warm", 5, backend().statements);
+    for (const auto& [name, use] : group()->backends()) use->pool.close_idle();
+    backend().is_gone = true;
+    run_side_by_side(1, milliseconds(1000));
+    backend().is_gone = false;
+    const int before = backend().statements;
+    run_side_by_side(5, milliseconds(1000));
+    CPPUNIT_ASSERT_MESSAGE("what could be another life", backend().statements - before <= 3);
+    CPPUNIT_ASSERT(backend().statements > before);
+    proxy_->view.extend_lease(runtime_->now() + seconds(2), runtime_->now() + seconds(60), 1);
+    const int confirmed = backend().statements;
+    run_side_by_side(5, milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(5, backend().statements - confirmed);
+  }
+
+ private:
+  void start(double cold_rate, std::uint64_t cold_ms) {
+    proxy_ = std::make_unique<Proxy>(*runtime_, fleet(cold_rate, cold_ms));
+    confirm();
+    // The bucket begins with the first question.
+    proxy_->view.budgets().grant(*proxy_->view.cold_limit(kBackend), {}, runtime_->now());
+    world_->run_for(milliseconds(4500));
+    confirm();
+  }
+  void confirm() { proxy_->view.extend_lease(runtime_->now(), runtime_->now() + seconds(60), 1); }
+  Backend& backend() { return proxy_->backend; }
+  std::shared_ptr<GroupAccess> group() { return proxy_->view.find_group(kGroup); }
+
+  RunOrder order(const std::string& value = "first") {
+    RunOrder order;
+    order.route = *proxy_->view.find_route(kDatabase);
+    order.group = group();
+    order.id = "id";
+    order.writes = true;
+    order.values = {{"name", value}};
+    order.arrived = runtime_->now();
+    order.deadline = order.arrived + milliseconds(order.route.timeout_ms);
+    return order;
+  }
+  template <class Result>
+  static Awaitable<void> keep(Awaitable<Result> work, std::vector<Result>& results) {
+    Result result = co_await std::move(work);
+    results.push_back(std::move(result));
+  }
+  std::vector<RunResult> run_side_by_side(int count, Duration within, const std::string& value = "first") {
+    results_.clear();
+    for (int each = 0; each < count; ++each)
+      runtime_->spawn("run", keep(proxy_->runner.run(order(value)), results_));
+    world_->run_for(within);
+    return results_;
+  }
+  PinnedLink open_transaction() {
+    RunOrder opening = order();
+    opening.opens_transaction = true;
+    results_.clear();
+    runtime_->spawn("open", keep(proxy_->runner.run(std::move(opening)), results_));
+    world_->run_for(milliseconds(20));
+    CPPUNIT_ASSERT(!results_.empty() && results_[0].pinned);
+    CPPUNIT_ASSERT_EQUAL(1, backend().statements);
+    return *results_[0].pinned;
+  }
+  Answer run_pinned(const PinnedLink& pinned, Duration within) {
+    answers_.clear();
+    runtime_->spawn("further", keep(proxy_->runner.run_pinned(pinned, order(), false, false), answers_));
+    world_->run_for(within);
+    CPPUNIT_ASSERT(!answers_.empty());
+    return answers_[0];
+  }
+
+  std::unique_ptr<simulation::World> world_;
+  runtime::Runtime* runtime_ = nullptr;
+  std::unique_ptr<Proxy> proxy_;
+  std::vector<RunResult> results_;
+  std::vector<Answer> answers_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ColdSendingTest);
+
+}  // namespace cairnhollow::session
