--- a/src/session/statement_placement.cpp
+++ b/src/session/statement_placement.cpp
@@ -118,13 +118,17 @@
 placement::SendDecision StatementRunner::look_again(const Attempt& attempt,
                                                     const placement::SendFacts& facts) const {
   const GroupAccess& group = *attempt.order.group;
-  const PlacementQuestion question{nullptr, nullptr, &attempt.order.route, &attempt.order.tenant};
-  placement::BackendFacts backend = group.facts_of(*attempt.backend, question);
+  placement::BackendFacts backend = group.facts_of(*attempt.backend, question_of(attempt));
   // Its token is its own, whoever had none; and without one it is not sent, whatever others had.
   backend.cold_limit_reached = !holds_cold_token(attempt);
   return placement::before_sending(facts, backend);
 }
 
+bool StatementRunner::may_go_on(Attempt& attempt) const {
+  attempt.last_look = look_again(attempt, send_facts(attempt));
+  return attempt.last_look.action == SendAction::kSend;
+}
+
 Awaitable<placement::SendDecision> StatementRunner::last_look(std::shared_ptr<Attempt> attempt) {
   const RunOrder& order = attempt->order;
   const FleetView& view = services_.view;
