--- a/tests/session/cold_sending_test.cpp
+++ b/tests/session/cold_sending_test.cpp
@@ -219,7 +219,7 @@
     start(1, 0);
     const PinnedLink pinned = open_transaction();
     group()->put_backend(entry(5000));
-    CPPUNIT_ASSERT(run_pinned(pinned, milliseconds(900)).succeeded());
+    CPPUNIT_ASSERT(run_pinned(pinned, milliseconds(20)).succeeded());
     const Answer answer = run_pinned(pinned, milliseconds(1000));
     CPPUNIT_ASSERT(answer.refusal == Refusal::kAborted);
     CPPUNIT_ASSERT_EQUAL(2, backend().statements);
