--- a/standins/programs/cairnhollow_environment.cpp
+++ b/standins/programs/cairnhollow_environment.cpp
@@ -28,7 +28,7 @@
     R"(Everything around a registered fleet: stand-in backends, the promotion call, an operator, callers.
 
 Usage:
-  cairnhollow-environment --control=ENDPOINT... --proxy=ENDPOINT... --promotion=ENDPOINT [options]
+  cairnhollow-environment --control=ENDPOINT... --proxy=ENDPOINT... --promotion=ENDPOINT [--foreign=ENDPOINT]... [options]
   cairnhollow-environment (-h | --help)
 
 Options:
@@ -40,6 +40,8 @@
   --lag-ms=N            from a commit to its appearance at a replica [default: 8]
   --seed=N              of the backends' faults and the callers' choices [default: 1]
   --faults=WHICH        none, primaries (they crash, one after the other) or all [default: all]
+  --tenants             callers have keys, which are removed and given back; the proxies' key_bound is 5 s
+  --foreign=ENDPOINT    malformed registrations are sent there
   --report=FILE         writes the report there, too
   -h --help             prints this
 
@@ -80,6 +82,7 @@
                             {"writes_in_doubt", report.in_doubt},
                             {"promotions", report.promotions},
                             {"documents_acknowledged", report.documents},
+                            {"malformed_registrations", report.foreign},
                             {"gaps_ms", gaps},
                             {"violations_counted", report.violations.size()},
                             {"violations", violations}};
@@ -101,13 +104,16 @@
   const auto control = read_endpoints(options["--control"].asStringList());
   const auto proxies = read_endpoints(options["--proxy"].asStringList());
   const auto promotion = read_endpoints({options["--promotion"].asString()});
-  if (!control || !proxies || !promotion) return std::nullopt;
+  const auto foreign = read_endpoints(options["--foreign"].asStringList());
+  if (!control || !proxies || !promotion || !foreign) return std::nullopt;
+  settings.foreign_endpoints = *foreign;
   settings.control_endpoints = *control;
   settings.proxy_endpoints = *proxies;
   settings.promotion_endpoint = promotion->front();
   settings.groups = static_cast<std::size_t>(std::max(1L, options["--groups"].asLong()));
   settings.duration = std::chrono::seconds(options["--seconds"].asLong());
   settings.replica_lag = std::chrono::milliseconds(options["--lag-ms"].asLong());
+  settings.tenants = options["--tenants"].asBool();
   const std::string faults = options["--faults"].asString();
   if (faults == "none") settings.faults = unfenced::BackendFaults::kNone;
   if (faults == "primaries") settings.faults = unfenced::BackendFaults::kPrimaries;
--- a/standins/unfenced/environment.cpp
+++ b/standins/unfenced/environment.cpp
@@ -28,8 +28,26 @@
 /// A primary's crash is over for the callers within this time, or its gap counts as this long.
 constexpr Duration kGapWindow = seconds(6);
 constexpr int kLagFactor = 300;
+constexpr std::uint16_t kTrapPort = 9900;
+/// Of the limited tenant; its callers ask for several times as much.
+constexpr std::uint64_t kLimitedRate = 10;
+constexpr Duration kLimitSettles = seconds(4);
+/// Later than any run lasts.
+constexpr Duration kNotYet = std::chrono::hours(24);
 constexpr unsigned kOk = 200;
 
+registry::TenantRule tenant_of(const std::string& name, const std::string& key, std::uint64_t rate) {
+  registry::TenantRule tenant;
+  tenant.name = TenantName(name);
+  tenant.keys = {ApiKey(key)};
+  tenant.rate_per_s = rate;
+  tenant.burst = rate;
+  return tenant;
+}
+
+/// The keys that callers have, in turn. Of the last two one is always out of force.
+const std::vector<std::string> kKeys{"key-weka", "key-weka", "key-kea", "key-tui-1", "key-tui-2"};
+
 std::string database_name(const PolicyOfDatabase& policy, std::size_t group) {
   return fmt::format("{}-{}", policy.name, group);
 }
@@ -54,6 +72,7 @@
                          static_cast<std::uint16_t>(kFirstDatabasePort + place)};
     database.zone = ZoneName(kZones[place % kZones.size()]);
     database.control_endpoints = settings_.control_endpoints;
+    if (settings_.tenants) database.tenants = &tenant_history_;
     backends_[database.backend] = Backend{&group, database, nullptr};
   }
 }
@@ -81,6 +100,8 @@
     caller.policy = policy.policy;
     caller.staleness = milliseconds(policy.staleness_ms);
     caller.records = kRecords;
+    if (settings_.tenants) caller.key = ApiKey(kKeys[place % kKeys.size()]);
+    if (settings_.tenants) caller.tenants = &tenant_history_;
     Group& group = groups_[number - 1];
     runtime_.spawn("caller", run_caller(runtime_, caller, group.history, counts_.emplace_back(), stopped_));
   }
@@ -111,7 +132,8 @@
         databases.push_back(
             {database_name(policy, number), policy.policy, policy.staleness_ms, names.back()});
     }
-    const std::string text = document_text(++version_, databases, names);
+    ++version_;
+    const std::string text = document_text(version_, databases, names, begin_era());
     bool taken = false;
     while (!taken && !stopped_) {
       std::string body;
@@ -120,12 +142,37 @@
       taken = status == kOk;
       if (!taken) co_await runtime_.sleep_for(kDocumentRetry);
     }
-    if (taken) acknowledged_ = version_;
-    if (taken) ++documents_;
+    if (taken) note_acknowledged();
     co_await runtime_.sleep_for(kDocumentPause);
   }
 }
 
+std::vector<registry::TenantRule> Environment::begin_era() {
+  if (!settings_.tenants) return {};
+  const std::vector<registry::TenantRule> tenants{
+      tenant_of("weka", "key-weka", 0), tenant_of("kea", "key-kea", kLimitedRate),
+      tenant_of("tui", version_ % 2 == 0 ? "key-tui-1" : "key-tui-2", 0)};
+  for (const registry::TenantRule& tenant : tenants)
+    tenant_history_.eras.push_back({tenant, runtime_.now() + kNotYet});
+  return tenants;
+}
+
+void Environment::note_acknowledged() {
+  acknowledged_ = version_;
+  ++documents_;
+  for (TenantEra& era : tenant_history_.eras)
+    era.acknowledged_at = std::min(era.acknowledged_at, runtime_.now());
+}
+
+bool Environment::start_foreign() {
+  ForeignWriterSettings writer;
+  writer.registration_endpoints = settings_.foreign_endpoints;
+  for (const auto& [name, backend] : backends_) writer.backends.push_back(name);
+  writer.group = groups_.front().model->name();
+  writer.trap = {fmt::format("{}.1", settings_.database_network), kTrapPort};
+  return start_foreign_writer(runtime_, writer, foreign_history_, stopped_);
+}
+
 Awaitable<void> Environment::crash(BackendName name, Duration longest) {
   Backend& backend = backends_.at(name);
   if (backend.running == nullptr) co_return;
@@ -224,6 +271,13 @@
     report.in_doubt += counts.unknown;
   }
   report.documents = documents_;
+  report.foreign = foreign_history_.answered.size();
+  report.violations = find_foreign_violations(foreign_history_);
+  if (settings_.tenants) {
+    const TenantBounds bounds{settings_.key_bound, kLimitSettles, {}};
+    for (std::string& violation : find_tenant_violations(tenant_history_, bounds))
+      report.violations.push_back(std::move(violation));
+  }
   for (const Group& group : groups_) {
     report.promotions += group.model->promotions();
     for (const TimePoint at : group.crashes)
@@ -251,6 +305,7 @@
     const bool running = co_await start_backend(name);
     started = started && running;
   }
+  if (!settings_.foreign_endpoints.empty()) started = started && start_foreign();
   if (!started) {
     EnvironmentReport failed;
     failed.violations.emplace_back("the environment did not start");
--- a/standins/unfenced/environment.h
+++ b/standins/unfenced/environment.h
@@ -13,6 +13,7 @@
 #include "runtime/runtime.h"
 #include "standins/unfenced/caller.h"
 #include "standins/unfenced/database.h"
+#include "standins/unfenced/foreign_writer.h"
 #include "standins/unfenced/group_model.h"
 
 namespace cairnhollow::standins::unfenced {
@@ -30,6 +31,11 @@
   Duration replica_lag = std::chrono::milliseconds(8);
   Duration promotion_takes = std::chrono::milliseconds(300);
   BackendFaults faults = BackendFaults::kAll;
+  /// Callers have keys of tenants, of whom one is limited and one changes its key with each document.
+  bool tenants = false;
+  Duration key_bound = std::chrono::seconds(5);  ///< as the proxies are told
+  /// Where another writer, who keeps to no page, sends registrations; empty: there is none.
+  std::vector<Endpoint> foreign_endpoints;
 };
 
 /// What came of a run.
@@ -40,6 +46,7 @@
   std::uint64_t in_doubt = 0;
   std::uint64_t promotions = 0;
   std::uint64_t documents = 0;  ///< acknowledged
+  std::uint64_t foreign = 0;    ///< malformed registrations that were answered
   std::vector<Duration> gaps;   ///< the longest time without an acknowledged write after each primary's crash
   std::vector<std::string> violations;
 };
@@ -67,6 +74,11 @@
   void make_group(std::size_t number);
   Awaitable<bool> start_backend(BackendName name);
   void start_callers(std::size_t number);
+  bool start_foreign();
+  /// The tenants of the document of `version_`; noted before it is sent, since it may be in force before its
+  /// acknowledgement comes.
+  std::vector<registry::TenantRule> begin_era();
+  void note_acknowledged();
   Awaitable<void> send_documents();
   /// Status of the answer; 0: none.
   Awaitable<unsigned> call_control(runtime::HttpRequest request, std::string& body);
@@ -85,6 +97,8 @@
   std::vector<std::unique_ptr<Database>> databases_;  ///< ended ones, too: their coroutines refer to them
   std::unique_ptr<runtime::Role> promotions_;
   std::deque<CallerCounts> counts_;
+  TenantHistory tenant_history_;
+  ForeignHistory foreign_history_;
   std::uint64_t version_ = 0;       ///< of the document sent last
   std::uint64_t acknowledged_ = 0;  ///< the highest version that was
   std::uint64_t documents_ = 0;
--- /dev/null
+++ b/tests/control/registered/control_stand.cpp
@@ -0,0 +1,237 @@
+#include "tests/control/registered/control_stand.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "wire/codec.h"
+
+namespace cairnhollow::control::registered {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const GroupName kGroup("group");
+
+/// A connection to one of the stand's backends.
+class MemberLink : public session::BackendLink {
+ public:
+  MemberLink(ControlStand& stand, std::string member) : stand_(stand), member_(std::move(member)) {}
+
+  Awaitable<std::optional<session::Answer>> run(session::BackendRequest request, TimePoint deadline,
+                                                runtime::SendState& sent, Reason& reason) override {
+    sent = runtime::SendState::kMaybeSent;
+    ControlStand::Member& member = stand_.members[member_];
+    if (!member.answers) {
+      co_await stand_.runtime().sleep_for(deadline - stand_.now());
+      close();
+      reason = Reason{ReasonCode::kDeadlineExceeded, "ask_status", member_, "silent"};
+      co_return std::nullopt;
+    }
+    co_await stand_.runtime().sleep_for(milliseconds(1));
+    if (const auto* pause = std::get_if<session::Pause>(&request)) {
+      stand_.events.push_back({"pause " + member_, stand_.now()});
+      if (!member.forgets_pauses) member.status.pause_term = pause->term;
+    }
+    if (std::holds_alternative<session::Resume>(request)) member.status.pause_term = 0;
+    if (const auto* demote = std::get_if<session::Demote>(&request);
+        demote && demote->term > member.status.term)
+      member.status = {false, demote->term, member.status.received, 0};
+    session::Answer answer;
+    co_return answer;
+  }
+  std::optional<session::BackendStatus> read_status(const session::Answer& /*answer*/,
+                                                    Reason& /*reason*/) override {
+    return stand_.members[member_].status;
+  }
+  void close() override { open_ = false; }
+  [[nodiscard]] bool is_open() const override { return open_; }
+  [[nodiscard]] std::string peer() const override { return member_; }
+
+ private:
+  ControlStand& stand_;
+  std::string member_;
+  bool open_ = true;
+};
+
+}  // namespace
+
+Awaitable<std::optional<std::uint64_t>> ScriptedConsensus::propose(std::string command, TimePoint deadline,
+                                                                   Reason& reason) {
+  co_await runtime_.sleep_for(milliseconds(1));
+  if (!has_quorum) {
+    co_await runtime_.sleep_for(deadline - runtime_.now());
+    reason = Reason{ReasonCode::kOutcomeUnknown, "propose", "", "no quorum"};
+    co_return std::nullopt;
+  }
+  fleet_.apply(++index_, command);
+  co_return index_;
+}
+
+Awaitable<std::optional<std::uint64_t>> ScriptedConsensus::read_barrier(TimePoint deadline, Reason& reason) {
+  ++barriers;
+  co_await runtime_.sleep_for(barrier_takes);
+  if (during_barrier) std::exchange(during_barrier, nullptr)();
+  if (has_quorum) co_return index_;
+  co_await runtime_.sleep_for(deadline - runtime_.now());
+  reason = Reason{ReasonCode::kNoQuorum, "read_barrier", "", "no quorum"};
+  co_return std::nullopt;
+}
+
+consensus::ConsensusStatus ScriptedConsensus::status() const {
+  consensus::ConsensusStatus status;
+  status.state = is_leader ? consensus::ServerState::kLeader : consensus::ServerState::kFollower;
+  status.term = led_term;
+  status.leader = NodeName("10.0.0.1");
+  return status;
+}
+
+void ScriptedConsensus::commit(registry::Command command) {
+  fleet_.apply(++index_, wire::encode(registry::LoggedCommand{std::move(command)}));
+}
+
+Awaitable<bool> ProxyFrames::send(std::string frame, Reason& reason) {
+  while (open_ && stalls_) co_await changed_.wait();
+  if (!open_) co_return false;
+  auto update = wire::decode<registry::ProxyUpdate>(frame, reason);
+  if (update) updates.push_back(std::move(*update));
+  co_return true;
+}
+
+Awaitable<std::optional<std::string>> ProxyFrames::receive(Reason& /*reason*/) {
+  while (open_ && reports_.empty()) co_await changed_.wait();
+  if (!open_) co_return std::nullopt;
+  std::string frame = std::move(reports_.front());
+  reports_.pop_front();
+  co_return frame;
+}
+
+void ProxyFrames::close() {
+  open_ = false;
+  changed_.notify_all();
+}
+
+void ProxyFrames::report(const registry::ProxyReport& report) {
+  reports_.push_back(wire::encode(report));
+  changed_.notify_all();
+}
+
+void ProxyFrames::stall_sends(bool stalls) {
+  stalls_ = stalls;
+  changed_.notify_all();
+}
+
+Duration ProxyFrames::lease() const {
+  Duration longest{0};
+  for (const registry::ProxyUpdate& update : updates) longest = std::max(longest, update.lease);
+  return longest;
+}
+
+bool ProxyFrames::was_refused() const {
+  return std::any_of(updates.begin(), updates.end(),
+                     [](const auto& update) { return update.refusal.has_value(); });
+}
+
+ControlStand::ControlStand() : world_(std::make_unique<simulation::World>(simulation::WorldSettings{})) {
+  runtime_ = &world_->start_bare({"control", "10.0.0.1", ZoneName("a")});
+  run_for(seconds(30));
+  fleet_ = std::make_unique<registry::FleetStateMachine>(*runtime_);
+  consensus_ = std::make_unique<ScriptedConsensus>(*runtime_, *fleet_);
+  directory_ = std::make_unique<ControlNodeDirectory>(std::vector<Endpoint>{{"10.0.0.1", 7440}}, *consensus_);
+  calls_ = std::make_unique<LeaderCalls>(*runtime_, *consensus_, *directory_, NodeName("10.0.0.1"),
+                                         Endpoint{"10.0.0.1", 7440});
+  leases_ = std::make_unique<LeaseKeeper>(*runtime_, *consensus_, *fleet_, *directory_, *calls_, kLease);
+  prober_ = std::make_unique<GroupProber>(*runtime_, *this);
+  registry::ConfigurationDocument document;
+  document.version = 1;
+  document.text = "first";
+  registry::GroupRule rule;
+  rule.name = kGroup;
+  rule.synchronous_replicas = 1;
+  document.groups = {rule};
+  consensus_->commit(registry::ReplaceDocument{document});
+  std::uint16_t port = 9001;
+  for (const char* name : {"primary", "replica-1", "replica-2"}) {
+    consensus_->commit(registry::RegisterBackend{entry(name, port++)});
+    members[name].status = {false, 1, Position{1, 10}, 0};
+  }
+  members["primary"].status.is_primary = true;
+}
+
+// What still waits refers to the rest.
+ControlStand::~ControlStand() { world_.reset(); }
+
+bool ControlStand::finish(Awaitable<void> task) {
+  auto finished = std::make_shared<bool>(false);
+  const auto watch = [](Awaitable<void> watched, std::shared_ptr<bool> done) -> Awaitable<void> {
+    co_await std::move(watched);
+    *done = true;
+  };
+  runtime_->spawn("task", watch(std::move(task), finished));
+  return world_->run_until([finished] { return *finished; }, seconds(20));
+}
+
+registry::BackendEntry ControlStand::entry(const std::string& name, std::uint16_t port) {
+  registry::BackendEntry entry;
+  entry.name = BackendName(name);
+  entry.group = kGroup;
+  entry.endpoint = {"10.0.1.1", port};
+  entry.zone = ZoneName("a");
+  entry.slots = 2;
+  entry.sequence = 1;
+  return entry;
+}
+
+void ControlStand::open_group() {
+  consensus_->commit(registry::OpenGroup{kGroup, term().epoch, 1, BackendName("primary"), 0});
+}
+
+void ControlStand::admit(const std::string& proxy) {
+  consensus_->commit(registry::AdmitProxy{{NodeName(proxy), 1, ZoneName("a"), {"10.0.0.9", 7440}, false}});
+}
+
+std::shared_ptr<ProxyFrames> ControlStand::connect(const std::string& proxy) {
+  auto frames = std::make_shared<ProxyFrames>(*runtime_);
+  wire::Hello hello;
+  hello.conversation = wire::Conversation::kServing;
+  hello.node = NodeName(proxy);
+  hello.zone = ZoneName("a");
+  runtime_->spawn("serve", leases_->serve(frames, hello));
+  return frames;
+}
+
+registry::GroupTerm ControlStand::term() const {
+  const registry::GroupTerm* term = fleet_->find_term(kGroup);
+  return term == nullptr ? registry::GroupTerm{} : *term;
+}
+
+Awaitable<std::shared_ptr<session::BackendLink>> ControlStand::open(session::BackendAddress address,
+                                                                    TimePoint /*deadline*/,
+                                                                    std::optional<session::Refusal>& refusal,
+                                                                    Reason& reason) {
+  co_await runtime_->sleep_for(milliseconds(1));
+  const auto other = answering_at.find(address.endpoint);
+  if (other != answering_at.end() && other->second != address.backend.value) {
+    refusal = session::Refusal::kWrongBackend;
+    reason = Reason{ReasonCode::kConflict, "open_session", other->second, "another backend"};
+    co_return nullptr;
+  }
+  co_return std::make_shared<MemberLink>(*this, address.backend.value);
+}
+
+Awaitable<bool> ControlStand::promote(registry::PromotionOrder order, TimePoint /*deadline*/,
+                                      Reason& /*reason*/) {
+  events.push_back({"promote " + order.backend.value, now()});
+  Member& member = members[order.backend.value];
+  member.status = {true, member.status.term + 1, member.status.received, 0};
+  co_return true;
+}
+
+const ControlStand::Event* ControlStand::first(const std::string& what) const {
+  const auto found = std::find_if(events.begin(), events.end(),
+                                  [&](const Event& event) { return event.what.starts_with(what); });
+  return found == events.end() ? nullptr : &*found;
+}
+
+}  // namespace cairnhollow::control::registered
--- /dev/null
+++ b/tests/control/registered/control_stand.h
@@ -0,0 +1,144 @@
+// The parts of a registered fleet's control node on a bare runtime: a log that a quorum confirms or not,
+// backends that say what the test wants, proxies whose reports the test writes, and orders of promotion that
+// are noted.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "consensus/consensus.h"
+#include "control/registered/control_node_directory.h"
+#include "control/registered/group_prober.h"
+#include "control/registered/leader_calls.h"
+#include "control/registered/lease_keeper.h"
+#include "registry/control_service.h"
+#include "registry/state_machine.h"
+#include "session/backend_link.h"
+#include "simulation/world.h"
+
+namespace cairnhollow::control::registered {
+
+/// A log of one node that leads as long as the test says so.
+class ScriptedConsensus : public consensus::Consensus {
+ public:
+  ScriptedConsensus(runtime::Runtime& runtime, registry::FleetStateMachine& fleet)
+      : runtime_(runtime), fleet_(fleet) {}
+
+  Awaitable<std::optional<std::uint64_t>> propose(std::string command, TimePoint deadline,
+                                                  Reason& reason) override;
+  Awaitable<std::optional<std::uint64_t>> read_barrier(TimePoint deadline, Reason& reason) override;
+  Awaitable<bool> add_member(consensus::Member, TimePoint, Reason&) override { co_return false; }
+  Awaitable<bool> remove_member(NodeName, TimePoint, Reason&) override { co_return false; }
+  Awaitable<bool> replace_member(NodeName, consensus::Member, TimePoint, Reason&) override {
+    co_return false;
+  }
+  [[nodiscard]] consensus::ConsensusStatus status() const override;
+
+  /// Puts a command into the log at once.
+  void commit(registry::Command command);
+
+  bool is_leader = true;
+  bool has_quorum = true;  ///< else nothing is committed or confirmed, though it goes on thinking it leads
+  std::uint64_t led_term = 1;
+  Duration barrier_takes = std::chrono::milliseconds(1);
+  std::function<void()> during_barrier;  ///< happens once, before the next one is answered
+  int barriers = 0;                      ///< asked for
+
+ private:
+  runtime::Runtime& runtime_;
+  registry::FleetStateMachine& fleet_;
+  std::uint64_t index_ = 0;
+};
+
+/// A proxy's connection: the test writes reports and reads updates.
+class ProxyFrames : public runtime::FrameConnection {
+ public:
+  explicit ProxyFrames(runtime::Runtime& runtime) : changed_(runtime) {}
+  Awaitable<bool> send(std::string frame, Reason& reason) override;
+  Awaitable<std::optional<std::string>> receive(Reason& reason) override;
+  void close() override;
+  [[nodiscard]] std::string peer() const override { return "proxy"; }
+
+  void report(const registry::ProxyReport& report);
+  void stall_sends(bool stalls);
+  std::vector<registry::ProxyUpdate> updates;
+  /// The longest lease of all updates.
+  [[nodiscard]] Duration lease() const;
+  /// The newest refusal; kNone where none came.
+  [[nodiscard]] bool was_refused() const;
+
+ private:
+  runtime::Signal changed_;
+  std::deque<std::string> reports_;
+  bool open_ = true;
+  bool stalls_ = false;
+};
+
+class ControlStand : public session::BackendDialer, public registry::PromotionCaller {
+ public:
+  static constexpr Duration kLease = std::chrono::milliseconds(1500);
+
+  /// A document with one group, and three backends in it, of which "primary" leads term 1.
+  ControlStand();
+  ~ControlStand() override;
+
+  [[nodiscard]] runtime::Runtime& runtime() const { return *runtime_; }
+  [[nodiscard]] TimePoint now() const { return runtime().now(); }
+  void run_for(Duration duration) { world_->run_for(duration); }
+  /// Runs the task to its end.
+  bool finish(Awaitable<void> task);
+  static registry::BackendEntry entry(const std::string& name, std::uint16_t port);
+  /// Opens the group under "primary".
+  void open_group();
+  /// A proxy is admitted in its first life.
+  void admit(const std::string& proxy);
+  /// A proxy that is connected to the lease keeper.
+  std::shared_ptr<ProxyFrames> connect(const std::string& proxy);
+  [[nodiscard]] registry::GroupTerm term() const;
+
+  // What the backends do.
+  Awaitable<std::shared_ptr<session::BackendLink>> open(session::BackendAddress address, TimePoint deadline,
+                                                        std::optional<session::Refusal>& refusal,
+                                                        Reason& reason) override;
+  Awaitable<bool> promote(registry::PromotionOrder order, TimePoint deadline, Reason& reason) override;
+
+  struct Member {
+    session::BackendStatus status;
+    bool answers = true;
+    bool forgets_pauses = false;
+  };
+  std::map<std::string, Member> members;
+  /// Who answers at an address, where that is not who registered there last.
+  std::map<Endpoint, std::string> answering_at;
+  struct Event {
+    std::string what;  ///< e.g. "pause replica-1", "promote replica-1"
+    TimePoint at{};
+  };
+  std::vector<Event> events;
+  /// Null when nothing of the kind happened.
+  [[nodiscard]] const Event* first(const std::string& what) const;
+
+  registry::FleetStateMachine& fleet() { return *fleet_; }
+  ScriptedConsensus& consensus() { return *consensus_; }
+  LeaderCalls& calls() { return *calls_; }
+  LeaseKeeper& leases() { return *leases_; }
+  GroupProber& prober() { return *prober_; }
+  ControlNodeDirectory& directory() { return *directory_; }
+
+ private:
+  std::unique_ptr<simulation::World> world_;
+  runtime::Runtime* runtime_ = nullptr;
+  std::unique_ptr<registry::FleetStateMachine> fleet_;
+  std::unique_ptr<ScriptedConsensus> consensus_;
+  std::unique_ptr<ControlNodeDirectory> directory_;
+  std::unique_ptr<LeaderCalls> calls_;
+  std::unique_ptr<LeaseKeeper> leases_;
+  std::unique_ptr<GroupProber> prober_;
+};
+
+}  // namespace cairnhollow::control::registered
--- /dev/null
+++ b/tests/control/registered/group_keeper_test.cpp
@@ -0,0 +1,154 @@
+// The order of a change of primary: nobody is promoted before the old one is out of use, and only by a node
+// that leads at that moment.
+#include "control/registered/group_keeper.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "control/registered/knobs.h"
+#include "registry/member_lease.h"
+#include "tests/control/registered/control_stand.h"
+
+namespace cairnhollow::control::registered {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const GroupName kGroup("group");
+
+}  // namespace
+
+class GroupKeeperTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(GroupKeeperTest);
+  CPPUNIT_TEST(a_dead_primary_is_replaced);
+  CPPUNIT_TEST(a_proxy_with_a_lease_is_waited_for);
+  CPPUNIT_TEST(a_silent_proxys_member_leases_are_waited_for);
+  CPPUNIT_TEST(a_member_that_is_not_paused_is_not_promoted);
+  CPPUNIT_TEST(no_promotion_without_a_quorum);
+  CPPUNIT_TEST(no_promotion_by_who_was_held_up);
+  CPPUNIT_TEST(no_promotion_by_who_leads_no_more);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    stand_ = std::make_unique<ControlStand>();
+    stand_->leases().start();
+    stand_->open_group();
+    keeper_ = std::make_unique<GroupKeeper>(stand_->runtime(), stand_->consensus(), stand_->fleet(),
+                                            stand_->calls(), stand_->leases(), stand_->prober(), *stand_,
+                                            NodeName("10.0.0.1"));
+    keeper_->start();
+    // What an earlier leader gave is over, and members have settled.
+    stand_->run_for(seconds(20));
+  }
+  void tearDown() override { stand_.reset(); }
+
+  void a_dead_primary_is_replaced() {
+    kill_primary();
+    stand_->run_for(seconds(2));
+    CPPUNIT_ASSERT(stand_->first("promote") != nullptr);
+    CPPUNIT_ASSERT(stand_->term().open);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, stand_->term().term);
+    CPPUNIT_ASSERT_MESSAGE("nobody is silent", stand_->first("pause") == nullptr);
+  }
+
+  void a_proxy_with_a_lease_is_waited_for() {
+    const auto proxy = stand_->connect("proxy");
+    report(*proxy);
+    const TimePoint reported = stand_->now();
+    kill_primary();
+    stand_->run_for(seconds(5));
+    const auto* promoted = stand_->first("promote");
+    CPPUNIT_ASSERT(promoted != nullptr);
+    CPPUNIT_ASSERT(promoted->at >= reported + ControlStand::kLease - milliseconds(50));
+  }
+
+  void a_silent_proxys_member_leases_are_waited_for() {
+    const auto proxy = stand_->connect("proxy");
+    report(*proxy, stand_->fleet().revision());
+    report(*proxy, stand_->fleet().revision());
+    stand_->run_for(ControlStand::kLease + milliseconds(100));
+    kill_primary();
+    stand_->run_for(seconds(3));
+    const auto* paused = stand_->first("pause");
+    const auto* promoted = stand_->first("promote");
+    CPPUNIT_ASSERT(paused != nullptr && promoted != nullptr);
+    CPPUNIT_ASSERT(promoted->at - paused->at >= registry::kMemberLeaseWait);
+  }
+
+  void a_member_that_is_not_paused_is_not_promoted() {
+    const auto proxy = stand_->connect("proxy");
+    report(*proxy, stand_->fleet().revision());
+    report(*proxy, stand_->fleet().revision());
+    stand_->run_for(ControlStand::kLease + milliseconds(100));
+    for (const char* replica : {"replica-1", "replica-2"}) stand_->members[replica].forgets_pauses = true;
+    kill_primary();
+    stand_->run_for(seconds(3));
+    CPPUNIT_ASSERT(stand_->first("pause") != nullptr);
+    CPPUNIT_ASSERT(stand_->first("promote") == nullptr);
+  }
+
+  void no_promotion_without_a_quorum() {
+    close_group();
+    stand_->consensus().has_quorum = false;
+    stand_->run_for(seconds(3));
+    CPPUNIT_ASSERT_MESSAGE("it asks", stand_->consensus().barriers > 0);
+    CPPUNIT_ASSERT(stand_->first("promote") == nullptr);
+    stand_->consensus().has_quorum = true;
+    stand_->run_for(seconds(2));
+    CPPUNIT_ASSERT(stand_->first("promote") != nullptr);
+  }
+
+  void no_promotion_by_who_was_held_up() {
+    close_group();
+    stand_->consensus().barrier_takes = kPromotionFreshness + milliseconds(10);
+    stand_->run_for(seconds(3));
+    CPPUNIT_ASSERT(stand_->first("promote") == nullptr);
+    stand_->consensus().barrier_takes = milliseconds(1);
+    stand_->run_for(seconds(2));
+    CPPUNIT_ASSERT(stand_->first("promote") != nullptr);
+  }
+
+  void no_promotion_by_who_leads_no_more() {
+    close_group();
+    stand_->consensus().barrier_takes = milliseconds(20);
+    stand_->consensus().during_barrier = [this] { stand_->consensus().is_leader = false; };
+    stand_->run_for(seconds(3));
+    CPPUNIT_ASSERT(stand_->first("promote") == nullptr);
+  }
+
+ private:
+  void kill_primary() {
+    stand_->members["primary"].answers = false;
+    registry::PrimarySuspicion suspicion;
+    suspicion.group = kGroup;
+    suspicion.backend = BackendName("primary");
+    suspicion.term = 1;
+    for (const char* proxy : {"one", "two"}) keeper_->note_suspicion(NodeName(proxy), suspicion);
+  }
+
+  void close_group() {
+    stand_->members["primary"].answers = false;
+    stand_->consensus().barriers = 0;
+    stand_->consensus().commit(registry::CloseGroup{kGroup, stand_->term().epoch});
+  }
+
+  void report(ProxyFrames& proxy, std::uint64_t revision = 0) {
+    registry::ProxyReport report;
+    report.nonce = ++nonce_;
+    report.incarnation = 1;
+    report.revision = revision;
+    report.peer_endpoint = {"10.0.0.9", 7440};
+    proxy.report(report);
+    stand_->run_for(milliseconds(50));
+  }
+
+  std::unique_ptr<ControlStand> stand_;
+  std::unique_ptr<GroupKeeper> keeper_;
+  std::uint64_t nonce_ = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GroupKeeperTest);
+
+}  // namespace cairnhollow::control::registered
--- /dev/null
+++ b/tests/control/registered/lease_keeper_test.cpp
@@ -0,0 +1,158 @@
+// Who is given a lease, and who may still hold one when a group is closed.
+#include "control/registered/lease_keeper.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "control/registered/knobs.h"
+#include "tests/control/registered/control_stand.h"
+
+namespace cairnhollow::control::registered {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const GroupName kGroup("group");
+
+}  // namespace
+
+class LeaseKeeperTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LeaseKeeperTest);
+  CPPUNIT_TEST(a_report_is_answered_with_a_lease);
+  CPPUNIT_TEST(no_lease_without_a_quorum);
+  CPPUNIT_TEST(no_lease_over_a_change_of_leader);
+  CPPUNIT_TEST(no_lease_without_what_is_in_force);
+  CPPUNIT_TEST(a_lease_of_this_leader_is_waited_out);
+  CPPUNIT_TEST(a_lease_of_the_leader_before_is_waited_out);
+  CPPUNIT_TEST(an_answer_to_this_close_of_this_life_counts);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    stand_ = std::make_unique<ControlStand>();
+    stand_->leases().start();
+    stand_->open_group();
+  }
+  void tearDown() override { stand_.reset(); }
+
+  void a_report_is_answered_with_a_lease() {
+    const auto proxy = stand_->connect("proxy");
+    report(*proxy);
+    CPPUNIT_ASSERT(proxy->lease() == ControlStand::kLease);
+    CPPUNIT_ASSERT(!proxy->was_refused());
+  }
+
+  void no_lease_without_a_quorum() {
+    stand_->admit("proxy");
+    const auto proxy = stand_->connect("proxy");
+    stand_->consensus().has_quorum = false;
+    report(*proxy);
+    stand_->run_for(seconds(1));
+    CPPUNIT_ASSERT(proxy->lease() == Duration(0));
+    CPPUNIT_ASSERT(proxy->was_refused());
+  }
+
+  void no_lease_over_a_change_of_leader() {
+    stand_->admit("proxy");
+    const auto proxy = stand_->connect("proxy");
+    // Another led meanwhile, and may have replaced the primary.
+    stand_->consensus().during_barrier = [this] {
+      stand_->consensus().led_term += 2;
+      const auto other = stand_->connect("other");
+      other->report({});
+    };
+    stand_->consensus().barrier_takes = milliseconds(20);
+    report(*proxy);
+    CPPUNIT_ASSERT(proxy->lease() == Duration(0));
+  }
+
+  void no_lease_without_what_is_in_force() {
+    const auto first = stand_->connect("first");
+    const auto second = stand_->connect("second");
+    report(*first);
+    report(*second);
+    CPPUNIT_ASSERT(second->lease() == ControlStand::kLease);
+    second->updates.clear();
+    // So much that it is sent to one after the other.
+    first->stall_sends(true);
+    registry::ConfigurationDocument document;
+    document.version = 2;
+    const std::string padding(2000, 'x');
+    for (int number = 0; number < 4000; ++number) {
+      registry::RouteRule route;
+      route.name = RouteName(std::to_string(number) + padding);
+      route.database = DatabaseName(std::to_string(number));
+      document.routes.push_back(route);
+    }
+    stand_->consensus().commit(registry::ReplaceDocument{document});
+    stand_->run_for(seconds(1));
+    report(*second);
+    CPPUNIT_ASSERT(!second->updates.empty());
+    for (const auto& update : second->updates)
+      CPPUNIT_ASSERT(update.lease == Duration(0) || !update.delta.empty());
+    first->stall_sends(false);
+    stand_->run_for(seconds(1));
+    report(*second);
+    CPPUNIT_ASSERT(second->lease() == ControlStand::kLease);
+  }
+
+  void a_lease_of_this_leader_is_waited_out() {
+    stand_->run_for(ControlStand::kLease * 2);
+    const auto proxy = stand_->connect("proxy");
+    report(*proxy);
+    const TimePoint reported = stand_->now();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, progress(5).waiting_for);
+    stand_->run_for(ControlStand::kLease - milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, progress(5).waiting_for);
+    stand_->run_for(reported + ControlStand::kLease + milliseconds(1) - stand_->now());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, progress(5).waiting_for);
+    CPPUNIT_ASSERT_MESSAGE("it may have acknowledged something", !progress(5).all_answered);
+  }
+
+  void a_lease_of_the_leader_before_is_waited_out() {
+    stand_->admit("proxy");
+    stand_->run_for(ControlStand::kLease * 2);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, progress(5).waiting_for);
+    stand_->consensus().led_term += 2;
+    stand_->run_for(kLapsedTick);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("nobody knows what it was given", std::size_t{1}, progress(5).waiting_for);
+    stand_->run_for(ControlStand::kLease - kLapsedTick - milliseconds(10));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, progress(5).waiting_for);
+    stand_->run_for(kLapsedTick);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, progress(5).waiting_for);
+  }
+
+  void an_answer_to_this_close_of_this_life_counts() {
+    const auto proxy = stand_->connect("proxy");
+    report(*proxy, 2);
+    CPPUNIT_ASSERT(progress(2).all_answered);
+    CPPUNIT_ASSERT(progress(2).highest_acknowledged == (Position{1, 7}));
+    CPPUNIT_ASSERT_MESSAGE("of an earlier close", !progress(3).all_answered);
+    stand_->consensus().commit(
+        registry::AdmitProxy{{NodeName("proxy"), 2, ZoneName("a"), {"10.0.0.9", 7440}, false}});
+    CPPUNIT_ASSERT_MESSAGE("of a life that is over", !progress(2).all_answered);
+  }
+
+ private:
+  /// In the proxy's first life; `closed_epoch` 0: it tells of no closed group.
+  void report(ProxyFrames& proxy, std::uint64_t closed_epoch = 0) {
+    registry::ProxyReport report;
+    report.nonce = ++nonce_;
+    report.incarnation = 1;
+    report.peer_endpoint = {"10.0.0.9", 7440};
+    if (closed_epoch > 0) report.closed = {{kGroup, closed_epoch, Position{1, 7}}};
+    proxy.report(report);
+    stand_->run_for(milliseconds(50));
+  }
+  [[nodiscard]] CloseProgress progress(std::uint64_t epoch) {
+    return stand_->leases().close_progress(kGroup, epoch);
+  }
+
+  std::unique_ptr<ControlStand> stand_;
+  std::uint64_t nonce_ = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LeaseKeeperTest);
+
+}  // namespace cairnhollow::control::registered
--- /dev/null
+++ b/tests/control/registered/registration_service_test.cpp
@@ -0,0 +1,104 @@
+// What a control node tells operators and backends is in force at the moment at which it says so.
+#include "control/registered/registration_service.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "control/registered/voter_keeper.h"
+#include "tests/control/registered/control_stand.h"
+
+namespace cairnhollow::control::registered {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class RegistrationServiceTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RegistrationServiceTest);
+  CPPUNIT_TEST(the_document_is_read_with_a_quorum_only);
+  CPPUNIT_TEST(an_old_document_is_acknowledged_with_a_quorum_only);
+  CPPUNIT_TEST(nothing_is_acknowledged_before_the_group_is_complete);
+  CPPUNIT_TEST(who_is_not_who_answers_at_its_address_is_refused);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    stand_ = std::make_unique<ControlStand>();
+    voters_ = std::make_unique<VoterKeeper>(stand_->runtime(), stand_->consensus(), stand_->directory(), 1);
+    service_ = std::make_unique<RegistrationService>(stand_->runtime(), stand_->consensus(), stand_->fleet(),
+                                                     stand_->calls(), *voters_, stand_->prober());
+  }
+  void tearDown() override { stand_.reset(); }
+
+  void the_document_is_read_with_a_quorum_only() {
+    CPPUNIT_ASSERT(read() == "first");
+    stand_->consensus().has_quorum = false;
+    CPPUNIT_ASSERT(!read());
+  }
+
+  void an_old_document_is_acknowledged_with_a_quorum_only() {
+    stand_->run_for(seconds(10));
+    CPPUNIT_ASSERT(replace(1));
+    stand_->consensus().has_quorum = false;
+    CPPUNIT_ASSERT(!replace(1));
+  }
+
+  void nothing_is_acknowledged_before_the_group_is_complete() {
+    CPPUNIT_ASSERT(!replace(1));
+    CPPUNIT_ASSERT(!replace(2));
+    stand_->run_for(seconds(10));
+    CPPUNIT_ASSERT(replace(2));
+  }
+
+  void who_is_not_who_answers_at_its_address_is_refused() {
+    const registry::BackendEntry former = ControlStand::entry("former", 9001);
+    stand_->answering_at[former.endpoint] = "primary";
+    CPPUNIT_ASSERT(!register_backend(former));
+    CPPUNIT_ASSERT(stand_->fleet().find_backend(BackendName("primary")) != nullptr);
+    stand_->answering_at[former.endpoint] = "former";
+    CPPUNIT_ASSERT(register_backend(former));
+    CPPUNIT_ASSERT(stand_->fleet().find_backend(BackendName("primary")) == nullptr);
+  }
+
+ private:
+  std::optional<std::string> read() {
+    const auto task = [](RegistrationService& service, std::optional<std::string>& text) -> Awaitable<void> {
+      Reason reason;
+      text = co_await service.read_document(reason);
+    };
+    std::optional<std::string> text;
+    CPPUNIT_ASSERT(stand_->finish(task(*service_, text)));
+    return text;
+  }
+
+  bool replace(std::uint64_t version) {
+    const auto task = [](RegistrationService& service, std::uint64_t number, bool& done) -> Awaitable<void> {
+      Reason reason;
+      registry::ConfigurationDocument document;
+      document.version = number;
+      document.text = "another";
+      done = co_await service.replace_document(std::move(document), reason);
+    };
+    bool done = false;
+    CPPUNIT_ASSERT(stand_->finish(task(*service_, version, done)));
+    return done;
+  }
+
+  bool register_backend(const registry::BackendEntry& entry) {
+    const auto task = [](RegistrationService& service, registry::BackendEntry wanted,
+                         bool& done) -> Awaitable<void> {
+      Reason reason;
+      const auto registration = co_await service.register_backend(std::move(wanted), reason);
+      done = registration.has_value();
+    };
+    bool done = false;
+    CPPUNIT_ASSERT(stand_->finish(task(*service_, entry, done)));
+    return done;
+  }
+
+  std::unique_ptr<ControlStand> stand_;
+  std::unique_ptr<VoterKeeper> voters_;
+  std::unique_ptr<RegistrationService> service_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RegistrationServiceTest);
+
+}  // namespace cairnhollow::control::registered
--- /dev/null
+++ b/tests/session/fleet_view_test.cpp
@@ -0,0 +1,60 @@
+// Who is thought to serve what, by the fleet as a proxy knows it.
+#include "session/fleet_view.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+#include "tests/session/session_stand.h"
+
+namespace cairnhollow::session {
+
+class FleetViewTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FleetViewTest);
+  CPPUNIT_TEST(nothing_is_forwarded_to_a_proxy_that_leaves);
+  CPPUNIT_TEST(a_primary_is_used_under_a_lease_of_its_epoch);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override { stand_ = std::make_unique<SessionStand>(); }
+  void tearDown() override { stand_.reset(); }
+
+  void nothing_is_forwarded_to_a_proxy_that_leaves() {
+    put_proxy("other", false);
+    CPPUNIT_ASSERT(knows("other"));
+    put_proxy("other", true);
+    CPPUNIT_ASSERT(!knows("other"));
+  }
+
+  void a_primary_is_used_under_a_lease_of_its_epoch() {
+    FleetView& view = stand_->view();
+    const GroupAccess& group = *stand_->group();
+    const std::uint64_t epoch = group.term().epoch;
+    CPPUNIT_ASSERT_MESSAGE("without a lease", !view.may_use_primary(group, epoch));
+    stand_->confirm(std::chrono::seconds(1), std::chrono::seconds(1));
+    CPPUNIT_ASSERT(view.may_use_primary(group, epoch));
+    CPPUNIT_ASSERT_MESSAGE("of another epoch", !view.may_use_primary(group, epoch + 1));
+    stand_->close_group();
+    CPPUNIT_ASSERT_MESSAGE("of a closed group", !view.may_use_primary(group, epoch + 1));
+  }
+
+ private:
+  void put_proxy(const std::string& name, bool leaving) {
+    registry::FleetDelta delta = stand_->delta();
+    delta.proxies = {{NodeName(name), 1, ZoneName("a"), {"10.0.0.2", 7440}, leaving}};
+    stand_->view().apply(delta);
+  }
+  [[nodiscard]] bool knows(const std::string& name) {
+    const auto holds = [&](const std::vector<routing::ProxyPointer>& proxies) {
+      return std::any_of(proxies.begin(), proxies.end(),
+                         [&](const routing::ProxyPointer& proxy) { return proxy->name.value == name; });
+    };
+    return holds(stand_->view().others()) || holds(stand_->view().also_serving(GroupName("group")));
+  }
+
+  std::unique_ptr<SessionStand> stand_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetViewTest);
+
+}  // namespace cairnhollow::session
--- /dev/null
+++ b/tests/session/forward_server_test.cpp
@@ -0,0 +1,138 @@
+// What another proxy forwards is run under this one's lease, for the tenant that its key proves here.
+#include "session/forward_server.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "session/forwarder.h"
+#include "tests/session/session_stand.h"
+
+namespace cairnhollow::session {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr Duration kLong = seconds(4);
+const Endpoint kEndpoint{"10.0.0.1", 7440};
+
+}  // namespace
+
+class ForwardServerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ForwardServerTest);
+  CPPUNIT_TEST(a_forwarded_write_is_run);
+  CPPUNIT_TEST(a_key_that_is_not_known_here_may_be_known_elsewhere);
+  CPPUNIT_TEST(without_a_lease_another_is_to_be_tried_at_once);
+  CPPUNIT_TEST(a_transaction_goes_on_with_its_key_only);
+  CPPUNIT_TEST(what_is_open_for_who_is_gone_is_rolled_back);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    stand_ = std::make_unique<SessionStand>();
+    server_ = std::make_unique<ForwardServer>(stand_->services());
+    Reason reason;
+    CPPUNIT_ASSERT(server_->start(kEndpoint, reason));
+    runtime::Runtime& other = stand_->start_process("other", "10.0.0.2");
+    forwarder_ = std::make_unique<Forwarder>(other, NodeName("other"), ZoneName("a"));
+  }
+  void tearDown() override {
+    stand_.reset();
+    server_.reset();
+    forwarder_.reset();
+  }
+
+  void a_forwarded_write_is_run() {
+    stand_->confirm(kLong, kLong);
+    const ForwardAnswer answer = call(ForwardRun{order("w")});
+    CPPUNIT_ASSERT(answer.answer.succeeded() && answer.at_primary);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stand_->sent_to(SessionStand::kPrimary).size());
+    CPPUNIT_ASSERT_EQUAL(std::string(SessionStand::kTenant), stand_->dialled_for().front());
+  }
+
+  void a_key_that_is_not_known_here_may_be_known_elsewhere() {
+    stand_->confirm(kLong, kLong);
+    stand_->remove_key();
+    const ForwardAnswer answer = call(ForwardRun{order("w")});
+    CPPUNIT_ASSERT(answer.answer.refusal == Refusal::kBusy);
+    CPPUNIT_ASSERT(answer.may_try_another && answer.nothing_run);
+    CPPUNIT_ASSERT(stand_->sent_to(SessionStand::kPrimary).empty());
+  }
+
+  void without_a_lease_another_is_to_be_tried_at_once() {
+    stand_->confirm(milliseconds(10), kLong);
+    stand_->run_for(milliseconds(100));
+    const TimePoint asked_at = stand_->now();
+    const ForwardAnswer answer = call(ForwardRun{order("w")});
+    CPPUNIT_ASSERT(answer.answer.refusal == Refusal::kBusy);
+    CPPUNIT_ASSERT(answer.may_try_another && answer.nothing_run);
+    CPPUNIT_ASSERT_MESSAGE("its own wait for a lease would cost the caller another's answer",
+                           stand_->now() - asked_at < milliseconds(100));
+  }
+
+  void a_transaction_goes_on_with_its_key_only() {
+    stand_->confirm(kLong, kLong);
+    ForwardedOrder first = order("first");
+    first.opens_transaction = true;
+    const ForwardAnswer opened = call(ForwardRun{first});
+    CPPUNIT_ASSERT(opened.pin > 0);
+    CPPUNIT_ASSERT(call(ForwardInTransaction{opened.pin, order("second"), false, true}).answer.succeeded());
+    stand_->remove_key();
+    const ForwardAnswer late = call(ForwardInTransaction{opened.pin, order("late"), false, true});
+    CPPUNIT_ASSERT(late.answer.refusal == Refusal::kAborted);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, stand_->sent_to(SessionStand::kPrimary).size());
+  }
+
+  void what_is_open_for_who_is_gone_is_rolled_back() {
+    stand_->confirm(kLong, kLong);
+    ForwardedOrder first = order("first");
+    first.opens_transaction = true;
+    CPPUNIT_ASSERT(call(ForwardRun{first}).pin > 0);
+    bool rolled_back = false;
+    stand_->during(Step::kRollback, [&rolled_back] { rolled_back = true; });
+    connection_->close();
+    stand_->run_for(seconds(1));
+    CPPUNIT_ASSERT(rolled_back);
+  }
+
+ private:
+  static ForwardedOrder order(const std::string& id) {
+    ForwardedOrder order;
+    order.route.database = DatabaseName("database");
+    order.route.group = GroupName("group");
+    order.key = ApiKey(SessionStand::kKey);
+    order.id = id;
+    order.text = id;
+    order.writes = true;
+    order.time_left = seconds(3);
+    return order;
+  }
+
+  template <class Body>
+  ForwardAnswer call(Body body) {
+    const auto task = [](ForwardServerTest& test, ForwardRequest request,
+                         std::optional<ForwardAnswer>& told) -> Awaitable<void> {
+      Reason reason;
+      const TimePoint deadline = test.stand_->now() + seconds(4);
+      const auto proxy = std::make_shared<routing::ProxyView>(
+          routing::ProxyView{NodeName("proxy"), ZoneName("a"), kEndpoint});
+      if (!test.connection_) test.connection_ = co_await test.forwarder_->connect(proxy, deadline, reason);
+      if (test.connection_) told = co_await test.connection_->call(std::move(request), deadline, reason);
+    };
+    ForwardRequest request;
+    request.body = std::move(body);
+    std::optional<ForwardAnswer> answer;
+    CPPUNIT_ASSERT(stand_->finish(task(*this, std::move(request), answer)));
+    CPPUNIT_ASSERT(answer.has_value());
+    return *answer;
+  }
+
+  std::unique_ptr<SessionStand> stand_;
+  std::unique_ptr<ForwardServer> server_;
+  std::unique_ptr<Forwarder> forwarder_;
+  std::shared_ptr<ForwardConnection> connection_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ForwardServerTest);
+
+}  // namespace cairnhollow::session
