--- a/tests/session/session_stand.cpp
+++ b/tests/session/session_stand.cpp
@@ -99,6 +99,7 @@
                                        runtime::SendState& sent, Reason& reason) override {
     sent = open_ ? runtime::SendState::kMaybeSent : runtime::SendState::kNotSent;
     const Step step = step_of(request);
+    if (open_ && (step == Step::kSetValue || step == Step::kPrepare)) ++stand_.set_ups_;
     if (open_ && step == Step::kBegin) stand_.sent_[backend_].emplace_back("begin");
     if (open_ && step == Step::kStatement) stand_.sent_[backend_].push_back(text_of(request));
     if (const auto event = stand_.take_event(step)) {
--- a/tests/session/session_stand.h
+++ b/tests/session/session_stand.h
@@ -63,6 +63,8 @@
   void during(Step step, std::function<void()> event);
   /// What the backend was sent that is of callers: texts, executions and begins.
   [[nodiscard]] const std::vector<std::string>& sent_to(const std::string& backend) { return sent_[backend]; }
+  /// Values and prepared statements that were put on links.
+  [[nodiscard]] int set_ups() const { return set_ups_; }
   [[nodiscard]] const std::vector<std::string>& dialled_for() const { return dialled_for_; }
   /// What backends say that they are.
   std::map<std::string, BackendStatus> statuses;
@@ -97,6 +99,7 @@
   std::map<Step, std::function<void()>> events_;
   std::map<std::string, std::vector<std::string>> sent_;
   std::vector<std::string> dialled_for_;  ///< tenants
+  int set_ups_ = 0;
   std::uint64_t position_ = 10;
 };
 
