--- a/tests/control/registered/control_stand.cpp
+++ b/tests/control/registered/control_stand.cpp
@@ -71,8 +71,9 @@
 
 Awaitable<std::optional<std::uint64_t>> ScriptedConsensus::read_barrier(TimePoint deadline, Reason& reason) {
   ++barriers;
-  co_await runtime_.sleep_for(barrier_takes);
+  co_await runtime_.sleep_for(barrier_takes / 2);
   if (during_barrier) std::exchange(during_barrier, nullptr)();
+  co_await runtime_.sleep_for(barrier_takes / 2);
   if (has_quorum) co_return index_;
   co_await runtime_.sleep_for(deadline - runtime_.now());
   reason = Reason{ReasonCode::kNoQuorum, "read_barrier", "", "no quorum"};
--- a/tests/control/registered/control_stand.h
+++ b/tests/control/registered/control_stand.h
@@ -46,7 +46,7 @@
   bool has_quorum = true;  ///< else nothing is committed or confirmed, though it goes on thinking it leads
   std::uint64_t led_term = 1;
   Duration barrier_takes = std::chrono::milliseconds(1);
-  std::function<void()> during_barrier;  ///< happens once, before the next one is answered
+  std::function<void()> during_barrier;  ///< happens once, in the middle of the next one
   int barriers = 0;                      ///< asked for
 
  private:
--- a/tests/session/caller_session_test.cpp
+++ b/tests/session/caller_session_test.cpp
@@ -208,8 +208,12 @@
     stand_->run_for(kLong);
     stand_->confirm(kLong, kWhole);
     open(SessionStand::kKey);
-    for (int statement = 0; statement < 100; ++statement)
+    for (int statement = 0; statement < 100; ++statement) {
+      stand_->confirm(kLong, kWhole);
       CPPUNIT_ASSERT(ask(StatementKind::kWrite, "w").refusal == Refusal::kBusy);
+      const std::string& why = caller_->answers.back().detail;
+      CPPUNIT_ASSERT_MESSAGE(why, why.starts_with("the group has no primary"));
+    }
   }
 
  private:
@@ -223,7 +227,10 @@
   Answer ask(StatementKind kind, const std::string& text) {
     const std::size_t before = caller_->answers.size();
     caller_->say(kind, text);
-    stand_->run_for(milliseconds(10));
+    for (int wait = 0; wait < 300 && caller_->answers.size() == before; ++wait)
+      stand_->run_for(milliseconds(10));
+    // What it does after its answer.
+    stand_->run_for(milliseconds(1));
     CPPUNIT_ASSERT_EQUAL(before + 1, caller_->answers.size());
     return caller_->answers.back();
   }
--- a/tests/session/session_stand.cpp
+++ b/tests/session/session_stand.cpp
@@ -107,6 +107,7 @@
       event();
       if (open_) co_await closed_.wait_until(stand_.now() + kEventfulStep / 2);
     }
+    if (step == Step::kStatus) co_await closed_.wait_until(stand_.now() + milliseconds(1));
     if (step == Step::kStatus && stand_.silent.count(backend_) > 0)
       co_await closed_.wait_until(stand_.now() + seconds(1));
     if (!open_) {
--- a/tests/session/statement_runner_test.cpp
+++ b/tests/session/statement_runner_test.cpp
@@ -122,7 +122,7 @@
     for (const Step step : {Step::kGate, Step::kDial, Step::kSetValue, Step::kPrepare}) {
       for (const Change& change : changes_of_keys()) {
         start();
-        prepare(change, step, SessionStand::kReplica);
+        prepare(change, step);
         const RunResult result = run(replica_read("r"));
         assert_nothing_sent(change, step);
         CPPUNIT_ASSERT_MESSAGE(describe(change, step), result.answer.refusal == change.single);
@@ -244,7 +244,7 @@
 
   void what_may_have_run_needs_a_token() {
     // Confirmed so long ago that this proxy may count for nobody.
-    stand_->confirm(kLong, kShort);
+    stand_->confirm(kLong, seconds(1));
     stand_->limit_tenant(1);
     RunOrder order = stand_->write("r");
     order.writes = false;
@@ -284,10 +284,11 @@
     runner_ = std::make_unique<StatementRunner>(stand_->services());
   }
 
-  void prepare(const Change& change, Step step, const char* backend = SessionStand::kPrimary) {
+  void prepare(const Change& change, Step step) {
     stand_->confirm(change.lease, change.keys);
     stand_->during(step, [this, &change] { change.event(*stand_); });
-    if (step == Step::kGate) stand_->occupy_gate(backend);
+    if (step != Step::kGate) return;
+    for (const char* backend : {SessionStand::kPrimary, SessionStand::kReplica}) stand_->occupy_gate(backend);
   }
 
   void assert_nothing_sent(const Change& change, Step step) {
