--- a/tests/session/forward_server_test.cpp
+++ b/tests/session/forward_server_test.cpp
@@ -37,9 +37,11 @@
     forwarder_ = std::make_unique<Forwarder>(other, NodeName("other"), ZoneName("a"));
   }
   void tearDown() override {
-    stand_.reset();
-    server_.reset();
+    // Connections end in their world.
+    connection_.reset();
     forwarder_.reset();
+    server_.reset();
+    stand_.reset();
   }
 
   void a_forwarded_write_is_run() {
