--- a/tests/session/statement_runner_test.cpp
+++ b/tests/session/statement_runner_test.cpp
@@ -68,7 +68,7 @@
   CPPUNIT_TEST(nothing_of_a_replicas_read_is_sent_without_a_key);
   CPPUNIT_TEST(nothing_of_a_new_transaction_is_sent_after_a_change);
   CPPUNIT_TEST(a_write_goes_to_the_new_primary_only);
-  CPPUNIT_TEST(nothing_is_put_on_a_link_of_a_given_up_primary);
+  CPPUNIT_TEST(nothing_is_done_for_a_given_up_primary);
   CPPUNIT_TEST(an_open_transaction_ends_with_a_change);
   CPPUNIT_TEST(a_commit_is_not_sent_after_a_change);
   CPPUNIT_TEST(a_transaction_that_rested_is_not_the_new_primarys);
@@ -158,12 +158,22 @@
     }
   }
 
-  void nothing_is_put_on_a_link_of_a_given_up_primary() {
+  void nothing_is_done_for_a_given_up_primary() {
     for (const Change& change : changes_of_primary()) {
       start();
       prepare(change, Step::kDial);
       run(stand_->write("w"));
       CPPUNIT_ASSERT_EQUAL_MESSAGE(change.name, 0, stand_->set_ups());
+      start();
+      prepare(change, Step::kGate);
+      run(stand_->write("w"));
+      CPPUNIT_ASSERT_MESSAGE(change.name, stand_->dialled_for().empty());
+      start();
+      prepare(change, Step::kPrepare);
+      RunOrder first = stand_->write("w");
+      first.opens_transaction = true;
+      run(first);
+      CPPUNIT_ASSERT_MESSAGE("not even begun", sent(SessionStand::kPrimary).empty());
     }
   }
 
