--- a/tests/control/registered/promotion_choice_test.cpp
+++ b/tests/control/registered/promotion_choice_test.cpp
@@ -338,12 +338,6 @@
                            choose_promotion(known, true).verdict == PromotionVerdict::kPromote);
   }
 
- private:
-  static MemberFinding life(const std::string& name, std::uint64_t born_ms,
-                            std::optional<session::BackendStatus> status) {
-    MemberFinding member = finding(name, status);
-    member.entry.born_ms = born_ms;
-    return member;
   void of_proved_ones_where_most_routes_may_write() {
     auto known = facts_with_regions();
     known.all_acknowledgers_answered = true;
@@ -373,6 +367,14 @@
     known.members[0].status = leading(9);
     CPPUNIT_ASSERT_EQUAL(std::string("b"), choose_promotion(known, true).backend.value);
   }
+
+ private:
+  static MemberFinding life(const std::string& name, std::uint64_t born_ms,
+                            std::optional<session::BackendStatus> status) {
+    MemberFinding member = finding(name, status);
+    member.entry.born_ms = born_ms;
+    return member;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PromotionChoiceTest);
