--- a/tests/session/group_access_test.cpp
+++ b/tests/session/group_access_test.cpp
@@ -15,10 +15,11 @@
 class NoDialer : public BackendDialer {
  public:
   Awaitable<std::shared_ptr<BackendLink>> open(BackendAddress /*address*/, TimePoint /*deadline*/,
-                                               std::optional<Refusal>& /*refusal*/,
-                                               Reason& /*reason*/) override {
+                                               std::optional<Refusal>& refusal, Reason& /*reason*/) override {
+    if (full) refusal = Refusal::kConnectionLimit;
     co_return nullptr;
   }
+  bool full = false;
 };
 
 registry::BackendEntry backend(const std::string& name, std::uint16_t port) {
@@ -41,6 +42,7 @@
   CPPUNIT_TEST(a_member_that_joins_ends_the_lease_of_the_others);
   CPPUNIT_TEST(facts_are_neutral_of_what_is_not_known);
   CPPUNIT_TEST(facts_follow_what_is_known);
+  CPPUNIT_TEST(a_full_backend_is_the_last_choice);
   CPPUNIT_TEST(a_leaving_primary_is_used_for_a_while);
   CPPUNIT_TEST(a_primary_of_a_closed_group_is_not_used);
   CPPUNIT_TEST_SUITE_END();
@@ -131,6 +133,15 @@
     CPPUNIT_ASSERT_MESSAGE("asked of no read", !group_->facts_of(use("replica-2"), {}).lags);
   }
 
+  void a_full_backend_is_the_last_choice() {
+    dialer_.full = true;
+    runtime_->spawn("dial", dial(use("replica-1").pool));
+    world_->run_for(milliseconds(1));
+    CPPUNIT_ASSERT(group_->facts_of(use("replica-1"), {&need_}).refused);
+    CPPUNIT_ASSERT(!group_->facts_of(use("replica-2"), {&need_}).refused);
+    CPPUNIT_ASSERT_EQUAL(std::string("replica-2"), group_->choose_reader(need_, {})->entry.name.value);
+  }
+
   void a_leaving_primary_is_used_for_a_while() {
     registry::BackendEntry leaving = backend("primary", 1);
     leaving.leaving = true;
@@ -153,6 +164,14 @@
   }
 
  private:
+  Awaitable<void> dial(StatefulPool& pool) {
+    std::optional<Refusal> refusal;
+    Reason reason;
+    const TimePoint soon = runtime_->now() + milliseconds(1);
+    const LinkDeadlines deadlines{soon, soon};
+    LinkWish wish;
+    co_await pool.acquire(std::move(wish), deadlines, refusal, reason);
+  }
   BackendUse& use(const std::string& name) { return *group_->backends().at(BackendName(name)); }
 
   std::unique_ptr<simulation::World> world_;
