A primary that control has not heard again of shows nothing old: scenario; where things are shown

Cause: the position that reads at a primary ask for was held by no scenario. Change: a primary starts again empty out of control's reach while proxies reach it under a good lease.

--- a/tests/simulation/incarnations_test.cpp
+++ b/tests/simulation/incarnations_test.cpp
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(a_removed_database_serves_again_in_its_next_life);
   CPPUNIT_TEST(late_heartbeats_of_a_former_life_change_nothing_wherever_they_arrive);
   CPPUNIT_TEST(a_primary_that_starts_again_empty_is_replaced);
+  CPPUNIT_TEST(a_primary_that_control_has_not_heard_again_of_shows_nothing_old);
   CPPUNIT_TEST(an_empty_replica_is_not_counted_for_a_primary_that_is_cut_off);
   CPPUNIT_TEST(a_member_without_its_log_gives_no_lease);
   CPPUNIT_TEST(a_member_that_was_never_asked_before_gives_none_either);
@@ -86,6 +87,19 @@
     });
   }
 
+  /// Its next life can't register, and proxies reach it under a good lease.
+  void a_primary_that_control_has_not_heard_again_of_shows_nothing_old() {
+    check([](RegisteredFleet& fleet) {
+      const std::string old_primary = fleet.primary();
+      fleet.run_for(seconds(1));
+      fleet.cut_from_all_control(old_primary);
+      fleet.restart_empty(old_primary);
+      const std::uint64_t before = fleet.acknowledged();
+      fleet.run_for(seconds(5));
+      CPPUNIT_ASSERT(fleet.acknowledged() > before + 20);
+    });
+  }
+
   /// The replica that heard the newest commits starts again empty while the primary is out of reach, and the
   /// other has heard nothing for a while: only the primary still holds them.
   void an_empty_replica_is_not_counted_for_a_primary_that_is_cut_off() {
