registration_outdated is logged once a life and node

Cause: a removed backend that goes on sending would log a line each heartbeat. Change: lives that were told are remembered, at most 1024.

--- a/src/control/registered/knobs.h
+++ b/src/control/registered/knobs.h
@@ -15,6 +15,9 @@
 /// Commands that may be gathered go to the log at most once in this time, each time with at most so many.
 inline constexpr Duration kGathering = std::chrono::milliseconds(20);
 inline constexpr std::size_t kMostGathered = 512;
+/// Lives of backends that are over and register all the same, remembered so that each is logged once: more
+/// than start in an hour where 500 machines are replaced a day. Beyond it they are logged anew.
+inline constexpr std::size_t kMostToldOutdated = 1024;
 /// The proxies that backends are sent to for saying the same again are looked up at most this often.
 inline constexpr Duration kTakersInterval = std::chrono::milliseconds(200);
 /// A proxy's question is kept so long while no leader is known, and answered at once when one is: within the
--- a/src/control/registered/registration_service.cpp
+++ b/src/control/registered/registration_service.cpp
@@ -87,6 +87,8 @@
 
 void RegistrationService::note_outdated(const registry::BackendEntry& entry) {
   ++counts_.outdated;
+  if (told_outdated_.size() >= kMostToldOutdated) told_outdated_.clear();
+  if (!told_outdated_.insert(entry.incarnation()).second) return;
   const registry::BackendEntry* held = fleet_.find_backend(entry.name);
   if (held == nullptr) held = fleet_.find_backend_at(entry.endpoint);
   const std::uint64_t held_born = held != nullptr ? held->born_ms : fleet_.ended_birth(entry.name);
--- a/src/control/registered/registration_service.h
+++ b/src/control/registered/registration_service.h
@@ -1,6 +1,8 @@
 // What operators and backends ask of any control node of a registered fleet.
 #pragma once
 
+#include <set>
+
 #include "consensus/consensus.h"
 #include "control/registered/group_prober.h"
 #include "control/registered/leader_calls.h"
@@ -46,7 +48,7 @@
 
   /// Whether the entry is of a life that is over, by what the log holds of its name and its address.
   [[nodiscard]] bool is_of_former_life(const registry::BackendEntry& entry) const;
-  /// Logs and counts one that is.
+  /// Counts one that is, and logs the first of each life.
   void note_outdated(const registry::BackendEntry& entry);
   /// Whether another backend, registered at the same address, answers there: then the registration is a late
   /// one of an incarnation that is gone. Taken in, it would displace the other for good, since who was
@@ -64,8 +66,9 @@
   GroupProber& prober_;
   TimePoint begun_;
   RegistrationCounts counts_;
-  std::map<ZoneName, std::vector<Endpoint>> takers_;  ///< proxies that stay, by zone
-  std::uint64_t takers_revision_ = 0;                 ///< of the fleet that they were taken from
+  std::set<registry::BackendIncarnation> told_outdated_;  ///< logged already
+  std::map<ZoneName, std::vector<Endpoint>> takers_;      ///< proxies that stay, by zone
+  std::uint64_t takers_revision_ = 0;                     ///< of the fleet that they were taken from
   TimePoint takers_at_{};
 };
 
