Evacuations: tests of a cut-off control node, of a proxy's copy; the nearest replica is the evacuated one

Cause: with the guard of replicas taken out of a scratch copy, nothing_new_goes_to_replicas_of_an_evacuated_zone passed: the backend that it evacuated was never the best one.

--- a/tests/session/group_access_test.cpp
+++ b/tests/session/group_access_test.cpp
@@ -74,10 +74,14 @@
   }
 
   void nothing_new_goes_to_replicas_of_an_evacuated_zone() {
-    registry::BackendEntry inside = backend("replica-1", 2);
-    inside.zone = ZoneName("b");
-    group_->put_backend(inside);
-    evacuated_->begin(ZoneName("b"), runtime_->now());
+    // The replica in the proxy's own zone would be the best.
+    for (const char* name : {"primary", "replica-2"}) {
+      registry::BackendEntry outside = backend(name, name == std::string("primary") ? 1 : 3);
+      outside.zone = ZoneName("b");
+      group_->put_backend(outside);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("replica-1"), group_->choose_reader(need_, {})->entry.name.value);
+    evacuated_->begin(ZoneName("a"), runtime_->now());
     CPPUNIT_ASSERT_EQUAL(std::string("replica-2"), group_->choose_reader(need_, {})->entry.name.value);
     CPPUNIT_ASSERT_EQUAL(std::string("primary"),
                          group_->choose_reader(need_, {BackendName("replica-2")})->entry.name.value);
--- a/tests/simulation/evacuation_test.cpp
+++ b/tests/simulation/evacuation_test.cpp
@@ -106,6 +106,7 @@
   CPPUNIT_TEST(a_zone_is_left_in_time_and_its_primary_is_followed_while_it_runs);
   CPPUNIT_TEST(a_zone_that_is_given_back_serves_again);
   CPPUNIT_TEST(the_same_order_again_is_acknowledged_again);
+  CPPUNIT_TEST(a_control_node_that_is_cut_off_acknowledges_nothing);
   CPPUNIT_TEST(unknown_and_malformed_zones_are_refused);
   CPPUNIT_TEST(an_open_transaction_gets_its_time_and_is_aborted);
   CPPUNIT_TEST(a_leader_killed_halfway_is_followed);
@@ -162,6 +163,22 @@
     });
   }
 
+  void a_control_node_that_is_cut_off_acknowledges_nothing() {
+    check([](RegisteredFleet& fleet) {
+      expect_order(fleet, kSecondZone, true, milliseconds(200));
+      const std::string former = fleet.leader();
+      for (const char* other : {"control-1", "control-2", "control-3"}) {
+        if (other != former) fleet.cut(former, other);
+      }
+      fleet.run_for(seconds(2));
+      expect_order(fleet, kSecondZone, false, seconds(5));
+      CPPUNIT_ASSERT_MESSAGE("it holds there, and only there",
+                             fleet.ask_evacuation(former, kSecondZone, true) != kOk);
+      fleet.heal();
+      fleet.run_for(seconds(2));
+    });
+  }
+
   void unknown_and_malformed_zones_are_refused() {
     check([](RegisteredFleet& fleet) {
       for (const bool begins : {true, false}) {
