--- a/tests/session/statement_regions_test.cpp
+++ b/tests/session/statement_regions_test.cpp
@@ -2,6 +2,7 @@
 // primary's position that reads beside a primary outside live by.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "session/caller_session.h"
 #include "session/position_question.h"
 #include "session/statement_runner.h"
 #include "simulation/world.h"
@@ -33,8 +34,12 @@
       ++script_.statuses;
       if (script_.meanwhile) script_.meanwhile();
     }
+    if (std::holds_alternative<Begin>(request)) in_transaction_ = true;
+    if (std::holds_alternative<Rollback>(request)) in_transaction_ = false;
     if (std::holds_alternative<PassOn>(request)) ++script_.statements;
-    co_return Answer{};
+    Answer answer;
+    answer.state = in_transaction_ ? TransactionState::kOpen : TransactionState::kIdle;
+    co_return answer;
   }
   std::optional<BackendStatus> read_status(const Answer& /*answer*/, Reason& /*reason*/) override {
     return BackendStatus{true, 1, Position{1, 9}};
@@ -46,6 +51,7 @@
  private:
   runtime::Runtime& runtime_;
   StatusScript& script_;
+  bool in_transaction_ = false;
   bool open_ = true;
 };
 
@@ -127,6 +133,39 @@
   StatementRunner runner;
 };
 
+/// Begins, reads 50 ms later, ends, and reads once more.
+class ReadingCaller : public CallerConnection {
+ public:
+  explicit ReadingCaller(runtime::Runtime& runtime) : runtime_(runtime) {}
+  Awaitable<std::optional<SessionStart>> read_start(TimePoint /*deadline*/, Reason& /*reason*/) override {
+    co_return SessionStart{DatabaseName("records"), ApiKey()};
+  }
+  Awaitable<bool> accept(Reason& /*reason*/) override { co_return true; }
+  Awaitable<void> refuse(Refusal /*refusal*/, std::string /*detail*/) override { co_return; }
+  Awaitable<std::optional<Statement>> read_statement(Reason& /*reason*/) override {
+    co_await runtime_.sleep_for(milliseconds(50));
+    if (answers.size() == kinds_.size()) co_return std::nullopt;
+    Statement statement;
+    statement.kind = kinds_[answers.size()];
+    statement.id = "id";
+    co_return statement;
+  }
+  Awaitable<bool> answer(const Answer& answer, Reason& /*reason*/) override {
+    answers.push_back(answer);
+    co_return true;
+  }
+  void close() override {}
+  [[nodiscard]] bool is_open() const override { return true; }
+  [[nodiscard]] std::string peer() const override { return "caller"; }
+
+  std::vector<Answer> answers;
+
+ private:
+  runtime::Runtime& runtime_;
+  const std::vector<StatementKind> kinds_{StatementKind::kBeginReadOnly, StatementKind::kRead,
+                                          StatementKind::kRollback, StatementKind::kRead};
+};
+
 }  // namespace
 
 class StatementRegionsTest : public CppUnit::TestFixture {
@@ -136,6 +175,7 @@
   CPPUNIT_TEST(what_is_shut_out_is_not_passed_on);
   CPPUNIT_TEST(a_bounded_read_has_the_position_asked_for);
   CPPUNIT_TEST(a_position_of_a_primary_that_was_replaced_does_not_count);
+  CPPUNIT_TEST(a_changed_document_binds_the_next_transaction);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -188,7 +228,31 @@
     CPPUNIT_ASSERT(!group_->wants_position(milliseconds(1500)));
   }
 
+  void a_changed_document_binds_the_next_transaction() {
+    bind_route("south");
+    const auto caller = std::make_shared<ReadingCaller>(*runtime_);
+    const auto session =
+        std::make_shared<CallerSession>(SessionServices{*runtime_, proxy_->view, proxy_->link,
+                                                        proxy_->metrics, proxy_->forwarder, proxy_->limits},
+                                        caller);
+    runtime_->spawn("session", session->run());
+    CPPUNIT_ASSERT(world_->run_until([&] { return caller->answers.size() == 1; }, seconds(1)));
+    bind_route("west");
+    world_->run_for(seconds(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, caller->answers.size());
+    CPPUNIT_ASSERT_MESSAGE("in the transaction", caller->answers[1].succeeded());
+    CPPUNIT_ASSERT_MESSAGE("after it", caller->answers[3].refusal == Refusal::kBusy);
+  }
+
  private:
+  void bind_route(const std::string& region) {
+    registry::FleetDelta delta;
+    delta.revision = ++revision_;
+    delta.routes = fleet().routes;
+    delta.routes.front().allowed_regions = {RegionName(region)};
+    proxy_->view.apply(delta);
+  }
+
   RunOrder write_in(const std::vector<std::string>& of_route, const std::vector<std::string>& of_tenant) {
     std::vector<RegionName> route;
     std::vector<RegionName> tenant;
@@ -233,6 +297,7 @@
 
   const locality::RegionMap map_{settings().zone_regions};
   Duration took_{0};
+  std::uint64_t revision_ = 1;
   std::unique_ptr<simulation::World> world_;
   runtime::Runtime* runtime_ = nullptr;
   std::unique_ptr<Proxy> proxy_;
