--- a/tests/session/statement_regions_test.cpp
+++ b/tests/session/statement_regions_test.cpp
@@ -138,7 +138,7 @@
  public:
   explicit ReadingCaller(runtime::Runtime& runtime) : runtime_(runtime) {}
   Awaitable<std::optional<SessionStart>> read_start(TimePoint /*deadline*/, Reason& /*reason*/) override {
-    co_return SessionStart{DatabaseName("records"), ApiKey()};
+    co_return SessionStart{DatabaseName("records"), ApiKey("key")};
   }
   Awaitable<bool> accept(Reason& /*reason*/) override { co_return true; }
   Awaitable<void> refuse(Refusal /*refusal*/, std::string /*detail*/) override { co_return; }
@@ -229,7 +229,7 @@
   }
 
   void a_changed_document_binds_the_next_transaction() {
-    bind_route("south");
+    bind_tenant("south");
     const auto caller = std::make_shared<ReadingCaller>(*runtime_);
     const auto session =
         std::make_shared<CallerSession>(SessionServices{*runtime_, proxy_->view, proxy_->link,
@@ -237,7 +237,7 @@
                                         caller);
     runtime_->spawn("session", session->run());
     CPPUNIT_ASSERT(world_->run_until([&] { return caller->answers.size() == 1; }, seconds(1)));
-    bind_route("west");
+    bind_tenant("west");
     world_->run_for(seconds(1));
     CPPUNIT_ASSERT_EQUAL(std::size_t{4}, caller->answers.size());
     CPPUNIT_ASSERT_MESSAGE("in the transaction", caller->answers[1].succeeded());
@@ -245,11 +245,17 @@
   }
 
  private:
-  void bind_route(const std::string& region) {
+  /// This proxy serves the tenant alone.
+  void bind_tenant(const std::string& region) {
     registry::FleetDelta delta;
     delta.revision = ++revision_;
-    delta.routes = fleet().routes;
-    delta.routes.front().allowed_regions = {RegionName(region)};
+    delta.requires_keys = true;
+    delta.removed_proxies = {NodeName("other")};
+    registry::TenantRule tenant;
+    tenant.name = TenantName("kea");
+    tenant.keys = {ApiKey("key")};
+    tenant.allowed_regions = {RegionName(region)};
+    delta.tenants = {tenant};
     proxy_->view.apply(delta);
   }
 
