--- a/simulation/registered_fleet.cpp
+++ b/simulation/registered_fleet.cpp
@@ -6,9 +6,7 @@
 #include <set>
 
 #include "platform/edge.h"
-#include "session/forward_messages.h"
 #include "standins/unfenced/document_text.h"
-#include "wire/codec.h"
 
 namespace cairnhollow::simulation {
 
@@ -231,31 +229,8 @@
   return 0;
 }
 
-void RegisteredFleet::note_regions() {
-  RegionEra era{settings_.database_regions, {}, world_.now()};
-  for (const registry::TenantRule& tenant : settings_.tenants)
-    era.by_tenant[tenant.name] = tenant.allowed_regions;
-  region_history_.eras.push_back(std::move(era));
-}
-
-void RegisteredFleet::record_forwarded(const std::string& receiver, const std::string& frame) {
-  Reason reason;
-  const auto request = wire::decode<session::ForwardRequest>(frame, reason);
-  if (!request) return;
-  const auto* run = std::get_if<session::ForwardRun>(&request->body);
-  const auto* further = std::get_if<session::ForwardInTransaction>(&request->body);
-  if (run == nullptr && further == nullptr) return;
-  const session::ForwardedOrder& order = run != nullptr ? run->order : further->order;
-  const ZoneName zone(kZones[(number_of(receiver) - 1) % kZones.size()]);
-  region_history_.placed.push_back({order.id, zone, false, world_.now()});
-}
-
 bool RegisteredFleet::start() {
-  region_history_.zone_regions = settings_.zone_regions;
-  world_.network().record_frames(
-      [this](const std::string& sender, const std::string& receiver, const std::string& frame) {
-        if (sender.starts_with("proxy-") && receiver.starts_with("proxy-")) record_forwarded(receiver, frame);
-      });
+  record_regions();
   for (std::size_t number = 1; number <= settings_.control_nodes; ++number) start_control(number);
   for (std::size_t number = 1; number <= settings_.proxies; ++number) start_proxy(number);
   start_databases();
--- a/simulation/registered_fleet.h
+++ b/simulation/registered_fleet.h
@@ -109,6 +109,7 @@
   std::string document(std::uint64_t version) const;
   /// Notes each statement that one proxy sends to another.
   void record_forwarded(const std::string& receiver, const std::string& frame);
+  void record_regions();
   void note_regions();
   [[nodiscard]] std::string address_of(const std::string& name) const;
   [[nodiscard]] std::vector<Endpoint> control_endpoints(std::uint16_t port) const;
--- a/standins/unfenced/region_history.cpp
+++ b/standins/unfenced/region_history.cpp
@@ -24,11 +24,13 @@
                 Duration settles) {
   const auto zone = history.zone_regions.find(placed.zone);
   const RegionName region = zone == history.zone_regions.end() ? RegionName() : zone->second;
-  for (auto era = history.eras.rbegin(); era != history.eras.rend(); ++era) {
-    if (allows(*era, caller, region)) return true;
-    if (era->acknowledged_at + settles <= placed.at) return false;
-  }
-  return true;
+  const auto bound = std::find_if(history.eras.rbegin(), history.eras.rend(), [&](const RegionEra& era) {
+    return era.acknowledged_at + settles <= placed.at;
+  });
+  // Before the first document binds, nothing does.
+  if (bound == history.eras.rend()) return true;
+  return std::any_of(history.eras.rbegin(), bound + 1,
+                     [&](const RegionEra& era) { return allows(era, caller, region); });
 }
 
 }  // namespace
--- a/tests/session/group_regions_test.cpp
+++ b/tests/session/group_regions_test.cpp
@@ -9,7 +9,6 @@
 namespace cairnhollow::session {
 
 using std::chrono::milliseconds;
-using std::chrono::seconds;
 
 namespace {
 
--- a/tests/simulation/regions_test.cpp
+++ b/tests/simulation/regions_test.cpp
@@ -11,7 +11,6 @@
 namespace cairnhollow::simulation {
 
 using standins::unfenced::PlacedStatement;
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 namespace {
