--- a/tests/session/cold_sending_test.cpp
+++ b/tests/session/cold_sending_test.cpp
@@ -24,20 +24,28 @@
   Duration setup_takes{0};
   std::function<void()> during_setup;
   bool is_gone = false;
+  bool breaks_off = false;  ///< statements
+  int life = 1;             ///< links to an earlier one have ended
 };
 
 class CountingLink : public BackendLink {
  public:
-  CountingLink(runtime::Runtime& runtime, Backend& backend) : runtime_(runtime), backend_(backend) {}
+  CountingLink(runtime::Runtime& runtime, Backend& backend)
+      : runtime_(runtime), backend_(backend), life_(backend.life) {}
 
   Awaitable<std::optional<Answer>> run(BackendRequest request, TimePoint /*deadline*/,
-                                       runtime::SendState& sent, Reason& /*reason*/) override {
+                                       runtime::SendState& sent, Reason& reason) override {
     sent = runtime::SendState::kMaybeSent;
     if (std::holds_alternative<SetValue>(request)) {
       co_await runtime_.sleep_for(backend_.setup_takes);
       if (backend_.during_setup) backend_.during_setup();
     }
     if (std::holds_alternative<PassOn>(request)) ++backend_.statements;
+    if (std::holds_alternative<PassOn>(request) && backend_.breaks_off) {
+      reason = Reason{ReasonCode::kConnectionLost, "run", kBackend.value, "broke off"};
+      open_ = false;
+      co_return std::nullopt;
+    }
     if (std::holds_alternative<Begin>(request)) in_transaction_ = true;
     Answer answer;
     answer.position = Position{1, ++backend_.position};
@@ -48,12 +56,13 @@
     return std::nullopt;
   }
   void close() override { open_ = false; }
-  [[nodiscard]] bool is_open() const override { return open_; }
+  [[nodiscard]] bool is_open() const override { return open_ && life_ == backend_.life; }
   [[nodiscard]] std::string peer() const override { return kBackend.value; }
 
  private:
   runtime::Runtime& runtime_;
   Backend& backend_;
+  int life_;
   bool in_transaction_ = false;
   bool open_ = true;
 };
@@ -149,6 +158,8 @@
   CPPUNIT_TEST(a_transaction_waits_for_its_tokens);
   CPPUNIT_TEST(a_transaction_without_a_token_is_given_up);
   CPPUNIT_TEST(a_backend_that_was_gone_is_sent_its_cold_rate);
+  CPPUNIT_TEST(a_backend_whose_idle_links_ended_is_sent_its_cold_rate);
+  CPPUNIT_TEST(a_backend_that_broke_off_is_sent_its_cold_rate);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -244,6 +255,24 @@
     CPPUNIT_ASSERT_EQUAL(5, backend().statements - confirmed);
   }
 
+  void a_backend_whose_idle_links_ended_is_sent_its_cold_rate() {
+    start(6, 0);
+    run_side_by_side(5, milliseconds(50));
+    ++backend().life;
+    run_side_by_side(5, milliseconds(50));
+    CPPUNIT_ASSERT_MESSAGE("what could be another life", backend().statements - 5 <= 3);
+  }
+
+  void a_backend_that_broke_off_is_sent_its_cold_rate() {
+    start(6, 0);
+    backend().breaks_off = true;
+    run_side_by_side(1, milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(1, backend().statements);
+    backend().breaks_off = false;
+    run_side_by_side(5, milliseconds(50));
+    CPPUNIT_ASSERT_MESSAGE("what could be another life", backend().statements - 1 <= 3);
+  }
+
  private:
   void start(double cold_rate, std::uint64_t cold_ms) {
     proxy_ = std::make_unique<Proxy>(*runtime_, fleet(cold_rate, cold_ms));
