--- a/tests/tenancy/budget_home_test.cpp
+++ b/tests/tenancy/budget_home_test.cpp
@@ -355,6 +355,7 @@
   CPPUNIT_TEST(no_window_sees_more_than_is_allowed);
   CPPUNIT_TEST(thin_tenants_are_bounded_alike);
   CPPUNIT_TEST(each_guard_is_needed);
+  CPPUNIT_TEST(a_home_that_returns_waits_like_a_new_one);
   CPPUNIT_TEST(a_life_that_said_nothing_is_waited_for);
   CPPUNIT_TEST(a_token_expires_also_when_it_was_given_back);
   CPPUNIT_TEST(a_calm_fleet_gives_the_whole_rate);
@@ -394,6 +395,29 @@
     expect_needed("returning home is new", &Guards::returning_home_is_new, kStrict, with_short_lease(1));
   }
 
+  void a_home_that_returns_waits_like_a_new_one() {
+    const auto proxy = std::make_shared<routing::ProxyView>(
+        routing::ProxyView{NodeName("home"), ZoneName("a"), {"10.0.0.1", 1}});
+    BudgetHome home(NodeName("home"), {});
+    TimePoint now{seconds(10)};
+    const auto outcome = [&] { return home.grant(tenant_of(100, 100), {1, 0}, now).outcome; };
+    home.set_homes(BudgetHomes({proxy}, {proxy}), 1);
+    home.note_confirmed(now, 1, now);
+    now += seconds(1);
+    CPPUNIT_ASSERT(outcome() == GrantOutcome::kGranted);
+    // Others came, and it stayed a home all the time.
+    home.set_homes(BudgetHomes({proxy}, {}), 2);
+    CPPUNIT_ASSERT(outcome() == GrantOutcome::kGranted);
+    // It was none for a while, and others may count in its place.
+    home.set_homes(BudgetHomes({proxy}, {proxy}), 4);
+    CPPUNIT_ASSERT(outcome() == GrantOutcome::kNotCounting);
+    home.note_confirmed(now, 3, now);
+    CPPUNIT_ASSERT(outcome() == GrantOutcome::kNotCounting);
+    home.note_confirmed(now, 4, now);
+    now += seconds(1);
+    CPPUNIT_ASSERT(outcome() == GrantOutcome::kGranted);
+  }
+
   void a_life_that_said_nothing_is_waited_for() {
     const TimePoint now{seconds(10)};
     const registry::ProxyKnowledge knows{12, now + seconds(2)};
