--- a/tests/registry/state_machine_test.cpp
+++ b/tests/registry/state_machine_test.cpp
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(an_address_belongs_to_who_registered_last);
   CPPUNIT_TEST(a_deregistered_backend_stays_away);
   CPPUNIT_TEST(a_group_opens_and_closes_by_epoch);
+  CPPUNIT_TEST(an_opening_for_a_former_close_has_no_effect);
   CPPUNIT_TEST(a_replaced_proxy_may_have_acknowledged_unknown_commits);
   CPPUNIT_TEST(a_follower_is_told_what_it_lacks);
   CPPUNIT_TEST(a_snapshot_restores_everything);
@@ -156,6 +157,17 @@
     CPPUNIT_ASSERT_EQUAL(std::string("b2"), machine_->find_term(group)->primary.value);
   }
 
+  void an_opening_for_a_former_close_has_no_effect() {
+    const GroupName group("records");
+    apply(OpenGroup{group, 0, 3, BackendName("b1")});
+    apply(CloseGroup{group, 1});
+    apply(OpenGroup{group, 2, 3, BackendName("b1")});
+    apply(CloseGroup{group, 3});
+    apply(OpenGroup{group, 2, 4, BackendName("b2")});
+    CPPUNIT_ASSERT(!machine_->find_term(group)->open);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, machine_->find_term(group)->epoch);
+  }
+
   void a_replaced_proxy_may_have_acknowledged_unknown_commits() {
     apply(AdmitProxy{{NodeName("p1"), 1, ZoneName("a"), {}, false}});
     apply(OpenGroup{GroupName("records"), 0, 1, BackendName("b1")});
