Trace: each use of a backend's link is logged at debug; tools/least-links reads it

A use is told when the link is given back: tenant, backend, whether it was opened for it, how long it was held. At the usual level nothing is written.

--- a/src/session/stateful_pool.cpp
+++ b/src/session/stateful_pool.cpp
@@ -99,6 +99,7 @@
     }
     if (auto idle = take_idle(wish)) {
       ++in_use_;
+      idle->set_taken_at(runtime_.now());
       co_return idle;
     }
     if (may_dial()) break;
@@ -111,12 +112,15 @@
   }
   make_room();
   ++in_use_;
+  const TimePoint taken_at = runtime_.now();
   const TimePoint dial_deadline = std::min(deadlines.open, runtime_.now() + kDialTimeout);
   BackendAddress address = address_;
   address.tenant = wish.tenant;
   auto link = co_await dialer_.open(std::move(address), dial_deadline, refusal, reason);
   if (link) {
-    co_return std::make_shared<StatefulLink>(std::move(link), std::move(wish.tenant));
+    auto opened = std::make_shared<StatefulLink>(std::move(link), std::move(wish.tenant));
+    opened->set_taken_at(taken_at);
+    co_return opened;
   }
   --in_use_;
   if (refusal == Refusal::kConnectionLimit) note_full();
@@ -134,8 +138,19 @@
                          {"limit", std::to_string(limit_)}});
 }
 
+void StatefulPool::log_use(const StatefulLink& link) const {
+  const auto held = std::chrono::duration_cast<std::chrono::microseconds>(runtime_.now() - link.taken_at());
+  runtime_.logger().log(runtime::LogLevel::kDebug, "link_used",
+                        {{"group", address_.group.value},
+                         {"backend", address_.backend.value},
+                         {"tenant", link.tenant().value},
+                         {"opened", link.idle_since() == TimePoint{} ? "true" : "false"},
+                         {"held_us", std::to_string(held.count())}});
+}
+
 void StatefulPool::release(std::shared_ptr<StatefulLink> link) {
   --in_use_;
+  log_use(*link);
   if (in_use_ + idle_.size() >= limit_) link->link().close();
   link->set_idle_since(runtime_.now());
   if (link->link().is_open()) idle_.push_back(std::move(link));
--- a/src/session/stateful_pool.h
+++ b/src/session/stateful_pool.h
@@ -51,6 +51,8 @@
   [[nodiscard]] bool has_open_transaction() const { return transaction_open_; }
   void note_state(TransactionState state) { transaction_open_ = state != TransactionState::kIdle; }
   void set_idle_since(TimePoint now) { idle_since_ = now; }
+  void set_taken_at(TimePoint now) { taken_at_ = now; }
+  [[nodiscard]] TimePoint taken_at() const { return taken_at_; }
   [[nodiscard]] TimePoint idle_since() const { return idle_since_; }
   std::shared_ptr<BackendLink> shared_link() { return link_; }
 
@@ -63,6 +65,7 @@
   std::map<PreparedShape, std::string> prepared_;
   std::uint64_t next_name_ = 1;
   TimePoint idle_since_{};
+  TimePoint taken_at_{};
   bool transaction_open_ = false;
 };
 
@@ -108,6 +111,8 @@
   void drop_closed();
   /// The backend refused one more connection.
   void note_full();
+  /// Tells, for tools/least-links, that a link is given back and whether it was new when it was taken.
+  void log_use(const StatefulLink& link) const;
   /// Closes the idle link that was unused for longest when there are as many links as there may be, or as
   /// the backend takes.
   void make_room();
