--- a/src/session/limit_client.cpp
+++ b/src/session/limit_client.cpp
@@ -33,7 +33,8 @@
   bool answered = true;
   do {
     if (!std::exchange(account->asking, true)) runtime_.spawn("ask_homes", ask_homes(tenant, account));
-    answered = co_await account->answered.wait_until(begun + kAdmissionLimit);
+    // Where this proxy is the home it has answered by now, before anybody could wait for it.
+    if (account->asking) answered = co_await account->answered.wait_until(begun + kAdmissionLimit);
     token = account->stock.take(runtime_.now());
   } while (!token && answered && account->last.outcome == AdmissionOutcome::kAdmitted);
   --account->waiting;
