--- a/tests/simulation/tenants_test.cpp
+++ b/tests/simulation/tenants_test.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 registry::TenantRule tenant(const std::string& name, std::uint64_t rate = 500) {
-  return {TenantName(name), {ApiKey("key-of-" + name), ApiKey("other-key-of-" + name)}, rate, rate, 1};
+  return {TenantName(name), {ApiKey("key-of-" + name), ApiKey("other-key-of-" + name)}, rate, rate, 1, {}};
 }
 
 const std::vector<registry::TenantRule> kTenants{tenant("ako"), tenant("kea"), tenant("tui")};
