--- a/tests/wire/registered_samples.cpp
+++ b/tests/wire/registered_samples.cpp
@@ -32,7 +32,9 @@
           800,
           150,
           2,
-          2500};
+          2500,
+          false,
+          {}};
 }
 
 BackendEntry any_backend() {
@@ -53,7 +55,9 @@
 
 GroupTerm any_term() { return {GroupName("group-1"), 4, BackendName("b-1"), true, 6, 21}; }
 
-TenantRule any_tenant() { return {TenantName("tenant-1"), {ApiKey("key-1"), ApiKey("key-2")}, 218, 200, 1}; }
+TenantRule any_tenant() {
+  return {TenantName("tenant-1"), {ApiKey("key-1"), ApiKey("key-2")}, 218, 200, 1, {}};
+}
 
 ConfigurationDocument any_document_with_tenants() {
   ConfigurationDocument document = any_document();
