--- a/src/cli/settings_registered.cpp
+++ b/src/cli/settings_registered.cpp
@@ -56,6 +56,10 @@
   reader.read("limit_window", settings.limit_window.window, kIntervalRange);
   reader.read("limit_overshoot", settings.limit_window.overshoot, kOvershootRange);
   reader.read("limit_slack", settings.limit_window.slack, kSlackRange);
+  Duration change_bound{0};
+  reader.read("change_bound", change_bound, kIntervalRange);
+  // The other half is for the way of the change to this proxy.
+  settings.limit_window.lowered_after = change_bound / 2;
   settings.metrics_endpoint = read_optional_endpoint(reader, "metrics_endpoint");
   settings.control_port = static_cast<std::uint16_t>(control_port);
   if (control_port == 0) reader.report("control_port", "is missing");
--- a/src/session/fleet_view.cpp
+++ b/src/session/fleet_view.cpp
@@ -70,7 +70,11 @@
   keys_changed_ = std::exchange(requires_keys_, delta.requires_keys) != delta.requires_keys;
   if (delta.is_whole) tenants_.clear();
   for (const TenantName& name : delta.removed_tenants) tenants_.remove(name);
-  for (const registry::TenantRule& tenant : delta.tenants) tenants_.put(tenant);
+  for (const registry::TenantRule& tenant : delta.tenants) {
+    const registry::TenantRule* former = tenants_.find(tenant.name);
+    if (former != nullptr) budgets_.note_limit(*former, tenant, runtime_.now());
+    tenants_.put(tenant);
+  }
   if (!delta.tenants.empty() || !delta.removed_tenants.empty()) forward_for_.clear();
 }
 
--- a/src/session/group_access.cpp
+++ b/src/session/group_access.cpp
@@ -207,9 +207,13 @@
   return other->entry.name == term_.primary || other->lag(now) <= now - need.required_since;
 }
 
+bool GroupAccess::is_staleness_wanted(TimePoint now) const {
+  return staleness_wanted_ > Duration(0) && now - staleness_wanted_at_ <= kPositionInterest;
+}
+
 bool GroupAccess::is_position_due() const {
   const TimePoint now = runtime_.now();
-  if (!term_.open || now - staleness_wanted_at_ > kPositionInterest) return false;
+  if (!term_.open || !is_staleness_wanted(now)) return false;
   const auto newest = positions_.newest();
   return !newest || now - *newest > staleness_wanted_ / kPositionAskDivisor;
 }
@@ -220,8 +224,7 @@
   if (route.reads == registry::ReadPolicy::kPrimary) return need;
   const TimePoint now = runtime_.now();
   const Duration staleness = std::chrono::milliseconds(route.max_staleness_ms);
-  staleness_wanted_ =
-      now - staleness_wanted_at_ > kPositionInterest ? staleness : std::min(staleness, staleness_wanted_);
+  staleness_wanted_ = is_staleness_wanted(now) ? std::min(staleness, staleness_wanted_) : staleness;
   staleness_wanted_at_ = now;
   const auto newest = positions_.newest();
   // While the group is open the next read renews what is known, before it is too old.
--- a/src/session/group_access.h
+++ b/src/session/group_access.h
@@ -168,6 +168,8 @@
   Awaitable<void> warm(std::shared_ptr<BackendUse> backend);
   [[nodiscard]] double cost_of(const BackendUse& backend) const;
   void share_links(BackendUse& backend) const;
+  /// Whether a read that may be stale came within the interest.
+  [[nodiscard]] bool is_staleness_wanted(TimePoint now) const;
 
   runtime::Runtime& runtime_;
   BackendDialer& dialer_;
--- a/src/tenancy/budget_home.cpp
+++ b/src/tenancy/budget_home.cpp
@@ -1,5 +1,6 @@
 #include "tenancy/budget_home.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "registry/budget_authority.h"
@@ -27,6 +28,29 @@
   return confirmed && settled_revision_ >= count.home_since;
 }
 
+void BudgetHome::note_limit(const registry::TenantRule& former, const registry::TenantRule& tenant,
+                            TimePoint now) {
+  const bool is_lower = tenant.rate_per_s < former.rate_per_s || tenant.burst < former.burst;
+  if (!is_lower || !tenant.is_limited() || !former.is_limited()) return;
+  // A second lowering does not prolong the first.
+  const auto [held, is_new] = former_.try_emplace(tenant.name);
+  if (!is_new && now < held->second.until) return;
+  held->second = FormerLimit{former.rate_per_s, former.burst, now + window_.lowered_after};
+}
+
+HomeBudget BudgetHome::budget_of(const registry::TenantRule& tenant, TimePoint now) {
+  const auto former = former_.find(tenant.name);
+  if (former == former_.end()) return home_budget(tenant, window_);
+  if (now >= former->second.until) {
+    former_.erase(former);
+    return home_budget(tenant, window_);
+  }
+  registry::TenantRule counted = tenant;
+  counted.rate_per_s = std::max(tenant.rate_per_s, former->second.rate_per_s);
+  counted.burst = std::max(tenant.burst, former->second.burst);
+  return home_budget(counted, window_);
+}
+
 Grant BudgetHome::grant(const registry::TenantRule& tenant, const TokenWish& wish, TimePoint now) {
   if (!homes_.is_home(tenant.name, node_)) return {};
   auto found = counts_.find(tenant.name);
@@ -38,7 +62,7 @@
     const bool is_of_now = count.home_since == revision_ && settled_since_;
     count.bucket.emplace(is_of_now ? *settled_since_ : now);
   }
-  const HomeBudget budget = home_budget(tenant, window_);
+  const HomeBudget budget = budget_of(tenant, now);
   Grant grant;
   grant.tokens = count.bucket->take(wish.needed, budget, now);
   if (grant.tokens == wish.needed && count.bucket->is_half_full(budget))
--- a/src/tenancy/budget_home.h
+++ b/src/tenancy/budget_home.h
@@ -59,6 +59,8 @@
   void note_confirmed(TimePoint confirmed_at, std::uint64_t settled_revision, TimePoint now);
   [[nodiscard]] const BudgetHomes& homes() const { return homes_; }
 
+  /// The tenant's limit was `former` until now.
+  void note_limit(const registry::TenantRule& former, const registry::TenantRule& tenant, TimePoint now);
   Grant grant(const registry::TenantRule& tenant, const TokenWish& wish, TimePoint now);
 
  private:
@@ -67,13 +69,23 @@
     std::optional<TokenBucket> bucket;
   };
 
+  /// A limit that was lowered a moment ago.
+  struct FormerLimit {
+    std::uint64_t rate_per_s = 0;
+    std::uint64_t burst = 0;
+    TimePoint until{};
+  };
+
   [[nodiscard]] bool may_count(const Count& count, TimePoint now) const;
+  /// What the home counts with now.
+  HomeBudget budget_of(const registry::TenantRule& tenant, TimePoint now);
 
   NodeName node_;
   LimitWindow window_;
   BudgetHomes homes_;
   std::uint64_t revision_ = 0;
   std::map<TenantName, Count> counts_;
+  std::map<TenantName, FormerLimit> former_;
   std::optional<TimePoint> confirmed_at_;
   std::uint64_t settled_revision_ = 0;
   /// Since when nobody acts on an older membership than this proxy's; empty: somebody may.
--- /dev/null
+++ b/tests/tenancy/lowered_limit_test.cpp
@@ -0,0 +1,94 @@
+// A limit that an operator lowers is counted with as it was for a while: callers who began under it are not
+// refused before the change is owed anywhere.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "tenancy/budget_home.h"
+
+namespace cairnhollow::tenancy {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+registry::TenantRule tenant_of(std::uint64_t rate) {
+  registry::TenantRule tenant;
+  tenant.name = TenantName("tenant");
+  tenant.rate_per_s = rate;
+  tenant.burst = 10;
+  return tenant;
+}
+
+}  // namespace
+
+class LoweredLimitTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LoweredLimitTest);
+  CPPUNIT_TEST(a_lowered_limit_is_counted_with_for_a_while);
+  CPPUNIT_TEST(a_second_lowering_does_not_prolong_the_first);
+  CPPUNIT_TEST(a_raised_limit_holds_at_once);
+  CPPUNIT_TEST(a_first_limit_holds_at_once);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    const auto proxy = std::make_shared<routing::ProxyView>(
+        routing::ProxyView{NodeName("proxy"), ZoneName("a"), {"10.0.0.1", 1}});
+    home_ = std::make_unique<BudgetHome>(NodeName("proxy"), LimitWindow{seconds(5), 0.1, 20, seconds(2)});
+    home_->set_homes(BudgetHomes({proxy}, {proxy}), 1);
+    now_ = TimePoint(seconds(100));
+    confirm();
+  }
+
+  void a_lowered_limit_is_counted_with_for_a_while() {
+    granted_in(tenant_of(300), seconds(10));
+    home_->note_limit(tenant_of(300), tenant_of(30), now_);
+    const int before = granted_in(tenant_of(30), seconds(2));
+    CPPUNIT_ASSERT_MESSAGE("a third of 300 a second", before >= 190);
+    const int after = granted_in(tenant_of(30), seconds(2));
+    CPPUNIT_ASSERT_MESSAGE("a third of 30 a second and the depth", after <= 20 + 20);
+  }
+
+  void a_second_lowering_does_not_prolong_the_first() {
+    granted_in(tenant_of(300), seconds(10));
+    home_->note_limit(tenant_of(300), tenant_of(60), now_);
+    granted_in(tenant_of(60), milliseconds(1900));
+    home_->note_limit(tenant_of(60), tenant_of(30), now_);
+    granted_in(tenant_of(30), milliseconds(100));
+    CPPUNIT_ASSERT(granted_in(tenant_of(30), seconds(2)) <= 20 + 20);
+  }
+
+  void a_raised_limit_holds_at_once() {
+    granted_in(tenant_of(30), seconds(10));
+    home_->note_limit(tenant_of(30), tenant_of(300), now_);
+    CPPUNIT_ASSERT(granted_in(tenant_of(300), seconds(2)) >= 190);
+    CPPUNIT_ASSERT(granted_in(tenant_of(300), seconds(2)) >= 190);
+  }
+
+  void a_first_limit_holds_at_once() {
+    registry::TenantRule none = tenant_of(0);
+    none.burst = 0;
+    home_->note_limit(none, tenant_of(30), now_);
+    CPPUNIT_ASSERT(granted_in(tenant_of(30), seconds(2)) <= 20 + 20);
+  }
+
+ private:
+  void confirm() { home_->note_confirmed(now_, 1, now_); }
+  /// By a caller who asks for a token each 2 ms.
+  int granted_in(const registry::TenantRule& tenant, Duration length) {
+    int granted = 0;
+    const TimePoint end = now_ + length;
+    while (now_ < end) {
+      now_ += milliseconds(2);
+      confirm();
+      granted += static_cast<int>(home_->grant(tenant, {1, 0}, now_).tokens);
+    }
+    return granted;
+  }
+
+  std::unique_ptr<BudgetHome> home_;
+  TimePoint now_{};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LoweredLimitTest);
+
+}  // namespace cairnhollow::tenancy
