--- a/tests/session/position_keeper_test.cpp
+++ b/tests/session/position_keeper_test.cpp
@@ -16,14 +16,16 @@
 struct Told {
   BackendStatus status{true, 1, Position{1, 7}, 0};
   int questions = 0;
+  Duration takes{0};
 };
 
 class StatusLink : public BackendLink {
  public:
-  explicit StatusLink(Told& told) : told_(told) {}
+  StatusLink(runtime::Runtime& runtime, Told& told) : runtime_(runtime), told_(told) {}
   Awaitable<std::optional<Answer>> run(BackendRequest request, TimePoint /*deadline*/,
                                        runtime::SendState& /*sent*/, Reason& /*reason*/) override {
     if (std::holds_alternative<AskStatus>(request)) ++told_.questions;
+    if (told_.takes > Duration(0)) co_await runtime_.sleep_for(told_.takes);
     Answer answer;
     answer.position = told_.status.received;
     co_return answer;
@@ -36,18 +38,23 @@
   [[nodiscard]] std::string peer() const override { return "backend"; }
 
  private:
+  runtime::Runtime& runtime_;
   Told& told_;
   bool open_ = true;
 };
 
 class StatusDialer : public BackendDialer {
  public:
+  explicit StatusDialer(runtime::Runtime& runtime) : runtime_(runtime) {}
   Awaitable<std::shared_ptr<BackendLink>> open(BackendAddress /*address*/, TimePoint /*deadline*/,
                                                std::optional<Refusal>& /*refusal*/,
                                                Reason& /*reason*/) override {
-    co_return std::make_shared<StatusLink>(told);
+    co_return std::make_shared<StatusLink>(runtime_, told);
   }
   Told told;
+
+ private:
+  runtime::Runtime& runtime_;
 };
 
 registry::FleetDelta fleet() {
@@ -77,6 +84,7 @@
   CPPUNIT_TEST(nobody_is_asked_where_links_have_no_tenant);
   CPPUNIT_TEST(one_that_leads_no_more_is_not_believed);
   CPPUNIT_TEST(one_of_another_term_is_not_believed);
+  CPPUNIT_TEST(an_answer_to_a_question_of_a_term_that_ended_is_not_believed);
   CPPUNIT_TEST(without_a_lease_nothing_is_learnt);
   CPPUNIT_TEST_SUITE_END();
 
@@ -84,7 +92,7 @@
   void setUp() override {
     world_ = std::make_unique<simulation::World>(simulation::WorldSettings{});
     runtime_ = &world_->start_bare({"proxy", "10.0.0.1", ZoneName("a")});
-    dialer_ = std::make_unique<StatusDialer>();
+    dialer_ = std::make_unique<StatusDialer>(*runtime_);
     SessionProxySettings settings;
     settings.node = NodeName("proxy");
     settings.zone = ZoneName("a");
@@ -144,6 +152,22 @@
     CPPUNIT_ASSERT(dialer_->told.questions > 0 && read_once());
   }
 
+  void an_answer_to_a_question_of_a_term_that_ended_is_not_believed() {
+    dialer_->told.takes = milliseconds(200);
+    begin(fleet());
+    read_for(milliseconds(250));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("one is under way", 1, dialer_->told.questions);
+    dialer_->told.takes = seconds(60);
+    registry::FleetDelta delta;
+    delta.revision = 2;
+    delta.document_version = 1;
+    delta.requires_keys = true;
+    delta.terms = {{GroupName("group"), 2, BackendName("primary"), true, 3, 2}};
+    view_->apply(delta);
+    read_for(milliseconds(300));
+    CPPUNIT_ASSERT(read_once());
+  }
+
   void without_a_lease_nothing_is_learnt() {
     view_->apply(fleet());
     read_for(seconds(1));
--- a/tests/tenancy/lowered_limit_test.cpp
+++ b/tests/tenancy/lowered_limit_test.cpp
@@ -50,9 +50,9 @@
 
   void a_second_lowering_does_not_prolong_the_first() {
     granted_in(tenant_of(300), seconds(10));
-    home_->note_limit(tenant_of(300), tenant_of(60), now_);
-    granted_in(tenant_of(60), milliseconds(1900));
-    home_->note_limit(tenant_of(60), tenant_of(30), now_);
+    home_->note_limit(tenant_of(300), tenant_of(240), now_);
+    granted_in(tenant_of(240), milliseconds(1900));
+    home_->note_limit(tenant_of(240), tenant_of(30), now_);
     granted_in(tenant_of(30), milliseconds(100));
     CPPUNIT_ASSERT(granted_in(tenant_of(30), seconds(2)) <= 20 + 20);
   }
