--- a/src/cli/settings_registered.cpp
+++ b/src/cli/settings_registered.cpp
@@ -61,6 +61,10 @@
   reader.read("evacuation_bound", settings.evacuation_bound, kDelayRange);
   reader.read("cold_overshoot", settings.cold_overshoot, kOvershootRange);
   reader.read("cold_slack", settings.cold_slack, kSlackRange);
+  Duration change_bound{0};
+  reader.read("change_bound", change_bound, kIntervalRange);
+  // The other half is for the way of the change to this proxy.
+  settings.limit_window.lowered_after = change_bound / 2;
   settings.metrics_endpoint = read_optional_endpoint(reader, "metrics_endpoint");
   settings.control_port = static_cast<std::uint16_t>(control_port);
   if (control_port == 0) reader.report("control_port", "is missing");
--- a/src/limits/budget_home.cpp
+++ b/src/limits/budget_home.cpp
@@ -1,5 +1,6 @@
 #include "limits/budget_home.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "registry/budget_authority.h"
@@ -27,6 +28,28 @@
   return confirmed && settled_revision_ >= count.home_since;
 }
 
+void BudgetHome::note_limit(const Limit& former, const Limit& limit, TimePoint now) {
+  const bool is_lower = limit.rate_per_s < former.rate_per_s || limit.burst < former.burst;
+  if (!is_lower || !limit.bounds() || !former.bounds()) return;
+  // A second lowering does not prolong the first.
+  const auto [held, is_new] = former_.try_emplace(limit.of);
+  if (!is_new && now < held->second.until) return;
+  held->second = FormerLimit{former.rate_per_s, former.burst, now + limit.window.lowered_after};
+}
+
+HomeBudget BudgetHome::budget_of(const Limit& limit, TimePoint now) {
+  const auto former = former_.find(limit.of);
+  if (former == former_.end()) return home_budget(limit);
+  if (now >= former->second.until) {
+    former_.erase(former);
+    return home_budget(limit);
+  }
+  Limit counted = limit;
+  counted.rate_per_s = std::max(limit.rate_per_s, former->second.rate_per_s);
+  counted.burst = std::max(limit.burst, former->second.burst);
+  return home_budget(counted);
+}
+
 Grant BudgetHome::grant(const Limit& limit, const TokenWish& wish, TimePoint now) {
   if (!homes_.is_home(limit.of, node_)) return {};
   auto found = counts_.find(limit.of);
@@ -38,7 +61,7 @@
     const bool is_of_now = count.home_since == revision_ && settled_since_;
     count.bucket.emplace(is_of_now ? *settled_since_ : now);
   }
-  const HomeBudget budget = home_budget(limit);
+  const HomeBudget budget = budget_of(limit, now);
   Grant grant;
   grant.tokens = count.bucket->take(wish.needed, budget, now);
   if (grant.tokens == wish.needed && count.bucket->is_half_full(budget))
--- a/src/limits/budget_home.h
+++ b/src/limits/budget_home.h
@@ -58,6 +58,9 @@
   void note_confirmed(TimePoint confirmed_at, std::uint64_t settled_revision, TimePoint now);
   [[nodiscard]] const BudgetHomes& homes() const { return homes_; }
 
+  /// A limit was `former` until now. One that was lowered is counted with as it was for a while
+  /// (LimitWindow::lowered_after).
+  void note_limit(const Limit& former, const Limit& limit, TimePoint now);
   Grant grant(const Limit& limit, const TokenWish& wish, TimePoint now);
 
  private:
@@ -66,12 +69,22 @@
     std::optional<TokenBucket> bucket;
   };
 
+  /// What a limit was before it was lowered.
+  struct FormerLimit {
+    double rate_per_s = 0;
+    double burst = 0;
+    TimePoint until{};
+  };
+
   [[nodiscard]] bool may_count(const Count& count, TimePoint now) const;
+  /// What a home counts with now.
+  HomeBudget budget_of(const Limit& limit, TimePoint now);
 
   NodeName node_;
   BudgetHomes homes_;
   std::uint64_t revision_ = 0;
   std::map<LimitedName, Count> counts_;
+  std::map<LimitedName, FormerLimit> former_;
   std::optional<TimePoint> confirmed_at_;
   std::uint64_t settled_revision_ = 0;
   /// Since when nobody acts on an older membership than this proxy's; empty: somebody may.
--- a/src/limits/limit.h
+++ b/src/limits/limit.h
@@ -38,6 +38,8 @@
   double rate_per_s = 0;
   double burst = 0;  ///< that may pass at once after a rest
   LimitWindow window;
+  /// Whether it limits at all.
+  [[nodiscard]] bool bounds() const { return rate_per_s > 0 || burst > 0; }
 };
 
 }  // namespace cairnhollow::limits
--- a/src/session/stateful_pool.h
+++ b/src/session/stateful_pool.h
@@ -13,6 +13,7 @@
 #include "runtime/runtime.h"
 #include "runtime/signal.h"
 #include "session/backend_link.h"
+#include "session/knobs.h"
 
 namespace cairnhollow::session {
 
@@ -51,6 +52,8 @@
   [[nodiscard]] bool has_open_transaction() const { return transaction_open_; }
   void note_state(TransactionState state) { transaction_open_ = state != TransactionState::kIdle; }
   void set_idle_since(TimePoint now) { idle_since_ = now; }
+  void set_taken_at(TimePoint now) { taken_at_ = now; }
+  [[nodiscard]] TimePoint taken_at() const { return taken_at_; }
   [[nodiscard]] TimePoint idle_since() const { return idle_since_; }
   std::shared_ptr<BackendLink> shared_link() { return link_; }
 
@@ -63,6 +66,7 @@
   std::map<PreparedShape, std::string> prepared_;
   std::uint64_t next_name_ = 1;
   TimePoint idle_since_{};
+  TimePoint taken_at_{};
   bool transaction_open_ = false;
 };
 
@@ -86,6 +90,9 @@
       : runtime_(runtime), dialer_(dialer), address_(std::move(address)), returned_(runtime) {}
 
   void set_limit(std::uint64_t limit) { limit_ = limit; }
+  [[nodiscard]] std::uint64_t limit() const { return limit_; }
+  /// Links that are idle for longer are closed by trim().
+  void set_idle_life(Duration life) { idle_life_ = life; }
   /// An idle link, best one with these values, or a new one; waits while the limit is reached by links in
   /// use. Where idle links of other tenants reach it, the one unused for longest is closed. Null on failure;
   /// `refusal` is set when the backend itself refused a new one.
@@ -98,7 +105,7 @@
   void retire();
   /// Whether an idle link ended by itself since this was asked last.
   bool take_lost_idle() { return std::exchange(lost_idle_, false); }
-  /// Closes links that have been idle for kIdleLinkLife, but `kept` of them.
+  /// Closes links that have been idle for too long, but `kept` of them.
   void trim(TimePoint now, std::size_t kept);
   [[nodiscard]] std::size_t in_use() const { return in_use_; }
   /// Whether there is no link at all.
@@ -112,6 +119,8 @@
   void drop_closed();
   /// The backend refused one more connection.
   void note_full();
+  /// Tells, for tools/least-links, that a link is given back and whether it was new when it was taken.
+  void log_use(const StatefulLink& link) const;
   /// Closes the idle link that was unused for longest when there are as many links as there may be, or as
   /// the backend takes.
   void make_room();
@@ -126,6 +135,7 @@
   runtime::Signal returned_;
   std::vector<std::shared_ptr<StatefulLink>> idle_;  ///< longest idle first
   std::uint64_t limit_ = 2;
+  Duration idle_life_ = kIdleLinkLife;
   TimePoint full_until_{};  ///< the backend refused one more connection
   std::size_t in_use_ = 0;
   bool retired_ = false;
--- a/src/session/statement_placement.cpp
+++ b/src/session/statement_placement.cpp
@@ -18,7 +18,8 @@
   FleetView& view = services_.view;
   GroupAccess& group = *order.group;
   placement::ProxyFacts proxy = proxy_facts(view, group);
-  proxy.serving = keep_inside(view.forward_to(group.group(), order.tenant), order, inside.serving);
+  proxy.serving =
+      keep_inside(view.forward_to(group.group(), order.tenant, work_of(order)), order, inside.serving);
   proxy.others = keep_inside(view.others(), order, inside.others);
   if (proxy.primary_full)
     proxy.also_serving = keep_inside(view.also_serving(group.group()), order, inside.also_serving);
--- a/src/session/statement_runner.h
+++ b/src/session/statement_runner.h
@@ -122,6 +122,8 @@
   [[nodiscard]] static PlacementQuestion question_of(const Attempt& attempt);
   /// Where the attempt may go now. Takes the backend over that is to run it.
   placement::Placement look(Attempt& attempt);
+  /// Whether it runs at the primary whatever is known of replicas.
+  [[nodiscard]] static GroupWork work_of(const RunOrder& order);
   Awaitable<RunResult> run_here(RunOrder order);
   Awaitable<RunResult> forward(RunOrder order, std::vector<routing::ProxyPointer> proxies);
   /// No proxy took the order: waits for the lease as long as that is worth it.
