--- a/src/session/group_access.h
+++ b/src/session/group_access.h
@@ -242,9 +242,12 @@
   /// position.
   void note_replica(BackendUse& backend, const ReadNeed& need, std::optional<Position> shown);
   /// A primary of the open term showed `position` to a question sent at `asked_at`.
-  void note_primary_position(TimePoint asked_at, Position position) { positions_.note(asked_at, position); }
-  /// What it showed last; empty: nothing since the last change of primary.
-  [[nodiscard]] std::optional<Position> primary_shown() const { return positions_.last(); }
+  void note_primary_position(TimePoint asked_at, Position position) {
+    positions_.note(asked_at, position);
+    primary_shown_ = std::max(primary_shown_.value_or(Position{}), position);
+  }
+  /// The furthest that it showed; empty: nothing since the last change of primary.
+  [[nodiscard]] std::optional<Position> primary_shown() const { return primary_shown_; }
   [[nodiscard]] const std::map<BackendName, std::shared_ptr<BackendUse>>& backends() const {
     return backends_;
   }
@@ -257,6 +260,8 @@
   void share_links(BackendUse& backend) const;
   /// Whether a read that may be stale came within the interest.
   [[nodiscard]] bool is_staleness_wanted(TimePoint now) const;
+  /// After a change of primary: what the old one showed may have been rolled back, or is lost.
+  void forget_positions();
 
   runtime::Runtime& runtime_;
   BackendDialer& dialer_;
@@ -286,6 +291,7 @@
   bool commits_stall_ = false;
   bool asking_position_ = false;
   PositionHistory positions_;
+  std::optional<Position> primary_shown_;
   runtime::Signal changed_;
 };
 
