--- a/tests/simulation/evacuation_test.cpp
+++ b/tests/simulation/evacuation_test.cpp
@@ -65,6 +65,8 @@
     return refused_ && refusal_.starts_with("ERR ABORTED");
   }
 
+  [[nodiscard]] const std::string& refusal() const { return refusal_; }
+
  private:
   Awaitable<void> open() {
     Reason reason;
@@ -207,6 +209,8 @@
           expect_order(fleet, zone, true, milliseconds(200));
         fleet.run_for(kBound / 2 + milliseconds(300));
         CPPUNIT_ASSERT(caller.is_aborted_on_commit());
+        // It was given up while it rested, not by its next statement.
+        CPPUNIT_ASSERT_MESSAGE(caller.refusal(), caller.refusal().find("had failed") != std::string::npos);
       });
     }
   }
