--- a/tests/session/fleet_view_test.cpp
+++ b/tests/session/fleet_view_test.cpp
@@ -20,6 +20,7 @@
 
 std::vector<RegionName> regions(const std::vector<std::string>& names) {
   std::vector<RegionName> list;
+  list.reserve(names.size());
   for (const std::string& name : names) list.emplace_back(name);
   return list;
 }
--- a/tests/session/statement_regions_test.cpp
+++ b/tests/session/statement_regions_test.cpp
@@ -79,6 +79,13 @@
   return entry;
 }
 
+std::vector<RegionName> regions(const std::vector<std::string>& names) {
+  std::vector<RegionName> list;
+  list.reserve(names.size());
+  for (const std::string& name : names) list.emplace_back(name);
+  return list;
+}
+
 /// The primary is in the north, a replica in the south.
 registry::FleetDelta fleet() {
   registry::FleetDelta delta;
@@ -260,14 +267,10 @@
   }
 
   RunOrder write_in(const std::vector<std::string>& of_route, const std::vector<std::string>& of_tenant) {
-    std::vector<RegionName> route;
-    std::vector<RegionName> tenant;
-    for (const std::string& region : of_route) route.emplace_back(region);
-    for (const std::string& region : of_tenant) tenant.emplace_back(region);
     RunOrder order;
     order.route = *proxy_->view.find_route(DatabaseName("records"));
     order.group = group_;
-    order.allowed = locality::AllowedRegions(map_, route, tenant);
+    order.allowed = locality::AllowedRegions(map_, regions(of_route), regions(of_tenant));
     order.id = "id";
     order.text = "text";
     order.writes = true;
