Regions that a statement is permitted in: one word for the code, another one than the document's field

Cause: the class had the name of a field of the platform's document. Change: renamed, with its files and mutations. The test of refused registrations makes its parts as the metrics need them now.

--- a/src/control/registered/region_preference.cpp
+++ b/src/control/registered/region_preference.cpp
@@ -1,6 +1,6 @@
 #include "control/registered/region_preference.h"
 
-#include "locality/allowed_regions.h"
+#include "locality/permitted_regions.h"
 
 namespace cairnhollow::control::registered {
 
@@ -29,7 +29,7 @@
   for (const registry::BackendEntry& member : members) {
     std::size_t& count = counts[member.name];
     for (const registry::RouteRule& route : routes->second) {
-      const locality::AllowedRegions allowed(regions_, route.allowed_regions, {});
+      const locality::PermittedRegions allowed(regions_, route.allowed_regions, {});
       if (allowed.allows(member.zone)) ++count;
     }
   }
--- a/src/locality/allowed_regions.cpp
+++ b/src/locality/permitted_regions.cpp
@@ -1,4 +1,4 @@
-#include "locality/allowed_regions.h"
+#include "locality/permitted_regions.h"
 
 #include <algorithm>
 
@@ -12,8 +12,8 @@
 
 }  // namespace
 
-AllowedRegions::AllowedRegions(const RegionMap& map, const std::vector<RegionName>& of_route,
-                               const std::vector<RegionName>& of_tenant) {
+PermittedRegions::PermittedRegions(const RegionMap& map, const std::vector<RegionName>& of_route,
+                                   const std::vector<RegionName>& of_tenant) {
   if (of_route.empty() && of_tenant.empty()) return;
   map_ = &map;
   regions_ = of_route.empty() ? of_tenant : of_route;
@@ -21,12 +21,12 @@
   std::erase_if(regions_, [&](const RegionName& region) { return !contains(of_tenant, region); });
 }
 
-bool AllowedRegions::lists(const ZoneName& zone) const {
+bool PermittedRegions::lists(const ZoneName& zone) const {
   const RegionName* region = map_->find(zone);
   return region != nullptr && contains(regions_, *region);
 }
 
-std::string AllowedRegions::to_string() const {
+std::string PermittedRegions::to_string() const {
   if (is_anywhere()) return "any";
   if (is_nowhere()) return "none";
   std::string text;
--- a/src/locality/allowed_regions.h
+++ b/src/locality/permitted_regions.h
@@ -10,13 +10,13 @@
 namespace cairnhollow::locality {
 
 /// Invariant: where a list binds, a zone whose region is not known is not allowed.
-class AllowedRegions {
+class PermittedRegions {
  public:
   /// Anywhere; costs nothing to make and to ask.
-  AllowedRegions() = default;
+  PermittedRegions() = default;
   /// `of_route`, `of_tenant`: empty where it sets no limit. `map` outlives this and all copies of it.
-  AllowedRegions(const RegionMap& map, const std::vector<RegionName>& of_route,
-                 const std::vector<RegionName>& of_tenant);
+  PermittedRegions(const RegionMap& map, const std::vector<RegionName>& of_route,
+                   const std::vector<RegionName>& of_tenant);
 
   /// No list binds.
   [[nodiscard]] bool is_anywhere() const { return map_ == nullptr; }
--- a/src/session/caller_session.h
+++ b/src/session/caller_session.h
@@ -43,8 +43,8 @@
     bool wrote = false;
     registry::RouteRule route;
     std::shared_ptr<GroupAccess> group;
-    locality::AllowedRegions allowed;  ///< as it began: a changed document binds the next one
-    std::optional<PinnedLink> pinned;  ///< from the first statement on
+    locality::PermittedRegions allowed;  ///< as it began: a changed document binds the next one
+    std::optional<PinnedLink> pinned;    ///< from the first statement on
     TimePoint last_used{};
     std::string failure;  ///< why it was given up, not yet told
   };
--- a/src/session/fleet_view.cpp
+++ b/src/session/fleet_view.cpp
@@ -233,8 +233,8 @@
   return also_serving_[group];
 }
 
-locality::AllowedRegions FleetView::allowed_regions(const registry::RouteRule& route,
-                                                    const TenantName& tenant) const {
+locality::PermittedRegions FleetView::allowed_regions(const registry::RouteRule& route,
+                                                      const TenantName& tenant) const {
   const registry::TenantRule* rule = nullptr;
   if (!tenant.empty() && tenants_.any_names_regions()) rule = tenants_.find(tenant);
   if (rule != nullptr) return {regions_, route.allowed_regions, rule->allowed_regions};
@@ -243,7 +243,7 @@
 }
 
 std::vector<routing::ProxyPointer> FleetView::in_regions(const std::vector<routing::ProxyPointer>& proxies,
-                                                         const locality::AllowedRegions& allowed) const {
+                                                         const locality::PermittedRegions& allowed) const {
   std::vector<routing::ProxyPointer> inside = proxies;
   std::erase_if(inside, [&](const routing::ProxyPointer& proxy) {
     return proxy->name != node_ && !allowed.allows(proxy->zone);
--- a/src/session/fleet_view.h
+++ b/src/session/fleet_view.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "limits/budget_home.h"
-#include "locality/allowed_regions.h"
+#include "locality/permitted_regions.h"
 #include "registry/delta.h"
 #include "registry/messages.h"
 #include "routing/subset.h"
@@ -77,8 +77,8 @@
   }
   /// Where a statement of the route and tenant may go by the document of now. What it refers to lives as long
   /// as this view.
-  [[nodiscard]] locality::AllowedRegions allowed_regions(const registry::RouteRule& route,
-                                                         const TenantName& tenant) const;
+  [[nodiscard]] locality::PermittedRegions allowed_regions(const registry::RouteRule& route,
+                                                           const TenantName& tenant) const;
   [[nodiscard]] const tenancy::TenantDirectory& tenants() const { return tenants_; }
   [[nodiscard]] const tenancy::KeyConfirmation& keys_confirmed() const { return keys_confirmed_; }
   [[nodiscard]] const EvacuatedZones& evacuated() const { return *evacuated_; }
@@ -111,7 +111,7 @@
   [[nodiscard]] const std::vector<routing::ProxyPointer>& others() const { return others_; }
   /// Those of `proxies` to which a statement's text may be sent, and this proxy, which has it.
   [[nodiscard]] std::vector<routing::ProxyPointer> in_regions(
-      const std::vector<routing::ProxyPointer>& proxies, const locality::AllowedRegions& allowed) const;
+      const std::vector<routing::ProxyPointer>& proxies, const locality::PermittedRegions& allowed) const;
   /// What is to be told of every closed group.
   [[nodiscard]] std::vector<registry::ClosedGroup> closed_groups() const;
 
--- a/src/session/group_access.cpp
+++ b/src/session/group_access.cpp
@@ -297,7 +297,7 @@
   return primary_shown_;
 }
 
-bool GroupAccess::is_primary_outside(const locality::AllowedRegions& allowed) const {
+bool GroupAccess::is_primary_outside(const locality::PermittedRegions& allowed) const {
   if (allowed.is_anywhere() || !term_.open) return false;
   const auto leader = backends_.find(term_.primary);
   return leader != backends_.end() && !allowed.allows(leader->second->entry.zone);
@@ -320,7 +320,7 @@
 }
 
 ReadNeed GroupAccess::need_of(const registry::RouteRule& route, const SessionCommit& committed,
-                              const locality::AllowedRegions* allowed) {
+                              const locality::PermittedRegions* allowed) {
   ReadNeed need;
   need.primary_only = true;
   need.allowed = allowed;
--- a/src/session/group_access.h
+++ b/src/session/group_access.h
@@ -11,7 +11,7 @@
 #include <string>
 #include <utility>
 
-#include "locality/allowed_regions.h"
+#include "locality/permitted_regions.h"
 #include "placement/backend_choice.h"
 #include "registry/model.h"
 #include "session/cold_backend.h"
@@ -88,14 +88,14 @@
   std::optional<Position> required;  ///< of a replica
   TimePoint required_since{};        ///< when the primary had that position
   /// Where it may run; the statement's, which outlives this. Null: anywhere.
-  const locality::AllowedRegions* allowed = nullptr;
+  const locality::PermittedRegions* allowed = nullptr;
 };
 
 /// The statement of which the facts of a backend are asked. What it does not name plays no part in them.
 struct PlacementQuestion {
   const ReadNeed* need = nullptr;
   const std::set<BackendName>* tried = nullptr;
-  const locality::AllowedRegions* allowed = nullptr;  ///< null: anywhere
+  const locality::PermittedRegions* allowed = nullptr;  ///< null: anywhere
 };
 
 /// Of the backends of one group, by name. Most groups have fewer than eight.
@@ -179,9 +179,9 @@
   [[nodiscard]] std::optional<Position> required_of(const BackendUse& backend, const ReadNeed& need) const;
   /// What a read must see under these rules; primary_only when a replica can't be shown to have it.
   [[nodiscard]] ReadNeed need_of(const registry::RouteRule& route, const SessionCommit& committed,
-                                 const locality::AllowedRegions* allowed = nullptr);
+                                 const locality::PermittedRegions* allowed = nullptr);
   /// A primary leads, and is in a region where what is bound to these may not run.
-  [[nodiscard]] bool is_primary_outside(const locality::AllowedRegions& allowed) const;
+  [[nodiscard]] bool is_primary_outside(const locality::PermittedRegions& allowed) const;
   /// Whether reads of such staleness, none of which may go to the primary, need a newer position of it soon.
   [[nodiscard]] bool wants_position(Duration staleness) const;
   /// The primary is to be asked for its position on behalf of such reads; false while it is being asked.
--- a/src/session/statement_runner.h
+++ b/src/session/statement_runner.h
@@ -7,7 +7,7 @@
 #include <set>
 #include <string>
 
-#include "locality/allowed_regions.h"
+#include "locality/permitted_regions.h"
 #include "placement/placement.h"
 #include "session/forward_messages.h"
 #include "session/session_services.h"
@@ -22,7 +22,7 @@
   ApiKey key;         ///< of the caller; empty where none is asked for
   TenantName tenant;  ///< that the key proved when the statement came
   /// Where it may go. A transaction's are decided when it begins.
-  locality::AllowedRegions allowed;
+  locality::PermittedRegions allowed;
   std::string id;
   std::string text;                       ///< passed on unchanged, unless something prepared is executed
   std::optional<PreparedShape> prepared;  ///< executed with `argument`
--- a/tests/control/registered/registration_refusal_test.cpp
+++ b/tests/control/registered/registration_refusal_test.cpp
@@ -87,6 +87,14 @@
   return entry;
 }
 
+class NoPromotions : public registry::PromotionCaller {
+ public:
+  Awaitable<bool> promote(registry::PromotionOrder /*order*/, TimePoint /*deadline*/,
+                          Reason& /*reason*/) override {
+    co_return false;
+  }
+};
+
 }  // namespace
 
 class RegistrationRefusalTest : public CppUnit::TestFixture {
@@ -211,7 +219,9 @@
           prober(runtime, dialer),
           service(runtime, consensus, fleet, calls, voters, prober),
           leases(runtime, consensus, fleet, directory, calls, milliseconds(1500)),
-          metrics(consensus, fleet, leases, service.refused()) {}
+          groups(runtime, consensus, fleet, calls, leases, prober, promotions,
+                 GroupKeeperSettings{NodeName("control-1")}),
+          metrics(consensus, fleet, leases, groups, service) {}
 
     runtime::Runtime& runtime;
     registry::FleetStateMachine fleet;
@@ -223,6 +233,8 @@
     GroupProber prober;
     RegistrationService service;
     LeaseKeeper leases;
+    NoPromotions promotions;
+    GroupKeeper groups;
     ControlMetrics metrics;
   };
 
--- a/tests/locality/allowed_regions_test.cpp
+++ b/tests/locality/permitted_regions_test.cpp
@@ -1,5 +1,5 @@
 // Where a statement may go by the lists of its route and its tenant.
-#include "locality/allowed_regions.h"
+#include "locality/permitted_regions.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -34,8 +34,8 @@
 
 }  // namespace
 
-class AllowedRegionsTest : public CppUnit::TestFixture {
-  CPPUNIT_TEST_SUITE(AllowedRegionsTest);
+class PermittedRegionsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PermittedRegionsTest);
   CPPUNIT_TEST(both_lists_bind);
   CPPUNIT_TEST(the_extremes);
   CPPUNIT_TEST_SUITE_END();
@@ -43,7 +43,7 @@
  public:
   void both_lists_bind() {
     for (const Case& one : kCases) {
-      const AllowedRegions allowed(map_, regions(one.of_route), regions(one.of_tenant));
+      const PermittedRegions allowed(map_, regions(one.of_route), regions(one.of_tenant));
       std::string zones;
       for (const char* zone : {"n1", "n2", "s1", "e1", "dark"}) {
         if (!allowed.allows(ZoneName(zone))) continue;
@@ -56,13 +56,13 @@
   }
 
   void the_extremes() {
-    CPPUNIT_ASSERT(AllowedRegions().is_anywhere());
-    CPPUNIT_ASSERT(!AllowedRegions().is_nowhere());
-    CPPUNIT_ASSERT(AllowedRegions(map_, {}, {}).is_anywhere());
-    const AllowedRegions nowhere(map_, regions({"north"}), regions({"south"}));
+    CPPUNIT_ASSERT(PermittedRegions().is_anywhere());
+    CPPUNIT_ASSERT(!PermittedRegions().is_nowhere());
+    CPPUNIT_ASSERT(PermittedRegions(map_, {}, {}).is_anywhere());
+    const PermittedRegions nowhere(map_, regions({"north"}), regions({"south"}));
     CPPUNIT_ASSERT(nowhere.is_nowhere());
     CPPUNIT_ASSERT(!nowhere.is_anywhere());
-    const AllowedRegions unknown(map_, regions({"west"}), {});
+    const PermittedRegions unknown(map_, regions({"west"}), {});
     CPPUNIT_ASSERT_MESSAGE("a zone of it may come", !unknown.is_nowhere());
   }
 
@@ -73,6 +73,6 @@
                   {ZoneName("e1"), RegionName("east")}}};
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(AllowedRegionsTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(PermittedRegionsTest);
 
 }  // namespace cairnhollow::locality
--- a/tests/session/fleet_view_test.cpp
+++ b/tests/session/fleet_view_test.cpp
@@ -129,8 +129,8 @@
   }
 
  private:
-  [[nodiscard]] locality::AllowedRegions allowed(const std::string& route_name,
-                                                 const std::string& tenant_name) const {
+  [[nodiscard]] locality::PermittedRegions allowed(const std::string& route_name,
+                                                   const std::string& tenant_name) const {
     return view_->allowed_regions(*view_->find_route(DatabaseName(route_name)), TenantName(tenant_name));
   }
 
--- a/tests/session/group_regions_test.cpp
+++ b/tests/session/group_regions_test.cpp
@@ -66,7 +66,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("south"), group_->choose_reader(need_, {})->entry.name.value);
     CPPUNIT_ASSERT(!group_->has_other_reader(need_, *group_->backends().at(BackendName("south"))));
     CPPUNIT_ASSERT(group_->choose_reader(need_, {BackendName("south")}) == nullptr);
-    const locality::AllowedRegions anywhere;
+    const locality::PermittedRegions anywhere;
     need_.allowed = &anywhere;
     CPPUNIT_ASSERT_EQUAL(std::string("near"), group_->choose_reader(need_, {})->entry.name.value);
   }
@@ -119,7 +119,7 @@
  private:
   const locality::RegionMap map_{
       {{ZoneName("n1"), RegionName("north")}, {ZoneName("s1"), RegionName("south")}}};
-  const locality::AllowedRegions south_{map_, {RegionName("south")}, {}};
+  const locality::PermittedRegions south_{map_, {RegionName("south")}, {}};
   std::unique_ptr<simulation::World> world_;
   runtime::Runtime* runtime_ = nullptr;
   NoDialer dialer_;
--- a/tests/session/statement_regions_test.cpp
+++ b/tests/session/statement_regions_test.cpp
@@ -270,7 +270,7 @@
     RunOrder order;
     order.route = *proxy_->view.find_route(DatabaseName("records"));
     order.group = group_;
-    order.allowed = locality::AllowedRegions(map_, regions(of_route), regions(of_tenant));
+    order.allowed = locality::PermittedRegions(map_, regions(of_route), regions(of_tenant));
     order.id = "id";
     order.text = "text";
     order.writes = true;
