--- a/tests/session/session_stand.cpp
+++ b/tests/session/session_stand.cpp
@@ -151,7 +151,10 @@
   Awaitable<std::shared_ptr<BackendLink>> open(BackendAddress address, TimePoint /*deadline*/,
                                                std::optional<Refusal>& /*refusal*/,
                                                Reason& /*reason*/) override {
-    if (stand_.unreachable.count(address.backend.value) > 0) co_return nullptr;
+    if (stand_.unreachable.count(address.backend.value) > 0) {
+      co_await stand_.runtime().sleep_for(milliseconds(1));
+      co_return nullptr;
+    }
     stand_.dialled_for_.push_back(address.tenant.value);
     if (const auto event = stand_.take_event(Step::kDial)) {
       co_await stand_.runtime().sleep_for(kEventfulStep / 2);
