--- a/src/control/registered/registration_service.h
+++ b/src/control/registered/registration_service.h
@@ -83,7 +83,7 @@
   TimePoint begun_;
   RegistrationCounts counts_;
   std::set<registry::BackendIncarnation> told_outdated_;  ///< logged already
-  std::map<ZoneName, std::vector<Endpoint>> takers_;  ///< proxies that stay, by zone
+  std::map<ZoneName, std::vector<Endpoint>> takers_;      ///< proxies that stay, by zone
   registry::RegistrationFaultCounts refused_;
   std::uint64_t takers_revision_ = 0;  ///< of the fleet that they were taken from
   TimePoint takers_at_{};
--- a/tests/control/registered/member_pauses_test.cpp
+++ b/tests/control/registered/member_pauses_test.cpp
@@ -12,7 +12,6 @@
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::seconds;
 
 constexpr std::uint64_t kTerm = 3;
 constexpr std::uint64_t kKnowsAll = 1'000'000;
--- a/tests/control/registered/registration_guards_test.cpp
+++ b/tests/control/registered/registration_guards_test.cpp
@@ -8,7 +8,6 @@
 
 namespace cairnhollow::control::registered {
 
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 class RegistrationGuardsTest : public CppUnit::TestFixture {
--- a/tests/session/tenant_links_test.cpp
+++ b/tests/session/tenant_links_test.cpp
@@ -68,7 +68,8 @@
   Reason reason;
   const TimePoint deadline = runtime.now() + seconds(1);
   LinkWish wish{std::move(tenant), {}};
-  auto link = co_await pool.acquire(std::move(wish), LinkDeadlines{deadline, deadline}, refusal, reason);
+  const LinkDeadlines deadlines{deadline, deadline};
+  auto link = co_await pool.acquire(std::move(wish), deadlines, refusal, reason);
   if (!link) co_return;
   co_await runtime.sleep_for(milliseconds(25));
   pool.release(link);
