Unproved promotions: the primary's next life is waited for, as it may hold the whole log

is_nothing_left passed over a restarted primary before it looked whether that one had answered. A primary that crashed may come back under its name with its whole log; while it did not answer yet, a replica that lacks acknowledged commits was promoted without proof.

Now everybody has to have answered. The test the_primarys_next_life_may_have_its_log failed before (verdict kPromote instead of kNotYet).

--- a/src/control/registered/promotion_choice.cpp
+++ b/src/control/registered/promotion_choice.cpp
@@ -156,15 +156,13 @@
   return alone;
 }
 
-/// Whether nobody can be found any more who holds more: the primary's life is over, and all others answer.
+/// Whether nobody can be found any more who holds more: the primary's life is over, and all answer. Its next
+/// life is waited for, too: it may have come back with the whole log.
 bool is_nothing_left(const PromotionFacts& facts) {
   bool primary_is_over = false;
   for (const MemberFinding& member : facts.members) {
-    if (is_restarted_primary(member, facts)) {
-      primary_is_over = true;
-      continue;
-    }
     if (!member.status) return false;
+    primary_is_over = primary_is_over || is_restarted_primary(member, facts);
   }
   return primary_is_over;
 }
--- a/tests/control/registered/promotion_choice_test.cpp
+++ b/tests/control/registered/promotion_choice_test.cpp
@@ -64,6 +64,7 @@
   CPPUNIT_TEST(a_replica_without_its_log_was_not_compared);
   CPPUNIT_TEST(a_replaced_life_may_have_been_the_only_one_to_hold_a_commit);
   CPPUNIT_TEST(nothing_left_keeps_to_the_furthest);
+  CPPUNIT_TEST(the_primarys_next_life_may_have_its_log);
   CPPUNIT_TEST(who_joined_in_the_term_needs_entries_of_it);
   CPPUNIT_TEST(a_newer_primary_without_a_log_is_not_adopted);
   CPPUNIT_TEST(a_primary_without_what_proxies_acknowledged_is_not_the_old_one);
@@ -282,6 +283,24 @@
                            choose_promotion(known, true).verdict == PromotionVerdict::kNotYet);
   }
 
+  void the_primarys_next_life_may_have_its_log() {
+    auto known =
+        facts({life("old", 2000, std::nullopt), life("a", 1000, replica(7)), life("b", 2000, replica(5))});
+    known.closed.primary_born_ms = 1000;
+    known.replaced_life_is_unsettled = true;
+    known.highest_acknowledged = {3, 9};
+    CPPUNIT_ASSERT_MESSAGE("it has not said what it holds",
+                           choose_promotion(known, true).verdict == PromotionVerdict::kNotYet);
+    known.members.front().status = replica(9);
+    const auto with_log = choose_promotion(known, true);
+    CPPUNIT_ASSERT(with_log.verdict == PromotionVerdict::kPromote);
+    CPPUNIT_ASSERT_EQUAL(std::string("old"), with_log.backend.value);
+    known.members.front().status = replica(0);
+    const auto without_log = choose_promotion(known, true);
+    CPPUNIT_ASSERT(without_log.verdict == PromotionVerdict::kPromote && without_log.is_unproved);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), without_log.backend.value);
+  }
+
   void who_joined_in_the_term_needs_entries_of_it() {
     // No proxy acknowledged anything in this term; those that did before have started again since.
     auto known =
