Promotions: none for a close that is past

A keeper that waited for a turn, or for the quorum round before its order, went on with the close that it had begun with; another leader may have opened the group meanwhile. The order then promoted a second primary beside the one in use. close_progress() of a past epoch is never complete, so new facts seldom led that far; facts gathered before the round did.

The close is looked at again after the turn and after the quorum round; members that were paused for it are resumed. no_promotion_for_a_close_that_is_past failed before. Without the look after the turn nothing_is_looked_at_for_a_close_that_ended_while_it_waited fails (one question more).

--- a/src/control/registered/group_failover.cpp
+++ b/src/control/registered/group_failover.cpp
@@ -125,6 +125,7 @@
   if (choice.verdict == PromotionVerdict::kPromote) {
     const bool at_once = co_await turns_.take(urgencies()[closed.group]);
     // What was found may have changed meanwhile: a paused member that restarted is not paused any more.
+    if (!is_still_closed(closed)) co_return co_await resume_members(closed.group);
     if (!at_once) facts = co_await gather_facts(closed);
     if (!at_once) choice = choose_next(facts);
   }
@@ -145,6 +146,7 @@
     const bool ordered = co_await promote(closed, member.entry.incarnation());
     if (ordered) term = co_await wait_promoted(closed, member);
   }
+  if (!term && !is_still_closed(closed)) co_return co_await resume_members(closed.group);
   // The order may still take effect: the members stay paused.
   if (!term) co_return;
   out_of_reach_.erase(closed.group);
@@ -178,11 +180,17 @@
   }
 }
 
+bool GroupKeeper::is_still_closed(const GroupTerm& closed) const {
+  const auto now = term_of(closed.group);
+  return now && !now->open && now->epoch == closed.epoch;
+}
+
 Awaitable<bool> GroupKeeper::promote(GroupTerm closed, registry::BackendIncarnation chosen) {
   Reason reason;
   const TimePoint asked = runtime_.now();
   const auto confirmed = co_await consensus_.read_barrier(asked + kCommitTimeout, reason);
   if (!confirmed || !leads() || runtime_.now() - asked > kPromotionFreshness) co_return false;
+  if (!is_still_closed(closed)) co_return false;
   const registry::BackendEntry* entry = fleet_.find_backend(chosen.name);
   if (entry == nullptr || entry->incarnation() != chosen) co_return false;
   registry::PromotionOrder order{closed.group, chosen.name, node_, consensus_.term()};
--- a/src/control/registered/group_keeper.h
+++ b/src/control/registered/group_keeper.h
@@ -125,7 +125,9 @@
   Awaitable<void> resume_members(GroupName group);
   /// What an earlier leader may have left paused.
   Awaitable<void> resume_left_members();
-  /// False also when another life of the backend has registered.
+  /// Whether the group is in that close: another leader may have opened it, or closed it again, since.
+  [[nodiscard]] bool is_still_closed(const registry::GroupTerm& closed) const;
+  /// False also when another life of the backend has registered, or the close is past.
   Awaitable<bool> promote(registry::GroupTerm closed, registry::BackendIncarnation chosen);
   /// The term that `chosen` leads, with no less than it was chosen for: else it has started again meanwhile.
   Awaitable<std::optional<std::uint64_t>> wait_promoted(registry::GroupTerm closed, MemberFinding chosen);
--- a/tests/control/registered/control_stand.cpp
+++ b/tests/control/registered/control_stand.cpp
@@ -23,6 +23,7 @@
                                                 runtime::SendState& sent, Reason& reason) override {
     sent = runtime::SendState::kMaybeSent;
     ControlStand::Member& member = stand_.members[member_];
+    if (std::holds_alternative<session::AskStatus>(request)) ++member.questions;
     if (!member.answers) {
       co_await stand_.runtime().sleep_for(deadline - stand_.now());
       close();
--- a/tests/control/registered/control_stand.h
+++ b/tests/control/registered/control_stand.h
@@ -111,6 +111,7 @@
     session::BackendStatus status;
     bool answers = true;
     bool forgets_pauses = false;
+    int questions = 0;  ///< for its status
   };
   std::map<std::string, Member> members;
   /// Who answers at an address, where that is not who registered there last.
--- a/tests/control/registered/group_keeper_test.cpp
+++ b/tests/control/registered/group_keeper_test.cpp
@@ -28,20 +28,12 @@
   CPPUNIT_TEST(no_promotion_without_a_quorum);
   CPPUNIT_TEST(no_promotion_by_who_was_held_up);
   CPPUNIT_TEST(no_promotion_by_who_leads_no_more);
+  CPPUNIT_TEST(no_promotion_for_a_close_that_is_past);
+  CPPUNIT_TEST(nothing_is_looked_at_for_a_close_that_ended_while_it_waited);
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  void setUp() override {
-    stand_ = std::make_unique<ControlStand>();
-    stand_->leases().start();
-    stand_->open_group();
-    keeper_ = std::make_unique<GroupKeeper>(stand_->runtime(), stand_->consensus(), stand_->fleet(),
-                                            stand_->calls(), stand_->leases(), stand_->prober(), *stand_,
-                                            GroupKeeperSettings{NodeName("10.0.0.1")});
-    keeper_->start();
-    // What an earlier leader gave is over, and members have settled.
-    stand_->run_for(seconds(20));
-  }
+  void setUp() override { begin(0); }
   void tearDown() override { stand_.reset(); }
 
   void a_dead_primary_is_replaced() {
@@ -118,7 +110,55 @@
     CPPUNIT_ASSERT(stand_->first("promote") == nullptr);
   }
 
+  /// Another leader opened the group since, with another one.
+  void no_promotion_for_a_close_that_is_past() {
+    close_group();
+    stand_->consensus().during_barrier = [this] { open_with("replica-2"); };
+    stand_->run_for(seconds(2));
+    CPPUNIT_ASSERT(stand_->first("promote") == nullptr);
+    CPPUNIT_ASSERT(stand_->term().open && stand_->term().primary.value == "replica-2");
+  }
+
+  void nothing_is_looked_at_for_a_close_that_ended_while_it_waited() {
+    constexpr double kRate = 0.1;  // the next turn is long in coming
+    begin(kRate);
+    close_group();
+    stand_->run_for(seconds(1));
+    CPPUNIT_ASSERT_MESSAGE("the first turn is taken", stand_->first("promote") != nullptr);
+    CPPUNIT_ASSERT(stand_->term().open);
+    stand_->events.clear();
+    stand_->members[stand_->term().primary.value].answers = false;
+    stand_->consensus().commit(registry::CloseGroup{kGroup, stand_->term().epoch});
+    stand_->run_for(seconds(1));
+    CPPUNIT_ASSERT(!stand_->term().open);
+    open_with("replica-2");
+    const int asked = stand_->members["replica-2"].questions;
+    stand_->run_for(seconds(30));
+    CPPUNIT_ASSERT(stand_->first("promote") == nullptr);
+    CPPUNIT_ASSERT_EQUAL(asked, stand_->members["replica-2"].questions);
+    CPPUNIT_ASSERT(stand_->term().open && stand_->term().primary.value == "replica-2");
+  }
+
  private:
+  /// A keeper that leads; what an earlier leader gave is over, and members have settled.
+  void begin(double promotion_rate) {
+    stand_.reset();
+    stand_ = std::make_unique<ControlStand>();
+    stand_->leases().start();
+    stand_->open_group();
+    keeper_ = std::make_unique<GroupKeeper>(stand_->runtime(), stand_->consensus(), stand_->fleet(),
+                                            stand_->calls(), stand_->leases(), stand_->prober(), *stand_,
+                                            GroupKeeperSettings{NodeName("10.0.0.1"), {}, promotion_rate});
+    keeper_->start();
+    stand_->run_for(seconds(20));
+  }
+
+  void open_with(const char* backend) {
+    const registry::GroupTerm closed = stand_->term();
+    stand_->consensus().commit(
+        registry::OpenGroup{kGroup, closed.epoch, closed.term + 1, BackendName(backend), 0});
+  }
+
   void kill_primary() {
     stand_->members["primary"].answers = false;
     registry::PrimarySuspicion suspicion;
