Removals: a late one does not end the next life

deregister_backend left the life open in its command, so a removal that went into the log after the next life's registration removed that one. It names the life held now, after a quorum round: a node that is behind would name a former one, and the removal would be acknowledged without effect.

a_late_removal_does_not_end_the_next_life failed before.

--- a/src/control/registered/registration_service.cpp
+++ b/src/control/registered/registration_service.cpp
@@ -179,8 +179,13 @@
 
 Awaitable<bool> RegistrationService::deregister_backend(BackendName name, Reason& reason) {
   if (fleet_.find_backend(name) == nullptr && fleet_.is_deregistered(name)) co_return true;
+  // The life that is present now: one that registers while this is on its way into the log goes on.
+  const bool confirmed = co_await confirm(reason);
+  if (!confirmed) co_return false;
   const std::string text = name.value;
-  registry::SingleCommand command = registry::DeregisterBackend{std::move(name)};
+  const registry::BackendEntry* held = fleet_.find_backend(name);
+  const std::uint64_t born = held == nullptr ? 0 : held->born_ms;
+  registry::SingleCommand command = registry::DeregisterBackend{std::move(name), born};
   const bool done = co_await calls_.submit_gathered(std::move(command), reason);
   runtime_.logger().log(done ? LogLevel::kInfo : LogLevel::kWarning,
                         done ? "backend_deregistered" : "backend_not_deregistered", reason,
--- a/tests/control/registered/registration_service_test.cpp
+++ b/tests/control/registered/registration_service_test.cpp
@@ -5,6 +5,7 @@
 
 #include "simulation/world.h"
 #include "tests/support/applied_log.h"
+#include "wire/codec.h"
 
 namespace cairnhollow::control::registered {
 
@@ -61,6 +62,8 @@
   CPPUNIT_TEST_SUITE(RegistrationServiceTest);
   CPPUNIT_TEST(a_next_life_is_taken_and_a_late_word_of_the_former_one_is_not);
   CPPUNIT_TEST(a_removed_backend_comes_back_in_its_next_life);
+  CPPUNIT_TEST(a_late_removal_does_not_end_the_next_life);
+  CPPUNIT_TEST(a_removal_at_a_node_that_is_behind_ends_the_present_life);
   CPPUNIT_TEST(a_former_backend_of_the_address_displaces_nobody);
   CPPUNIT_TEST_SUITE_END();
 
@@ -98,6 +101,29 @@
     CPPUNIT_ASSERT(held("b1") == nullptr);
   }
 
+  /// The next life registers while the removal of the former one is on its way into the log.
+  void a_late_removal_does_not_end_the_next_life() {
+    CPPUNIT_ASSERT(say(life("b1", 5, 1000)));
+    const auto removal = [this]() -> Awaitable<void> {
+      Reason reason;
+      co_await node_->service.deregister_backend(BackendName("b1"), reason);
+    };
+    runtime_->spawn("removal", removal());
+    world_->run_for(milliseconds(1));
+    put(life("b1", 1, 2000));
+    world_->run_for(seconds(1));
+    CPPUNIT_ASSERT(held("b1") != nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2000}, held("b1")->born_ms);
+  }
+
+  /// It hears of the next life only in the quorum round.
+  void a_removal_at_a_node_that_is_behind_ends_the_present_life() {
+    CPPUNIT_ASSERT(say(life("b1", 5, 1000)));
+    node_->log.during_barrier = [this] { put(life("b1", 1, 2000)); };
+    CPPUNIT_ASSERT(remove("b1"));
+    CPPUNIT_ASSERT(held("b1") == nullptr);
+  }
+
   void a_former_backend_of_the_address_displaces_nobody() {
     CPPUNIT_ASSERT(say(life("b2", 1, 2000)));
     CPPUNIT_ASSERT(say(life("b1", 9, 1000)));
@@ -116,6 +142,11 @@
       co_return taken.has_value();
     });
   }
+  /// As another control node does it.
+  void put(const registry::BackendEntry& entry) {
+    registry::LoggedCommand logged{registry::RegisterBackend{entry}};
+    node_->fleet.apply(1, wire::encode_from(logged, wire::kWrittenFormat));
+  }
   bool remove(const std::string& name) {
     return run([&](Reason& reason) { return node_->service.deregister_backend(BackendName(name), reason); });
   }
