Promotion turns: rates that are no multiple of five stay within the rate, too

The bucket holds at least one call, and the refill was four fifths of the rate whatever it held: at 1.5 a second two calls fell into one second. The refill is what the bucket leaves of the rate, at least half of it.

low_rates_hold_in_each_second failed before (2 within a second at 1.5); at 50 a second nothing changes.

--- a/src/control/registered/promotion_turns.cpp
+++ b/src/control/registered/promotion_turns.cpp
@@ -8,14 +8,21 @@
 
 namespace {
 
-constexpr double kDepthPart = 0.2;  ///< of the rate; the refill is the rest
+constexpr double kDepthPart = 0.2;        ///< of the rate; the refill is the rest
+constexpr double kLeastRefillPart = 0.5;  ///< of a rate that a depth of one call leaves less of
+
+double depth_of(double rate_per_s) { return std::max(1.0, std::floor(rate_per_s * kDepthPart)); }
+
+double refill_of(double rate_per_s) {
+  return std::max(rate_per_s - depth_of(rate_per_s), rate_per_s * kLeastRefillPart);
+}
 
 }  // namespace
 
 PromotionTurns::PromotionTurns(runtime::Runtime& runtime, double rate_per_s)
     : runtime_(runtime),
-      refill_per_s_(rate_per_s * (1 - kDepthPart)),
-      depth_(std::max(1.0, std::floor(rate_per_s * kDepthPart))),
+      refill_per_s_(refill_of(rate_per_s)),
+      depth_(depth_of(rate_per_s)),
       calls_(depth_),
       refilled_at_(runtime.now()),
       taken_(runtime) {}
--- a/tests/control/registered/promotion_turns_test.cpp
+++ b/tests/control/registered/promotion_turns_test.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST_SUITE(PromotionTurnsTest);
   CPPUNIT_TEST(a_few_go_at_once);
   CPPUNIT_TEST(a_lost_zone_stays_within_the_rate_in_each_second);
+  CPPUNIT_TEST(low_rates_hold_in_each_second);
   CPPUNIT_TEST(the_most_urgent_go_first);
   CPPUNIT_TEST(without_a_rate_nobody_waits);
   CPPUNIT_TEST_SUITE_END();
@@ -58,6 +59,18 @@
     }
   }
 
+  void low_rates_hold_in_each_second() {
+    for (const double rate : {1.0, 1.5, 2.6, 4.0, 7.0}) {
+      begin(rate);
+      calls_.clear();
+      for (int call = 0; call < 20; ++call) ask(1);
+      world_->run_for(seconds(60));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(fmt::format("at {} a second", rate), std::size_t{20}, calls_.size());
+      CPPUNIT_ASSERT_MESSAGE(fmt::format("{} within a second at {}", most_within_a_second(), rate),
+                             static_cast<double>(most_within_a_second()) <= rate);
+    }
+  }
+
   void the_most_urgent_go_first() {
     begin(5);
     ask(9);
@@ -81,6 +94,17 @@
   }
 
  private:
+  [[nodiscard]] std::ptrdiff_t most_within_a_second() const {
+    std::ptrdiff_t most = 0;
+    for (const Call& first : calls_) {
+      const auto within = std::count_if(calls_.begin(), calls_.end(), [&](const Call& call) {
+        return call.at >= first.at && call.at < first.at + seconds(1);
+      });
+      most = std::max(most, within);
+    }
+    return most;
+  }
+
   struct Call {
     std::uint64_t urgency = 0;
     TimePoint at{};
