Promotions: an order that was refused is given again after a pause

One that the platform did not take (429 or a conflict) was repeated without any pause, one look at the group after the other, which adds to what the platform turns away. It waits kFailoverRetry.

--- a/src/control/registered/group_failover.cpp
+++ b/src/control/registered/group_failover.cpp
@@ -200,7 +200,10 @@
   ordered.primary = chosen.name;
   log(taken ? "promotion_ordered" : "promotion_unclear", ordered, taken ? "taken" : reason.to_string());
   // Without a clear answer it may have been taken: the backend's own status tells.
-  co_return taken || (reason.code != ReasonCode::kConflict && reason.code != ReasonCode::kOverloaded);
+  const bool refused =
+      !taken && (reason.code == ReasonCode::kConflict || reason.code == ReasonCode::kOverloaded);
+  if (refused) co_await runtime_.sleep_for(kFailoverRetry);
+  co_return !refused;
 }
 
 Awaitable<std::optional<std::uint64_t>> GroupKeeper::wait_promoted(GroupTerm closed, MemberFinding chosen) {
--- a/tests/control/registered/control_stand.cpp
+++ b/tests/control/registered/control_stand.cpp
@@ -223,8 +223,12 @@
 }
 
 Awaitable<bool> ControlStand::promote(registry::PromotionOrder order, TimePoint /*deadline*/,
-                                      Reason& /*reason*/) {
+                                      Reason& reason) {
   events.push_back({"promote " + order.backend.value, now()});
+  if (refuses_promotions) {
+    reason = Reason{ReasonCode::kOverloaded, "promote", order.backend.value, "too many orders"};
+    co_return false;
+  }
   Member& member = members[order.backend.value];
   member.status = {true, member.status.term + 1, member.status.received, 0};
   co_return true;
--- a/tests/control/registered/control_stand.h
+++ b/tests/control/registered/control_stand.h
@@ -114,6 +114,7 @@
     int questions = 0;  ///< for its status
   };
   std::map<std::string, Member> members;
+  bool refuses_promotions = false;  ///< takes no order, and says so
   /// Who answers at an address, where that is not who registered there last.
   std::map<Endpoint, std::string> answering_at;
   struct Event {
--- a/tests/control/registered/group_keeper_test.cpp
+++ b/tests/control/registered/group_keeper_test.cpp
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(no_promotion_by_who_leads_no_more);
   CPPUNIT_TEST(no_promotion_for_a_close_that_is_past);
   CPPUNIT_TEST(nothing_is_looked_at_for_a_close_that_ended_while_it_waited);
+  CPPUNIT_TEST(an_order_that_was_refused_is_given_again_after_a_pause);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -139,6 +140,18 @@
     CPPUNIT_ASSERT(stand_->term().open && stand_->term().primary.value == "replica-2");
   }
 
+  void an_order_that_was_refused_is_given_again_after_a_pause() {
+    stand_->refuses_promotions = true;
+    close_group();
+    stand_->run_for(seconds(2));
+    const auto orders = static_cast<Duration::rep>(stand_->events.size());
+    CPPUNIT_ASSERT_MESSAGE("again and again", orders > 2);
+    CPPUNIT_ASSERT(orders <= seconds(2) / kFailoverRetry);
+    stand_->refuses_promotions = false;
+    stand_->run_for(seconds(1));
+    CPPUNIT_ASSERT(stand_->term().open);
+  }
+
  private:
   /// A keeper that leads; what an earlier leader gave is over, and members have settled.
   void begin(double promotion_rate) {
