Proof of a promotion: who registered in the command that opened the term joined in it

RegisterBackend and OpenGroup are gathered into one command and then share a revision; the life that registered there was taken for one that had been in the group before the term, and a log without entries of the term counted as having all earlier ones.

who_joined_in_the_revision_that_opened_the_term_joined_in_it failed before.

--- a/src/control/registered/group_failover.cpp
+++ b/src/control/registered/group_failover.cpp
@@ -82,7 +82,8 @@
   };
   std::vector<MemberFinding> members;
   for (registry::BackendEntry& entry : fleet_.backends_of(closed.group)) {
-    const bool joined = entry.tells_birth() && fleet_.backend_revision(entry.name) > closed.opened_at;
+    // What was gathered into one command has one revision.
+    const bool joined = entry.tells_birth() && fleet_.backend_revision(entry.name) >= closed.opened_at;
     members.push_back({std::move(entry), std::nullopt, joined});
   }
   facts.members = co_await prober_.ask_all(std::move(members), enough);
--- a/tests/control/registered/group_keeper_lives_test.cpp
+++ b/tests/control/registered/group_keeper_lives_test.cpp
@@ -122,6 +122,7 @@
   CPPUNIT_TEST(nobody_follows_without_proof_before_all_have_answered);
   CPPUNIT_TEST(a_replaced_life_may_have_held_the_newest_commits);
   CPPUNIT_TEST(a_promotion_without_proof_is_counted);
+  CPPUNIT_TEST(who_joined_in_the_revision_that_opened_the_term_joined_in_it);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -224,21 +225,40 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, leader_->keeper.unproved_promotions());
   }
 
+  /// Both were gathered into one command.
+  void who_joined_in_the_revision_that_opened_the_term_joined_in_it() {
+    apply(registry::CloseGroup{kGroup, term().epoch});
+    registry::BackendEntry next = entry("a", 2, 2000);
+    leader_->statuses[next.name] = BackendStatus{false, kTerm, {kTerm - 1, 4}};
+    leader_->statuses.erase(BackendName("p"));
+    leader_->statuses.erase(BackendName("b"));
+    registry::OpenGroup open{kGroup, term().epoch, kTerm, BackendName("p"), 1000};
+    apply(registry::CommandBatch{{registry::RegisterBackend{next}, open}});
+    CPPUNIT_ASSERT(term().open);
+    apply(registry::CloseGroup{kGroup, term().epoch});
+    world_->run_for(seconds(1));
+    CPPUNIT_ASSERT(!term().open);
+    CPPUNIT_ASSERT_EQUAL(0, leader_->promotions.orders);
+  }
+
  private:
   const registry::GroupTerm& term() { return *leader_->fleet.find_term(kGroup); }
   void apply(registry::Command command) {
     registry::LoggedCommand logged{std::move(command)};
     leader_->fleet.apply(++index_, wire::encode_from(logged, wire::kWrittenFormat));
   }
-  void put(const std::string& name, std::uint16_t port, std::uint64_t born_ms, BackendStatus status) {
+  static registry::BackendEntry entry(const std::string& name, std::uint16_t port, std::uint64_t born_ms) {
     registry::BackendEntry entry;
     entry.name = BackendName(name);
     entry.group = kGroup;
     entry.endpoint = {"10.0.0.9", port};
     entry.born_ms = born_ms;
     entry.sequence = 1;
-    leader_->statuses[entry.name] = status;
-    apply(registry::RegisterBackend{entry});
+    return entry;
+  }
+  void put(const std::string& name, std::uint16_t port, std::uint64_t born_ms, BackendStatus status) {
+    leader_->statuses[BackendName(name)] = status;
+    apply(registry::RegisterBackend{entry(name, port, born_ms)});
   }
 
   std::unique_ptr<simulation::World> world_;
