Members of a group: who starts to look may have missed a replaced life, and one may come back a look later

A control node that starts knew no former lives, and a life that left one look before the next one came counted as left for good; then the position that answering proxies showed was enough for a promotion although the only replica with a later commit had been replaced. Both now count as replaced until another member was found with all that the primary holds (entries that tell no start: as before).

A node that follows could clear this only once elected, when the primary may be gone with the leader: each node now compares also while it follows (one look a second until it succeeds; its connections are closed after each). Without that who_follows_compares_members_too stays closed (run). A comparison without a primary pauses, too, instead of being begun again at once.

who_starts_to_look_may_have_missed_a_replaced_life and a_life_that_left_may_come_back_a_look_later failed before. The test stand's log now writes commands in the written format, as the product does: it lost the starts of backends. Also noted as open: asking every life for entries of the term.

--- a/src/control/registered/group_keeper.cpp
+++ b/src/control/registered/group_keeper.cpp
@@ -13,6 +13,14 @@
 
 using registry::GroupTerm;
 
+namespace {
+
+bool any_tells_birth(const std::set<registry::BackendIncarnation>& members) {
+  return std::any_of(members.begin(), members.end(), [](const auto& member) { return member.born_ms != 0; });
+}
+
+}  // namespace
+
 GroupKeeper::GroupKeeper(runtime::Runtime& runtime, consensus::Consensus& consensus,
                          registry::FleetStateMachine& fleet, LeaderCalls& calls, LeaseKeeper& leases,
                          GroupProber& prober, registry::PromotionCaller& promotions,
@@ -60,6 +68,7 @@
   while (!stopping_) {
     pauses_.note_members();
     watch_all_members();
+    settle_all_members();
     if (!leads()) {
       settled_revision_.reset();
       pauses_.forget();
@@ -77,9 +86,6 @@
 void GroupKeeper::look_at_all() {
   const std::uint64_t revision = fleet_.revision();
   for (const auto& group : fleet_.groups()) {
-    const bool unsettled = memberships_[group.name].unsettled;
-    if (unsettled && settling_.insert(group.name).second)
-      runtime_.spawn("settle_members", settle_members(group.name));
     look_at(group.name);
   }
   // Nothing to do, and nothing will be until the fleet changes or a proxy suspects a primary.
@@ -131,35 +137,50 @@
 
 void GroupKeeper::note_members(Membership& membership, std::set<registry::BackendIncarnation> members) {
   if (membership.members == members) return;
+  // Lives that ended before the first look are not known of.
+  if (membership.members.empty() && any_tells_birth(members)) {
+    membership.unsettled = true;
+    membership.was_replaced = true;
+  }
   for (const registry::BackendIncarnation& former : membership.members) {
     if (members.count(former) > 0) continue;
     membership.left_at = runtime_.now();
     membership.unsettled = true;
     const auto next = members.lower_bound({former.name, 0});
     const bool replaced = next != members.end() && next->name == former.name;
-    membership.was_replaced = membership.was_replaced || replaced;
+    // Its next life may come a look later.
+    membership.was_replaced = membership.was_replaced || replaced || former.born_ms != 0;
   }
   membership.members = std::move(members);
 }
 
+void GroupKeeper::settle_all_members() {
+  for (const auto& [group, membership] : memberships_) {
+    if (membership.unsettled && settling_.insert(group).second)
+      runtime_.spawn("settle_members", settle_members(group));
+  }
+}
+
 Awaitable<void> GroupKeeper::settle_members(GroupName group) {
-  co_await compare_members(group);
+  const bool settled = co_await compare_members(group);
+  if (!leads()) {
+    // Links are for who asks again and again.
+    for (const registry::BackendEntry& member : fleet_.backends_of(group)) prober_.close_idle(member.name);
+  }
+  if (!settled) co_await runtime_.sleep_for(leads() ? kFailoverRetry : kFollowerSettleRetry);
   settling_.erase(group);
   wake_.notify_all();
 }
 
-Awaitable<void> GroupKeeper::compare_members(GroupName group) {
+Awaitable<bool> GroupKeeper::compare_members(GroupName group) {
   const auto term = term_of(group);
   const registry::BackendEntry* primary = term ? fleet_.find_backend(term->primary) : nullptr;
   const TimePoint left_at = memberships_[group].left_at;
-  if (primary == nullptr) co_return;
+  if (primary == nullptr) co_return false;
   const registry::BackendEntry entry = *primary;
   Reason reason;
   const auto leading = co_await prober_.ask(entry, runtime_.now() + kStatusTimeout, reason);
-  if (term->is_restarted_primary(entry) || is_dead(leading, *term)) {
-    co_await runtime_.sleep_for(kFailoverRetry);
-    co_return;
-  }
+  if (term->is_restarted_primary(entry) || is_dead(leading, *term)) co_return false;
   const auto findings = co_await prober_.ask_all(fleet_.backends_of(group));
   const bool held = std::any_of(findings.begin(), findings.end(), [&](const MemberFinding& member) {
     return member.entry.name != term->primary && !member.entry.leaving && member.status &&
@@ -170,7 +191,7 @@
     membership->second.unsettled = false;
     membership->second.was_replaced = false;
   }
-  if (!held) co_await runtime_.sleep_for(kFailoverRetry);
+  co_return held;
 }
 
 bool GroupKeeper::are_members_settled(const GroupName& group) const {
--- a/src/control/registered/group_keeper.h
+++ b/src/control/registered/group_keeper.h
@@ -61,9 +61,11 @@
   void watch_all_members();
   /// Notes which lives have left a group, and when.
   void watch_members(const GroupName& group);
+  /// Also while this node follows: it may be elected when the primary is gone, and can't ask it any more.
+  void settle_all_members();
   /// Looks whether a member that stayed holds what the primary held when one left.
   Awaitable<void> settle_members(GroupName group);
-  Awaitable<void> compare_members(GroupName group);
+  Awaitable<bool> compare_members(GroupName group);
   /// Whether those who stayed hold what one that left held.
   [[nodiscard]] bool are_members_settled(const GroupName& group) const;
   void begin(const GroupName& group, Awaitable<void> task);
--- a/src/control/registered/group_prober.cpp
+++ b/src/control/registered/group_prober.cpp
@@ -56,6 +56,14 @@
   return nullptr;
 }
 
+void GroupProber::close_idle(const BackendName& backend) {
+  const auto idle = idle_.find(backend);
+  if (idle == idle_.end()) return;
+  const IdleLink held = std::move(idle->second);
+  idle_.erase(idle);
+  held.link->close();
+}
+
 Awaitable<std::optional<session::BackendStatus>> GroupProber::run(registry::BackendEntry entry,
                                                                   session::BackendRequest request,
                                                                   TimePoint deadline, Reason& reason) {
--- a/src/control/registered/group_prober.h
+++ b/src/control/registered/group_prober.h
@@ -39,6 +39,8 @@
   using Enough = std::function<bool(const std::vector<MemberFinding>&)>;
   Awaitable<std::vector<MemberFinding>> ask_all(std::vector<MemberFinding> members, Enough enough = nullptr);
   Awaitable<std::vector<MemberFinding>> ask_all(std::vector<registry::BackendEntry> entries);
+  /// Closes the connection that is kept for the next question, if there is one.
+  void close_idle(const BackendName& backend);
 
  private:
   struct Survey;
--- a/src/control/registered/knobs.h
+++ b/src/control/registered/knobs.h
@@ -77,6 +77,9 @@
 inline constexpr Duration kMembersSettleTime = std::chrono::seconds(3);
 /// Pause between looks at a group whose next primary can't be told yet.
 inline constexpr Duration kFailoverRetry = std::chrono::milliseconds(100);
+/// The same for a node that follows and compares the members of a group in which one left: it needs the
+/// outcome only when it is elected, and each look asks every member.
+inline constexpr Duration kFollowerSettleRetry = std::chrono::seconds(1);
 /// A suspicion counts for this long.
 inline constexpr Duration kSuspicionLapse = std::chrono::milliseconds(600);
 /// Looks in a row that must find a suspected primary dead.
--- a/tests/control/registered/control_stand.cpp
+++ b/tests/control/registered/control_stand.cpp
@@ -90,7 +90,8 @@
 }
 
 void ScriptedConsensus::commit(registry::Command command) {
-  fleet_.apply(++index_, wire::encode(registry::LoggedCommand{std::move(command)}));
+  registry::LoggedCommand logged{std::move(command)};
+  fleet_.apply(++index_, wire::encode_from(logged, wire::kWrittenFormat));
 }
 
 Awaitable<bool> ProxyFrames::send(std::string frame, Reason& reason) {
--- a/tests/control/registered/group_keeper_lives_test.cpp
+++ b/tests/control/registered/group_keeper_lives_test.cpp
@@ -122,6 +122,8 @@
   CPPUNIT_TEST(nobody_follows_without_proof_before_all_have_answered);
   CPPUNIT_TEST(a_replaced_life_may_have_held_the_newest_commits);
   CPPUNIT_TEST(a_promotion_without_proof_is_counted);
+  CPPUNIT_TEST(who_starts_to_look_may_have_missed_a_replaced_life);
+  CPPUNIT_TEST(a_life_that_left_may_come_back_a_look_later);
   CPPUNIT_TEST(who_joined_in_the_revision_that_opened_the_term_joined_in_it);
   CPPUNIT_TEST_SUITE_END();
 
@@ -143,6 +145,7 @@
   }
   void tearDown() override {
     world_.reset();
+    next_.reset();
     leader_.reset();
   }
 
@@ -225,6 +228,36 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, leader_->keeper.unproved_promotions());
   }
 
+  /// A control node starts after "a" did: the former life may have been the only one with the newest commits.
+  void who_starts_to_look_may_have_missed_a_replaced_life() {
+    lose_a_proxy();
+    leader_->statuses[BackendName("a")] = BackendStatus{false, kTerm, {kTerm, 4}};
+    start_another_keeper();
+    world_->run_for(seconds(4));
+    leader_->statuses.erase(BackendName("p"));
+    apply(registry::CloseGroup{kGroup, term().epoch});
+    world_->run_for(seconds(5));
+    CPPUNIT_ASSERT(!term().open);
+    CPPUNIT_ASSERT_EQUAL(0, leader_->promotions.orders);
+    leader_->statuses[BackendName("p")] = BackendStatus{true, kTerm, {kTerm, 9}};
+    world_->run_for(seconds(1));
+    CPPUNIT_ASSERT_MESSAGE("only the primary holds them", term().open && term().primary.value == "p");
+  }
+
+  /// Between the two the group was looked at without it.
+  void a_life_that_left_may_come_back_a_look_later() {
+    lose_a_proxy();
+    leader_->statuses.erase(BackendName("p"));
+    apply(registry::DeregisterBackend{BackendName("a")});
+    world_->run_for(seconds(1));
+    put("a", 2, 2000, BackendStatus{false, kTerm, {kTerm, 4}});
+    world_->run_for(seconds(1));
+    apply(registry::CloseGroup{kGroup, term().epoch});
+    world_->run_for(seconds(4));
+    CPPUNIT_ASSERT(!term().open);
+    CPPUNIT_ASSERT_EQUAL(0, leader_->promotions.orders);
+  }
+
   /// Both were gathered into one command.
   void who_joined_in_the_revision_that_opened_the_term_joined_in_it() {
     apply(registry::CloseGroup{kGroup, term().epoch});
@@ -242,6 +275,19 @@
   }
 
  private:
+  /// One that may have acknowledged something.
+  void lose_a_proxy() {
+    apply(registry::AdmitProxy{{NodeName("proxy"), 1, ZoneName("a"), {}, false}});
+    apply(registry::ForgetProxy{NodeName("proxy"), 1});
+  }
+  /// In the place of the one that there was.
+  void start_another_keeper() {
+    leader_->keeper.stop();
+    next_ = std::make_unique<GroupKeeper>(*runtime_, leader_->log, leader_->fleet, leader_->calls,
+                                          leader_->leases, leader_->prober, leader_->promotions,
+                                          GroupKeeperSettings{NodeName("node")});
+    next_->start();
+  }
   const registry::GroupTerm& term() { return *leader_->fleet.find_term(kGroup); }
   void apply(registry::Command command) {
     registry::LoggedCommand logged{std::move(command)};
@@ -264,6 +310,7 @@
   std::unique_ptr<simulation::World> world_;
   runtime::Runtime* runtime_ = nullptr;
   std::unique_ptr<Leader> leader_;
+  std::unique_ptr<GroupKeeper> next_;
   std::uint64_t index_ = 0;
 };
 
--- a/tests/control/registered/group_keeper_test.cpp
+++ b/tests/control/registered/group_keeper_test.cpp
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(no_promotion_for_a_close_that_is_past);
   CPPUNIT_TEST(nothing_is_looked_at_for_a_close_that_ended_while_it_waited);
   CPPUNIT_TEST(an_order_that_was_refused_is_given_again_after_a_pause);
+  CPPUNIT_TEST(who_follows_compares_members_too);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -152,6 +153,25 @@
     CPPUNIT_ASSERT(stand_->term().open);
   }
 
+  /// Lives are replaced while this node follows; it is elected once the primary, and a proxy, are gone.
+  void who_follows_compares_members_too() {
+    stand_->consensus().is_leader = false;
+    std::uint16_t port = 9001;
+    for (const char* name : {"primary", "replica-1", "replica-2"}) {
+      registry::BackendEntry life = ControlStand::entry(name, port++);
+      life.born_ms = 1000;
+      stand_->consensus().commit(registry::RegisterBackend{life});
+    }
+    stand_->run_for(seconds(5));
+    stand_->admit("proxy");
+    stand_->consensus().commit(registry::ForgetProxy{NodeName("proxy"), 1});
+    stand_->consensus().is_leader = true;
+    kill_primary();
+    stand_->run_for(seconds(3));
+    CPPUNIT_ASSERT(stand_->first("promote") != nullptr);
+    CPPUNIT_ASSERT(stand_->term().open);
+  }
+
  private:
   /// A keeper that leads; what an earlier leader gave is over, and members have settled.
   void begin(double promotion_rate) {
