Members of a group: the first ones seen count as having changed just then

A comparison that began while a group was seen without members must not settle those that are found later.

--- a/src/control/registered/group_keeper.cpp
+++ b/src/control/registered/group_keeper.cpp
@@ -139,6 +139,7 @@
   if (membership.members == members) return;
   // Lives that ended before the first look are not known of.
   if (membership.members.empty() && any_tells_birth(members)) {
+    membership.left_at = runtime_.now();
     membership.unsettled = true;
     membership.was_replaced = true;
   }
