--- a/src/control/registered/promotion_turns.h
+++ b/src/control/registered/promotion_turns.h
@@ -1,9 +1,9 @@
 // Spaces the calls that promote, so that the platform takes each of them: it takes so many a second from all
 // nodes and turns the rest away. When many groups lose their primaries at once, the most urgent go first.
 //
-// A bucket of a fifth of the rate, in whole calls and at least one, refilled with the rest of the rate: in any
-// second at most the rate is called, and the primaries of a small fleet are replaced without any wait (50 a
-// second: ten at once, then one each 25 ms). Below two a second the refill is half the rate, since one call
+// A bucket of a fifth of the rate, in whole calls and at least one, refilled with the rest of the rate: in
+// any second at most the rate is called, and the primaries of a small fleet are replaced without any wait (50
+// a second: ten at once, then one each 25 ms). Below two a second the refill is half the rate, since one call
 // leaves less or nothing: at most one call in a second, and in the time that the rate allows for one.
 #pragma once
 
