--- a/src/control/registered/group_failover.cpp
+++ b/src/control/registered/group_failover.cpp
@@ -82,7 +82,8 @@
   };
   std::vector<MemberFinding> members;
   for (registry::BackendEntry& entry : fleet_.backends_of(closed.group)) {
-    const bool joined = entry.tells_birth() && fleet_.backend_revision(entry.name) > closed.opened_at;
+    // What was gathered into one command has one revision.
+    const bool joined = entry.tells_birth() && fleet_.backend_revision(entry.name) >= closed.opened_at;
     members.push_back({std::move(entry), std::nullopt, joined});
   }
   facts.members = co_await prober_.ask_all(std::move(members), enough);
@@ -125,6 +126,7 @@
   if (choice.verdict == PromotionVerdict::kPromote) {
     const bool at_once = co_await turns_.take(urgencies()[closed.group]);
     // What was found may have changed meanwhile: a paused member that restarted is not paused any more.
+    if (!is_still_closed(closed)) co_return co_await resume_members(closed.group);
     if (!at_once) facts = co_await gather_facts(closed);
     if (!at_once) choice = choose_next(facts);
   }
@@ -145,6 +147,7 @@
     const bool ordered = co_await promote(closed, member.entry.incarnation());
     if (ordered) term = co_await wait_promoted(closed, member);
   }
+  if (!term && !is_still_closed(closed)) co_return co_await resume_members(closed.group);
   // The order may still take effect: the members stay paused.
   if (!term) co_return;
   out_of_reach_.erase(closed.group);
@@ -178,11 +181,17 @@
   }
 }
 
+bool GroupKeeper::is_still_closed(const GroupTerm& closed) const {
+  const auto now = term_of(closed.group);
+  return now && !now->open && now->epoch == closed.epoch;
+}
+
 Awaitable<bool> GroupKeeper::promote(GroupTerm closed, registry::BackendIncarnation chosen) {
   Reason reason;
   const TimePoint asked = runtime_.now();
   const auto confirmed = co_await consensus_.read_barrier(asked + kCommitTimeout, reason);
   if (!confirmed || !leads() || runtime_.now() - asked > kPromotionFreshness) co_return false;
+  if (!is_still_closed(closed)) co_return false;
   const registry::BackendEntry* entry = fleet_.find_backend(chosen.name);
   if (entry == nullptr || entry->incarnation() != chosen) co_return false;
   registry::PromotionOrder order{closed.group, chosen.name, node_, consensus_.term()};
@@ -192,7 +201,10 @@
   ordered.primary = chosen.name;
   log(taken ? "promotion_ordered" : "promotion_unclear", ordered, taken ? "taken" : reason.to_string());
   // Without a clear answer it may have been taken: the backend's own status tells.
-  co_return taken || (reason.code != ReasonCode::kConflict && reason.code != ReasonCode::kOverloaded);
+  const bool refused =
+      !taken && (reason.code == ReasonCode::kConflict || reason.code == ReasonCode::kOverloaded);
+  if (refused) co_await runtime_.sleep_for(kFailoverRetry);
+  co_return !refused;
 }
 
 Awaitable<std::optional<std::uint64_t>> GroupKeeper::wait_promoted(GroupTerm closed, MemberFinding chosen) {
--- a/src/control/registered/group_keeper.cpp
+++ b/src/control/registered/group_keeper.cpp
@@ -60,6 +60,7 @@
   while (!stopping_) {
     pauses_.note_members();
     watch_all_members();
+    settle_all_members();
     if (!leads()) {
       settled_revision_.reset();
       pauses_.forget();
@@ -77,9 +78,6 @@
 void GroupKeeper::look_at_all() {
   const std::uint64_t revision = fleet_.revision();
   for (const auto& group : fleet_.groups()) {
-    const bool unsettled = memberships_[group.name].unsettled;
-    if (unsettled && settling_.insert(group.name).second)
-      runtime_.spawn("settle_members", settle_members(group.name));
     look_at(group.name);
   }
   // Nothing to do, and nothing will be until the fleet changes or a proxy suspects a primary.
@@ -114,71 +112,6 @@
   return leaves ? "the primary leaves" : "the zone " + primary->zone.value + " is evacuated";
 }
 
-void GroupKeeper::watch_all_members() {
-  if (watched_revision_ == fleet_.revision()) return;
-  watched_revision_ = fleet_.revision();
-  for (const auto& group : fleet_.groups()) watch_members(group.name);
-  std::erase_if(memberships_,
-                [this](const auto& entry) { return fleet_.find_group(entry.first) == nullptr; });
-}
-
-void GroupKeeper::watch_members(const GroupName& group) {
-  std::set<registry::BackendIncarnation> members = fleet_.incarnations_of(group);
-  const auto [membership, is_new] = memberships_.try_emplace(group);
-  if (is_new) membership->second.left_at = runtime_.now();
-  note_members(membership->second, std::move(members));
-}
-
-void GroupKeeper::note_members(Membership& membership, std::set<registry::BackendIncarnation> members) {
-  if (membership.members == members) return;
-  for (const registry::BackendIncarnation& former : membership.members) {
-    if (members.count(former) > 0) continue;
-    membership.left_at = runtime_.now();
-    membership.unsettled = true;
-    const auto next = members.lower_bound({former.name, 0});
-    const bool replaced = next != members.end() && next->name == former.name;
-    membership.was_replaced = membership.was_replaced || replaced;
-  }
-  membership.members = std::move(members);
-}
-
-Awaitable<void> GroupKeeper::settle_members(GroupName group) {
-  co_await compare_members(group);
-  settling_.erase(group);
-  wake_.notify_all();
-}
-
-Awaitable<void> GroupKeeper::compare_members(GroupName group) {
-  const auto term = term_of(group);
-  const registry::BackendEntry* primary = term ? fleet_.find_backend(term->primary) : nullptr;
-  const TimePoint left_at = memberships_[group].left_at;
-  if (primary == nullptr) co_return;
-  const registry::BackendEntry entry = *primary;
-  Reason reason;
-  const auto leading = co_await prober_.ask(entry, runtime_.now() + kStatusTimeout, reason);
-  if (term->is_restarted_primary(entry) || is_dead(leading, *term)) {
-    co_await runtime_.sleep_for(kFailoverRetry);
-    co_return;
-  }
-  const auto findings = co_await prober_.ask_all(fleet_.backends_of(group));
-  const bool held = std::any_of(findings.begin(), findings.end(), [&](const MemberFinding& member) {
-    return member.entry.name != term->primary && !member.entry.leaving && member.status &&
-           member.status->received >= leading->received;
-  });
-  const auto membership = memberships_.find(group);
-  if (held && membership != memberships_.end() && membership->second.left_at == left_at) {
-    membership->second.unsettled = false;
-    membership->second.was_replaced = false;
-  }
-  if (!held) co_await runtime_.sleep_for(kFailoverRetry);
-}
-
-bool GroupKeeper::are_members_settled(const GroupName& group) const {
-  const auto found = memberships_.find(group);
-  if (found == memberships_.end() || found->second.unsettled) return false;
-  return runtime_.now() - found->second.left_at > kMembersSettleTime;
-}
-
 void GroupKeeper::look_at(const GroupName& group) {
   if (busy_.count(group) > 0) return;
   const auto term = term_of(group);
--- a/tests/control/registered/control_stand.cpp
+++ b/tests/control/registered/control_stand.cpp
@@ -23,6 +23,7 @@
                                                 runtime::SendState& sent, Reason& reason) override {
     sent = runtime::SendState::kMaybeSent;
     ControlStand::Member& member = stand_.members[member_];
+    if (std::holds_alternative<session::AskStatus>(request)) ++member.questions;
     if (!member.answers) {
       co_await stand_.runtime().sleep_for(deadline - stand_.now());
       close();
@@ -89,7 +90,8 @@
 }
 
 void ScriptedConsensus::commit(registry::Command command) {
-  fleet_.apply(++index_, wire::encode(registry::LoggedCommand{std::move(command)}));
+  registry::LoggedCommand logged{std::move(command)};
+  fleet_.apply(++index_, wire::encode_from(logged, wire::kWrittenFormat));
 }
 
 Awaitable<bool> ProxyFrames::send(std::string frame, Reason& reason) {
@@ -222,8 +224,12 @@
 }
 
 Awaitable<bool> ControlStand::promote(registry::PromotionOrder order, TimePoint /*deadline*/,
-                                      Reason& /*reason*/) {
+                                      Reason& reason) {
   events.push_back({"promote " + order.backend.value, now()});
+  if (refuses_promotions) {
+    reason = Reason{ReasonCode::kOverloaded, "promote", order.backend.value, "too many orders"};
+    co_return false;
+  }
   Member& member = members[order.backend.value];
   member.status = {true, member.status.term + 1, member.status.received, 0};
   co_return true;
