A backend that is removed is given no new link

Cause: remove_backend closed the idle links only, so a statement that still held the backend dialled it, or gave a link back to a pool that nobody trims. Change: its pool is retired, as that of a former life is. Test: no_link_is_opened_to_a_backend_that_was_removed (before: one dial).

--- a/src/session/group_access.cpp
+++ b/src/session/group_access.cpp
@@ -83,7 +83,8 @@
 void GroupAccess::remove_backend(const BackendName& name) {
   const auto found = backends_.find(name);
   if (found == backends_.end()) return;
-  found->second->pool.close_idle();
+  // Whoever holds it still opens nothing there, and gives no link back to it.
+  found->second->pool.retire();
   backends_.erase(found);
   changed_.notify_all();
 }
--- a/src/session/stateful_pool.cpp
+++ b/src/session/stateful_pool.cpp
@@ -94,7 +94,7 @@
   while (true) {
     if (retired_) {
       reason = Reason{ReasonCode::kUnreachable, "acquire_link", address_.backend.value,
-                      "the backend has started again"};
+                      "the backend has started again or is gone"};
       co_return nullptr;
     }
     if (is_refused()) {
--- a/tests/session/group_access_test.cpp
+++ b/tests/session/group_access_test.cpp
@@ -17,10 +17,12 @@
  public:
   Awaitable<std::shared_ptr<BackendLink>> open(BackendAddress /*address*/, TimePoint /*deadline*/,
                                                std::optional<Refusal>& refusal, Reason& /*reason*/) override {
+    ++dials;
     if (full) refusal = Refusal::kConnectionLimit;
     co_return nullptr;
   }
   bool full = false;
+  int dials = 0;
 };
 
 /// Only closed, and asked whether it was.
@@ -73,6 +75,7 @@
   CPPUNIT_TEST(work_at_a_former_life_of_the_primary_is_given_up);
   CPPUNIT_TEST(a_primary_that_tells_its_start_is_asked_for_what_it_showed);
   CPPUNIT_TEST(a_member_that_shows_less_of_the_term_has_started_again);
+  CPPUNIT_TEST(no_link_is_opened_to_a_backend_that_was_removed);
   CPPUNIT_TEST(most_links_are_to_the_own_zones_backend);
   CPPUNIT_TEST(reads_go_to_zones_of_backends_that_stay);
   CPPUNIT_TEST_SUITE_END();
@@ -146,6 +149,14 @@
     CPPUNIT_ASSERT_MESSAGE("news that are none do not lengthen it", group_->primary() == nullptr);
   }
 
+  void no_link_is_opened_to_a_backend_that_was_removed() {
+    const auto kept = group_->backends().at(BackendName("replica-1"));
+    group_->remove_backend(BackendName("replica-1"));
+    runtime_->spawn("acquire", acquire(kept));
+    world_->run_for(milliseconds(10));
+    CPPUNIT_ASSERT_EQUAL(0, dialer_.dials);
+  }
+
   void no_link_is_opened_ahead_to_an_evacuated_zone() {
     CPPUNIT_ASSERT(group_->warm_one());
     world_->run_for(seconds(1));
@@ -348,6 +359,14 @@
   }
 
  private:
+  Awaitable<void> acquire(std::shared_ptr<BackendUse> backend) {
+    std::optional<Refusal> refusal;
+    Reason reason;
+    LinkWish wish;
+    const TimePoint deadline = runtime_->now() + seconds(1);
+    co_await backend->pool.acquire(std::move(wish), LinkDeadlines{deadline, deadline}, refusal, reason);
+  }
+
   static registry::BackendEntry life(const std::string& name, std::uint16_t port, std::uint64_t born_ms) {
     registry::BackendEntry entry = backend(name, port);
     entry.born_ms = born_ms;
