Evacuations heard late or ended by a whole copy, and reads beside a cold primary

Three causes, each with tests that failed before: - A proxy that was out of touch had the whole grace anew with the news, up to 2.5 s past the bound. The time now counts from the end of the lease confirmed last (a delta is applied before its answer extends the lease), and a proxy that was never confirmed has none. Tests: who_hears_late_has_less_time, who_was_never_confirmed_has_no_time; who_holds_a_lease_has_the_whole_time held before as well. - A whole copy names no ended evacuations, so the zones that it gave back were not used as cold. apply_evacuations says which they are. Test: a_zone_that_a_whole_copy_gives_back_is_cold_for_a_while. - A read that may be stale was kept for the primary to renew its position although that had no token. Test: a_read_is_not_kept_for_a_primary_without_tokens.

a_whole_copy_replaces_all_and_keeps_the_moment confirms the copy first: without that it would hold whatever moment is kept.

--- a/src/session/evacuated_zones.h
+++ b/src/session/evacuated_zones.h
@@ -14,7 +14,8 @@
 /// Two moments count. From the first, when this proxy heard, nothing new goes to a replica of the zone; its
 /// primaries and open transactions go on, so that control can hand over while they run. From the second on
 /// nothing goes there at all. Whoever holds control's lease heard at most one lease after operators were told
-/// that the order holds, so the second moment lies within the bound that they were promised.
+/// that the order holds, so the second moment lies within the bound that they were promised. Who had lost it
+/// counts from the end of its last one, and so keeps the bound, too.
 class EvacuatedZones {
  public:
   /// `bound`: so long after an order's acknowledgement nothing more is sent to the zone; 0: the usual one.
@@ -24,8 +25,9 @@
     grace_ = std::clamp(left, Duration(0), bound / 2);
   }
 
-  /// True when it was not known. One that is known keeps its moment.
-  bool begin(const ZoneName& zone, TimePoint now) { return since_.emplace(zone, now).second; }
+  /// `since`: no later than now, and at most one lease after operators were told that the order holds. True
+  /// when it was not known. One that is known keeps its moment.
+  bool begin(const ZoneName& zone, TimePoint since) { return since_.emplace(zone, since).second; }
   /// True when it was known.
   bool end(const ZoneName& zone) { return since_.erase(zone) > 0; }
   /// Those that are not in `kept`.
@@ -41,7 +43,7 @@
   /// Whether nothing at all may be sent there any more.
   [[nodiscard]] bool is_off_limits(const ZoneName& zone, TimePoint now) const {
     const auto found = since_.find(zone);
-    return found != since_.end() && now - found->second >= grace_;
+    return found != since_.end() && now - grace_ >= found->second;
   }
 
  private:
--- a/src/session/fleet_view.cpp
+++ b/src/session/fleet_view.cpp
@@ -87,7 +87,7 @@
   }
 }
 
-void FleetView::apply_evacuations(const registry::FleetDelta& delta) {
+std::vector<ZoneName> FleetView::apply_evacuations(const registry::FleetDelta& delta) {
   std::set<ZoneName> begun;
   for (const registry::Evacuation& evacuation : delta.evacuations) begun.insert(evacuation.zone);
   std::vector<ZoneName> ended = delta.ended_evacuations;
@@ -98,13 +98,21 @@
     changed = true;
     log_evacuation("evacuation_over", zone, delta.revision);
   }
+  const TimePoint since = evacuation_known_since();
   for (const ZoneName& zone : begun) {
-    if (!evacuated_->begin(zone, runtime_.now())) continue;
+    if (!evacuated_->begin(zone, since)) continue;
     changed = true;
     log_evacuation("evacuation_in_force", zone, delta.revision);
   }
-  if (!changed) return;
+  if (!changed) return ended;
   for (const auto& [name, group] : groups_) group->note_evacuations();
+  return ended;
+}
+
+TimePoint FleetView::evacuation_known_since() const {
+  const auto confirmed = keys_confirmed_.confirmed_at();
+  if (!confirmed) return TimePoint::min();
+  return std::min(runtime_.now(), *confirmed + kLongestServingLease);
 }
 
 void FleetView::log_evacuation(const char* event, const ZoneName& zone, std::uint64_t revision) {
@@ -275,12 +283,12 @@
   revision_ = delta.revision;
   document_version_ = delta.document_version;
   transaction_idle_ = std::chrono::milliseconds(delta.transaction_idle_ms);
-  apply_evacuations(delta);
+  const std::vector<ZoneName> given_back = apply_evacuations(delta);
   apply_routes(delta);
   apply_tenants(delta);
   for (const registry::GroupRule& rule : delta.groups) access(rule.name)->set_rule(rule);
   apply_backends(delta);
-  for (const ZoneName& zone : delta.ended_evacuations) {
+  for (const ZoneName& zone : given_back) {
     for (const auto& [name, group] : groups_) group->note_evacuation_ended(zone);
   }
   for (const registry::GroupTerm& term : delta.terms) access(term.group)->set_term(term);
--- a/src/session/fleet_view.h
+++ b/src/session/fleet_view.h
@@ -140,7 +140,11 @@
   void share_connections(GroupAccess& group, const std::vector<routing::ProxyPointer>& serving) const;
   void apply_routes(const registry::FleetDelta& delta);
   void apply_backends(const registry::FleetDelta& delta);
-  void apply_evacuations(const registry::FleetDelta& delta);
+  /// The zones that are given back by it.
+  std::vector<ZoneName> apply_evacuations(const registry::FleetDelta& delta);
+  /// The moment that counts for orders of the delta at hand. Now under a lease; else the end of the last one,
+  /// since the order may be that old. With no lease ever it may be of any age.
+  [[nodiscard]] TimePoint evacuation_known_since() const;
   void log_evacuation(const char* event, const ZoneName& zone, std::uint64_t revision);
   void apply_tenants(const registry::FleetDelta& delta);
   /// Some route or tenant names the regions in which its statements run.
--- a/src/session/group_access.cpp
+++ b/src/session/group_access.cpp
@@ -222,6 +222,12 @@
   return found != backends_.end() && found->second->is_off_limits(runtime_.now());
 }
 
+bool GroupAccess::is_primary_at_cold_limit() const {
+  if (!term_.open) return false;
+  const auto found = backends_.find(term_.primary);
+  return found != backends_.end() && is_cold_limit_reached(*found->second);
+}
+
 void GroupAccess::close_evacuated_links() {
   for (const auto& [name, use] : backends_) {
     const bool leads = term_.open && name == term_.primary;
@@ -291,8 +297,9 @@
   staleness_wanted_ = is_staleness_wanted(now) ? std::min(staleness, staleness_wanted_) : staleness;
   staleness_wanted_at_ = now;
   // While the group is open the next read renews what is known, before it is too old; not one that may not go
-  // to the primary.
-  const bool may_go = !is_primary_off_limits() && (allowed == nullptr || !is_primary_outside(*allowed));
+  // to the primary, or would be refused there.
+  const bool may_go = !is_primary_off_limits() && !is_primary_at_cold_limit() &&
+                      (allowed == nullptr || !is_primary_outside(*allowed));
   if (term_.open && may_go && wants_position(staleness)) return need;
   need.required = positions_.covering(now - staleness);
   if (!need.required) return need;
--- a/src/session/group_access.h
+++ b/src/session/group_access.h
@@ -160,6 +160,8 @@
   [[nodiscard]] bool is_cold(const BackendUse& backend) const;
   /// Whether it is cold and there was no token for it a moment ago.
   [[nodiscard]] bool is_cold_limit_reached(const BackendUse& backend) const;
+  /// The same of the open term's primary.
+  [[nodiscard]] bool is_primary_at_cold_limit() const;
   /// Its backends may have turned cold meanwhile.
   void note_evacuation_ended(const ZoneName& zone);
 
--- a/tests/session/cold_backend_test.cpp
+++ b/tests/session/cold_backend_test.cpp
@@ -70,6 +70,8 @@
   CPPUNIT_TEST(a_cold_one_without_tokens_is_passed_over);
   CPPUNIT_TEST(no_links_are_opened_ahead_to_a_cold_one);
   CPPUNIT_TEST(a_zone_that_comes_back_is_cold_for_a_while);
+  CPPUNIT_TEST(a_zone_that_a_whole_copy_gives_back_is_cold_for_a_while);
+  CPPUNIT_TEST(a_read_is_not_kept_for_a_primary_without_tokens);
   CPPUNIT_TEST(a_backend_that_was_gone_is_cold_until_control_confirms);
   CPPUNIT_TEST_SUITE_END();
 
@@ -152,6 +154,39 @@
     CPPUNIT_ASSERT(!is_cold("warm"));
   }
 
+  void a_zone_that_a_whole_copy_gives_back_is_cold_for_a_while() {
+    registry::FleetDelta delta = fleet(10);
+    delta.revision = 2;
+    delta.evacuations = {{ZoneName("a")}, {ZoneName("b")}};
+    view_->apply(delta);
+    delta.revision = 3;
+    delta.evacuations = {{ZoneName("a")}};
+    view_->apply(delta);
+    CPPUNIT_ASSERT_MESSAGE("another zone", !is_cold("warm"));
+    delta.revision = 4;
+    delta.evacuations.clear();
+    view_->apply(delta);
+    CPPUNIT_ASSERT(is_cold("warm"));
+    world_->run_for(kColdAfterEvacuation + milliseconds(1));
+    CPPUNIT_ASSERT(!is_cold("warm"));
+  }
+
+  void a_read_is_not_kept_for_a_primary_without_tokens() {
+    registry::RouteRule route;
+    route.reads = registry::ReadPolicy::kBoundedStaleness;
+    route.max_staleness_ms = 900;
+    group().note_primary_position(runtime_->now(), Position{1, 10});
+    world_->run_for(milliseconds(600));
+    group().note_primary_position(runtime_->now() - milliseconds(500), Position{1, 11});
+    CPPUNIT_ASSERT_MESSAGE("the primary is to show a newer one", is_for_primary(route));
+    use("primary").cold_limit_reached_until = runtime_->now() + milliseconds(80);
+    CPPUNIT_ASSERT_MESSAGE("a warm one has no limit", is_for_primary(route));
+    group().put_backend(backend("primary", 1, 4000));
+    CPPUNIT_ASSERT(!is_for_primary(route));
+    world_->run_for(milliseconds(81));
+    CPPUNIT_ASSERT(is_for_primary(route));
+  }
+
   void a_backend_that_was_gone_is_cold_until_control_confirms() {
     RebirthWatch& rebirth = use("warm").rebirth;
     rebirth.note_reached(runtime_->now());
@@ -182,6 +217,7 @@
   void confirm(TimePoint asked_at) { view_->extend_lease(asked_at, asked_at, 1); }
   GroupAccess& group() { return *view_->find_group(kGroup); }
   BackendUse& use(const std::string& name) { return *group().backends().at(BackendName(name)); }
+  bool is_for_primary(const registry::RouteRule& route) { return group().need_of(route, {}).primary_only; }
   bool is_cold(const std::string& name) { return group().is_cold(use(name)); }
   std::string chosen(const std::set<BackendName>& excluded) {
     const auto reader = group().choose_reader(need_, excluded);
--- a/tests/session/evacuation_view_test.cpp
+++ b/tests/session/evacuation_view_test.cpp
@@ -6,6 +6,7 @@
 
 namespace cairnhollow::session {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 namespace {
@@ -35,6 +36,9 @@
   CPPUNIT_TEST_SUITE(EvacuationViewTest);
   CPPUNIT_TEST(what_begins_and_ends_is_followed);
   CPPUNIT_TEST(a_whole_copy_replaces_all_and_keeps_the_moment);
+  CPPUNIT_TEST(who_holds_a_lease_has_the_whole_time);
+  CPPUNIT_TEST(who_hears_late_has_less_time);
+  CPPUNIT_TEST(who_was_never_confirmed_has_no_time);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -57,6 +61,7 @@
   }
 
   void a_whole_copy_replaces_all_and_keeps_the_moment() {
+    confirm();
     view_->apply(delta(false, 2, {{ZoneName("erie")}, {ZoneName("huron")}}));
     world_->run_for(seconds(2));
     view_->apply(delta(true, 9, {{ZoneName("huron")}}));
@@ -65,7 +70,43 @@
     CPPUNIT_ASSERT(view_->evacuated().is_off_limits(ZoneName("huron"), runtime_->now()));
   }
 
+  void who_holds_a_lease_has_the_whole_time() {
+    world_->run_for(seconds(20));
+    confirm();
+    world_->run_for(milliseconds(1400));
+    view_->apply(delta(false, 2, {{ZoneName("erie")}}));
+    world_->run_for(milliseconds(2400));
+    CPPUNIT_ASSERT(!is_off_limits());
+    world_->run_for(milliseconds(200));
+    CPPUNIT_ASSERT(is_off_limits());
+  }
+
+  void who_hears_late_has_less_time() {
+    confirm();
+    world_->run_for(seconds(2));
+    view_->apply(delta(false, 2, {{ZoneName("erie")}}));
+    world_->run_for(milliseconds(1900));
+    CPPUNIT_ASSERT_MESSAGE("the order may be as old as the lease's end", !is_off_limits());
+    world_->run_for(milliseconds(200));
+    CPPUNIT_ASSERT(is_off_limits());
+    view_->apply(delta(false, 3, {}, {ZoneName("erie")}));
+    confirm();
+    world_->run_for(seconds(6));
+    view_->apply(delta(true, 4, {{ZoneName("erie")}}));
+    CPPUNIT_ASSERT_MESSAGE("of a whole copy as well", is_off_limits());
+  }
+
+  void who_was_never_confirmed_has_no_time() {
+    view_->apply(delta(true, 2, {{ZoneName("erie")}}));
+    CPPUNIT_ASSERT(is_off_limits());
+  }
+
  private:
+  void confirm() { view_->extend_lease(runtime_->now(), runtime_->now() + kLongestServingLease, 1); }
+  [[nodiscard]] bool is_off_limits() const {
+    return view_->evacuated().is_off_limits(ZoneName("erie"), runtime_->now());
+  }
+
   std::unique_ptr<simulation::World> world_;
   runtime::Runtime* runtime_ = nullptr;
   NoDialer dialer_;
