What is refused behind commits that stall says whether it may have run

Cause: refuse_stalled left nothing_run false, so the forwarder took a write that nobody had run for one that may have run.

--- a/src/session/statement_runner.cpp
+++ b/src/session/statement_runner.cpp
@@ -69,6 +69,7 @@
   attempt.reason = Reason{ReasonCode::kOverloaded, "check_commits", attempt.order.group->term().primary.value,
                           "commits sent before have no answer"};
   log_refusal(attempt.order, attempt.result.answer, attempt.reason, 0, attempt.unplaced);
+  attempt.result.nothing_run = !attempt.order.may_have_run;
   return std::move(attempt.result);
 }
 
