What waits for a primary waits where it came in, and is handed on once the primary is known

Cause: while a group had no primary that may be used, its writes were handed to the tenant's proxy of the caller's own zone. That one has 2 links to a primary that opens in another zone: they waited there and were then refused. Change: work at the primary has no zone while none is known; it waits at the proxy where it came in. When that would run it after a wait, and no backend was offered it, it is asked once more whether it is another proxy's, at most twice a statement. Without a lease, without a tenant and for single reads all is as before; keys, lease and epoch are looked at as before.

--- a/src/session/fleet_view.cpp
+++ b/src/session/fleet_view.cpp
@@ -209,29 +209,41 @@
   group.share_connections(std::move(counts));
 }
 
-ZoneName FleetView::zone_of_work(const GroupName& group, const TenantName& tenant, GroupWork work) const {
+std::optional<ZoneName> FleetView::zone_of_work(const GroupName& group, const TenantName& tenant,
+                                                GroupWork work) const {
   const auto found = groups_.find(group);
   if (found == groups_.end()) return zone_;
   const auto primary = work == GroupWork::kAtPrimary ? found->second->primary() : nullptr;
   if (primary) return primary->entry.zone;
+  // Who leads next may be anywhere. Without a lease others may know more than this proxy.
+  if (work == GroupWork::kAtPrimary && holds_lease_for(*found->second)) return std::nullopt;
   const ZoneName reads = tenancy::zone_of_reads(found->second->reading_zones(), tenant, zone_);
   return reads.empty() ? zone_ : reads;
 }
 
+namespace {
+
+const std::vector<routing::ProxyPointer>& nobody() {
+  static const std::vector<routing::ProxyPointer> none;
+  return none;
+}
+
+}  // namespace
+
 const std::vector<routing::ProxyPointer>& FleetView::forward_to(const GroupName& group) {
-  static const std::vector<routing::ProxyPointer> nobody;
   const auto found = forward_to_.find(group);
-  return found == forward_to_.end() ? nobody : found->second;
+  return found == forward_to_.end() ? nobody() : found->second;
 }
 
 const std::vector<routing::ProxyPointer>& FleetView::forward_to(const GroupName& group,
                                                                 const TenantName& tenant, GroupWork work) {
   if (tenant.empty()) return forward_to(group);
   if (forward_for_.size() > kMostTenantDivisions) forward_for_.clear();
-  const ZoneName zone = zone_of_work(group, tenant, work);
-  const auto [found, is_new] = forward_for_.try_emplace(TenantPlace{group, tenant, zone});
+  const auto zone = zone_of_work(group, tenant, work);
+  if (!zone) return nobody();
+  const auto [found, is_new] = forward_for_.try_emplace(TenantPlace{group, tenant, *zone});
   if (!is_new) return found->second;
-  auto order = tenancy::order_for_tenant(serving_[group], tenant, tenants_.part_of(tenant), zone);
+  auto order = tenancy::order_for_tenant(serving_[group], tenant, tenants_.part_of(tenant), *zone);
   if (!order.empty() && order.front()->name == node_) order.clear();
   found->second = std::move(order);
   return found->second;
--- a/src/session/fleet_view.h
+++ b/src/session/fleet_view.h
@@ -102,6 +102,7 @@
   [[nodiscard]] const std::vector<routing::ProxyPointer>& forward_to(const GroupName& group);
   /// The same for one tenant's statements: a tenant's links to a backend are with few of the proxies of its
   /// zone that serve the group. This proxy is among them, behind others, where it serves the group as well.
+  /// Empty as well for work at a primary while none may be used: it waits here until its zone is known.
   [[nodiscard]] const std::vector<routing::ProxyPointer>& forward_to(const GroupName& group,
                                                                      const TenantName& tenant,
                                                                      GroupWork work);
@@ -134,8 +135,9 @@
   };
 
   std::shared_ptr<GroupAccess> access(const GroupName& group);
-  /// Where the backends are that are to do a tenant's work.
-  [[nodiscard]] ZoneName zone_of_work(const GroupName& group, const TenantName& tenant, GroupWork work) const;
+  /// Where the backends are that are to do a tenant's work; empty while nobody leads that may be used.
+  [[nodiscard]] std::optional<ZoneName> zone_of_work(const GroupName& group, const TenantName& tenant,
+                                                     GroupWork work) const;
   /// Divides the group's connections among those that serve it.
   void share_connections(GroupAccess& group, const std::vector<routing::ProxyPointer>& serving) const;
   void apply_routes(const registry::FleetDelta& delta);
--- a/src/session/knobs.h
+++ b/src/session/knobs.h
@@ -82,6 +82,9 @@
 inline constexpr Duration kForwardSlack = milliseconds(60);
 /// Proxies that one statement is forwarded to, one after the other.
 inline constexpr int kMaxForwards = 3;
+/// Times that one statement is passed on after it had waited for a primary. A second primary may fall while
+/// it is on its way; who has waited thrice has no time left.
+inline constexpr int kMaxReroutes = 2;
 /// A backend that failed to answer is passed over for this long where another can serve.
 inline constexpr Duration kAvoidBackend = milliseconds(400);
 /// A read that got no answer goes to another backend after this part of the time that callers aim at.
--- a/src/session/statement_attempt.h
+++ b/src/session/statement_attempt.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "session/statement_runner.h"
 
@@ -44,6 +45,8 @@
   Reason reason;          ///< of the last failure
   Unplaced unplaced;      ///< why this proxy refuses it
   RunResult result;
+  /// Not empty: it has waited, and is to be passed on to these.
+  std::vector<routing::ProxyPointer> moved_to;
 
   // Of the attempt under way.
   std::shared_ptr<BackendUse> backend;
--- a/src/session/statement_placement.cpp
+++ b/src/session/statement_placement.cpp
@@ -65,16 +65,33 @@
   return placed;
 }
 
+bool StatementRunner::is_moved(Attempt& attempt) const {
+  RunOrder& order = attempt.order;
+  // Without tenants any proxy that serves the group is as good.
+  if (order.is_forwarded || order.tenant.empty() || work_of(order) != GroupWork::kAtPrimary) return false;
+  if (attempt.count > 0 || attempt.offered || order.rerouted >= kMaxReroutes) return false;
+  PeersInside inside;
+  const auto elsewhere = find_elsewhere(order, inside);
+  if (!elsewhere) return false;
+  services_.metrics.count_forwarded(elsewhere->since);
+  ++order.rerouted;
+  attempt.moved_to = *elsewhere->proxies;
+  return true;
+}
+
 Awaitable<bool> StatementRunner::choose(std::shared_ptr<Attempt> attempt) {
   placement::Placement placed = look(*attempt);
+  bool has_waited = false;
   while (placed.action == Action::kWait) {
     attempt->excluded.clear();
     const TimePoint again = services_.runtime.now() + kBusyPause;
     co_await attempt->order.group->changed().wait_until(std::min(attempt->refuse_at, again));
     placed = look(*attempt);
+    has_waited = true;
   }
   if (placed.action == Action::kRefuse) refuse(*attempt, placed.obstacle, placed.back_in);
-  co_return placed.action == Action::kRun;
+  if (placed.action != Action::kRun) co_return false;
+  co_return !has_waited || !is_moved(*attempt);
 }
 
 void StatementRunner::refuse(Attempt& attempt, Obstacle since, Duration back_in) {
--- a/src/session/statement_runner.cpp
+++ b/src/session/statement_runner.cpp
@@ -57,6 +57,8 @@
     give_cold_token_back(*attempt);
     if (step == Step::kWait) co_await runtime.sleep_for(kBusyPause);
   }
+  if (!attempt->moved_to.empty())
+    co_return co_await forward(std::move(attempt->order), std::move(attempt->moved_to));
   const Answer& answer = attempt->result.answer;
   if (!answer.refusal && runtime.now() - attempt->order.arrived > kSlowStatement) log_slow(*attempt);
   if (answer.refusal) log_refusal(attempt->order, answer, attempt->reason, attempt->count, attempt->unplaced);
--- a/src/session/statement_runner.h
+++ b/src/session/statement_runner.h
@@ -36,6 +36,7 @@
   bool opens_transaction = false;
   bool read_only_transaction = false;
   bool is_forwarded = false;  ///< by another proxy: it is run here or refused
+  int rerouted = 0;           ///< how often it was passed on after it had waited here
   /// A backend may have run it already: running it once more takes a token of its own.
   bool may_have_run = false;
   /// It, or the transaction that it opens, changes nothing.
@@ -136,7 +137,9 @@
   Awaitable<void> end_remote(RemotePin remote);
   [[nodiscard]] ForwardedOrder to_forwarded(const RunOrder& order) const;
 
-  /// False when it is refused.
+  /// Whether the order, which has waited here, is passed on now that its primary is known.
+  bool is_moved(Attempt& attempt) const;
+  /// False when it is refused, or passed on.
   Awaitable<bool> choose(std::shared_ptr<Attempt> attempt);
   Awaitable<Step> try_backend(std::shared_ptr<Attempt> attempt);
   Awaitable<bool> prepare_link(std::shared_ptr<Attempt> attempt);
