A statement of a transaction waits for its cold token before it takes a place at the gate

Cause: it held a place at the gate while it waited for a token, up to its deadline, and kept others from the backend. Change: token first, then the gate; a token that expired there, or a backend that turned cold meanwhile, sends it back for another. Unused tokens are given back. Tests: a_transaction_that_waits_for_a_token_holds_no_place, a_transactions_token_that_expired_at_the_gate_sends_nothing (both failed before).

--- a/src/session/statement_cold.cpp
+++ b/src/session/statement_cold.cpp
@@ -57,15 +57,38 @@
   if (!is_own && reason.code == ReasonCode::kConnectionLost) backend.rebirth.note_unreachable();
 }
 
+Awaitable<bool> StatementRunner::enter_pinned(std::shared_ptr<GroupAccess> group,
+                                              std::shared_ptr<BackendUse> backend, TimePoint deadline,
+                                              placement::Obstacle& obstacle) {
+  const auto holds = [&](const std::optional<TimePoint>& token) {
+    return !group->is_cold(*backend) || (token && services_.runtime.now() < *token);
+  };
+  while (true) {
+    std::optional<TimePoint> token;
+    const bool passed = co_await wait_for_cold_token(group, backend, deadline, token);
+    if (!passed) obstacle = placement::Obstacle::kColdLimit;
+    if (!passed) co_return false;
+    const bool entered = co_await backend->gate.enter(backend::kUrgentClass, deadline);
+    if (entered && holds(token)) co_return true;
+    if (token) services_.limits.give_back(limited(backend->entry.name), *token);
+    if (!entered) co_return false;
+    // It expired meanwhile, or the backend turned cold.
+    backend->gate.leave_unanswered();
+  }
+}
+
 Awaitable<bool> StatementRunner::wait_for_cold_token(std::shared_ptr<GroupAccess> group,
-                                                     std::shared_ptr<BackendUse> backend,
-                                                     TimePoint deadline) {
+                                                     std::shared_ptr<BackendUse> backend, TimePoint deadline,
+                                                     std::optional<TimePoint>& token) {
   runtime::Runtime& runtime = services_.runtime;
   while (group->is_cold(*backend)) {
     const AdmissionAnswer admission =
         co_await services_.limits.admit_to_cold(BackendName(backend->entry.name));
     const TimePoint now = runtime.now();
-    if (admission.expires_at && now < *admission.expires_at) co_return true;
+    if (admission.expires_at && now < *admission.expires_at) {
+      token = admission.expires_at;
+      co_return true;
+    }
     // One that is not known any more gets no tokens.
     const bool is_gone = admission.outcome == AdmissionOutcome::kAdmitted && !admission.expires_at;
     if (is_gone || now + admission.retry_after >= deadline) co_return false;
--- a/src/session/statement_in_transaction.cpp
+++ b/src/session/statement_in_transaction.cpp
@@ -52,11 +52,8 @@
   if (ready)
     ready = co_await pinned.link->bring_in_order(order.values, order.prepared, setup_deadline, reason);
   bool entered = false;
-  if (ready) entered = co_await pinned.backend->gate.enter(backend::kUrgentClass, order.deadline);
-  bool passed = entered;
-  if (entered && group.is_cold(*pinned.backend))
-    passed = co_await wait_for_cold_token(order.group, pinned.backend, order.deadline);
-  if (entered) obstacle = passed ? obstacle_in_transaction(pinned, order, false) : Obstacle::kColdLimit;
+  if (ready) entered = co_await enter_pinned(order.group, pinned.backend, order.deadline, obstacle);
+  if (entered) obstacle = obstacle_in_transaction(pinned, order, false);
   if (!entered || obstacle != Obstacle::kNone) {
     if (entered) pinned.backend->gate.leave_unanswered();
     pinned.link->link().close();
--- a/src/session/statement_runner.h
+++ b/src/session/statement_runner.h
@@ -170,9 +170,14 @@
   /// A backend broke off what it was sent in `epoch`; later on this proxy itself closes its links.
   static void note_loss(const GroupAccess& group, BackendUse& backend, std::uint64_t epoch,
                         const Reason& reason);
-  /// For a statement that can go nowhere else. False: its time ended first.
+  /// For a statement that can go nowhere else: it waits for a token where the backend is cold, then at the
+  /// gate. True: it holds a place there, and a token that is good now. False: its time ended first,
+  /// `obstacle` is set where the token was missing.
+  Awaitable<bool> enter_pinned(std::shared_ptr<GroupAccess> group, std::shared_ptr<BackendUse> backend,
+                               TimePoint deadline, placement::Obstacle& obstacle);
+  /// `token`: until when it is good; empty where the backend is not cold. False: its time ended first.
   Awaitable<bool> wait_for_cold_token(std::shared_ptr<GroupAccess> group, std::shared_ptr<BackendUse> backend,
-                                      TimePoint deadline);
+                                      TimePoint deadline, std::optional<TimePoint>& token);
   Awaitable<std::optional<Answer>> exchange(std::shared_ptr<Attempt> attempt);
   Step take_answer(Attempt& attempt, Answer answer);
   /// A primary's success, as it was asked for.
--- a/tests/session/cold_sending_test.cpp
+++ b/tests/session/cold_sending_test.cpp
@@ -157,6 +157,8 @@
   CPPUNIT_TEST(a_backend_that_turns_cold_meanwhile_gets_nothing_without_a_token);
   CPPUNIT_TEST(a_transaction_waits_for_its_tokens);
   CPPUNIT_TEST(a_transaction_without_a_token_is_given_up);
+  CPPUNIT_TEST(a_transaction_that_waits_for_a_token_holds_no_place);
+  CPPUNIT_TEST(a_transactions_token_that_expired_at_the_gate_sends_nothing);
   CPPUNIT_TEST(a_backend_that_was_gone_is_sent_its_cold_rate);
   CPPUNIT_TEST(a_backend_whose_idle_links_ended_is_sent_its_cold_rate);
   CPPUNIT_TEST(a_backend_that_broke_off_is_sent_its_cold_rate);
@@ -240,6 +242,32 @@
     CPPUNIT_ASSERT_MESSAGE("the backend rolls it back", !pinned.link->link().is_open());
   }
 
+  void a_transaction_that_waits_for_a_token_holds_no_place() {
+    start(1, 0);
+    const PinnedLink pinned = open_transaction();
+    group()->put_backend(entry(5000));
+    CPPUNIT_ASSERT(run_pinned(pinned, milliseconds(20)).succeeded());
+    start_pinned(pinned, milliseconds(100));
+    CPPUNIT_ASSERT(answers_.empty());
+    CPPUNIT_ASSERT_EQUAL(0U, gate().running());
+    world_->run_for(milliseconds(900));
+    CPPUNIT_ASSERT(answers_.at(0).refusal == Refusal::kAborted);
+  }
+
+  void a_transactions_token_that_expired_at_the_gate_sends_nothing() {
+    start(1, 0);
+    const PinnedLink pinned = open_transaction();
+    group()->put_backend(entry(5000));
+    const std::uint32_t places = fill_gate();
+    start_pinned(pinned, milliseconds(400));
+    CPPUNIT_ASSERT(answers_.empty());
+    for (std::uint32_t place = 0; place < places; ++place) gate().leave_unanswered();
+    world_->run_for(milliseconds(600));
+    CPPUNIT_ASSERT(answers_.at(0).refusal == Refusal::kAborted);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("the one that opened it", 1, backend().statements);
+    CPPUNIT_ASSERT_EQUAL(0U, gate().running());
+  }
+
   void a_backend_that_was_gone_is_sent_its_cold_rate() {
     start(6, 0);
     run_side_by_side(5, milliseconds(50));
@@ -322,10 +350,25 @@
     CPPUNIT_ASSERT_EQUAL(1, backend().statements);
     return *results_[0].pinned;
   }
-  Answer run_pinned(const PinnedLink& pinned, Duration within) {
+  StatementGate& gate() { return group()->backends().at(kBackend)->gate; }
+  Awaitable<void> take_place(std::uint32_t& taken) {
+    const bool entered = co_await gate().enter(backend::kUrgentClass, runtime_->now());
+    if (entered) ++taken;
+  }
+  /// Takes the places that are left; says how many.
+  std::uint32_t fill_gate() {
+    std::uint32_t taken = 0;
+    for (int each = 0; each < 100; ++each) runtime_->spawn("take_place", take_place(taken));
+    world_->run_for(milliseconds(1));
+    return taken;
+  }
+  void start_pinned(const PinnedLink& pinned, Duration within) {
     answers_.clear();
     runtime_->spawn("further", keep(proxy_->runner.run_pinned(pinned, order(), false, false), answers_));
     world_->run_for(within);
+  }
+  Answer run_pinned(const PinnedLink& pinned, Duration within) {
+    start_pinned(pinned, within);
     CPPUNIT_ASSERT(!answers_.empty());
     return answers_[0];
   }
