Groups are divided anew only by what the division is worked out from

Cause: any changed backend, also one that turned cold or warm or leaves, divided all groups and forgot the tenants' orders of proxies at every proxy. Change: only a backend that is new, gone, or has other slots, another zone or group. Its own links are shared out by put_backend as before. Test: groups_are_divided_anew_only_by_what_counts (failed before).

--- a/src/session/fleet_view.cpp
+++ b/src/session/fleet_view.cpp
@@ -299,6 +299,7 @@
   apply_routes(delta);
   apply_tenants(delta);
   for (const registry::GroupRule& rule : delta.groups) access(rule.name)->set_rule(rule);
+  const bool divides = keys_changed_ || changes_division(delta);
   apply_backends(delta);
   for (const ZoneName& zone : given_back) {
     for (const auto& [name, group] : groups_) group->note_evacuation_ended(zone);
@@ -307,16 +308,21 @@
   const auto changed = changed_proxies(delta);
   apply_proxies(delta);
   note_unknown_regions(delta);
-  if (!changes_division(delta) && !keys_changed_) return;
+  if (!divides) return;
   const auto takers = this->takers();
   if (!changed.empty()) budgets_.set_homes(limits::BudgetHomes(takers, changed), revision_);
   divide_groups(takers);
 }
 
-bool FleetView::changes_division(const registry::FleetDelta& delta) {
-  // A backend counts with its slots, a group with its connections; terms and routes do not.
-  return delta.is_whole || !delta.proxies.empty() || !delta.removed_proxies.empty() ||
-         !delta.groups.empty() || !delta.backends.empty() || !delta.removed_backends.empty();
+bool FleetView::changes_division(const registry::FleetDelta& delta) const {
+  // A group counts with its connections; terms and routes do not.
+  if (delta.is_whole || !delta.proxies.empty() || !delta.removed_proxies.empty()) return true;
+  if (!delta.groups.empty() || !delta.removed_backends.empty()) return true;
+  return std::any_of(delta.backends.begin(), delta.backends.end(), [this](const auto& entry) {
+    const registry::BackendEntry* held = find_backend(entry.name);
+    return held == nullptr || held->group != entry.group || held->zone != entry.zone ||
+           held->slots != entry.slots;
+  });
 }
 
 void FleetView::extend_lease(TimePoint asked_at, TimePoint until, std::uint64_t settled_revision) {
--- a/src/session/fleet_view.h
+++ b/src/session/fleet_view.h
@@ -161,8 +161,9 @@
   void apply_proxies(const registry::FleetDelta& delta);
   /// Who serves each group, and how its connections are shared.
   void divide_groups(const std::vector<routing::ProxyPointer>& takers);
-  /// Whether it may change which proxies serve a group, or their shares of its connections.
-  [[nodiscard]] static bool changes_division(const registry::FleetDelta& delta);
+  /// Whether it may change which proxies serve a group, or their shares of its connections. A backend counts
+  /// with its slots and where it is, not with what it is doing. Asked before its backends are taken over.
+  [[nodiscard]] bool changes_division(const registry::FleetDelta& delta) const;
 
   runtime::Runtime& runtime_;
   BackendDialer& dialer_;
--- a/tests/session/fleet_view_test.cpp
+++ b/tests/session/fleet_view_test.cpp
@@ -69,6 +69,7 @@
   CPPUNIT_TEST(route_and_tenant_both_bind);
   CPPUNIT_TEST(a_changed_document_binds_from_then_on);
   CPPUNIT_TEST(statements_are_sent_into_allowed_regions_only);
+  CPPUNIT_TEST(groups_are_divided_anew_only_by_what_counts);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -128,7 +129,41 @@
     CPPUNIT_ASSERT_EQUAL(std::string("p1"), names(view_->in_regions({self}, allowed("northern", ""))));
   }
 
+  void groups_are_divided_anew_only_by_what_counts() {
+    registry::BackendEntry backend;
+    backend.name = BackendName("db-1");
+    backend.group = GroupName("group");
+    backend.zone = ZoneName("n1");
+    backend.slots = 2;
+    CPPUNIT_ASSERT_MESSAGE("a new one", is_divided_by(backend));
+    CPPUNIT_ASSERT_MESSAGE("as before", !is_divided_by(backend));
+    backend.cold_ms = 4000;
+    CPPUNIT_ASSERT_MESSAGE("it turned cold", !is_divided_by(backend));
+    backend.leaving = true;
+    CPPUNIT_ASSERT_MESSAGE("it leaves", !is_divided_by(backend));
+    backend.slots = 3;
+    CPPUNIT_ASSERT_MESSAGE("more slots", is_divided_by(backend));
+    backend.zone = ZoneName("n2");
+    CPPUNIT_ASSERT_MESSAGE("another zone", is_divided_by(backend));
+    backend.group = GroupName("other");
+    CPPUNIT_ASSERT_MESSAGE("another group", is_divided_by(backend));
+    registry::FleetDelta delta;
+    delta.removed_backends = {BackendName("db-1")};
+    CPPUNIT_ASSERT_MESSAGE("it is gone", is_divided_by(delta));
+  }
+
  private:
+  /// The views of other proxies are made with each division.
+  bool is_divided_by(const registry::FleetDelta& delta) {
+    const routing::ProxyPointer before = view_->others().front();
+    view_->apply(delta);
+    return view_->others().front() != before;
+  }
+  bool is_divided_by(const registry::BackendEntry& backend) {
+    registry::FleetDelta delta;
+    delta.backends = {backend};
+    return is_divided_by(delta);
+  }
   [[nodiscard]] locality::PermittedRegions allowed(const std::string& route_name,
                                                    const std::string& tenant_name) const {
     return view_->allowed_regions(*view_->find_route(DatabaseName(route_name)), TenantName(tenant_name));
