A statement's division is looked up without a list of zones and without copies

Cause: each statement built a set and a list of the zones with readers, and copied three names for the look into the tenants' orders. Change: the own zone is asked first; the list is made only where it has no reader. The look compares references. The same answers; no figure measured.

--- a/src/session/fleet_view.cpp
+++ b/src/session/fleet_view.cpp
@@ -217,6 +217,7 @@
   if (primary) return primary->entry.zone;
   // Who leads next may be anywhere. Without a lease others may know more than this proxy.
   if (work == GroupWork::kAtPrimary && holds_lease_for(*found->second)) return std::nullopt;
+  if (found->second->reads_in(zone_)) return zone_;
   const ZoneName reads = tenancy::zone_of_reads(found->second->reading_zones(), tenant, zone_);
   return reads.empty() ? zone_ : reads;
 }
@@ -241,12 +242,11 @@
   if (forward_for_.size() > kMostTenantDivisions) forward_for_.clear();
   const auto zone = zone_of_work(group, tenant, work);
   if (!zone) return nobody();
-  const auto [found, is_new] = forward_for_.try_emplace(TenantPlace{group, tenant, *zone});
-  if (!is_new) return found->second;
+  const auto found = forward_for_.find(std::tie(group, tenant, *zone));
+  if (found != forward_for_.end()) return found->second;
   auto order = tenancy::order_for_tenant(serving_[group], tenant, tenants_.part_of(tenant), *zone);
   if (!order.empty() && order.front()->name == node_) order.clear();
-  found->second = std::move(order);
-  return found->second;
+  return forward_for_.emplace(TenantPlace{group, tenant, *zone}, std::move(order)).first->second;
 }
 
 const std::vector<routing::ProxyPointer>& FleetView::also_serving(const GroupName& group) {
--- a/src/session/fleet_view.h
+++ b/src/session/fleet_view.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <tuple>
 #include <vector>
 
 #include "limits/budget_home.h"
@@ -131,7 +132,16 @@
     GroupName group;
     TenantName tenant;
     ZoneName zone;
-    auto operator<=>(const TenantPlace&) const = default;
+  };
+  /// Finds a place by references to its parts, so that a look copies none.
+  using TenantPlaceView = std::tuple<const GroupName&, const TenantName&, const ZoneName&>;
+  struct PlaceOrder {
+    using is_transparent = void;
+    static TenantPlaceView view(const TenantPlace& place) {
+      return std::tie(place.group, place.tenant, place.zone);
+    }
+    static const TenantPlaceView& view(const TenantPlaceView& place) { return place; }
+    bool operator()(const auto& one, const auto& other) const { return view(one) < view(other); }
   };
 
   std::shared_ptr<GroupAccess> access(const GroupName& group);
@@ -196,7 +206,7 @@
   std::map<GroupName, std::vector<routing::ProxyPointer>> also_serving_;
   std::map<GroupName, std::vector<routing::ProxyPointer>> serving_;  ///< with this proxy, where it does
   /// Worked out when wanted, from `serving_` and the tenants' limits.
-  std::map<TenantPlace, std::vector<routing::ProxyPointer>> forward_for_;
+  std::map<TenantPlace, std::vector<routing::ProxyPointer>, PlaceOrder> forward_for_;
   std::vector<routing::ProxyPointer> others_;
 };
 
--- a/src/session/group_access.cpp
+++ b/src/session/group_access.cpp
@@ -146,11 +146,22 @@
   backend.gate.set_bounds(static_cast<std::uint32_t>(slots), static_cast<std::uint32_t>(share));
 }
 
+namespace {
+
+bool takes_reads(const BackendUse& backend) { return !backend.entry.leaving && !backend.is_evacuated(); }
+
+}  // namespace
+
+bool GroupAccess::reads_in(const ZoneName& zone) const {
+  return std::any_of(backends_.begin(), backends_.end(), [&](const auto& entry) {
+    return entry.second->entry.zone == zone && takes_reads(*entry.second);
+  });
+}
+
 std::vector<ZoneName> GroupAccess::reading_zones() const {
   std::set<ZoneName> zones;
   for (const auto& [name, use] : backends_) {
-    if (use->entry.leaving || use->is_evacuated()) continue;
-    zones.insert(use->entry.zone);
+    if (takes_reads(*use)) zones.insert(use->entry.zone);
   }
   return {zones.begin(), zones.end()};
 }
--- a/src/session/group_access.h
+++ b/src/session/group_access.h
@@ -125,6 +125,8 @@
   void share_connections(std::uint64_t proxies);
   /// The same where links are of one tenant each: most go to the proxies of the backend's zone.
   void share_connections(tenancy::ServingProxies serving);
+  /// Whether a backend of the zone takes reads.
+  [[nodiscard]] bool reads_in(const ZoneName& zone) const;
   /// Zones with backends that take reads, each once.
   [[nodiscard]] std::vector<ZoneName> reading_zones() const;
   /// How many of `proxies` are to serve the group; `tenants`: each link is of one.
