Tests: work for a closed group without a lease is handed on, what a backend was offered stays

Two guards of the waiting at the place of arrival had no test that objects: the lease in zone_of_work, and count and offered in is_moved. With each taken out the new tests fail; so does a_transactions_token_that_expired_at_the_gate_sends_nothing without the second look at the token.

--- a/tests/session/waiting_statement_test.cpp
+++ b/tests/session/waiting_statement_test.cpp
@@ -15,9 +15,11 @@
 class WaitingStatementTest : public RunnerStand {
   CPPUNIT_TEST_SUITE(WaitingStatementTest);
   CPPUNIT_TEST(a_closed_groups_writes_are_handed_to_nobody);
+  CPPUNIT_TEST(without_a_lease_a_closed_groups_writes_are_handed_on);
   CPPUNIT_TEST(a_write_that_waited_goes_to_the_tenants_proxy_of_the_primarys_zone);
   CPPUNIT_TEST(a_forwarded_write_that_waited_stays);
   CPPUNIT_TEST(a_write_without_tenant_that_waited_stays);
+  CPPUNIT_TEST(what_a_backend_was_offered_stays);
   CPPUNIT_TEST(a_write_that_waited_runs_here_when_the_primary_is_near);
   CPPUNIT_TEST(a_write_behind_commits_that_stall_may_have_run_before);
   CPPUNIT_TEST_SUITE_END();
@@ -34,10 +36,6 @@
   }
 
   void a_closed_groups_writes_are_handed_to_nobody() {
-    const auto handed_to = [this](const std::string& tenant, GroupWork work) {
-      const auto& order = proxy_->view.forward_to(kGroup, TenantName(tenant), work);
-      return order.empty() ? std::string() : order.front()->name.value;
-    };
     std::set<std::string> open;
     std::set<std::string> reads;
     for (int each = 0; each < 20; ++each) {
@@ -52,6 +50,15 @@
     CPPUNIT_ASSERT_MESSAGE("reads go on as ever", reads == open);
   }
 
+  void without_a_lease_a_closed_groups_writes_are_handed_on() {
+    close_group();
+    world_->run_for(seconds(61));
+    std::set<std::string> closed;
+    for (int each = 0; each < 20; ++each)
+      closed.insert(handed_to("tenant-" + std::to_string(each), GroupWork::kAtPrimary));
+    CPPUNIT_ASSERT_MESSAGE("others may know who leads", closed.count("near") > 0);
+  }
+
   void a_write_that_waited_goes_to_the_tenants_proxy_of_the_primarys_zone() {
     int orders = 0;
     auto& there = world_->start_bare({"there", "10.0.0.3", ZoneName("b")});
@@ -80,6 +87,28 @@
     CPPUNIT_ASSERT(stays(std::move(of_nobody), "two"));
   }
 
+  void what_a_backend_was_offered_stays() {
+    registry::FleetDelta delta;
+    delta.revision = 2;
+    delta.requires_keys = true;
+    delta.removed_proxies = {NodeName("near")};
+    proxy_->view.apply(delta);
+    backends().statement_takes = milliseconds(40);
+    RunOrder read = order();
+    read.writes = false;
+    read.route.reads = registry::ReadPolicy::kPrimary;
+    RunResult result;
+    runtime_->spawn("run", keep(proxy_->runner.run(std::move(read)), result));
+    world_->run_for(milliseconds(20));
+    CPPUNIT_ASSERT_EQUAL(1, sent("one"));
+    close_group();
+    world_->run_for(milliseconds(80));
+    open_group("two", 2);
+    world_->run_for(seconds(1));
+    CPPUNIT_ASSERT_EQUAL(0, forwarded());
+    CPPUNIT_ASSERT_EQUAL(1, sent("two"));
+  }
+
   void a_write_that_waited_runs_here_when_the_primary_is_near() {
     registry::FleetDelta delta;
     delta.revision = 2;
@@ -124,6 +153,11 @@
       if (request && std::holds_alternative<ForwardRun>(request->body)) ++orders;
     }
   }
+  /// The first proxy that the tenant's work is passed on to; empty: none.
+  std::string handed_to(const std::string& tenant, GroupWork work) {
+    const auto& order = proxy_->view.forward_to(kGroup, TenantName(tenant), work);
+    return order.empty() ? std::string() : order.front()->name.value;
+  }
   void close_group() {
     proxy_->view.find_group(kGroup)->set_term({kGroup, 1, BackendName("one"), false, 1, 1});
   }
