--- a/src/session/fleet_view.cpp
+++ b/src/session/fleet_view.cpp
@@ -87,7 +87,7 @@
   }
 }
 
-void FleetView::apply_evacuations(const registry::FleetDelta& delta) {
+std::vector<ZoneName> FleetView::apply_evacuations(const registry::FleetDelta& delta) {
   std::set<ZoneName> begun;
   for (const registry::Evacuation& evacuation : delta.evacuations) begun.insert(evacuation.zone);
   std::vector<ZoneName> ended = delta.ended_evacuations;
@@ -98,13 +98,21 @@
     changed = true;
     log_evacuation("evacuation_over", zone, delta.revision);
   }
+  const TimePoint since = evacuation_known_since();
   for (const ZoneName& zone : begun) {
-    if (!evacuated_->begin(zone, runtime_.now())) continue;
+    if (!evacuated_->begin(zone, since)) continue;
     changed = true;
     log_evacuation("evacuation_in_force", zone, delta.revision);
   }
-  if (!changed) return;
+  if (!changed) return ended;
   for (const auto& [name, group] : groups_) group->note_evacuations();
+  return ended;
+}
+
+TimePoint FleetView::evacuation_known_since() const {
+  const auto confirmed = keys_confirmed_.confirmed_at();
+  if (!confirmed) return TimePoint::min();
+  return std::min(runtime_.now(), *confirmed + kLongestServingLease);
 }
 
 void FleetView::log_evacuation(const char* event, const ZoneName& zone, std::uint64_t revision) {
@@ -201,32 +209,44 @@
   group.share_connections(std::move(counts));
 }
 
-ZoneName FleetView::zone_of_work(const GroupName& group, const TenantName& tenant, GroupWork work) const {
+std::optional<ZoneName> FleetView::zone_of_work(const GroupName& group, const TenantName& tenant,
+                                                GroupWork work) const {
   const auto found = groups_.find(group);
   if (found == groups_.end()) return zone_;
   const auto primary = work == GroupWork::kAtPrimary ? found->second->primary() : nullptr;
   if (primary) return primary->entry.zone;
+  // Who leads next may be anywhere. Without a lease others may know more than this proxy.
+  if (work == GroupWork::kAtPrimary && holds_lease_for(*found->second)) return std::nullopt;
+  if (found->second->reads_in(zone_)) return zone_;
   const ZoneName reads = tenancy::zone_of_reads(found->second->reading_zones(), tenant, zone_);
   return reads.empty() ? zone_ : reads;
 }
 
+namespace {
+
+const std::vector<routing::ProxyPointer>& nobody() {
+  static const std::vector<routing::ProxyPointer> none;
+  return none;
+}
+
+}  // namespace
+
 const std::vector<routing::ProxyPointer>& FleetView::forward_to(const GroupName& group) {
-  static const std::vector<routing::ProxyPointer> nobody;
   const auto found = forward_to_.find(group);
-  return found == forward_to_.end() ? nobody : found->second;
+  return found == forward_to_.end() ? nobody() : found->second;
 }
 
 const std::vector<routing::ProxyPointer>& FleetView::forward_to(const GroupName& group,
                                                                 const TenantName& tenant, GroupWork work) {
   if (tenant.empty()) return forward_to(group);
   if (forward_for_.size() > kMostTenantDivisions) forward_for_.clear();
-  const ZoneName zone = zone_of_work(group, tenant, work);
-  const auto [found, is_new] = forward_for_.try_emplace(TenantPlace{group, tenant, zone});
-  if (!is_new) return found->second;
-  auto order = tenancy::order_for_tenant(serving_[group], tenant, tenants_.part_of(tenant), zone);
+  const auto zone = zone_of_work(group, tenant, work);
+  if (!zone) return nobody();
+  const auto found = forward_for_.find(std::tie(group, tenant, *zone));
+  if (found != forward_for_.end()) return found->second;
+  auto order = tenancy::order_for_tenant(serving_[group], tenant, tenants_.part_of(tenant), *zone);
   if (!order.empty() && order.front()->name == node_) order.clear();
-  found->second = std::move(order);
-  return found->second;
+  return forward_for_.emplace(TenantPlace{group, tenant, *zone}, std::move(order)).first->second;
 }
 
 const std::vector<routing::ProxyPointer>& FleetView::also_serving(const GroupName& group) {
@@ -275,28 +295,34 @@
   revision_ = delta.revision;
   document_version_ = delta.document_version;
   transaction_idle_ = std::chrono::milliseconds(delta.transaction_idle_ms);
-  apply_evacuations(delta);
+  const std::vector<ZoneName> given_back = apply_evacuations(delta);
   apply_routes(delta);
   apply_tenants(delta);
   for (const registry::GroupRule& rule : delta.groups) access(rule.name)->set_rule(rule);
+  const bool divides = keys_changed_ || changes_division(delta);
   apply_backends(delta);
-  for (const ZoneName& zone : delta.ended_evacuations) {
+  for (const ZoneName& zone : given_back) {
     for (const auto& [name, group] : groups_) group->note_evacuation_ended(zone);
   }
   for (const registry::GroupTerm& term : delta.terms) access(term.group)->set_term(term);
   const auto changed = changed_proxies(delta);
   apply_proxies(delta);
   note_unknown_regions(delta);
-  if (!changes_division(delta) && !keys_changed_) return;
+  if (!divides) return;
   const auto takers = this->takers();
   if (!changed.empty()) budgets_.set_homes(limits::BudgetHomes(takers, changed), revision_);
   divide_groups(takers);
 }
 
-bool FleetView::changes_division(const registry::FleetDelta& delta) {
-  // A backend counts with its slots, a group with its connections; terms and routes do not.
-  return delta.is_whole || !delta.proxies.empty() || !delta.removed_proxies.empty() ||
-         !delta.groups.empty() || !delta.backends.empty() || !delta.removed_backends.empty();
+bool FleetView::changes_division(const registry::FleetDelta& delta) const {
+  // A group counts with its connections; terms and routes do not.
+  if (delta.is_whole || !delta.proxies.empty() || !delta.removed_proxies.empty()) return true;
+  if (!delta.groups.empty() || !delta.removed_backends.empty()) return true;
+  return std::any_of(delta.backends.begin(), delta.backends.end(), [this](const auto& entry) {
+    const registry::BackendEntry* held = find_backend(entry.name);
+    return held == nullptr || held->group != entry.group || held->zone != entry.zone ||
+           held->slots != entry.slots;
+  });
 }
 
 void FleetView::extend_lease(TimePoint asked_at, TimePoint until, std::uint64_t settled_revision) {
--- a/src/session/group_access.h
+++ b/src/session/group_access.h
@@ -125,6 +125,8 @@
   void share_connections(std::uint64_t proxies);
   /// The same where links are of one tenant each: most go to the proxies of the backend's zone.
   void share_connections(tenancy::ServingProxies serving);
+  /// Whether a backend of the zone takes reads.
+  [[nodiscard]] bool reads_in(const ZoneName& zone) const;
   /// Zones with backends that take reads, each once.
   [[nodiscard]] std::vector<ZoneName> reading_zones() const;
   /// How many of `proxies` are to serve the group; `tenants`: each link is of one.
@@ -160,6 +162,8 @@
   [[nodiscard]] bool is_cold(const BackendUse& backend) const;
   /// Whether it is cold and there was no token for it a moment ago.
   [[nodiscard]] bool is_cold_limit_reached(const BackendUse& backend) const;
+  /// The same of the open term's primary.
+  [[nodiscard]] bool is_primary_at_cold_limit() const;
   /// Its backends may have turned cold meanwhile.
   void note_evacuation_ended(const ZoneName& zone);
 
