--- a/src/runtime/json_logger.cpp
+++ b/src/runtime/json_logger.cpp
@@ -132,7 +132,7 @@
 
 void JsonLogger::write(LogLevel level, std::string_view event, const Reason* reason,
                        std::initializer_list<LogField> fields) {
-  if (level < lowest_) return;
+  if (!writes(level)) return;
   const std::int64_t now = wall_clock_();
   const auto left_out = limiter_.admit(event, now);
   if (!left_out) return;
--- a/src/runtime/json_logger.h
+++ b/src/runtime/json_logger.h
@@ -39,6 +39,7 @@
  public:
   JsonLogger(const LogIdentity& identity, LogLevel lowest, WallClock wall_clock, LogSink sink);
 
+  [[nodiscard]] bool writes(LogLevel level) const override { return level >= lowest_; }
   void log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) override;
   void log(LogLevel level, std::string_view event, const Reason& reason,
            std::initializer_list<LogField> fields) override;
--- a/src/runtime/logger.h
+++ b/src/runtime/logger.h
@@ -21,6 +21,8 @@
 class Logger {
  public:
   virtual ~Logger() = default;
+  /// Whether lines of this level are written at all; for callers whose fields take time to make.
+  [[nodiscard]] virtual bool writes(LogLevel /*level*/) const { return true; }
   /// `event` is a stable snake_case name, e.g. "primary_promoted".
   virtual void log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) = 0;
   /// As log(), with the reason's code, step, peer and detail as fields.
