--- a/tests/control/registered/registration_service_test.cpp
+++ b/tests/control/registered/registration_service_test.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 /// Nobody answers clearly at any address.
--- /dev/null
+++ b/tests/runtime/json_logger_test.cpp
@@ -0,0 +1,34 @@
+// Which lines are written at all.
+#include "runtime/json_logger.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cairnhollow::runtime {
+
+class JsonLoggerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(JsonLoggerTest);
+  CPPUNIT_TEST(says_beforehand_which_levels_it_writes);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void says_beforehand_which_levels_it_writes() {
+    std::vector<std::string> lines;
+    JsonLogger logger(
+        {}, LogLevel::kInfo, [] { return std::int64_t{0}; },
+        [&lines](std::string_view line) { lines.emplace_back(line); });
+    CPPUNIT_ASSERT(!logger.writes(LogLevel::kDebug));
+    CPPUNIT_ASSERT(logger.writes(LogLevel::kInfo));
+    logger.log(LogLevel::kDebug, "left_out", {});
+    CPPUNIT_ASSERT(lines.empty());
+    logger.log(LogLevel::kInfo, "written", {});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, lines.size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(JsonLoggerTest);
+
+}  // namespace cairnhollow::runtime
