--- a/src/session/stateful_pool.cpp
+++ b/src/session/stateful_pool.cpp
@@ -81,6 +81,14 @@
   return link;
 }
 
+void StatefulPool::set_limit(std::uint64_t limit) {
+  limit_ = limit;
+  while (!idle_.empty() && in_use_ + idle_.size() > limit_) {
+    idle_.front()->link().close();
+    idle_.erase(idle_.begin());
+  }
+}
+
 void StatefulPool::make_room() {
   const bool is_full = in_use_ + idle_.size() >= limit_ || runtime_.now() < full_until_;
   if (idle_.empty() || !is_full) return;
--- a/src/session/stateful_pool.h
+++ b/src/session/stateful_pool.h
@@ -89,7 +89,8 @@
   StatefulPool(runtime::Runtime& runtime, BackendDialer& dialer, BackendAddress address)
       : runtime_(runtime), dialer_(dialer), address_(std::move(address)), returned_(runtime) {}
 
-  void set_limit(std::uint64_t limit) { limit_ = limit; }
+  /// Idle links beyond a lower limit close at once: whoever has a right to them now may open its own.
+  void set_limit(std::uint64_t limit);
   [[nodiscard]] std::uint64_t limit() const { return limit_; }
   /// Links that are idle for longer are closed by trim().
   void set_idle_life(Duration life) { idle_life_ = life; }
--- a/tests/session/stateful_pool_test.cpp
+++ b/tests/session/stateful_pool_test.cpp
@@ -116,6 +116,7 @@
   CPPUNIT_TEST(a_link_serves_one_tenant);
   CPPUNIT_TEST(the_link_unused_for_longest_makes_room_for_another_tenant);
   CPPUNIT_TEST(a_full_backend_takes_a_link_in_the_place_of_an_idle_one);
+  CPPUNIT_TEST(links_beyond_a_lower_limit_close_at_once);
   CPPUNIT_TEST(questions_of_the_proxys_own_take_any_tenants_link);
   CPPUNIT_TEST_SUITE_END();
 
@@ -199,6 +200,16 @@
     CPPUNIT_ASSERT(!one->link().is_open());
   }
 
+  /// A lost zone's proxies come back: those that stood in for them have 20 s of idle links that are theirs no
+  /// more, and the backend takes no others meanwhile.
+  void links_beyond_a_lower_limit_close_at_once() {
+    const auto one = use("one");
+    const auto two = use("two");
+    pool_->set_limit(1);
+    CPPUNIT_ASSERT_MESSAGE("unused for longest", !one->link().is_open());
+    CPPUNIT_ASSERT(two->link().is_open());
+  }
+
   void questions_of_the_proxys_own_take_any_tenants_link() {
     const auto one = use("one");
     CPPUNIT_ASSERT(use("", true) == one);
