Mutations of lives, cold limits, registrations, closes and turns; four tests where none held the guard

Cause: the parts merged last (incarnations, limits of cold backends, registrations that name no backend, answers to a close, promotions in turn) had guards without a mutation. Read against the tests, four guards had nothing that would object: may_use_primary by life, a member lease for a primary that has started again, links of a former life that are given back, and the facts gathered anew after a turn was awaited.

Tests for the four. A row is added to the members' cases; nothing that was checked is checked less.

--- a/tests/control/registered/group_keeper_lives_test.cpp
+++ b/tests/control/registered/group_keeper_lives_test.cpp
@@ -87,7 +87,7 @@
 };
 
 struct Leader {
-  explicit Leader(runtime::Runtime& runtime)
+  Leader(runtime::Runtime& runtime, double promotion_rate)
       : fleet(runtime),
         log(fleet),
         directory({}, log),
@@ -97,7 +97,7 @@
         prober(runtime, dialer),
         promotions(statuses),
         keeper(runtime, log, fleet, calls, leases, prober, promotions,
-               GroupKeeperSettings{NodeName("node")}) {}
+               GroupKeeperSettings{NodeName("node"), {}, promotion_rate}) {}
 
   Statuses statuses;
   registry::FleetStateMachine fleet;
@@ -118,6 +118,7 @@
   CPPUNIT_TEST(another_life_of_the_primary_is_given_up_at_once);
   CPPUNIT_TEST(who_leads_with_less_than_it_had_is_not_opened);
   CPPUNIT_TEST(who_started_again_after_the_look_is_not_ordered);
+  CPPUNIT_TEST(who_lost_its_log_while_its_turn_was_awaited_is_not_ordered);
   CPPUNIT_TEST(who_joined_in_the_term_may_lack_earlier_commits);
   CPPUNIT_TEST(nobody_follows_without_proof_before_all_have_answered);
   CPPUNIT_TEST(a_replaced_life_may_have_held_the_newest_commits);
@@ -125,10 +126,17 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  void setUp() override {
+  void setUp() override { start(0); }
+  void tearDown() override {
+    world_.reset();
+    leader_.reset();
+  }
+
+  void start(double promotion_rate) {
+    tearDown();
     world_ = std::make_unique<simulation::World>(simulation::WorldSettings{});
     runtime_ = &world_->start_bare({"node", "10.0.0.1", ZoneName("a")});
-    leader_ = std::make_unique<Leader>(*runtime_);
+    leader_ = std::make_unique<Leader>(*runtime_, promotion_rate);
     registry::ConfigurationDocument document;
     document.version = 1;
     document.groups = {registry::GroupRule{kGroup, 30, 1}};
@@ -140,10 +148,6 @@
     leader_->keeper.start();
     world_->run_for(seconds(4));
   }
-  void tearDown() override {
-    world_.reset();
-    leader_.reset();
-  }
 
   void another_life_of_the_primary_is_given_up_at_once() {
     put("p", 1, 2000, BackendStatus{false, 1, {1, 0}});
@@ -171,6 +175,29 @@
     CPPUNIT_ASSERT_EQUAL(1, leader_->promotions.orders);
   }
 
+  /// The platform takes a call each two seconds, and another group has just had one.
+  void who_lost_its_log_while_its_turn_was_awaited_is_not_ordered() {
+    start(0.5);
+    const GroupName other("other");
+    registry::ConfigurationDocument document;
+    document.version = 2;
+    document.groups = {registry::GroupRule{kGroup, 30, 1}, registry::GroupRule{other, 30, 1}};
+    apply(registry::ReplaceDocument{document});
+    put("x", 4, 1000, BackendStatus{true, kTerm, {kTerm, 9}}, other);
+    put("y", 5, 1000, BackendStatus{false, kTerm, {kTerm, 9}}, other);
+    apply(registry::OpenGroup{other, 0, kTerm, BackendName("x"), 1000});
+    world_->run_for(seconds(4));
+    put("x", 4, 2000, BackendStatus{false, 1, {1, 0}}, other);
+    CPPUNIT_ASSERT(world_->run_until([&] { return leader_->promotions.orders == 1; }, seconds(1)));
+    put("p", 1, 2000, BackendStatus{false, 1, {1, 0}});
+    world_->run_for(seconds(1));
+    CPPUNIT_ASSERT_MESSAGE("it waits", !term().open && leader_->promotions.orders == 1);
+    leader_->statuses[BackendName("a")] = BackendStatus{false, 1, {1, 0}};
+    world_->run_for(seconds(4));
+    CPPUNIT_ASSERT(term().open && term().primary.value == "b");
+    CPPUNIT_ASSERT_EQUAL(2, leader_->promotions.orders);
+  }
+
   /// No proxy acknowledged anything in this term, and none is left of those that did before.
   void who_joined_in_the_term_may_lack_earlier_commits() {
     leader_->statuses.erase(BackendName("p"));
@@ -230,10 +257,11 @@
     registry::LoggedCommand logged{std::move(command)};
     leader_->fleet.apply(++index_, wire::encode_from(logged, wire::kWrittenFormat));
   }
-  void put(const std::string& name, std::uint16_t port, std::uint64_t born_ms, BackendStatus status) {
+  void put(const std::string& name, std::uint16_t port, std::uint64_t born_ms, BackendStatus status,
+           const GroupName& group = kGroup) {
     registry::BackendEntry entry;
     entry.name = BackendName(name);
-    entry.group = kGroup;
+    entry.group = group;
     entry.endpoint = {"10.0.0.9", port};
     entry.born_ms = born_ms;
     entry.sequence = 1;
--- a/tests/session/fleet_view_guards_test.cpp
+++ b/tests/session/fleet_view_guards_test.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST_SUITE(FleetViewGuardsTest);
   CPPUNIT_TEST(nothing_is_forwarded_to_a_proxy_that_leaves);
   CPPUNIT_TEST(a_primary_is_used_under_a_lease_of_its_epoch);
+  CPPUNIT_TEST(the_next_life_of_a_primary_is_not_used);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -38,7 +39,26 @@
     CPPUNIT_ASSERT_MESSAGE("of a closed group", !view.may_use_primary(group, epoch + 1));
   }
 
+  void the_next_life_of_a_primary_is_not_used() {
+    const GroupAccess& group = *stand_->group();
+    registry::FleetDelta known = stand_->delta();
+    known.terms = {group.term()};
+    known.terms[0].primary_born_ms = 1000;
+    stand_->view().apply(known);
+    put_primary(1000);
+    stand_->confirm(std::chrono::seconds(1), std::chrono::seconds(1));
+    CPPUNIT_ASSERT(stand_->view().may_use_primary(group, group.term().epoch));
+    put_primary(2000);
+    CPPUNIT_ASSERT(!stand_->view().may_use_primary(group, group.term().epoch));
+  }
+
  private:
+  void put_primary(std::uint64_t born_ms) {
+    registry::FleetDelta delta = stand_->delta();
+    delta.backends = {*stand_->view().find_backend(BackendName(SessionStand::kPrimary))};
+    delta.backends[0].born_ms = born_ms;
+    stand_->view().apply(delta);
+  }
   void put_proxy(const std::string& name, bool leaving) {
     registry::FleetDelta delta = stand_->delta();
     delta.proxies = {{NodeName(name), 1, ZoneName("a"), {"10.0.0.2", 7440}, leaving}};
--- a/tests/session/member_lease_keeper_test.cpp
+++ b/tests/session/member_lease_keeper_test.cpp
@@ -59,6 +59,15 @@
            stand.statuses["another"].term = 1;
            stand.statuses["another"].pause_term = 2;
          }},
+        {"the primary has started again",
+         [](SessionStand& stand) {
+           registry::FleetDelta restarted = stand.delta();
+           restarted.terms = {stand.group()->term()};
+           restarted.terms[0].primary_born_ms = 1000;
+           restarted.backends = {*stand.view().find_backend(BackendName(SessionStand::kPrimary))};
+           restarted.backends[0].born_ms = 2000;
+           stand.view().apply(restarted);
+         }},
         {"nobody else is there",
          [](SessionStand& stand) {
            registry::FleetDelta removed = stand.delta();
--- a/tests/session/stateful_pool_test.cpp
+++ b/tests/session/stateful_pool_test.cpp
@@ -108,6 +108,7 @@
   CPPUNIT_TEST(a_link_with_the_same_values_is_preferred);
   CPPUNIT_TEST(the_limit_holds_and_returned_links_are_passed_on);
   CPPUNIT_TEST(closed_links_are_not_given_out);
+  CPPUNIT_TEST(links_to_a_life_that_is_over_are_closed);
   CPPUNIT_TEST(a_link_that_can_not_be_brought_in_order_is_closed);
   CPPUNIT_TEST(a_full_backend_is_told);
   CPPUNIT_TEST(a_full_backend_is_not_dialled_again_at_once);
@@ -243,6 +244,17 @@
     CPPUNIT_ASSERT(take_one({}).link != first.link);
   }
 
+  void links_to_a_life_that_is_over_are_closed() {
+    const Taken idle = take_one({});
+    const Taken used = take_one({});
+    pool_->release(idle.link);
+    pool_->retire();
+    CPPUNIT_ASSERT(!dialer_->links[0]->open);
+    CPPUNIT_ASSERT_MESSAGE("its statement has time to end", dialer_->links[1]->open);
+    pool_->release(used.link);
+    CPPUNIT_ASSERT(!dialer_->links[1]->open);
+  }
+
   void a_link_that_can_not_be_brought_in_order_is_closed() {
     pool_->release(take_one({}).link);
     dialer_->links[0]->fails = true;
