--- a/tests/limits/budget_home_test.cpp
+++ b/tests/limits/budget_home_test.cpp
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(thin_tenants_are_bounded_alike);
   CPPUNIT_TEST(each_guard_is_needed);
   CPPUNIT_TEST(a_home_that_returns_waits_like_a_new_one);
+  CPPUNIT_TEST(a_home_stops_when_control_was_not_heard_for_long);
   CPPUNIT_TEST(a_life_that_said_nothing_is_waited_for);
   CPPUNIT_TEST(a_token_expires_also_when_it_was_given_back);
   CPPUNIT_TEST(a_calm_fleet_gives_the_whole_rate);
@@ -100,6 +101,21 @@
     CPPUNIT_ASSERT(outcome() == GrantOutcome::kGranted);
   }
 
+  void a_home_stops_when_control_was_not_heard_for_long() {
+    const auto proxy = std::make_shared<routing::ProxyView>(
+        routing::ProxyView{NodeName("home"), ZoneName("a"), {"10.0.0.1", 1}});
+    BudgetHome home(NodeName("home"));
+    const TimePoint asked{seconds(10)};
+    const auto outcome = [&](TimePoint now) { return home.grant(tenant_of(100, 100), {1, 0}, now).outcome; };
+    home.set_homes(BudgetHomes({proxy}, {proxy}), 1);
+    home.note_confirmed(asked, 1, asked + milliseconds(200));
+    const TimePoint end = asked + registry::kBudgetAuthority;
+    CPPUNIT_ASSERT(outcome(end - milliseconds(1)) == GrantOutcome::kGranted);
+    CPPUNIT_ASSERT_MESSAGE("counted from the question", outcome(end) == GrantOutcome::kNotCounting);
+    home.note_confirmed(end, 1, end);
+    CPPUNIT_ASSERT(outcome(end) == GrantOutcome::kGranted);
+  }
+
   void a_life_that_said_nothing_is_waited_for() {
     const TimePoint now{seconds(10)};
     const registry::ProxyKnowledge knows{12, now + seconds(2)};
