--- a/tests/control/registered/close_answers_test.cpp
+++ b/tests/control/registered/close_answers_test.cpp
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(a_close_is_over_with_the_last_answer);
   CPPUNIT_TEST(an_answer_to_an_earlier_close_does_not_count);
   CPPUNIT_TEST(an_answer_that_came_before_anybody_asked_counts);
+  CPPUNIT_TEST(an_older_answer_that_comes_late_takes_nothing_back);
   CPPUNIT_TEST(another_life_of_a_proxy_has_to_answer_itself);
   CPPUNIT_TEST(a_proxy_that_joins_has_to_answer);
   CPPUNIT_TEST(a_proxy_that_is_forgotten_is_not_waited_for);
@@ -67,6 +68,14 @@
     CPPUNIT_ASSERT(ask(4).highest_acknowledged == (Position{1, 8}));
   }
 
+  void an_older_answer_that_comes_late_takes_nothing_back() {
+    answers_.note(node(1), 1, answer(1, 4, 7));
+    answers_.note(node(1), 1, answer(1, 2, 5));
+    answers_.note(node(2), 1, answer(1, 4, 6));
+    CPPUNIT_ASSERT(ask(4).all_answered);
+    CPPUNIT_ASSERT(ask(4).highest_acknowledged == (Position{1, 7}));
+  }
+
   void another_life_of_a_proxy_has_to_answer_itself() {
     ask(4);
     answers_.note(node(1), 1, answer(1, 4, 7));
