--- a/tests/control/registered/group_keeper_lives_test.cpp
+++ b/tests/control/registered/group_keeper_lives_test.cpp
@@ -132,6 +132,7 @@
   void setUp() override { start(0); }
   void tearDown() override {
     world_.reset();
+    next_.reset();
     leader_.reset();
   }
 
@@ -151,12 +152,6 @@
     leader_->keeper.start();
     world_->run_for(seconds(4));
   }
-  void tearDown() override {
-    world_.reset();
-    next_.reset();
-    leader_.reset();
-  }
-
   void another_life_of_the_primary_is_given_up_at_once() {
     put("p", 1, 2000, BackendStatus{false, 1, {1, 0}});
     world_->run_for(seconds(1));
