--- a/tests/session/group_access_test.cpp
+++ b/tests/session/group_access_test.cpp
@@ -364,7 +364,8 @@
     Reason reason;
     LinkWish wish;
     const TimePoint deadline = runtime_->now() + seconds(1);
-    co_await backend->pool.acquire(std::move(wish), LinkDeadlines{deadline, deadline}, refusal, reason);
+    const LinkDeadlines deadlines{deadline, deadline};
+    co_await backend->pool.acquire(std::move(wish), deadlines, refusal, reason);
   }
 
   static registry::BackendEntry life(const std::string& name, std::uint16_t port, std::uint64_t born_ms) {
