--- a/src/session/fleet_view.h
+++ b/src/session/fleet_view.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <tuple>
 #include <vector>
 
 #include "limits/budget_home.h"
@@ -102,6 +103,7 @@
   [[nodiscard]] const std::vector<routing::ProxyPointer>& forward_to(const GroupName& group);
   /// The same for one tenant's statements: a tenant's links to a backend are with few of the proxies of its
   /// zone that serve the group. This proxy is among them, behind others, where it serves the group as well.
+  /// Empty as well for work at a primary while none may be used: it waits here until its zone is known.
   [[nodiscard]] const std::vector<routing::ProxyPointer>& forward_to(const GroupName& group,
                                                                      const TenantName& tenant,
                                                                      GroupWork work);
@@ -130,17 +132,31 @@
     GroupName group;
     TenantName tenant;
     ZoneName zone;
-    auto operator<=>(const TenantPlace&) const = default;
+  };
+  /// Finds a place by references to its parts, so that a look copies none.
+  using TenantPlaceView = std::tuple<const GroupName&, const TenantName&, const ZoneName&>;
+  struct PlaceOrder {
+    using is_transparent = void;
+    static TenantPlaceView view(const TenantPlace& place) {
+      return std::tie(place.group, place.tenant, place.zone);
+    }
+    static const TenantPlaceView& view(const TenantPlaceView& place) { return place; }
+    bool operator()(const auto& one, const auto& other) const { return view(one) < view(other); }
   };
 
   std::shared_ptr<GroupAccess> access(const GroupName& group);
-  /// Where the backends are that are to do a tenant's work.
-  [[nodiscard]] ZoneName zone_of_work(const GroupName& group, const TenantName& tenant, GroupWork work) const;
+  /// Where the backends are that are to do a tenant's work; empty while nobody leads that may be used.
+  [[nodiscard]] std::optional<ZoneName> zone_of_work(const GroupName& group, const TenantName& tenant,
+                                                     GroupWork work) const;
   /// Divides the group's connections among those that serve it.
   void share_connections(GroupAccess& group, const std::vector<routing::ProxyPointer>& serving) const;
   void apply_routes(const registry::FleetDelta& delta);
   void apply_backends(const registry::FleetDelta& delta);
-  void apply_evacuations(const registry::FleetDelta& delta);
+  /// The zones that are given back by it.
+  std::vector<ZoneName> apply_evacuations(const registry::FleetDelta& delta);
+  /// The moment that counts for orders of the delta at hand. Now under a lease; else the end of the last one,
+  /// since the order may be that old. With no lease ever it may be of any age.
+  [[nodiscard]] TimePoint evacuation_known_since() const;
   void log_evacuation(const char* event, const ZoneName& zone, std::uint64_t revision);
   void apply_tenants(const registry::FleetDelta& delta);
   /// Some route or tenant names the regions in which its statements run.
@@ -155,8 +171,9 @@
   void apply_proxies(const registry::FleetDelta& delta);
   /// Who serves each group, and how its connections are shared.
   void divide_groups(const std::vector<routing::ProxyPointer>& takers);
-  /// Whether it may change which proxies serve a group, or their shares of its connections.
-  [[nodiscard]] static bool changes_division(const registry::FleetDelta& delta);
+  /// Whether it may change which proxies serve a group, or their shares of its connections. A backend counts
+  /// with its slots and where it is, not with what it is doing. Asked before its backends are taken over.
+  [[nodiscard]] bool changes_division(const registry::FleetDelta& delta) const;
 
   runtime::Runtime& runtime_;
   BackendDialer& dialer_;
@@ -189,7 +206,7 @@
   std::map<GroupName, std::vector<routing::ProxyPointer>> also_serving_;
   std::map<GroupName, std::vector<routing::ProxyPointer>> serving_;  ///< with this proxy, where it does
   /// Worked out when wanted, from `serving_` and the tenants' limits.
-  std::map<TenantPlace, std::vector<routing::ProxyPointer>> forward_for_;
+  std::map<TenantPlace, std::vector<routing::ProxyPointer>, PlaceOrder> forward_for_;
   std::vector<routing::ProxyPointer> others_;
 };
 
--- a/src/session/stateful_pool.cpp
+++ b/src/session/stateful_pool.cpp
@@ -94,7 +94,7 @@
   while (true) {
     if (retired_) {
       reason = Reason{ReasonCode::kUnreachable, "acquire_link", address_.backend.value,
-                      "the backend has started again"};
+                      "the backend has started again or is gone"};
       co_return nullptr;
     }
     if (is_refused()) {
@@ -146,6 +146,7 @@
 }
 
 void StatefulPool::log_use(const StatefulLink& link) const {
+  if (!runtime_.logger().writes(runtime::LogLevel::kDebug)) return;
   const auto held = std::chrono::duration_cast<std::chrono::microseconds>(runtime_.now() - link.taken_at());
   runtime_.logger().log(runtime::LogLevel::kDebug, "link_used",
                         {{"group", address_.group.value},
--- a/tests/control/registered/control_stand.h
+++ b/tests/control/registered/control_stand.h
@@ -111,8 +111,10 @@
     session::BackendStatus status;
     bool answers = true;
     bool forgets_pauses = false;
+    int questions = 0;  ///< for its status
   };
   std::map<std::string, Member> members;
+  bool refuses_promotions = false;  ///< takes no order, and says so
   /// Who answers at an address, where that is not who registered there last.
   std::map<Endpoint, std::string> answering_at;
   struct Event {
