--- a/src/control/registered/group_keeper.cpp
+++ b/src/control/registered/group_keeper.cpp
@@ -328,6 +328,7 @@
 std::vector<GroupName> GroupKeeper::groups_by_urgency() const {
   const std::map<GroupName, std::uint64_t> urgency = urgencies();
   std::vector<GroupName> groups;
+  groups.reserve(urgency.size());
   for (const auto& [group, priority] : urgency) groups.push_back(group);
   std::stable_sort(groups.begin(), groups.end(), [&](const GroupName& one, const GroupName& other) {
     return urgency.at(one) < urgency.at(other);
--- a/tests/placement/placement_test.cpp
+++ b/tests/placement/placement_test.cpp
@@ -284,7 +284,7 @@
       const auto obstacle = static_cast<Obstacle>(place);
       names.insert(obstacle_name(obstacle));
       CPPUNIT_ASSERT(find_obstacle(obstacle_name(obstacle)) == obstacle);
-      const bool says_something = std::string(obstacle_text(obstacle)) != "";
+      const bool says_something = !std::string(obstacle_text(obstacle)).empty();
       CPPUNIT_ASSERT_EQUAL(obstacle != Obstacle::kNone, says_something);
     }
     CPPUNIT_ASSERT_EQUAL(kObstacleCount, names.size());
@@ -315,7 +315,7 @@
     return proxies == &also_serving_ ? "also_serving" : "nobody";
   }
 
-  const ProxyList nobody_;
+  const ProxyList nobody_{};
   const ProxyList serving_{std::make_shared<routing::ProxyView>()};
   const ProxyList others_{std::make_shared<routing::ProxyView>()};
   const ProxyList also_serving_{std::make_shared<routing::ProxyView>()};
--- a/tests/platform/heartbeat_json_test.cpp
+++ b/tests/platform/heartbeat_json_test.cpp
@@ -2,6 +2,7 @@
 #include "platform/heartbeat_json.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
 
 namespace cairnhollow::platform {
 
@@ -117,8 +118,9 @@
     for (const std::string field : {"Service", "Zone"}) {
       const std::string text = field == "Zone" ? R"("Zone":"hafn-a")" : R"("Service":"huvo11a")";
       const auto refused = [&](const std::string& name, const std::string& fault) {
-        assert_refused({replaced(text, "\"" + field + "\":\"" + name + "\""), RegistrationFault::kBadField,
-                        field + ": " + fault});
+        const std::string said = fmt::format(R"("{}":"{}")", field, name);
+        assert_refused(
+            {replaced(text, said), RegistrationFault::kBadField, fmt::format("{}: {}", field, fault)});
       };
       refused("", "must not be empty");
       refused("a b", "must hold no blanks and no control characters");
