--- a/src/control/registered/group_keeper.h
+++ b/src/control/registered/group_keeper.h
@@ -61,9 +61,11 @@
   void watch_all_members();
   /// Notes which lives have left a group, and when.
   void watch_members(const GroupName& group);
+  /// Also while this node follows: it may be elected when the primary is gone, and can't ask it any more.
+  void settle_all_members();
   /// Looks whether a member that stayed holds what the primary held when one left.
   Awaitable<void> settle_members(GroupName group);
-  Awaitable<void> compare_members(GroupName group);
+  Awaitable<bool> compare_members(GroupName group);
   /// Whether those who stayed hold what one that left held.
   [[nodiscard]] bool are_members_settled(const GroupName& group) const;
   void begin(const GroupName& group, Awaitable<void> task);
@@ -125,7 +127,9 @@
   Awaitable<void> resume_members(GroupName group);
   /// What an earlier leader may have left paused.
   Awaitable<void> resume_left_members();
-  /// False also when another life of the backend has registered.
+  /// Whether the group is in that close: another leader may have opened it, or closed it again, since.
+  [[nodiscard]] bool is_still_closed(const registry::GroupTerm& closed) const;
+  /// False also when another life of the backend has registered, or the close is past.
   Awaitable<bool> promote(registry::GroupTerm closed, registry::BackendIncarnation chosen);
   /// The term that `chosen` leads, with no less than it was chosen for: else it has started again meanwhile.
   Awaitable<std::optional<std::uint64_t>> wait_promoted(registry::GroupTerm closed, MemberFinding chosen);
--- a/src/session/group_access.cpp
+++ b/src/session/group_access.cpp
@@ -1,7 +1,6 @@
 #include "session/group_access.h"
 
 #include <algorithm>
-#include <cmath>
 #include <iterator>
 #include <string>
 #include <utility>
@@ -13,51 +12,12 @@
 
 using std::chrono::duration;
 
-double BackendUse::latency_ms(TimePoint now, double usual_ms) const {
-  const double age = duration<double>(now - latency_noted_at_) / kLatencyMemory;
-  return usual_ms + (latency_ms_ - usual_ms) * std::exp(-age);
-}
-
-void BackendUse::note_latency(double took_ms, double usual_ms, TimePoint now) {
-  const double before = latency_ms(now, usual_ms);
-  latency_ms_ = before + kLatencyWeight * (took_ms - before);
-  latency_noted_at_ = now;
-}
-
 void GroupAccess::note_latency(BackendUse& backend, Duration took) {
   const double took_ms = duration<double, std::milli>(took).count();
   usual_latency_ms_ += kUsualLatencyWeight * (took_ms - usual_latency_ms_);
   backend.note_latency(took_ms, usual_latency_ms_, runtime_.now());
 }
 
-Duration BackendUse::lag(TimePoint now) const {
-  const auto half_lives = (now - lag_noted_at_) / kLagHalfLife;
-  constexpr std::int64_t kNothingLeft = 30;
-  return half_lives >= kNothingLeft ? Duration(0) : lag_ / (std::int64_t{1} << half_lives);
-}
-
-void BackendUse::note_applied(Duration age, bool was_there, TimePoint now) {
-  const Duration before = lag(now);
-  lag_noted_at_ = now;
-  if (was_there) {
-    lag_ = before + (std::min(age, before) - before) / kLagSmoothing;
-  } else {
-    lag_ = std::max(before, age + age / kLagStepDivisor);
-  }
-}
-
-bool BackendUse::note_shown(std::uint64_t term, Position position) {
-  if (term != shown_term_) shown_ = Position{};
-  shown_term_ = term;
-  // Entries of earlier terms may still be rolled back.
-  if (position.term == term) {
-    const bool holds_less = position < shown_;
-    shown_ = std::max(shown_, position);
-    return !holds_less;
-  }
-  return shown_.index == 0;
-}
-
 void GroupAccess::note_replica(BackendUse& backend, const ReadNeed& need, std::optional<Position> shown) {
   const TimePoint now = runtime_.now();
   if (!shown) return backend.note_applied(now - need.required_since, false, now);
@@ -123,7 +83,8 @@
 void GroupAccess::remove_backend(const BackendName& name) {
   const auto found = backends_.find(name);
   if (found == backends_.end()) return;
-  found->second->pool.close_idle();
+  // Whoever holds it still opens nothing there, and gives no link back to it.
+  found->second->pool.retire();
   backends_.erase(found);
   changed_.notify_all();
 }
@@ -185,11 +146,22 @@
   backend.gate.set_bounds(static_cast<std::uint32_t>(slots), static_cast<std::uint32_t>(share));
 }
 
+namespace {
+
+bool takes_reads(const BackendUse& backend) { return !backend.entry.leaving && !backend.is_evacuated(); }
+
+}  // namespace
+
+bool GroupAccess::reads_in(const ZoneName& zone) const {
+  return std::any_of(backends_.begin(), backends_.end(), [&](const auto& entry) {
+    return entry.second->entry.zone == zone && takes_reads(*entry.second);
+  });
+}
+
 std::vector<ZoneName> GroupAccess::reading_zones() const {
   std::set<ZoneName> zones;
   for (const auto& [name, use] : backends_) {
-    if (use->entry.leaving || use->is_evacuated()) continue;
-    zones.insert(use->entry.zone);
+    if (takes_reads(*use)) zones.insert(use->entry.zone);
   }
   return {zones.begin(), zones.end()};
 }
@@ -261,6 +233,12 @@
   return found != backends_.end() && found->second->is_off_limits(runtime_.now());
 }
 
+bool GroupAccess::is_primary_at_cold_limit() const {
+  if (!term_.open) return false;
+  const auto found = backends_.find(term_.primary);
+  return found != backends_.end() && is_cold_limit_reached(*found->second);
+}
+
 void GroupAccess::close_evacuated_links() {
   for (const auto& [name, use] : backends_) {
     const bool leads = term_.open && name == term_.primary;
@@ -330,8 +308,9 @@
   staleness_wanted_ = is_staleness_wanted(now) ? std::min(staleness, staleness_wanted_) : staleness;
   staleness_wanted_at_ = now;
   // While the group is open the next read renews what is known, before it is too old; not one that may not go
-  // to the primary.
-  const bool may_go = !is_primary_off_limits() && (allowed == nullptr || !is_primary_outside(*allowed));
+  // to the primary, or would be refused there.
+  const bool may_go = !is_primary_off_limits() && !is_primary_at_cold_limit() &&
+                      (allowed == nullptr || !is_primary_outside(*allowed));
   if (term_.open && may_go && wants_position(staleness)) return need;
   need.required = positions_.covering(now - staleness);
   if (!need.required) return need;
--- a/tests/control/registered/group_keeper_lives_test.cpp
+++ b/tests/control/registered/group_keeper_lives_test.cpp
@@ -123,12 +123,16 @@
   CPPUNIT_TEST(nobody_follows_without_proof_before_all_have_answered);
   CPPUNIT_TEST(a_replaced_life_may_have_held_the_newest_commits);
   CPPUNIT_TEST(a_promotion_without_proof_is_counted);
+  CPPUNIT_TEST(who_starts_to_look_may_have_missed_a_replaced_life);
+  CPPUNIT_TEST(a_life_that_left_may_come_back_a_look_later);
+  CPPUNIT_TEST(who_joined_in_the_revision_that_opened_the_term_joined_in_it);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   void setUp() override { start(0); }
   void tearDown() override {
     world_.reset();
+    next_.reset();
     leader_.reset();
   }
 
@@ -251,27 +255,91 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, leader_->keeper.unproved_promotions());
   }
 
+  /// A control node starts after "a" did: the former life may have been the only one with the newest commits.
+  void who_starts_to_look_may_have_missed_a_replaced_life() {
+    lose_a_proxy();
+    leader_->statuses[BackendName("a")] = BackendStatus{false, kTerm, {kTerm, 4}};
+    start_another_keeper();
+    world_->run_for(seconds(4));
+    leader_->statuses.erase(BackendName("p"));
+    apply(registry::CloseGroup{kGroup, term().epoch});
+    world_->run_for(seconds(5));
+    CPPUNIT_ASSERT(!term().open);
+    CPPUNIT_ASSERT_EQUAL(0, leader_->promotions.orders);
+    leader_->statuses[BackendName("p")] = BackendStatus{true, kTerm, {kTerm, 9}};
+    world_->run_for(seconds(1));
+    CPPUNIT_ASSERT_MESSAGE("only the primary holds them", term().open && term().primary.value == "p");
+  }
+
+  /// Between the two the group was looked at without it.
+  void a_life_that_left_may_come_back_a_look_later() {
+    lose_a_proxy();
+    leader_->statuses.erase(BackendName("p"));
+    apply(registry::DeregisterBackend{BackendName("a")});
+    world_->run_for(seconds(1));
+    put("a", 2, 2000, BackendStatus{false, kTerm, {kTerm, 4}});
+    world_->run_for(seconds(1));
+    apply(registry::CloseGroup{kGroup, term().epoch});
+    world_->run_for(seconds(4));
+    CPPUNIT_ASSERT(!term().open);
+    CPPUNIT_ASSERT_EQUAL(0, leader_->promotions.orders);
+  }
+
+  /// Both were gathered into one command.
+  void who_joined_in_the_revision_that_opened_the_term_joined_in_it() {
+    apply(registry::CloseGroup{kGroup, term().epoch});
+    registry::BackendEntry next = entry("a", 2, 2000);
+    leader_->statuses[next.name] = BackendStatus{false, kTerm, {kTerm - 1, 4}};
+    leader_->statuses.erase(BackendName("p"));
+    leader_->statuses.erase(BackendName("b"));
+    registry::OpenGroup open{kGroup, term().epoch, kTerm, BackendName("p"), 1000};
+    apply(registry::CommandBatch{{registry::RegisterBackend{next}, open}});
+    CPPUNIT_ASSERT(term().open);
+    apply(registry::CloseGroup{kGroup, term().epoch});
+    world_->run_for(seconds(1));
+    CPPUNIT_ASSERT(!term().open);
+    CPPUNIT_ASSERT_EQUAL(0, leader_->promotions.orders);
+  }
+
  private:
+  /// One that may have acknowledged something.
+  void lose_a_proxy() {
+    apply(registry::AdmitProxy{{NodeName("proxy"), 1, ZoneName("a"), {}, false}});
+    apply(registry::ForgetProxy{NodeName("proxy"), 1});
+  }
+  /// In the place of the one that there was.
+  void start_another_keeper() {
+    leader_->keeper.stop();
+    next_ = std::make_unique<GroupKeeper>(*runtime_, leader_->log, leader_->fleet, leader_->calls,
+                                          leader_->leases, leader_->prober, leader_->promotions,
+                                          GroupKeeperSettings{NodeName("node")});
+    next_->start();
+  }
   const registry::GroupTerm& term() { return *leader_->fleet.find_term(kGroup); }
   void apply(registry::Command command) {
     registry::LoggedCommand logged{std::move(command)};
     leader_->fleet.apply(++index_, wire::encode_from(logged, wire::kWrittenFormat));
   }
-  void put(const std::string& name, std::uint16_t port, std::uint64_t born_ms, BackendStatus status,
-           const GroupName& group = kGroup) {
+  static registry::BackendEntry entry(const std::string& name, std::uint16_t port, std::uint64_t born_ms,
+                                      const GroupName& group = kGroup) {
     registry::BackendEntry entry;
     entry.name = BackendName(name);
     entry.group = group;
     entry.endpoint = {"10.0.0.9", port};
     entry.born_ms = born_ms;
     entry.sequence = 1;
-    leader_->statuses[entry.name] = status;
-    apply(registry::RegisterBackend{entry});
+    return entry;
+  }
+  void put(const std::string& name, std::uint16_t port, std::uint64_t born_ms, BackendStatus status,
+           const GroupName& group = kGroup) {
+    leader_->statuses[BackendName(name)] = status;
+    apply(registry::RegisterBackend{entry(name, port, born_ms, group)});
   }
 
   std::unique_ptr<simulation::World> world_;
   runtime::Runtime* runtime_ = nullptr;
   std::unique_ptr<Leader> leader_;
+  std::unique_ptr<GroupKeeper> next_;
   std::uint64_t index_ = 0;
 };
 
