--- a/tests/registry/state_machine_test.cpp
+++ b/tests/registry/state_machine_test.cpp
@@ -381,7 +381,11 @@
     entry.born_ms = born_ms;
     return entry;
   }
-  std::uint64_t born(const BackendName& name) { return machine_->find_backend(name)->born_ms; }
+  std::uint64_t born(const BackendName& name) {
+    const BackendEntry* held = machine_->find_backend(name);
+    CPPUNIT_ASSERT_MESSAGE(name.value + " is not registered", held != nullptr);
+    return held->born_ms;
+  }
 
   void apply(Command command) {
     LoggedCommand logged{std::move(command)};
