--- a/src/control/registered/group_prober.cpp
+++ b/src/control/registered/group_prober.cpp
@@ -109,6 +109,7 @@
 
 Awaitable<std::vector<MemberFinding>> GroupProber::ask_all(std::vector<registry::BackendEntry> entries) {
   std::vector<MemberFinding> members;
+  members.reserve(entries.size());
   for (registry::BackendEntry& entry : entries) members.push_back({std::move(entry), std::nullopt, false});
   co_return co_await ask_all(std::move(members));
 }
--- a/standins/unfenced/environment.cpp
+++ b/standins/unfenced/environment.cpp
@@ -149,7 +149,7 @@
 
 std::vector<registry::TenantRule> Environment::begin_era() {
   if (!settings_.tenants) return {};
-  const std::vector<registry::TenantRule> tenants{
+  std::vector<registry::TenantRule> tenants{
       tenant_of("weka", "key-weka", 0), tenant_of("kea", "key-kea", kLimitedRate),
       tenant_of("tui", version_ % 2 == 0 ? "key-tui-1" : "key-tui-2", 0)};
   for (const registry::TenantRule& tenant : tenants)
--- a/tests/locality/permitted_regions_test.cpp
+++ b/tests/locality/permitted_regions_test.cpp
@@ -9,6 +9,7 @@
 
 std::vector<RegionName> regions(const std::vector<std::string>& names) {
   std::vector<RegionName> list;
+  list.reserve(names.size());
   for (const std::string& name : names) list.emplace_back(name);
   return list;
 }
--- a/tests/session/forward_server_test.cpp
+++ b/tests/session/forward_server_test.cpp
@@ -119,7 +119,7 @@
       const auto proxy = std::make_shared<routing::ProxyView>(
           routing::ProxyView{NodeName("proxy"), ZoneName("a"), kEndpoint});
       if (!test.connection_) test.connection_ = co_await test.forwarder_->connect(proxy, deadline, reason);
-      if (test.connection_) told = co_await test.connection_->call(std::move(request), deadline, reason);
+      if (test.connection_) told = co_await test.connection_->call(request, deadline, reason);
     };
     ForwardRequest request;
     request.body = std::move(body);
--- a/tests/session/tenant_links_test.cpp
+++ b/tests/session/tenant_links_test.cpp
@@ -117,6 +117,7 @@
 
   static std::vector<routing::ProxyPointer> all_proxies() {
     std::vector<routing::ProxyPointer> proxies;
+    proxies.reserve(78);
     for (int number = 0; number < 78; ++number)
       proxies.push_back(
           proxy_of(fmt::format("proxy-{}", number), ZoneName(fmt::format("zone-{}", number % 4))));
