--- /dev/null
+++ b/src/registered/scheduling/slot_request.h
@@ -0,0 +1,26 @@
+// Describes a statement that waits for a slot at a backend, as far as the order of admission depends on it.
+#pragma once
+
+#include <cstdint>
+
+#include "base/types.h"
+
+namespace cairnhollow::registered::scheduling {
+
+/// What the scheduler needs to know of one waiting statement.
+struct SlotRequest {
+  /// A statement of an open transaction. It goes first: the transaction holds a link and possibly row locks.
+  bool in_transaction = false;
+  std::uint64_t route_priority = 0;   ///< 0 is the highest
+  std::uint64_t tenant_priority = 0;  ///< 0 is the highest; 0 without tenants
+  TenantName tenant;                  ///< empty without tenants
+  /// End of the route's target latency. A statement admitted so late that it cannot finish by then goes after
+  /// all that still can.
+  TimePoint target_end{};
+  TimePoint deadline{};  ///< the statement is of no use to its caller afterwards
+  /// An idle link for the tenant was at hand when the statement arrived. One without needs a new connection,
+  /// which occupies a slot for the handshake.
+  bool has_link = true;
+};
+
+}  // namespace cairnhollow::registered::scheduling
