--- a/src/registered/limits/quota_ledger.cpp
+++ b/src/registered/limits/quota_ledger.cpp
@@ -3,14 +3,13 @@
 #include <algorithm>
 #include <utility>
 
-#include "registered/registry/budget_authority.h"
-
 namespace cairnhollow::registered::limits {
 
 void QuotaLedger::set_owners(QuotaOwners owners, std::uint64_t revision) {
   owners_ = std::move(owners);
   revision_ = revision;
   stable_since_.reset();
+  has_departures_ = has_departures_ || owners_.has_departures();
   for (auto entry = owned_limits_.begin(); entry != owned_limits_.end();) {
     const bool remains_owner =
         owners_.is_owner(entry->first, node_) && owners_.remained_owner(entry->first, node_);
@@ -21,12 +20,31 @@
 void QuotaLedger::record_confirmed(TimePoint confirmed_at, std::uint64_t stable_revision, TimePoint now) {
   if (!confirmed_at_ || *confirmed_at_ < confirmed_at) confirmed_at_ = confirmed_at;
   stable_revision_ = std::max(stable_revision_, stable_revision);
-  if (stable_revision_ >= revision_ && !stable_since_) stable_since_ = now;
+  if (stable_revision_ >= revision_) {
+    if (!stable_since_) stable_since_ = now;
+    has_departures_ = false;
+    departure_at_.reset();
+  } else if (has_departures_ && !departure_at_) {
+    departure_at_ = now;
+  }
+}
+
+Grant QuotaLedger::not_authorized(TimePoint now) const {
+  Grant grant;
+  if (confirmed_at_ && !is_confirmed(now)) {
+    grant.retry_after = kAuthorityUnlikely;
+  } else if (departure_at_) {
+    grant.retry_after = std::max<Duration>(*departure_at_ + kDepartureWait - now, Duration(0));
+  }
+  return grant;
+}
+
+bool QuotaLedger::is_confirmed(TimePoint now) const {
+  return confirmed_at_ && now - *confirmed_at_ < registry::kBudgetAuthority;
 }
 
 bool QuotaLedger::may_grant(const OwnedLimit& owned, TimePoint now) const {
-  const bool confirmed = confirmed_at_ && now - *confirmed_at_ < registry::kBudgetAuthority;
-  return confirmed && stable_revision_ >= owned.owner_since;
+  return is_confirmed(now) && stable_revision_ >= owned.owner_since;
 }
 
 void QuotaLedger::record_limit_change(const Limit& previous, const Limit& limit, TimePoint now) {
@@ -59,7 +77,7 @@
   if (found == owned_limits_.end())
     found = owned_limits_.emplace(limit.key, OwnedLimit{revision_, std::nullopt}).first;
   OwnedLimit& owned = found->second;
-  if (!may_grant(owned, now)) return {};
+  if (!may_grant(owned, now)) return not_authorized(now);
   if (!owned.bucket) {
     const bool is_owner_since_newest = owned.owner_since == revision_ && stable_since_;
     owned.bucket.emplace(is_owner_since_newest ? *stable_since_ : now);
--- a/src/registered/limits/quota_ledger.h
+++ b/src/registered/limits/quota_ledger.h
@@ -18,9 +18,16 @@
 #include "registered/limits/owner_share.h"
 #include "registered/limits/quota_owners.h"
 #include "registered/limits/token_bucket.h"
+#include "registered/registry/budget_authority.h"
 
 namespace cairnhollow::registered::limits {
 
+/// How long a proxy that noticed the departure of others is likely to wait until their authority has ended: a
+/// departure is noticed at the end of a serving lease, which is half of that authority.
+inline constexpr Duration kDepartureWait = registry::kBudgetAuthority / 2;
+/// Grant::retry_after of an owner that control does not reach: nothing tells when it may grant again.
+inline constexpr Duration kAuthorityUnlikely = registry::kBudgetAuthority;
+
 enum class GrantOutcome : std::uint8_t {
   kGranted,
   kEmpty,         ///< no token available; see Grant::retry_after
@@ -30,6 +37,7 @@
 struct Grant {
   GrantOutcome outcome = GrantOutcome::kNotAuthorized;
   std::uint64_t tokens = 0;
+  /// kEmpty: time to the next token. kNotAuthorized: likely time until this proxy may grant; 0: unknown.
   Duration retry_after{0};
   bool operator==(const Grant&) const = default;
 
@@ -77,7 +85,10 @@
     TimePoint until{};
   };
 
+  [[nodiscard]] bool is_confirmed(TimePoint now) const;
   [[nodiscard]] bool may_grant(const OwnedLimit& owned, TimePoint now) const;
+  /// Returns the answer of an owner that may not grant.
+  [[nodiscard]] Grant not_authorized(TimePoint now) const;
   /// Returns the share of one owner at `now`, considering the previous value of a lowered limit.
   OwnerShare share_of(const Limit& limit, TimePoint now);
 
@@ -90,6 +101,9 @@
   std::uint64_t stable_revision_ = 0;
   /// Time since which no proxy acts on a membership older than revision_; std::nullopt while one may.
   std::optional<TimePoint> stable_since_;
+  bool has_departures_ = false;  ///< proxies departed, and the revision has not been stable since
+  /// First confirmation since a departure without a stable revision.
+  std::optional<TimePoint> departure_at_;
 };
 
 }  // namespace cairnhollow::registered::limits
--- a/src/registered/limits/quota_owners.cpp
+++ b/src/registered/limits/quota_owners.cpp
@@ -34,7 +34,10 @@
 QuotaOwners::QuotaOwners(const std::vector<subset::ProxyPointer>& accepting,
                          const std::vector<subset::ProxyPointer>& changed)
     : accepting_(accepting), accepting_or_changed_(union_of(accepting, changed)) {
-  for (const auto& proxy : changed) changed_.insert(proxy->name);
+  for (const auto& proxy : changed) {
+    changed_.insert(proxy->name);
+    has_departures_ = has_departures_ || !contains(accepting, proxy->name);
+  }
 }
 
 const std::vector<subset::ProxyPointer>& QuotaOwners::owners_of(const LimitKey& key) const {
--- a/src/registered/limits/quota_owners.h
+++ b/src/registered/limits/quota_owners.h
@@ -29,11 +29,14 @@
   [[nodiscard]] bool is_owner(const LimitKey& key, const NodeName& node) const;
   /// Returns whether `node`, which is an owner now, was one without interruption since the previous view.
   [[nodiscard]] bool remained_owner(const LimitKey& key, const NodeName& node) const;
+  /// Returns whether a proxy that accepted work in the previous view accepts none now.
+  [[nodiscard]] bool has_departures() const { return has_departures_; }
 
  private:
   subset::SubsetTable accepting_;
   subset::SubsetTable accepting_or_changed_;
   std::set<NodeName> changed_;
+  bool has_departures_ = false;
   /// Cache of owners_of(), which is called for each operation; valid as long as this membership.
   mutable std::map<LimitKey, std::vector<subset::ProxyPointer>> owners_;
 };
--- a/src/registered/proxy/callers/caller_session.cpp
+++ b/src/registered/proxy/callers/caller_session.cpp
@@ -286,7 +286,8 @@
 Awaitable<bool> CallerSession::admit(const StatementRequest& request, std::optional<TimePoint>& token,
                                      Answer& refusal) {
   if (request.tenant.empty()) co_return true;
-  const AdmissionAnswer admission = co_await services_.limits.admit(request.tenant);
+  const TimePoint wait_until = placement::refusal_time(request.progress());
+  const AdmissionAnswer admission = co_await services_.limits.admit(request.tenant, wait_until);
   token = admission.expires_at;
   if (admission.outcome == AdmissionOutcome::kAdmitted) co_return true;
   const bool is_over_limit = admission.outcome == AdmissionOutcome::kOverLimit;
@@ -296,11 +297,15 @@
                                is_over_limit ? "the tenant has exceeded its limit"
                                              : "no quota owner is available for the tenant",
                                in_ms(admission.retry_after)));
-  services_.runtime.logger().log(LogLevel::kInfo, "operation_not_admitted",
-                                 {{"id", request.id},
-                                  {"tenant", request.tenant.value},
-                                  {"why", refusal.detail},
-                                  {"version", std::to_string(services_.view.document_version())}});
+  services_.runtime.logger().log(
+      LogLevel::kInfo, "operation_not_admitted",
+      {{"id", request.id},
+       {"tenant", request.tenant.value},
+       {"why", refusal.detail},
+       {"since", admission_outcome_name(admission.outcome)},
+       {"asked", admission.asked},
+       {"waited_ms", std::to_string(in_ms(services_.runtime.now() - request.arrived))},
+       {"version", std::to_string(services_.view.document_version())}});
   co_return false;
 }
 
--- a/src/registered/proxy/session_metrics.cpp
+++ b/src/registered/proxy/session_metrics.cpp
@@ -8,11 +8,16 @@
 
 namespace {
 
-constexpr std::array<const char*, 3> kAdmissionLabels{"admitted", "over_limit", "not_counted"};
+constexpr std::array<const char*, kAdmissionOutcomes> kAdmissionLabels{
+    "admitted", "over_limit", "owner_not_authorized", "no_owner_reached"};
 constexpr std::array<const char*, 3> kServedByLabels{"proxy", "primary", "replica"};
 
 }  // namespace
 
+const char* admission_outcome_name(AdmissionOutcome outcome) {
+  return kAdmissionLabels[static_cast<std::size_t>(outcome)];
+}
+
 SessionMetrics::SessionMetrics()
     : lost_answers_(metrics_.counter("cairnhollow_session_lost_answers_total",
                                      "Statements sent to a backend that did not answer.")),
@@ -78,9 +83,9 @@
 void SessionMetrics::count_admission(const std::string& label, AdmissionOutcome outcome) {
   prometheus::Counter*& counter = admissions_[{label, outcome}];
   if (counter == nullptr) {
-    counter = &metrics_.counter(
-        "cairnhollow_session_tenant_operations_total", "Tenant operations that requested admission.",
-        {{"tenant", label}, {"outcome", kAdmissionLabels[static_cast<std::size_t>(outcome)]}});
+    counter = &metrics_.counter("cairnhollow_session_tenant_operations_total",
+                                "Tenant operations that requested admission.",
+                                {{"tenant", label}, {"outcome", admission_outcome_name(outcome)}});
   }
   counter->Increment();
 }
--- a/src/registered/proxy/session_metrics.h
+++ b/src/registered/proxy/session_metrics.h
@@ -16,7 +16,16 @@
 enum class ServedBy : std::uint8_t { kProxy, kPrimary, kReplica };
 
 /// The result of a request to begin a tenant's operation or to send a statement to a cold backend.
-enum class AdmissionOutcome : std::uint8_t { kAdmitted, kOverLimit, kNotCounted };
+enum class AdmissionOutcome : std::uint8_t {
+  kAdmitted,
+  kOverLimit,
+  kNotAuthorized,  ///< quota owners answered, but none may grant tokens at present
+  kNoOwnerReached  ///< no quota owner answered in time
+};
+inline constexpr std::size_t kAdmissionOutcomes =
+    static_cast<std::size_t>(AdmissionOutcome::kNoOwnerReached) + 1;
+/// Stable lower-case name for logs and metrics, e.g. "over_limit".
+const char* admission_outcome_name(AdmissionOutcome outcome);
 
 /// Metric label of all tenants without a label of their own.
 inline constexpr const char* kOtherTenantsLabel = "others";
@@ -65,7 +74,7 @@
   std::array<prometheus::Counter*, registry::kRegistrationFaults> registrations_refused_{};
   std::map<std::pair<std::string, AdmissionOutcome>, prometheus::Counter*>
       admissions_;  ///< by tenant label and outcome
-  std::array<prometheus::Counter*, 3> cold_statements_{};
+  std::array<prometheus::Counter*, kAdmissionOutcomes> cold_statements_{};
   prometheus::Counter& lost_answers_;
   prometheus::Counter& token_requests_;
   prometheus::Counter& evacuated_transactions_;
--- a/src/registered/proxy/statement/pre_send_check.cpp
+++ b/src/registered/proxy/statement/pre_send_check.cpp
@@ -34,7 +34,7 @@
   const bool runs_again = request.may_have_run && !request.tenant.empty();
   // Do not spend a token on a statement that can't be sent anyway.
   if (runs_again && decide(*attempt, send_facts(*attempt)).action == SendAction::kSend) {
-    const AdmissionAnswer admission = co_await services_.limits.admit(request.tenant);
+    const AdmissionAnswer admission = co_await services_.limits.admit_again(request.tenant);
     lacks_token = admission.outcome != AdmissionOutcome::kAdmitted;
   }
   placement::SendFacts facts = send_facts(*attempt);
--- a/tests/registered/limits/quota_ledger_test.cpp
+++ b/tests/registered/limits/quota_ledger_test.cpp
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(returning_owner_waits_like_a_new_one);
   CPPUNIT_TEST(owner_stops_without_confirmation);
   CPPUNIT_TEST(waits_for_silent_incarnation);
+  CPPUNIT_TEST(unauthorized_owner_estimates_its_wait);
   CPPUNIT_TEST(returned_token_keeps_its_expiry);
   CPPUNIT_TEST(owners_together_grant_full_rate_and_burst);
   CPPUNIT_TEST(two_of_three_owners_grant_two_thirds);
@@ -127,6 +128,40 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{15}, registry::stable_revision({knows, silent}, 15, now + seconds(3)));
   }
 
+  void unauthorized_owner_estimates_its_wait() {
+    const auto proxy_named = [](const std::string& name) {
+      return std::make_shared<subset::ProxyView>(
+          subset::ProxyView{NodeName(name), ZoneName("a"), {"10.0.0.1", 1}});
+    };
+    const auto home = proxy_named("home");
+    QuotaLedger owner(NodeName("home"));
+    TimePoint now{seconds(10)};
+    const auto wait = [&] {
+      const Grant grant = owner.grant(tenant_of(100, 100), {1, 0}, now);
+      CPPUNIT_ASSERT(grant.outcome == GrantOutcome::kNotAuthorized);
+      return grant.retry_after;
+    };
+    owner.set_owners(QuotaOwners({home}, {home}), 1);
+    owner.record_confirmed(now, 0, now);
+    CPPUNIT_ASSERT_MESSAGE("nothing is known when only proxies joined", wait() == Duration(0));
+    owner.set_owners(QuotaOwners({home}, {home, proxy_named("gone")}), 2);
+    owner.record_confirmed(now, 0, now);
+    CPPUNIT_ASSERT(wait() == kDepartureWait);
+    now += milliseconds(500);
+    // Another membership change does not shorten the wait, and another departure does not prolong it.
+    owner.set_owners(QuotaOwners({home}, {proxy_named("other")}), 3);
+    owner.record_confirmed(now, 0, now);
+    CPPUNIT_ASSERT(wait() == kDepartureWait - milliseconds(500));
+    now += kDepartureWait;
+    CPPUNIT_ASSERT(wait() == Duration(0));
+    now += registry::kBudgetAuthority;
+    CPPUNIT_ASSERT_MESSAGE("control is out of reach", wait() == kAuthorityUnlikely);
+    owner.record_confirmed(now, 3, now);
+    CPPUNIT_ASSERT(owner.grant(tenant_of(100, 100), {1, 0}, now).outcome == GrantOutcome::kEmpty);
+    now += seconds(1);
+    CPPUNIT_ASSERT(owner.grant(tenant_of(100, 100), {1, 0}, now).outcome == GrantOutcome::kGranted);
+  }
+
   void returned_token_keeps_its_expiry() {
     const TimePoint asked{seconds(10)};
     TokenCache cache;
--- a/tests/registered/proxy/limits/limit_client_test.cpp
+++ b/tests/registered/proxy/limits/limit_client_test.cpp
@@ -28,7 +28,7 @@
 
 Awaitable<void> admit(runtime::Runtime& runtime, LimitClient& limits, Admission& admission) {
   const TimePoint started_at = runtime.now();
-  admission.answer = co_await limits.admit(TenantName("tenant"));
+  admission.answer = co_await limits.admit(TenantName("tenant"), started_at + milliseconds(300));
   admission.took = runtime.now() - started_at;
 }
 
