--- /dev/null
+++ b/src/registered/scheduling/link_room.h
@@ -0,0 +1,21 @@
+// What the order of admission asks about the links to a backend.
+#pragma once
+
+#include "base/types.h"
+
+namespace cairnhollow::registered::scheduling {
+
+class LinkRoom {
+ public:
+  LinkRoom() = default;
+  virtual ~LinkRoom() = default;
+  LinkRoom(const LinkRoom&) = delete;
+  LinkRoom& operator=(const LinkRoom&) = delete;
+
+  /// Whether an idle link of the tenant is at hand.
+  [[nodiscard]] virtual bool has_idle(const TenantName& tenant) const = 0;
+  /// Whether an attempt to open a new link would be made at once.
+  [[nodiscard]] virtual bool may_open() const = 0;
+};
+
+}  // namespace cairnhollow::registered::scheduling
--- a/src/registered/scheduling/slot_request.h
+++ b/src/registered/scheduling/slot_request.h
@@ -14,6 +14,7 @@
   std::uint64_t route_priority = 0;   ///< 0 is the highest
   std::uint64_t tenant_priority = 0;  ///< 0 is the highest; 0 without tenants
   TenantName tenant;                  ///< empty without tenants
+  TimePoint arrived{};                ///< when it came to this proxy
   /// End of the route's target latency. A statement admitted so late that it cannot finish by then goes after
   /// all that still can.
   TimePoint target_end{};
