Gate of a shared room admits by the order of admission

Cause: a backend's queue stands in the backend, since each proxy's gate grows to its number of links, and a statement holds its slot while it waits for a link in use. The priority of a tenant in the document is used nowhere.

Change: where links belong to tenants, the gate of a backend in the proxy's zone takes its capacity from outside (until the room has owners: the share of the slots, rounded up, and one more) and admits through StatementScheduler. A statement is admitted only when its tenant has an idle link or one may be opened, so that no slot waits for a link; one that loses its link to another gives the slot back and keeps its place. The pool tells the gate when there is room. What can run at this backend only and cannot be served in time is refused at once, with the time until what waits is admitted; a read that would be late leaves for another backend. Metrics by class, and the queue's inputs in statement_refused.

Elsewhere the gate works as before.

--- a/src/registered/placement/statement_progress.cpp
+++ b/src/registered/placement/statement_progress.cpp
@@ -26,6 +26,12 @@
   return std::min(link_wait_end(progress, now), std::max(useful, now + kRetryPause));
 }
 
+TimePoint scheduled_wait_end(const StatementProgress& progress, TimePoint now, bool has_other_backend) {
+  const TimePoint wait_end = link_wait_end(progress, now);
+  if (!has_other_backend) return wait_end;
+  return std::min(wait_end, std::max(progress.arrived + progress.target_latency, now + kRetryPause));
+}
+
 bool may_abandon_backend(bool needs_primary, const StatementProgress& progress) {
   return !needs_primary && progress.attempts < kMaxAttempts - 1;
 }
--- a/src/registered/proxy/group/backend_standing.cpp
+++ b/src/registered/proxy/group/backend_standing.cpp
@@ -49,9 +49,14 @@
 }
 
 bool BackendEvaluator::has_other_reader(const ReadNeed& need, const BackendState& backend) const {
-  GroupFacts others = facts({&need, nullptr, need.allowed});
-  for (placement::BackendFacts& other : others) other.tried = other.name == backend.entry.name.value;
-  return placement::has_other_reader(need.primary_only, others);
+  return has_other_reader(PlacementRequest{&need, nullptr, need.allowed}, backend);
+}
+
+bool BackendEvaluator::has_other_reader(const PlacementRequest& request, const BackendState& backend) const {
+  GroupFacts others = facts(request);
+  for (placement::BackendFacts& other : others)
+    other.tried = other.tried || other.name == backend.entry.name.value;
+  return placement::has_other_reader(request.need->primary_only, others);
 }
 
 void BackendEvaluator::record_latency(BackendState& backend, Duration took) {
--- a/src/registered/proxy/group/backend_standing.h
+++ b/src/registered/proxy/group/backend_standing.h
@@ -56,6 +56,8 @@
   [[nodiscard]] std::shared_ptr<BackendState> primary() const;
   /// Whether a backend other than `backend` is likely to serve this read now.
   [[nodiscard]] bool has_other_reader(const ReadNeed& need, const BackendState& backend) const;
+  /// The same, among the backends that `request` does not exclude.
+  [[nodiscard]] bool has_other_reader(const PlacementRequest& request, const BackendState& backend) const;
   /// Records that a statement of this group took `took` at `backend`.
   void record_latency(BackendState& backend, Duration took);
 
--- a/src/registered/proxy/group/backend_use.h
+++ b/src/registered/proxy/group/backend_use.h
@@ -23,8 +23,12 @@
                std::shared_ptr<const EvacuatedZones> evacuated)
       : entry(backend),
         pool(runtime, dialer, BackendAddress{backend.endpoint, backend.group, backend.name}),
-        gate(runtime),
-        evacuated_(std::move(evacuated)) {}
+        gate(runtime, &pool),
+        evacuated_(std::move(evacuated)) {
+    pool.set_room_listener([this] { gate.admit_waiting(); });
+  }
+  BackendState(const BackendState&) = delete;
+  BackendState& operator=(const BackendState&) = delete;
 
   /// Whether its zone is being evacuated: nothing new is sent there, except to a primary that has no
   /// successor yet.
--- a/src/registered/proxy/links/stateful_pool.cpp
+++ b/src/registered/proxy/links/stateful_pool.cpp
@@ -86,6 +86,22 @@
     idle_.front()->link().close();
     idle_.erase(idle_.begin());
   }
+  if (room_listener_) room_listener_();
+}
+
+bool StatefulPool::has_idle(const TenantName& tenant) const {
+  return std::any_of(idle_.begin(), idle_.end(),
+                     [&](const auto& link) { return link->tenant() == tenant && link->link().is_open(); });
+}
+
+TimePoint StatefulPool::next_opening() const {
+  const bool is_paused = in_use_ < limit_ && runtime_.now() < dial_paused_until_;
+  return is_paused ? dial_paused_until_ : TimePoint::max();
+}
+
+void StatefulPool::announce_room() {
+  released_.notify_one();
+  if (room_listener_) room_listener_();
 }
 
 void StatefulPool::evict_idle_link() {
@@ -140,7 +156,7 @@
   }
   --in_use_;
   if (refusal == Refusal::kConnectionLimit) pause_dialling();
-  released_.notify_one();
+  announce_room();
   co_return nullptr;
 }
 
@@ -171,7 +187,7 @@
   if (retired_ || in_use_ + idle_.size() >= limit_) link->link().close();
   link->set_idle_since(runtime_.now());
   if (link->link().is_open()) idle_.push_back(std::move(link));
-  released_.notify_one();
+  announce_room();
 }
 
 void StatefulPool::trim(TimePoint now, std::size_t kept) {
@@ -186,6 +202,7 @@
   retired_ = true;
   close_idle();
   released_.notify_all();
+  if (room_listener_) room_listener_();
 }
 
 void StatefulPool::close_idle() {
--- a/src/registered/proxy/links/stateful_pool.h
+++ b/src/registered/proxy/links/stateful_pool.h
@@ -3,6 +3,7 @@
 // link is opened, so a link never serves another tenant.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -11,6 +12,7 @@
 #include <vector>
 
 #include "registered/protocol/backend_link.h"
+#include "registered/scheduling/link_room.h"
 #include "runtime/runtime.h"
 #include "runtime/signal.h"
 
@@ -96,7 +98,7 @@
 };
 
 /// Must live until the process ends. `runtime` and `dialer` are not owned and must outlive this object.
-class StatefulPool {
+class StatefulPool : public scheduling::LinkRoom {
  public:
   StatefulPool(runtime::Runtime& runtime, BackendDialer& dialer, BackendAddress address)
       : runtime_(runtime), dialer_(dialer), address_(std::move(address)), released_(runtime) {}
@@ -128,6 +130,12 @@
   /// Whether there is no link and the backend recently refused a connection.
   [[nodiscard]] bool is_refused() const { return has_no_link() && runtime_.now() < dial_paused_until_; }
   [[nodiscard]] const BackendAddress& address() const { return address_; }
+  [[nodiscard]] bool has_idle(const TenantName& tenant) const override;
+  /// Also true where acquire() fails at once, so that a statement learns so without a wait.
+  [[nodiscard]] bool may_open() const override { return retired_ || is_refused() || may_dial(); }
+  [[nodiscard]] TimePoint next_opening() const override;
+  /// Sets a function that is called whenever a link was released or another one may be opened.
+  void set_room_listener(std::function<void()> listener) { room_listener_ = std::move(listener); }
 
  private:
   std::shared_ptr<StatefulLink> take_idle(const LinkRequest& link_request);
@@ -135,6 +143,8 @@
   /// Called when the backend refused a connection at its limit. For kDialPause, may_dial() then permits a
   /// connection only in exchange for an idle one.
   void pause_dialling();
+  /// Tells those who wait for a link that there is room.
+  void announce_room();
   /// Logs at debug level that a link was released and whether it was newly opened.
   void log_release(const StatefulLink& link) const;
   /// Closes the least recently used idle link if the limit on links is reached, or the backend accepts no
@@ -149,6 +159,7 @@
   BackendDialer& dialer_;
   BackendAddress address_;
   runtime::Signal released_;
+  std::function<void()> room_listener_;              ///< may be empty
   std::vector<std::shared_ptr<StatefulLink>> idle_;  ///< longest idle first
   std::uint64_t limit_ = 2;
   Duration idle_timeout_ = kIdleLinkTimeout;
--- a/src/registered/proxy/links/statement_gate.cpp
+++ b/src/registered/proxy/links/statement_gate.cpp
@@ -1,15 +1,49 @@
 #include "registered/proxy/links/statement_gate.h"
 
+#include <algorithm>
+#include <array>
+#include <utility>
+
 namespace cairnhollow::registered::proxy {
 
+namespace {
+
+using Verdict = scheduling::StatementScheduler::Verdict;
+
+/// Priority class where waiting statements are not scheduled. Statements of open transactions, which hold
+/// connections, go before all others.
+std::uint8_t priority_class(const scheduling::SlotRequest& request) {
+  constexpr std::uint64_t kLeastUrgent = 100;
+  if (request.in_transaction) return admission::kUrgentClass;
+  return static_cast<std::uint8_t>(std::min(request.route_priority + 1, kLeastUrgent));
+}
+
+}  // namespace
+
+const char* gate_verdict_name(GateVerdict verdict) {
+  constexpr std::array<const char*, kGateVerdicts> kNames{"admitted", "hopeless", "deadline", "queue_full"};
+  return kNames.at(static_cast<std::size_t>(verdict));
+}
+
+void StatementGate::set_shared_room(bool shared) {
+  if (shared_room_ == shared) return;
+  shared_room_ = shared;
+  admit_waiting();
+}
+
+void StatementGate::set_capacity(std::uint32_t statements) {
+  capacity_ = std::max(statements, 1U);
+  admit_waiting();
+}
+
 Awaitable<bool> StatementGate::enter(std::uint8_t priority, TimePoint deadline) {
-  if (queue_.empty() && running_ < limit_.limit()) {
+  if (queue_.empty() && running_ < capacity()) {
     ++running_;
     co_return true;
   }
   const auto key = queue_.make_key(priority, deadline);
   const auto ahead = static_cast<Duration::rep>(queue_.ahead_of(key));
-  const Duration expected = limit_.expected_latency() * ahead / limit_.limit();
+  const Duration expected = limit_.expected_latency() * ahead / capacity();
   if (runtime_.now() + expected >= deadline) co_return false;
   const auto waiter = std::make_shared<Waiter>(runtime_);
   queue_.insert(key, waiter);
@@ -19,11 +53,69 @@
   co_return waiter->admitted;
 }
 
+Awaitable<GateOutcome> StatementGate::enter_unscheduled(scheduling::SlotRequest request) {
+  const TimePoint begun_at = runtime_.now();
+  const bool entered = co_await enter(priority_class(request), request.deadline);
+  GateOutcome outcome;
+  outcome.waited = runtime_.now() - begun_at;
+  const bool was_told_at_once = outcome.waited == Duration(0);
+  outcome.verdict = was_told_at_once ? GateVerdict::kHopeless : GateVerdict::kDeadline;
+  if (entered) outcome.verdict = GateVerdict::kAdmitted;
+  co_return outcome;
+}
+
+Awaitable<GateOutcome> StatementGate::enter(scheduling::SlotRequest request) {
+  if (!shared_room_) co_return co_await enter_unscheduled(std::move(request));
+  const TimePoint begun_at = runtime_.now();
+  const TimePoint deadline = request.deadline;
+  const auto enqueued = scheduler_.enqueue(std::move(request), begun_at, room());
+  GateOutcome outcome;
+  outcome.forecast = enqueued.forecast;
+  outcome.verdict =
+      enqueued.verdict == Verdict::kQueueFull ? GateVerdict::kQueueFull : GateVerdict::kHopeless;
+  if (enqueued.verdict != Verdict::kWaits) co_return outcome;
+  const auto waiter = std::make_shared<ScheduledWaiter>(runtime_);
+  waiter->forecast = enqueued.forecast;
+  scheduled_[enqueued.ticket] = waiter;
+  if (enqueued.displaced) decide(*enqueued.displaced, GateVerdict::kQueueFull);
+  admit_waiting();
+  if (!waiter->verdict) co_await await_verdict(waiter, deadline);
+  scheduler_.remove(enqueued.ticket);
+  scheduled_.erase(enqueued.ticket);
+  outcome.forecast = waiter->forecast;
+  outcome.verdict = waiter->verdict.value_or(GateVerdict::kDeadline);
+  outcome.waited = runtime_.now() - begun_at;
+  co_return outcome;
+}
+
+Awaitable<void> StatementGate::await_verdict(std::shared_ptr<ScheduledWaiter> waiter, TimePoint deadline) {
+  while (!waiter->verdict && runtime_.now() < deadline) {
+    const TimePoint next_opening = links_ == nullptr ? TimePoint::max() : links_->next_opening();
+    co_await waiter->woken.wait_until(std::min(deadline, next_opening));
+    if (!waiter->verdict && runtime_.now() < deadline) admit_waiting();
+  }
+}
+
 void StatementGate::leave(Duration latency) {
   limit_.answered(latency, running_, runtime_.now());
   leave_unanswered();
 }
 
+void StatementGate::leave_answered(const scheduling::SlotRequest& request, Duration held) {
+  scheduler_.service_times().record(request, held, runtime_.now());
+  leave_unanswered();
+}
+
+void StatementGate::leave_given_up(const scheduling::SlotRequest& request, Duration held) {
+  scheduler_.service_times().record_unanswered(request, held, runtime_.now());
+  leave_unanswered();
+}
+
+void StatementGate::leave_without_link(const scheduling::SlotRequest& request) {
+  scheduler_.refund(request, runtime_.now());
+  leave_unanswered();
+}
+
 void StatementGate::leave_busy() {
   limit_.busy(runtime_.now());
   leave_unanswered();
@@ -35,7 +127,12 @@
 }
 
 void StatementGate::admit_waiting() {
-  while (!queue_.empty() && running_ < limit_.limit()) {
+  admit_unscheduled();
+  admit_scheduled();
+}
+
+void StatementGate::admit_unscheduled() {
+  while (!queue_.empty() && running_ < capacity()) {
     const auto first = queue_.entries().begin();
     const auto key = first->first;
     const auto waiter = first->second;
@@ -46,4 +143,26 @@
   }
 }
 
+void StatementGate::admit_scheduled() {
+  if (scheduler_.waiting() == 0) return;
+  const TimePoint now = runtime_.now();
+  for (const auto& refused : scheduler_.take_hopeless(now, room())) {
+    scheduled_.at(refused.ticket)->forecast = refused.forecast;
+    decide(refused.ticket, GateVerdict::kHopeless);
+  }
+  while (const auto ticket = scheduler_.next(now, room())) {
+    ++running_;
+    decide(*ticket, GateVerdict::kAdmitted);
+  }
+}
+
+void StatementGate::decide(Ticket ticket, GateVerdict verdict) {
+  const auto found = scheduled_.find(ticket);
+  if (found == scheduled_.end()) return;
+  const auto waiter = found->second;
+  scheduled_.erase(found);
+  waiter->verdict = verdict;
+  waiter->woken.notify_all();
+}
+
 }  // namespace cairnhollow::registered::proxy
--- a/src/registered/proxy/session_metrics.cpp
+++ b/src/registered/proxy/session_metrics.cpp
@@ -14,7 +14,11 @@
 }  // namespace
 
 SessionMetrics::SessionMetrics()
-    : lost_answers_(metrics_.counter("cairnhollow_session_lost_answers_total",
+    : gate_running_(metrics_.gauge("cairnhollow_session_gate_running",
+                                   "Statements that hold a slot at a backend's gate.")),
+      gate_waiting_(metrics_.gauge("cairnhollow_session_gate_waiting",
+                                   "Statements that wait for a slot or a link at a backend's gate.")),
+      lost_answers_(metrics_.counter("cairnhollow_session_lost_answers_total",
                                      "Statements sent to a backend that did not answer.")),
       token_requests_(metrics_.counter("cairnhollow_session_token_questions_total",
                                        "Token requests sent to other proxies.")),
@@ -60,6 +64,7 @@
                           "Requests for a token to send a statement to a cold backend.",
                           {{"outcome", kAdmissionLabels[outcome]}});
   }
+  register_gate_metrics();
   for (std::size_t code = 0; code < kRefusalCount; ++code) {
     const runtime::MetricLabels labels{{"reason", refusal_name(static_cast<Refusal>(code))}};
     refused_[code] =
@@ -69,6 +74,29 @@
   }
 }
 
+void SessionMetrics::register_gate_metrics() {
+  for (std::size_t demand_class = 0; demand_class < scheduling::kDemandClasses; ++demand_class) {
+    const std::string label = std::to_string(demand_class);
+    gate_wait_[demand_class] =
+        &metrics_.histogram("cairnhollow_session_gate_wait_seconds",
+                            "Time that admitted statements waited at a gate, in seconds.",
+                            runtime::latency_buckets_seconds(), {{"class", label}});
+    for (std::size_t verdict = 0; verdict < kGateVerdicts; ++verdict) {
+      if (static_cast<GateVerdict>(verdict) == GateVerdict::kAdmitted) continue;
+      gate_refused_[demand_class][verdict] = &metrics_.counter(
+          "cairnhollow_session_gate_refused_total", "Statements that a backend's gate refused.",
+          {{"class", label}, {"reason", gate_verdict_name(static_cast<GateVerdict>(verdict))}});
+    }
+  }
+}
+
+void SessionMetrics::record_gate(const scheduling::SlotRequest& request, const GateOutcome& outcome) {
+  const std::size_t demand_class = scheduling::demand_class(request);
+  if (outcome.admitted())
+    return gate_wait_[demand_class]->Observe(std::chrono::duration<double>(outcome.waited).count());
+  gate_refused_[demand_class][static_cast<std::size_t>(outcome.verdict)]->Increment();
+}
+
 void SessionMetrics::count_served(ServedBy by, Duration took) {
   const auto served_by = static_cast<std::size_t>(by);
   served_[served_by]->Increment();
--- a/src/registered/proxy/session_metrics.h
+++ b/src/registered/proxy/session_metrics.h
@@ -7,6 +7,7 @@
 
 #include "registered/placement/rejection_reason.h"
 #include "registered/protocol/statement.h"
+#include "registered/proxy/links/statement_gate.h"
 #include "registered/registry/registration_fault.h"
 #include "runtime/metrics.h"
 
@@ -48,6 +49,13 @@
   void count_cold_statement(AdmissionOutcome outcome) {
     cold_statements_[static_cast<std::size_t>(outcome)]->Increment();
   }
+  /// Records what a backend's gate decided for a statement.
+  void record_gate(const scheduling::SlotRequest& request, const GateOutcome& outcome);
+  /// Sets the statements that run and wait at the gates of all backends.
+  void set_gates(std::size_t running, std::size_t waiting) {
+    gate_running_.Set(static_cast<double>(running));
+    gate_waiting_.Set(static_cast<double>(waiting));
+  }
   void count_lost_answer() { lost_answers_.Increment(); }
   void set_sessions(std::size_t sessions) { sessions_.Set(static_cast<double>(sessions)); }
   void set_member_leases(std::size_t groups) { member_leases_.Set(static_cast<double>(groups)); }
@@ -55,6 +63,8 @@
   [[nodiscard]] std::string render() const { return metrics_.render(); }
 
  private:
+  void register_gate_metrics();
+
   runtime::Metrics metrics_;
   std::array<prometheus::Counter*, 3> served_{};
   std::array<prometheus::Histogram*, 3> latency_{};
@@ -66,6 +76,10 @@
   std::map<std::pair<std::string, AdmissionOutcome>, prometheus::Counter*>
       admissions_;  ///< by tenant label and outcome
   std::array<prometheus::Counter*, 3> cold_statements_{};
+  std::array<prometheus::Histogram*, scheduling::kDemandClasses> gate_wait_{};
+  std::array<std::array<prometheus::Counter*, kGateVerdicts>, scheduling::kDemandClasses> gate_refused_{};
+  prometheus::Gauge& gate_running_;
+  prometheus::Gauge& gate_waiting_;
   prometheus::Counter& lost_answers_;
   prometheus::Counter& token_requests_;
   prometheus::Counter& evacuated_transactions_;
--- a/src/registered/proxy/session_proxy.cpp
+++ b/src/registered/proxy/session_proxy.cpp
@@ -98,6 +98,8 @@
   Awaitable<void> dial_primary(std::shared_ptr<GroupAccess> group);
   void close_idle_sessions();
   void watch_lease(TimePoint now);
+  /// Updates the metrics of the gates of all backends.
+  void report_gates();
   void trim_links(TimePoint now);
   /// Aborts transactions and closes backend links in evacuated zones.
   void end_evacuated_work();
@@ -257,6 +259,18 @@
   }
 }
 
+void SessionProxy::report_gates() {
+  std::size_t running = 0;
+  std::size_t waiting = 0;
+  for (const auto& [name, group] : view_.groups()) {
+    for (const auto& [backend, use] : group->backends.all()) {
+      running += use->gate.running();
+      waiting += use->gate.waiting();
+    }
+  }
+  metrics_.set_gates(running, waiting);
+}
+
 void SessionProxy::end_evacuated_work() {
   metrics_.set_evacuated_zones(view_.evacuated().size());
   if (view_.evacuated().size() == 0) return;
@@ -272,6 +286,7 @@
     watch_lease(now);
     watch_primaries(now);
     trim_links(now);
+    report_gates();
     end_evacuated_work();
     const Duration idle_limit = view_.transaction_idle();
     if (idle_limit == Duration(0)) continue;
--- a/src/registered/proxy/statement/cold_tokens.cpp
+++ b/src/registered/proxy/statement/cold_tokens.cpp
@@ -41,14 +41,16 @@
 }
 
 Awaitable<bool> ColdTokens::enter_gate(std::shared_ptr<GroupAccess> group,
-                                       std::shared_ptr<BackendState> backend, TimePoint deadline,
+                                       std::shared_ptr<BackendState> backend, scheduling::SlotRequest slot,
                                        placement::RejectionReason& rejection) {
   while (true) {
     std::optional<TimePoint> token;
-    const bool may_enter = co_await wait_for_token(group, backend, deadline, token);
+    const bool may_enter = co_await wait_for_token(group, backend, slot.deadline, token);
     if (!may_enter) rejection = placement::RejectionReason::kColdLimit;
     if (!may_enter) co_return false;
-    const bool entered = co_await backend->gate.enter(admission::kUrgentClass, deadline);
+    const GateOutcome outcome = co_await backend->gate.enter(scheduling::SlotRequest(slot));
+    const bool entered = outcome.admitted();
+    services_.metrics.record_gate(slot, outcome);
     if (entered && may_send(*group, *backend, token)) co_return true;
     release(*backend, token);
     if (!entered) co_return false;
--- a/src/registered/proxy/statement/pinned_transactions.cpp
+++ b/src/registered/proxy/statement/pinned_transactions.cpp
@@ -7,6 +7,7 @@
 #include "registered/placement/attempt_outcome.h"
 #include "registered/placement/placement.h"
 #include "registered/proxy/statement/placement_facts.h"
+#include "registered/proxy/statement/slot_admission.h"
 #include "registered/proxy/statement/statement_forwarding.h"
 #include "registered/proxy/statement/statement_sending.h"
 
@@ -58,8 +59,8 @@
     ready =
         co_await pinned.link->apply_session_state(request.values, request.prepared, setup_deadline, reason);
   bool entered = false;
-  if (ready)
-    entered = co_await cold_tokens_.enter_gate(request.group, pinned.backend, request.deadline, rejection);
+  const scheduling::SlotRequest slot = slot_request_in_transaction(services_.view, request);
+  if (ready) entered = co_await cold_tokens_.enter_gate(request.group, pinned.backend, slot, rejection);
   if (entered) rejection = rejection_of(pinned, request, false);
   if (!entered || rejection != RejectionReason::kNone) {
     if (entered) pinned.backend->gate.leave_unanswered();
@@ -76,7 +77,9 @@
                  PendingStatement{pinned.link->shared_link(), sent_at, commits && wrote});
   BackendRequest backend_request = make_request(request, *pinned.link, std::nullopt);
   auto answer = co_await pinned.link->link().run(std::move(backend_request), request.deadline, sent, reason);
-  leave_gate(pinned.backend->gate, answer, runtime.now() - sent_at);
+  // It is sent as soon as it is admitted.
+  const Duration took = runtime.now() - sent_at;
+  leave_gate(pinned.backend->gate, answer, SlotUse{slot, took, took});
   work.reset();
   const bool current = services_.view.may_use_primary(group, pinned.epoch);
   if (answer) pinned.link->record_state(answer->state);
--- a/src/registered/proxy/statement/statement_attempt.h
+++ b/src/registered/proxy/statement/statement_attempt.h
@@ -33,6 +33,10 @@
   bool at_primary = false;
   bool needs_primary = false;           ///< the answer is valid only while the primary of `epoch` may be used
   std::optional<TimePoint> cold_token;  ///< expiry of a token that is not used yet
+  scheduling::SlotRequest slot;         ///< what the gate was told
+  GateOutcome gate;                     ///< what it decided
+  TimePoint admitted_at{};
+  bool lacks_link = false;  ///< the pool had no link, and none may be opened yet
   placement::SendDecision pre_send_check;
   TimePoint sent_at{};
   runtime::SendState sent = runtime::SendState::kNotSent;
--- a/src/registered/proxy/statement/statement_log.cpp
+++ b/src/registered/proxy/statement/statement_log.cpp
@@ -36,6 +36,7 @@
   const bool is_own = local_refusal.cause != placement::RejectionReason::kNone;
   if (is_own) services_.metrics.count_unplaced(local_refusal.cause);
   const registry::GroupTerm& term = request.group->term();
+  const std::optional<GateOutcome>& gate = local_refusal.gate;
   const Duration lease_left = services_.view.lease_until() - services_.runtime.now();
   services_.runtime.logger().log(
       LogLevel::kWarning, "statement_refused", reason,
@@ -46,6 +47,10 @@
        {"passed_over", local_refusal.passed_over},
        {"back_in_ms",
         local_refusal.retry_after > Duration(0) ? std::to_string(in_ms(local_refusal.retry_after)) : ""},
+       {"gate", gate ? gate_verdict_name(gate->verdict) : ""},
+       {"ahead", gate ? std::to_string(gate->forecast.ahead) : ""},
+       {"expected_wait_ms", gate ? std::to_string(in_ms(gate->forecast.wait)) : ""},
+       {"priority", std::to_string(request.route.priority)},
        {"database", request.route.database.value},
        {"group", term.group.value},
        {"term", std::to_string(term.term)},
--- a/src/registered/proxy/statement/statement_request.h
+++ b/src/registered/proxy/statement/statement_request.h
@@ -80,6 +80,7 @@
   placement::RejectionReason cause = placement::RejectionReason::kNone;
   Duration retry_after{0};
   std::string passed_over;  ///< the rejected backends of the group as "name:reason", separated by spaces
+  std::optional<GateOutcome> gate = std::nullopt;  ///< set if a backend's gate refused it last
 };
 
 }  // namespace cairnhollow::registered::proxy
--- a/src/registered/proxy/statement/statement_runner.cpp
+++ b/src/registered/proxy/statement/statement_runner.cpp
@@ -7,6 +7,7 @@
 
 #include "registered/placement/retry_after.h"
 #include "registered/proxy/statement/placement_facts.h"
+#include "registered/proxy/statement/slot_admission.h"
 #include "registered/proxy/statement/statement_sending.h"
 
 namespace cairnhollow::registered::proxy {
@@ -17,17 +18,6 @@
 using placement::SendAction;
 using runtime::SendState;
 
-namespace {
-
-/// Priority at the gate; lower is more urgent. Always less urgent than statements of open transactions, which
-/// hold connections.
-std::uint8_t gate_priority_of(const StatementRequest& request) {
-  constexpr std::uint64_t kLeastUrgent = 100;
-  return static_cast<std::uint8_t>(std::min(request.route.priority + 1, kLeastUrgent));
-}
-
-}  // namespace
-
 Awaitable<RunResult> StatementRunner::run(StatementRequest request) {
   if (!request.allowed.is_unrestricted() && StatementPlacer::lacks_permitted_backend(request))
     co_return refuse_outside_regions(std::move(request));
@@ -71,6 +61,8 @@
   const Answer& answer = attempt->result.answer;
   if (!answer.refusal && runtime.now() - attempt->request.arrived > kSlowStatementThreshold)
     log_.slow(*attempt);
+  const bool had_no_slot = attempt->progress.attempts > 0 && !attempt->gate.admitted();
+  if (had_no_slot) attempt->local_refusal.gate = attempt->gate;
   if (answer.refusal)
     log_.refusal(attempt->request, answer, attempt->reason, attempt->progress.attempts,
                  attempt->local_refusal);
@@ -142,7 +134,9 @@
   BackendState& backend = *attempt->backend;
   std::optional<Refusal> refusal;
   const TimePoint now = services_.runtime.now();
-  const LinkDeadlines deadlines{placement::slot_wait_end(attempt->progress, now),
+  // Where statements are scheduled, they wait for a link without a slot.
+  const bool is_scheduled = backend.gate.is_shared_room();
+  const LinkDeadlines deadlines{is_scheduled ? now : placement::slot_wait_end(attempt->progress, now),
                                 placement::link_wait_end(attempt->progress, now)};
   LinkRequest link_request{request.tenant, request.values};
   attempt->link = co_await backend.pool.acquire(std::move(link_request), deadlines, refusal, attempt->reason);
@@ -152,6 +146,8 @@
     backend.restart_detector.record_reached(services_.runtime.now());
     co_return true;
   }
+  const bool is_full = !refusal && attempt->reason.code == ReasonCode::kOverloaded;
+  attempt->lacks_link = is_scheduled && is_full && !backend.pool.may_open();
   const placement::LinkFailure failure{refusal.has_value(), attempt->reason.code == ReasonCode::kOverloaded};
   const auto outcome = placement::after_link_failure(failure, attempt->at_primary);
   if (outcome.may_have_restarted) backend.restart_detector.mark_unreachable();
@@ -164,6 +160,7 @@
 }
 
 Awaitable<bool> StatementRunner::prepare_link(AttemptPointer attempt) {
+  attempt->lacks_link = false;
   if (!check_.may_proceed(*attempt)) co_return false;
   const bool acquired = co_await acquire_link(attempt);
   if (!acquired) co_return false;
@@ -221,25 +218,50 @@
   co_return false;
 }
 
+Awaitable<bool> StatementRunner::enter_gate(AttemptPointer attempt) {
+  attempt->slot = slot_request_of(services_, *attempt);
+  attempt->gate = co_await attempt->backend->gate.enter(scheduling::SlotRequest(attempt->slot));
+  attempt->admitted_at = services_.runtime.now();
+  attempt->gate_time += attempt->gate.waited;
+  services_.metrics.record_gate(attempt->slot, attempt->gate);
+  co_return attempt->gate.admitted();
+}
+
+Awaitable<bool> StatementRunner::enter_with_link(AttemptPointer attempt, bool& has_link) {
+  const std::shared_ptr<BackendState> backend = attempt->backend;
+  attempt->tried_backends += backend->entry.name.value + ' ';
+  bool entered = co_await enter_gate(attempt);
+  while (entered) {
+    has_link = co_await prepare_link(attempt);
+    attempt->pool_time += services_.runtime.now() - attempt->admitted_at;
+    if (!attempt->lacks_link) break;
+    // Another statement took the link meanwhile. It arrived as before, so its place in the queue is the same.
+    backend->gate.leave_without_link(attempt->slot);
+    entered = co_await enter_gate(attempt);
+  }
+  co_return entered;
+}
+
+NextStep StatementRunner::refuse_slot(StatementAttempt& attempt) {
+  const GateOutcome& gate = attempt.gate;
+  attempt.reason = Reason{ReasonCode::kOverloaded, "enter_gate", attempt.backend->entry.name.value,
+                          "no slot at the backend is free, or expected to be free, in time"};
+  const bool has_other = !attempt.needs_primary && attempt.request.group->evaluator.has_other_reader(
+                                                       attempt.placement_request(), *attempt.backend);
+  const bool is_final = attempt.backend->gate.is_shared_room() && !has_other;
+  if (!is_final) return apply(placement::make_retry(attempt.needs_primary), attempt);
+  refuse(attempt, RejectionReason::kBackendsBusy, retry_after_gate(gate));
+  return NextStep::kAnswer;
+}
+
 Awaitable<NextStep> StatementRunner::try_backend(AttemptPointer attempt) {
   const std::shared_ptr<BackendState> backend = attempt->backend;
   attempt->pre_send_check = {};
   const bool admitted = co_await acquire_cold_token(attempt);
   if (!admitted) co_return NextStep::kReselectBackend;
-  const std::uint8_t priority = gate_priority_of(attempt->request);
-  const TimePoint begun_at = services_.runtime.now();
-  const TimePoint wait_end = placement::slot_wait_end(attempt->progress, begun_at);
-  const bool entered = co_await backend->gate.enter(priority, wait_end);
-  const TimePoint entered_at = services_.runtime.now();
-  attempt->gate_time += entered_at - begun_at;
-  attempt->tried_backends += backend->entry.name.value + ' ';
-  if (!entered) {
-    attempt->reason = Reason{ReasonCode::kOverloaded, "enter_gate", backend->entry.name.value,
-                             "no slot at the backend is free, or expected to be free, in time"};
-    co_return apply(placement::make_retry(attempt->needs_primary), *attempt);
-  }
-  bool begun = co_await prepare_link(attempt);
-  attempt->pool_time += services_.runtime.now() - entered_at;
+  bool begun = false;
+  const bool entered = co_await enter_with_link(attempt, begun);
+  if (!entered) co_return refuse_slot(*attempt);
   if (begun && attempt->request.opens_transaction) begun = co_await begin_transaction(attempt);
   if (begun) attempt->pre_send_check = co_await check_.check(attempt);
   const bool may_be_sent = attempt->pre_send_check.action == SendAction::kSend;
@@ -251,7 +273,8 @@
   const bool not_run = answer && answer->refusal && guarantees_not_run(*answer->refusal);
   if (attempt->sent == SendState::kMaybeSent && !not_run) attempt->request.may_have_run = true;
   attempt->backend_time += services_.runtime.now() - attempt->sent_at;
-  leave_gate(backend->gate, answer, services_.runtime.now() - attempt->sent_at);
+  const TimePoint now = services_.runtime.now();
+  leave_gate(backend->gate, answer, {attempt->slot, now - attempt->sent_at, now - attempt->admitted_at});
   if (answer) co_return handle_answer(*attempt, std::move(*answer));
   const Reason reason = attempt->reason;
   backend->pool.release(attempt->link);
--- a/src/registered/proxy/statement/statement_runner.h
+++ b/src/registered/proxy/statement/statement_runner.h
@@ -45,6 +45,13 @@
   Awaitable<placement::NextStep> try_backend(AttemptPointer attempt);
   /// Acquires a token if the attempt's backend is cold. Returns false if none is available.
   Awaitable<bool> acquire_cold_token(AttemptPointer attempt);
+  /// Waits for a slot at the attempt's backend.
+  Awaitable<bool> enter_gate(AttemptPointer attempt);
+  /// Waits for a slot, then acquires a link. Returns false without a slot; `has_link`: whether the link is
+  /// ready, too.
+  Awaitable<bool> enter_with_link(AttemptPointer attempt, bool& has_link);
+  /// Handles an attempt that got no slot.
+  placement::NextStep refuse_slot(StatementAttempt& attempt);
   Awaitable<bool> prepare_link(AttemptPointer attempt);
   Awaitable<bool> acquire_link(AttemptPointer attempt);
   Awaitable<bool> begin_transaction(AttemptPointer attempt);
--- a/src/registered/proxy/statement/statement_sending.h
+++ b/src/registered/proxy/statement/statement_sending.h
@@ -8,16 +8,6 @@
 
 namespace cairnhollow::registered::proxy {
 
-/// Releases the statement's slot at the gate and reports what its answer shows about the backend's load.
-/// `latency`: from sending to the answer.
-inline void leave_gate(StatementGate& gate, const std::optional<Answer>& answer, Duration latency) {
-  if (!answer) return gate.leave_unanswered();
-  if (answer->refusal == Refusal::kBusy) return gate.leave_busy();
-  // The latency of a refused statement says nothing about how long statements take to run.
-  if (answer->refusal) return gate.leave_unanswered();
-  gate.leave(latency);
-}
-
 /// Registers a statement as in progress at the primary for the lifetime of the scope. The PrimaryHealth must
 /// outlive it.
 class PrimaryWorkScope {
--- a/src/registered/registry/model.h
+++ b/src/registered/registry/model.h
@@ -67,7 +67,7 @@
   /// Operations that may start per second on average; unlimited if `burst` is 0 too.
   std::uint64_t rate_per_s = 0;
   std::uint64_t burst = 0;     ///< operations that may start at once after an idle period
-  std::uint64_t priority = 0;  ///< as configured; stored but not used yet
+  std::uint64_t priority = 0;  ///< 0 is the highest priority; orders waiting statements
   /// Regions in which the tenant's statements may run, in addition to the route's restriction; empty: any.
   std::vector<RegionName> allowed_regions;
   bool operator==(const TenantRule&) const = default;
--- a/src/registered/scheduling/link_room.h
+++ b/src/registered/scheduling/link_room.h
@@ -16,6 +16,8 @@
   [[nodiscard]] virtual bool has_idle(const TenantName& tenant) const = 0;
   /// Whether an attempt to open a new link would be made at once.
   [[nodiscard]] virtual bool may_open() const = 0;
+  /// When may_open() may become true without a link being released; TimePoint::max() if it will not.
+  [[nodiscard]] virtual TimePoint next_opening() const = 0;
 };
 
 }  // namespace cairnhollow::registered::scheduling
--- a/tests/registered/proxy/links/statement_gate_test.cpp
+++ b/tests/registered/proxy/links/statement_gate_test.cpp
@@ -26,6 +26,29 @@
   entry.finished = true;
 }
 
+/// Links as a test sets them.
+class GateLinks : public scheduling::LinkRoom {
+ public:
+  [[nodiscard]] bool has_idle(const TenantName& tenant) const override { return idle.count(tenant) > 0; }
+  [[nodiscard]] bool may_open() const override { return opens; }
+  [[nodiscard]] TimePoint next_opening() const override { return opening_at; }
+
+  std::map<TenantName, int> idle;
+  bool opens = true;
+  TimePoint opening_at = TimePoint::max();
+};
+
+/// A statement at a gate whose backend's room is shared.
+struct ScheduledEntry {
+  scheduling::SlotRequest request;
+  std::optional<GateOutcome> outcome;  ///< empty while it waits
+  [[nodiscard]] bool admitted() const { return outcome && outcome->admitted(); }
+};
+
+Awaitable<void> enter_scheduled(StatementGate& gate, std::shared_ptr<ScheduledEntry> entry) {
+  entry->outcome = co_await gate.enter(scheduling::SlotRequest(entry->request));
+}
+
 }  // namespace
 
 class StatementGateTest : public CppUnit::TestFixture {
@@ -34,13 +57,21 @@
   CPPUNIT_TEST(rejects_at_deadline);
   CPPUNIT_TEST(rejects_hopeless_wait_at_once);
   CPPUNIT_TEST(every_leave_frees_a_slot);
+  CPPUNIT_TEST(shared_room_admits_up_to_capacity);
+  CPPUNIT_TEST(shared_room_orders_by_tenant_priority);
+  CPPUNIT_TEST(shared_room_tells_hopeless_ones_when_backend_slows);
+  CPPUNIT_TEST(shared_room_ends_wait_at_deadline);
+  CPPUNIT_TEST(shared_room_refuses_beyond_the_queue);
+  CPPUNIT_TEST(slot_never_waits_for_link);
+  CPPUNIT_TEST(wakes_when_links_may_open_again);
+  CPPUNIT_TEST(change_of_room_loses_no_waiter);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   void setUp() override {
     world_ = std::make_unique<simulation::World>(simulation::WorldSettings{});
     runtime_ = &world_->start_bare({"proxy", "10.0.0.1", ZoneName("a")});
-    gate_ = std::make_unique<StatementGate>(*runtime_);
+    gate_ = std::make_unique<StatementGate>(*runtime_, &links_);
     gate_->set_bounds(1, 1);
   }
   void tearDown() override {
@@ -106,14 +137,157 @@
     CPPUNIT_ASSERT_EQUAL(0U, gate_->running());
   }
 
+  void shared_room_admits_up_to_capacity() {
+    share_room(2);
+    const auto first = schedule(1, 0, "a", seconds(1));
+    const auto second = schedule(1, 0, "a", seconds(1));
+    const auto third = schedule(1, 0, "a", seconds(1));
+    CPPUNIT_ASSERT(first->admitted() && second->admitted() && !third->outcome);
+    CPPUNIT_ASSERT((gate_->demand() == scheduling::SlotDemand{2, {0, 1, 0, 0}}));
+    gate_->set_capacity(3);
+    world_->run_for(milliseconds(1));
+    CPPUNIT_ASSERT(third->admitted());
+    gate_->set_capacity(0);
+    for (const auto& entry : {first, second, third}) gate_->leave_answered(entry->request, milliseconds(5));
+    const auto fourth = schedule(1, 0, "a", seconds(1));
+    CPPUNIT_ASSERT_MESSAGE("one always runs", fourth->admitted());
+  }
+
+  void shared_room_orders_by_tenant_priority() {
+    share_room(1);
+    const auto running = schedule(1, 0, "a", seconds(1));
+    const auto low = schedule(1, 1, "low", seconds(1));
+    const auto high = schedule(1, 0, "high", seconds(1));
+    gate_->leave_answered(running->request, milliseconds(5));
+    world_->run_for(milliseconds(1));
+    CPPUNIT_ASSERT(high->admitted() && !low->outcome);
+  }
+
+  void shared_room_tells_hopeless_ones_when_backend_slows() {
+    share_room(1);
+    const auto running = schedule(0, 0, "a", seconds(1));
+    std::vector<std::shared_ptr<ScheduledEntry>> waiting;
+    waiting.reserve(10);
+    for (int number = 0; number < 10; ++number) waiting.push_back(schedule(0, 0, "a", milliseconds(300)));
+    world_->run_for(milliseconds(100));
+    gate_->leave_answered(running->request, milliseconds(100));
+    world_->run_for(milliseconds(1));
+    const auto is_told = [](const auto& entry) {
+      return entry->outcome && entry->outcome->verdict == GateVerdict::kHopeless;
+    };
+    CPPUNIT_ASSERT_MESSAGE("the first has begun", waiting.front()->admitted());
+    CPPUNIT_ASSERT_MESSAGE("ten times 100 ms are more than the 200 ms left",
+                           std::count_if(waiting.begin(), waiting.end(), is_told) >= 8);
+    CPPUNIT_ASSERT(waiting.back()->outcome->forecast.ahead > 0);
+  }
+
+  void shared_room_ends_wait_at_deadline() {
+    share_room(1);
+    const auto running = schedule(1, 0, "a", seconds(1));
+    const auto leaver = schedule(0, 0, "a", milliseconds(50));
+    const auto stayer = schedule(1, 0, "a", seconds(1));
+    world_->run_for(milliseconds(60));
+    CPPUNIT_ASSERT(leaver->outcome && leaver->outcome->verdict == GateVerdict::kDeadline);
+    CPPUNIT_ASSERT(leaver->outcome->waited == milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, gate_->waiting());
+    gate_->leave_answered(running->request, milliseconds(60));
+    world_->run_for(milliseconds(1));
+    CPPUNIT_ASSERT(stayer->admitted());
+    CPPUNIT_ASSERT_EQUAL(1U, gate_->running());
+  }
+
+  void shared_room_refuses_beyond_the_queue() {
+    share_room(1);
+    const auto running = schedule(1, 0, "a", seconds(100));
+    std::vector<std::shared_ptr<ScheduledEntry>> low;
+    for (std::size_t number = 0; number < scheduling::kMaxWaitingStatements; ++number)
+      low.push_back(schedule(1, 0, "a", seconds(100)));
+    const auto refused = schedule(1, 0, "a", seconds(100));
+    CPPUNIT_ASSERT(refused->outcome && refused->outcome->verdict == GateVerdict::kQueueFull);
+    const auto taken = schedule(0, 0, "a", seconds(100));
+    CPPUNIT_ASSERT(!taken->outcome);
+    CPPUNIT_ASSERT_MESSAGE("the last in order makes room",
+                           low.back()->outcome && low.back()->outcome->verdict == GateVerdict::kQueueFull);
+    CPPUNIT_ASSERT_EQUAL(scheduling::kMaxWaitingStatements, gate_->waiting());
+  }
+
+  void slot_never_waits_for_link() {
+    links_.opens = false;
+    links_.idle[TenantName("with")] = 1;
+    share_room(1);
+    const auto without = schedule(0, 0, "without", seconds(1));
+    const auto with = schedule(1, 0, "with", seconds(1));
+    CPPUNIT_ASSERT(with->admitted() && !without->outcome);
+    gate_->leave_answered(with->request, milliseconds(5));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("no slot is held", 0U, gate_->running());
+    links_.idle[TenantName("without")] = 1;
+    gate_->admit_waiting();
+    world_->run_for(milliseconds(1));
+    CPPUNIT_ASSERT(without->admitted());
+    // It finds no link after all and comes again.
+    links_.idle.clear();
+    gate_->leave_without_link(without->request);
+    CPPUNIT_ASSERT_EQUAL(0U, gate_->running());
+  }
+
+  void wakes_when_links_may_open_again() {
+    links_.opens = false;
+    links_.opening_at = runtime_->now() + milliseconds(150);
+    share_room(1);
+    const auto entry = schedule(0, 0, "a", seconds(1));
+    world_->run_for(milliseconds(100));
+    CPPUNIT_ASSERT(!entry->outcome);
+    links_.opens = true;
+    links_.opening_at = TimePoint::max();
+    world_->run_for(milliseconds(51));
+    CPPUNIT_ASSERT_MESSAGE("without a statement that ends", entry->admitted());
+  }
+
+  void change_of_room_loses_no_waiter() {
+    Entry before;
+    Entry running;
+    start(1, seconds(1), running);
+    start(1, seconds(1), before);
+    share_room(1);
+    const auto during = schedule(1, 0, "a", seconds(1));
+    CPPUNIT_ASSERT(!before.finished && !during->outcome);
+    gate_->leave_unanswered();
+    world_->run_for(milliseconds(1));
+    CPPUNIT_ASSERT(before.entered && !during->outcome);
+    gate_->set_shared_room(false);
+    gate_->leave_unanswered();
+    world_->run_for(milliseconds(1));
+    CPPUNIT_ASSERT(during->admitted());
+  }
+
  private:
   void start(std::uint8_t priority, Duration timeout, Entry& entry) {
     runtime_->spawn("enter", enter(*runtime_, *gate_, priority, timeout, entry));
     world_->run_for(milliseconds(1));
   }
 
+  /// Enters with these priorities; the target is half of `timeout`.
+  std::shared_ptr<ScheduledEntry> schedule(std::uint64_t route_priority, std::uint64_t tenant_priority,
+                                           const char* tenant, Duration timeout) {
+    auto entry = std::make_shared<ScheduledEntry>();
+    entry->request.route_priority = route_priority;
+    entry->request.tenant_priority = tenant_priority;
+    entry->request.tenant = TenantName(tenant);
+    entry->request.arrived = runtime_->now();
+    entry->request.target_end = runtime_->now() + timeout / 2;
+    entry->request.deadline = runtime_->now() + timeout;
+    runtime_->spawn("enter", enter_scheduled(*gate_, entry));
+    world_->run_for(Duration(0));
+    return entry;
+  }
+  void share_room(std::uint32_t capacity) {
+    gate_->set_shared_room(true);
+    gate_->set_capacity(capacity);
+  }
+
   std::unique_ptr<simulation::World> world_;
   simulation::VirtualRuntime* runtime_ = nullptr;
+  GateLinks links_;
   std::unique_ptr<StatementGate> gate_;
 };
 
--- a/tests/registered/proxy/session_stand.cpp
+++ b/tests/registered/proxy/session_stand.cpp
@@ -290,13 +290,18 @@
 }
 
 Awaitable<void> SessionStand::hold_gate(std::shared_ptr<BackendState> backend) {
-  const bool entered = co_await backend->gate.enter(0, now());
-  CPPUNIT_ASSERT(entered);
+  int held = 0;
+  bool entered = true;
+  while (entered) {
+    entered = co_await backend->gate.enter(0, now());
+    if (entered) ++held;
+  }
+  CPPUNIT_ASSERT(held > 0);
   const auto event = take_event(Step::kGate);
   co_await runtime_->sleep_for(kEventStepDuration / 2);
   if (event) event();
   co_await runtime_->sleep_for(kEventStepDuration / 2);
-  backend->gate.leave_unanswered();
+  for (; held > 0; --held) backend->gate.leave_unanswered();
 }
 
 StatementRequest SessionStand::write(const std::string& id) {
--- a/tests/registered/proxy/session_stand.h
+++ b/tests/registered/proxy/session_stand.h
@@ -78,8 +78,8 @@
   /// Returns a prepared write of kTenant that needs a session value and a prepared statement set up on its
   /// link.
   [[nodiscard]] StatementRequest write(const std::string& id);
-  /// Occupies a slot of the backend's statement gate for kEventStepDuration, so that the next statement waits
-  /// there.
+  /// Occupies all free slots of the backend's statement gate for kEventStepDuration, so that the next
+  /// statement waits there.
   void occupy_gate(const std::string& backend);
 
  private:
--- a/tests/registered/proxy/statement/pre_send_check_test.cpp
+++ b/tests/registered/proxy/statement/pre_send_check_test.cpp
@@ -76,15 +76,17 @@
   }
 
   void opens_no_link_to_a_replaced_primary() {
+    // The backend's two slots, and the statements that may be at it beyond them.
+    constexpr int kRunning = 2 + static_cast<int>(kBackendBacklog);
     backends().statement_takes = milliseconds(100);
-    std::array<RunResult, 3> results;
+    std::array<RunResult, kRunning + 1> results;
     for (RunResult& result : results) runtime_->spawn("run", keep(proxy_->runner.run(new_request()), result));
     world_->run_for(milliseconds(50));
-    CPPUNIT_ASSERT_EQUAL_MESSAGE("the third waits for a slot", 2, sent("one"));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("the last waits for a slot", kRunning, sent("one"));
     replace_primary();
     world_->run_for(milliseconds(1200));
-    CPPUNIT_ASSERT_EQUAL(2, backends().dials["one"]);
-    CPPUNIT_ASSERT_EQUAL(2, sent("one"));
+    CPPUNIT_ASSERT_EQUAL(kRunning, backends().dials["one"]);
+    CPPUNIT_ASSERT_EQUAL(kRunning, sent("one"));
     CPPUNIT_ASSERT_EQUAL(1, sent("two"));
   }
 
--- a/tests/registered/scheduling/scheduler_play.h
+++ b/tests/registered/scheduling/scheduler_play.h
@@ -23,6 +23,7 @@
     return found != idle.end() && found->second > 0;
   }
   [[nodiscard]] bool may_open() const override { return opens; }
+  [[nodiscard]] TimePoint next_opening() const override { return TimePoint::max(); }
 
   std::map<TenantName, int> idle;
   bool opens = true;
