End of waiting at the gate apart from the deadline of use

Cause: a statement was hopeless when its wait and its service ended after a third of its time, although the rest of its time is there to run it; and a read waited for all of its target at one backend before it left for another, where it was late.

Change: SlotRequest has an end of waiting beside the deadline. A statement is hopeless when it would wait beyond the first or be answered after the second. With another backend that is likely to serve it waits for half of its target, as for any slot.

--- a/src/registered/placement/statement_progress.cpp
+++ b/src/registered/placement/statement_progress.cpp
@@ -27,9 +27,7 @@
 }
 
 TimePoint scheduled_wait_end(const StatementProgress& progress, TimePoint now, bool has_other_backend) {
-  const TimePoint wait_end = link_wait_end(progress, now);
-  if (!has_other_backend) return wait_end;
-  return std::min(wait_end, std::max(progress.arrived + progress.target_latency, now + kRetryPause));
+  return has_other_backend ? slot_wait_end(progress, now) : link_wait_end(progress, now);
 }
 
 bool may_abandon_backend(bool needs_primary, const StatementProgress& progress) {
--- a/src/registered/proxy/links/statement_gate.cpp
+++ b/src/registered/proxy/links/statement_gate.cpp
@@ -55,7 +55,7 @@
 
 Awaitable<GateOutcome> StatementGate::enter_unscheduled(scheduling::SlotRequest request) {
   const TimePoint begun_at = runtime_.now();
-  const bool entered = co_await enter(priority_class(request), request.deadline);
+  const bool entered = co_await enter(priority_class(request), request.wait_end);
   GateOutcome outcome;
   outcome.waited = runtime_.now() - begun_at;
   const bool was_told_at_once = outcome.waited == Duration(0);
@@ -67,7 +67,7 @@
 Awaitable<GateOutcome> StatementGate::enter(scheduling::SlotRequest request) {
   if (!shared_room_) co_return co_await enter_unscheduled(std::move(request));
   const TimePoint begun_at = runtime_.now();
-  const TimePoint deadline = request.deadline;
+  const TimePoint wait_end = request.wait_end;
   const auto enqueued = scheduler_.enqueue(std::move(request), begun_at, room());
   GateOutcome outcome;
   outcome.forecast = enqueued.forecast;
@@ -79,7 +79,7 @@
   scheduled_[enqueued.ticket] = waiter;
   if (enqueued.displaced) decide(*enqueued.displaced, GateVerdict::kQueueFull);
   admit_waiting();
-  if (!waiter->verdict) co_await await_verdict(waiter, deadline);
+  if (!waiter->verdict) co_await await_verdict(waiter, wait_end);
   scheduler_.remove(enqueued.ticket);
   scheduled_.erase(enqueued.ticket);
   outcome.forecast = waiter->forecast;
@@ -88,11 +88,11 @@
   co_return outcome;
 }
 
-Awaitable<void> StatementGate::await_verdict(std::shared_ptr<ScheduledWaiter> waiter, TimePoint deadline) {
-  while (!waiter->verdict && runtime_.now() < deadline) {
+Awaitable<void> StatementGate::await_verdict(std::shared_ptr<ScheduledWaiter> waiter, TimePoint wait_end) {
+  while (!waiter->verdict && runtime_.now() < wait_end) {
     const TimePoint next_opening = links_ == nullptr ? TimePoint::max() : links_->next_opening();
-    co_await waiter->woken.wait_until(std::min(deadline, next_opening));
-    if (!waiter->verdict && runtime_.now() < deadline) admit_waiting();
+    co_await waiter->woken.wait_until(std::min(wait_end, next_opening));
+    if (!waiter->verdict && runtime_.now() < wait_end) admit_waiting();
   }
 }
 
--- a/src/registered/proxy/links/statement_gate.h
+++ b/src/registered/proxy/links/statement_gate.h
@@ -20,8 +20,8 @@
 
 enum class GateVerdict : std::uint8_t {
   kAdmitted,
-  kHopeless,   ///< it cannot be served by its deadline
-  kDeadline,   ///< it waited until its deadline
+  kHopeless,   ///< it cannot be admitted before its wait ends, or not answered by its deadline
+  kDeadline,   ///< its wait ended
   kQueueFull,  ///< too many statements wait that go first
 };
 inline constexpr std::size_t kGateVerdicts = 4;
@@ -91,8 +91,8 @@
   [[nodiscard]] std::uint32_t capacity() const { return shared_room_ ? capacity_ : limit_.limit(); }
   [[nodiscard]] scheduling::SlotRoom room() const { return {capacity(), running_, links_}; }
   Awaitable<GateOutcome> enter_unscheduled(scheduling::SlotRequest request);
-  /// Waits until the statement is admitted or refused, or its deadline passes.
-  Awaitable<void> await_verdict(std::shared_ptr<ScheduledWaiter> waiter, TimePoint deadline);
+  /// Waits until the statement is admitted or refused, or `wait_end` passes.
+  Awaitable<void> await_verdict(std::shared_ptr<ScheduledWaiter> waiter, TimePoint wait_end);
   /// Ends the wait of the statement.
   void decide(Ticket ticket, GateVerdict verdict);
   void admit_unscheduled();
--- a/src/registered/proxy/statement/cold_tokens.cpp
+++ b/src/registered/proxy/statement/cold_tokens.cpp
@@ -45,7 +45,7 @@
                                        placement::RejectionReason& rejection) {
   while (true) {
     std::optional<TimePoint> token;
-    const bool may_enter = co_await wait_for_token(group, backend, slot.deadline, token);
+    const bool may_enter = co_await wait_for_token(group, backend, slot.wait_end, token);
     if (!may_enter) rejection = placement::RejectionReason::kColdLimit;
     if (!may_enter) co_return false;
     const GateOutcome outcome = co_await backend->gate.enter(scheduling::SlotRequest(slot));
--- a/src/registered/proxy/statement/cold_tokens.h
+++ b/src/registered/proxy/statement/cold_tokens.h
@@ -28,7 +28,7 @@
   /// Gives an unused token back to the limit. No effect if `token` is empty.
   void release(const BackendState& backend, const std::optional<TimePoint>& token) const;
   /// For a statement that can run at no other backend: waits for a token if the backend is cold, then for a
-  /// slot there, until `slot.deadline`. Returns true if it holds a slot and, if needed, a valid token; the
+  /// slot there, until `slot.wait_end`. Returns true if it holds a slot and, if needed, a valid token; the
   /// caller must release the slot. Returns false otherwise, and sets `rejection` if no token was available.
   Awaitable<bool> enter_gate(std::shared_ptr<GroupAccess> group, std::shared_ptr<BackendState> backend,
                              scheduling::SlotRequest slot, placement::RejectionReason& rejection);
--- a/src/registered/proxy/statement/slot_admission.cpp
+++ b/src/registered/proxy/statement/slot_admission.cpp
@@ -16,6 +16,7 @@
   slot.tenant = request.tenant;
   slot.arrived = request.arrived;
   slot.target_end = request.arrived + std::chrono::milliseconds(request.route.target_latency_ms);
+  slot.wait_end = request.deadline;
   slot.deadline = request.deadline;
   return slot;
 }
@@ -34,13 +35,13 @@
   const TimePoint now = services.runtime.now();
   scheduling::SlotRequest slot = describe(services.view, request);
   slot.has_link = backend.pool.has_idle(request.tenant);
-  const auto& evaluator = request.group->evaluator;
-  slot.deadline =
-      backend.gate.is_shared_room()
-          ? placement::scheduled_wait_end(
-                attempt.progress, now,
-                !attempt.needs_primary && evaluator.has_other_reader(attempt.placement_request(), backend))
-          : placement::slot_wait_end(attempt.progress, now);
+  slot.wait_end = placement::slot_wait_end(attempt.progress, now);
+  if (!backend.gate.is_shared_room()) return slot;
+  const bool has_other = !attempt.needs_primary &&
+                         request.group->evaluator.has_other_reader(attempt.placement_request(), backend);
+  slot.wait_end = placement::scheduled_wait_end(attempt.progress, now, has_other);
+  // Where it would be late here, another backend may still answer in time.
+  if (has_other) slot.deadline = std::min(request.deadline, std::max(slot.target_end, slot.wait_end));
   return slot;
 }
 
--- a/src/registered/scheduling/slot_request.h
+++ b/src/registered/scheduling/slot_request.h
@@ -18,7 +18,8 @@
   /// End of the route's target latency. A statement admitted so late that it cannot finish by then goes after
   /// all that still can.
   TimePoint target_end{};
-  TimePoint deadline{};  ///< the statement is of no use to its caller afterwards
+  TimePoint wait_end{};  ///< it waits no longer: the rest of its time is needed to run, here or elsewhere
+  TimePoint deadline{};  ///< an answer after this is of no use
   /// An idle link for the tenant was at hand when the statement arrived. One without needs a new connection,
   /// which occupies a slot for the handshake.
   bool has_link = true;
--- a/src/registered/scheduling/statement_scheduler.cpp
+++ b/src/registered/scheduling/statement_scheduler.cpp
@@ -74,10 +74,10 @@
 }
 
 bool StatementScheduler::is_hopeless(const Planned& planned, Duration wait, TimePoint now) const {
-  const TimePoint deadline = waiting_[planned.index].request.deadline;
+  const SlotRequest& request = waiting_[planned.index].request;
   // A statement that need not wait is tried whatever is expected: only answers renew the expectation.
-  if (wait == Duration(0)) return now >= deadline;
-  return now + wait + planned.cost > deadline;
+  if (wait == Duration(0)) return now >= request.wait_end;
+  return now + wait > request.wait_end || now + wait + planned.cost > request.deadline;
 }
 
 StatementScheduler::Enqueued StatementScheduler::enqueue(SlotRequest request, TimePoint now,
--- a/src/registered/scheduling/statement_scheduler.h
+++ b/src/registered/scheduling/statement_scheduler.h
@@ -53,7 +53,7 @@
 
   enum class Verdict : std::uint8_t {
     kWaits,
-    kHopeless,   ///< it cannot be served by its deadline
+    kHopeless,   ///< it cannot be admitted before its wait ends, or not answered by its deadline
     kQueueFull,  ///< kMaxWaitingStatements wait, all of them ahead of it
   };
 
@@ -74,7 +74,7 @@
   /// Removes and returns the statement that runs next. Empty if no slot is free, or no waiting statement has
   /// a link or may open one.
   std::optional<Ticket> next(TimePoint now, const SlotRoom& room);
-  /// Removes and returns the statements that cannot be served by their deadlines any more.
+  /// Removes and returns the statements that have become hopeless.
   std::vector<Refused> take_hopeless(TimePoint now, const SlotRoom& room);
   /// Removes a statement that waits no longer. No effect if it does not wait.
   void remove(Ticket ticket);
