Owners of a backend divide its slots and connections

Cause: with tenants each serving proxy grew its concurrency to its links, and together they had more links than a backend accepts.

Change: the first proxies of a backend's zone that serve its group own it, and a tenant's statements go to them first. Each uses its part of the slots, worked out from what the owners tell each other (DemandExchange, conversation kBackendRoom) while statements wait. Setting up a link and beginning a transaction take no slot. An owner's links follow from the budget, which counts those of lost owners for 3 s; nothing waits for a link while it holds a slot. Proxies that own no part keep 2 links.

Tests changed: SessionStand::occupy_gate occupies every slot, since an owner has one beyond its part; the two tests of links_per_proxy, which is gone, are replaced by those of ConnectionBudget, which hold for any number of owners and while they change; GroupAccessTest compares with the budget's limits and their sum with the connections; TenantLinksTest keeps its bounds (22 new links for 100 statements, 52 open).

--- a/src/registered/capacity/backend_room.cpp
+++ b/src/registered/capacity/backend_room.cpp
@@ -7,15 +7,18 @@
 
 using scheduling::SlotDemand;
 
-void BackendRoom::set_owners(std::uint32_t slots, std::vector<subset::ProxyPointer> owners,
-                             const NodeName& self) {
+std::size_t BackendRoom::set_owners(std::uint32_t slots, std::vector<subset::ProxyPointer> owners,
+                                    const NodeName& self) {
+  const auto previous = std::exchange(owners_, std::move(owners));
   slots_ = slots;
-  owners_ = std::move(owners);
   self_.reset();
   for (std::size_t index = 0; index < owners_.size(); ++index) {
     if (owners_[index]->name == self) self_ = index;
   }
   std::erase_if(told_, [this](const auto& entry) { return !is_owner(entry.first); });
+  return static_cast<std::size_t>(
+      std::count_if(previous.begin(), previous.end(),
+                    [this](const subset::ProxyPointer& owner) { return !is_owner(owner->name); }));
 }
 
 bool BackendRoom::is_owner(const NodeName& proxy) const {
--- a/src/registered/capacity/backend_room.h
+++ b/src/registered/capacity/backend_room.h
@@ -23,16 +23,17 @@
 /// statement are on their way.
 inline constexpr std::uint32_t kBacklogPerOwner = 1;
 /// Statements that a proxy that owns no part of the backend may run there at once.
-inline constexpr std::uint32_t kGuestStatements = 1;
+inline constexpr std::uint32_t kGuestStatements = 2;
 
 class BackendRoom {
  public:
-  /// `slots`: of the backend. `owners`: in the order of owners_of(). What owners that stay have told is kept.
-  void set_owners(std::uint32_t slots, std::vector<subset::ProxyPointer> owners, const NodeName& self);
+  /// `slots`: of the backend; 0: unknown. `owners`: in the order of owners_of(). What owners that stay have
+  /// told is kept. Returns how many owners of before own it no longer.
+  std::size_t set_owners(std::uint32_t slots, std::vector<subset::ProxyPointer> owners, const NodeName& self);
   /// For a backend whose slots are not divided among owners.
   void clear() { *this = {}; }
-  /// Whether the backend's slots are divided among owners.
-  [[nodiscard]] bool is_divided() const { return !owners_.empty(); }
+  /// Whether the backend's slots are known and divided among owners.
+  [[nodiscard]] bool is_divided() const { return slots_ > 0 && !owners_.empty(); }
   [[nodiscard]] bool is_owner() const { return self_.has_value(); }
   [[nodiscard]] bool is_owner(const NodeName& proxy) const;
   [[nodiscard]] const std::vector<subset::ProxyPointer>& owners() const { return owners_; }
--- a/src/registered/capacity/connection_budget.cpp
+++ b/src/registered/capacity/connection_budget.cpp
@@ -11,48 +11,41 @@
 
 std::uint64_t for_owners(const ConnectionUsers& users) {
   const std::uint64_t usable = users.usable == 0 ? kUnlimitedConnections : users.usable;
-  const std::uint64_t guests = users.guests * kGuestLinks;
+  const std::uint64_t guests = users.guests * kReservedGuestLinks;
   return usable > guests ? usable - guests : 0;
 }
 
-/// Returns one owner's part, at least 1.
-std::uint64_t part_of(std::uint64_t connections, const ConnectionUsers& users) {
-  return std::max<std::uint64_t>(connections / std::max<std::uint64_t>(users.owners, 1), 1);
+/// Returns an owner's limits when all owners share these connections.
+LinkLimits share(std::uint64_t connections, std::uint64_t owners) {
+  const std::uint64_t part = std::max<std::uint64_t>(connections / std::max<std::uint64_t>(owners, 1), 1);
+  return {part > kSpareLinks ? part - kSpareLinks : 1, part};
 }
 
 }  // namespace
 
 LinkLimits settled_limits(const ConnectionUsers& users) {
   if (!users.is_owner) return {kGuestLinks, kGuestLinks};
-  const std::uint64_t connections = for_owners(users);
-  const std::uint64_t takeover = connections / kTakeoverDivisor;
-  const std::uint64_t kept = part_of(connections - takeover, users);
-  return {kept, std::max(kept, part_of(connections - takeover + takeover / kTransactionDivisor, users))};
+  return share(for_owners(users), users.owners);
 }
 
-LinkLimits takeover_limits(const ConnectionUsers& users) {
-  if (!users.is_owner) return {kGuestLinks, kGuestLinks};
-  const std::uint64_t kept = part_of(for_owners(users) / kTakeoverDivisor, users);
-  return {kept, kept};
-}
-
-void ConnectionBudget::set_users(const ConnectionUsers& users, bool owners_changed, TimePoint now) {
-  if (owners_changed) {
-    const LinkLimits before = limits(now);
-    const bool was_owner = users_.is_owner;
-    const LinkLimits begins = was_owner ? settled_limits(users) : takeover_limits(users);
-    until_settled_ =
-        was_owner ? LinkLimits{std::min(before.kept, begins.kept), std::min(before.maximum, begins.maximum)}
-                  : begins;
-    settled_at_ = now + kLostConnectionsCounted;
-  }
+void ConnectionBudget::set_users(const ConnectionUsers& users, std::uint64_t removed, TimePoint now) {
+  if (!started_) started_ = now;
+  std::erase_if(lost_, [now](const Lost& lost) { return now >= lost.counted_until; });
+  const std::uint64_t part = share(for_owners(users_), users_.owners).maximum;
+  if (removed > 0) lost_.push_back({removed * part, now + kLostConnectionsCounted});
   users_ = users;
 }
 
 LinkLimits ConnectionBudget::limits(TimePoint now) const {
   const LinkLimits settled = settled_limits(users_);
-  if (now >= settled_at_) return settled;
-  return {std::min(until_settled_.kept, settled.kept), std::min(until_settled_.maximum, settled.maximum)};
+  if (!users_.is_owner || !started_) return settled;
+  const std::uint64_t all = for_owners(users_);
+  std::uint64_t lost = 0;
+  for (const Lost& one : lost_) lost += now < one.counted_until ? one.links : 0;
+  std::uint64_t left = all > lost ? all - lost : 0;
+  if (now < *started_ + kLostConnectionsCounted) left = std::min(left, all / kStartDivisor);
+  const LinkLimits limits = share(left, users_.owners);
+  return {std::min(limits.kept, settled.kept), std::min(limits.maximum, settled.maximum)};
 }
 
 }  // namespace cairnhollow::registered::capacity
--- a/src/registered/capacity/connection_budget.h
+++ b/src/registered/capacity/connection_budget.h
@@ -1,25 +1,30 @@
-// Divides a backend's connections: between those its owners keep, those left for proxies that take over, and
-// the single links of other proxies. Pure: the caller passes the time.
+// Divides a backend's connections among its owners, so that those of lost processes, which the backend still
+// counts, and those of the owners that take over stay within its limit. Pure: the caller passes the time.
 #pragma once
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
+#include <vector>
 
 #include "base/types.h"
 
 namespace cairnhollow::registered::capacity {
 
-/// One part in kTakeoverDivisor of the connections is left to proxies that become owners: when a third of the
-/// machines is lost, the connections of their processes still count at the backend.
-inline constexpr std::uint64_t kTakeoverDivisor = 3;
-/// One part in kTransactionDivisor of the takeover part may be used by open transactions that hold more links
-/// than are kept; the rest is room for takers of two thirds of a backend's owners.
-inline constexpr std::uint64_t kTransactionDivisor = 3;
+/// An owner keeps its part of the connections but for this many, at which an idle link makes room for a new
+/// one: a backend may count the new one before it sees the other closed. Open transactions may use the whole
+/// part.
+inline constexpr std::uint64_t kSpareLinks = 1;
+/// A process that has just started does not know which processes were lost before. Until their connections no
+/// longer count, all owners together use one in kStartDivisor connections: room for each slot, and for
+/// others.
+inline constexpr std::uint64_t kStartDivisor = 3;
 /// How long a backend may count connections whose process is gone.
 inline constexpr Duration kLostConnectionsCounted = std::chrono::seconds(3);
 /// Links of a proxy that serves the group but does not own the backend: for its own status requests, and for
-/// statements that no owner can run.
-inline constexpr std::uint64_t kGuestLinks = 1;
+/// statements that no owner can run. One of them is reserved in the backend's limit; they are seldom used.
+inline constexpr std::uint64_t kGuestLinks = 2;
+inline constexpr std::uint64_t kReservedGuestLinks = 1;
 
 /// Limits on the links of one proxy to one backend.
 struct LinkLimits {
@@ -37,24 +42,26 @@
   bool operator==(const ConnectionUsers&) const = default;
 };
 
-/// Returns the limits that apply while the owners do not change. All kept links and those of guests leave
-/// the takeover part free.
+/// Returns the limits that apply while the owners do not change.
 LinkLimits settled_limits(const ConnectionUsers& users);
-/// Returns the limits of a proxy that became an owner a moment ago: its part of the takeover part.
-LinkLimits takeover_limits(const ConnectionUsers& users);
 
-/// The limits over time: after a change of owners, no limit grows, and no new owner exceeds its takeover
-/// part, until the connections of lost processes no longer count.
+/// The limits over time. After a change of owners all owners share what the connections of those that were
+/// removed leave, until these no longer count: the ones that stay close idle links for the ones that come.
 class ConnectionBudget {
  public:
-  /// `owners_changed`: the set of owners is not the one of the last call.
-  void set_users(const ConnectionUsers& users, bool owners_changed, TimePoint now);
+  /// `removed`: number of owners since the last call that own the backend no longer.
+  void set_users(const ConnectionUsers& users, std::uint64_t removed, TimePoint now);
   [[nodiscard]] LinkLimits limits(TimePoint now) const;
 
  private:
+  struct Lost {
+    std::uint64_t links = 0;
+    TimePoint counted_until{};
+  };
+
+  std::optional<TimePoint> started_;
   ConnectionUsers users_;
-  LinkLimits until_settled_;
-  TimePoint settled_at_{};
+  std::vector<Lost> lost_;
 };
 
 }  // namespace cairnhollow::registered::capacity
--- /dev/null
+++ b/src/registered/proxy/capacity/demand_exchange.cpp
@@ -0,0 +1,69 @@
+#include "registered/proxy/capacity/demand_exchange.h"
+
+namespace cairnhollow::registered::proxy {
+
+void DemandExchange::announce_wait(const Group& group, const Backend& backend) {
+  if (!backend->room.is_owner() || backend->gate.has_room()) return;
+  start_following(group, backend);
+}
+
+void DemandExchange::receive(const ForwardDemand& told) {
+  const auto group = view_.find_group(told.group);
+  if (!group) return;
+  const auto found = group->backends.all().find(told.backend);
+  if (found == group->backends.all().end()) return;
+  const Backend backend = found->second;
+  if (!backend->room.is_owner(told.owner)) return;
+  backend->room.record(told.owner, told.demand, runtime_.now());
+  apply_capacity(*backend, runtime_.now());
+  if (!backend->room.is_owner()) return;
+  for (const subset::ProxyPointer& owner : backend->room.owners()) {
+    if (told.wants_reply && owner->name == told.owner) start_telling(group->name, backend, owner, false);
+  }
+  start_following(group, backend);
+}
+
+void DemandExchange::start_following(const Group& group, const Backend& backend) {
+  if (followed_.insert(backend.get()).second) runtime_.spawn("follow_demand", follow(group, backend));
+}
+
+Awaitable<void> DemandExchange::follow(Group group, Backend backend) {
+  // The statement that is announced has to enter the queue first.
+  co_await runtime_.sleep_for(Duration(0));
+  while (backend->gate.waiting() > 0 || backend->room.has_news(runtime_.now())) {
+    if (backend->gate.waiting() > 0) tell_others(*group, backend);
+    apply_capacity(*backend, runtime_.now());
+    co_await runtime_.sleep_for(capacity::kDemandInterval);
+  }
+  apply_capacity(*backend, runtime_.now());
+  followed_.erase(backend.get());
+}
+
+void DemandExchange::tell_others(const GroupAccess& group, const Backend& backend) {
+  for (const subset::ProxyPointer& owner : backend->room.owners()) {
+    if (owner->name != view_.node()) start_telling(group.name, backend, owner, true);
+  }
+}
+
+void DemandExchange::start_telling(const GroupName& group, const Backend& backend,
+                                   const subset::ProxyPointer& owner, bool wants_reply) {
+  if (!being_told_.emplace(backend->entry.name, owner->name).second) return;
+  runtime_.spawn("tell_demand", tell(group, backend, owner, wants_reply));
+}
+
+Awaitable<void> DemandExchange::tell(GroupName group, Backend backend, subset::ProxyPointer owner,
+                                     bool wants_reply) {
+  const BackendName name = backend->entry.name;
+  const TimePoint deadline = runtime_.now() + capacity::kDemandLifetime;
+  Reason reason;
+  const auto connection = co_await owners_.connect(owner, deadline, reason);
+  if (connection) {
+    ForwardRequest request;
+    request.body = ForwardDemand{group, name, view_.node(), backend->gate.demand(), wants_reply};
+    const auto answer = co_await connection->call(std::move(request), deadline, reason);
+    if (!answer) owners_.record_no_answer(owner->name, group);
+  }
+  being_told_.erase({name, owner->name});
+}
+
+}  // namespace cairnhollow::registered::proxy
--- a/src/registered/proxy/fleet/fleet_view.cpp
+++ b/src/registered/proxy/fleet/fleet_view.cpp
@@ -1,6 +1,8 @@
 #include "registered/proxy/fleet/fleet_view.h"
 
 #include <algorithm>
+#include <functional>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -182,7 +184,8 @@
     const std::size_t size = registry::serving_proxies(group->rule, group->backends.slots(),
                                                        accepting_proxies.size(), requires_keys_);
     if (size >= accepting_proxies.size()) {
-      if (requires_keys_) share_connections(*group, accepting_proxies);
+      if (requires_keys_)
+        share_connections(*group, table.serving(name, static_cast<std::uint32_t>(accepting_proxies.size())));
       if (!requires_keys_) group->backends.share_connections(proxies_.size());
       also_serving_[name] = other_proxies_;
       serving_[name] = subset::forwarding_order(accepting_proxies, node_, zone_);
@@ -203,10 +206,7 @@
 void FleetView::share_connections(GroupAccess& group,
                                   const std::vector<subset::ProxyPointer>& serving) const {
   if (!requires_keys_) return group.backends.share_connections(serving.size());
-  tenancy::ServingProxies counts;
-  counts.all = serving.size();
-  for (const auto& proxy : serving) ++counts.in_zone[proxy->zone];
-  group.backends.share_connections(std::move(counts));
+  group.backends.share_connections(serving, node_);
 }
 
 std::optional<ZoneName> FleetView::work_zone(const GroupName& group, const TenantName& tenant,
@@ -245,12 +245,33 @@
   if (!zone) return no_proxies();
   const auto found = tenant_forwarding_targets_.find(std::tie(group, tenant, *zone));
   if (found != tenant_forwarding_targets_.end()) return found->second;
-  auto order = tenancy::order_for_tenant(serving_[group], tenant, tenants_.limit_fraction(tenant), *zone);
+  auto order = order_for_tenant(group, tenant, *zone);
   if (!order.empty() && order.front()->name == node_) order.clear();
   return tenant_forwarding_targets_.emplace(TenantOrderKey{group, tenant, *zone}, std::move(order))
       .first->second;
 }
 
+std::vector<subset::ProxyPointer> FleetView::order_for_tenant(const GroupName& group,
+                                                              const TenantName& tenant,
+                                                              const ZoneName& zone) {
+  std::vector<subset::ProxyPointer> owning;
+  const auto found = groups_.find(group);
+  if (found != groups_.end()) owning = found->second->backends.owners_in(zone);
+  const auto owns = [&owning](const subset::ProxyPointer& proxy) {
+    return std::any_of(owning.begin(), owning.end(),
+                       [&proxy](const subset::ProxyPointer& owner) { return owner->name == proxy->name; });
+  };
+  std::vector<subset::ProxyPointer> first = serving_[group];
+  std::vector<subset::ProxyPointer> others;
+  std::copy_if(first.begin(), first.end(), std::back_inserter(others), std::not_fn(owns));
+  std::erase_if(first, std::not_fn(owns));
+  const double fraction = tenants_.limit_fraction(tenant);
+  auto order = tenancy::order_for_tenant(first, tenant, fraction, zone);
+  const auto rest = tenancy::order_for_tenant(others, tenant, fraction, zone);
+  order.insert(order.end(), rest.begin(), rest.end());
+  return order;
+}
+
 const std::vector<subset::ProxyPointer>& FleetView::also_serving(const GroupName& group) {
   return also_serving_[group];
 }
--- a/src/registered/proxy/fleet/fleet_view.h
+++ b/src/registered/proxy/fleet/fleet_view.h
@@ -165,6 +165,11 @@
   /// proxy holds a lease but no primary may be used.
   [[nodiscard]] std::optional<ZoneName> work_zone(const GroupName& group, const TenantName& tenant,
                                                   GroupWork work) const;
+  /// The proxies that serve the group in the order of preference for the tenant's work in the zone: the
+  /// owners of the zone's backends first.
+  [[nodiscard]] std::vector<subset::ProxyPointer> order_for_tenant(const GroupName& group,
+                                                                   const TenantName& tenant,
+                                                                   const ZoneName& zone);
   /// Divides the group's connections among the proxies that serve it.
   void share_connections(GroupAccess& group, const std::vector<subset::ProxyPointer>& serving) const;
   void apply_routes(const registry::FleetDelta& delta);
--- a/src/registered/proxy/forwarding/forward_messages.h
+++ b/src/registered/proxy/forwarding/forward_messages.h
@@ -1,6 +1,7 @@
 // Wire messages between a proxy that forwards statements and one that runs them or grants tokens.
 #pragma once
 
+#include <cereal/types/array.hpp>
 #include <cereal/types/variant.hpp>
 #include <cstdint>
 #include <optional>
@@ -12,6 +13,7 @@
 #include "registered/protocol/statement.h"
 #include "registered/proxy/links/stateful_pool.h"
 #include "registered/registry/model.h"
+#include "registered/scheduling/slot_shares.h"
 #include "wire/format.h"
 
 namespace cairnhollow::registered::proxy {
@@ -89,10 +91,23 @@
   }
 };
 
+/// Tells another owner of the backend what this one needs of its slots.
+struct ForwardDemand {
+  GroupName group;
+  BackendName backend;
+  NodeName owner;  ///< the proxy that tells
+  scheduling::SlotDemand demand;
+  bool wants_reply = false;  ///< the other owner tells its demand, too
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(group, backend, owner, demand, wants_reply);
+  }
+};
+
 /// The indexes of the variant's alternatives are part of the wire format: append new ones only.
 struct ForwardRequest {
   std::uint64_t correlation = 0;
-  std::variant<ForwardRun, ForwardInTransaction, ForwardEnd, ForwardTokens> body;
+  std::variant<ForwardRun, ForwardInTransaction, ForwardEnd, ForwardTokens, ForwardDemand> body;
   template <class Archive>
   void serialize(Archive& archive) {
     archive(correlation, body);
--- a/src/registered/proxy/forwarding/forward_server.cpp
+++ b/src/registered/proxy/forwarding/forward_server.cpp
@@ -8,6 +8,14 @@
 
 namespace cairnhollow::registered::proxy {
 
+namespace {
+
+bool is_served(wire::Conversation conversation) {
+  return conversation == wire::Conversation::kForwarding || conversation == wire::Conversation::kBackendRoom;
+}
+
+}  // namespace
+
 bool ForwardServer::start(const Endpoint& endpoint, Reason& reason) {
   listener_ = services_.runtime.network().listen(endpoint, reason);
   if (!listener_) return false;
@@ -34,7 +42,7 @@
   const auto first = co_await frames->receive(reason);
   std::optional<wire::Hello> hello;
   if (first) hello = wire::decode<wire::Hello>(*first, reason);
-  if (!hello || hello->conversation != wire::Conversation::kForwarding) {
+  if (!hello || !is_served(hello->conversation)) {
     frames->close();
     co_return;
   }
@@ -96,6 +104,8 @@
   } else if (const auto* tokens = std::get_if<ForwardTokens>(&request.body)) {
     answer.grant = grant(*tokens);
     is_grant = true;
+  } else if (const auto* told = std::get_if<ForwardDemand>(&request.body)) {
+    services_.demands.receive(*told);
   } else {
     const std::uint64_t pin = std::get<ForwardEnd>(request.body).pin;
     co_await end_transaction(connection, pin);
--- a/src/registered/proxy/forwarding/forwarder.cpp
+++ b/src/registered/proxy/forwarding/forwarder.cpp
@@ -195,7 +195,7 @@
   auto frames = co_await runtime_.network().connect(peer->endpoint, limit, peer->last_reason);
   if (!frames) co_return nullptr;
   wire::Hello hello;
-  hello.conversation = wire::Conversation::kForwarding;
+  hello.conversation = conversation_;
   hello.node = node_;
   hello.zone = zone_;
   hello.highest_version = hello.protocol_version;
--- a/src/registered/proxy/forwarding/forwarder.h
+++ b/src/registered/proxy/forwarding/forwarder.h
@@ -103,8 +103,9 @@
 /// probe.
 class Forwarder {
  public:
-  Forwarder(runtime::Runtime& runtime, NodeName node, ZoneName zone)
-      : runtime_(runtime), node_(std::move(node)), zone_(std::move(zone)) {}
+  Forwarder(runtime::Runtime& runtime, NodeName node, ZoneName zone,
+            wire::Conversation conversation = wire::Conversation::kForwarding)
+      : runtime_(runtime), node_(std::move(node)), zone_(std::move(zone)), conversation_(conversation) {}
 
   /// Returns an open connection to the proxy, or nullptr with `reason` set if there is none by `deadline` or
   /// within kForwardConnectWait, or if the proxy is already known to be unreachable.
@@ -135,6 +136,7 @@
   runtime::Runtime& runtime_;
   NodeName node_;
   ZoneName zone_;
+  wire::Conversation conversation_;
   std::map<NodeName, PeerPointer> peers_;
   std::map<std::pair<NodeName, GroupName>, TimePoint> avoided_until_;
 };
--- a/src/registered/proxy/group/backend_use.h
+++ b/src/registered/proxy/group/backend_use.h
@@ -5,6 +5,8 @@
 #include <optional>
 #include <utility>
 
+#include "registered/capacity/backend_room.h"
+#include "registered/capacity/connection_budget.h"
 #include "registered/proxy/group/backend_latency.h"
 #include "registered/proxy/group/evacuated_zones.h"
 #include "registered/proxy/group/replica_lag.h"
@@ -36,6 +38,8 @@
   registry::BackendEntry entry;
   StatefulPool pool;
   StatementGate gate;
+  capacity::BackendRoom room;              ///< this proxy's part of the slots
+  capacity::ConnectionBudget connections;  ///< and of the connections
   TimePoint avoid_until{};                 ///< set after a failure
   std::optional<TimePoint> leaving_since;  ///< when this proxy learned that it is leaving
   RestartDetector restart_detector;
--- a/src/registered/proxy/group/connection_shares.cpp
+++ b/src/registered/proxy/group/connection_shares.cpp
@@ -7,31 +7,57 @@
 
 namespace cairnhollow::registered::proxy {
 
+void apply_capacity(BackendState& backend, TimePoint now) {
+  if (backend.room.is_divided()) backend.gate.set_capacity(backend.room.capacity(backend.gate.demand(), now));
+}
+
+void apply_link_limits(BackendState& backend, TimePoint now) {
+  if (backend.room.owners().empty()) return;
+  const capacity::LinkLimits limits = backend.connections.limits(now);
+  backend.pool.set_limits(std::min(limits.kept, kMaxOwnedConnections),
+                          std::min(limits.maximum, kMaxOwnedConnections));
+}
+
 void ConnectionShares::divide(std::uint64_t proxies) {
   proxies_ = std::max<std::uint64_t>(proxies, 1);
   serving_.reset();
 }
 
-void ConnectionShares::divide(tenancy::ServingProxies serving) {
-  proxies_ = std::max<std::uint64_t>(serving.all, 1);
-  serving_ = std::move(serving);
+void ConnectionShares::divide(TenantServing serving) { serving_ = std::move(serving); }
+
+std::vector<subset::ProxyPointer> ConnectionShares::owners_in(const ZoneName& zone) const {
+  if (!serving_) return {};
+  return capacity::owners_of(serving_->proxies, zone, capacity::owner_count(serving_->slots));
 }
 
-std::uint64_t ConnectionShares::links_to(const ZoneName& zone) const {
-  const std::uint64_t usable = registry::usable_connections(rule_);
-  if (usable == 0) return kMaxConnections;
-  return serving_ ? tenancy::links_per_proxy(usable, *serving_, zone, zone_) : usable / proxies_;
+void ConnectionShares::apply_to(BackendState& backend, TimePoint now) const {
+  if (serving_) return apply_owned_share(backend, now);
+  apply_even_share(backend);
 }
 
-void ConnectionShares::apply_to(BackendState& backend) const {
-  const bool is_local = serving_ && backend.entry.zone == zone_;
-  const std::uint64_t maximum = is_local ? kMaxLocalConnections : kMaxConnections;
-  const std::uint64_t links = std::clamp(links_to(backend.entry.zone), kMinConnections, maximum);
+void ConnectionShares::apply_even_share(BackendState& backend) const {
+  backend.room.clear();
+  const std::uint64_t usable = registry::usable_connections(rule_);
+  const std::uint64_t share = usable == 0 ? kMaxConnections : usable / proxies_;
+  const std::uint64_t links = std::clamp(share, kMinConnections, kMaxConnections);
   backend.pool.set_limit(links);
-  backend.pool.set_idle_timeout(is_local ? kLocalIdleLinkTimeout : kIdleLinkTimeout);
-  const std::uint64_t users = std::max<std::uint64_t>(is_local ? serving_->count_in(zone_) : proxies_, 1);
-  const std::uint64_t slots = std::max<std::uint64_t>(backend.entry.slots / users, 1);
+  backend.pool.set_idle_timeout(kIdleLinkTimeout);
+  const std::uint64_t slots = std::max<std::uint64_t>(backend.entry.slots / proxies_, 1);
   backend.gate.set_bounds(static_cast<std::uint32_t>(slots), static_cast<std::uint32_t>(links));
 }
 
+void ConnectionShares::apply_owned_share(BackendState& backend, TimePoint now) const {
+  const auto slots = static_cast<std::uint32_t>(backend.entry.slots);
+  const std::uint64_t removed = backend.room.set_owners(slots, owners_in(backend.entry.zone), serving_->self);
+  const std::uint64_t owners = backend.room.owners().size();
+  const bool is_owner = backend.room.is_owner();
+  const capacity::ConnectionUsers users{registry::usable_connections(rule_), owners,
+                                        serving_->proxies.size() - owners, is_owner};
+  backend.connections.set_users(users, removed, now);
+  backend.pool.set_idle_timeout(is_owner ? kOwnedIdleLinkTimeout : kIdleLinkTimeout);
+  apply_link_limits(backend, now);
+  if (backend.room.is_divided()) return apply_capacity(backend, now);
+  backend.gate.set_bounds(1, static_cast<std::uint32_t>(backend.pool.kept_limit()));
+}
+
 }  // namespace cairnhollow::registered::proxy
--- a/src/registered/proxy/group/group_access.cpp
+++ b/src/registered/proxy/group/group_access.cpp
@@ -14,7 +14,7 @@
       leadership(runtime, changed),
       primary_health(runtime, leadership),
       positions(runtime, changed),
-      backends(runtime, dialer, leadership, ConnectionShares(rule, zone), std::move(evacuated)),
+      backends(runtime, dialer, leadership, ConnectionShares(rule), std::move(evacuated)),
       cold(runtime, rule, confirmation),
       evaluator(runtime, leadership, backends, cold, zone) {}
 
--- a/src/registered/proxy/group/group_backends.cpp
+++ b/src/registered/proxy/group/group_backends.cpp
@@ -15,12 +15,16 @@
   if (change == BackendChange::kOtherIncarnation) backend->pool.retire();
   if (change != BackendChange::kSame) {
     if (backend) backend->pool.close_idle();
+    const auto previous = backend;
     backend = std::make_shared<BackendState>(runtime_, dialer_, entry, evacuated_);
+    // The same proxies own the next incarnation.
+    if (previous) backend->room = previous->room;
+    if (previous) backend->connections = previous->connections;
   }
   backend->entry = entry;
   if (!entry.leaving) backend->leaving_since.reset();
   if (entry.leaving && !backend->leaving_since) backend->leaving_since = runtime_.now();
-  shares_.apply_to(*backend);
+  shares_.apply_to(*backend, runtime_.now());
   return change;
 }
 
@@ -49,12 +53,18 @@
 
 void GroupBackends::share_connections(std::uint64_t proxies) {
   shares_.divide(proxies);
-  for (const auto& [name, backend] : backends_) shares_.apply_to(*backend);
+  for (const auto& [name, backend] : backends_) shares_.apply_to(*backend, runtime_.now());
 }
 
-void GroupBackends::share_connections(tenancy::ServingProxies serving) {
-  shares_.divide(std::move(serving));
-  for (const auto& [name, backend] : backends_) shares_.apply_to(*backend);
+void GroupBackends::share_connections(std::vector<subset::ProxyPointer> serving, const NodeName& self) {
+  std::uint64_t slots = 0;
+  for (const auto& [name, backend] : backends_) slots = std::max(slots, backend->entry.slots);
+  shares_.divide(TenantServing{std::move(serving), self, slots});
+  for (const auto& [name, backend] : backends_) shares_.apply_to(*backend, runtime_.now());
+}
+
+void GroupBackends::refresh_link_limits() {
+  for (const auto& [name, backend] : backends_) apply_link_limits(*backend, runtime_.now());
 }
 
 std::vector<std::uint64_t> GroupBackends::slots() const {
--- a/src/registered/proxy/group/group_backends.h
+++ b/src/registered/proxy/group/group_backends.h
@@ -51,8 +51,16 @@
 
   /// Divides each backend's connections evenly among this number of proxies.
   void share_connections(std::uint64_t proxies);
-  /// Divides them for links dedicated to one tenant each: most go to the proxies in the backend's zone.
-  void share_connections(tenancy::ServingProxies serving);
+  /// Divides them for links dedicated to one tenant each: nearly all go to the owners of each backend.
+  /// `serving`: the proxies that serve the group, in the order of subset::SubsetTable::serving(). `self`:
+  /// this proxy.
+  void share_connections(std::vector<subset::ProxyPointer> serving, const NodeName& self);
+  /// To be called from time to time: the limits on links grow some seconds after a change of owners.
+  void refresh_link_limits();
+  /// The proxies that own the backends in the zone; empty without tenants.
+  [[nodiscard]] std::vector<subset::ProxyPointer> owners_in(const ZoneName& zone) const {
+    return shares_.owners_in(zone);
+  }
   /// Number of statements that each backend can run concurrently, in the order of all().
   [[nodiscard]] std::vector<std::uint64_t> slots() const;
 
--- a/src/registered/proxy/links/stateful_pool.cpp
+++ b/src/registered/proxy/links/stateful_pool.cpp
@@ -80,16 +80,33 @@
   return link;
 }
 
-void StatefulPool::set_limit(std::uint64_t limit) {
+bool StatefulPool::has_room(const TenantName& tenant) const {
+  if (retired_ || is_refused() || may_dial()) return true;
+  return std::any_of(idle_.begin(), idle_.end(), [&tenant](const auto& link) {
+    return link->tenant() == tenant && link->link().is_open();
+  });
+}
+
+Awaitable<bool> StatefulPool::await_room(TenantName tenant, TimePoint deadline) {
+  while (!has_room(tenant)) {
+    const TimePoint wake = in_use_ < limit_ ? std::min(deadline, dial_paused_until_) : deadline;
+    co_await released_.wait_until(wake);
+    if (runtime_.now() >= deadline) co_return has_room(tenant);
+  }
+  co_return true;
+}
+
+void StatefulPool::set_limits(std::uint64_t kept, std::uint64_t limit) {
+  kept_limit_ = kept;
   limit_ = limit;
-  while (!idle_.empty() && in_use_ + idle_.size() > limit_) {
+  while (!idle_.empty() && in_use_ + idle_.size() > kept_limit_) {
     idle_.front()->link().close();
     idle_.erase(idle_.begin());
   }
 }
 
 void StatefulPool::evict_idle_link() {
-  const bool is_full = in_use_ + idle_.size() >= limit_ || runtime_.now() < dial_paused_until_;
+  const bool is_full = in_use_ + idle_.size() >= kept_limit_ || runtime_.now() < dial_paused_until_;
   if (idle_.empty() || !is_full) return;
   idle_.front()->link().close();
   idle_.erase(idle_.begin());
@@ -168,7 +185,7 @@
 void StatefulPool::release(std::shared_ptr<StatefulLink> link) {
   --in_use_;
   log_release(*link);
-  if (retired_ || in_use_ + idle_.size() >= limit_) link->link().close();
+  if (retired_ || in_use_ + idle_.size() >= kept_limit_) link->link().close();
   link->set_idle_since(runtime_.now());
   if (link->link().is_open()) idle_.push_back(std::move(link));
   released_.notify_one();
--- a/src/registered/proxy/links/stateful_pool.h
+++ b/src/registered/proxy/links/stateful_pool.h
@@ -103,8 +103,17 @@
 
   /// Idle links beyond a lower limit are closed at once, so that the proxies now entitled to them can open
   /// theirs.
-  void set_limit(std::uint64_t limit);
+  void set_limit(std::uint64_t limit) { set_limits(limit, limit); }
+  /// `kept`: links in use and idle, beyond which an idle link makes room for a new one and a released link is
+  /// closed. `limit`: links in use.
+  void set_limits(std::uint64_t kept, std::uint64_t limit);
   [[nodiscard]] std::uint64_t limit() const { return limit_; }
+  [[nodiscard]] std::uint64_t kept_limit() const { return kept_limit_; }
+  /// Waits until acquire() would not wait for a link to be released or for the end of a pause in dialling.
+  /// Returns false if `deadline` passes first.
+  Awaitable<bool> await_room(TenantName tenant, TimePoint deadline);
+  /// Whether acquire() would not wait.
+  [[nodiscard]] bool has_room(const TenantName& tenant) const;
   /// Sets the idle time after which trim() closes links.
   void set_idle_timeout(Duration timeout) { idle_timeout_ = timeout; }
   /// Returns an idle link, preferably one with these values, or a new one; waits while links in use reach the
@@ -150,6 +159,7 @@
   BackendAddress address_;
   runtime::Signal released_;
   std::vector<std::shared_ptr<StatefulLink>> idle_;  ///< longest idle first
+  std::uint64_t kept_limit_ = 2;
   std::uint64_t limit_ = 2;
   Duration idle_timeout_ = kIdleLinkTimeout;
   TimePoint dial_paused_until_{};  ///< end of kDialPause after a refused connection
--- a/src/registered/proxy/session_proxy.cpp
+++ b/src/registered/proxy/session_proxy.cpp
@@ -76,7 +76,9 @@
         positions_(runtime, view_),
         forwarder_(runtime, settings_.node, settings_.zone),
         limits_(runtime, view_, forwarder_, metrics_),
-        services_{runtime, view_, link_, metrics_, forwarder_, limits_},
+        owners_(runtime, settings_.node, settings_.zone, wire::Conversation::kBackendRoom),
+        demands_(runtime, view_, owners_),
+        services_{runtime, view_, link_, metrics_, forwarder_, limits_, demands_},
         forward_server_(services_),
         known_registrations_(runtime, view_, link_, metrics_),
         readiness_(
@@ -118,6 +120,8 @@
   PositionRefresher positions_;
   Forwarder forwarder_;
   LimitClient limits_;
+  Forwarder owners_;  ///< connections to other owners of backends
+  DemandExchange demands_;
   SessionServices services_;
   ForwardServer forward_server_;
   KnownRegistrations known_registrations_;
@@ -253,6 +257,7 @@
     const bool serves = view_.forwarding_targets(name).empty();
     // No idle link is kept per tenant, either: there are more tenants than links.
     const std::size_t kept = serves && !view_.requires_keys() ? 1 : 0;
+    if (view_.requires_keys()) group->backends.refresh_link_limits();
     for (const auto& [backend, use] : group->backends.all()) use->pool.trim(now, kept);
   }
 }
--- a/src/registered/proxy/session_services.h
+++ b/src/registered/proxy/session_services.h
@@ -1,6 +1,7 @@
 // The services shared by all sessions of a proxy.
 #pragma once
 
+#include "registered/proxy/capacity/demand_exchange.h"
 #include "registered/proxy/fleet/fleet_link.h"
 #include "registered/proxy/fleet/fleet_view.h"
 #include "registered/proxy/forwarding/forwarder.h"
@@ -17,6 +18,7 @@
   SessionMetrics& metrics;
   Forwarder& forwarder;
   LimitClient& limits;
+  DemandExchange& demands;
 };
 
 }  // namespace cairnhollow::registered::proxy
--- a/src/registered/proxy/statement/cold_tokens.cpp
+++ b/src/registered/proxy/statement/cold_tokens.cpp
@@ -48,6 +48,7 @@
     const bool may_enter = co_await wait_for_token(group, backend, deadline, token);
     if (!may_enter) rejection = placement::RejectionReason::kColdLimit;
     if (!may_enter) co_return false;
+    services_.demands.announce_wait(group, backend);
     const bool entered = co_await backend->gate.enter(admission::kUrgentClass, deadline);
     if (entered && may_send(*group, *backend, token)) co_return true;
     release(*backend, token);
--- a/src/registered/proxy/statement/statement_runner.cpp
+++ b/src/registered/proxy/statement/statement_runner.cpp
@@ -171,9 +171,11 @@
   // Applying the session state already sends requests to the backend, so check first.
   bool ready = check_.may_proceed(*attempt);
   const TimePoint deadline = std::min(request.deadline, services_.runtime.now() + kLinkSetupTimeout);
+  attempt->backend->gate.begin_setup();
   if (ready)
     ready = co_await attempt->link->apply_session_state(request.values, request.prepared, deadline,
                                                         attempt->reason);
+  attempt->backend->gate.end_setup();
   if (ready && request.opens_transaction) ready = check_.may_proceed(*attempt);
   if (!ready) attempt->backend->pool.release(attempt->link);
   co_return ready;
@@ -198,8 +200,10 @@
   const TimePoint deadline = std::min(attempt->request.deadline, services_.runtime.now() + kLinkSetupTimeout);
   SendState sent = SendState::kNotSent;
   BackendRequest backend_request = begin;
+  attempt->backend->gate.begin_setup();
   const auto answer =
       co_await attempt->link->link().run(std::move(backend_request), deadline, sent, attempt->reason);
+  attempt->backend->gate.end_setup();
   if (answer && answer->succeeded()) co_return true;
   if (answer) {
     services_.metrics.count_retry(*answer->refusal);
@@ -221,6 +225,22 @@
   co_return false;
 }
 
+Awaitable<bool> StatementRunner::enter_gate(AttemptPointer attempt, std::uint8_t priority,
+                                            TimePoint deadline) {
+  const std::shared_ptr<BackendState> backend = attempt->backend;
+  while (true) {
+    if (backend->room.is_divided()) {
+      const bool has_room = co_await backend->pool.await_room(attempt->request.tenant, deadline);
+      if (!has_room) co_return false;
+    }
+    services_.demands.announce_wait(attempt->request.group, backend);
+    const bool entered = co_await backend->gate.enter(priority, deadline);
+    if (!entered || !backend->room.is_divided()) co_return entered;
+    if (backend->pool.has_room(attempt->request.tenant)) co_return true;
+    backend->gate.leave_unanswered();
+  }
+}
+
 Awaitable<NextStep> StatementRunner::try_backend(AttemptPointer attempt) {
   const std::shared_ptr<BackendState> backend = attempt->backend;
   attempt->pre_send_check = {};
@@ -229,7 +249,7 @@
   const std::uint8_t priority = gate_priority_of(attempt->request);
   const TimePoint begun_at = services_.runtime.now();
   const TimePoint wait_end = placement::slot_wait_end(attempt->progress, begun_at);
-  const bool entered = co_await backend->gate.enter(priority, wait_end);
+  const bool entered = co_await enter_gate(attempt, priority, wait_end);
   const TimePoint entered_at = services_.runtime.now();
   attempt->gate_time += entered_at - begun_at;
   attempt->tried_backends += backend->entry.name.value + ' ';
--- a/src/registered/tenancy/tenant_division.cpp
+++ b/src/registered/tenancy/tenant_division.cpp
@@ -42,13 +42,4 @@
   return best == reading.end() ? ZoneName() : *best;
 }
 
-std::uint64_t links_per_proxy(std::uint64_t usable, const ServingProxies& serving, const ZoneName& backend,
-                              const ZoneName& proxy) {
-  const std::uint64_t near_count = serving.count_in(backend);
-  if (near_count == 0) return usable / std::max<std::uint64_t>(serving.all, 1);
-  if (proxy != backend) return kRemoteZoneLinks;
-  const std::uint64_t reserved = (serving.all - near_count) * kReservedRemoteZoneLinks;
-  return usable > reserved ? (usable - reserved) / near_count : 1;
-}
-
 }  // namespace cairnhollow::registered::tenancy
--- a/src/registered/tenancy/tenant_division.h
+++ b/src/registered/tenancy/tenant_division.h
@@ -1,4 +1,4 @@
-// Selects which proxies of a group run a tenant's statements, and how many links each may have to a backend.
+// Selects which proxies of a group run a tenant's statements.
 //
 // A link serves one tenant and a backend accepts few links, so few proxies per tenant let it reuse open
 // links. Statements are forwarded to a proxy in the zone of the target backend: they cross zones once, before
@@ -7,7 +7,6 @@
 // its fraction of all tenants' limits. Deterministic: every proxy computes the same result.
 #pragma once
 
-#include <map>
 #include <vector>
 
 #include "subset/subset.h"
@@ -16,11 +15,6 @@
 
 /// A tenant with this fraction of all limits uses all proxies of a zone that serve a group.
 inline constexpr double kWholeZoneFraction = 0.5;
-/// Links that a proxy may have to a backend of another zone. One of them is reserved in the backend's limit:
-/// for the proxy's own status requests, and for statements that it cannot run in a nearer zone.
-inline constexpr std::uint64_t kRemoteZoneLinks = 2;
-inline constexpr std::uint64_t kReservedRemoteZoneLinks = 1;
-
 /// Returns the proxies of `serving` in the order of preference for the tenant: its own in `zone`, in the
 /// order of `serving`; then the others of that zone; then those of other zones, each zone by weight for the
 /// tenant. `serving`: the proxies that serve the group, in the order in which this proxy would forward to
@@ -38,20 +32,4 @@
 /// tenant. Empty if `reading` is empty.
 ZoneName zone_for_reads(const std::vector<ZoneName>& reading, const TenantName& tenant, const ZoneName& zone);
 
-/// Numbers of proxies that serve a group, in total and by zone.
-struct ServingProxies {
-  std::uint64_t all = 0;
-  std::map<ZoneName, std::uint64_t> in_zone;
-  [[nodiscard]] std::uint64_t count_in(const ZoneName& zone) const {
-    const auto found = in_zone.find(zone);
-    return found == in_zone.end() ? 0 : found->second;
-  }
-};
-
-/// Returns how many of the `usable` links to a backend in the zone `backend` a serving proxy in the zone
-/// `proxy` may have. The proxies of other zones together may exceed the links reserved for them: they seldom
-/// use them, and the backend refuses excess connections.
-std::uint64_t links_per_proxy(std::uint64_t usable, const ServingProxies& serving, const ZoneName& backend,
-                              const ZoneName& proxy);
-
 }  // namespace cairnhollow::registered::tenancy
--- a/src/wire/hello.h
+++ b/src/wire/hello.h
@@ -18,6 +18,9 @@
   kLeader = 5,             ///< control node to leader of a registered fleet: ControlCall / ControlAnswer
   kForwarding = 6,         ///< proxy to proxy of a registered fleet: ForwardRequest / ForwardAnswer
   kServingCompressed = 7,  ///< as kServing, with the deltas of ProxyUpdate compressed
+  /// Owner of a backend to another one: ForwardRequest / ForwardAnswer with ForwardDemand only. Apart from
+  /// kForwarding, since an earlier build closes a connection on a request that it cannot read.
+  kBackendRoom = 8,
 };
 
 /// Used by builds whose Hello offers a single version and gets no answer. Messages use unmarked formats.
--- a/tests/registered/proxy/links/stateful_pool_test.cpp
+++ b/tests/registered/proxy/links/stateful_pool_test.cpp
@@ -121,6 +121,9 @@
   CPPUNIT_TEST(replaces_idle_link_at_full_backend);
   CPPUNIT_TEST(lower_limit_closes_idle_links);
   CPPUNIT_TEST(proxy_queries_use_link_of_any_tenant);
+  CPPUNIT_TEST(keeps_fewer_links_than_it_may_use);
+  CPPUNIT_TEST(waits_for_room_before_a_link_is_acquired);
+  CPPUNIT_TEST(has_room_for_the_tenant_of_an_idle_link);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -215,6 +218,57 @@
     CPPUNIT_ASSERT(two->link().is_open());
   }
 
+  void keeps_fewer_links_than_it_may_use() {
+    pool_->set_limits(2, 3);
+    const AcquireResult first = acquire_one({});
+    const AcquireResult second = acquire_one({});
+    const AcquireResult third = acquire_one({});
+    CPPUNIT_ASSERT_MESSAGE("in use", third.link != nullptr);
+    pool_->release(first.link);
+    CPPUNIT_ASSERT_MESSAGE("not kept", !first.link->link().is_open());
+    pool_->release(second.link);
+    CPPUNIT_ASSERT(second.link->link().is_open());
+    const auto other = acquire_and_release("other");
+    CPPUNIT_ASSERT_MESSAGE("makes room for a new one", !second.link->link().is_open() && other);
+    pool_->release(third.link);
+  }
+
+  void waits_for_room_before_a_link_is_acquired() {
+    const AcquireResult first = acquire_one({});
+    const AcquireResult second = acquire_one({});
+    bool finished = false;
+    bool has_room = false;
+    const auto wait = [&]() -> Awaitable<void> {
+      has_room = co_await pool_->await_room(TenantName("tenant"), runtime_->now() + milliseconds(50));
+      finished = true;
+    };
+    runtime_->spawn("wait", wait());
+    world_->run_for(milliseconds(10));
+    CPPUNIT_ASSERT(!finished);
+    pool_->release(first.link);
+    world_->run_for(milliseconds(1));
+    CPPUNIT_ASSERT(finished && has_room);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, pool_->in_use());
+    CPPUNIT_ASSERT(acquire_one({}).link != nullptr);
+    finished = false;
+    runtime_->spawn("wait", wait());
+    world_->run_for(milliseconds(60));
+    CPPUNIT_ASSERT(finished && !has_room);
+    pool_->release(second.link);
+  }
+
+  void has_room_for_the_tenant_of_an_idle_link() {
+    const auto idle = acquire_and_release("one");
+    const AcquireResult used = acquire_one({});
+    dialer_->full = true;
+    idle->link().close();
+    CPPUNIT_ASSERT(!acquire_one({}).link);
+    CPPUNIT_ASSERT_MESSAGE("dialling is paused", !pool_->has_room(TenantName("one")));
+    pool_->release(used.link);
+    CPPUNIT_ASSERT(pool_->has_room(TenantName()));
+    CPPUNIT_ASSERT_MESSAGE("in exchange for the idle one", pool_->has_room(TenantName("one")));
+  }
+
   void proxy_queries_use_link_of_any_tenant() {
     const auto one = acquire_and_release("one");
     CPPUNIT_ASSERT(acquire_and_release("", true) == one);
--- a/tests/registered/proxy/links/statement_gate_test.cpp
+++ b/tests/registered/proxy/links/statement_gate_test.cpp
@@ -4,6 +4,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
+
 #include "simulation/world.h"
 
 namespace cairnhollow::registered::proxy {
@@ -34,6 +36,9 @@
   CPPUNIT_TEST(rejects_at_deadline);
   CPPUNIT_TEST(rejects_hopeless_wait_at_once);
   CPPUNIT_TEST(every_leave_frees_a_slot);
+  CPPUNIT_TEST(capacity_admits_waiting_at_once);
+  CPPUNIT_TEST(link_setup_takes_no_slot);
+  CPPUNIT_TEST(demand_counts_by_class);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -95,6 +100,52 @@
     CPPUNIT_ASSERT_MESSAGE("two statements of 100 ms are ahead", hopeless.finished && !hopeless.entered);
   }
 
+  void capacity_admits_waiting_at_once() {
+    std::array<Entry, 5> entries;
+    for (Entry& entry : entries) start(1, seconds(1), entry);
+    CPPUNIT_ASSERT_EQUAL(1U, gate_->running());
+    gate_->set_capacity(3);
+    world_->run_for(milliseconds(1));
+    CPPUNIT_ASSERT_EQUAL(3U, gate_->running());
+    gate_->set_capacity(0);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("at least 1", 1U, gate_->limit());
+    gate_->leave(milliseconds(1));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("nobody is admitted above the capacity", 2U, gate_->running());
+    gate_->set_bounds(1, 1);
+    CPPUNIT_ASSERT_EQUAL(1U, gate_->limit());
+  }
+
+  void link_setup_takes_no_slot() {
+    gate_->set_capacity(1);
+    std::array<Entry, 3> entries;
+    for (Entry& entry : entries) start(1, seconds(1), entry);
+    gate_->begin_setup();
+    world_->run_for(milliseconds(1));
+    CPPUNIT_ASSERT(entries[1].entered);
+    gate_->begin_setup();
+    world_->run_for(milliseconds(1));
+    CPPUNIT_ASSERT_MESSAGE("no more than the capacity at once", !entries[2].entered);
+    gate_->end_setup();
+    gate_->end_setup();
+    gate_->leave(milliseconds(1));
+    world_->run_for(milliseconds(1));
+    CPPUNIT_ASSERT_MESSAGE("the other one has the slot", !entries[2].entered);
+    gate_->leave(milliseconds(1));
+    world_->run_for(milliseconds(1));
+    CPPUNIT_ASSERT(entries[2].entered);
+  }
+
+  void demand_counts_by_class() {
+    std::array<Entry, 4> entries;
+    start(1, seconds(1), entries[0]);
+    start(0, seconds(1), entries[1]);
+    start(2, seconds(1), entries[2]);
+    start(9, seconds(1), entries[3]);
+    const scheduling::SlotDemand demand = gate_->demand();
+    CPPUNIT_ASSERT_EQUAL(1U, demand.running);
+    CPPUNIT_ASSERT(demand.waiting == (std::array<std::uint32_t, 4>{1, 0, 1, 1}));
+  }
+
   void every_leave_frees_a_slot() {
     Entry entry;
     start(1, seconds(1), entry);
--- a/tests/registered/proxy/session_stand.h
+++ b/tests/registered/proxy/session_stand.h
@@ -78,8 +78,8 @@
   /// Returns a prepared write of kTenant that needs a session value and a prepared statement set up on its
   /// link.
   [[nodiscard]] StatementRequest write(const std::string& id);
-  /// Occupies a slot of the backend's statement gate for kEventStepDuration, so that the next statement waits
-  /// there.
+  /// Occupies all slots of the backend's statement gate for kEventStepDuration, so that the next statement
+  /// waits there.
   void occupy_gate(const std::string& backend);
 
  private:
@@ -98,6 +98,8 @@
   std::unique_ptr<FleetLink> link_;
   std::unique_ptr<Forwarder> forwarder_;
   std::unique_ptr<LimitClient> limits_;
+  std::unique_ptr<Forwarder> owners_;
+  std::unique_ptr<DemandExchange> demands_;
   std::map<Step, std::function<void()>> events_;
   std::map<std::string, std::vector<std::string>> sent_;
   std::vector<std::string> dialled_tenants_;
