--- a/src/registered/proxy/links/stateful_pool.cpp
+++ b/src/registered/proxy/links/stateful_pool.cpp
@@ -80,9 +80,10 @@
   return link;
 }
 
-void StatefulPool::set_limit(std::uint64_t limit) {
+void StatefulPool::set_limits(std::uint64_t kept, std::uint64_t limit) {
+  kept_limit_ = kept;
   limit_ = limit;
-  while (!idle_.empty() && in_use_ + idle_.size() > limit_) {
+  while (!idle_.empty() && in_use_ + idle_.size() > kept_limit_) {
     idle_.front()->link().close();
     idle_.erase(idle_.begin());
   }
@@ -105,7 +106,7 @@
 }
 
 void StatefulPool::evict_idle_link() {
-  const bool is_full = in_use_ + idle_.size() >= limit_ || runtime_.now() < dial_paused_until_;
+  const bool is_full = in_use_ + idle_.size() >= kept_limit_ || runtime_.now() < dial_paused_until_;
   if (idle_.empty() || !is_full) return;
   idle_.front()->link().close();
   idle_.erase(idle_.begin());
@@ -184,7 +185,7 @@
 void StatefulPool::release(std::shared_ptr<StatefulLink> link) {
   --in_use_;
   log_release(*link);
-  if (retired_ || in_use_ + idle_.size() >= limit_) link->link().close();
+  if (retired_ || in_use_ + idle_.size() >= kept_limit_) link->link().close();
   link->set_idle_since(runtime_.now());
   if (link->link().is_open()) idle_.push_back(std::move(link));
   announce_room();
--- a/src/registered/proxy/links/statement_gate.cpp
+++ b/src/registered/proxy/links/statement_gate.cpp
@@ -36,14 +36,19 @@
   admit_waiting();
 }
 
+void StatementGate::begin_setup() {
+  ++in_setup_;
+  admit_waiting();
+}
+
 Awaitable<bool> StatementGate::enter(std::uint8_t priority, TimePoint deadline) {
-  if (queue_.empty() && running_ < capacity()) {
+  if (has_room()) {
     ++running_;
     co_return true;
   }
   const auto key = queue_.make_key(priority, deadline);
   const auto ahead = static_cast<Duration::rep>(queue_.ahead_of(key));
-  const Duration expected = limit_.expected_latency() * ahead / capacity();
+  const Duration expected = limit_.expected_latency() * ahead / limit();
   if (runtime_.now() + expected >= deadline) co_return false;
   const auto waiter = std::make_shared<Waiter>(runtime_);
   queue_.insert(key, waiter);
@@ -132,7 +137,7 @@
 }
 
 void StatementGate::admit_unscheduled() {
-  while (!queue_.empty() && running_ < capacity()) {
+  while (!queue_.empty() && has_free_slot()) {
     const auto first = queue_.entries().begin();
     const auto key = first->first;
     const auto waiter = first->second;
--- a/src/registered/proxy/links/statement_gate.h
+++ b/src/registered/proxy/links/statement_gate.h
@@ -6,6 +6,7 @@
 // statements are admitted by priority and deadline.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -72,7 +73,16 @@
   [[nodiscard]] std::size_t waiting() const { return queue_.size() + scheduler_.waiting(); }
   [[nodiscard]] std::uint32_t running() const { return running_; }
   /// What the statements of this proxy ask of the backend.
-  [[nodiscard]] scheduling::SlotDemand demand() const { return scheduler_.demand(running_); }
+  [[nodiscard]] scheduling::SlotDemand demand() const { return scheduler_.demand(occupied()); }
+  /// Number of statements that are admitted at once.
+  [[nodiscard]] std::uint32_t limit() const { return shared_room_ ? capacity_ : limit_.limit(); }
+  /// To be called while an admitted statement exchanges only what takes no slot at the backend: values,
+  /// prepared statements, begin. Where the room is shared, as many others as the capacity may be admitted
+  /// meanwhile.
+  void begin_setup();
+  void end_setup() { --in_setup_; }
+  /// Whether a slot is free for a statement that arrives now, and none waits.
+  [[nodiscard]] bool has_room() const { return waiting() == 0 && has_free_slot(); }
 
  private:
   struct Waiter {
@@ -88,8 +98,12 @@
   };
   using Ticket = scheduling::StatementScheduler::Ticket;
 
-  [[nodiscard]] std::uint32_t capacity() const { return shared_room_ ? capacity_ : limit_.limit(); }
-  [[nodiscard]] scheduling::SlotRoom room() const { return {capacity(), running_, links_}; }
+  /// Number of admitted statements that take a slot, or will as soon as their links are set up.
+  [[nodiscard]] std::uint32_t occupied() const {
+    return shared_room_ ? running_ - std::min(in_setup_, capacity_) : running_;
+  }
+  [[nodiscard]] bool has_free_slot() const { return occupied() < limit(); }
+  [[nodiscard]] scheduling::SlotRoom room() const { return {limit(), occupied(), links_}; }
   Awaitable<GateOutcome> enter_unscheduled(scheduling::SlotRequest request);
   /// Waits until the statement is admitted or refused, or `wait_end` passes.
   Awaitable<void> await_verdict(std::shared_ptr<ScheduledWaiter> waiter, TimePoint wait_end);
@@ -107,6 +121,7 @@
   bool shared_room_ = false;
   std::uint32_t capacity_ = 1;
   std::uint32_t running_ = 0;
+  std::uint32_t in_setup_ = 0;  ///< of those running
 };
 
 }  // namespace cairnhollow::registered::proxy
--- a/src/registered/proxy/statement/cold_tokens.cpp
+++ b/src/registered/proxy/statement/cold_tokens.cpp
@@ -48,6 +48,7 @@
     const bool may_enter = co_await wait_for_token(group, backend, slot.wait_end, token);
     if (!may_enter) rejection = placement::RejectionReason::kColdLimit;
     if (!may_enter) co_return false;
+    services_.demands.announce_wait(group, backend);
     const GateOutcome outcome = co_await backend->gate.enter(scheduling::SlotRequest(slot));
     const bool entered = outcome.admitted();
     services_.metrics.record_gate(slot, outcome);
--- a/src/registered/proxy/statement/statement_runner.cpp
+++ b/src/registered/proxy/statement/statement_runner.cpp
@@ -168,9 +168,11 @@
   // Applying the session state already sends requests to the backend, so check first.
   bool ready = check_.may_proceed(*attempt);
   const TimePoint deadline = std::min(request.deadline, services_.runtime.now() + kLinkSetupTimeout);
+  attempt->backend->gate.begin_setup();
   if (ready)
     ready = co_await attempt->link->apply_session_state(request.values, request.prepared, deadline,
                                                         attempt->reason);
+  attempt->backend->gate.end_setup();
   if (ready && request.opens_transaction) ready = check_.may_proceed(*attempt);
   if (!ready) attempt->backend->pool.release(attempt->link);
   co_return ready;
@@ -195,8 +197,10 @@
   const TimePoint deadline = std::min(attempt->request.deadline, services_.runtime.now() + kLinkSetupTimeout);
   SendState sent = SendState::kNotSent;
   BackendRequest backend_request = begin;
+  attempt->backend->gate.begin_setup();
   const auto answer =
       co_await attempt->link->link().run(std::move(backend_request), deadline, sent, attempt->reason);
+  attempt->backend->gate.end_setup();
   if (answer && answer->succeeded()) co_return true;
   if (answer) {
     services_.metrics.count_retry(*answer->refusal);
@@ -220,6 +224,7 @@
 
 Awaitable<bool> StatementRunner::enter_gate(AttemptPointer attempt) {
   attempt->slot = slot_request_of(services_, *attempt);
+  services_.demands.announce_wait(attempt->request.group, attempt->backend);
   attempt->gate = co_await attempt->backend->gate.enter(scheduling::SlotRequest(attempt->slot));
   attempt->admitted_at = services_.runtime.now();
   attempt->gate_time += attempt->gate.waited;
--- a/tests/registered/proxy/links/stateful_pool_test.cpp
+++ b/tests/registered/proxy/links/stateful_pool_test.cpp
@@ -121,6 +121,9 @@
   CPPUNIT_TEST(replaces_idle_link_at_full_backend);
   CPPUNIT_TEST(lower_limit_closes_idle_links);
   CPPUNIT_TEST(proxy_queries_use_link_of_any_tenant);
+  CPPUNIT_TEST(keeps_fewer_links_than_it_may_use);
+  CPPUNIT_TEST(tells_when_a_link_may_be_acquired);
+  CPPUNIT_TEST(has_room_for_the_tenant_of_an_idle_link);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -215,6 +218,48 @@
     CPPUNIT_ASSERT(two->link().is_open());
   }
 
+  void keeps_fewer_links_than_it_may_use() {
+    pool_->set_limits(2, 3);
+    const AcquireResult first = acquire_one({});
+    const AcquireResult second = acquire_one({});
+    const AcquireResult third = acquire_one({});
+    CPPUNIT_ASSERT_MESSAGE("in use", third.link != nullptr);
+    pool_->release(first.link);
+    CPPUNIT_ASSERT_MESSAGE("not kept", !first.link->link().is_open());
+    pool_->release(second.link);
+    CPPUNIT_ASSERT(second.link->link().is_open());
+    const auto other = acquire_and_release("other");
+    CPPUNIT_ASSERT_MESSAGE("makes room for a new one", !second.link->link().is_open() && other);
+    pool_->release(third.link);
+  }
+
+  void tells_when_a_link_may_be_acquired() {
+    const AcquireResult first = acquire_one({});
+    const AcquireResult second = acquire_one({});
+    int told = 0;
+    pool_->set_room_listener([&] { ++told; });
+    CPPUNIT_ASSERT(!has_room("tenant"));
+    pool_->release(first.link);
+    CPPUNIT_ASSERT(told > 0 && has_room("tenant"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, pool_->in_use());
+    CPPUNIT_ASSERT(acquire_one({}).link != nullptr);
+    CPPUNIT_ASSERT(!has_room("tenant"));
+    pool_->release(second.link);
+    pool_->set_room_listener({});
+  }
+
+  void has_room_for_the_tenant_of_an_idle_link() {
+    const auto idle = acquire_and_release("one");
+    const AcquireResult used = acquire_one({});
+    dialer_->full = true;
+    idle->link().close();
+    CPPUNIT_ASSERT(!acquire_one({}).link);
+    CPPUNIT_ASSERT_MESSAGE("dialling is paused", !has_room("one"));
+    pool_->release(used.link);
+    CPPUNIT_ASSERT(has_room(""));
+    CPPUNIT_ASSERT_MESSAGE("in exchange for the idle one", has_room("one"));
+  }
+
   void proxy_queries_use_link_of_any_tenant() {
     const auto one = acquire_and_release("one");
     CPPUNIT_ASSERT(acquire_and_release("", true) == one);
@@ -314,6 +359,8 @@
   }
 
  private:
+  /// Whether a link for the tenant is at hand or may be opened.
+  bool has_room(const char* tenant) { return pool_->has_idle(TenantName(tenant)) || pool_->may_open(); }
   AcquireResult acquire_one(SessionValues values, std::optional<PreparedShape> prepared = std::nullopt) {
     AcquireResult result;
     runtime_->spawn("take",
--- a/tests/registered/proxy/links/statement_gate_test.cpp
+++ b/tests/registered/proxy/links/statement_gate_test.cpp
@@ -4,6 +4,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
+
 #include "simulation/world.h"
 
 namespace cairnhollow::registered::proxy {
@@ -65,6 +67,9 @@
   CPPUNIT_TEST(slot_never_waits_for_link);
   CPPUNIT_TEST(wakes_when_links_may_open_again);
   CPPUNIT_TEST(change_of_room_loses_no_waiter);
+  CPPUNIT_TEST(capacity_admits_waiting_at_once);
+  CPPUNIT_TEST(link_setup_takes_no_slot);
+  CPPUNIT_TEST(demand_counts_by_class);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -126,6 +131,53 @@
     CPPUNIT_ASSERT_MESSAGE("two statements of 100 ms are ahead", hopeless.finished && !hopeless.entered);
   }
 
+  void capacity_admits_waiting_at_once() {
+    share_room(1);
+    std::array<std::shared_ptr<ScheduledEntry>, 5> entries;
+    for (auto& entry : entries) entry = schedule(1, 0, "a", seconds(1));
+    CPPUNIT_ASSERT_EQUAL(1U, gate_->running());
+    gate_->set_capacity(3);
+    world_->run_for(milliseconds(1));
+    CPPUNIT_ASSERT_EQUAL(3U, gate_->running());
+    gate_->set_capacity(0);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("at least 1", 1U, gate_->limit());
+    gate_->leave_unanswered();
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("nobody is admitted above the capacity", 2U, gate_->running());
+    gate_->set_shared_room(false);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("adapts again", 1U, gate_->limit());
+  }
+
+  void link_setup_takes_no_slot() {
+    share_room(1);
+    std::array<std::shared_ptr<ScheduledEntry>, 3> entries;
+    for (auto& entry : entries) entry = schedule(1, 0, "a", seconds(1));
+    gate_->begin_setup();
+    world_->run_for(milliseconds(1));
+    CPPUNIT_ASSERT(entries[1]->admitted());
+    gate_->begin_setup();
+    world_->run_for(milliseconds(1));
+    CPPUNIT_ASSERT_MESSAGE("no more than the capacity at once", !entries[2]->outcome);
+    gate_->end_setup();
+    gate_->end_setup();
+    gate_->leave_unanswered();
+    world_->run_for(milliseconds(1));
+    CPPUNIT_ASSERT_MESSAGE("the other one has the slot", !entries[2]->outcome);
+    gate_->leave_unanswered();
+    world_->run_for(milliseconds(1));
+    CPPUNIT_ASSERT(entries[2]->admitted());
+  }
+
+  void demand_counts_by_class() {
+    share_room(1);
+    schedule(1, 0, "a", seconds(1));
+    schedule(0, 0, "a", seconds(1));
+    schedule(2, 0, "a", seconds(1));
+    schedule(9, 0, "a", seconds(1));
+    const scheduling::SlotDemand demand = gate_->demand();
+    CPPUNIT_ASSERT_EQUAL(1U, demand.running);
+    CPPUNIT_ASSERT(demand.waiting == (std::array<std::uint32_t, 4>{1, 0, 1, 1}));
+  }
+
   void every_leave_frees_a_slot() {
     Entry entry;
     start(1, seconds(1), entry);
--- a/tests/registered/proxy/session_stand.cpp
+++ b/tests/registered/proxy/session_stand.cpp
@@ -176,6 +176,9 @@
   link_ = std::make_unique<FleetLink>(*runtime_, settings, *view_);
   forwarder_ = std::make_unique<Forwarder>(*runtime_, settings.node, settings.zone);
   limits_ = std::make_unique<LimitClient>(*runtime_, *view_, *forwarder_, metrics_);
+  owners_ =
+      std::make_unique<Forwarder>(*runtime_, settings.node, settings.zone, wire::Conversation::kBackendRoom);
+  demands_ = std::make_unique<DemandExchange>(*runtime_, *view_, *owners_);
   registry::FleetDelta first = delta();
   first.is_full = true;
   first.routes = {route_of()};
@@ -193,10 +196,15 @@
 }
 
 // Coroutines that still wait in the world refer to the other members.
-SessionStand::~SessionStand() { world_.reset(); }
+SessionStand::~SessionStand() {
+  // Connections close through the world's network.
+  demands_.reset();
+  owners_.reset();
+  world_.reset();
+}
 
 SessionServices SessionStand::services() {
-  return {*runtime_, *view_, *link_, metrics_, *forwarder_, *limits_};
+  return {*runtime_, *view_, *link_, metrics_, *forwarder_, *limits_, *demands_};
 }
 
 bool SessionStand::finish(Awaitable<void> task, Duration limit) {
