A tenant's limit can be divided among nine quota owners instead of three

Change: with the setting spread_limits a tenant has nine owners with a ninth each, if all proxies that accept work say in their incarnation that they do so. Parts that shrink count at once, parts that grow wait like new owners. The play of the ledger gains the loss of most proxies at once, fleets of 13 and 24 proxies, and fleets in which the number of owners changes with each restart; it rejects owners that don't wait for a stable revision and owners that don't stop. Off by default and not yet set by the deployment.

Weighed: a shorter authority, a reserved part, buckets that start with more, survivors that take over at once (docs/design/limits.md).

--- a/src/cli/settings_registered.cpp
+++ b/src/cli/settings_registered.cpp
@@ -58,6 +58,7 @@
   reader.read("limit_window", settings.limit_window.window, kIntervalRange);
   reader.read("limit_overshoot", settings.limit_window.overshoot, kOvershootRange);
   reader.read("limit_slack", settings.limit_window.slack, kSlackRange);
+  reader.read("spread_limits", settings.spread_limits);
   reader.read("zone_regions", settings.zone_regions);
   reader.read("evacuation_bound", settings.evacuation_bound, kDelayRange);
   reader.read("cold_overshoot", settings.cold_overshoot, kOvershootRange);
--- a/src/registered/limits/owner_share.cpp
+++ b/src/registered/limits/owner_share.cpp
@@ -15,13 +15,14 @@
   return (in_window + limit.burst) * (1 + limit.window.overshoot) + limit.window.slack;
 }
 
-OwnerShare owner_share(const Limit& limit) {
-  constexpr double kMinimumDepths = kQuotaOwners;
+OwnerShare owner_share(const Limit& limit, std::size_t owners) {
+  // One token per owner.
+  const auto minimum_depths = static_cast<double>(owners);
   const double allowed = allowance(limit);
-  if (allowed < kMinimumDepths) return {0, 0};
+  if (allowed < minimum_depths) return {0, 0};
   const double counted_s = to_seconds(limit.window.window + kTokenLifetime);
-  const double rate = std::min(limit.rate_per_s, (allowed - kMinimumDepths) / counted_s);
-  return {rate / kQuotaOwners, (allowed - rate * counted_s) / kQuotaOwners};
+  const double rate = std::min(limit.rate_per_s, (allowed - minimum_depths) / counted_s);
+  return {rate / minimum_depths, (allowed - rate * counted_s) / minimum_depths};
 }
 
 }  // namespace cairnhollow::registered::limits
--- a/src/registered/limits/quota_ledger.cpp
+++ b/src/registered/limits/quota_ledger.cpp
@@ -6,13 +6,17 @@
 namespace cairnhollow::registered::limits {
 
 void QuotaLedger::set_owners(QuotaOwners owners, std::uint64_t revision) {
+  // Larger parts may be granted only after those of the other owners have ended.
+  const bool has_larger_parts =
+      owners.owner_count(LimitKind::kTenant) < owners_.owner_count(LimitKind::kTenant);
   owners_ = std::move(owners);
   revision_ = revision;
   stable_since_.reset();
   has_departures_ = has_departures_ || owners_.has_departures();
   for (auto entry = owned_limits_.begin(); entry != owned_limits_.end();) {
+    const bool keeps_part = entry->first.kind != LimitKind::kTenant || !has_larger_parts;
     const bool remains_owner =
-        owners_.is_owner(entry->first, node_) && owners_.remained_owner(entry->first, node_);
+        keeps_part && owners_.is_owner(entry->first, node_) && owners_.remained_owner(entry->first, node_);
     entry = remains_owner ? std::next(entry) : owned_limits_.erase(entry);
   }
 }
@@ -59,15 +63,16 @@
 
 OwnerShare QuotaLedger::share_of(const Limit& limit, TimePoint now) {
   const auto previous = previous_limits_.find(limit.key);
-  if (previous == previous_limits_.end()) return owner_share(limit);
+  const std::size_t owners = owners_.owner_count(limit.key.kind);
+  if (previous == previous_limits_.end()) return owner_share(limit, owners);
   if (now >= previous->second.until) {
     previous_limits_.erase(previous);
-    return owner_share(limit);
+    return owner_share(limit, owners);
   }
   Limit effective = limit;
   effective.rate_per_s = std::max(limit.rate_per_s, previous->second.rate_per_s);
   effective.burst = std::max(limit.burst, previous->second.burst);
-  return owner_share(effective);
+  return owner_share(effective, owners);
 }
 
 Grant QuotaLedger::grant(const Limit& limit, const TokenRequest& request, TimePoint now) {
--- a/src/registered/limits/quota_ledger.h
+++ b/src/registered/limits/quota_ledger.h
@@ -1,13 +1,14 @@
 // Grants tokens for the limits that a proxy owns: those of tenants and of cold backends.
 //
-// Invariant: at any moment at most kQuotaOwners proxies grant tokens of one limit, each from a bucket that
-// was empty when the proxy became an owner. A proxy grants only
+// Invariant: at any moment the parts of the proxies that grant tokens of one limit add up to at most the
+// whole limit, each from a bucket that was empty when the proxy became an owner. A proxy grants only
 // - while control has confirmed its copy of the membership less than kBudgetAuthority ago, counted from the
 //   time of the request to control, and
 // - after control has reported that every proxy that may act on an older membership than the one that made
 //   this proxy an owner has received that one, or has been without a confirmation for longer than
 //   kBudgetAuthority (stable_revision of registry::ProxyUpdate).
-// The owner that it replaced has therefore stopped granting. tests/registered/limits/quota_ledger_test.cpp
+// The owner that it replaced has therefore stopped granting. If the number of owners changes, smaller parts
+// count immediately and larger ones like those of new owners. tests/registered/limits/quota_ledger_test.cpp
 // simulates membership changes, partitions, freezes and restarts, and counts the operations in every window.
 #pragma once
 
--- a/src/registered/limits/quota_owners.cpp
+++ b/src/registered/limits/quota_owners.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-std::vector<subset::ProxyPointer> owners_among(const subset::SubsetTable& table, const LimitKey& key) {
-  return table.serving(GroupName(kind_name(key.kind) + (" " + key.name)),
-                       static_cast<std::uint32_t>(kQuotaOwners));
+std::vector<subset::ProxyPointer> owners_among(const subset::SubsetTable& table, const LimitKey& key,
+                                               std::size_t count) {
+  return table.serving(GroupName(kind_name(key.kind) + (" " + key.name)), static_cast<std::uint32_t>(count));
 }
 
 bool contains(const std::vector<subset::ProxyPointer>& proxies, const NodeName& node) {
@@ -32,8 +32,10 @@
 }  // namespace
 
 QuotaOwners::QuotaOwners(const std::vector<subset::ProxyPointer>& accepting,
-                         const std::vector<subset::ProxyPointer>& changed)
-    : accepting_(accepting), accepting_or_changed_(union_of(accepting, changed)) {
+                         const std::vector<subset::ProxyPointer>& changed, std::size_t tenant_owners)
+    : accepting_(accepting),
+      accepting_or_changed_(union_of(accepting, changed)),
+      tenant_owners_(tenant_owners) {
   for (const auto& proxy : changed) {
     changed_.insert(proxy->name);
     has_departures_ = has_departures_ || !contains(accepting, proxy->name);
@@ -42,7 +44,7 @@
 
 const std::vector<subset::ProxyPointer>& QuotaOwners::owners_of(const LimitKey& key) const {
   const auto [owners, inserted] = owners_.try_emplace(key);
-  if (inserted) owners->second = owners_among(accepting_, key);
+  if (inserted) owners->second = owners_among(accepting_, key, owner_count(key.kind));
   return owners->second;
 }
 
@@ -51,7 +53,8 @@
 }
 
 bool QuotaOwners::remained_owner(const LimitKey& key, const NodeName& node) const {
-  return changed_.count(node) == 0 && contains(owners_among(accepting_or_changed_, key), node);
+  return changed_.count(node) == 0 &&
+         contains(owners_among(accepting_or_changed_, key, owner_count(key.kind)), node);
 }
 
 }  // namespace cairnhollow::registered::limits
--- a/src/registered/limits/quota_owners.h
+++ b/src/registered/limits/quota_owners.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "registered/limits/limit.h"
+#include "registered/limits/owner_share.h"
 #include "subset/subset.h"
 
 namespace cairnhollow::registered::limits {
@@ -20,11 +21,15 @@
  public:
   QuotaOwners() = default;
   /// `changed`: proxies that joined, left or restarted since the previous view, including those that both
-  /// joined and left in between.
+  /// joined and left in between. `tenant_owners`: owners of each tenant's limit in this view.
   QuotaOwners(const std::vector<subset::ProxyPointer>& accepting,
-              const std::vector<subset::ProxyPointer>& changed);
+              const std::vector<subset::ProxyPointer>& changed, std::size_t tenant_owners = kQuotaOwners);
 
-  /// Returns up to kQuotaOwners proxies, in different zones as far as possible.
+  /// Returns the number of parts into which limits of this kind are divided, each for one owner.
+  [[nodiscard]] std::size_t owner_count(LimitKind kind) const {
+    return kind == LimitKind::kTenant ? tenant_owners_ : kQuotaOwners;
+  }
+  /// Returns up to owner_count() proxies, in different zones as far as possible.
   [[nodiscard]] const std::vector<subset::ProxyPointer>& owners_of(const LimitKey& key) const;
   [[nodiscard]] bool is_owner(const LimitKey& key, const NodeName& node) const;
   /// Returns whether `node`, which is an owner now, was one without interruption since the previous view.
@@ -35,6 +40,7 @@
  private:
   subset::SubsetTable accepting_;
   subset::SubsetTable accepting_or_changed_;
+  std::size_t tenant_owners_ = kQuotaOwners;
   std::set<NodeName> changed_;
   bool has_departures_ = false;
   /// Cache of owners_of(), which is called for each operation; valid as long as this membership.
--- a/src/registered/proxy/fleet/fleet_link.cpp
+++ b/src/registered/proxy/fleet/fleet_link.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "base/add_once.h"
+#include "registered/registry/proxy_incarnation.h"
 #include "wire/codec.h"
 #include "wire/compression.h"
 #include "wire/hello.h"
@@ -30,7 +31,7 @@
       view_(view),
       search_(runtime, make_hello(settings), settings.control_port, [this] { return make_report(); }),
       wake_(runtime),
-      incarnation_(runtime.random().next() | 1U) {
+      incarnation_(registry::proxy_incarnation(runtime.random().next(), settings.spread_limits)) {
   for (const Endpoint& seed : settings_.seeds) endpoints_.push_back({seed.address, settings_.control_port});
 }
 
--- a/src/registered/proxy/fleet/fleet_view.cpp
+++ b/src/registered/proxy/fleet/fleet_view.cpp
@@ -6,6 +6,7 @@
 
 #include "registered/registry/division.h"
 #include "registered/registry/member_lease.h"
+#include "registered/registry/proxy_incarnation.h"
 #include "registered/tenancy/tenant_division.h"
 #include "registered/tenancy/tenant_limit.h"
 
@@ -170,6 +171,13 @@
   return accepting_proxies;
 }
 
+std::size_t FleetView::tenant_owners() const {
+  const bool all_spread = std::all_of(proxies_.begin(), proxies_.end(), [](const auto& entry) {
+    return entry.second.leaving || registry::spreads_limits(entry.second.incarnation);
+  });
+  return all_spread ? limits::kManyQuotaOwners : limits::kQuotaOwners;
+}
+
 void FleetView::divide_groups(const std::vector<subset::ProxyPointer>& accepting_proxies) {
   other_proxies_ = subset::forwarding_order(accepting_proxies, node_, zone_);
   std::erase_if(other_proxies_, [this](const subset::ProxyPointer& proxy) { return proxy->name == node_; });
@@ -314,7 +322,8 @@
   log_unknown_regions(delta);
   if (!division_changes) return;
   const auto accepting_proxies = this->accepting_proxies();
-  if (!changed.empty()) quotas_.set_owners(limits::QuotaOwners(accepting_proxies, changed), revision_);
+  if (!changed.empty())
+    quotas_.set_owners(limits::QuotaOwners(accepting_proxies, changed, tenant_owners()), revision_);
   divide_groups(accepting_proxies);
 }
 
--- a/src/registered/proxy/fleet/fleet_view.h
+++ b/src/registered/proxy/fleet/fleet_view.h
@@ -185,6 +185,8 @@
   [[nodiscard]] std::vector<subset::ProxyPointer> changed_proxies(const registry::FleetDelta& delta) const;
   /// The proxies that accept new work.
   [[nodiscard]] std::vector<subset::ProxyPointer> accepting_proxies() const;
+  /// Owners of each tenant's limit: many if all proxies that accept new work spread limits.
+  [[nodiscard]] std::size_t tenant_owners() const;
   void apply_proxies(const registry::FleetDelta& delta);
   /// Works out which proxies serve each group and how they share its connections.
   void divide_groups(const std::vector<subset::ProxyPointer>& accepting_proxies);
--- a/src/registered/proxy/limits/limit_client.cpp
+++ b/src/registered/proxy/limits/limit_client.cpp
@@ -205,7 +205,8 @@
 }
 
 std::vector<subset::ProxyPointer> LimitClient::owners_by_preference(const limits::LimitKey& limited) const {
-  auto owners = view_.quotas().owners().owners_of(limited);
+  auto owners =
+      subset::forwarding_order(view_.quotas().owners().owners_of(limited), view_.node(), view_.zone());
   const TimePoint now = runtime_.now();
   const auto rank = [&](const subset::ProxyPointer& owner) {
     const int by_distance = owner->name == view_.node() ? 0 : owner->zone == view_.zone() ? 1 : 2;
--- a/src/registered/proxy/settings.h
+++ b/src/registered/proxy/settings.h
@@ -26,6 +26,8 @@
   /// run, also by machines that can't reach control. Empty: no bound for such machines.
   std::optional<Duration> key_bound;
   limits::LimitWindow limit_window;
+  /// Divides the limit of each tenant among limits::kManyQuotaOwners proxies once all proxies do so.
+  bool spread_limits = false;
   /// The region of each zone of the deployment; empty: not known.
   std::map<ZoneName, RegionName> zone_regions;
   /// Longest time after the acknowledgement of a zone's evacuation for which something may still be sent
--- a/tests/registered/limits/limit_play.h
+++ b/tests/registered/limits/limit_play.h
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <deque>
 #include <map>
@@ -15,6 +16,7 @@
 #include "registered/limits/quota_ledger.h"
 #include "registered/limits/token_stock.h"
 #include "registered/registry/budget_authority.h"
+#include "registered/registry/proxy_incarnation.h"
 #include "registered/registry/stable_revision.h"
 
 namespace cairnhollow::registered::limits::fleet_model {
@@ -25,7 +27,6 @@
 constexpr Duration kTick = milliseconds(10);
 constexpr Duration kAbsentAfter = milliseconds(200);  ///< after the end of the lease
 constexpr Duration kReportEvery = milliseconds(400);
-constexpr int kNodes = 7;
 
 /// Safety checks of the protocol, each of which a test can disable. All true is the protocol as
 /// implemented.
@@ -37,6 +38,9 @@
   bool tokens_expire = true;
   Duration lease = milliseconds(1500);  ///< control's serving lease
   int only_fault = -1;  ///< the only kind of fault to inject (see inject_fault()); -1: all kinds
+  int nodes = 7;
+  bool loses_most = false;    ///< also injects the loss of most proxies at once
+  double spreads_limits = 0;  ///< probability that a starting process spreads limits among many owners
 };
 
 /// Proxies, the leader of control, and callers of one limit, simulated in steps of kTick.
@@ -44,7 +48,7 @@
  public:
   Fleet(std::uint64_t seed, Guards guards, Limit limit)
       : random_(seed), guards_(guards), limit_(std::move(limit)) {
-    for (int index = 0; index < kNodes; ++index) {
+    for (int index = 0; index < guards_.nodes; ++index) {
       members_[name_of(index)] = Member{};
       nodes_.emplace_back();
       start(index);
@@ -62,8 +66,8 @@
         next_load_change_ = now_ + (callers_active_ ? random_between(3000, 8000) : random_between(500, 4000));
       }
       run_leader();
-      for (int index = 0; index < kNodes; ++index) step(index);
-      for (int index = 0; index < kNodes; ++index) send_operations(index);
+      for (int index = 0; index < guards_.nodes; ++index) step(index);
+      for (int index = 0; index < guards_.nodes; ++index) send_operations(index);
     }
     return max_in_window() / allowance(limit_);
   }
@@ -121,22 +125,23 @@
     node.view.clear();
     node.owners.clear();
     node.revision = 0;
-    node.incarnation = ++incarnations_;
+    node.incarnation = registry::proxy_incarnation(
+        ++incarnations_ * 4, guards_.spreads_limits > 0 && with_probability(guards_.spreads_limits));
     node.updates.clear();
     node.next_report = now_;
   }
 
   void inject_fault() {
-    const int index = random_below(kNodes);
+    const int index = random_below(guards_.nodes);
     Node& node = nodes_[index];
-    const int fault = random_below(7);
+    const int fault = random_below(guards_.loses_most ? 8 : 7);
     switch (guards_.only_fault < 0 ? fault : guards_.only_fault) {
       case 0:  // killed and restarted
         node.down_until = now_ + random_between(20, 4000);
         start(index);
         break;
       case 1:  // some are partitioned from control together, and keep running
-        for (int other = 0; other < kNodes; ++other) {
+        for (int other = 0; other < guards_.nodes; ++other) {
           if (other == index || with_probability(0.4))
             nodes_[other].cut_until = now_ + random_between(2500, 7000);
         }
@@ -160,9 +165,20 @@
       case 5:  // no quorum: no answers and no membership changes
         quorum_from_ = now_ + random_between(200, 6000);
         break;
+      case 7:  // most are lost at once: killed, frozen or cut off, and return one after the other
+        for (int other = 0; other < guards_.nodes; ++other) {
+          if (with_probability(0.3)) continue;
+          const Duration lost_for = random_between(300, 6000);
+          const int how = random_below(3);
+          if (how == 0) nodes_[other].down_until = now_ + lost_for;
+          if (how == 0) start(other);
+          if (how == 1) nodes_[other].cut_until = now_ + lost_for;
+          if (how == 2) nodes_[other].frozen_until = now_ + lost_for;
+        }
+        break;
       default:  // all proxies restart and the leader changes
         if (!with_probability(0.3)) break;
-        for (int other = 0; other < kNodes; ++other) {
+        for (int other = 0; other < guards_.nodes; ++other) {
           nodes_[other].down_until = now_ + random_between(100, 900);
           start(other);
         }
@@ -239,13 +255,20 @@
         {now_ + random_between(0, 60), now_, members_, revision_, stable_revision(), node.incarnation});
   }
 
+  static std::size_t tenant_owners(const std::map<std::string, Member>& members) {
+    const bool all_spread = std::all_of(members.begin(), members.end(), [](const auto& entry) {
+      return entry.second.leaving || registry::spreads_limits(entry.second.incarnation);
+    });
+    return all_spread ? kManyQuotaOwners : kQuotaOwners;
+  }
+
   void apply_update(int index, const Update& update) {
     Node& node = nodes_[index];
     if (update.incarnation != node.incarnation) return;
     if (update.revision > node.revision) {
       std::vector<subset::ProxyPointer> accepting;
       std::vector<subset::ProxyPointer> changed;
-      for (int other = 0; other < kNodes; ++other) {
+      for (int other = 0; other < guards_.nodes; ++other) {
         const std::string name = name_of(other);
         const Member& member = update.members.at(name);
         const auto proxy = std::make_shared<subset::ProxyView>(
@@ -256,7 +279,7 @@
         if (changed_since_view && (guards_.returning_owner_starts_anew || !was_known))
           changed.push_back(proxy);
       }
-      node.owner->set_owners(QuotaOwners(accepting, changed), update.revision);
+      node.owner->set_owners(QuotaOwners(accepting, changed, tenant_owners(update.members)), update.revision);
       node.owners.clear();
       for (const auto& owner : node.owner->owners().owners_of(limit_.key))
         node.owners.push_back(std::stoi(owner->name.value.substr(name_of(0).size() - 1)));
--- a/tests/registered/limits/quota_ledger_test.cpp
+++ b/tests/registered/limits/quota_ledger_test.cpp
@@ -5,6 +5,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,25 @@
   return {{LimitKind::kTenant, "tenant"}, static_cast<double>(rate), static_cast<double>(burst), window};
 }
 
+Guards spreading(double probability) {
+  Guards guards;
+  guards.nodes = 13;
+  guards.loses_most = true;
+  guards.spreads_limits = probability;
+  return guards;
+}
+
+/// Proxies with numbers as names.
+std::vector<subset::ProxyPointer> proxies_in_three_zones(int count) {
+  std::vector<subset::ProxyPointer> proxies;
+  for (int index = 0; index < count; ++index) {
+    const ZoneName zone(fmt::format("zone-{}", index % 3));
+    proxies.push_back(std::make_shared<subset::ProxyView>(
+        subset::ProxyView{NodeName(std::to_string(index)), zone, {"10.0.0.1", 1}}));
+  }
+  return proxies;
+}
+
 /// No tolerance above the rate and the burst.
 const LimitWindow kStrict{seconds(5), 0, 0};
 
@@ -35,6 +55,11 @@
   CPPUNIT_TEST_SUITE(QuotaLedgerTest);
   CPPUNIT_TEST(limit_holds_in_every_window);
   CPPUNIT_TEST(limit_holds_for_low_rates);
+  CPPUNIT_TEST(limit_holds_when_most_are_lost);
+  CPPUNIT_TEST(limit_holds_with_many_owners);
+  CPPUNIT_TEST(limit_holds_while_number_of_owners_changes);
+  CPPUNIT_TEST(larger_part_waits_like_a_new_owner);
+  CPPUNIT_TEST(many_owners_keep_part_of_rate_that_survives);
   CPPUNIT_TEST(limit_is_exceeded_without_any_guard);
   CPPUNIT_TEST(returning_owner_waits_like_a_new_one);
   CPPUNIT_TEST(owner_stops_without_confirmation);
@@ -65,6 +90,94 @@
     }
   }
 
+  void limit_holds_with_many_owners() {
+    for (const Limit& limit : {tenant_of(117, 117), tenant_of(120, 60, kStrict)}) {
+      const double worst = worst_usage(seeds() / 2, spreading(1.0), limit);
+      CPPUNIT_ASSERT_MESSAGE(fmt::format("rate {}: {} of the allowance", limit.rate_per_s, worst),
+                             worst <= 1.0);
+      CPPUNIT_ASSERT_MESSAGE(fmt::format("rate {}: the load is too low, {}", limit.rate_per_s, worst),
+                             worst > 0.6);
+    }
+    const double low = worst_usage(seeds() / 4, spreading(1.0), tenant_of(8, 8));
+    CPPUNIT_ASSERT_MESSAGE(fmt::format("{} of the allowance at a low rate", low), low <= 1.0);
+  }
+
+  void limit_holds_when_most_are_lost() {
+    Guards guards;
+    guards.loses_most = true;
+    const double worst = worst_usage(seeds(), guards, tenant_of(120, 60, kStrict));
+    CPPUNIT_ASSERT_MESSAGE(fmt::format("{} of the allowance", worst), worst <= 1.0);
+    for (const double spread : {0.0, 1.0}) {
+      for (bool Guards::*guard : {&Guards::waits_for_stable_revision, &Guards::stops_without_confirmation}) {
+        Guards broken = spreading(spread);
+        broken.nodes = 24;
+        broken.*guard = false;
+        const double exceeded = worst_usage(400, broken, tenant_of(120, 60, kStrict));
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("spread {}: {} of the allowance", spread, exceeded),
+                               exceeded > 1.0);
+      }
+    }
+  }
+
+  void limit_holds_while_number_of_owners_changes() {
+    for (const double spread : {0.8, 0.95}) {
+      const double worst = worst_usage(seeds(), spreading(spread), tenant_of(120, 60, kStrict));
+      CPPUNIT_ASSERT_MESSAGE(fmt::format("{} of the allowance", worst), worst <= 1.0);
+    }
+  }
+
+  void larger_part_waits_like_a_new_owner() {
+    const std::vector<subset::ProxyPointer> proxies = proxies_in_three_zones(12);
+    const Limit tenant = tenant_of(90, 90);
+    // An owner with few as well as with many owners.
+    const NodeName node = QuotaOwners(proxies, {}, kQuotaOwners).owners_of(tenant.key).front()->name;
+    QuotaLedger owner(node);
+    TimePoint now{seconds(10)};
+    const auto confirm = [&](std::uint64_t stable) { owner.record_confirmed(now, stable, now); };
+    const auto granted_in_a_second = [&] {
+      std::uint64_t granted = 0;
+      for (int tick = 0; tick < 100; ++tick) {
+        now += milliseconds(10);
+        granted += owner.grant(tenant, {5, 0}, now).tokens;
+      }
+      return granted;
+    };
+    owner.set_owners(QuotaOwners(proxies, proxies, kManyQuotaOwners), 1);
+    confirm(1);
+    granted_in_a_second();
+    CPPUNIT_ASSERT(granted_in_a_second() <= 11);
+    owner.set_owners(QuotaOwners(proxies, {}, kQuotaOwners), 2);
+    CPPUNIT_ASSERT_MESSAGE("others may still grant their smaller parts",
+                           owner.grant(tenant, {1, 0}, now).outcome == GrantOutcome::kNotAuthorized);
+    confirm(2);
+    granted_in_a_second();
+    CPPUNIT_ASSERT(granted_in_a_second() >= 29);
+    owner.set_owners(QuotaOwners(proxies, {}, kManyQuotaOwners), 3);
+    CPPUNIT_ASSERT_MESSAGE("a smaller part counts at once", granted_in_a_second() <= 11 + 30);
+    CPPUNIT_ASSERT(granted_in_a_second() <= 11);
+  }
+
+  void many_owners_keep_part_of_rate_that_survives() {
+    // Of 69 proxies, three quarters are lost at once. Counts the tenants that keep an owner.
+    const std::vector<subset::ProxyPointer> proxies = proxies_in_three_zones(69);
+    const auto tenants_with_owner = [&](std::size_t owners) {
+      int kept = 0;
+      for (int index = 0; index < 400; ++index) {
+        const LimitKey key{LimitKind::kTenant, fmt::format("tenant-{}", index)};
+        const QuotaOwners all(proxies, {}, owners);
+        const auto& chosen = all.owners_of(key);
+        CPPUNIT_ASSERT_EQUAL(owners, chosen.size());
+        const bool any_survives = std::any_of(chosen.begin(), chosen.end(), [](const auto& proxy) {
+          return std::stoi(proxy->name.value) % 4 == 0;
+        });
+        kept += any_survives ? 1 : 0;
+      }
+      return kept;
+    };
+    CPPUNIT_ASSERT(tenants_with_owner(kQuotaOwners) < 280);
+    CPPUNIT_ASSERT(tenants_with_owner(kManyQuotaOwners) > 360);
+  }
+
   void limit_is_exceeded_without_any_guard() {
     const auto expect_exceeded_without = [](const std::string& name, bool Guards::*guard,
                                             LimitWindow window = kStrict, Guards guards = {}) {
