Gate before links, two statements on their way, fewer messages among owners

Cause: a guest's statements waited first come first served for its links, past the gate's order and its look at the expected wait; an owner's burst waited until the others had told what they need; a message and its answer take some 400 bytes of a machine's link of 2 Mbit/s.

Change: a statement queues at the gate first, gives its slot back when there is neither a link nor room for one, and queues again once there is. An owner sends two statements beyond its part. Owners tell each other each 50 ms.

--- a/src/registered/capacity/backend_room.h
+++ b/src/registered/capacity/backend_room.h
@@ -13,15 +13,16 @@
 
 namespace cairnhollow::registered::capacity {
 
-/// Shortest interval between two messages from one owner to another about the same backend: about as long as
-/// a statement runs, since the division changes no faster than slots become free.
-inline constexpr Duration kDemandInterval = std::chrono::milliseconds(20);
-/// An owner that has told nothing for this long counts with its static part. Five lost messages in a row, and
+/// Shortest interval between two messages from one owner to another about the same backend. Half of
+/// kDemandLifetime, so that one lost message changes nothing: a message and its answer take some 400 bytes of
+/// the machines' links, which statements need.
+inline constexpr Duration kDemandInterval = std::chrono::milliseconds(50);
+/// An owner that has told nothing for this long counts with its static part. Two lost messages in a row, and
 /// as long as a healthy process may be stopped by CPU throttling.
 inline constexpr Duration kDemandLifetime = std::chrono::milliseconds(100);
-/// Statements that an owner sends beyond its part, so that a slot is not idle while an answer and the next
-/// statement are on their way.
-inline constexpr std::uint32_t kBacklogPerOwner = 1;
+/// Statements that an owner sends beyond its part, so that a slot is not idle while answers and the next
+/// statements are on their way, and a burst does not wait until the others have told what they need.
+inline constexpr std::uint32_t kBacklogPerOwner = 2;
 /// Statements that a proxy that owns no part of the backend may run there at once.
 inline constexpr std::uint32_t kGuestStatements = 2;
 
--- a/src/registered/proxy/capacity/demand_exchange.cpp
+++ b/src/registered/proxy/capacity/demand_exchange.cpp
@@ -47,7 +47,9 @@
 
 void DemandExchange::start_telling(const GroupName& group, const Backend& backend,
                                    const subset::ProxyPointer& owner, bool wants_reply) {
-  if (!being_told_.emplace(backend->entry.name, owner->name).second) return;
+  const TimePoint now = runtime_.now();
+  std::erase_if(told_at_, [now](const auto& told) { return now - told.second >= capacity::kDemandInterval; });
+  if (!told_at_.emplace(std::pair(backend->entry.name, owner->name), now).second) return;
   runtime_.spawn("tell_demand", tell(group, backend, owner, wants_reply));
 }
 
@@ -63,7 +65,6 @@
     const auto answer = co_await connection->call(std::move(request), deadline, reason);
     if (!answer) owners_.record_no_answer(owner->name, group);
   }
-  being_told_.erase({name, owner->name});
 }
 
 }  // namespace cairnhollow::registered::proxy
--- a/src/registered/proxy/capacity/demand_exchange.h
+++ b/src/registered/proxy/capacity/demand_exchange.h
@@ -1,6 +1,7 @@
 // Tells the other owners of a backend how many of its slots this proxy needs, and applies what they tell.
 #pragma once
 
+#include <map>
 #include <memory>
 #include <set>
 #include <utility>
@@ -41,8 +42,9 @@
   runtime::Runtime& runtime_;
   FleetView& view_;
   Forwarder& owners_;
-  std::set<const BackendState*> followed_;                 ///< kept alive by follow()
-  std::set<std::pair<BackendName, NodeName>> being_told_;  ///< owners that have not answered yet
+  std::set<const BackendState*> followed_;  ///< kept alive by follow()
+  /// When an owner was last told about a backend, within kDemandInterval.
+  std::map<std::pair<BackendName, NodeName>, TimePoint> told_at_;
 };
 
 }  // namespace cairnhollow::registered::proxy
--- a/src/registered/proxy/statement/statement_runner.cpp
+++ b/src/registered/proxy/statement/statement_runner.cpp
@@ -229,15 +229,13 @@
                                             TimePoint deadline) {
   const std::shared_ptr<BackendState> backend = attempt->backend;
   while (true) {
-    if (backend->room.is_divided()) {
-      const bool has_room = co_await backend->pool.await_room(attempt->request.tenant, deadline);
-      if (!has_room) co_return false;
-    }
     services_.demands.announce_wait(attempt->request.group, backend);
     const bool entered = co_await backend->gate.enter(priority, deadline);
-    if (!entered || !backend->room.is_divided()) co_return entered;
-    if (backend->pool.has_room(attempt->request.tenant)) co_return true;
+    const bool may_go_on = !backend->room.is_divided() || backend->pool.has_room(attempt->request.tenant);
+    if (!entered || may_go_on) co_return entered;
     backend->gate.leave_unanswered();
+    const bool has_room = co_await backend->pool.await_room(attempt->request.tenant, deadline);
+    if (!has_room) co_return false;
   }
 }
 
