--- a/src/registered/proxy/statement/cold_tokens.cpp
+++ b/src/registered/proxy/statement/cold_tokens.cpp
@@ -42,17 +42,18 @@
 
 Awaitable<bool> ColdTokens::enter_gate(std::shared_ptr<GroupAccess> group,
                                        std::shared_ptr<BackendState> backend, scheduling::SlotRequest slot,
-                                       placement::RejectionReason& rejection) {
+                                       LocalRefusal& refusal) {
   while (true) {
     std::optional<TimePoint> token;
     const bool may_enter = co_await wait_for_token(group, backend, slot.wait_end, token);
-    if (!may_enter) rejection = placement::RejectionReason::kColdLimit;
+    if (!may_enter) refusal.cause = placement::RejectionReason::kColdLimit;
     if (!may_enter) co_return false;
     const GateOutcome outcome = co_await backend->gate.enter(scheduling::SlotRequest(slot));
     const bool entered = outcome.admitted();
     services_.metrics.record_gate(slot, outcome);
     if (entered && may_send(*group, *backend, token)) co_return true;
     release(*backend, token);
+    if (!entered) refusal.gate = outcome;
     if (!entered) co_return false;
     // The token expired during the wait, or the backend became cold.
     backend->gate.leave_unanswered();
--- a/src/registered/proxy/statement/cold_tokens.h
+++ b/src/registered/proxy/statement/cold_tokens.h
@@ -9,6 +9,7 @@
 #include "registered/placement/rejection_reason.h"
 #include "registered/proxy/group/group_access.h"
 #include "registered/proxy/session_services.h"
+#include "registered/proxy/statement/statement_request.h"
 
 namespace cairnhollow::registered::proxy {
 
@@ -29,9 +30,10 @@
   void release(const BackendState& backend, const std::optional<TimePoint>& token) const;
   /// For a statement that can run at no other backend: waits for a token if the backend is cold, then for a
   /// slot there, until `slot.wait_end`. Returns true if it holds a slot and, if needed, a valid token; the
-  /// caller must release the slot. Returns false otherwise, and sets `rejection` if no token was available.
+  /// caller must release the slot. Returns false otherwise; `refusal`: the cause if no token was available,
+  /// or what the gate decided.
   Awaitable<bool> enter_gate(std::shared_ptr<GroupAccess> group, std::shared_ptr<BackendState> backend,
-                             scheduling::SlotRequest slot, placement::RejectionReason& rejection);
+                             scheduling::SlotRequest slot, LocalRefusal& refusal);
 
  private:
   void record_limit(const GroupAccess& group, BackendState& backend, const AdmissionAnswer& admission) const;
--- a/src/registered/proxy/statement/pinned_transactions.cpp
+++ b/src/registered/proxy/statement/pinned_transactions.cpp
@@ -52,21 +52,22 @@
   aborted.detail = abort_detail(RejectionReason::kNone);
   Reason reason;
   const bool stalls = commits && wrote && pinned.at_primary && group.primary_health.refuses_commits();
-  RejectionReason rejection = rejection_of(pinned, request, stalls);
+  const RejectionReason rejection = rejection_of(pinned, request, stalls);
   const TimePoint setup_deadline = std::min(request.deadline, runtime.now() + kLinkSetupTimeout);
   bool ready = rejection == RejectionReason::kNone && pinned.link->link().is_open();
   if (ready)
     ready =
         co_await pinned.link->apply_session_state(request.values, request.prepared, setup_deadline, reason);
   bool entered = false;
+  LocalRefusal refused{rejection, Duration(0), {}};
   const scheduling::SlotRequest slot = slot_request_in_transaction(services_.view, request);
-  if (ready) entered = co_await cold_tokens_.enter_gate(request.group, pinned.backend, slot, rejection);
-  if (entered) rejection = rejection_of(pinned, request, false);
-  if (!entered || rejection != RejectionReason::kNone) {
+  if (ready) entered = co_await cold_tokens_.enter_gate(request.group, pinned.backend, slot, refused);
+  if (entered) refused.cause = rejection_of(pinned, request, false);
+  if (!entered || refused.cause != RejectionReason::kNone) {
     if (entered) pinned.backend->gate.leave_unanswered();
     pinned.link->link().close();
-    aborted.detail = abort_detail(rejection);
-    log_.refusal(request, aborted, reason, 0, LocalRefusal{rejection, Duration(0), {}});
+    aborted.detail = abort_detail(refused.cause);
+    log_.refusal(request, aborted, reason, 0, refused);
     co_return aborted;
   }
   const TimePoint sent_at = runtime.now();
--- a/src/registered/scheduling/statement_scheduler.cpp
+++ b/src/registered/scheduling/statement_scheduler.cpp
@@ -80,6 +80,19 @@
   return now + wait > request.wait_end || now + wait + planned.cost > request.deadline;
 }
 
+bool StatementScheduler::may_be_hopeless(TimePoint now, const SlotRoom& room) const {
+  Duration work{0};
+  Duration longest{0};
+  TimePoint first_end = TimePoint::max();
+  for (const Entry& entry : waiting_) {
+    const Duration cost = service_times_.expected(entry.request, now);
+    work += cost;
+    longest = std::max(longest, cost);
+    first_end = std::min({first_end, entry.request.wait_end, entry.request.deadline});
+  }
+  return now + expected_wait(waiting_.size(), work, now, room) + longest >= first_end;
+}
+
 StatementScheduler::Enqueued StatementScheduler::enqueue(SlotRequest request, TimePoint now,
                                                          const SlotRoom& room) {
   const Ticket ticket = next_ticket_++;
@@ -156,7 +169,7 @@
 std::vector<StatementScheduler::Refused> StatementScheduler::take_hopeless(TimePoint now,
                                                                            const SlotRoom& room) {
   std::vector<Refused> refused;
-  if (waiting_.empty()) return refused;
+  if (waiting_.empty() || !may_be_hopeless(now, room)) return refused;
   std::size_t ahead = 0;
   Duration work{0};
   for (const Planned& planned : plan(now, room)) {
--- a/src/registered/scheduling/statement_scheduler.h
+++ b/src/registered/scheduling/statement_scheduler.h
@@ -110,6 +110,8 @@
   /// `work`: expected service time of the `ahead` statements that go first.
   [[nodiscard]] Duration expected_wait(std::size_t ahead, Duration work, TimePoint now,
                                        const SlotRoom& room) const;
+  /// Whether any waiting statement would be hopeless if it were the last in order: a cheap bound.
+  [[nodiscard]] bool may_be_hopeless(TimePoint now, const SlotRoom& room) const;
   [[nodiscard]] bool is_hopeless(const Planned& planned, Duration wait, TimePoint now) const;
   /// The statement that next() admits; null if none may be admitted.
   [[nodiscard]] const Planned* choose(const Plan& plan, TimePoint now, bool may_open);
