Gate of a shared room: all slots while the others' demand is unknown, waits as before

Cause: with a fixed part of the slots for each proxy, slots are idle where one of them has the work: calm seconds fell. And statements that may wait for a third of their time are answered late, and are in the way of those of other proxies, since each proxy orders its own only.

--- a/src/cli/log_story.cpp
+++ b/src/cli/log_story.cpp
@@ -103,6 +103,10 @@
   if (!retry_after.empty()) text += fmt::format("; to come back in {} ms", retry_after);
   const std::string passed_over = event.field("passed_over");
   if (!passed_over.empty()) text += fmt::format("; backends passed over: {}", passed_over);
+  const std::string gate = event.field("gate");
+  if (!gate.empty())
+    text += fmt::format("; at the backend's gate {}, with {} ahead and {} ms to wait", gate,
+                        event.field("ahead"), event.field("expected_wait_ms"));
   return text + '\n';
 }
 
--- a/src/registered/placement/statement_progress.cpp
+++ b/src/registered/placement/statement_progress.cpp
@@ -26,10 +26,6 @@
   return std::min(link_wait_end(progress, now), std::max(useful, now + kRetryPause));
 }
 
-TimePoint scheduled_wait_end(const StatementProgress& progress, TimePoint now, bool has_other_backend) {
-  return has_other_backend ? slot_wait_end(progress, now) : link_wait_end(progress, now);
-}
-
 bool may_abandon_backend(bool needs_primary, const StatementProgress& progress) {
   return !needs_primary && progress.attempts < kMaxAttempts - 1;
 }
--- a/src/registered/placement/statement_progress.h
+++ b/src/registered/placement/statement_progress.h
@@ -52,9 +52,6 @@
 /// Deadline of the wait for a slot, or for a link in use, at the chosen backend. A statement admitted later
 /// would miss its target latency and delay others.
 TimePoint slot_wait_end(const StatementProgress& progress, TimePoint now);
-/// Deadline of the wait for a slot and a link where waiting statements are scheduled: one that is late delays
-/// no others there. `has_other_backend`: the statement leaves for it while it can still be on time there.
-TimePoint scheduled_wait_end(const StatementProgress& progress, TimePoint now, bool has_other_backend);
 /// Whether the statement may abandon an unresponsive backend if another one is likely to serve it.
 bool may_abandon_backend(bool needs_primary, const StatementProgress& progress);
 /// Deadline of the wait for an answer of a backend that may be abandoned. `sent_at`: when the statement was
--- a/src/registered/proxy/group/connection_shares.cpp
+++ b/src/registered/proxy/group/connection_shares.cpp
@@ -32,8 +32,9 @@
   const std::uint64_t users = std::max<std::uint64_t>(is_local ? serving_->count_in(zone_) : proxies_, 1);
   const std::uint64_t slots = std::max<std::uint64_t>(backend.entry.slots / users, 1);
   backend.gate.set_bounds(static_cast<std::uint32_t>(slots), static_cast<std::uint32_t>(links));
-  const std::uint64_t share = (backend.entry.slots + users - 1) / users;
-  backend.gate.set_capacity(static_cast<std::uint32_t>(share + kBackendBacklog));
+  // While the other proxies' demand is not known, a part of the slots would leave some idle where one of the
+  // proxies has all of the work.
+  backend.gate.set_capacity(static_cast<std::uint32_t>(backend.entry.slots + kBackendBacklog));
   backend.gate.set_shared_room(is_local);
 }
 
--- a/src/registered/proxy/group/connection_shares.h
+++ b/src/registered/proxy/group/connection_shares.h
@@ -21,8 +21,8 @@
 /// Idle timeout of links at proxies in the backend's zone when each link is dedicated to one tenant: a small
 /// tenant uses the same backend again after some seconds. Elsewhere, kIdleLinkTimeout applies.
 inline constexpr Duration kLocalIdleLinkTimeout = std::chrono::seconds(20);
-/// Statements beyond a proxy's share of the slots that may be at the backend, so that no slot is idle between
-/// an answer and the next statement. More of them would queue where no order holds.
+/// Statements beyond the slots that a proxy may have at the backend, so that no slot is idle between an
+/// answer and the next statement. More of them would queue where no order holds.
 inline constexpr std::uint64_t kBackendBacklog = 1;
 
 class ConnectionShares {
--- a/src/registered/proxy/statement/slot_admission.cpp
+++ b/src/registered/proxy/statement/slot_admission.cpp
@@ -39,7 +39,6 @@
   if (!backend.gate.is_shared_room()) return slot;
   const bool has_other = !attempt.needs_primary &&
                          request.group->evaluator.has_other_reader(attempt.placement_request(), backend);
-  slot.wait_end = placement::scheduled_wait_end(attempt.progress, now, has_other);
   // Where it would be late here, another backend may still answer in time.
   if (has_other) slot.deadline = std::min(request.deadline, std::max(slot.target_end, slot.wait_end));
   return slot;
--- a/tests/cli/log_story_test.cpp
+++ b/tests/cli/log_story_test.cpp
@@ -79,6 +79,13 @@
                            text.find("\n              refused since the zone of the backend that could run "
                                      "it is evacuated; to come back in 300 ms; backends passed over: "
                                      "b1:zone_evacuated b2:lags\n") != std::string::npos);
+    std::istringstream busy(
+        R"({"time":"2026-12-02T10:00:02.000000Z","node":"proxy-1","event":"statement_refused","id":"q2","since":"backends_busy","back_in_ms":"179","passed_over":"","gate":"hopeless","ahead":"9","expected_wait_ms":"160"})");
+    LogReader gates;
+    gates.read(busy);
+    const std::string at_gate = print_story(gates.story_of("q2"), "q2");
+    CPPUNIT_ASSERT_MESSAGE(at_gate, at_gate.find("; to come back in 179 ms; at the backend's gate hopeless, "
+                                                 "with 9 ahead and 160 ms to wait\n") != std::string::npos);
     const std::string other = print_story(story_of("q7"), "q7");
     CPPUNIT_ASSERT_MESSAGE("a backend's refusal", other.find("refused since") == std::string::npos);
   }
