A statement that finds no link waits in its place, also when one may be opened by then

Cause: found while reading the code: a statement that lost its link counted as failed at the backend when a link could be opened again at the moment its acquisition ended.

Change: it goes back to the queue whenever all links were in use. A test in which two statements want one link.

--- a/src/registered/proxy/statement/statement_attempt.h
+++ b/src/registered/proxy/statement/statement_attempt.h
@@ -36,7 +36,7 @@
   scheduling::SlotRequest slot;         ///< what the gate was told
   GateOutcome gate;                     ///< what it decided
   TimePoint admitted_at{};
-  bool lacks_link = false;  ///< the pool had no link, and none may be opened yet
+  bool lacks_link = false;  ///< all links were in use, and none could be opened
   placement::SendDecision pre_send_check;
   TimePoint sent_at{};
   runtime::SendState sent = runtime::SendState::kNotSent;
--- a/src/registered/proxy/statement/statement_runner.cpp
+++ b/src/registered/proxy/statement/statement_runner.cpp
@@ -147,7 +147,7 @@
     co_return true;
   }
   const bool is_full = !refusal && attempt->reason.code == ReasonCode::kOverloaded;
-  attempt->lacks_link = is_scheduled && is_full && !backend.pool.may_open();
+  attempt->lacks_link = is_scheduled && is_full;
   const placement::LinkFailure failure{refusal.has_value(), attempt->reason.code == ReasonCode::kOverloaded};
   const auto outcome = placement::after_link_failure(failure, attempt->at_primary);
   if (outcome.may_have_restarted) backend.restart_detector.mark_unreachable();
--- a/tests/registered/proxy/statement/scheduled_admission_test.cpp
+++ b/tests/registered/proxy/statement/scheduled_admission_test.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(hopeless_write_is_refused_at_once);
   CPPUNIT_TEST(read_leaves_for_another_backend);
   CPPUNIT_TEST(waits_for_a_link_without_a_slot);
+  CPPUNIT_TEST(loser_of_a_link_waits_again_without_a_slot);
   CPPUNIT_TEST(tenant_priority_of_the_document_counts);
   CPPUNIT_TEST(answers_teach_the_service_time);
   CPPUNIT_TEST_SUITE_END();
@@ -86,6 +87,21 @@
     CPPUNIT_ASSERT_EQUAL(0U, primary().gate.running());
   }
 
+  void loser_of_a_link_waits_again_without_a_slot() {
+    // Both are admitted while one link may be opened.
+    primary().pool.set_limit(1);
+    stand_->during(Step::kStatement, [] {});
+    const auto first = spawn(stand_->write("first"));
+    const auto second = spawn(stand_->write("second"));
+    stand_->run_for(milliseconds(2));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("one runs", 1U, primary().gate.running());
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("the other waits", std::size_t{1}, primary().gate.waiting());
+    stand_->run_for(kEventStepDuration);
+    CPPUNIT_ASSERT(first->has_value() && (*first)->answer.succeeded());
+    CPPUNIT_ASSERT(second->has_value() && (*second)->answer.succeeded());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stand_->dialled_tenants().size());
+  }
+
   void tenant_priority_of_the_document_counts() {
     registry::FleetDelta changed = stand_->delta();
     registry::TenantRule tenant;
@@ -118,9 +134,13 @@
   BackendState& backend(const char* name) { return *stand_->group()->backends.all().at(BackendName(name)); }
   BackendState& primary() { return backend(SessionStand::kPrimary); }
 
-  std::shared_ptr<std::optional<RunResult>> start(StatementRequest request) {
+  std::shared_ptr<std::optional<RunResult>> spawn(StatementRequest request) {
     auto result = std::make_shared<std::optional<RunResult>>();
     stand_->runtime().spawn("run", run_statement(*runner_, std::move(request), result));
+    return result;
+  }
+  std::shared_ptr<std::optional<RunResult>> start(StatementRequest request) {
+    auto result = spawn(std::move(request));
     stand_->run_for(Duration(0));
     return result;
   }
