Test of two statements that want one link makes them want it at once

Cause: the mutation of this rule was not caught: the first statement took the link before the second came to the gate. Change: both wait at a full gate and are admitted together.

--- a/tests/registered/proxy/statement/scheduled_admission_test.cpp
+++ b/tests/registered/proxy/statement/scheduled_admission_test.cpp
@@ -88,12 +88,14 @@
   }
 
   void loser_of_a_link_waits_again_without_a_slot() {
-    // Both are admitted while one link may be opened.
+    // Both wait until slots are free, and are admitted together while one link may be opened.
     primary().pool.set_limit(1);
+    stand_->occupy_gate(SessionStand::kPrimary);
     stand_->during(Step::kStatement, [] {});
-    const auto first = spawn(stand_->write("first"));
-    const auto second = spawn(stand_->write("second"));
-    stand_->run_for(milliseconds(2));
+    const auto first = start(stand_->write("first"));
+    const auto second = start(stand_->write("second"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, primary().gate.waiting());
+    stand_->run_for(kEventStepDuration + milliseconds(2));
     CPPUNIT_ASSERT_EQUAL_MESSAGE("one runs", 1U, primary().gate.running());
     CPPUNIT_ASSERT_EQUAL_MESSAGE("the other waits", std::size_t{1}, primary().gate.waiting());
     stand_->run_for(kEventStepDuration);
@@ -134,13 +136,9 @@
   BackendState& backend(const char* name) { return *stand_->group()->backends.all().at(BackendName(name)); }
   BackendState& primary() { return backend(SessionStand::kPrimary); }
 
-  std::shared_ptr<std::optional<RunResult>> spawn(StatementRequest request) {
+  std::shared_ptr<std::optional<RunResult>> start(StatementRequest request) {
     auto result = std::make_shared<std::optional<RunResult>>();
     stand_->runtime().spawn("run", run_statement(*runner_, std::move(request), result));
-    return result;
-  }
-  std::shared_ptr<std::optional<RunResult>> start(StatementRequest request) {
-    auto result = spawn(std::move(request));
     stand_->run_for(Duration(0));
     return result;
   }
