--- a/tests/registered/proxy/statement/scheduled_admission_test.cpp
+++ b/tests/registered/proxy/statement/scheduled_admission_test.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(hopeless_write_is_refused_at_once);
   CPPUNIT_TEST(read_leaves_for_another_backend);
   CPPUNIT_TEST(waits_for_a_link_without_a_slot);
+  CPPUNIT_TEST(loser_of_a_link_waits_again_without_a_slot);
   CPPUNIT_TEST(tenant_priority_of_the_document_counts);
   CPPUNIT_TEST(answers_teach_the_service_time);
   CPPUNIT_TEST_SUITE_END();
@@ -86,6 +87,23 @@
     CPPUNIT_ASSERT_EQUAL(0U, primary().gate.running());
   }
 
+  void loser_of_a_link_waits_again_without_a_slot() {
+    // Both wait until slots are free, and are admitted together while one link may be opened.
+    primary().pool.set_limit(1);
+    stand_->occupy_gate(SessionStand::kPrimary);
+    stand_->during(Step::kStatement, [] {});
+    const auto first = start(stand_->write("first"));
+    const auto second = start(stand_->write("second"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, primary().gate.waiting());
+    stand_->run_for(kEventStepDuration + milliseconds(2));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("one runs", 1U, primary().gate.running());
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("the other waits", std::size_t{1}, primary().gate.waiting());
+    stand_->run_for(kEventStepDuration);
+    CPPUNIT_ASSERT(first->has_value() && (*first)->answer.succeeded());
+    CPPUNIT_ASSERT(second->has_value() && (*second)->answer.succeeded());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stand_->dialled_tenants().size());
+  }
+
   void tenant_priority_of_the_document_counts() {
     registry::FleetDelta changed = stand_->delta();
     registry::TenantRule tenant;
