An overloaded proxy refuses new work of the lowest classes first

Cause: on a deployment whose machines have links of 2 Mbit/s, 24 of 63 proxies carried all callers while the others were cut off from control. Ruled out: the backends' slots (all 24 backends were equally slow, though their owners had few statements there), processor time.

A refused operation takes no quota token, and a forwarded one is refused by the proxy that would run it. On where the settings name the rate of the link (link_rate).

--- a/src/cli/settings_registered.cpp
+++ b/src/cli/settings_registered.cpp
@@ -10,6 +10,7 @@
 constexpr Range<std::uint32_t> kPortRange{1, 65535};
 constexpr Range<double> kOvershootRange{0, 10};
 constexpr Range<double> kSlackRange{0, 1'000'000};
+constexpr Range<double> kLinkRateRange{0, 1'000'000};
 constexpr Range<std::uint32_t> kToleranceRange{0, 3};
 constexpr Range<double> kPromotionRateRange{0, 10'000};
 
@@ -62,6 +63,7 @@
   reader.read("evacuation_bound", settings.evacuation_bound, kDelayRange);
   reader.read("cold_overshoot", settings.cold_overshoot, kOvershootRange);
   reader.read("cold_slack", settings.cold_slack, kSlackRange);
+  reader.read("link_rate", settings.link_rate, kLinkRateRange);
   Duration change_bound{0};
   reader.read("change_bound", change_bound, kIntervalRange);
   // The other half is for the way of the change to this proxy.
--- a/src/host/asio_runtime.cpp
+++ b/src/host/asio_runtime.cpp
@@ -26,9 +26,9 @@
                 runtime::standard_output_sink()),
         random_(settings.random_seed),
         storage_(executor_, settings.data_folder),
-        network_(executor_),
+        network_(executor_, &traffic_),
         http_(http::make_http_transport(executor_, *this)),
-        lines_(executor_) {}
+        lines_(executor_, &traffic_) {}
 
   [[nodiscard]] TimePoint now() const override { return runtime::steady_now(); }
   [[nodiscard]] std::int64_t wall_clock_microseconds() const override { return system_microseconds(); }
@@ -43,11 +43,13 @@
   runtime::Storage& storage() override { return storage_; }
   runtime::Random& random() override { return random_; }
   runtime::Logger& logger() override { return logger_; }
+  [[nodiscard]] runtime::Traffic traffic() const override { return traffic_; }
 
  private:
   void report_fault(const std::string& coroutine, const std::exception_ptr& fault);
 
   boost::asio::any_io_executor executor_;
+  runtime::Traffic traffic_;
   runtime::JsonLogger logger_;
   runtime::SeededRandom random_;
   runtime::PosixStorage storage_;
--- a/src/registered/placement/retry_after.h
+++ b/src/registered/placement/retry_after.h
@@ -7,6 +7,8 @@
 
 /// The group has no primary, the proxy no lease, or the backends no capacity.
 inline constexpr Duration kRetryAfterWithoutPrimary = std::chrono::milliseconds(300);
+/// This proxy is overloaded. Its load is measured over several intervals before it admits more.
+inline constexpr Duration kRetryAfterOverload = std::chrono::milliseconds(500);
 /// Only backends in evacuated zones could run the statement. This lasts until operators end the evacuation or
 /// the group's primary is moved.
 inline constexpr Duration kRetryAfterEvacuation = std::chrono::seconds(1);
--- a/src/registered/proxy/callers/caller_session.cpp
+++ b/src/registered/proxy/callers/caller_session.cpp
@@ -310,6 +310,8 @@
 }
 
 Awaitable<RunResult> CallerSession::run_admitted(StatementRequest request) {
+  if (!services_.overload.admits(request.route.priority))
+    co_return runner_.refuse_overloaded(std::move(request));
   RunResult result;
   std::optional<TimePoint> token;
   const bool admitted = co_await admit(request, token, result.answer);
--- a/src/registered/proxy/forwarding/forward_server.cpp
+++ b/src/registered/proxy/forwarding/forward_server.cpp
@@ -153,7 +153,10 @@
     co_return forwarded;
   }
   const auto group = statement->group;
-  RunResult result = co_await runner_.run(std::move(*statement));
+  const bool is_admitted = services_.overload.admits(statement->route.priority);
+  RunResult result;
+  if (is_admitted) result = co_await runner_.run(std::move(*statement));
+  if (!is_admitted) result = runner_.refuse_overloaded(std::move(*statement));
   forwarded.answer = std::move(result.answer);
   forwarded.nothing_run = result.nothing_run;
   forwarded.at_primary = result.served_by == ServedBy::kPrimary;
--- a/src/registered/proxy/session_metrics.h
+++ b/src/registered/proxy/session_metrics.h
@@ -65,6 +65,11 @@
     gate_running_.Set(static_cast<double>(running));
     gate_waiting_.Set(static_cast<double>(waiting));
   }
+  /// `link_load`: used part of the machine's link. `refused_classes`: counted from the lowest.
+  void set_overload(double link_load, double refused_classes) {
+    link_load_.Set(link_load);
+    refused_classes_.Set(refused_classes);
+  }
   void count_lost_answer() { lost_answers_.Increment(); }
   void set_sessions(std::size_t sessions) { sessions_.Set(static_cast<double>(sessions)); }
   void set_member_leases(std::size_t groups) { member_leases_.Set(static_cast<double>(groups)); }
@@ -89,6 +94,8 @@
   std::array<std::array<prometheus::Counter*, kGateVerdicts>, scheduling::kDemandClasses> gate_refused_{};
   prometheus::Gauge& gate_running_;
   prometheus::Gauge& gate_waiting_;
+  prometheus::Gauge& link_load_;
+  prometheus::Gauge& refused_classes_;
   prometheus::Counter& lost_answers_;
   prometheus::Counter& token_requests_;
   prometheus::Counter& evacuated_transactions_;
--- a/src/registered/proxy/session_proxy.cpp
+++ b/src/registered/proxy/session_proxy.cpp
@@ -78,7 +78,8 @@
         limits_(runtime, view_, forwarder_, metrics_),
         owners_(runtime, settings_.node, settings_.zone, wire::Conversation::kBackendRoom),
         demands_(runtime, view_, owners_),
-        services_{runtime, view_, link_, metrics_, forwarder_, limits_, demands_},
+        overload_(runtime, settings_.link_rate),
+        services_{runtime, view_, link_, metrics_, forwarder_, limits_, demands_, overload_},
         forward_server_(services_),
         known_registrations_(runtime, view_, link_, metrics_),
         readiness_(
@@ -124,6 +125,7 @@
   LimitClient limits_;
   Forwarder owners_;  ///< connections to other owners of backends
   DemandExchange demands_;
+  OverloadControl overload_;
   SessionServices services_;
   ForwardServer forward_server_;
   KnownRegistrations known_registrations_;
@@ -145,6 +147,7 @@
   link_.start();
   member_leases_.start();
   positions_.start();
+  overload_.start();
   runtime_.spawn("session_watch", watch());
   runtime_.spawn("session_warm", warm_links());
   listener_ = runtime_.lines().listen(settings_.session_endpoint, reason);
@@ -274,6 +277,7 @@
     }
   }
   metrics_.set_gates(running, waiting);
+  metrics_.set_overload(overload_.load(), overload_.refused_classes());
 }
 
 void SessionProxy::end_evacuated_work() {
@@ -328,6 +332,7 @@
   forward_server_.stop();
   member_leases_.stop();
   positions_.stop();
+  overload_.stop();
   link_.stop();
 }
 
--- a/src/registered/proxy/session_services.h
+++ b/src/registered/proxy/session_services.h
@@ -6,6 +6,7 @@
 #include "registered/proxy/fleet/fleet_view.h"
 #include "registered/proxy/forwarding/forwarder.h"
 #include "registered/proxy/limits/limit_client.h"
+#include "registered/proxy/overload/overload_control.h"
 #include "registered/proxy/session_metrics.h"
 #include "runtime/runtime.h"
 
@@ -19,6 +20,7 @@
   Forwarder& forwarder;
   LimitClient& limits;
   DemandExchange& demands;
+  OverloadControl& overload;
 };
 
 }  // namespace cairnhollow::registered::proxy
--- a/src/registered/proxy/settings.h
+++ b/src/registered/proxy/settings.h
@@ -34,7 +34,9 @@
   /// All proxies together send a cold backend at most its rate times `cold_overshoot`, plus `cold_slack`
   /// statements, per second. Both 0: no limit.
   double cold_overshoot = 0;
-  double cold_slack = 0;                           ///< statements
+  double cold_slack = 0;  ///< statements
+  /// Rate of the machine's network link in Mbit/s; 0: not known.
+  double link_rate = 0;
   Duration drain_limit = std::chrono::seconds(6);  ///< from SIGTERM to process exit
 };
 
--- a/src/registered/proxy/statement/statement_runner.cpp
+++ b/src/registered/proxy/statement/statement_runner.cpp
@@ -129,6 +129,16 @@
                         std::move(reason));
 }
 
+RunResult StatementRunner::refuse_overloaded(StatementRequest request) {
+  StatementAttempt attempt(std::move(request));
+  Reason reason{
+      ReasonCode::kOverloaded, "admit_class", services_.view.node().value,
+      fmt::format("{:.2f} of the network link is used, {:.2f} of the classes are refused from the lowest",
+                  services_.overload.load(), services_.overload.refused_classes())};
+  return refuse_untried(attempt, RejectionReason::kOverloaded, placement::kRetryAfterOverload,
+                        std::move(reason));
+}
+
 Awaitable<bool> StatementRunner::acquire_link(AttemptPointer attempt) {
   const StatementRequest& request = attempt->request;
   BackendState& backend = *attempt->backend;
--- a/src/registered/proxy/statement/statement_runner.h
+++ b/src/registered/proxy/statement/statement_runner.h
@@ -34,6 +34,9 @@
   /// Runs and ends the transactions that run() has opened.
   [[nodiscard]] PinnedTransactions& transactions() { return transactions_; }
 
+  /// Refuses a statement whose class this overloaded proxy does not admit.
+  RunResult refuse_overloaded(StatementRequest request);
+
  private:
   using AttemptPointer = std::shared_ptr<StatementAttempt>;
 
--- a/src/runtime/asio/asio_lines.cpp
+++ b/src/runtime/asio/asio_lines.cpp
@@ -16,7 +16,8 @@
 
 class AsioLineConnection : public LineConnection {
  public:
-  explicit AsioLineConnection(tcp::socket socket) : stream_(std::make_shared<ByteStream>(std::move(socket))) {
+  AsioLineConnection(tcp::socket socket, Traffic* traffic)
+      : stream_(std::make_shared<ByteStream>(std::move(socket))), traffic_(traffic) {
     stream_->start([] {});
   }
   ~AsioLineConnection() override { AsioLineConnection::close(); }
@@ -34,6 +35,7 @@
   std::optional<std::string> take_line();
 
   std::shared_ptr<ByteStream> stream_;
+  Traffic* traffic_;
   std::size_t searched_ = 0;  ///< number of unread bytes known to contain no line end
 };
 
@@ -74,6 +76,7 @@
 Awaitable<bool> AsioLineConnection::write(std::string lines, Reason& reason) {
   const auto stream = stream_;
   bool any_sent = false;
+  if (traffic_ != nullptr) traffic_->count_sent(lines.size());
   const bool sent = co_await stream->write(lines, any_sent);
   if (!sent) reason = stream->close_reason();
   co_return sent;
@@ -81,13 +84,15 @@
 
 class AsioLineListener : public LineListener {
  public:
-  explicit AsioLineListener(tcp::acceptor acceptor)
-      : acceptor_(std::move(acceptor)), endpoint_(to_endpoint(acceptor_.local_endpoint())) {}
+  AsioLineListener(tcp::acceptor acceptor, Traffic* traffic)
+      : acceptor_(std::move(acceptor)),
+        endpoint_(to_endpoint(acceptor_.local_endpoint())),
+        traffic_(traffic) {}
 
   Awaitable<std::shared_ptr<LineConnection>> accept(Reason& reason) override {
     auto socket = co_await accept_tcp(acceptor_, reason);
     if (!socket) co_return nullptr;
-    co_return std::make_shared<AsioLineConnection>(std::move(*socket));
+    co_return std::make_shared<AsioLineConnection>(std::move(*socket), traffic_);
   }
   void close() override {
     boost::system::error_code ignored;
@@ -98,6 +103,7 @@
  private:
   tcp::acceptor acceptor_;
   Endpoint endpoint_;
+  Traffic* traffic_;
 };
 
 }  // namespace
@@ -106,13 +112,13 @@
                                                                       Reason& reason) {
   auto socket = co_await connect_tcp(executor_, std::move(endpoint), deadline, reason);
   if (!socket) co_return nullptr;
-  co_return std::make_shared<AsioLineConnection>(std::move(*socket));
+  co_return std::make_shared<AsioLineConnection>(std::move(*socket), traffic_);
 }
 
 std::unique_ptr<LineListener> AsioLineTransport::listen(const Endpoint& endpoint, Reason& reason) {
   auto acceptor = listen_tcp(executor_, endpoint, reason);
   if (!acceptor) return nullptr;
-  return std::make_unique<AsioLineListener>(std::move(*acceptor));
+  return std::make_unique<AsioLineListener>(std::move(*acceptor), traffic_);
 }
 
 }  // namespace cairnhollow::runtime
--- a/src/runtime/asio/asio_lines.h
+++ b/src/runtime/asio/asio_lines.h
@@ -4,12 +4,16 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include "runtime/lines.h"
+#include "runtime/traffic.h"
 
 namespace cairnhollow::runtime {
 
 class AsioLineTransport : public LineTransport {
  public:
-  explicit AsioLineTransport(boost::asio::any_io_executor executor) : executor_(std::move(executor)) {}
+  /// `traffic`: counts what is sent; not owned, must outlive this object and its connections. Null: not
+  /// counted.
+  explicit AsioLineTransport(boost::asio::any_io_executor executor, Traffic* traffic = nullptr)
+      : executor_(std::move(executor)), traffic_(traffic) {}
 
   Awaitable<std::shared_ptr<LineConnection>> connect(Endpoint endpoint, TimePoint deadline,
                                                      Reason& reason) override;
@@ -17,6 +21,7 @@
 
  private:
   boost::asio::any_io_executor executor_;
+  Traffic* traffic_;
 };
 
 }  // namespace cairnhollow::runtime
--- a/src/runtime/asio/asio_network.cpp
+++ b/src/runtime/asio/asio_network.cpp
@@ -30,7 +30,8 @@
 
 class AsioFrameConnection : public FrameConnection, public std::enable_shared_from_this<AsioFrameConnection> {
  public:
-  explicit AsioFrameConnection(tcp::socket socket) : socket_(std::move(socket)), peer_(peer_name(socket_)) {}
+  AsioFrameConnection(tcp::socket socket, Traffic* traffic)
+      : socket_(std::move(socket)), peer_(peer_name(socket_)), traffic_(traffic) {}
 
   Awaitable<bool> send(std::string frame, Reason& reason) override;
   Awaitable<std::optional<std::string>> receive(Reason& reason) override;
@@ -51,6 +52,7 @@
 
   tcp::socket socket_;
   std::string peer_;
+  Traffic* traffic_;
   ReadBuffer received_;
   std::uint64_t bytes_received_ = 0;
 };
@@ -65,6 +67,7 @@
   const auto length = boost::endian::native_to_big(static_cast<std::uint32_t>(frame.size()));
   const std::array<asio::const_buffer, 2> buffers{asio::buffer(&length, sizeof length), asio::buffer(frame)};
   error_code error;
+  if (traffic_ != nullptr) traffic_->count_sent(frame.size() + sizeof length);
   co_await asio::async_write(socket_, buffers, asio::redirect_error(asio::use_awaitable, error));
   if (error) reason = lost("send_frame", error.message());
   co_return !error;
@@ -125,8 +128,10 @@
 
 class AsioFrameListener : public FrameListener {
  public:
-  explicit AsioFrameListener(tcp::acceptor acceptor)
-      : acceptor_(std::move(acceptor)), endpoint_(to_endpoint(acceptor_.local_endpoint())) {}
+  AsioFrameListener(tcp::acceptor acceptor, Traffic* traffic)
+      : acceptor_(std::move(acceptor)),
+        endpoint_(to_endpoint(acceptor_.local_endpoint())),
+        traffic_(traffic) {}
 
   Awaitable<std::shared_ptr<FrameConnection>> accept(Reason& reason) override;
   void close() override {
@@ -138,12 +143,13 @@
  private:
   tcp::acceptor acceptor_;
   Endpoint endpoint_;
+  Traffic* traffic_;
 };
 
 Awaitable<std::shared_ptr<FrameConnection>> AsioFrameListener::accept(Reason& reason) {
   auto socket = co_await accept_tcp(acceptor_, reason);
   if (!socket) co_return nullptr;
-  co_return std::make_shared<AsioFrameConnection>(std::move(*socket));
+  co_return std::make_shared<AsioFrameConnection>(std::move(*socket), traffic_);
 }
 
 }  // namespace
@@ -152,13 +158,13 @@
                                                                  Reason& reason) {
   auto socket = co_await connect_tcp(executor_, endpoint, deadline, reason);
   if (!socket) co_return nullptr;
-  co_return std::make_shared<AsioFrameConnection>(std::move(*socket));
+  co_return std::make_shared<AsioFrameConnection>(std::move(*socket), traffic_);
 }
 
 std::unique_ptr<FrameListener> AsioNetwork::listen(const Endpoint& endpoint, Reason& reason) {
   auto acceptor = listen_tcp(executor_, endpoint, reason);
   if (!acceptor) return nullptr;
-  return std::make_unique<AsioFrameListener>(std::move(*acceptor));
+  return std::make_unique<AsioFrameListener>(std::move(*acceptor), traffic_);
 }
 
 }  // namespace cairnhollow::runtime
--- a/src/runtime/asio/asio_network.h
+++ b/src/runtime/asio/asio_network.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "runtime/network.h"
+#include "runtime/traffic.h"
 
 namespace cairnhollow::runtime {
 
@@ -18,7 +19,10 @@
 
 class AsioNetwork : public Network {
  public:
-  explicit AsioNetwork(boost::asio::any_io_executor executor) : executor_(std::move(executor)) {}
+  /// `traffic`: counts what is sent; not owned, must outlive this object and its connections. Null: not
+  /// counted.
+  explicit AsioNetwork(boost::asio::any_io_executor executor, Traffic* traffic = nullptr)
+      : executor_(std::move(executor)), traffic_(traffic) {}
 
   Awaitable<std::shared_ptr<FrameConnection>> connect(Endpoint endpoint, TimePoint deadline,
                                                       Reason& reason) override;
@@ -26,6 +30,7 @@
 
  private:
   boost::asio::any_io_executor executor_;
+  Traffic* traffic_;
 };
 
 }  // namespace cairnhollow::runtime
--- a/src/runtime/runtime.h
+++ b/src/runtime/runtime.h
@@ -14,6 +14,7 @@
 #include "runtime/network.h"
 #include "runtime/random.h"
 #include "runtime/storage.h"
+#include "runtime/traffic.h"
 
 namespace cairnhollow::runtime {
 
@@ -46,6 +47,8 @@
   virtual Storage& storage() = 0;
   virtual Random& random() = 0;
   virtual Logger& logger() = 0;
+  /// What this process has sent. All zero where it is not counted.
+  [[nodiscard]] virtual Traffic traffic() const { return {}; }
 
   /// Waits until `delay` has passed.
   Awaitable<void> sleep_for(Duration delay);
--- a/tests/registered/proxy/session_stand.cpp
+++ b/tests/registered/proxy/session_stand.cpp
@@ -179,6 +179,7 @@
   owners_ =
       std::make_unique<Forwarder>(*runtime_, settings.node, settings.zone, wire::Conversation::kBackendRoom);
   demands_ = std::make_unique<DemandExchange>(*runtime_, *view_, *owners_);
+  overload_ = std::make_unique<OverloadControl>(*runtime_, 0);
   registry::FleetDelta first = delta();
   first.is_full = true;
   first.routes = {route_of()};
@@ -204,7 +205,7 @@
 }
 
 SessionServices SessionStand::services() {
-  return {*runtime_, *view_, *link_, metrics_, *forwarder_, *limits_, *demands_};
+  return {*runtime_, *view_, *link_, metrics_, *forwarder_, *limits_, *demands_, *overload_};
 }
 
 bool SessionStand::finish(Awaitable<void> task, Duration limit) {
--- a/tests/registered/proxy/session_stand.h
+++ b/tests/registered/proxy/session_stand.h
@@ -100,6 +100,7 @@
   std::unique_ptr<LimitClient> limits_;
   std::unique_ptr<Forwarder> owners_;
   std::unique_ptr<DemandExchange> demands_;
+  std::unique_ptr<OverloadControl> overload_;
   std::map<Step, std::function<void()>> events_;
   std::map<std::string, std::vector<std::string>> sent_;
   std::vector<std::string> dialled_tenants_;
--- a/tests/registered/proxy/statement/cold_sending_test.cpp
+++ b/tests/registered/proxy/statement/cold_sending_test.cpp
@@ -135,7 +135,8 @@
         forwarder(runtime, NodeName("proxy"), ZoneName("a")),
         limits(runtime, view, forwarder, metrics),
         demands(runtime, view, forwarder),
-        runner({runtime, view, link, metrics, forwarder, limits, demands}) {
+        overload(runtime, 0),
+        runner({runtime, view, link, metrics, forwarder, limits, demands, overload}) {
     view.apply(delta);
   }
 
@@ -147,6 +148,7 @@
   Forwarder forwarder;
   LimitClient limits;
   DemandExchange demands;
+  OverloadControl overload;
   StatementRunner runner;
 };
 
--- a/tests/registered/proxy/statement/runner_fixture.h
+++ b/tests/registered/proxy/statement/runner_fixture.h
@@ -172,7 +172,8 @@
         forwarder(runtime, NodeName("proxy"), ZoneName("a")),
         limits(runtime, view, forwarder, metrics),
         demands(runtime, view, forwarder),
-        runner({runtime, view, link, metrics, forwarder, limits, demands}) {
+        overload(runtime, 0),
+        runner({runtime, view, link, metrics, forwarder, limits, demands, overload}) {
     view.apply(fleet());
     view.extend_lease(runtime.now(), runtime.now() + lease, 1);
   }
@@ -185,6 +186,7 @@
   Forwarder forwarder;
   LimitClient limits;
   DemandExchange demands;
+  OverloadControl overload;
   StatementRunner runner;
 };
 
--- a/tests/registered/proxy/statement/statement_regions_test.cpp
+++ b/tests/registered/proxy/statement/statement_regions_test.cpp
@@ -125,7 +125,8 @@
         forwarder(runtime, NodeName("proxy"), ZoneName("s1")),
         limits(runtime, view, forwarder, metrics),
         demands(runtime, view, forwarder),
-        runner({runtime, view, link, metrics, forwarder, limits, demands}) {
+        overload(runtime, 0),
+        runner({runtime, view, link, metrics, forwarder, limits, demands, overload}) {
     view.apply(fleet());
     view.extend_lease(runtime.now(), runtime.now() + seconds(60), 1);
   }
@@ -139,6 +140,7 @@
   Forwarder forwarder;
   LimitClient limits;
   DemandExchange demands;
+  OverloadControl overload;
   StatementRunner runner;
 };
 
@@ -242,7 +244,7 @@
     const auto caller = std::make_shared<ReadingCaller>(*runtime_);
     const auto session = std::make_shared<CallerSession>(
         SessionServices{*runtime_, proxy_->view, proxy_->link, proxy_->metrics, proxy_->forwarder,
-                        proxy_->limits, proxy_->demands},
+                        proxy_->limits, proxy_->demands, proxy_->overload},
         caller);
     runtime_->spawn("session", session->run());
     CPPUNIT_ASSERT(world_->run_until([&] { return caller->answers.size() == 1; }, seconds(1)));
