Waits follow from what callers still gain, with one budget for all waits of a statement

Sessions were refused 0.7 s after a start. The steps of a return, from the logs: processes at 35.85 s, leader at 36.10, leases 36.45 to 36.68, backends refuse connections until 37.35 (they count those of the dead proxies for 3 s), groups without their primary open at 38.2 to 38.4. Ruled out: longer fixed times, as they would hold for deployments whose callers gain nothing by them.

Change: wait_budget.h: a wait ends at min(asked + target latency, deadline) less the time for the run, and never before the third of the timeout that was allowed; slots and links use what is left of it. What a session waited and what passed at a forwarding proxy counts. lease_expectation.h: beyond the fixed times a lease is expected while control nodes are heard, for 4 s; only for work that may wait longer. Sessions wait for 1.75 s where no document is known (callers close after 2 s). A statement that no backend was sent may be tried more than four times, with pauses that double up to 100 ms; likewise proxies that accepted nothing are asked again. Constants: kLinkOpeningTime 60 ms, two handshakes over a region's 30 ms; kInitialRunTime 60 ms, several times a usual statement; kSessionOpenMargin 250 ms, the way of the first line and the answer; kControlAliveWithin 1 s, above the 0.9 s of a first answer; kLeaderExpectedWithin 4 s, several election timeouts; kLongestRetryPause 100 ms, below the 150 ms that a refused dial pauses.

Tests: statement_progress_test.cpp: fresh() now takes half of its target for the run, so that all rows of the waits of today stay word for word; rows of the longer waits are new. leader_search_test.cpp passes the new argument of the constructor.

--- a/src/registered/placement/facts.h
+++ b/src/registered/placement/facts.h
@@ -61,7 +61,9 @@
 struct AttemptAllowance {
   bool may_attempt = true;  ///< time and attempts are left
   bool may_wait = true;     ///< it may wait for a lease, a primary or a backend
-  bool was_sent = false;    ///< it was already sent to a backend
+  /// The same, since its target latency allows a longer wait than most routes have (wait_budget.h).
+  bool may_wait_longer = false;
+  bool was_sent = false;  ///< it was already sent to a backend
 };
 
 /// Whether a caller's API key is required and valid.
--- a/src/registered/placement/placement.cpp
+++ b/src/registered/placement/placement.cpp
@@ -88,6 +88,8 @@
                                  const AttemptAllowance& allowance) {
   if (!outcome.may_try_another) return refuse(RejectionReason::kNone, kRetryAfterWithoutPrimary);
   if (proxy.holds_lease && outcome.has_waited) return run_at(0);
+  // The others may get their leases, or be reachable, a moment later than this proxy.
+  if (proxy.holds_lease && allowance.may_wait_longer) return wait_for(RejectionReason::kNoProxy);
   if (proxy.holds_lease) return refuse(RejectionReason::kNoProxy, kRetryAfterWithoutPrimary);
   if (proxy.expects_lease && allowance.may_wait) return wait_for(RejectionReason::kNoLease);
   return refuse(RejectionReason::kNoLease, kRetryAfterWithoutPrimary);
--- a/src/registered/placement/placement.h
+++ b/src/registered/placement/placement.h
@@ -51,9 +51,9 @@
 /// How a forwarding ended without a success from any proxy.
 struct ForwardingOutcome {
   bool may_try_another = true;  ///< it certainly did not run, or can safely run again
-  bool has_waited = false;      ///< it has waited for the lease since then
+  bool has_waited = false;      ///< it has waited for the lease, or paused, since then
 };
-/// Decides to start over (kRun), wait for the lease (kWait) or give up (kRefuse).
+/// Decides to start over (kRun), wait for the lease or pause (kWait) or give up (kRefuse).
 Placement place_after_forwarding(const ForwardingOutcome& outcome, const ProxyFacts& proxy,
                                  const AttemptAllowance& allowance);
 
--- a/src/registered/placement/statement_progress.cpp
+++ b/src/registered/placement/statement_progress.cpp
@@ -4,25 +4,51 @@
 
 namespace cairnhollow::registered::placement {
 
-TimePoint refusal_time(const StatementProgress& progress) {
-  return progress.arrived + (progress.deadline - progress.arrived) / kRefusalDivisor;
-}
+TimePoint refusal_time(const StatementProgress& progress) { return wait_end(progress.wait_budget()); }
 
 AttemptAllowance attempt_allowance_at(const StatementProgress& progress, TimePoint now) {
   AttemptAllowance allowance;
-  allowance.may_attempt = progress.attempts < kMaxAttempts && now < progress.deadline;
   allowance.may_wait = now < refusal_time(progress);
+  allowance.may_wait_longer = allowance.may_wait && allows_longer_wait(progress.wait_budget());
+  const bool is_patient = allowance.may_wait_longer && !progress.was_sent;
+  allowance.may_attempt = (progress.attempts < kMaxAttempts || is_patient) && now < progress.deadline;
   allowance.was_sent = progress.was_sent;
   return allowance;
 }
 
+namespace {
+
+/// `first`, doubled `times` times, at most kLongestRetryPause.
+Duration doubled(Duration first, int times) {
+  Duration pause = first;
+  for (int each = 0; each < times && pause < kLongestRetryPause; ++each) pause *= 2;
+  return std::min(pause, kLongestRetryPause);
+}
+
+}  // namespace
+
+Duration retry_pause(const StatementProgress& progress) {
+  if (!allows_longer_wait(progress.wait_budget())) return kRetryPause;
+  return doubled(kRetryPause, progress.attempts - kMaxAttempts);
+}
+
+Duration wait_pause(const StatementProgress& progress, RejectionReason cause) {
+  const bool is_notified = cause == RejectionReason::kNoLease || cause == RejectionReason::kGroupClosed;
+  if (is_notified && allows_longer_wait(progress.wait_budget())) return kEventCheckInterval;
+  return retry_pause(progress);
+}
+
+Duration forwarding_pause(int rounds) { return doubled(kRetryPause, rounds); }
+
 TimePoint link_wait_end(const StatementProgress& progress, TimePoint now) {
   if (!progress.was_sent) return refusal_time(progress);
   return std::min(progress.deadline, now + kShortestReadWait);
 }
 
 TimePoint slot_wait_end(const StatementProgress& progress, TimePoint now) {
-  const TimePoint useful = progress.arrived + progress.target_latency / kSlotWaitDivisor;
+  const WaitBudget budget = progress.wait_budget();
+  TimePoint useful = progress.arrived + progress.target_latency / kSlotWaitDivisor;
+  if (allows_longer_wait(budget)) useful = std::max(useful, useful_wait_end(budget));
   return std::min(link_wait_end(progress, now), std::max(useful, now + kRetryPause));
 }
 
--- a/src/registered/proxy/callers/caller_session.cpp
+++ b/src/registered/proxy/callers/caller_session.cpp
@@ -15,9 +15,10 @@
 
 /// Longest wait for a caller's first line.
 constexpr Duration kStartTimeout = std::chrono::seconds(5);
-/// Longest wait of a new session for a serving lease, for example while the fleet starts, and for control's
-/// confirmation that its key is unknown.
-constexpr Duration kStartLeaseWait = std::chrono::milliseconds(700);
+/// Longest wait of a new session for control's confirmation that its key is unknown.
+constexpr Duration kKeyConfirmationWait = std::chrono::milliseconds(700);
+/// Interval at which a waiting session checks whether a lease is still expected.
+constexpr Duration kExpectationCheckInterval = std::chrono::milliseconds(50);
 /// Maximum number of session values, and of prepared statements, per session.
 constexpr std::size_t kMaxSessionEntries = 1024;
 
@@ -55,9 +56,9 @@
   if (!start) co_return false;
   database_ = start->database;
   key_ = start->key;
-  const TimePoint give_up_at = services_.runtime.now() + kStartLeaseWait;
-  while (!may_open() && services_.view.expects_lease() && services_.runtime.now() < give_up_at)
-    co_await services_.view.renewed().wait_until(give_up_at);
+  const TimePoint arrived = services_.runtime.now();
+  co_await await_lease(arrived);
+  waited_to_open_ = services_.runtime.now() - arrived;
   const bool has_lease = services_.view.lease_valid();
   Refusal refusal = has_lease ? Refusal::kUnknownDatabase : Refusal::kBusy;
   std::string detail =
@@ -78,9 +79,21 @@
   co_return false;
 }
 
+Awaitable<void> CallerSession::await_lease(TimePoint arrived) {
+  FleetView& view = services_.view;
+  while (!may_open()) {
+    const bool knows_document = view.document_version() > 0;
+    const TimePoint now = services_.runtime.now();
+    const TimePoint give_up_at = placement::session_wait_end(arrived, knows_document);
+    if (now >= give_up_at || !view.expects_lease(!knows_document)) co_return;
+    // Whether a lease is still expected changes without a notification.
+    co_await view.renewed().wait_until(std::min(give_up_at, now + kExpectationCheckInterval));
+  }
+}
+
 Awaitable<std::optional<Refusal>> CallerSession::check_key() {
   const TimePoint arrived = services_.runtime.now();
-  const TimePoint give_up_at = arrived + kStartLeaseWait;
+  const TimePoint give_up_at = arrived + kKeyConfirmationWait;
   FleetView& view = services_.view;
   const auto proves_tenant = [&] {
     const registry::RouteRule* route = view.find_route(database_);
@@ -88,8 +101,8 @@
     return !needs_key || view.tenants().find_by_key(key_) != nullptr;
   };
   if (!proves_tenant() && view.lease_valid()) services_.link.request_report();
-  while (!proves_tenant() && view.expects_lease() && !view.keys_confirmed().is_confirmed_since(arrived) &&
-         services_.runtime.now() < give_up_at)
+  while (!proves_tenant() && view.expects_lease(false) &&
+         !view.keys_confirmed().is_confirmed_since(arrived) && services_.runtime.now() < give_up_at)
     co_await view.renewed().wait_until(give_up_at);
   if (proves_tenant()) co_return std::nullopt;
   co_return view.keys_confirmed().is_confirmed_since(arrived) ? Refusal::kUnauthorized : Refusal::kBusy;
@@ -257,6 +270,7 @@
   if (committed_group_ == request.group->name) request.committed = committed_;
   request.arrived = services_.runtime.now();
   request.deadline = request.arrived + std::chrono::milliseconds(request.route.timeout_ms);
+  request.waited_before = waited_to_open_;
   return request;
 }
 
@@ -305,6 +319,8 @@
 }
 
 Awaitable<RunResult> CallerSession::run_admitted(StatementRequest request) {
+  // Only the caller of the first statement has been waiting since it asked for its session.
+  waited_to_open_ = Duration(0);
   RunResult result;
   std::optional<TimePoint> token;
   const bool admitted = co_await admit(request, token, result.answer);
--- a/src/registered/proxy/callers/caller_session.h
+++ b/src/registered/proxy/callers/caller_session.h
@@ -52,6 +52,8 @@
   };
 
   Awaitable<bool> open();
+  /// Waits until the session may open, while a lease is expected and the session's wait lasts.
+  Awaitable<void> await_lease(TimePoint arrived);
   /// Whether the session's statements are likely to be served, here or elsewhere.
   [[nodiscard]] bool may_open() const;
   /// Returns std::nullopt if the caller may open a session, otherwise the refusal. A key that is missing in
@@ -95,6 +97,7 @@
   DatabaseName database_;
   ApiKey key_;
   SessionValues values_;
+  Duration waited_to_open_{0};  ///< time that the caller waited for its session; 0 after the first statement
   std::map<std::string, PreparedShape> prepared_;
   std::optional<Transaction> transaction_;
   SessionCommit committed_;
--- a/src/registered/proxy/fleet/fleet_link.cpp
+++ b/src/registered/proxy/fleet/fleet_link.cpp
@@ -28,7 +28,9 @@
     : runtime_(runtime),
       settings_(settings),
       view_(view),
-      search_(runtime, make_hello(settings), settings.control_port, [this] { return make_report(); }),
+      search_(
+          runtime, make_hello(settings), settings.control_port, [this] { return make_report(); },
+          [this] { view_.record_control_heard(); }),
       wake_(runtime),
       incarnation_(runtime.random().next() | 1U) {
   for (const Endpoint& seed : settings_.seeds) endpoints_.push_back({seed.address, settings_.control_port});
--- a/src/registered/proxy/fleet/fleet_view.cpp
+++ b/src/registered/proxy/fleet/fleet_view.cpp
@@ -332,8 +332,11 @@
 void FleetView::extend_lease(TimePoint asked_at, TimePoint until, std::uint64_t stable_revision) {
   keys_confirmed_.record(asked_at);
   quotas_.record_confirmed(asked_at, stable_revision, runtime_.now());
+  const bool was_valid = lease_valid();
   lease_until_ = std::max(lease_until_, until);
   renewed_.notify_all();
+  if (was_valid) return;
+  for (const auto& [name, group] : groups_) group->changed.notify_all();
 }
 
 void FleetView::extend_member_lease(GroupAccess& group, std::uint64_t epoch, std::uint64_t membership,
--- a/src/registered/proxy/fleet/fleet_view.h
+++ b/src/registered/proxy/fleet/fleet_view.h
@@ -11,6 +11,7 @@
 
 #include "registered/limits/quota_ledger.h"
 #include "registered/locality/permitted_regions.h"
+#include "registered/placement/lease_expectation.h"
 #include "registered/proxy/group/group_access.h"
 #include "registered/proxy/links/cold_backend.h"
 #include "registered/proxy/settings.h"
@@ -22,11 +23,6 @@
 
 namespace cairnhollow::registered::proxy {
 
-/// Time after process start, and after the end of the last lease, within which the next lease is expected.
-/// Work that needs a lease waits only within this time. Afterwards the proxy is taken to be cut off from
-/// control, and its callers are refused immediately.
-inline constexpr Duration kFirstLeaseExpectedWithin = std::chrono::milliseconds(700);
-inline constexpr Duration kLeaseExpectedWithin = std::chrono::milliseconds(1500);
 /// Cached proxy orders per group, tenant and zone, about 0.5 KB each. The cache is cleared when it exceeds
 /// this number.
 inline constexpr std::size_t kMaxCachedTenantOrders = 4096;
@@ -71,11 +67,13 @@
   }
   /// Whether any group has a valid lease from its members.
   [[nodiscard]] bool has_member_lease() const;
-  /// Whether a lease is expected soon because the process has just started or the last lease has just
-  /// expired.
-  [[nodiscard]] bool expects_lease() const {
-    const TimePoint now = runtime_.now();
-    return now < started_ + kFirstLeaseExpectedWithin || now < lease_until_ + kLeaseExpectedWithin;
+  /// Called when a control node has accepted a connection or answered anything.
+  void record_control_heard() { control_heard_at_ = runtime_.now(); }
+  /// Whether a lease is expected soon. `waits_longer`: the work may wait while control elects a leader.
+  [[nodiscard]] bool expects_lease(bool waits_longer) const {
+    const placement::LeaseSigns signs{started_, lease_until_, control_heard_at_};
+    return waits_longer ? placement::is_lease_expected(signs, runtime_.now())
+                        : placement::is_lease_due(signs, runtime_.now());
   }
   [[nodiscard]] std::uint64_t revision() const { return revision_; }
   [[nodiscard]] std::uint64_t document_version() const { return document_version_; }
@@ -210,6 +208,7 @@
   runtime::Signal renewed_;
   TimePoint started_;
   TimePoint lease_until_{};
+  TimePoint control_heard_at_{};
   std::uint64_t revision_ = 0;
   std::uint64_t document_version_ = 0;
   Duration transaction_idle_{0};
--- a/src/registered/proxy/fleet/leader_search.cpp
+++ b/src/registered/proxy/fleet/leader_search.cpp
@@ -9,11 +9,12 @@
 namespace cairnhollow::registered::proxy {
 
 LeaderSearch::LeaderSearch(runtime::Runtime& runtime, wire::Hello hello, std::uint16_t control_port,
-                           MakeReport make_report)
+                           MakeReport make_report, OnHeard on_heard)
     : runtime_(runtime),
       hello_(std::move(hello)),
       control_port_(control_port),
-      make_report_(std::move(make_report)) {}
+      make_report_(std::move(make_report)),
+      on_heard_(std::move(on_heard)) {}
 
 void LeaderSearch::stop() {
   stopping_ = true;
@@ -88,6 +89,7 @@
   if (!connection) co_return nullptr;
   const bool hello_sent = co_await connection->send(wire::encode(hello_), reason);
   if (!hello_sent) co_return nullptr;
+  on_heard_();
   auto conversation = std::make_shared<ControlConversation>();
   conversation->connection = std::move(connection);
   conversation->endpoint = std::move(endpoint);
@@ -106,6 +108,7 @@
   const auto frame = co_await conversation->connection->receive(reason);
   conversation->answered = true;
   if (!frame) co_return std::nullopt;
+  on_heard_();
   co_return wire::decode<registry::ProxyUpdate>(*frame, reason);
 }
 
--- a/src/registered/proxy/fleet/leader_search.h
+++ b/src/registered/proxy/fleet/leader_search.h
@@ -37,13 +37,15 @@
 class LeaderSearch {
  public:
   using MakeReport = std::function<registry::ProxyReport()>;
+  using OnHeard = std::function<void()>;
   struct Found {
     std::shared_ptr<ControlConversation> conversation;
     registry::ProxyUpdate answer;  ///< answer to the first and so far only report of the conversation
   };
 
+  /// `on_heard`: called whenever a control node accepts a connection or answers a report.
   LeaderSearch(runtime::Runtime& runtime, wire::Hello hello, std::uint16_t control_port,
-               MakeReport make_report);
+               MakeReport make_report, OnHeard on_heard);
 
   /// Runs until one of `endpoints`, or a leader named by one of them, answers as leader. Returns std::nullopt
   /// if the search was stopped.
@@ -82,6 +84,7 @@
   wire::Hello hello_;
   std::uint16_t control_port_;
   MakeReport make_report_;
+  OnHeard on_heard_;
   RoundPointer round_;
   TimePoint logged_at_{};
   bool stopping_ = false;
--- a/src/registered/proxy/forwarding/forward_server.cpp
+++ b/src/registered/proxy/forwarding/forward_server.cpp
@@ -1,5 +1,7 @@
 #include "registered/proxy/forwarding/forward_server.h"
 
+#include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "registered/proxy/statement/placement_facts.h"
@@ -79,6 +81,8 @@
   statement.arrived = services_.runtime.now();
   statement.committed = SessionCommit{forwarded.committed, statement.arrived - forwarded.committed_ago};
   statement.deadline = statement.arrived + forwarded.time_left;
+  statement.waited_before = std::max<Duration>(
+      std::chrono::milliseconds(statement.route.timeout_ms) - forwarded.time_left, Duration(0));
   statement.opens_transaction = forwarded.opens_transaction;
   statement.read_only_transaction = forwarded.read_only_transaction;
   statement.is_forwarded = true;
--- a/src/registered/proxy/group/group_access.h
+++ b/src/registered/proxy/group/group_access.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 
+#include "registered/placement/run_time_estimate.h"
 #include "registered/proxy/group/backend_standing.h"
 #include "registered/proxy/group/cold_limit.h"
 #include "registered/proxy/group/group_backends.h"
@@ -55,6 +56,7 @@
   PrimaryPositions positions;
   GroupBackends backends;
   ColdLimit cold;
+  placement::RunTimeEstimate run_time;  ///< of the statements that this proxy sent to the group's backends
   BackendEvaluator evaluator;
 
  private:
--- a/src/registered/proxy/statement/placement_facts.cpp
+++ b/src/registered/proxy/statement/placement_facts.cpp
@@ -5,7 +5,7 @@
 placement::ProxyFacts proxy_facts(const FleetView& view, const GroupAccess& group) {
   placement::ProxyFacts facts;
   facts.holds_lease = view.holds_lease_for(group);
-  facts.expects_lease = view.expects_lease();
+  facts.expects_lease = view.expects_lease(false);
   facts.group_open = group.term().open;
   facts.group_changing = group.leadership.is_primary_expected();
   facts.primary_unreachable = group.leadership.is_primary_unreachable();
@@ -14,6 +14,13 @@
   return facts;
 }
 
+placement::ProxyFacts proxy_facts(const FleetView& view, const GroupAccess& group,
+                                  const placement::WaitBudget& budget) {
+  placement::ProxyFacts facts = proxy_facts(view, group);
+  facts.expects_lease = view.expects_lease(placement::allows_longer_wait(budget));
+  return facts;
+}
+
 placement::KeyFacts key_facts(const FleetView& view, const registry::RouteRule& route, const ApiKey& key,
                               const TenantName& tenant, TimePoint now) {
   placement::KeyFacts facts;
--- a/src/registered/proxy/statement/placement_facts.h
+++ b/src/registered/proxy/statement/placement_facts.h
@@ -3,6 +3,7 @@
 
 #include "registered/placement/facts.h"
 #include "registered/placement/rejection_reason.h"
+#include "registered/placement/wait_budget.h"
 #include "registered/protocol/statement.h"
 #include "registered/proxy/fleet/fleet_view.h"
 
@@ -10,6 +11,9 @@
 
 /// Leaves the lists of other proxies empty.
 placement::ProxyFacts proxy_facts(const FleetView& view, const GroupAccess& group);
+/// The same for the waits of one statement, which may last until its `budget` ends.
+placement::ProxyFacts proxy_facts(const FleetView& view, const GroupAccess& group,
+                                  const placement::WaitBudget& budget);
 /// The state of a caller's API key on a route. `tenant`: the tenant that the key proved when the statement
 /// arrived; empty if no key was required.
 placement::KeyFacts key_facts(const FleetView& view, const registry::RouteRule& route, const ApiKey& key,
--- a/src/registered/proxy/statement/statement_forwarding.cpp
+++ b/src/registered/proxy/statement/statement_forwarding.cpp
@@ -58,8 +58,8 @@
     request.may_have_run = request.may_have_run || !result.nothing_run;
     result.nothing_run = !request.may_have_run;
   }
-  const TimePoint refuse_at = placement::refusal_time(request.progress());
-  const auto placed = co_await await_lease(request.group, refuse_at, may_try_another);
+  const auto placed =
+      co_await await_proxy(request.group, request.progress(), request.forwarding_rounds++, may_try_another);
   if (placed.action == placement::Action::kRun)
     co_return ForwardingResult{ForwardingNextStep::kStartOver, std::move(request), {}};
   const LocalRefusal local_refusal{placed.rejection, placed.retry_after, {}};
@@ -71,16 +71,24 @@
   co_return ForwardingResult{ForwardingNextStep::kAnswer, std::move(request), std::move(result)};
 }
 
-Awaitable<placement::Placement> StatementForwarding::await_lease(std::shared_ptr<GroupAccess> group,
-                                                                 TimePoint refuse_at, bool may_try_another) {
+Awaitable<placement::Placement> StatementForwarding::await_proxy(std::shared_ptr<GroupAccess> group,
+                                                                 placement::StatementProgress progress,
+                                                                 int rounds, bool may_try_another) {
+  const TimePoint refuse_at = placement::refusal_time(progress);
   placement::ForwardingOutcome outcome{may_try_another, false};
-  placement::AttemptAllowance allowance;
   while (true) {
-    allowance.may_wait = services_.runtime.now() < refuse_at;
-    const auto placed =
-        placement::place_after_forwarding(outcome, proxy_facts(services_.view, *group), allowance);
+    const auto allowance = placement::attempt_allowance_at(progress, services_.runtime.now());
+    const auto facts = proxy_facts(services_.view, *group, progress.wait_budget());
+    const auto placed = placement::place_after_forwarding(outcome, facts, allowance);
     if (placed.action != placement::Action::kWait) co_return placed;
-    co_await services_.view.renewed().wait_until(refuse_at);
+    if (placed.rejection == placement::RejectionReason::kNoLease) {
+      // Whether a lease is still expected changes without a notification.
+      const TimePoint check_at = services_.runtime.now() + placement::kEventCheckInterval;
+      co_await services_.view.renewed().wait_until(allowance.may_wait_longer ? std::min(refuse_at, check_at)
+                                                                             : refuse_at);
+    } else {
+      co_await services_.runtime.sleep_for(placement::forwarding_pause(rounds));
+    }
     outcome.has_waited = true;
   }
 }
--- a/src/registered/proxy/statement/statement_forwarding.h
+++ b/src/registered/proxy/statement/statement_forwarding.h
@@ -25,7 +25,7 @@
 enum class ForwardingNextStep : std::uint8_t {
   kAnswer,     ///< answer the caller with `result`
   kRunHere,    ///< this proxy is next in the preference order: run it here
-  kStartOver,  ///< start over: no proxy accepted it, and this proxy has its lease back
+  kStartOver,  ///< start over: no proxy accepted it, and this proxy has its lease back or has paused
 };
 struct ForwardingResult {
   ForwardingNextStep next = ForwardingNextStep::kAnswer;
@@ -45,8 +45,10 @@
   /// another proxy may still be tried.
   Awaitable<std::optional<RunResult>> forward_to(StatementRequest request, subset::ProxyPointer proxy,
                                                  bool& may_try_another, Reason& reason);
-  /// After no proxy accepted the request: waits for this proxy's lease until `refuse_at` if one is expected.
-  Awaitable<placement::Placement> await_lease(std::shared_ptr<GroupAccess> group, TimePoint refuse_at,
+  /// After no proxy accepted the request in this and `rounds` earlier rounds: waits for this proxy's lease
+  /// while one is expected, or pauses until the others can be asked again, while the budget lasts.
+  Awaitable<placement::Placement> await_proxy(std::shared_ptr<GroupAccess> group,
+                                              placement::StatementProgress progress, int rounds,
                                               bool may_try_another);
 
   SessionServices services_;
--- a/src/registered/proxy/statement/statement_placer.cpp
+++ b/src/registered/proxy/statement/statement_placer.cpp
@@ -59,7 +59,8 @@
   need.is_forwarded = attempt.request.is_forwarded;
   const GroupFacts backends = group.evaluator.facts(attempt.placement_request());
   const auto allowance = placement::attempt_allowance_at(attempt.progress, services_.runtime.now());
-  const auto placed = placement::place_locally(need, proxy_facts(services_.view, group), backends, allowance);
+  const auto placed = placement::place_locally(
+      need, proxy_facts(services_.view, group, attempt.progress.wait_budget()), backends, allowance);
   if (placed.action != Action::kRun) return placed;
   attempt.backend = group.backends.at(placed.backend);
   attempt.epoch = group.term().epoch;
--- a/src/registered/proxy/statement/statement_request.h
+++ b/src/registered/proxy/statement/statement_request.h
@@ -36,6 +36,8 @@
   bool read_only_transaction = false;
   bool is_forwarded = false;  ///< by another proxy: run here or refused, never forwarded again
   int reroute_count = 0;      ///< number of times it was forwarded after a wait here
+  int forwarding_rounds = 0;  ///< rounds in which none of the proxies that it was forwarded to accepted it
+  Duration waited_before{0};  ///< before `arrived`: while its session opened, or at another proxy
   /// A backend may already have run it; a rerun needs another token of the tenant's rate limit.
   bool may_have_run = false;
   /// Whether the statement, or the transaction that it opens, is read-only.
@@ -49,7 +51,8 @@
   }
   /// The progress before the first attempt.
   [[nodiscard]] placement::StatementProgress progress() const {
-    return {arrived, deadline, std::chrono::milliseconds(route.target_latency_ms), 0, reroute_count, false};
+    return {arrived, deadline,      std::chrono::milliseconds(route.target_latency_ms),   0, reroute_count,
+            false,   waited_before, group->run_time.value() + placement::kLinkOpeningTime};
   }
 };
 
--- a/src/registered/proxy/statement/statement_runner.cpp
+++ b/src/registered/proxy/statement/statement_runner.cpp
@@ -64,7 +64,8 @@
     ++attempt->progress.attempts;
     next = co_await try_backend(attempt);
     cold_tokens_.release(*attempt->backend, std::exchange(attempt->cold_token, {}));
-    if (next == NextStep::kRetryAfterPause) co_await runtime.sleep_for(placement::kRetryPause);
+    if (next == NextStep::kRetryAfterPause)
+      co_await runtime.sleep_for(placement::retry_pause(attempt->progress));
   }
   if (!attempt->reroute_targets.empty())
     co_return co_await forward(std::move(attempt->request), std::move(attempt->reroute_targets));
@@ -83,7 +84,8 @@
   bool has_waited = false;
   while (placed.action == Action::kWait) {
     attempt->excluded.clear();
-    const TimePoint again = services_.runtime.now() + placement::kRetryPause;
+    const TimePoint again =
+        services_.runtime.now() + placement::wait_pause(attempt->progress, placed.rejection);
     const TimePoint limit = placement::refusal_time(attempt->progress);
     co_await attempt->request.group->changed.wait_until(std::min(limit, again));
     placed = placer_.place(*attempt);
@@ -320,7 +322,9 @@
   attempt.link->record_state(answer.state);
   const bool current = services_.view.may_use_primary(group, attempt.epoch);
   if (attempt.at_primary) group.primary_health.record_answered();
-  if (answer.succeeded()) group.evaluator.record_latency(backend, services_.runtime.now() - attempt.sent_at);
+  const Duration took = services_.runtime.now() - attempt.sent_at;
+  if (answer.succeeded()) group.evaluator.record_latency(backend, took);
+  if (answer.succeeded()) group.run_time.record(took);
   const placement::AttemptFacts facts = attempt.facts(current);
   const placement::Retry retry = placement::after_answer(answer.refusal, facts);
   if (retry.next == NextStep::kAnswer) return handle_final_answer(attempt, std::move(answer));
--- a/tests/registered/placement/placement_test.cpp
+++ b/tests/registered/placement/placement_test.cpp
@@ -63,6 +63,9 @@
   allowance.may_wait = may_wait;
   return allowance;
 }
+AttemptAllowance patient() {
+  return with(allowance(true), [](auto& facts) { facts.may_wait_longer = true; });
+}
 AttemptAllowance exhausted() {
   return with(allowance(true), [](auto& facts) { facts.may_attempt = false; });
 }
@@ -293,6 +296,9 @@
         {"no time left for the lease", {true, true}, expecting_lease(), allowance(false), "refuse no_lease"},
         {"no lease is expected", {true, false}, without_lease(), allowance(true), "refuse no_lease"},
         {"the lease was renewed", {true, true}, healthy(), allowance(false), "run 0"},
+        {"its caller accepts a longer wait", {true, false}, healthy(), patient(), "wait no_proxy"},
+        {"the others are asked again", {true, true}, healthy(), patient(), "run 0"},
+        {"it may have run there", {false, false}, healthy(), patient(), "refuse none"},
     };
     for (const Row& row : rows)
       CPPUNIT_ASSERT_EQUAL_MESSAGE(row.what, row.answer,
--- a/tests/registered/placement/statement_progress_test.cpp
+++ b/tests/registered/placement/statement_progress_test.cpp
@@ -13,12 +13,14 @@
 
 TimePoint at(int ms) { return TimePoint{} + milliseconds(ms); }
 
-/// Arrives at 1,000 ms; its deadline is 900 ms later and its target latency 600 ms.
+/// Arrives at 1,000 ms; its deadline is 900 ms later and its target latency 600 ms, half of which its run
+/// takes: no wait beyond the third of its total time is of use.
 StatementProgress fresh() {
   StatementProgress progress;
   progress.arrived = at(1000);
   progress.deadline = at(1900);
   progress.target_latency = milliseconds(600);
+  progress.run_time = milliseconds(300);
   return progress;
 }
 
@@ -47,6 +49,8 @@
   CPPUNIT_TEST_SUITE(StatementProgressTest);
   CPPUNIT_TEST(limits_attempts_and_waits);
   CPPUNIT_TEST(limits_waits_for_links_and_slots);
+  CPPUNIT_TEST(waits_of_patient_callers_share_one_budget);
+  CPPUNIT_TEST(pauses_grow_while_nothing_is_sent);
   CPPUNIT_TEST(abandons_unresponsive_backends);
   CPPUNIT_TEST(limits_reroutes);
   CPPUNIT_TEST_SUITE_END();
@@ -103,6 +107,54 @@
     }
   }
 
+  /// Target latency 600 ms of 900 ms, of which the run takes 100 ms.
+  void waits_of_patient_callers_share_one_budget() {
+    const StatementProgress patient = with([](auto& progress) { progress.run_time = milliseconds(100); });
+    CPPUNIT_ASSERT_EQUAL(std::string("1500"), text_of(refusal_time(patient)));
+    CPPUNIT_ASSERT(attempt_allowance_at(patient, at(1499)).may_wait);
+    CPPUNIT_ASSERT(!attempt_allowance_at(patient, at(1500)).may_wait);
+    for (const int now : {1000, 1400}) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE("what remains after the wait for a lease", std::string("1500"),
+                                   text_of(slot_wait_end(patient, at(now))));
+      CPPUNIT_ASSERT_EQUAL(std::string("1500"), text_of(link_wait_end(patient, at(now))));
+    }
+    StatementProgress last = patient;
+    last.attempts = kMaxAttempts;
+    CPPUNIT_ASSERT_MESSAGE("none was sent it", attempt_allowance_at(last, at(1499)).may_attempt);
+    CPPUNIT_ASSERT(!attempt_allowance_at(last, at(1500)).may_attempt);
+    last.was_sent = true;
+    CPPUNIT_ASSERT_MESSAGE("a backend was sent it", !attempt_allowance_at(last, at(1100)).may_attempt);
+    StatementProgress waited = patient;
+    waited.waited_before = milliseconds(150);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("150 ms went to its session", std::string("1350"),
+                                 text_of(refusal_time(waited)));
+    StatementProgress sent = patient;
+    sent.was_sent = true;
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("sent before: not held for a full slot", std::string("1500"),
+                                 text_of(slot_wait_end(sent, at(1400))));
+  }
+
+  void pauses_grow_while_nothing_is_sent() {
+    const auto patient = [](int attempts) {
+      return with([attempts](auto& progress) {
+        progress.run_time = milliseconds(100);
+        progress.attempts = attempts;
+      });
+    };
+    const auto ms = [](Duration pause) { return in_ms(pause); };
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{8}, ms(retry_pause(patient(1))));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{8}, ms(retry_pause(patient(4))));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{32}, ms(retry_pause(patient(6))));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{100}, ms(retry_pause(patient(40))));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("no longer wait", std::int64_t{8}, ms(retry_pause(tried(6))));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{50}, ms(wait_pause(patient(0), RejectionReason::kGroupClosed)));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{50}, ms(wait_pause(patient(0), RejectionReason::kNoLease)));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{8}, ms(wait_pause(patient(0), RejectionReason::kTried)));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{8}, ms(wait_pause(fresh(), RejectionReason::kNoLease)));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{8}, ms(forwarding_pause(0)));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{100}, ms(forwarding_pause(4)));
+  }
+
   void abandons_unresponsive_backends() {
     CPPUNIT_ASSERT(may_abandon_backend(false, tried(1)));
     CPPUNIT_ASSERT(may_abandon_backend(false, tried(2)));
--- a/tests/registered/proxy/callers/caller_session_test.cpp
+++ b/tests/registered/proxy/callers/caller_session_test.cpp
@@ -81,6 +81,9 @@
   CPPUNIT_TEST(refuses_unknown_key_after_confirmation);
   CPPUNIT_TEST(answers_busy_to_unknown_key_without_confirmation);
   CPPUNIT_TEST(accepts_key_that_arrives_while_waiting);
+  CPPUNIT_TEST(waits_for_a_lease_while_control_is_alive);
+  CPPUNIT_TEST(refuses_at_once_when_cut_off_from_control);
+  CPPUNIT_TEST(refuses_before_callers_give_up);
   CPPUNIT_TEST(closes_session_when_key_confirmation_expired);
   CPPUNIT_TEST(closes_session_when_key_was_removed);
   CPPUNIT_TEST(transaction_fails_when_key_confirmation_expires);
@@ -138,6 +141,36 @@
     CPPUNIT_ASSERT(caller_->accepted && !caller_->refused);
   }
 
+  void waits_for_a_lease_while_control_is_alive() {
+    const registry::FleetDelta document = forget_document();
+    stand_->view().record_control_heard();
+    open(SessionStand::kKey);
+    stand_->run_for(milliseconds(900));
+    CPPUNIT_ASSERT(!caller_->accepted && !caller_->refused);
+    stand_->view().apply(document);
+    stand_->confirm(kLong, kLong);
+    stand_->run_for(milliseconds(1));
+    CPPUNIT_ASSERT(caller_->accepted);
+    CPPUNIT_ASSERT(ask(StatementKind::kWrite, "w").succeeded());
+  }
+
+  void refuses_at_once_when_cut_off_from_control() {
+    forget_document();
+    open(SessionStand::kKey);
+    stand_->run_for(milliseconds(1));
+    CPPUNIT_ASSERT(caller_->refused == Refusal::kBusy);
+  }
+
+  void refuses_before_callers_give_up() {
+    forget_document();
+    stand_->view().record_control_heard();
+    open(SessionStand::kKey);
+    hear_control_for(milliseconds(1740));
+    CPPUNIT_ASSERT(!caller_->accepted && !caller_->refused);
+    hear_control_for(milliseconds(20));
+    CPPUNIT_ASSERT(caller_->refused == Refusal::kBusy);
+  }
+
   void closes_session_when_key_confirmation_expired() {
     for (const StatementKind kind : {StatementKind::kWrite, StatementKind::kRead, StatementKind::kBegin}) {
       stand_ = std::make_unique<SessionStand>();
@@ -226,6 +259,26 @@
     stand_->run_for(milliseconds(1));
   }
 
+  /// As after a start, when a lease is no longer due. Returns the delta that brings the document back.
+  registry::FleetDelta forget_document() {
+    stand_->confirm(milliseconds(100), kLong);
+    stand_->run_for(milliseconds(100) + placement::kLeaseExpectedWithin);
+    registry::FleetDelta back = stand_->delta();
+    back.routes = {*stand_->view().find_route(DatabaseName("database"))};
+    registry::FleetDelta forgotten = stand_->delta();
+    forgotten.document_version = 0;
+    forgotten.removed_routes = {back.routes.front().name};
+    stand_->view().apply(forgotten);
+    return back;
+  }
+  /// Control nodes answer all the time that none of them leads.
+  void hear_control_for(Duration duration) {
+    for (Duration gone{0}; gone < duration; gone += milliseconds(10)) {
+      stand_->view().record_control_heard();
+      stand_->run_for(milliseconds(10));
+    }
+  }
+
   Answer ask(StatementKind kind, const std::string& text) {
     const std::size_t before = caller_->answers.size();
     caller_->send(kind, text);
--- a/tests/registered/proxy/fleet/leader_search_test.cpp
+++ b/tests/registered/proxy/fleet/leader_search_test.cpp
@@ -73,6 +73,7 @@
   CPPUNIT_TEST(asks_named_leader_immediately);
   CPPUNIT_TEST(finds_leader_soon_after_power_returns);
   CPPUNIT_TEST(falls_back_to_plain_deltas_for_older_builds);
+  CPPUNIT_TEST(reports_that_control_nodes_are_alive);
   CPPUNIT_TEST(stop_ends_the_search);
   CPPUNIT_TEST_SUITE_END();
 
@@ -87,7 +88,8 @@
     wire::Hello hello;
     hello.conversation = wire::Conversation::kServingCompressed;
     hello.highest_version = hello.protocol_version;
-    search_ = std::make_unique<LeaderSearch>(*runtime_, hello, kPort, [this] { return make_report(); });
+    search_ = std::make_unique<LeaderSearch>(
+        *runtime_, hello, kPort, [this] { return make_report(); }, [this] { ++heard_; });
   }
   void tearDown() override {
     search_->stop();
@@ -134,6 +136,16 @@
     CPPUNIT_ASSERT(!found_->conversation->is_compressed);
   }
 
+  void reports_that_control_nodes_are_alive() {
+    for (const std::string& address : addresses_) cut(address);
+    runtime_->spawn("search", search());
+    world_->run_for(seconds(3));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("none accepts a connection", 0, heard_);
+    world_->heal();
+    world_->run_for(seconds(1));
+    CPPUNIT_ASSERT_MESSAGE("they answer that none of them leads", heard_ > 0 && !found_);
+  }
+
   void stop_ends_the_search() {
     runtime_->spawn("search", search());
     world_->run_for(milliseconds(300));
@@ -179,6 +191,7 @@
   std::unique_ptr<LeaderSearch> search_;
   std::optional<LeaderSearch::Found> found_;
   std::size_t known_count_ = 5;
+  int heard_ = 0;  ///< contacts with control nodes that were reported
   std::uint64_t next_nonce_ = 1;
   bool ended_ = false;
 };
