Each refusal in the log names its reason and the step that failed

Change: reasons for what became of a statement elsewhere (refused_by_backend, refused_elsewhere, answer_lost, transaction_lost), for a database without a route and for the session limit. A refusal without a failure on its way names the step at which it was decided (place, forward, run_statement, continue_transaction, route, open_session). The counter by reason counts the new ones, too. How a session opens moved to a file of its own. The simulator can show its log lines to a test, and prints a step without a failure.

--- a/simulation/trace.cpp
+++ b/simulation/trace.cpp
@@ -16,6 +16,7 @@
 }
 
 void Trace::log_line(TimePoint time, std::uint64_t actor, const std::string& line) {
+  if (log_observer_) log_observer_(line);
   event(time, "log", actor, line);
   if (print_)
     fmt::print(stderr, "{:.6f} {}\n", std::chrono::duration<double>(time.time_since_epoch()).count(), line);
--- a/simulation/virtual_runtime.cpp
+++ b/simulation/virtual_runtime.cpp
@@ -95,6 +95,7 @@
   std::string line = fmt::format("{} {} {}", process_.settings().name, level_name(level), event);
   for (const runtime::LogField& field : fields) line += fmt::format(" {}={}", field.name, field.value);
   if (reason.failed()) line += " reason=\"" + reason.to_string() + "\"";
+  if (!reason.failed() && !reason.step.empty()) line += " step=" + reason.step;
   process_.trace().log_line(process_.scheduler().now(), process_.ordinal(), line);
 }
 
--- a/src/registered/placement/rejection_reason.cpp
+++ b/src/registered/placement/rejection_reason.cpp
@@ -32,6 +32,12 @@
     {"key_unauthorized", "the API key is not valid for the tenant any more"},
     {"key_unconfirmed", "the API key was not confirmed recently enough"},
     {"over_limit", "the tenant's rate limit has no token to run it again"},
+    {"no_route", "no route names the database"},
+    {"session_limit", "this proxy has reached its session limit"},
+    {"refused_by_backend", "the backend refused it"},
+    {"refused_elsewhere", "the proxy that it was forwarded to refused it"},
+    {"answer_lost", "it was sent and no answer arrived"},
+    {"transaction_lost", "the connection of its transaction is gone"},
 }};
 
 constexpr std::array<const char*, kForwardCauseCount> kForwardCauses{"served_elsewhere", "no_lease",
--- a/src/registered/placement/rejection_reason.h
+++ b/src/registered/placement/rejection_reason.h
@@ -1,4 +1,4 @@
-// Reasons why a statement is not run at a backend or by this proxy, as used in logs, metrics and answers to
+// Reasons why a statement is not run or a session not opened, as used in logs, metrics and answers to
 // callers.
 #pragma once
 
@@ -34,9 +34,16 @@
   kKeyUnauthorized,  ///< the key proves no tenant, or a different one than when the statement arrived
   kKeyUnconfirmed,   ///< control has not confirmed the key recently enough
   kOverLimit,        ///< the tenant's rate limit has no token for the operation, or for a rerun
+  kNoRoute,          ///< no route names the caller's database
+  kSessionLimit,     ///< this proxy has reached its session limit
+  // Concerning what became of the statement elsewhere; not this proxy's decision.
+  kRefusedByBackend,  ///< the backend that ran it answered with a refusal
+  kRefusedElsewhere,  ///< the proxy that it was forwarded to refused it, and logs its own reason
+  kAnswerLost,        ///< it was sent, and no answer arrived
+  kTransactionLost,   ///< the link of its open transaction is gone
 };
 inline constexpr std::size_t kRejectionReasonCount =
-    static_cast<std::size_t>(RejectionReason::kOverLimit) + 1;
+    static_cast<std::size_t>(RejectionReason::kTransactionLost) + 1;
 
 /// Stable lower-case name for logs and metrics, e.g. "zone_evacuated".
 const char* rejection_name(RejectionReason rejection);
--- a/src/registered/proxy/callers/caller_session.cpp
+++ b/src/registered/proxy/callers/caller_session.cpp
@@ -9,16 +9,11 @@
 
 namespace cairnhollow::registered::proxy {
 
+using placement::RejectionReason;
 using runtime::LogLevel;
 
 namespace {
 
-/// Longest wait for a caller's first line.
-constexpr Duration kStartTimeout = std::chrono::seconds(5);
-/// Longest wait of a new session for control's confirmation that its key is unknown.
-constexpr Duration kKeyConfirmationWait = std::chrono::milliseconds(700);
-/// Interval at which a waiting session checks whether a lease is still expected.
-constexpr Duration kExpectationCheckInterval = std::chrono::milliseconds(50);
 /// Maximum number of session values, and of prepared statements, per session.
 constexpr std::size_t kMaxSessionEntries = 1024;
 
@@ -50,64 +45,6 @@
   caller_->close();
 }
 
-Awaitable<bool> CallerSession::open() {
-  Reason reason;
-  const auto start = co_await caller_->read_start(services_.runtime.now() + kStartTimeout, reason);
-  if (!start) co_return false;
-  database_ = start->database;
-  key_ = start->key;
-  const TimePoint arrived = services_.runtime.now();
-  co_await await_lease(arrived);
-  waited_to_open_ = services_.runtime.now() - arrived;
-  const bool has_lease = services_.view.lease_valid();
-  Refusal refusal = has_lease ? Refusal::kUnknownDatabase : Refusal::kBusy;
-  std::string detail =
-      has_lease ? "no route names this database" : "this proxy holds no serving lease; retry later";
-  if (services_.view.find_route(database_) != nullptr) {
-    const auto fault = co_await check_key();
-    if (!fault) co_return co_await caller_->accept(reason);
-    refusal = *fault;
-    detail =
-        refusal == Refusal::kUnauthorized ? "unknown key" : "keys can't be confirmed at present; retry soon";
-  }
-  services_.metrics.count_refused(refusal);
-  services_.runtime.logger().log(LogLevel::kWarning, "session_refused",
-                                 {{"refusal", refusal_name(refusal)},
-                                  {"database", database_.value},
-                                  {"version", std::to_string(services_.view.document_version())}});
-  co_await caller_->refuse(refusal, std::move(detail));
-  co_return false;
-}
-
-Awaitable<void> CallerSession::await_lease(TimePoint arrived) {
-  FleetView& view = services_.view;
-  while (!may_open()) {
-    const bool knows_document = view.document_version() > 0;
-    const TimePoint now = services_.runtime.now();
-    const TimePoint give_up_at = placement::session_wait_end(arrived, knows_document);
-    if (now >= give_up_at || !view.expects_lease(!knows_document)) co_return;
-    // Whether a lease is still expected changes without a notification.
-    co_await view.renewed().wait_until(std::min(give_up_at, now + kExpectationCheckInterval));
-  }
-}
-
-Awaitable<std::optional<Refusal>> CallerSession::check_key() {
-  const TimePoint arrived = services_.runtime.now();
-  const TimePoint give_up_at = arrived + kKeyConfirmationWait;
-  FleetView& view = services_.view;
-  const auto proves_tenant = [&] {
-    const registry::RouteRule* route = view.find_route(database_);
-    const bool needs_key = route == nullptr ? view.requires_keys() : view.needs_key(*route);
-    return !needs_key || view.tenants().find_by_key(key_) != nullptr;
-  };
-  if (!proves_tenant() && view.lease_valid()) services_.link.request_report();
-  while (!proves_tenant() && view.expects_lease(false) &&
-         !view.keys_confirmed().is_confirmed_since(arrived) && services_.runtime.now() < give_up_at)
-    co_await view.renewed().wait_until(give_up_at);
-  if (proves_tenant()) co_return std::nullopt;
-  co_return view.keys_confirmed().is_confirmed_since(arrived) ? Refusal::kUnauthorized : Refusal::kBusy;
-}
-
 bool CallerSession::authenticate(StatementRequest& request, Answer& refusal) {
   const FleetView& view = services_.view;
   if (!view.needs_key(request.route)) return true;
@@ -115,12 +52,12 @@
   const placement::KeyFacts key{true, tenant != nullptr,
                                 view.keys_confirmed().allows(services_.runtime.now())};
   const auto rejection = placement::key_rejection(key);
-  if (rejection == placement::RejectionReason::kNone) {
+  if (rejection == RejectionReason::kNone) {
     request.key = key_;
     request.tenant = tenant->name;
     return true;
   }
-  const bool unknown = rejection == placement::RejectionReason::kKeyUnauthorized;
+  const bool unknown = rejection == RejectionReason::kKeyUnauthorized;
   refusal = refuse(refusal_of(rejection),
                    unknown ? "the key no longer belongs to any tenant"
                            : "keys can't be confirmed without control; reconnect through another proxy");
@@ -139,12 +76,6 @@
   return false;
 }
 
-bool CallerSession::may_open() const {
-  if (services_.view.lease_valid()) return true;
-  // Another proxy may hold a lease and serve the statements.
-  return services_.view.find_route(database_) != nullptr && !services_.view.other_proxies().empty();
-}
-
 bool CallerSession::needs_another_proxy(const Answer& answer) {
   if (answer.refusal != Refusal::kBusy) return false;
   const registry::RouteRule* route = services_.view.find_route(database_);
@@ -172,6 +103,19 @@
   return answer;
 }
 
+Answer CallerSession::refuse_unrouted(const Statement& statement, Refusal refusal, RejectionReason since,
+                                      std::string detail) const {
+  services_.metrics.count_unplaced(since);
+  services_.runtime.logger().log(LogLevel::kWarning, "statement_refused",
+                                 {{"step", "route"},
+                                  {"id", statement.id},
+                                  {"refusal", refusal_name(refusal)},
+                                  {"why", detail},
+                                  {"since", placement::rejection_name(since)},
+                                  {"database", database_.value}});
+  return refuse(refusal, std::move(detail));
+}
+
 Awaitable<Answer> CallerSession::handle(Statement statement) {
   const StatementKind kind = statement.kind;
   const bool ends = kind == StatementKind::kCommit || kind == StatementKind::kRollback;
@@ -247,14 +191,16 @@
   } else {
     const registry::RouteRule* route = services_.view.find_route(database_);
     if (route == nullptr) {
-      refusal = refuse(Refusal::kUnknownDatabase, "the database no longer has a route");
+      refusal = refuse_unrouted(statement, Refusal::kUnknownDatabase, RejectionReason::kNoRoute,
+                                "the database no longer has a route");
       return std::nullopt;
     }
     request.route = *route;
     request.group = services_.view.find_group(route->group);
   }
   if (!request.group) {
-    refusal = refuse(Refusal::kBusy, "no backend of the group is known yet");
+    refusal = refuse_unrouted(statement, Refusal::kBusy, RejectionReason::kNoBackend,
+                              "no backend of the group is known yet");
     return std::nullopt;
   }
   if (!resolve_prepared(statement, request)) {
@@ -304,7 +250,7 @@
   token = admission.expires_at;
   if (admission.outcome == AdmissionOutcome::kAdmitted) co_return true;
   const bool is_over_limit = admission.outcome == AdmissionOutcome::kOverLimit;
-  if (is_over_limit) services_.metrics.count_unplaced(placement::RejectionReason::kOverLimit);
+  if (is_over_limit) services_.metrics.count_unplaced(RejectionReason::kOverLimit);
   refusal = refuse(is_over_limit ? Refusal::kOverLimit : Refusal::kBusy,
                    fmt::format("{}; retry in {} ms",
                                is_over_limit ? "the tenant has exceeded its limit"
--- a/src/registered/proxy/callers/caller_session.h
+++ b/src/registered/proxy/callers/caller_session.h
@@ -20,6 +20,9 @@
   /// Serves the caller until it ends the session, disconnects, or the session is closed by this proxy.
   Awaitable<void> run();
 
+  /// Refuses the caller because this proxy has as many sessions as it may have.
+  Awaitable<void> refuse_at_limit();
+
   /// Whether a statement has been read and not been answered yet.
   [[nodiscard]] bool is_answering() const { return answering_; }
   /// Whether no statement is being answered and no transaction is open.
@@ -56,9 +59,9 @@
   Awaitable<void> await_lease(TimePoint arrived);
   /// Whether the session's statements are likely to be served, here or elsewhere.
   [[nodiscard]] bool may_open() const;
-  /// Returns std::nullopt if the caller may open a session, otherwise the refusal. A key that is missing in
+  /// Returns std::nullopt if the caller may open a session, otherwise why not. A key that is missing in
   /// this proxy's document may be newer than the document, so control is asked before the key is refused.
-  Awaitable<std::optional<Refusal>> check_key();
+  Awaitable<std::optional<placement::RejectionReason>> check_key();
   /// Sets the request's key and tenant if the route requires a key. Returns false and sets `refusal` if the
   /// key does not prove a tenant now; the session is then closed after that answer.
   [[nodiscard]] bool authenticate(StatementRequest& request, Answer& refusal);
@@ -86,6 +89,11 @@
   std::optional<StatementRequest> make_request(const Statement& statement, Answer& refusal);
   [[nodiscard]] bool resolve_prepared(const Statement& statement, StatementRequest& request) const;
   [[nodiscard]] Answer refuse(Refusal refusal, std::string detail) const;
+  /// Refuses a statement for which no request can be made, and logs it.
+  [[nodiscard]] Answer refuse_unrouted(const Statement& statement, Refusal refusal,
+                                       placement::RejectionReason since, std::string detail) const;
+  /// `waited`: since the caller's first line.
+  void log_refused_session(Refusal refusal, placement::RejectionReason since, Duration waited) const;
   [[nodiscard]] Answer success_answer() const;
   [[nodiscard]] TransactionState state() const;
   Awaitable<void> end_transaction();
--- a/src/registered/proxy/session_metrics.h
+++ b/src/registered/proxy/session_metrics.h
@@ -31,7 +31,7 @@
   void count_forwarded(placement::ForwardCause cause) {
     forwarded_[static_cast<std::size_t>(cause)]->Increment();
   }
-  /// Counts a statement refused, or a transaction ended, by this proxy itself.
+  /// Counts a refused statement or an ended transaction.
   void count_unplaced(placement::RejectionReason rejection) {
     unplaced_[static_cast<std::size_t>(rejection)]->Increment();
   }
--- a/src/registered/proxy/session_proxy.cpp
+++ b/src/registered/proxy/session_proxy.cpp
@@ -168,13 +168,12 @@
 
 Awaitable<void> SessionProxy::serve(std::shared_ptr<runtime::LineConnection> lines) {
   const auto caller = callers_->wrap(std::move(lines));
+  const auto session = std::make_shared<CallerSession>(services_, caller);
   if (sessions_.size() >= settings_.session_limit) {
-    co_await caller->refuse(Refusal::kBusy,
-                            "this proxy has reached its session limit; retry through another proxy");
+    co_await session->refuse_at_limit();
     co_return;
   }
   const std::uint64_t id = next_session_++;
-  const auto session = std::make_shared<CallerSession>(services_, caller);
   sessions_.emplace(id, session);
   co_await session->run();
   sessions_.erase(id);
--- a/src/registered/proxy/statement/pinned_transactions.cpp
+++ b/src/registered/proxy/statement/pinned_transactions.cpp
@@ -65,7 +65,8 @@
     if (entered) pinned.backend->gate.leave_unanswered();
     pinned.link->link().close();
     aborted.detail = abort_detail(rejection);
-    log_.refusal(request, aborted, reason, 0, LocalRefusal{rejection, Duration(0), {}});
+    if (rejection == RejectionReason::kNone) rejection = RejectionReason::kTransactionLost;
+    log_.refusal(request, aborted, reason, 0, StatementRefusal{rejection, kTransactionStep});
     co_return aborted;
   }
   const TimePoint sent_at = runtime.now();
@@ -91,12 +92,13 @@
     const bool in_doubt = placement::is_in_doubt(commits && wrote, loss.may_have_arrived);
     if (in_doubt) aborted.refusal = Refusal::kInDoubt;
     if (in_doubt) aborted.detail = "the commit was sent but no answer arrived; its outcome is unknown";
-    log_.refusal(request, aborted, reason, 1);
+    log_.refusal(request, aborted, reason, 1, StatementRefusal{RejectionReason::kAnswerLost, kRunStep});
     co_return aborted;
   }
   if (answer->succeeded() && pinned.at_primary)
     apply_primary_answer(services_, group, PrimaryExchange{pinned.epoch, sent_at, commits && wrote}, *answer);
-  if (answer->refusal) log_.refusal(request, *answer, reason, 1);
+  if (answer->refusal)
+    log_.refusal(request, *answer, reason, 1, StatementRefusal{RejectionReason::kRefusedByBackend, kRunStep});
   co_return std::move(*answer);
 }
 
@@ -120,7 +122,8 @@
           ? "the commit was sent but no answer arrived; its outcome is unknown"
           : "the proxy that served the transaction did not answer; the transaction's changes are not kept";
   if (was_open) services_.runtime.spawn("forward_end", end_remote(remote));
-  log_.refusal(request, lost, reason, 1);
+  const auto cause = was_open ? RejectionReason::kAnswerLost : RejectionReason::kTransactionLost;
+  log_.refusal(request, lost, reason, 1, StatementRefusal{cause, kForwardStep});
   co_return lost;
 }
 
--- a/src/registered/proxy/statement/statement_attempt.h
+++ b/src/registered/proxy/statement/statement_attempt.h
@@ -20,8 +20,8 @@
   placement::StatementProgress progress;
   std::set<BackendName> excluded;
   ReadNeed need;
-  Reason reason;               ///< the last failure
-  LocalRefusal local_refusal;  ///< why this proxy refuses the statement, if it does
+  Reason reason;             ///< the last failure
+  StatementRefusal refusal;  ///< why the statement is refused, if it is
   RunResult result;
   /// If not empty: after a wait, the statement is to be forwarded to these proxies.
   std::vector<subset::ProxyPointer> reroute_targets;
--- a/src/registered/proxy/statement/statement_forwarding.cpp
+++ b/src/registered/proxy/statement/statement_forwarding.cpp
@@ -62,12 +62,15 @@
       co_await await_proxy(request.group, request.progress(), request.forwarding_rounds++, may_try_another);
   if (placed.action == placement::Action::kRun)
     co_return ForwardingResult{ForwardingNextStep::kStartOver, std::move(request), {}};
-  const LocalRefusal local_refusal{placed.rejection, placed.retry_after, {}};
+  StatementRefusal refusal{placed.rejection, kForwardStep, placed.retry_after};
+  if (placed.rejection == placement::RejectionReason::kNone)
+    refusal.cause = reason.failed() ? placement::RejectionReason::kAnswerLost
+                                    : placement::RejectionReason::kRefusedElsewhere;
   if (placed.rejection == placement::RejectionReason::kNoLease || !is_answered) {
     result.answer.detail = fmt::format("{}; retry in {} ms", placement::rejection_text(placed.rejection),
                                        in_ms(placed.retry_after));
   }
-  if (result.answer.refusal) log_.refusal(request, result.answer, reason, 1, local_refusal);
+  if (result.answer.refusal) log_.refusal(request, result.answer, reason, 1, refusal);
   co_return ForwardingResult{ForwardingNextStep::kAnswer, std::move(request), std::move(result)};
 }
 
@@ -97,6 +100,7 @@
                                                                     subset::ProxyPointer proxy,
                                                                     bool& may_try_another, Reason& reason) {
   may_try_another = true;
+  reason = Reason{};
   const auto connection = co_await services_.forwarder.connect(proxy, request.deadline, reason);
   if (!connection) co_return std::nullopt;
   ForwardRequest forward_request;
--- a/src/registered/proxy/statement/statement_log.cpp
+++ b/src/registered/proxy/statement/statement_log.cpp
@@ -32,20 +32,20 @@
 }
 
 void StatementLog::refusal(const StatementRequest& request, const Answer& answer, const Reason& reason,
-                           int attempts, const LocalRefusal& local_refusal) const {
-  const bool is_own = local_refusal.cause != placement::RejectionReason::kNone;
-  if (is_own) services_.metrics.count_unplaced(local_refusal.cause);
+                           int attempts, const StatementRefusal& refusal) const {
+  services_.metrics.count_unplaced(refusal.cause);
+  Reason failure = reason;
+  if (failure.step.empty()) failure.step = refusal.step;
   const registry::GroupTerm& term = request.group->term();
   const Duration lease_left = services_.view.lease_until() - services_.runtime.now();
   services_.runtime.logger().log(
-      LogLevel::kWarning, "statement_refused", reason,
+      LogLevel::kWarning, "statement_refused", failure,
       {{"id", request.id},
        {"refusal", refusal_name(*answer.refusal)},
        {"why", answer.detail},
-       {"since", is_own ? placement::rejection_name(local_refusal.cause) : ""},
-       {"passed_over", local_refusal.passed_over},
-       {"back_in_ms",
-        local_refusal.retry_after > Duration(0) ? std::to_string(in_ms(local_refusal.retry_after)) : ""},
+       {"since", placement::rejection_name(refusal.cause)},
+       {"passed_over", refusal.passed_over},
+       {"back_in_ms", refusal.retry_after > Duration(0) ? std::to_string(in_ms(refusal.retry_after)) : ""},
        {"database", request.route.database.value},
        {"group", term.group.value},
        {"term", std::to_string(term.term)},
--- a/src/registered/proxy/statement/statement_log.h
+++ b/src/registered/proxy/statement/statement_log.h
@@ -16,10 +16,10 @@
 
   void slow(const StatementAttempt& attempt) const;
   void lost_answer(const StatementAttempt& attempt, const Reason& reason) const;
-  /// Also counts the refusal in the metrics if this proxy itself refused. `attempts`: number of backends
-  /// tried.
+  /// Also counts the refusal in the metrics. `reason`: the last failure on the statement's way, if any.
+  /// `attempts`: number of backends tried.
   void refusal(const StatementRequest& request, const Answer& answer, const Reason& reason, int attempts,
-               const LocalRefusal& local_refusal = {}) const;
+               const StatementRefusal& refusal) const;
 
  private:
   SessionServices services_;
--- a/src/registered/proxy/statement/statement_request.h
+++ b/src/registered/proxy/statement/statement_request.h
@@ -78,11 +78,18 @@
   bool nothing_run = false;  ///< certainly no backend has run it, in any attempt
 };
 
-/// Why this proxy itself refused a statement, for the log. `cause` is kNone if it did not.
-struct LocalRefusal {
+/// Steps at which a statement is refused without a failure whose reason names its own step.
+inline constexpr const char* kPlaceStep = "place";
+inline constexpr const char* kForwardStep = "forward";
+inline constexpr const char* kRunStep = "run_statement";
+inline constexpr const char* kTransactionStep = "continue_transaction";
+
+/// Why a statement was refused, for the log.
+struct StatementRefusal {
   placement::RejectionReason cause = placement::RejectionReason::kNone;
+  const char* step = kPlaceStep;
   Duration retry_after{0};
-  std::string passed_over;  ///< the rejected backends of the group as "name:reason", separated by spaces
+  std::string passed_over{};  ///< the rejected backends of the group as "name:reason", separated by spaces
 };
 
 }  // namespace cairnhollow::registered::proxy
--- a/src/registered/proxy/statement/statement_runner.cpp
+++ b/src/registered/proxy/statement/statement_runner.cpp
@@ -73,8 +73,7 @@
   if (!answer.refusal && runtime.now() - attempt->request.arrived > kSlowStatementThreshold)
     log_.slow(*attempt);
   if (answer.refusal)
-    log_.refusal(attempt->request, answer, attempt->reason, attempt->progress.attempts,
-                 attempt->local_refusal);
+    log_.refusal(attempt->request, answer, attempt->reason, attempt->progress.attempts, attempt->refusal);
   attempt->result.nothing_run = !attempt->request.may_have_run;
   co_return std::move(attempt->result);
 }
@@ -101,14 +100,14 @@
   answer.refusal = refusal_of(cause);
   answer.state = TransactionState::kIdle;
   answer.detail = placement::rejection_text(cause);
-  attempt.local_refusal = LocalRefusal{cause, retry_after, {}};
+  attempt.refusal = StatementRefusal{cause, kPlaceStep, retry_after};
   if (retry_after == Duration(0)) return;
   answer.detail += fmt::format("; retry in {} ms", in_ms(retry_after));
   const GroupFacts backends = attempt.request.group->evaluator.facts(attempt.placement_request());
   for (const placement::BackendFacts& backend : backends) {
     const RejectionReason rejection = placement::rejection_at(backend, attempt.need.primary_only, backends);
     if (rejection == RejectionReason::kNone) continue;
-    std::string& passed_over = attempt.local_refusal.passed_over;
+    std::string& passed_over = attempt.refusal.passed_over;
     if (!passed_over.empty()) passed_over += ' ';
     passed_over += fmt::format("{}:{}", backend.name, placement::rejection_name(rejection));
   }
@@ -118,7 +117,7 @@
                                           Duration retry_after, Reason reason) {
   refuse(attempt, cause, retry_after);
   attempt.reason = std::move(reason);
-  log_.refusal(attempt.request, attempt.result.answer, attempt.reason, 0, attempt.local_refusal);
+  log_.refusal(attempt.request, attempt.result.answer, attempt.reason, 0, attempt.refusal);
   attempt.result.nothing_run = !attempt.request.may_have_run;
   return std::move(attempt.result);
 }
@@ -308,6 +307,7 @@
   }
   log_.lost_answer(attempt, reason);
   if (outcome.retry.next != NextStep::kAnswer) return apply(outcome.retry, attempt);
+  attempt.refusal = StatementRefusal{RejectionReason::kAnswerLost, kRunStep};
   Answer& answer = attempt.result.answer;
   answer = Answer{};
   answer.refusal = Refusal::kInDoubt;
@@ -351,6 +351,10 @@
                          answer);
   if (answer.succeeded() && !attempt.at_primary && answer.position)
     group.record_replica_answer(*attempt.backend, attempt.need, answer.position);
+  if (answer.refusal) {
+    attempt.reason = Reason{};
+    attempt.refusal = StatementRefusal{RejectionReason::kRefusedByBackend, kRunStep};
+  }
   attempt.result.served_by = attempt.at_primary ? ServedBy::kPrimary : ServedBy::kReplica;
   if (request.opens_transaction) {
     attempt.result.pinned = attempt.pinned();
--- a/tests/registered/proxy/callers/caller_session_test.cpp
+++ b/tests/registered/proxy/callers/caller_session_test.cpp
@@ -80,6 +80,7 @@
   CPPUNIT_TEST(opens_session_with_known_key);
   CPPUNIT_TEST(refuses_unknown_key_after_confirmation);
   CPPUNIT_TEST(answers_busy_to_unknown_key_without_confirmation);
+  CPPUNIT_TEST(logs_why_sessions_and_their_statements_are_refused);
   CPPUNIT_TEST(accepts_key_that_arrives_while_waiting);
   CPPUNIT_TEST(waits_for_a_lease_while_control_is_alive);
   CPPUNIT_TEST(refuses_at_once_when_cut_off_from_control);
@@ -116,6 +117,24 @@
     stand_->view().extend_lease(stand_->now(), stand_->now() + kLong, 0);
     stand_->run_for(milliseconds(1));
     CPPUNIT_ASSERT(caller_->refused == Refusal::kUnauthorized);
+    check_logged("session_refused", "key_unauthorized");
+  }
+
+  void logs_why_sessions_and_their_statements_are_refused() {
+    stand_->confirm(kLong, kLong);
+    open(SessionStand::kKey);
+    registry::FleetDelta removed = stand_->delta();
+    removed.removed_routes = {RouteName("route")};
+    stand_->view().apply(removed);
+    CPPUNIT_ASSERT(ask(StatementKind::kWrite, "w").refusal == Refusal::kUnknownDatabase);
+    check_logged("statement_refused", "no_route");
+    open(SessionStand::kKey);
+    CPPUNIT_ASSERT(caller_->refused == Refusal::kUnknownDatabase);
+    check_logged("session_refused", "no_route");
+    const auto limited = std::make_shared<CallerSession>(stand_->services(), caller_);
+    stand_->runtime().spawn("session", limited->refuse_at_limit());
+    stand_->run_for(milliseconds(1));
+    check_logged("session_refused", "session_limit");
   }
 
   void answers_busy_to_unknown_key_without_confirmation() {
@@ -125,6 +144,7 @@
     stand_->view().extend_lease(stand_->now() - seconds(1), stand_->now() + kLong, 0);
     stand_->run_for(seconds(2));
     CPPUNIT_ASSERT(caller_->refused == Refusal::kBusy);
+    check_logged("session_refused", "key_unconfirmed");
   }
 
   void accepts_key_that_arrives_while_waiting() {
@@ -159,6 +179,7 @@
     open(SessionStand::kKey);
     stand_->run_for(milliseconds(1));
     CPPUNIT_ASSERT(caller_->refused == Refusal::kBusy);
+    check_logged("session_refused", "no_lease");
   }
 
   void refuses_before_callers_give_up() {
@@ -259,6 +280,13 @@
     stand_->run_for(milliseconds(1));
   }
 
+  /// Checks event and reason of the last log line.
+  void check_logged(const std::string& event, const std::string& since) {
+    const std::string& line = stand_->log_lines().back();
+    CPPUNIT_ASSERT_MESSAGE(line, line.find(' ' + event + ' ') != std::string::npos);
+    CPPUNIT_ASSERT_MESSAGE(line, line.find(" since=" + since + ' ') != std::string::npos);
+    CPPUNIT_ASSERT_MESSAGE(line, line.find(" step=") != std::string::npos);
+  }
   /// As after a start, when a lease is no longer due. Returns the delta that brings the document back.
   registry::FleetDelta forget_document() {
     stand_->confirm(milliseconds(100), kLong);
--- a/tests/registered/proxy/session_stand.cpp
+++ b/tests/registered/proxy/session_stand.cpp
@@ -188,6 +188,7 @@
   first.proxies = {{NodeName("proxy"), 1, ZoneName("a"), {"10.0.0.1", 7440}, false}};
   view_->apply(first);
   for (const char* backend : {kPrimary, kReplica}) statuses[backend].term = 1;
+  world_->trace().observe_log([this](const std::string& line) { log_lines_.push_back(line); });
   // Time points at the clock's epoch, which mean "never", must not count as recent.
   run_for(seconds(30));
 }
--- a/tests/registered/proxy/session_stand.h
+++ b/tests/registered/proxy/session_stand.h
@@ -71,6 +71,7 @@
   std::set<std::string> silent;       ///< backends that answer status requests a second late
   std::set<std::string> unreachable;  ///< backends that accept no connection
 
+  [[nodiscard]] const std::vector<std::string>& log_lines() const { return log_lines_; }
   [[nodiscard]] std::shared_ptr<GroupAccess> group() { return view().find_group(GroupName("group")); }
   [[nodiscard]] FleetView& view() { return *view_; }
   [[nodiscard]] SessionMetrics& metrics() { return metrics_; }
@@ -101,6 +102,7 @@
   std::map<Step, std::function<void()>> events_;
   std::map<std::string, std::vector<std::string>> sent_;
   std::vector<std::string> dialled_tenants_;
+  std::vector<std::string> log_lines_;
   int setup_count_ = 0;
   std::uint64_t position_ = 10;
 };
