Waiting statements are bounded, and leave time for their run before the deadline

And nothing bounded how many statements wait at a proxy, forwarded ones included.

Not done: a caller that closes its connection while its statement waits is noticed when the wait ends.

--- a/src/registered/placement/rejection_reason.cpp
+++ b/src/registered/placement/rejection_reason.cpp
@@ -29,6 +29,7 @@
     {"no_backend", "no backend can serve it now"},
     {"no_lease", "this proxy has no serving lease"},
     {"no_proxy", "no proxy that may serve the group accepted it"},
+    {"too_many_wait", "too many statements that are at least as urgent wait at this proxy"},
     {"key_unauthorized", "the API key is not valid for the tenant any more"},
     {"key_unconfirmed", "the API key was not confirmed recently enough"},
     {"over_limit", "the tenant's rate limit has no token to run it again"},
--- a/src/registered/placement/rejection_reason.h
+++ b/src/registered/placement/rejection_reason.h
@@ -28,8 +28,9 @@
   kBackendsBusy,        ///< the statement was already sent to a backend, and none can run it now
   kNoBackend,           ///< no suitable backend is known, or no attempt got as far as sending the statement
   // Concerning this proxy and its peers.
-  kNoLease,  ///< this proxy holds no serving lease, so it may use no primary
-  kNoProxy,  ///< none of the proxies that may serve the group accepted the statement
+  kNoLease,      ///< this proxy holds no serving lease, so it may use no primary
+  kNoProxy,      ///< none of the proxies that may serve the group accepted the statement
+  kTooManyWait,  ///< the statement would have to wait, and more urgent ones take all places
   // Concerning the caller.
   kKeyUnauthorized,  ///< the key proves no tenant, or a different one than when the statement arrived
   kKeyUnconfirmed,   ///< control has not confirmed the key recently enough
--- a/src/registered/placement/wait_budget.cpp
+++ b/src/registered/placement/wait_budget.cpp
@@ -10,7 +10,7 @@
 
 TimePoint useful_wait_end(const WaitBudget& budget) {
   const TimePoint target = budget.arrived - budget.waited_before + budget.target_latency;
-  return std::min(target, budget.deadline) - budget.run_time;
+  return std::min(target - budget.run_time, budget.deadline - budget.run_time * kDeadlineRunTimes);
 }
 
 bool allows_longer_wait(const WaitBudget& budget) {
--- a/src/registered/placement/wait_budget.h
+++ b/src/registered/placement/wait_budget.h
@@ -13,6 +13,9 @@
 /// refused, unless its route's target latency allows a longer wait. Most leases and primaries return within
 /// that time; refusing at once would make callers retry in vain.
 inline constexpr int kRefusalDivisor = 3;
+/// After its wait a statement has this many times the time for its run until its deadline. One that is cut
+/// off there has cost a backend its work, and its missing answer counts against the backend.
+inline constexpr int kDeadlineRunTimes = 2;
 /// Time allowed for opening a link and setting up the session on it, in addition to the run: two handshakes
 /// with a backend in another region.
 inline constexpr Duration kLinkOpeningTime = std::chrono::milliseconds(60);
@@ -37,8 +40,8 @@
 
 /// End of the wait by the share of the timeout that every route allows.
 TimePoint shared_wait_end(const WaitBudget& budget);
-/// The last moment at which the statement can still begin to run and be answered within its target latency
-/// and its timeout.
+/// The last moment at which the statement can still begin to run and be answered within its target latency,
+/// and with time to spare within its timeout.
 TimePoint useful_wait_end(const WaitBudget& budget);
 /// Whether the route's target latency allows a longer wait than the share of the timeout does.
 bool allows_longer_wait(const WaitBudget& budget);
--- a/src/registered/proxy/session_proxy.cpp
+++ b/src/registered/proxy/session_proxy.cpp
@@ -76,7 +76,7 @@
         positions_(runtime, view_),
         forwarder_(runtime, settings_.node, settings_.zone),
         limits_(runtime, view_, forwarder_, metrics_),
-        services_{runtime, view_, link_, metrics_, forwarder_, limits_},
+        services_{runtime, view_, link_, metrics_, forwarder_, limits_, waiting_},
         forward_server_(services_),
         known_registrations_(runtime, view_, link_, metrics_),
         readiness_(
@@ -118,6 +118,7 @@
   PositionRefresher positions_;
   Forwarder forwarder_;
   LimitClient limits_;
+  placement::WaitingRoom waiting_;
   SessionServices services_;
   ForwardServer forward_server_;
   KnownRegistrations known_registrations_;
--- a/src/registered/proxy/session_services.h
+++ b/src/registered/proxy/session_services.h
@@ -1,6 +1,7 @@
 // The services shared by all sessions of a proxy.
 #pragma once
 
+#include "registered/placement/waiting_room.h"
 #include "registered/proxy/fleet/fleet_link.h"
 #include "registered/proxy/fleet/fleet_view.h"
 #include "registered/proxy/forwarding/forwarder.h"
@@ -17,6 +18,7 @@
   SessionMetrics& metrics;
   Forwarder& forwarder;
   LimitClient& limits;
+  placement::WaitingRoom& waiting;
 };
 
 }  // namespace cairnhollow::registered::proxy
--- a/src/registered/proxy/statement/statement_forwarding.cpp
+++ b/src/registered/proxy/statement/statement_forwarding.cpp
@@ -5,7 +5,9 @@
 #include <algorithm>
 
 #include "registered/placement/attempt_outcome.h"
+#include "registered/placement/retry_after.h"
 #include "registered/proxy/statement/placement_facts.h"
+#include "registered/proxy/statement/waiting_place.h"
 
 namespace cairnhollow::registered::proxy {
 
@@ -58,8 +60,8 @@
     request.may_have_run = request.may_have_run || !result.nothing_run;
     result.nothing_run = !request.may_have_run;
   }
-  const auto placed =
-      co_await await_proxy(request.group, request.progress(), request.forwarding_rounds++, may_try_another);
+  const auto placed = co_await await_proxy(request, may_try_another);
+  ++request.forwarding_rounds;
   if (placed.action == placement::Action::kRun)
     co_return ForwardingResult{ForwardingNextStep::kStartOver, std::move(request), {}};
   StatementRefusal refusal{placed.rejection, kForwardStep, placed.retry_after};
@@ -74,23 +76,30 @@
   co_return ForwardingResult{ForwardingNextStep::kAnswer, std::move(request), std::move(result)};
 }
 
-Awaitable<placement::Placement> StatementForwarding::await_proxy(std::shared_ptr<GroupAccess> group,
-                                                                 placement::StatementProgress progress,
-                                                                 int rounds, bool may_try_another) {
+Awaitable<placement::Placement> StatementForwarding::await_proxy(StatementRequest request,
+                                                                 bool may_try_another) {
+  const placement::StatementProgress progress = request.progress();
   const TimePoint refuse_at = placement::refusal_time(progress);
   placement::ForwardingOutcome outcome{may_try_another, false};
+  WaitingPlace place(services_.waiting);
   while (true) {
-    const auto allowance = placement::attempt_allowance_at(progress, services_.runtime.now());
-    const auto facts = proxy_facts(services_.view, *group, progress.wait_budget());
-    const auto placed = placement::place_after_forwarding(outcome, facts, allowance);
+    const TimePoint now = services_.runtime.now();
+    const auto allowance = placement::attempt_allowance_at(progress, now);
+    const auto facts = proxy_facts(services_.view, *request.group, progress.wait_budget());
+    auto placed = placement::place_after_forwarding(outcome, facts, allowance);
     if (placed.action != placement::Action::kWait) co_return placed;
+    if (!place.keep(request)) {
+      placed.action = placement::Action::kRefuse;
+      placed.rejection = placement::RejectionReason::kTooManyWait;
+      placed.retry_after = placement::kRetryAfterWithoutPrimary;
+      co_return placed;
+    }
     if (placed.rejection == placement::RejectionReason::kNoLease) {
       // Whether a lease is still expected changes without a notification.
-      const TimePoint check_at = services_.runtime.now() + placement::kEventCheckInterval;
-      co_await services_.view.renewed().wait_until(allowance.may_wait_longer ? std::min(refuse_at, check_at)
-                                                                             : refuse_at);
+      const TimePoint check_at = allowance.may_wait_longer ? now + placement::kEventCheckInterval : refuse_at;
+      co_await services_.view.renewed().wait_until(std::min(refuse_at, check_at));
     } else {
-      co_await services_.runtime.sleep_for(placement::forwarding_pause(rounds));
+      co_await services_.runtime.sleep_for(placement::forwarding_pause(request.forwarding_rounds));
     }
     outcome.has_waited = true;
   }
--- a/src/registered/proxy/statement/statement_forwarding.h
+++ b/src/registered/proxy/statement/statement_forwarding.h
@@ -45,11 +45,9 @@
   /// another proxy may still be tried.
   Awaitable<std::optional<RunResult>> forward_to(StatementRequest request, subset::ProxyPointer proxy,
                                                  bool& may_try_another, Reason& reason);
-  /// After no proxy accepted the request in this and `rounds` earlier rounds: waits for this proxy's lease
+  /// After no proxy accepted the request in this and earlier rounds: waits for this proxy's lease
   /// while one is expected, or pauses until the others can be asked again, while the budget lasts.
-  Awaitable<placement::Placement> await_proxy(std::shared_ptr<GroupAccess> group,
-                                              placement::StatementProgress progress, int rounds,
-                                              bool may_try_another);
+  Awaitable<placement::Placement> await_proxy(StatementRequest request, bool may_try_another);
 
   SessionServices services_;
   StatementLog log_;
--- a/src/registered/proxy/statement/statement_runner.cpp
+++ b/src/registered/proxy/statement/statement_runner.cpp
@@ -8,6 +8,7 @@
 #include "registered/placement/retry_after.h"
 #include "registered/proxy/statement/placement_facts.h"
 #include "registered/proxy/statement/statement_sending.h"
+#include "registered/proxy/statement/waiting_place.h"
 
 namespace cairnhollow::registered::proxy {
 
@@ -81,7 +82,12 @@
 Awaitable<bool> StatementRunner::choose(AttemptPointer attempt) {
   placement::Placement placed = placer_.place(*attempt);
   bool has_waited = false;
+  WaitingPlace place(services_.waiting);
   while (placed.action == Action::kWait) {
+    if (!place.keep(attempt->request)) {
+      refuse(*attempt, RejectionReason::kTooManyWait, placement::kRetryAfterWithoutPrimary);
+      co_return false;
+    }
     attempt->excluded.clear();
     const TimePoint again =
         services_.runtime.now() + placement::wait_pause(attempt->progress, placed.rejection);
--- a/tests/registered/placement/wait_budget_test.cpp
+++ b/tests/registered/placement/wait_budget_test.cpp
@@ -41,8 +41,9 @@
         {"target at a third of the timeout", budget(300, 900, 50), "1300", false},
         {"the run takes the rest of the target", budget(400, 900, 100), "1300", false},
         {"target above a third of the timeout", budget(401, 900, 100), "1301", true},
-        {"target equal to the timeout", budget(1000, 1000, 100), "1900", true},
-        {"target beyond the timeout", budget(2000, 1000, 100), "1900", true},
+        {"target equal to the timeout", budget(1000, 1000, 100), "1800", true},
+        {"target beyond the timeout", budget(2000, 1000, 100), "1800", true},
+        {"target just below the timeout", budget(850, 1000, 100), "1750", true},
         {"no target latency", budget(0, 900, 100), "1300", false},
         {"the run takes longer than the timeout", budget(2000, 1000, 1500), "1333", false},
     };
--- a/tests/registered/proxy/session_stand.cpp
+++ b/tests/registered/proxy/session_stand.cpp
@@ -197,7 +197,7 @@
 SessionStand::~SessionStand() { world_.reset(); }
 
 SessionServices SessionStand::services() {
-  return {*runtime_, *view_, *link_, metrics_, *forwarder_, *limits_};
+  return {*runtime_, *view_, *link_, metrics_, *forwarder_, *limits_, waiting_};
 }
 
 bool SessionStand::finish(Awaitable<void> task, Duration limit) {
--- a/tests/registered/proxy/session_stand.h
+++ b/tests/registered/proxy/session_stand.h
@@ -94,6 +94,7 @@
   std::unique_ptr<simulation::World> world_;
   runtime::Runtime* runtime_ = nullptr;
   SessionMetrics metrics_;
+  placement::WaitingRoom waiting_;
   std::unique_ptr<Dialer> dialer_;
   std::unique_ptr<FleetView> view_;
   std::unique_ptr<FleetLink> link_;
--- a/tests/registered/proxy/statement/cold_sending_test.cpp
+++ b/tests/registered/proxy/statement/cold_sending_test.cpp
@@ -134,7 +134,7 @@
         link(runtime, settings(), view),
         forwarder(runtime, NodeName("proxy"), ZoneName("a")),
         limits(runtime, view, forwarder, metrics),
-        runner({runtime, view, link, metrics, forwarder, limits}) {
+        runner({runtime, view, link, metrics, forwarder, limits, waiting}) {
     view.apply(delta);
   }
 
@@ -145,6 +145,7 @@
   SessionMetrics metrics;
   Forwarder forwarder;
   LimitClient limits;
+  placement::WaitingRoom waiting;
   StatementRunner runner;
 };
 
--- a/tests/registered/proxy/statement/patient_statement_test.cpp
+++ b/tests/registered/proxy/statement/patient_statement_test.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(waits_for_a_primary);
   CPPUNIT_TEST(tries_a_full_primary_until_its_budget_ends);
   CPPUNIT_TEST(time_spent_before_is_not_waited_again);
+  CPPUNIT_TEST(urgent_statements_wait_in_place_of_others);
   CPPUNIT_TEST(impatient_routes_wait_a_third_of_their_timeout);
   CPPUNIT_TEST_SUITE_END();
 
@@ -96,6 +97,30 @@
     CPPUNIT_ASSERT(finished() && result_->answer.refusal == Refusal::kBusy);
   }
 
+  void urgent_statements_wait_in_place_of_others() {
+    stand_->confirm(seconds(10), seconds(4));
+    stand_->close_group();
+    placement::WaitingRoom& room = stand_->services().waiting;
+    for (std::size_t each = 1; each < placement::kMaxWaitingStatements; ++each)
+      CPPUNIT_ASSERT(room.enter(1, 1));
+    StatementRequest request = stand_->write("last");
+    request.route.priority = 2;
+    start(std::move(request));
+    stand_->run_for(milliseconds(100));
+    CPPUNIT_ASSERT_MESSAGE("the last place", !finished());
+    CPPUNIT_ASSERT(room.enter(1, 1));
+    stand_->run_for(milliseconds(100));
+    CPPUNIT_ASSERT(finished() && result_->answer.refusal == Refusal::kBusy && result_->nothing_run);
+    CPPUNIT_ASSERT(stand_->log_lines().back().find(" since=too_many_wait ") != std::string::npos);
+    start(stand_->write("urgent"));
+    stand_->run_for(milliseconds(100));
+    CPPUNIT_ASSERT(!finished());
+    stand_->change_primary();
+    stand_->run_for(milliseconds(20));
+    CPPUNIT_ASSERT(finished() && result_->answer.succeeded());
+    CPPUNIT_ASSERT_MESSAGE("its place is free again", room.size() < placement::kMaxWaitingStatements);
+  }
+
   void impatient_routes_wait_a_third_of_their_timeout() {
     stand_->confirm(seconds(10), seconds(4));
     stand_->close_group();
--- a/tests/registered/proxy/statement/runner_fixture.h
+++ b/tests/registered/proxy/statement/runner_fixture.h
@@ -171,7 +171,7 @@
         link(runtime, settings(), view),
         forwarder(runtime, NodeName("proxy"), ZoneName("a")),
         limits(runtime, view, forwarder, metrics),
-        runner({runtime, view, link, metrics, forwarder, limits}) {
+        runner({runtime, view, link, metrics, forwarder, limits, waiting}) {
     view.apply(fleet());
     view.extend_lease(runtime.now(), runtime.now() + lease, 1);
   }
@@ -183,6 +183,7 @@
   SessionMetrics metrics;
   Forwarder forwarder;
   LimitClient limits;
+  placement::WaitingRoom waiting;
   StatementRunner runner;
 };
 
--- a/tests/registered/proxy/statement/statement_regions_test.cpp
+++ b/tests/registered/proxy/statement/statement_regions_test.cpp
@@ -124,7 +124,7 @@
         link(runtime, own, view),
         forwarder(runtime, NodeName("proxy"), ZoneName("s1")),
         limits(runtime, view, forwarder, metrics),
-        runner({runtime, view, link, metrics, forwarder, limits}) {
+        runner({runtime, view, link, metrics, forwarder, limits, waiting}) {
     view.apply(fleet());
     view.extend_lease(runtime.now(), runtime.now() + seconds(60), 1);
   }
@@ -137,6 +137,7 @@
   SessionMetrics metrics;
   Forwarder forwarder;
   LimitClient limits;
+  placement::WaitingRoom waiting;
   StatementRunner runner;
 };
 
@@ -238,10 +239,10 @@
   void applies_changed_regions_to_the_next_transaction() {
     bind_tenant("south");
     const auto caller = std::make_shared<ReadingCaller>(*runtime_);
-    const auto session =
-        std::make_shared<CallerSession>(SessionServices{*runtime_, proxy_->view, proxy_->link,
-                                                        proxy_->metrics, proxy_->forwarder, proxy_->limits},
-                                        caller);
+    const auto session = std::make_shared<CallerSession>(
+        SessionServices{*runtime_, proxy_->view, proxy_->link, proxy_->metrics, proxy_->forwarder,
+                        proxy_->limits, proxy_->waiting},
+        caller);
     runtime_->spawn("session", session->run());
     CPPUNIT_ASSERT(world_->run_until([&] { return caller->answers.size() == 1; }, seconds(1)));
     bind_tenant("west");
