A primary that is full is busy, not failed

The primaries ran all the time; their groups were closed until 38.2 to 38.4 s, for 935 and 1,217 refusals as group_closed. Ruled out: lost primaries. The outage took proxies and control nodes only.

Change: a refusal at the connection limit counts as busy in the check of a suspected primary, as a refused status query did before. A primary that most of its proxies cannot connect to is replaced as before, if a successor is proved. Test: GroupKeeperTest::keeps_a_primary_at_its_connection_limit.

--- a/src/registered/control/failover/group_prober.cpp
+++ b/src/registered/control/failover/group_prober.cpp
@@ -67,6 +67,8 @@
     std::optional<Refusal> refusal;
     const BackendAddress address{entry.endpoint, entry.group, entry.name};
     link = co_await dialer_.open(address, deadline, refusal, reason);
+    // The backend runs: its connections are taken, for example by proxies that ended a moment ago.
+    if (refusal == Refusal::kConnectionLimit) reason.code = ReasonCode::kOverloaded;
   }
   if (!link) co_return std::nullopt;
   runtime::SendState sent = runtime::SendState::kNotSent;
--- a/src/registered/control/failover/group_prober.h
+++ b/src/registered/control/failover/group_prober.h
@@ -24,7 +24,8 @@
  public:
   GroupProber(runtime::Runtime& runtime, BackendDialer& dialer) : runtime_(runtime), dialer_(dialer) {}
 
-  /// Returns std::nullopt if the backend does not answer by `deadline`.
+  /// Returns std::nullopt if the backend does not answer by `deadline`. `reason` is kOverloaded if it runs
+  /// but is busy, or has no room for a connection.
   Awaitable<std::optional<BackendStatus>> query(registry::BackendEntry entry, TimePoint deadline,
                                                 Reason& reason);
   /// Makes the backend step down from any term below `term`, then returns as query().
--- a/tests/registered/control/control_stand.cpp
+++ b/tests/registered/control/control_stand.cpp
@@ -217,6 +217,11 @@
                     "another backend answers at this address"};
     co_return nullptr;
   }
+  if (members[address.backend.value].is_full) {
+    refusal = Refusal::kConnectionLimit;
+    reason = Reason{ReasonCode::kUnreachable, "open_session", address.backend.value, "connection limit"};
+    co_return nullptr;
+  }
   co_return std::make_shared<MemberLink>(*this, address.backend.value);
 }
 
--- a/tests/registered/control/control_stand.h
+++ b/tests/registered/control/control_stand.h
@@ -110,7 +110,8 @@
     BackendStatus status;
     bool answers = true;
     bool forgets_pauses = false;
-    int questions = 0;  ///< number of status queries received
+    bool is_full = false;  ///< rejects connections at its limit
+    int questions = 0;     ///< number of status queries received
   };
   std::map<std::string, Member> members;
   bool refuses_promotions = false;  ///< rejects promotion orders with kOverloaded
--- a/tests/registered/control/failover/group_keeper_test.cpp
+++ b/tests/registered/control/failover/group_keeper_test.cpp
@@ -21,6 +21,7 @@
 class GroupKeeperTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(GroupKeeperTest);
   CPPUNIT_TEST(replaces_a_failed_primary);
+  CPPUNIT_TEST(keeps_a_primary_at_its_connection_limit);
   CPPUNIT_TEST(waits_for_leases_from_control);
   CPPUNIT_TEST(waits_for_member_leases_of_an_unresponsive_proxy);
   CPPUNIT_TEST(does_not_promote_an_unpaused_member);
@@ -46,6 +47,20 @@
     CPPUNIT_ASSERT_MESSAGE("every proxy answered, so no member is paused", stand_->first("pause") == nullptr);
   }
 
+  void keeps_a_primary_at_its_connection_limit() {
+    stand_->members["primary"].is_full = true;
+    for (int second = 0; second < 3; ++second) {
+      suspect_primary();
+      stand_->run_for(seconds(1));
+    }
+    CPPUNIT_ASSERT(stand_->term().open);
+    CPPUNIT_ASSERT(stand_->first("promote") == nullptr);
+    stand_->members["primary"].is_full = false;
+    kill_primary();
+    stand_->run_for(seconds(2));
+    CPPUNIT_ASSERT_MESSAGE("one that does not answer is replaced", stand_->first("promote") != nullptr);
+  }
+
   void waits_for_leases_from_control() {
     const auto proxy = stand_->connect("proxy");
     report(*proxy);
@@ -195,6 +210,9 @@
 
   void kill_primary() {
     stand_->members["primary"].answers = false;
+    suspect_primary();
+  }
+  void suspect_primary() {
     registry::PrimarySuspicion suspicion;
     suspicion.group = kGroup;
     suspicion.backend = BackendName("primary");
