--- a/src/registered/placement/rejection_reason.cpp
+++ b/src/registered/placement/rejection_reason.cpp
@@ -30,9 +30,16 @@
     {"no_lease", "this proxy has no serving lease"},
     {"no_proxy", "no proxy that may serve the group accepted it"},
     {"overloaded", "this proxy is overloaded and admits only work of higher priorities"},
+    {"too_many_wait", "too many statements that are at least as urgent wait at this proxy"},
     {"key_unauthorized", "the API key is not valid for the tenant any more"},
     {"key_unconfirmed", "the API key was not confirmed recently enough"},
     {"over_limit", "the tenant's rate limit has no token to run it again"},
+    {"no_route", "no route names the database"},
+    {"session_limit", "this proxy has reached its session limit"},
+    {"refused_by_backend", "the backend refused it"},
+    {"refused_elsewhere", "the proxy that it was forwarded to refused it"},
+    {"answer_lost", "it was sent and no answer arrived"},
+    {"transaction_lost", "the connection of its transaction is gone"},
 }};
 
 constexpr std::array<const char*, kForwardCauseCount> kForwardCauses{"served_elsewhere", "no_lease",
--- a/src/registered/proxy/session_proxy.cpp
+++ b/src/registered/proxy/session_proxy.cpp
@@ -79,7 +79,7 @@
         owners_(runtime, settings_.node, settings_.zone, wire::Conversation::kBackendRoom),
         demands_(runtime, view_, owners_),
         overload_(runtime, settings_.link_rate),
-        services_{runtime, view_, link_, metrics_, forwarder_, limits_, demands_, overload_},
+        services_{runtime, view_, link_, metrics_, forwarder_, limits_, demands_, overload_, waiting_},
         forward_server_(services_),
         known_registrations_(runtime, view_, link_, metrics_),
         readiness_(
@@ -103,6 +103,7 @@
   void watch_lease(TimePoint now);
   /// Updates the metrics of the gates of all backends.
   void report_gates();
+  void log_return();
   void trim_links(TimePoint now);
   /// Aborts transactions and closes backend links in evacuated zones.
   void end_evacuated_work();
@@ -126,6 +127,7 @@
   Forwarder owners_;  ///< connections to other owners of backends
   DemandExchange demands_;
   OverloadControl overload_;
+  placement::WaitingRoom waiting_;
   SessionServices services_;
   ForwardServer forward_server_;
   KnownRegistrations known_registrations_;
@@ -177,13 +179,12 @@
 
 Awaitable<void> SessionProxy::serve(std::shared_ptr<runtime::LineConnection> lines) {
   const auto caller = callers_->wrap(std::move(lines));
+  const auto session = std::make_shared<CallerSession>(services_, caller);
   if (sessions_.size() >= settings_.session_limit) {
-    co_await caller->refuse(Refusal::kBusy,
-                            "this proxy has reached its session limit; retry through another proxy");
+    co_await session->refuse_at_limit();
     co_return;
   }
   const std::uint64_t id = next_session_++;
-  const auto session = std::make_shared<CallerSession>(services_, caller);
   sessions_.emplace(id, session);
   co_await session->run();
   sessions_.erase(id);
@@ -242,6 +243,20 @@
                          {"version", std::to_string(view_.document_version())}});
 }
 
+/// Logs once, after the first answer, how long each step since the start took.
+void SessionProxy::log_return() {
+  if (!view_.return_steps().take_completed()) return;
+  const auto after_ms = [this](ReturnStep step) {
+    return std::to_string(in_ms(view_.return_steps().after(step)));
+  };
+  runtime_.logger().log(LogLevel::kInfo, "return_completed",
+                        {{"lease_ms", after_ms(ReturnStep::kLease)},
+                         {"primary_ms", after_ms(ReturnStep::kPrimary)},
+                         {"session_ms", after_ms(ReturnStep::kSession)},
+                         {"link_ms", after_ms(ReturnStep::kLink)},
+                         {"answer_ms", after_ms(ReturnStep::kAnswer)}});
+}
+
 Awaitable<void> SessionProxy::warm_links() {
   while (!stopped_) {
     // Jitter, so that proxies that start together do not open their links at the same moment.
@@ -293,6 +308,7 @@
     co_await runtime_.sleep_for(kWatchTick);
     const TimePoint now = runtime_.now();
     watch_lease(now);
+    log_return();
     watch_primaries(now);
     trim_links(now);
     report_gates();
--- a/src/registered/proxy/session_services.h
+++ b/src/registered/proxy/session_services.h
@@ -1,6 +1,7 @@
 // The services shared by all sessions of a proxy.
 #pragma once
 
+#include "registered/placement/waiting_room.h"
 #include "registered/proxy/capacity/demand_exchange.h"
 #include "registered/proxy/fleet/fleet_link.h"
 #include "registered/proxy/fleet/fleet_view.h"
@@ -21,6 +22,7 @@
   LimitClient& limits;
   DemandExchange& demands;
   OverloadControl& overload;
+  placement::WaitingRoom& waiting;
 };
 
 }  // namespace cairnhollow::registered::proxy
--- a/src/registered/proxy/statement/cold_tokens.cpp
+++ b/src/registered/proxy/statement/cold_tokens.cpp
@@ -42,7 +42,7 @@
 
 Awaitable<bool> ColdTokens::enter_gate(std::shared_ptr<GroupAccess> group,
                                        std::shared_ptr<BackendState> backend, scheduling::SlotRequest slot,
-                                       LocalRefusal& refusal) {
+                                       StatementRefusal& refusal) {
   while (true) {
     std::optional<TimePoint> token;
     const bool may_enter = co_await wait_for_token(group, backend, slot.wait_end, token);
--- a/src/registered/proxy/statement/cold_tokens.h
+++ b/src/registered/proxy/statement/cold_tokens.h
@@ -33,7 +33,7 @@
   /// caller must release the slot. Returns false otherwise; `refusal`: the cause if no token was available,
   /// or what the gate decided.
   Awaitable<bool> enter_gate(std::shared_ptr<GroupAccess> group, std::shared_ptr<BackendState> backend,
-                             scheduling::SlotRequest slot, LocalRefusal& refusal);
+                             scheduling::SlotRequest slot, StatementRefusal& refusal);
 
  private:
   void record_limit(const GroupAccess& group, BackendState& backend, const AdmissionAnswer& admission) const;
--- a/src/registered/proxy/statement/statement_forwarding.cpp
+++ b/src/registered/proxy/statement/statement_forwarding.cpp
@@ -5,7 +5,9 @@
 #include <algorithm>
 
 #include "registered/placement/attempt_outcome.h"
+#include "registered/placement/retry_after.h"
 #include "registered/proxy/statement/placement_facts.h"
+#include "registered/proxy/statement/waiting_place.h"
 
 namespace cairnhollow::registered::proxy {
 
@@ -58,29 +60,47 @@
     request.may_have_run = request.may_have_run || !result.nothing_run;
     result.nothing_run = !request.may_have_run;
   }
-  const TimePoint refuse_at = placement::refusal_time(request.progress());
-  const auto placed = co_await await_lease(request.group, refuse_at, may_try_another);
+  const auto placed = co_await await_proxy(request, may_try_another);
+  ++request.forwarding_rounds;
   if (placed.action == placement::Action::kRun)
     co_return ForwardingResult{ForwardingNextStep::kStartOver, std::move(request), {}};
-  const LocalRefusal local_refusal{placed.rejection, placed.retry_after, {}};
+  StatementRefusal refusal{placed.rejection, kForwardStep, placed.retry_after};
+  if (placed.rejection == placement::RejectionReason::kNone)
+    refusal.cause = reason.failed() ? placement::RejectionReason::kAnswerLost
+                                    : placement::RejectionReason::kRefusedElsewhere;
   if (placed.rejection == placement::RejectionReason::kNoLease || !is_answered) {
     result.answer.detail = fmt::format("{}; retry in {} ms", placement::rejection_text(placed.rejection),
                                        in_ms(placed.retry_after));
   }
-  if (result.answer.refusal) log_.refusal(request, result.answer, reason, 1, local_refusal);
+  if (result.answer.refusal) log_.refusal(request, result.answer, reason, 1, refusal);
   co_return ForwardingResult{ForwardingNextStep::kAnswer, std::move(request), std::move(result)};
 }
 
-Awaitable<placement::Placement> StatementForwarding::await_lease(std::shared_ptr<GroupAccess> group,
-                                                                 TimePoint refuse_at, bool may_try_another) {
+Awaitable<placement::Placement> StatementForwarding::await_proxy(StatementRequest request,
+                                                                 bool may_try_another) {
+  const placement::StatementProgress progress = request.progress();
+  const TimePoint refuse_at = placement::refusal_time(progress);
   placement::ForwardingOutcome outcome{may_try_another, false};
-  placement::AttemptAllowance allowance;
+  WaitingPlace place(services_.waiting);
   while (true) {
-    allowance.may_wait = services_.runtime.now() < refuse_at;
-    const auto placed =
-        placement::place_after_forwarding(outcome, proxy_facts(services_.view, *group), allowance);
+    const TimePoint now = services_.runtime.now();
+    const auto allowance = placement::attempt_allowance_at(progress, now);
+    const auto facts = proxy_facts(services_.view, *request.group, progress.wait_budget());
+    auto placed = placement::place_after_forwarding(outcome, facts, allowance);
     if (placed.action != placement::Action::kWait) co_return placed;
-    co_await services_.view.renewed().wait_until(refuse_at);
+    if (!place.keep(request)) {
+      placed.action = placement::Action::kRefuse;
+      placed.rejection = placement::RejectionReason::kTooManyWait;
+      placed.retry_after = placement::kRetryAfterWithoutPrimary;
+      co_return placed;
+    }
+    if (placed.rejection == placement::RejectionReason::kNoLease) {
+      // Whether a lease is still expected changes without a notification.
+      const TimePoint check_at = allowance.may_wait_longer ? now + placement::kEventCheckInterval : refuse_at;
+      co_await services_.view.renewed().wait_until(std::min(refuse_at, check_at));
+    } else {
+      co_await services_.runtime.sleep_for(placement::forwarding_pause(request.forwarding_rounds));
+    }
     outcome.has_waited = true;
   }
 }
@@ -89,6 +109,7 @@
                                                                     subset::ProxyPointer proxy,
                                                                     bool& may_try_another, Reason& reason) {
   may_try_another = true;
+  reason = Reason{};
   const auto connection = co_await services_.forwarder.connect(proxy, request.deadline, reason);
   if (!connection) co_return std::nullopt;
   ForwardRequest forward_request;
--- a/src/registered/proxy/statement/statement_request.h
+++ b/src/registered/proxy/statement/statement_request.h
@@ -36,6 +36,8 @@
   bool read_only_transaction = false;
   bool is_forwarded = false;  ///< by another proxy: run here or refused, never forwarded again
   int reroute_count = 0;      ///< number of times it was forwarded after a wait here
+  int forwarding_rounds = 0;  ///< rounds in which none of the proxies that it was forwarded to accepted it
+  Duration waited_before{0};  ///< before `arrived`: while its session opened, or at another proxy
   /// A backend may already have run it; a rerun needs another token of the tenant's rate limit.
   bool may_have_run = false;
   /// Whether the statement, or the transaction that it opens, is read-only.
@@ -49,7 +51,8 @@
   }
   /// The progress before the first attempt.
   [[nodiscard]] placement::StatementProgress progress() const {
-    return {arrived, deadline, std::chrono::milliseconds(route.target_latency_ms), 0, reroute_count, false};
+    return {arrived, deadline,      std::chrono::milliseconds(route.target_latency_ms),   0, reroute_count,
+            false,   waited_before, group->run_time.value() + placement::kLinkOpeningTime};
   }
 };
 
@@ -75,11 +78,18 @@
   bool nothing_run = false;  ///< certainly no backend has run it, in any attempt
 };
 
-/// Why this proxy itself refused a statement, for the log. `cause` is kNone if it did not.
-struct LocalRefusal {
+/// Steps at which a statement is refused without a failure whose reason names its own step.
+inline constexpr const char* kPlaceStep = "place";
+inline constexpr const char* kForwardStep = "forward";
+inline constexpr const char* kRunStep = "run_statement";
+inline constexpr const char* kTransactionStep = "continue_transaction";
+
+/// Why a statement was refused, for the log.
+struct StatementRefusal {
   placement::RejectionReason cause = placement::RejectionReason::kNone;
+  const char* step = kPlaceStep;
   Duration retry_after{0};
-  std::string passed_over;  ///< the rejected backends of the group as "name:reason", separated by spaces
+  std::string passed_over{};  ///< the rejected backends of the group as "name:reason", separated by spaces
   std::optional<GateOutcome> gate = std::nullopt;  ///< set if a backend's gate refused it last
 };
 
--- a/src/registered/proxy/statement/statement_runner.cpp
+++ b/src/registered/proxy/statement/statement_runner.cpp
@@ -9,6 +9,7 @@
 #include "registered/proxy/statement/placement_facts.h"
 #include "registered/proxy/statement/slot_admission.h"
 #include "registered/proxy/statement/statement_sending.h"
+#include "registered/proxy/statement/waiting_place.h"
 
 namespace cairnhollow::registered::proxy {
 
@@ -54,7 +55,8 @@
     ++attempt->progress.attempts;
     next = co_await try_backend(attempt);
     cold_tokens_.release(*attempt->backend, std::exchange(attempt->cold_token, {}));
-    if (next == NextStep::kRetryAfterPause) co_await runtime.sleep_for(placement::kRetryPause);
+    if (next == NextStep::kRetryAfterPause)
+      co_await runtime.sleep_for(placement::retry_pause(attempt->progress));
   }
   if (!attempt->reroute_targets.empty())
     co_return co_await forward(std::move(attempt->request), std::move(attempt->reroute_targets));
@@ -64,8 +66,7 @@
   const bool had_no_slot = attempt->progress.attempts > 0 && !attempt->gate.admitted();
   if (had_no_slot) attempt->local_refusal.gate = attempt->gate;
   if (answer.refusal)
-    log_.refusal(attempt->request, answer, attempt->reason, attempt->progress.attempts,
-                 attempt->local_refusal);
+    log_.refusal(attempt->request, answer, attempt->reason, attempt->progress.attempts, attempt->refusal);
   attempt->result.nothing_run = !attempt->request.may_have_run;
   co_return std::move(attempt->result);
 }
@@ -73,9 +74,15 @@
 Awaitable<bool> StatementRunner::choose(AttemptPointer attempt) {
   placement::Placement placed = placer_.place(*attempt);
   bool has_waited = false;
+  WaitingPlace place(services_.waiting);
   while (placed.action == Action::kWait) {
+    if (!place.keep(attempt->request)) {
+      refuse(*attempt, RejectionReason::kTooManyWait, placement::kRetryAfterWithoutPrimary);
+      co_return false;
+    }
     attempt->excluded.clear();
-    const TimePoint again = services_.runtime.now() + placement::kRetryPause;
+    const TimePoint again =
+        services_.runtime.now() + placement::wait_pause(attempt->progress, placed.rejection);
     const TimePoint limit = placement::refusal_time(attempt->progress);
     co_await attempt->request.group->changed.wait_until(std::min(limit, again));
     placed = placer_.place(*attempt);
@@ -91,14 +98,14 @@
   answer.refusal = refusal_of(cause);
   answer.state = TransactionState::kIdle;
   answer.detail = placement::rejection_text(cause);
-  attempt.local_refusal = LocalRefusal{cause, retry_after, {}};
+  attempt.refusal = StatementRefusal{cause, kPlaceStep, retry_after};
   if (retry_after == Duration(0)) return;
   answer.detail += fmt::format("; retry in {} ms", in_ms(retry_after));
   const GroupFacts backends = attempt.request.group->evaluator.facts(attempt.placement_request());
   for (const placement::BackendFacts& backend : backends) {
     const RejectionReason rejection = placement::rejection_at(backend, attempt.need.primary_only, backends);
     if (rejection == RejectionReason::kNone) continue;
-    std::string& passed_over = attempt.local_refusal.passed_over;
+    std::string& passed_over = attempt.refusal.passed_over;
     if (!passed_over.empty()) passed_over += ' ';
     passed_over += fmt::format("{}:{}", backend.name, placement::rejection_name(rejection));
   }
@@ -108,7 +115,7 @@
                                           Duration retry_after, Reason reason) {
   refuse(attempt, cause, retry_after);
   attempt.reason = std::move(reason);
-  log_.refusal(attempt.request, attempt.result.answer, attempt.reason, 0, attempt.local_refusal);
+  log_.refusal(attempt.request, attempt.result.answer, attempt.reason, 0, attempt.refusal);
   attempt.result.nothing_run = !attempt.request.may_have_run;
   return std::move(attempt.result);
 }
@@ -153,6 +160,7 @@
   // Idle links that were closed by the other side may indicate that the backend process ended.
   if (backend.pool.take_lost_idle()) backend.restart_detector.mark_unreachable();
   if (attempt->link) {
+    services_.view.record_step(ReturnStep::kLink);
     backend.restart_detector.record_reached(services_.runtime.now());
     co_return true;
   }
@@ -344,6 +352,7 @@
   }
   log_.lost_answer(attempt, reason);
   if (outcome.retry.next != NextStep::kAnswer) return apply(outcome.retry, attempt);
+  attempt.refusal = StatementRefusal{RejectionReason::kAnswerLost, kRunStep};
   Answer& answer = attempt.result.answer;
   answer = Answer{};
   answer.refusal = Refusal::kInDoubt;
@@ -358,7 +367,10 @@
   attempt.link->record_state(answer.state);
   const bool current = services_.view.may_use_primary(group, attempt.epoch);
   if (attempt.at_primary) group.primary_health.record_answered();
-  if (answer.succeeded()) group.evaluator.record_latency(backend, services_.runtime.now() - attempt.sent_at);
+  const Duration took = services_.runtime.now() - attempt.sent_at;
+  if (answer.succeeded()) group.evaluator.record_latency(backend, took);
+  if (answer.succeeded()) group.run_time.record(took);
+  if (answer.succeeded()) services_.view.record_step(ReturnStep::kAnswer);
   const placement::AttemptFacts facts = attempt.facts(current);
   const placement::Retry retry = placement::after_answer(answer.refusal, facts);
   if (retry.next == NextStep::kAnswer) return handle_final_answer(attempt, std::move(answer));
@@ -385,6 +397,10 @@
                          answer);
   if (answer.succeeded() && !attempt.at_primary && answer.position)
     group.record_replica_answer(*attempt.backend, attempt.need, answer.position);
+  if (answer.refusal) {
+    attempt.reason = Reason{};
+    attempt.refusal = StatementRefusal{RejectionReason::kRefusedByBackend, kRunStep};
+  }
   attempt.result.served_by = attempt.at_primary ? ServedBy::kPrimary : ServedBy::kReplica;
   if (request.opens_transaction) {
     attempt.result.pinned = attempt.pinned();
--- a/tests/registered/proxy/statement/cold_sending_test.cpp
+++ b/tests/registered/proxy/statement/cold_sending_test.cpp
@@ -136,7 +136,7 @@
         limits(runtime, view, forwarder, metrics),
         demands(runtime, view, forwarder),
         overload(runtime, 0),
-        runner({runtime, view, link, metrics, forwarder, limits, demands, overload}) {
+        runner({runtime, view, link, metrics, forwarder, limits, demands, overload, waiting}) {
     view.apply(delta);
   }
 
@@ -149,6 +149,7 @@
   LimitClient limits;
   DemandExchange demands;
   OverloadControl overload;
+  placement::WaitingRoom waiting;
   StatementRunner runner;
 };
 
--- a/tests/registered/proxy/statement/runner_fixture.h
+++ b/tests/registered/proxy/statement/runner_fixture.h
@@ -173,7 +173,7 @@
         limits(runtime, view, forwarder, metrics),
         demands(runtime, view, forwarder),
         overload(runtime, 0),
-        runner({runtime, view, link, metrics, forwarder, limits, demands, overload}) {
+        runner({runtime, view, link, metrics, forwarder, limits, demands, overload, waiting}) {
     view.apply(fleet());
     view.extend_lease(runtime.now(), runtime.now() + lease, 1);
   }
@@ -187,6 +187,7 @@
   LimitClient limits;
   DemandExchange demands;
   OverloadControl overload;
+  placement::WaitingRoom waiting;
   StatementRunner runner;
 };
 
--- a/tests/registered/proxy/statement/statement_regions_test.cpp
+++ b/tests/registered/proxy/statement/statement_regions_test.cpp
@@ -126,7 +126,7 @@
         limits(runtime, view, forwarder, metrics),
         demands(runtime, view, forwarder),
         overload(runtime, 0),
-        runner({runtime, view, link, metrics, forwarder, limits, demands, overload}) {
+        runner({runtime, view, link, metrics, forwarder, limits, demands, overload, waiting}) {
     view.apply(fleet());
     view.extend_lease(runtime.now(), runtime.now() + seconds(60), 1);
   }
@@ -141,6 +141,7 @@
   LimitClient limits;
   DemandExchange demands;
   OverloadControl overload;
+  placement::WaitingRoom waiting;
   StatementRunner runner;
 };
 
@@ -244,7 +245,7 @@
     const auto caller = std::make_shared<ReadingCaller>(*runtime_);
     const auto session = std::make_shared<CallerSession>(
         SessionServices{*runtime_, proxy_->view, proxy_->link, proxy_->metrics, proxy_->forwarder,
-                        proxy_->limits, proxy_->demands, proxy_->overload},
+                        proxy_->limits, proxy_->demands, proxy_->overload, proxy_->waiting},
         caller);
     runtime_->spawn("session", session->run());
     CPPUNIT_ASSERT(world_->run_until([&] { return caller->answers.size() == 1; }, seconds(1)));
