Work at a primary begins beside it where a deployment spans regions

Cause: without tenants, a proxy that serves a group ran writes and transactions over its own link to the primary, wherever that is. Ruled out: the queue at the backend (seconds without trouble show the same).

Change: where the settings name several regions and links belong to no tenant, such work is forwarded to a serving proxy of the primary's zone, else of its region; it waits where it came in while no primary is known. Links are divided by region alike. Proxies that see no answers of the primary ask for its position. A proxy of another region is waited for 160 ms while it is dialled: one round trip is 60 ms there, more than the 50 ms of before, so that each first statement would have passed it over.

--- a/src/registered/proxy/fleet/fleet_view.cpp
+++ b/src/registered/proxy/fleet/fleet_view.cpp
@@ -4,6 +4,7 @@
 #include <set>
 #include <utility>
 
+#include "registered/balancing/region_division.h"
 #include "registered/registry/division.h"
 #include "registered/registry/member_lease.h"
 #include "registered/tenancy/tenant_division.h"
@@ -182,8 +183,9 @@
     const std::size_t size = registry::serving_proxies(group->rule, group->backends.slots(),
                                                        accepting_proxies.size(), requires_keys_);
     if (size >= accepting_proxies.size()) {
-      if (requires_keys_) share_connections(*group, accepting_proxies);
-      if (!requires_keys_) group->backends.share_connections(proxies_.size());
+      const bool evenly = !requires_keys_ && !divides_by_region();
+      if (!evenly) share_connections(*group, accepting_proxies);
+      if (evenly) group->backends.share_connections(proxies_.size());
       also_serving_[name] = other_proxies_;
       serving_[name] = subset::forwarding_order(accepting_proxies, node_, zone_);
       continue;
@@ -202,6 +204,7 @@
 
 void FleetView::share_connections(GroupAccess& group,
                                   const std::vector<subset::ProxyPointer>& serving) const {
+  if (divides_by_region()) return group.backends.share_connections({serving, regions_});
   if (!requires_keys_) return group.backends.share_connections(serving.size());
   tenancy::ServingProxies counts;
   counts.all = serving.size();
@@ -239,7 +242,10 @@
 const std::vector<subset::ProxyPointer>& FleetView::forwarding_targets(const GroupName& group,
                                                                        const TenantName& tenant,
                                                                        GroupWork work) {
-  if (tenant.empty()) return forwarding_targets(group);
+  if (tenant.empty()) {
+    const bool by_region = work == GroupWork::kAtPrimary && divides_by_region();
+    return by_region ? regional_targets(group) : forwarding_targets(group);
+  }
   if (tenant_forwarding_targets_.size() > kMaxCachedTenantOrders) tenant_forwarding_targets_.clear();
   const auto zone = work_zone(group, tenant, work);
   if (!zone) return no_proxies();
@@ -251,6 +257,21 @@
       .first->second;
 }
 
+const std::vector<subset::ProxyPointer>& FleetView::regional_targets(const GroupName& group) {
+  const auto found = groups_.find(group);
+  if (found == groups_.end()) return forwarding_targets(group);
+  const auto primary = found->second->evaluator.primary();
+  // The next primary may be in any region. Without a lease other proxies may be better informed.
+  if (!primary) return holds_lease_for(*found->second) ? no_proxies() : forwarding_targets(group);
+  const ZoneName& zone = primary->entry.zone;
+  const TenantName no_tenant;
+  const auto known = tenant_forwarding_targets_.find(std::tie(group, no_tenant, zone));
+  if (known != tenant_forwarding_targets_.end()) return known->second;
+  auto order = balancing::order_for_primary(serving_[group], {node_, zone_}, zone, regions_);
+  return tenant_forwarding_targets_.emplace(TenantOrderKey{group, no_tenant, zone}, std::move(order))
+      .first->second;
+}
+
 const std::vector<subset::ProxyPointer>& FleetView::also_serving(const GroupName& group) {
   return also_serving_[group];
 }
--- a/src/registered/proxy/fleet/fleet_view.h
+++ b/src/registered/proxy/fleet/fleet_view.h
@@ -44,6 +44,7 @@
         zone_(settings.zone),
         evacuated_(std::make_shared<EvacuatedZones>(settings.evacuation_bound)),
         regions_(settings.zone_regions),
+        spans_regions_(regions_.spans_regions()),
         keys_confirmed_(settings.key_bound),
         limit_window_(settings.limit_window),
         cold_window_{kColdWindow, settings.cold_overshoot - 1, settings.cold_slack},
@@ -117,10 +118,14 @@
   /// The same for the statements of one tenant, whose links to a backend are kept at few of the serving
   /// proxies of the backend's zone. Contains this proxy, behind others, if it serves the group but is not the
   /// first choice. Also empty for work at a primary while no primary may be used: such work waits at this
-  /// proxy until the primary's zone is known.
+  /// proxy until the primary's zone is known. Without a tenant, work at a primary is placed by region if
+  /// divides_by_region().
   [[nodiscard]] const std::vector<subset::ProxyPointer>& forwarding_targets(const GroupName& group,
                                                                             const TenantName& tenant,
                                                                             GroupWork work);
+  /// Whether work at a primary is placed, and links are divided, by region: the settings name several regions
+  /// and links belong to no tenant.
+  [[nodiscard]] bool divides_by_region() const { return spans_regions_ && !requires_keys_; }
   /// For a group that this proxy serves, the other proxies that serve it, in order of preference.
   [[nodiscard]] const std::vector<subset::ProxyPointer>& also_serving(const GroupName& group);
   /// All other proxies that accept new work, those of this zone first.
@@ -165,6 +170,8 @@
   /// proxy holds a lease but no primary may be used.
   [[nodiscard]] std::optional<ZoneName> work_zone(const GroupName& group, const TenantName& tenant,
                                                   GroupWork work) const;
+  /// The order for work at the group's primary if it is placed by region.
+  const std::vector<subset::ProxyPointer>& regional_targets(const GroupName& group);
   /// Divides the group's connections among the proxies that serve it.
   void share_connections(GroupAccess& group, const std::vector<subset::ProxyPointer>& serving) const;
   void apply_routes(const registry::FleetDelta& delta);
@@ -198,6 +205,7 @@
   ZoneName zone_;
   std::shared_ptr<EvacuatedZones> evacuated_;
   const locality::RegionMap regions_;
+  const bool spans_regions_;
   bool requires_keys_ = false;
   /// The current delta toggled requires_keys, which changes how links are divided.
   bool requires_keys_changed_ = false;
@@ -223,7 +231,8 @@
   std::map<GroupName, std::vector<subset::ProxyPointer>> forwarding_targets_;
   std::map<GroupName, std::vector<subset::ProxyPointer>> also_serving_;
   std::map<GroupName, std::vector<subset::ProxyPointer>> serving_;  ///< includes this proxy where it serves
-  /// Computed on demand from `serving_` and the tenants' limits.
+  /// Computed on demand from `serving_` and the tenants' limits. Without a tenant: the order for work at a
+  /// primary in the zone.
   std::map<TenantOrderKey, std::vector<subset::ProxyPointer>, TenantOrderKeyLess> tenant_forwarding_targets_;
   std::vector<subset::ProxyPointer> other_proxies_;
 };
--- a/src/registered/proxy/forwarding/forwarder.cpp
+++ b/src/registered/proxy/forwarding/forwarder.cpp
@@ -134,7 +134,7 @@
   peer->last_requested_at = runtime_.now();
   if (peer->is_open()) co_return peer->connection;
   start_dialling(peer);
-  const TimePoint give_up_at = std::min(deadline, peer->dialling_since + kForwardConnectWait);
+  const TimePoint give_up_at = std::min(deadline, peer->dialling_since + connect_wait(*proxy));
   while (!peer->is_open() && peer->is_dialling && !peer->is_unreachable && runtime_.now() < give_up_at)
     co_await peer->dialled.wait_until(give_up_at);
   if (peer->is_open()) co_return peer->connection;
--- a/src/registered/proxy/forwarding/forwarder.h
+++ b/src/registered/proxy/forwarding/forwarder.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <vector>
 
+#include "registered/locality/region_map.h"
 #include "registered/proxy/forwarding/forward_messages.h"
 #include "runtime/runtime.h"
 #include "runtime/signal.h"
@@ -19,6 +20,8 @@
 /// Longest wait of a statement for a connection to one proxy before the next proxy is tried. The dial itself
 /// continues in the background for up to kForwardDialTimeout.
 inline constexpr Duration kForwardConnectWait = std::chrono::milliseconds(50);
+/// The same for a proxy of another region: twice the longest round trip between regions, 80 ms.
+inline constexpr Duration kForwardConnectWaitAcrossRegions = std::chrono::milliseconds(160);
 inline constexpr Duration kForwardDialTimeout = std::chrono::milliseconds(400);
 /// Initial and maximum pause of the exponential backoff between dials of an unreachable proxy. Dialling stops
 /// when no statement was to be sent there within kForwardRedialWindow.
@@ -98,16 +101,16 @@
 
 /// Connects to other proxies on demand. `runtime` is not owned; both live until the process ends.
 ///
-/// Invariant: a statement waits at most kForwardConnectWait for the dial of one proxy, however many proxies
+/// Invariant: a statement waits at most connect_wait() for the dial of one proxy, however many proxies
 /// are unreachable. Unreachable proxies are redialled in the background and used again once they answer a
 /// probe.
 class Forwarder {
  public:
-  Forwarder(runtime::Runtime& runtime, NodeName node, ZoneName zone)
-      : runtime_(runtime), node_(std::move(node)), zone_(std::move(zone)) {}
+  Forwarder(runtime::Runtime& runtime, NodeName node, ZoneName zone, locality::RegionMap regions = {})
+      : runtime_(runtime), node_(std::move(node)), zone_(std::move(zone)), regions_(std::move(regions)) {}
 
   /// Returns an open connection to the proxy, or nullptr with `reason` set if there is none by `deadline` or
-  /// within kForwardConnectWait, or if the proxy is already known to be unreachable.
+  /// within connect_wait(), or if the proxy is already known to be unreachable.
   Awaitable<std::shared_ptr<ForwardConnection>> connect(subset::ProxyPointer proxy, TimePoint deadline,
                                                         Reason& reason);
   /// Called when a statement of the group was not answered. Other proxies are preferred for the group for
@@ -122,6 +125,9 @@
  private:
   using PeerPointer = std::shared_ptr<ForwardPeer>;
 
+  [[nodiscard]] Duration connect_wait(const subset::ProxyView& proxy) const {
+    return regions_.are_apart(zone_, proxy.zone) ? kForwardConnectWaitAcrossRegions : kForwardConnectWait;
+  }
   void mark_unreachable(ForwardPeer& peer);
   void record_reached(ForwardPeer& peer);
   void start_dialling(const PeerPointer& peer);
@@ -135,6 +141,7 @@
   runtime::Runtime& runtime_;
   NodeName node_;
   ZoneName zone_;
+  locality::RegionMap regions_;
   std::map<NodeName, PeerPointer> peers_;
   std::map<std::pair<NodeName, GroupName>, TimePoint> avoided_until_;
 };
--- a/src/registered/proxy/group/connection_shares.h
+++ b/src/registered/proxy/group/connection_shares.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <utility>
 
+#include "registered/balancing/region_division.h"
 #include "registered/proxy/group/backend_use.h"
 #include "registered/registry/model.h"
 #include "registered/tenancy/tenant_division.h"
@@ -31,16 +32,22 @@
   void divide(std::uint64_t proxies);
   /// Divides them for links dedicated to one tenant each: most go to the proxies in the backend's zone.
   void divide(tenancy::ServingProxies serving);
+  /// Divides them by region: most go to the proxies in the backend's region.
+  void divide(balancing::RegionalServing serving);
   /// Limits the backend's links and concurrent statements to this proxy's share.
   void apply_to(BackendState& backend) const;
 
  private:
   [[nodiscard]] std::uint64_t links_to(const ZoneName& zone) const;
+  /// Number of proxies that share the slots of a backend in the zone with this one.
+  [[nodiscard]] std::uint64_t users_of(const ZoneName& zone) const;
 
   const registry::GroupRule& rule_;
   ZoneName zone_;
   std::uint64_t proxies_ = 1;
-  std::optional<tenancy::ServingProxies> serving_;  ///< empty: connections are divided evenly
+  // Both empty: connections are divided evenly.
+  std::optional<tenancy::ServingProxies> serving_;
+  std::optional<balancing::RegionalServing> regional_;
 };
 
 }  // namespace cairnhollow::registered::proxy
--- a/src/registered/proxy/group/group_backends.cpp
+++ b/src/registered/proxy/group/group_backends.cpp
@@ -57,6 +57,11 @@
   for (const auto& [name, backend] : backends_) shares_.apply_to(*backend);
 }
 
+void GroupBackends::share_connections(balancing::RegionalServing serving) {
+  shares_.divide(std::move(serving));
+  for (const auto& [name, backend] : backends_) shares_.apply_to(*backend);
+}
+
 std::vector<std::uint64_t> GroupBackends::slots() const {
   std::vector<std::uint64_t> slots;
   for (const auto& [name, backend] : backends_) slots.push_back(backend->entry.slots);
--- a/src/registered/proxy/group/group_backends.h
+++ b/src/registered/proxy/group/group_backends.h
@@ -53,6 +53,8 @@
   void share_connections(std::uint64_t proxies);
   /// Divides them for links dedicated to one tenant each: most go to the proxies in the backend's zone.
   void share_connections(tenancy::ServingProxies serving);
+  /// Divides them by region: most go to the proxies in the backend's region.
+  void share_connections(balancing::RegionalServing serving);
   /// Number of statements that each backend can run concurrently, in the order of all().
   [[nodiscard]] std::vector<std::uint64_t> slots() const;
 
--- a/src/registered/proxy/group/position_keeper.cpp
+++ b/src/registered/proxy/group/position_keeper.cpp
@@ -10,8 +10,8 @@
 Awaitable<void> PositionRefresher::run() {
   while (!stopping_) {
     co_await runtime_.sleep_for(kWatchTick);
-    // Without tenants, every proxy that serves a group sees answers of its primary.
-    if (view_.requires_keys()) query_due_groups();
+    // Otherwise every proxy that serves a group sees answers of its primary.
+    if (view_.requires_keys() || view_.divides_by_region()) query_due_groups();
   }
 }
 
--- a/src/registered/proxy/group/position_keeper.h
+++ b/src/registered/proxy/group/position_keeper.h
@@ -1,6 +1,6 @@
-// Keeps the known log positions of primaries recent enough for reads at replicas. Where writes of tenants run
-// at proxies in the primary's zone, other proxies see no answers of the primary, and each read that refreshed
-// the position there would open a link for its tenant.
+// Keeps the known log positions of primaries recent enough for reads at replicas. Where writes run at proxies
+// in the primary's zone or region, other proxies see no answers of the primary, and each read that refreshed
+// the position there would open a link for its tenant or cross between regions.
 #pragma once
 
 #include <memory>
--- a/src/registered/proxy/session_proxy.cpp
+++ b/src/registered/proxy/session_proxy.cpp
@@ -74,7 +74,7 @@
         link_(runtime, settings_, view_),
         member_leases_(runtime, view_, metrics_),
         positions_(runtime, view_),
-        forwarder_(runtime, settings_.node, settings_.zone),
+        forwarder_(runtime, settings_.node, settings_.zone, locality::RegionMap(settings_.zone_regions)),
         limits_(runtime, view_, forwarder_, metrics_),
         services_{runtime, view_, link_, metrics_, forwarder_, limits_},
         forward_server_(services_),
--- a/src/registered/proxy/statement/statement_placer.cpp
+++ b/src/registered/proxy/statement/statement_placer.cpp
@@ -70,8 +70,9 @@
 
 bool StatementPlacer::reroute(StatementAttempt& attempt) const {
   StatementRequest& request = attempt.request;
-  // Without a tenant, no proxy that serves the group is preferred over this one.
-  if (request.is_forwarded || request.tenant.empty() || request.may_use_replicas()) return false;
+  if (request.is_forwarded || request.may_use_replicas()) return false;
+  // Otherwise no proxy that serves the group is preferred over this one.
+  if (request.tenant.empty() && !services_.view.divides_by_region()) return false;
   if (!placement::may_reroute(attempt.progress)) return false;
   PermittedProxies permitted;
   const auto forwarding = find_forwarding(request, permitted);
--- a/tests/registered/proxy/forwarding/forwarder_test.cpp
+++ b/tests/registered/proxy/forwarding/forwarder_test.cpp
@@ -102,6 +102,7 @@
   CPPUNIT_TEST(gives_up_silent_proxy);
   CPPUNIT_TEST(sends_no_probes_without_pending_calls);
   CPPUNIT_TEST(unreachable_proxy_delays_only_first_statement);
+  CPPUNIT_TEST(waits_longer_for_a_proxy_of_another_region);
   CPPUNIT_TEST(reuses_proxy_after_it_becomes_reachable);
   CPPUNIT_TEST(retries_unreachable_proxy_after_redial_window);
   CPPUNIT_TEST(avoids_frozen_proxy_until_it_thaws);
@@ -155,6 +156,17 @@
     }
   }
 
+  void waits_longer_for_a_proxy_of_another_region() {
+    const locality::RegionMap regions(
+        {{ZoneName("a"), RegionName("north")}, {ZoneName("b"), RegionName("south")}});
+    forwarder_ = std::make_unique<Forwarder>(*runtime_, NodeName("proxy"), ZoneName("a"), regions);
+    proxy_ = std::make_shared<subset::ProxyView>(subset::ProxyView{NodeName("peer"), ZoneName("b"), kPeer});
+    cut();
+    const Duration waited = run_connect();
+    CPPUNIT_ASSERT(waited > kForwardConnectWait);
+    CPPUNIT_ASSERT(waited <= kForwardConnectWaitAcrossRegions + milliseconds(5));
+  }
+
   void reuses_proxy_after_it_becomes_reachable() {
     cut();
     run_connect();
--- a/tests/registered/proxy/group/group_access_test.cpp
+++ b/tests/registered/proxy/group/group_access_test.cpp
@@ -78,6 +78,7 @@
   CPPUNIT_TEST(detects_shorter_log_within_term);
   CPPUNIT_TEST(opens_no_links_to_removed_backend);
   CPPUNIT_TEST(most_links_go_to_local_backend);
+  CPPUNIT_TEST(most_links_go_to_backends_of_the_region);
   CPPUNIT_TEST(reading_zones_exclude_leaving_backends);
   CPPUNIT_TEST_SUITE_END();
 
@@ -356,6 +357,31 @@
                                  state("replica-1").pool.limit());
   }
 
+  void most_links_go_to_backends_of_the_region() {
+    const locality::RegionMap regions({{ZoneName("a"), RegionName("north")},
+                                       {ZoneName("b"), RegionName("north")},
+                                       {ZoneName("c"), RegionName("south")}});
+    registry::GroupRule rule;
+    rule.max_connections = 49;
+    group_->rule = rule;
+    registry::BackendEntry near = backend("replica-3", 4);
+    near.zone = ZoneName("b");
+    group_->put_backend(near);
+    registry::BackendEntry remote = backend("replica-4", 5);
+    remote.zone = ZoneName("c");
+    group_->put_backend(remote);
+    std::vector<subset::ProxyPointer> serving;
+    for (const char* zone : {"a", "a", "b", "b", "c", "c", "c"})
+      serving.push_back(
+          std::make_shared<subset::ProxyView>(subset::ProxyView{NodeName("p"), ZoneName(zone), Endpoint{}}));
+    group_->backends.share_connections({serving, regions});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, state("replica-1").pool.limit());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, state("replica-3").pool.limit());
+    CPPUNIT_ASSERT_EQUAL(balancing::kRemoteRegionLinks, state("replica-4").pool.limit());
+    group_->backends.share_connections(std::uint64_t{15});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, state("replica-4").pool.limit());
+  }
+
   void reading_zones_exclude_leaving_backends() {
     registry::BackendEntry remote = backend("replica-3", 4);
     remote.zone = ZoneName("b");
--- a/tests/registered/proxy/statement/runner_fixture.h
+++ b/tests/registered/proxy/statement/runner_fixture.h
@@ -155,8 +155,11 @@
   return delta;
 }
 
-inline SessionProxySettings settings() {
+using ZoneRegions = std::map<ZoneName, RegionName>;
+
+inline SessionProxySettings settings(ZoneRegions regions = {}) {
   SessionProxySettings settings;
+  settings.zone_regions = std::move(regions);
   settings.node = NodeName("proxy");
   settings.zone = ZoneName("a");
   settings.key_bound = std::chrono::seconds(5);
@@ -165,9 +168,9 @@
 
 /// The parts of a proxy that run statements, without network connections.
 struct Proxy {
-  Proxy(runtime::Runtime& runtime, Duration lease)
+  Proxy(runtime::Runtime& runtime, Duration lease, const ZoneRegions& regions = {})
       : dialer(runtime, backends),
-        view(runtime, dialer, settings()),
+        view(runtime, dialer, settings(regions)),
         link(runtime, settings(), view),
         forwarder(runtime, NodeName("proxy"), ZoneName("a")),
         limits(runtime, view, forwarder, metrics),
