Reads run beside their backend, too, where a deployment spans regions; proxies serve groups there

Cause: proxies of a zone without a backend read over their own links at any backend, in the other region as often as in their own, and all 15 proxies of a group asked for the primary's position every 500 ms.

Change: single reads are forwarded to a serving proxy of the nearest zone with a readable backend. Of a group's serving proxies one is in each zone, the others in the zones of its backends; most links to a backend go to the proxies of its zone, some to those of its region. Positions are asked for at two thirds of the allowed staleness instead of a third, which leaves 250 ms of 1,500 before a read would have to go to the primary. The number of serving proxies, which the leader counts with, is as before.

--- a/src/registered/balancing/region_division.cpp
+++ b/src/registered/balancing/region_division.cpp
@@ -1,6 +1,9 @@
 #include "registered/balancing/region_division.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <utility>
 
 namespace cairnhollow::registered::balancing {
 
@@ -18,15 +21,11 @@
 
 }  // namespace
 
-std::vector<subset::ProxyPointer> order_for_primary(const std::vector<subset::ProxyPointer>& serving,
-                                                    const Forwarder& from, const ZoneName& primary,
-                                                    const locality::RegionMap& regions) {
-  const bool serves = std::any_of(serving.begin(), serving.end(),
-                                  [&](const auto& proxy) { return proxy->name == from.node; });
-  if (serves && distance_between(from.zone, primary, regions) != Distance::kElsewhere) return {};
+std::vector<subset::ProxyPointer> order_near(const std::vector<subset::ProxyPointer>& serving,
+                                             const Forwarder& from, const ZoneName& target,
+                                             const locality::RegionMap& regions) {
   const auto rank = [&](const subset::ProxyPointer& proxy) {
-    const Distance distance = distance_between(proxy->zone, primary, regions);
-    return std::make_pair(distance, proxy->name != from.node);
+    return std::make_pair(distance_between(proxy->zone, target, regions), proxy->name != from.node);
   };
   auto order = serving;
   std::stable_sort(order.begin(), order.end(),
@@ -35,10 +34,26 @@
   return order;
 }
 
+ZoneName zone_for_reads(const std::vector<ZoneName>& reading, const Forwarder& from,
+                        const locality::RegionMap& regions) {
+  const std::uint64_t key = XXH64(from.node.value.data(), from.node.value.size(), 0);
+  const auto rank = [&](const ZoneName& zone) {
+    const std::uint64_t weight = XXH64(zone.value.data(), zone.value.size(), key);
+    return std::make_pair(distance_between(zone, from.zone, regions), ~weight);
+  };
+  const auto best =
+      std::min_element(reading.begin(), reading.end(),
+                       [&](const ZoneName& left, const ZoneName& right) { return rank(left) < rank(right); });
+  return best == reading.end() ? ZoneName() : *best;
+}
+
 RegionalServing::RegionalServing(const std::vector<subset::ProxyPointer>& serving,
                                  const locality::RegionMap& regions)
     : regions_(&regions), all_(serving.size()) {
-  for (const auto& proxy : serving) ++in_region_[region_of(proxy->zone)];
+  for (const auto& proxy : serving) {
+    ++in_zone_[proxy->zone];
+    ++in_region_[region_of(proxy->zone)];
+  }
 }
 
 RegionName RegionalServing::region_of(const ZoneName& zone) const {
@@ -46,18 +61,29 @@
   return region != nullptr ? *region : RegionName(zone.value);
 }
 
-std::uint64_t RegionalServing::count_near(const ZoneName& zone) const {
+std::uint64_t RegionalServing::count_in(const ZoneName& zone) const {
+  const auto found = in_zone_.find(zone);
+  return found == in_zone_.end() ? 0 : found->second;
+}
+
+std::uint64_t RegionalServing::count_in_region(const ZoneName& zone) const {
   const auto found = in_region_.find(region_of(zone));
   return found == in_region_.end() ? 0 : found->second;
 }
 
 std::uint64_t RegionalServing::links_per_proxy(std::uint64_t usable, const ZoneName& backend,
                                                const ZoneName& proxy) const {
-  const std::uint64_t near_count = count_near(backend);
-  if (near_count == 0) return usable / std::max<std::uint64_t>(all_, 1);
-  if (!are_near(backend, proxy)) return kRemoteRegionLinks;
-  const std::uint64_t reserved = (all_ - near_count) * kReservedRemoteRegionLinks;
-  return usable > reserved ? (usable - reserved) / near_count : 1;
+  const std::uint64_t in_region = count_in_region(backend);
+  if (in_region == 0) return usable / std::max<std::uint64_t>(all_, 1);
+  const bool is_same_region = region_of(backend) == region_of(proxy);
+  if (!is_same_region) return kRemoteRegionLinks;
+  const std::uint64_t in_zone = count_in(backend);
+  if (in_zone > 0 && proxy != backend) return kOtherZoneLinks;
+  // Without a proxy in the backend's zone, those of its region stand in for it.
+  const std::uint64_t sharing = in_zone > 0 ? in_zone : in_region;
+  const std::uint64_t reserved =
+      (all_ - in_region) * kReservedRemoteRegionLinks + (in_region - sharing) * kReservedOtherZoneLinks;
+  return usable > reserved ? (usable - reserved) / sharing : 1;
 }
 
 }  // namespace cairnhollow::registered::balancing
--- a/src/registered/proxy/fleet/fleet_view.cpp
+++ b/src/registered/proxy/fleet/fleet_view.cpp
@@ -180,6 +180,7 @@
   serving_.clear();
   tenant_forwarding_targets_.clear();
   for (const auto& [name, group] : groups_) {
+    group->positions.set_pace(divides_by_region() ? kRefreshPaceAcrossRegions : RefreshPace{});
     const std::size_t size = registry::serving_proxies(group->rule, group->backends.slots(),
                                                        accepting_proxies.size(), requires_keys_);
     if (size >= accepting_proxies.size()) {
@@ -190,7 +191,7 @@
       serving_[name] = subset::forwarding_order(accepting_proxies, node_, zone_);
       continue;
     }
-    const auto serving = table.serving(name, static_cast<std::uint32_t>(size));
+    const auto serving = select_serving(*group, table, size);
     share_connections(*group, serving);
     const bool serves =
         std::any_of(serving.begin(), serving.end(),
@@ -202,6 +203,16 @@
   }
 }
 
+std::vector<subset::ProxyPointer> FleetView::select_serving(const GroupAccess& group,
+                                                            const subset::SubsetTable& table,
+                                                            std::size_t size) const {
+  const auto count = static_cast<std::uint32_t>(size);
+  if (!divides_by_region()) return table.serving(group.name, count);
+  std::vector<ZoneName> zones;
+  for (const auto& [name, backend] : group.backends.all()) zones.push_back(backend->entry.zone);
+  return table.serving_near(group.name, count, zones);
+}
+
 void FleetView::share_connections(GroupAccess& group,
                                   const std::vector<subset::ProxyPointer>& serving) const {
   if (divides_by_region()) return group.backends.share_connections({serving, regions_});
@@ -243,8 +254,7 @@
                                                                        const TenantName& tenant,
                                                                        GroupWork work) {
   if (tenant.empty()) {
-    const bool by_region = work == GroupWork::kAtPrimary && divides_by_region();
-    return by_region ? regional_targets(group) : forwarding_targets(group);
+    return divides_by_region() ? regional_targets(group, work) : forwarding_targets(group);
   }
   if (tenant_forwarding_targets_.size() > kMaxCachedTenantOrders) tenant_forwarding_targets_.clear();
   const auto zone = work_zone(group, tenant, work);
@@ -257,17 +267,27 @@
       .first->second;
 }
 
-const std::vector<subset::ProxyPointer>& FleetView::regional_targets(const GroupName& group) {
+const std::vector<subset::ProxyPointer>& FleetView::regional_targets(const GroupName& group, GroupWork work) {
   const auto found = groups_.find(group);
   if (found == groups_.end()) return forwarding_targets(group);
-  const auto primary = found->second->evaluator.primary();
-  // The next primary may be in any region. Without a lease other proxies may be better informed.
-  if (!primary) return holds_lease_for(*found->second) ? no_proxies() : forwarding_targets(group);
-  const ZoneName& zone = primary->entry.zone;
+  const GroupAccess& access = *found->second;
+  const balancing::Forwarder here{node_, zone_};
+  ZoneName zone;
+  if (work == GroupWork::kAtPrimary) {
+    const auto primary = access.evaluator.primary();
+    if (primary) zone = primary->entry.zone;
+    // The next primary may be in any region.
+    if (!primary && holds_lease_for(access)) return no_proxies();
+  } else {
+    zone = access.backends.has_readers_in(zone_)
+               ? zone_
+               : balancing::zone_for_reads(access.backends.reading_zones(), here, regions_);
+  }
+  if (zone.empty()) return forwarding_targets(group);
   const TenantName no_tenant;
   const auto known = tenant_forwarding_targets_.find(std::tie(group, no_tenant, zone));
   if (known != tenant_forwarding_targets_.end()) return known->second;
-  auto order = balancing::order_for_primary(serving_[group], {node_, zone_}, zone, regions_);
+  auto order = balancing::order_near(serving_[group], here, zone, regions_);
   return tenant_forwarding_targets_.emplace(TenantOrderKey{group, no_tenant, zone}, std::move(order))
       .first->second;
 }
--- a/src/registered/proxy/fleet/fleet_view.h
+++ b/src/registered/proxy/fleet/fleet_view.h
@@ -118,13 +118,13 @@
   /// The same for the statements of one tenant, whose links to a backend are kept at few of the serving
   /// proxies of the backend's zone. Contains this proxy, behind others, if it serves the group but is not the
   /// first choice. Also empty for work at a primary while no primary may be used: such work waits at this
-  /// proxy until the primary's zone is known. Without a tenant, work at a primary is placed by region if
+  /// proxy until the primary's zone is known. Without a tenant, work is placed by region if
   /// divides_by_region().
   [[nodiscard]] const std::vector<subset::ProxyPointer>& forwarding_targets(const GroupName& group,
                                                                             const TenantName& tenant,
                                                                             GroupWork work);
-  /// Whether work at a primary is placed, and links are divided, by region: the settings name several regions
-  /// and links belong to no tenant.
+  /// Whether work is placed and links are divided by region: the settings name several regions and links
+  /// belong to no tenant.
   [[nodiscard]] bool divides_by_region() const { return spans_regions_ && !requires_keys_; }
   /// For a group that this proxy serves, the other proxies that serve it, in order of preference.
   [[nodiscard]] const std::vector<subset::ProxyPointer>& also_serving(const GroupName& group);
@@ -170,8 +170,12 @@
   /// proxy holds a lease but no primary may be used.
   [[nodiscard]] std::optional<ZoneName> work_zone(const GroupName& group, const TenantName& tenant,
                                                   GroupWork work) const;
-  /// The order for work at the group's primary if it is placed by region.
-  const std::vector<subset::ProxyPointer>& regional_targets(const GroupName& group);
+  /// The order for the group's work if it is placed by region.
+  const std::vector<subset::ProxyPointer>& regional_targets(const GroupName& group, GroupWork work);
+  /// The proxies that serve the group, `size` of those in the table.
+  [[nodiscard]] std::vector<subset::ProxyPointer> select_serving(const GroupAccess& group,
+                                                                 const subset::SubsetTable& table,
+                                                                 std::size_t size) const;
   /// Divides the group's connections among the proxies that serve it.
   void share_connections(GroupAccess& group, const std::vector<subset::ProxyPointer>& serving) const;
   void apply_routes(const registry::FleetDelta& delta);
@@ -231,8 +235,8 @@
   std::map<GroupName, std::vector<subset::ProxyPointer>> forwarding_targets_;
   std::map<GroupName, std::vector<subset::ProxyPointer>> also_serving_;
   std::map<GroupName, std::vector<subset::ProxyPointer>> serving_;  ///< includes this proxy where it serves
-  /// Computed on demand from `serving_` and the tenants' limits. Without a tenant: the order for work at a
-  /// primary in the zone.
+  /// Computed on demand from `serving_` and the tenants' limits. Without a tenant: the order for work in the
+  /// zone.
   std::map<TenantOrderKey, std::vector<subset::ProxyPointer>, TenantOrderKeyLess> tenant_forwarding_targets_;
   std::vector<subset::ProxyPointer> other_proxies_;
 };
--- a/src/registered/proxy/group/connection_shares.cpp
+++ b/src/registered/proxy/group/connection_shares.cpp
@@ -33,10 +33,9 @@
 }
 
 std::uint64_t ConnectionShares::users_of(const ZoneName& zone) const {
-  const bool is_near = regional_ && regional_->are_near(zone, zone_);
-  if (is_near) return std::max<std::uint64_t>(regional_->count_near(zone), 1);
-  const bool is_local = serving_ && zone == zone_;
-  return std::max<std::uint64_t>(is_local ? serving_->count_in(zone_) : proxies_, 1);
+  const bool is_local = (serving_ || regional_) && zone == zone_;
+  if (!is_local) return proxies_;
+  return std::max<std::uint64_t>(serving_ ? serving_->count_in(zone) : regional_->count_in(zone), 1);
 }
 
 void ConnectionShares::apply_to(BackendState& backend) const {
--- a/src/registered/proxy/group/primary_positions.h
+++ b/src/registered/proxy/group/primary_positions.h
@@ -22,6 +22,15 @@
 inline constexpr int kPositionQueryDivisor = 3;
 inline constexpr Duration kRecentReadWindow = std::chrono::seconds(1);
 
+/// The age of the newest position, as a part of the allowed staleness, from which on it is refreshed.
+struct RefreshPace {
+  double query = 1.0 / kPositionQueryDivisor;   ///< by a query of this proxy
+  double read = 1.0 / kPositionRefreshDivisor;  ///< by the next read
+};
+/// Where queries cross between regions: as late as leaves time for a watch tick and two round trips between
+/// regions, 250 ms of an allowed staleness of 1,500 ms, before reads would have to go to the primary.
+inline constexpr RefreshPace kRefreshPaceAcrossRegions{2.0 / 3, 5.0 / 6};
+
 /// References are not owned and must outlive this object.
 class PrimaryPositions {
  public:
@@ -50,15 +59,16 @@
     highest_acknowledged_ = std::max(highest_acknowledged_, position);
   }
 
+  void set_pace(RefreshPace pace) { pace_ = pace; }
   /// Records that a read arrived that allows this staleness.
   void record_read(Duration staleness);
   /// Whether reads that allow this staleness need a newer position soon.
   [[nodiscard]] bool needs_refresh(Duration staleness) const {
-    return is_older_than(staleness / kPositionRefreshDivisor);
+    return is_older_than(part_of(staleness, pace_.read));
   }
   /// Whether the newest position will soon be too old for recent reads.
   [[nodiscard]] bool is_query_due() const {
-    return has_recent_reads() && is_older_than(requested_staleness_ / kPositionQueryDivisor);
+    return has_recent_reads() && is_older_than(part_of(requested_staleness_, pace_.query));
   }
   /// Begins a position query on behalf of a read. Returns false while one is pending.
   bool begin_query() { return !std::exchange(query_pending_, true); }
@@ -68,6 +78,9 @@
   }
 
  private:
+  static Duration part_of(Duration staleness, double part) {
+    return std::chrono::duration_cast<Duration>(staleness * part);
+  }
   /// Whether a read that allows staleness arrived within kRecentReadWindow.
   [[nodiscard]] bool has_recent_reads() const;
   /// Whether no position is known that is at most `age` old.
@@ -78,6 +91,7 @@
   PositionHistory history_;
   std::optional<Position> highest_shown_;
   Position highest_acknowledged_;
+  RefreshPace pace_;
   Duration requested_staleness_{0};  ///< smallest of the reads within kRecentReadWindow
   TimePoint last_read_at_{};
   bool query_pending_ = false;
--- a/src/subset/subset.cpp
+++ b/src/subset/subset.cpp
@@ -48,6 +48,7 @@
   }
   zones_.reserve(by_zone.size());
   for (auto& [name, zone] : by_zone) {
+    zone.name = name;
     zone.hash = hash_of(name.value);
     zones_.push_back(std::move(zone));
   }
@@ -67,8 +68,7 @@
   return shares;
 }
 
-std::vector<ProxyPointer> SubsetTable::serving(const GroupName& group, std::uint32_t size) const {
-  const std::uint64_t key = hash_of(group.value);
+std::vector<const SubsetTable::Zone*> SubsetTable::zones_by_weight(std::uint64_t key) const {
   std::vector<Weighted<Zone>> weighted;
   weighted.reserve(zones_.size());
   for (const auto& zone : zones_) weighted.push_back({mix(key, zone.hash), &zone});
@@ -76,14 +76,50 @@
   std::vector<const Zone*> zone_order;
   zone_order.reserve(weighted.size());
   for (const auto& zone : weighted) zone_order.push_back(zone.entry);
-  const auto shares = SubsetTable::shares(zone_order, std::min<std::size_t>(size, proxy_count_));
+  return zone_order;
+}
+
+std::vector<ProxyPointer> SubsetTable::heaviest(const std::vector<const Zone*>& zone_order,
+                                                const std::vector<std::uint32_t>& shares, std::uint64_t key) {
   std::vector<ProxyPointer> subset;
-  for (std::size_t zone = 0; zone < zone_order.size() && shares[zone] > 0; ++zone) {
-    add_heaviest(*zone_order[zone], key, shares[zone], subset);
+  for (std::size_t zone = 0; zone < zone_order.size(); ++zone) {
+    if (shares[zone] > 0) add_heaviest(*zone_order[zone], key, shares[zone], subset);
   }
   return subset;
 }
 
+std::vector<ProxyPointer> SubsetTable::serving(const GroupName& group, std::uint32_t size) const {
+  const std::uint64_t key = hash_of(group.value);
+  const auto zone_order = zones_by_weight(key);
+  return heaviest(zone_order, shares(zone_order, std::min<std::size_t>(size, proxy_count_)), key);
+}
+
+std::vector<ProxyPointer> SubsetTable::serving_near(const GroupName& group, std::uint32_t size,
+                                                    const std::vector<ZoneName>& near) const {
+  const std::uint64_t key = hash_of(group.value);
+  auto zone_order = zones_by_weight(key);
+  const auto first_other = std::stable_partition(
+      zone_order.begin(), zone_order.end(),
+      [&near](const Zone* zone) { return std::find(near.begin(), near.end(), zone->name) != near.end(); });
+  const auto near_count = static_cast<std::size_t>(first_other - zone_order.begin());
+  std::size_t left = std::min<std::size_t>(size, proxy_count_);
+  std::vector<std::uint32_t> shares(zone_order.size());
+  const auto take_turn = [&](std::size_t zone) {
+    if (left == 0 || shares[zone] == zone_order[zone]->nodes.size()) return false;
+    ++shares[zone];
+    --left;
+    return true;
+  };
+  for (std::size_t zone = 0; zone < zone_order.size(); ++zone) take_turn(zone);
+  for (std::size_t end : {near_count, zone_order.size()}) {
+    for (bool taken = true; taken;) {
+      taken = false;
+      for (std::size_t zone = 0; zone < end; ++zone) taken = take_turn(zone) || taken;
+    }
+  }
+  return heaviest(zone_order, shares, key);
+}
+
 void SubsetTable::add_heaviest(const Zone& zone, std::uint64_t key, std::uint32_t count,
                                std::vector<ProxyPointer>& subset) {
   std::vector<Weighted<Node>> best;  // in order; usually one
--- a/src/subset/subset.h
+++ b/src/subset/subset.h
@@ -44,6 +44,11 @@
   /// of their weight for the group, each contributing its proxies in order of weight. Costs one
   /// multiplication per proxy of the zones used.
   [[nodiscard]] std::vector<ProxyPointer> serving(const GroupName& group, std::uint32_t size) const;
+  /// Returns the `size` proxies that serve a group whose backends are in the zones `near`: one of each zone,
+  /// so that callers find one everywhere and the group survives the loss of `near`, and otherwise proxies of
+  /// `near`, which take turns as above. Other zones contribute more only if `near` has no more proxies.
+  [[nodiscard]] std::vector<ProxyPointer> serving_near(const GroupName& group, std::uint32_t size,
+                                                       const std::vector<ZoneName>& near) const;
   /// Number of proxies in all zones.
   [[nodiscard]] std::size_t proxy_count() const { return proxy_count_; }
 
@@ -53,10 +58,16 @@
     ProxyPointer proxy;
   };
   struct Zone {
+    ZoneName name;
     std::uint64_t hash = 0;
     std::vector<Node> nodes;
   };
 
+  /// The zones in the order of their weight for the key of a group.
+  [[nodiscard]] std::vector<const Zone*> zones_by_weight(std::uint64_t key) const;
+  /// Returns the heaviest proxies of each zone, as many as the zone's share.
+  static std::vector<ProxyPointer> heaviest(const std::vector<const Zone*>& zone_order,
+                                            const std::vector<std::uint32_t>& shares, std::uint64_t key);
   /// Returns the number of proxies to take from each zone, in the order of `zone_order`.
   static std::vector<std::uint32_t> shares(const std::vector<const Zone*>& zone_order, std::size_t wanted);
   static void add_heaviest(const Zone& zone, std::uint64_t key, std::uint32_t count,
--- a/tests/registered/proxy/statement/regional_work_test.cpp
+++ b/tests/registered/proxy/statement/regional_work_test.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(forwards_writes_to_region_of_primary);
   CPPUNIT_TEST(runs_writes_in_region_of_primary);
   CPPUNIT_TEST(reads_stay_at_serving_proxy);
+  CPPUNIT_TEST(forwards_reads_to_zone_of_near_backend);
   CPPUNIT_TEST(changes_nothing_in_one_region);
   CPPUNIT_TEST(changes_nothing_where_links_belong_to_tenants);
   CPPUNIT_TEST(writes_wait_here_while_no_primary_is_known);
@@ -47,6 +48,19 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), first_target(GroupWork::kSingleReads));
   }
 
+  void forwards_reads_to_zone_of_near_backend() {
+    registry::FleetDelta delta = two_regions();
+    delta.backends[0].zone = ZoneName("a2");
+    proxy_->view.apply(delta);
+    CPPUNIT_ASSERT_EQUAL(std::string("near"), first_target(GroupWork::kSingleReads));
+    delta.backends.erase(delta.backends.begin());
+    delta.terms.front().primary = BackendName("two");
+    proxy_->view.apply(delta);
+    proxy_->view.find_group(kGroup)->remove_backend(BackendName("one"));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("only the other region can read", std::string("there"),
+                                 first_target(GroupWork::kSingleReads));
+  }
+
   void changes_nothing_in_one_region() {
     start({{ZoneName("a"), RegionName("north")},
            {ZoneName("a2"), RegionName("north")},
--- a/tests/subset/subset_test.cpp
+++ b/tests/subset/subset_test.cpp
@@ -15,6 +15,9 @@
 constexpr std::uint32_t kGroups = 3300;
 constexpr std::uint32_t kSubset = 11;
 
+/// Zones with a backend of the group.
+const std::vector<ZoneName> kNear{ZoneName("zone-0"), ZoneName("zone-3"), ZoneName("zone-4")};
+
 GroupName group(std::uint32_t number) { return GroupName("group-" + std::to_string(number)); }
 
 ProxyPointer make_proxy(const std::string& name, const ZoneName& zone) {
@@ -43,6 +46,8 @@
   CPPUNIT_TEST(test_at_least_two_proxies_serve);
   CPPUNIT_TEST(test_groups_are_balanced_over_proxies);
   CPPUNIT_TEST(test_zones_take_turns);
+  CPPUNIT_TEST(test_most_serve_in_zones_of_backends);
+  CPPUNIT_TEST(test_other_zones_fill_up_small_zones_of_backends);
   CPPUNIT_TEST(test_lost_proxy_moves_its_own_groups_only);
   CPPUNIT_TEST(test_added_proxy_takes_groups_only_for_itself);
   CPPUNIT_TEST(test_proxies_without_zone);
@@ -104,6 +109,30 @@
     }
   }
 
+  void test_most_serve_in_zones_of_backends() {
+    const SubsetTable table(make_proxies(60, 6));
+    std::map<ZoneName, std::size_t> by_zone;
+    for (const auto& proxy : table.serving_near(group(7), 15, kNear)) ++by_zone[proxy->zone];
+    CPPUNIT_ASSERT_EQUAL(std::size_t{6}, by_zone.size());
+    for (const auto& [zone, count] : by_zone) {
+      const bool is_near = std::find(kNear.begin(), kNear.end(), zone) != kNear.end();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(zone.value, std::size_t{is_near ? 4U : 1U}, count);
+    }
+    for (const std::uint32_t size : {0U, 1U, 4U, 59U, 60U, 61U})
+      CPPUNIT_ASSERT_EQUAL(std::size_t{std::min(size, 60U)},
+                           names(table.serving_near(group(7), size, kNear)).size());
+    CPPUNIT_ASSERT_MESSAGE("without zones of backends, zones take turns",
+                           names(table.serving_near(group(7), 15, {})) == names(table.serving(group(7), 15)));
+  }
+
+  void test_other_zones_fill_up_small_zones_of_backends() {
+    const SubsetTable table(make_proxies(12, 6));
+    std::map<ZoneName, std::size_t> by_zone;
+    for (const auto& proxy : table.serving_near(group(7), 11, kNear)) ++by_zone[proxy->zone];
+    for (const ZoneName& zone : kNear) CPPUNIT_ASSERT_EQUAL(std::size_t{2}, by_zone[zone]);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{6}, by_zone.size());
+  }
+
   void test_lost_proxy_moves_its_own_groups_only() {
     const auto before = make_proxies(kProxies, kZones);
     auto after = before;
