Links of a zone are kept through the low of a wave, and all shares fit into a backend's limit

Change: of a backend's links the proxies of its zone together keep a quarter for 20 s; links are opened ahead to the backend of the zone only; the links of proxies of other zones (2 each) are all reserved, so that the shares together do not exceed the limit.

--- a/src/registered/balancing/region_division.cpp
+++ b/src/registered/balancing/region_division.cpp
@@ -82,7 +82,7 @@
   // Without a proxy in the backend's zone, those of its region stand in for it.
   const std::uint64_t sharing = in_zone > 0 ? in_zone : in_region;
   const std::uint64_t reserved =
-      (all_ - in_region) * kReservedRemoteRegionLinks + (in_region - sharing) * kReservedOtherZoneLinks;
+      (all_ - in_region) * kRemoteRegionLinks + (in_region - sharing) * kOtherZoneLinks;
   return usable > reserved ? (usable - reserved) / sharing : 1;
 }
 
--- a/src/registered/balancing/region_division.h
+++ b/src/registered/balancing/region_division.h
@@ -16,14 +16,13 @@
 
 namespace cairnhollow::registered::balancing {
 
-/// Links that a proxy may have to a backend of another zone of its region, and those reserved for them in the
-/// backend's limit: for reads while the zone's own backend is busy, lags or fails.
-inline constexpr std::uint64_t kOtherZoneLinks = 3;
-inline constexpr std::uint64_t kReservedOtherZoneLinks = 2;
+/// Links that a proxy may have to a backend of another zone of its region, for reads while the backend of its
+/// own zone is busy, lags or fails. All of these are reserved in the backend's limit: a limit that is
+/// exceeded refuses whoever comes last, which may be the only proxy that has no link.
+inline constexpr std::uint64_t kOtherZoneLinks = 2;
 /// The same for a backend of another region: one for its own status requests, one for a read that no nearer
 /// backend can run.
 inline constexpr std::uint64_t kRemoteRegionLinks = 2;
-inline constexpr std::uint64_t kReservedRemoteRegionLinks = 1;
 
 /// The proxy for which an order is computed.
 struct Forwarder {
@@ -58,8 +57,7 @@
   /// Number of serving proxies in the region of the zone.
   [[nodiscard]] std::uint64_t count_in_region(const ZoneName& zone) const;
   /// Returns how many of the `usable` links to a backend in the zone `backend` a serving proxy in the zone
-  /// `proxy` may have. The proxies of other zones together may exceed the links reserved for them: they
-  /// seldom use them, and the backend refuses excess connections.
+  /// `proxy` may have. The proxies together do not exceed `usable` unless it is less than two for each.
   [[nodiscard]] std::uint64_t links_per_proxy(std::uint64_t usable, const ZoneName& backend,
                                               const ZoneName& proxy) const;
 
--- a/src/registered/proxy/group/backend_use.h
+++ b/src/registered/proxy/group/backend_use.h
@@ -36,6 +36,8 @@
   registry::BackendEntry entry;
   StatefulPool pool;
   StatementGate gate;
+  /// Whether a link is opened before the first statement. Otherwise proxies nearer to it serve most statements.
+  bool opens_links_ahead = true;
   TimePoint avoid_until{};                 ///< set after a failure
   std::optional<TimePoint> leaving_since;  ///< when this proxy learned that it is leaving
   RestartDetector restart_detector;
--- a/src/registered/proxy/group/connection_shares.cpp
+++ b/src/registered/proxy/group/connection_shares.cpp
@@ -38,12 +38,19 @@
   return std::max<std::uint64_t>(serving_ ? serving_->count_in(zone) : regional_->count_in(zone), 1);
 }
 
+std::uint64_t ConnectionShares::lasting_links_to(const ZoneName& zone) const {
+  if (!regional_ || zone != zone_) return 0;
+  return registry::usable_connections(rule_) / kLastingLinksDivisor / users_of(zone);
+}
+
 void ConnectionShares::apply_to(BackendState& backend) const {
   const bool is_local = serving_ && backend.entry.zone == zone_;
   const std::uint64_t maximum = is_local ? kMaxLocalConnections : kMaxConnections;
   const std::uint64_t links = std::clamp(links_to(backend.entry.zone), kMinConnections, maximum);
   backend.pool.set_limit(links);
   backend.pool.set_idle_timeout(is_local ? kLocalIdleLinkTimeout : kIdleLinkTimeout);
+  backend.pool.set_lasting(lasting_links_to(backend.entry.zone), kLastingLinkTimeout);
+  backend.opens_links_ahead = !regional_ || backend.entry.zone == zone_;
   const std::uint64_t slots = std::max<std::uint64_t>(backend.entry.slots / users_of(backend.entry.zone), 1);
   backend.gate.set_bounds(static_cast<std::uint32_t>(slots), static_cast<std::uint32_t>(links));
 }
--- a/src/registered/proxy/links/stateful_pool.cpp
+++ b/src/registered/proxy/links/stateful_pool.cpp
@@ -176,7 +176,9 @@
 
 void StatefulPool::trim(TimePoint now, std::size_t kept) {
   drop_closed();
-  while (idle_.size() > kept && now - idle_.front()->idle_since() > idle_timeout_) {
+  while (idle_.size() > kept) {
+    const bool lasts = in_use_ + idle_.size() <= lasting_links_;
+    if (now - idle_.front()->idle_since() <= (lasts ? lasting_timeout_ : idle_timeout_)) return;
     idle_.front()->link().close();
     idle_.erase(idle_.begin());
   }
--- a/src/registered/proxy/links/stateful_pool.h
+++ b/src/registered/proxy/links/stateful_pool.h
@@ -107,6 +107,11 @@
   [[nodiscard]] std::uint64_t limit() const { return limit_; }
   /// Sets the idle time after which trim() closes links.
   void set_idle_timeout(Duration timeout) { idle_timeout_ = timeout; }
+  /// Sets a longer idle time that applies while the pool has at most `links` links, idle or in use.
+  void set_lasting(std::uint64_t links, Duration timeout) {
+    lasting_links_ = links;
+    lasting_timeout_ = timeout;
+  }
   /// Returns an idle link, preferably one with these values, or a new one; waits while links in use reach the
   /// limit. If idle links of other tenants reach it, the least recently used one is closed. Returns null on
   /// failure; `refusal` is set if the backend itself refused a new link.
@@ -152,6 +157,8 @@
   std::vector<std::shared_ptr<StatefulLink>> idle_;  ///< longest idle first
   std::uint64_t limit_ = 2;
   Duration idle_timeout_ = kIdleLinkTimeout;
+  std::uint64_t lasting_links_ = 0;  ///< up to this number of links, `lasting_timeout_` applies
+  Duration lasting_timeout_ = kIdleLinkTimeout;
   TimePoint dial_paused_until_{};  ///< end of kDialPause after a refused connection
   std::size_t in_use_ = 0;
   bool retired_ = false;
--- a/tests/registered/proxy/group/group_access_test.cpp
+++ b/tests/registered/proxy/group/group_access_test.cpp
@@ -66,6 +66,7 @@
   CPPUNIT_TEST(evacuated_primary_serves_for_half_of_bound);
   CPPUNIT_TEST(uses_zone_again_after_evacuation);
   CPPUNIT_TEST(opens_no_links_ahead_to_evacuated_zone);
+  CPPUNIT_TEST(opens_no_links_ahead_to_distant_backends);
   CPPUNIT_TEST(facts_default_to_neutral);
   CPPUNIT_TEST(facts_reflect_observations);
   CPPUNIT_TEST(full_backend_is_last_choice);
@@ -168,6 +169,13 @@
     CPPUNIT_ASSERT(!warm_one(*runtime_, *group_));
   }
 
+  void opens_no_links_ahead_to_distant_backends() {
+    for (const auto& [name, backend] : group_->backends.all()) backend->opens_links_ahead = false;
+    CPPUNIT_ASSERT(!warm_one(*runtime_, *group_));
+    state("replica-1").opens_links_ahead = true;
+    CPPUNIT_ASSERT(warm_one(*runtime_, *group_));
+  }
+
   void joining_member_ends_member_lease() {
     const std::uint64_t asked = group_->leadership.membership();
     const TimePoint until = runtime_->now() + milliseconds(500);
@@ -375,12 +383,15 @@
       serving.push_back(
           std::make_shared<subset::ProxyView>(subset::ProxyView{NodeName("p"), ZoneName(zone), Endpoint{}}));
     group_->backends.share_connections({serving, regions});
-    // 45 usable, 3 reserved for the other region and 4 for the other zone.
+    // 45 usable, 6 reserved for the other region and 4 for the other zone.
     CPPUNIT_ASSERT_EQUAL_MESSAGE("bounded", kMaxConnections, state("replica-1").pool.limit());
     CPPUNIT_ASSERT_EQUAL(balancing::kOtherZoneLinks, state("replica-3").pool.limit());
     CPPUNIT_ASSERT_EQUAL(balancing::kRemoteRegionLinks, state("replica-4").pool.limit());
+    CPPUNIT_ASSERT_MESSAGE("links are opened ahead to backends of the zone only",
+                           state("replica-1").opens_links_ahead && !state("replica-3").opens_links_ahead);
     group_->backends.share_connections(std::uint64_t{15});
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, state("replica-4").pool.limit());
+    CPPUNIT_ASSERT(state("replica-3").opens_links_ahead);
   }
 
   void reading_zones_exclude_leaving_backends() {
--- a/tests/registered/proxy/links/stateful_pool_test.cpp
+++ b/tests/registered/proxy/links/stateful_pool_test.cpp
@@ -115,6 +115,7 @@
   CPPUNIT_TEST(reports_connection_refusal);
   CPPUNIT_TEST(pauses_dialling_after_refusal);
   CPPUNIT_TEST(trims_idle_links_but_one);
+  CPPUNIT_TEST(keeps_some_idle_links_longer);
   CPPUNIT_TEST(dial_may_exceed_wait_for_free_link);
   CPPUNIT_TEST(link_serves_one_tenant);
   CPPUNIT_TEST(evicts_least_recently_used_link_for_other_tenant);
@@ -313,7 +314,29 @@
     CPPUNIT_ASSERT(!dialer_->links[0]->open && dialer_->links[1]->open);
   }
 
+  void keeps_some_idle_links_longer() {
+    pool_->set_limit(4);
+    pool_->set_lasting(3, seconds(20));
+    std::vector<AcquireResult> links;
+    for (int link = 0; link < 4; ++link) links.push_back(acquire_one({}));
+    for (int link = 1; link < 4; ++link) pool_->release(links[link].link);
+    world_->run_for(seconds(3));
+    pool_->trim(runtime_->now(), 1);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("the fourth goes, though one is in use", 2, open_links() - 1);
+    world_->run_for(seconds(16));
+    pool_->trim(runtime_->now(), 1);
+    CPPUNIT_ASSERT_EQUAL(3, open_links());
+    world_->run_for(seconds(2));
+    pool_->trim(runtime_->now(), 1);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("one idle link and the one in use", 2, open_links());
+  }
+
  private:
+  [[nodiscard]] int open_links() const {
+    int open = 0;
+    for (const auto& link : dialer_->links) open += link->open ? 1 : 0;
+    return open;
+  }
   AcquireResult acquire_one(SessionValues values, std::optional<PreparedShape> prepared = std::nullopt) {
     AcquireResult result;
     runtime_->spawn("take",
