Reads pass over a backend that fails distinctly more often than its peers

Cause: a backend may fail part of its statements, or leave them without an answer, while its health is good. A read that hangs is sent elsewhere after half of the target (500 to 1,000 ms there), and the next read goes to the same backend again 400 ms later.

Change: each proxy compares the share of failures among the latest 32 outcomes at each backend of a group with that of its peers together (two proportions, three deviations, and 0.2 at least). An outlier is passed over by reads for 1 s, doubled up to 8 s if it fails again; at least half of the group stays in use; work at the primary stays. Logged as backend_ejected. Latency needs no rule: it is in the cost.

--- a/src/registered/proxy/group/backend_standing.cpp
+++ b/src/registered/proxy/group/backend_standing.cpp
@@ -23,7 +23,7 @@
   facts.zone_evacuated = facts.is_primary ? facts.transaction_grace_expired : backend.is_evacuated();
   if (facts.zone_evacuated) facts.retry_after = placement::kRetryAfterEvacuation;
   facts.tried = request.tried != nullptr && request.tried->count(backend.entry.name) > 0;
-  facts.avoided = backend.avoid_until > now;
+  facts.avoided = backend.avoid_until > now || backend.ejection.is_active(now);
   facts.refused = backend.pool.is_refused();
   facts.cold_limit_reached = cold_.is_reached(backend);
   if (facts.cold_limit_reached) facts.retry_after = backend.cold_limit_reached_until - now;
@@ -60,6 +60,36 @@
   backend.latency.record(took_ms, group_latency_.ms(), runtime_.now());
 }
 
+void BackendEvaluator::record_outcome(BackendState& backend, bool failed) {
+  backend.outcomes.record(failed);
+  if (!failed) return;
+  balancing::OutcomeCounts peers;
+  for (const auto& [name, other] : backends_.all()) {
+    if (other.get() != &backend) peers += other->outcomes.counts();
+  }
+  if (balancing::is_outlier(backend.outcomes.counts(), peers)) eject(backend, peers);
+}
+
+void BackendEvaluator::eject(BackendState& backend, const balancing::OutcomeCounts& peers) {
+  const TimePoint now = runtime_.now();
+  const auto& all = backends_.all();
+  const auto ejected = std::count_if(
+      all.begin(), all.end(), [now](const auto& entry) { return entry.second->ejection.is_active(now); });
+  if (backend.ejection.is_active(now)) return;
+  if (!balancing::may_eject(static_cast<std::size_t>(ejected), all.size())) return;
+  backend.ejection.begin(now);
+  const balancing::OutcomeCounts counts = backend.outcomes.counts();
+  backend.outcomes.clear();
+  runtime_.logger().log(runtime::LogLevel::kWarning, "backend_ejected",
+                        {{"group", backend.entry.group.value},
+                         {"backend", backend.entry.name.value},
+                         {"failures", std::to_string(counts.failures)},
+                         {"outcomes", std::to_string(counts.outcomes)},
+                         {"peer_failures", std::to_string(peers.failures)},
+                         {"peer_outcomes", std::to_string(peers.outcomes)},
+                         {"for_ms", std::to_string(in_ms(backend.ejection.until() - now))}});
+}
+
 double BackendEvaluator::cost_of(const BackendState& backend) const {
   const double slots = static_cast<double>(std::max<std::uint64_t>(backend.entry.slots, 1));
   const double waiting = static_cast<double>(backend.gate.running() + backend.gate.waiting()) / slots;
--- a/src/registered/proxy/group/backend_standing.h
+++ b/src/registered/proxy/group/backend_standing.h
@@ -58,8 +58,13 @@
   [[nodiscard]] bool has_other_reader(const ReadNeed& need, const BackendState& backend) const;
   /// Records that a statement of this group took `took` at `backend`.
   void record_latency(BackendState& backend, Duration took);
+  /// Records whether a statement failed at `backend`. Reads prefer other backends for a while if it fails
+  /// distinctly more often than they do.
+  void record_outcome(BackendState& backend, bool failed);
 
  private:
+  /// Passes over `backend` for a while if at least half of the group stays in use.
+  void eject(BackendState& backend, const balancing::OutcomeCounts& peers);
   /// Cost of a read at `backend`, in milliseconds.
   [[nodiscard]] double cost_of(const BackendState& backend) const;
 
--- a/src/registered/proxy/group/backend_use.h
+++ b/src/registered/proxy/group/backend_use.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <utility>
 
+#include "registered/balancing/outlier_detection.h"
 #include "registered/proxy/group/backend_latency.h"
 #include "registered/proxy/group/evacuated_zones.h"
 #include "registered/proxy/group/replica_lag.h"
@@ -36,7 +37,8 @@
   registry::BackendEntry entry;
   StatefulPool pool;
   StatementGate gate;
-  /// Whether a link is opened before the first statement. Otherwise proxies nearer to it serve most statements.
+  /// Whether a link is opened before the first statement. Otherwise proxies nearer to it serve most
+  /// statements.
   bool opens_links_ahead = true;
   TimePoint avoid_until{};                 ///< set after a failure
   std::optional<TimePoint> leaving_since;  ///< when this proxy learned that it is leaving
@@ -44,6 +46,8 @@
   TimePoint cold_until{};                ///< after its zone's evacuation, whatever it reports
   TimePoint cold_limit_reached_until{};  ///< no token is available before then
   BackendLatency latency;
+  balancing::OutcomeHistory outcomes;  ///< of statements that this proxy sent it
+  balancing::Ejection ejection;        ///< reads prefer other backends meanwhile
   ReplicaLag lag;
   LogRegressionDetector log_regression;
 
--- a/src/registered/proxy/group/link_warming.cpp
+++ b/src/registered/proxy/group/link_warming.cpp
@@ -23,8 +23,8 @@
 
 bool warm_one(runtime::Runtime& runtime, const GroupAccess& group) {
   for (const auto& [name, backend] : group.backends.all()) {
-    const placement::BackendFacts facts = group.evaluator.facts_of(*backend, {});
     if (!backend->opens_links_ahead) continue;
+    const placement::BackendFacts facts = group.evaluator.facts_of(*backend, {});
     if (!backend->pool.has_no_link() || !placement::may_be_warmed(facts)) continue;
     // The slots of a cold backend are left to statements.
     if (group.cold.is_cold(*backend)) continue;
--- a/tests/registered/proxy/statement/regional_work_test.cpp
+++ b/tests/registered/proxy/statement/regional_work_test.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(changes_nothing_in_one_region);
   CPPUNIT_TEST(changes_nothing_where_links_belong_to_tenants);
   CPPUNIT_TEST(writes_wait_here_while_no_primary_is_known);
+  CPPUNIT_TEST(writes_wait_at_proxies_that_do_not_serve_the_group);
   CPPUNIT_TEST(asks_other_proxies_without_a_lease);
   CPPUNIT_TEST(forwards_waiting_writes_to_region_of_new_primary);
   CPPUNIT_TEST(runs_waiting_writes_here_if_new_primary_is_near);
@@ -90,6 +91,19 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), first_target(GroupWork::kAtPrimary));
   }
 
+  void writes_wait_at_proxies_that_do_not_serve_the_group() {
+    // Two of three proxies serve the group: those in the zones of its backends, which this one is not.
+    registry::FleetDelta delta = two_regions();
+    delta.backends[0].zone = ZoneName("a2");
+    delta.groups.front().max_connections = 10;
+    proxy_->view.apply(delta);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, proxy_->view.forwarding_targets(kGroup).size());
+    CPPUNIT_ASSERT_EQUAL(std::string("near"), first_target(GroupWork::kAtPrimary));
+    close_group();
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("the next primary may be in any region", std::string(),
+                                 first_target(GroupWork::kAtPrimary));
+  }
+
   void asks_other_proxies_without_a_lease() {
     proxy_->view.apply(two_regions());
     close_group();
