Reads count the way to another region until it exceeds the wait in their own

Cause: the cost of a read added 30 ms for any other zone, and the observed time of statements, which contains the round trip, decays to the group's average within a second without statements. So with four statements pending at the own region's backend (40 ms of work, 5 slots) a backend 60 ms away looked better, and the bytes between regions are billed beside.

Change: the cost is a pure function (`expected_completion_ms`); where connections are divided by region, a backend of another one costs 80 ms more, the longest round trip between regions. Elsewhere the cost is as before, term by term.

--- a/src/registered/balancing/region_division.cpp
+++ b/src/registered/balancing/region_division.cpp
@@ -75,8 +75,7 @@
                                                const ZoneName& proxy) const {
   const std::uint64_t in_region = count_in_region(backend);
   if (in_region == 0) return usable / std::max<std::uint64_t>(all_, 1);
-  const bool is_same_region = region_of(backend) == region_of(proxy);
-  if (!is_same_region) return kRemoteRegionLinks;
+  if (!are_in_one_region(backend, proxy)) return kRemoteRegionLinks;
   const std::uint64_t in_zone = count_in(backend);
   if (in_zone > 0 && proxy != backend) return kOtherZoneLinks;
   // Without a proxy in the backend's zone, those of its region stand in for it.
--- a/src/registered/balancing/region_division.h
+++ b/src/registered/balancing/region_division.h
@@ -54,6 +54,9 @@
 
   [[nodiscard]] std::uint64_t all() const { return all_; }
   [[nodiscard]] std::uint64_t count_in(const ZoneName& zone) const;
+  [[nodiscard]] bool are_in_one_region(const ZoneName& one, const ZoneName& other) const {
+    return region_of(one) == region_of(other);
+  }
   /// Number of serving proxies in the region of the zone.
   [[nodiscard]] std::uint64_t count_in_region(const ZoneName& zone) const;
   /// Returns how many of the `usable` links to a backend in the zone `backend` a serving proxy in the zone
--- a/src/registered/proxy/group/backend_standing.cpp
+++ b/src/registered/proxy/group/backend_standing.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "registered/balancing/expected_completion.h"
 #include "registered/placement/retry_after.h"
 
 namespace cairnhollow::registered::proxy {
@@ -91,13 +92,14 @@
 }
 
 double BackendEvaluator::cost_of(const BackendState& backend) const {
-  const double slots = static_cast<double>(std::max<std::uint64_t>(backend.entry.slots, 1));
-  const double waiting = static_cast<double>(backend.gate.running() + backend.gate.waiting()) / slots;
-  double cost = backend.latency.at(runtime_.now(), group_latency_.ms()) * (1.0 + waiting);
-  if (backend.entry.zone != zone_) cost += kOtherZoneCostMs;
-  if (backend.entry.name == leadership_.term().primary) cost += kPrimaryReadCostMs;
-  if (cold_.is_cold(backend)) cost += kColdCostMs;
-  return cost;
+  balancing::ReadCandidate candidate;
+  candidate.latency_ms = backend.latency.at(runtime_.now(), group_latency_.ms());
+  candidate.pending = backend.gate.running() + backend.gate.waiting();
+  candidate.slots = backend.entry.slots;
+  if (backend.entry.zone != zone_) candidate.way = balancing::Way::kOtherZone;
+  if (backend.in_other_region) candidate.way = balancing::Way::kOtherRegion;
+  candidate.is_primary = backend.entry.name == leadership_.term().primary;
+  return balancing::expected_completion_ms(candidate) + (cold_.is_cold(backend) ? kColdCostMs : 0);
 }
 
 }  // namespace cairnhollow::registered::proxy
--- a/src/registered/proxy/group/backend_standing.h
+++ b/src/registered/proxy/group/backend_standing.h
@@ -17,12 +17,6 @@
 
 /// Longest time for which a leaving primary is still used.
 inline constexpr Duration kLeavingPrimaryGrace = std::chrono::seconds(5);
-/// Cost in milliseconds added to a backend in another zone: traffic between zones is billed and takes a
-/// longer round trip.
-inline constexpr double kOtherZoneCostMs = 30.0;
-/// Cost in milliseconds added to the primary, so that reads go to replicas unless these are slower by more
-/// than this.
-inline constexpr double kPrimaryReadCostMs = 12.0;
 
 /// The statement for which facts are built. Members that are not set do not affect them.
 struct PlacementRequest {
--- a/src/registered/proxy/group/backend_use.h
+++ b/src/registered/proxy/group/backend_use.h
@@ -40,6 +40,8 @@
   /// Whether a link is opened before the first statement. Otherwise proxies nearer to it serve most
   /// statements.
   bool opens_links_ahead = true;
+  /// Whether the connections are divided by region and it is in another one than this proxy.
+  bool in_other_region = false;
   TimePoint avoid_until{};                 ///< set after a failure
   std::optional<TimePoint> leaving_since;  ///< when this proxy learned that it is leaving
   RestartDetector restart_detector;
--- a/src/registered/proxy/group/connection_shares.cpp
+++ b/src/registered/proxy/group/connection_shares.cpp
@@ -50,6 +50,7 @@
   backend.pool.set_limit(links);
   backend.pool.set_idle_timeout(is_local ? kLocalIdleLinkTimeout : kIdleLinkTimeout);
   backend.pool.set_lasting(lasting_links_to(backend.entry.zone), kLastingLinkTimeout);
+  backend.in_other_region = regional_ && !regional_->are_in_one_region(backend.entry.zone, zone_);
   backend.opens_links_ahead = !regional_ || backend.entry.zone == zone_;
   const std::uint64_t slots = std::max<std::uint64_t>(backend.entry.slots / users_of(backend.entry.zone), 1);
   backend.gate.set_bounds(static_cast<std::uint32_t>(slots), static_cast<std::uint32_t>(links));
--- a/tests/registered/proxy/group/group_access_test.cpp
+++ b/tests/registered/proxy/group/group_access_test.cpp
@@ -387,11 +387,13 @@
     CPPUNIT_ASSERT_EQUAL_MESSAGE("bounded", kMaxConnections, state("replica-1").pool.limit());
     CPPUNIT_ASSERT_EQUAL(balancing::kOtherZoneLinks, state("replica-3").pool.limit());
     CPPUNIT_ASSERT_EQUAL(balancing::kRemoteRegionLinks, state("replica-4").pool.limit());
+    CPPUNIT_ASSERT(state("replica-4").in_other_region && !state("replica-3").in_other_region);
     CPPUNIT_ASSERT_MESSAGE("links are opened ahead to backends of the zone only",
                            state("replica-1").opens_links_ahead && !state("replica-3").opens_links_ahead);
     group_->backends.share_connections(std::uint64_t{15});
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, state("replica-4").pool.limit());
     CPPUNIT_ASSERT(state("replica-3").opens_links_ahead);
+    CPPUNIT_ASSERT(!state("replica-4").in_other_region);
   }
 
   void reading_zones_exclude_leaving_backends() {
