--- a/src/registered/proxy/fleet/fleet_view.cpp
+++ b/src/registered/proxy/fleet/fleet_view.cpp
@@ -6,6 +6,7 @@
 #include <set>
 #include <utility>
 
+#include "registered/balancing/region_division.h"
 #include "registered/registry/division.h"
 #include "registered/registry/member_lease.h"
 #include "registered/registry/proxy_incarnation.h"
@@ -189,17 +190,19 @@
   serving_.clear();
   tenant_forwarding_targets_.clear();
   for (const auto& [name, group] : groups_) {
+    group->positions.set_pace(divides_by_region() ? kRefreshPaceAcrossRegions : RefreshPace{});
     const std::size_t size = registry::serving_proxies(group->rule, group->backends.slots(),
                                                        accepting_proxies.size(), requires_keys_);
     if (size >= accepting_proxies.size()) {
-      if (requires_keys_)
+      const bool evenly = !requires_keys_ && !divides_by_region();
+      if (!evenly)
         share_connections(*group, table.serving(name, static_cast<std::uint32_t>(accepting_proxies.size())));
-      if (!requires_keys_) group->backends.share_connections(proxies_.size());
+      if (evenly) group->backends.share_connections(proxies_.size());
       also_serving_[name] = other_proxies_;
       serving_[name] = subset::forwarding_order(accepting_proxies, node_, zone_);
       continue;
     }
-    const auto serving = table.serving(name, static_cast<std::uint32_t>(size));
+    const auto serving = select_serving(*group, table, size);
     share_connections(*group, serving);
     const bool serves =
         std::any_of(serving.begin(), serving.end(),
@@ -211,8 +214,19 @@
   }
 }
 
+std::vector<subset::ProxyPointer> FleetView::select_serving(const GroupAccess& group,
+                                                            const subset::SubsetTable& table,
+                                                            std::size_t size) const {
+  const auto count = static_cast<std::uint32_t>(size);
+  if (!divides_by_region()) return table.serving(group.name, count);
+  std::vector<ZoneName> zones;
+  for (const auto& [name, backend] : group.backends.all()) zones.push_back(backend->entry.zone);
+  return table.serving_near(group.name, count, zones);
+}
+
 void FleetView::share_connections(GroupAccess& group,
                                   const std::vector<subset::ProxyPointer>& serving) const {
+  if (divides_by_region()) return group.backends.share_connections({serving, regions_});
   if (!requires_keys_) return group.backends.share_connections(serving.size());
   group.backends.share_connections(serving, node_);
 }
@@ -247,7 +261,9 @@
 const std::vector<subset::ProxyPointer>& FleetView::forwarding_targets(const GroupName& group,
                                                                        const TenantName& tenant,
                                                                        GroupWork work) {
-  if (tenant.empty()) return forwarding_targets(group);
+  if (tenant.empty()) {
+    return divides_by_region() ? regional_targets(group, work) : forwarding_targets(group);
+  }
   if (tenant_forwarding_targets_.size() > kMaxCachedTenantOrders) tenant_forwarding_targets_.clear();
   const auto zone = work_zone(group, tenant, work);
   if (!zone) return no_proxies();
@@ -280,6 +296,31 @@
   return order;
 }
 
+const std::vector<subset::ProxyPointer>& FleetView::regional_targets(const GroupName& group, GroupWork work) {
+  const auto found = groups_.find(group);
+  if (found == groups_.end()) return forwarding_targets(group);
+  const GroupAccess& access = *found->second;
+  const balancing::Forwarder here{node_, zone_};
+  ZoneName zone;
+  if (work == GroupWork::kAtPrimary) {
+    const auto primary = access.evaluator.primary();
+    if (primary) zone = primary->entry.zone;
+    // The next primary may be in any region.
+    if (!primary && holds_lease_for(access)) return no_proxies();
+  } else {
+    zone = access.backends.has_readers_in(zone_)
+               ? zone_
+               : balancing::zone_for_reads(access.backends.reading_zones(), here, regions_);
+  }
+  if (zone.empty()) return forwarding_targets(group);
+  const TenantName no_tenant;
+  const auto known = tenant_forwarding_targets_.find(std::tie(group, no_tenant, zone));
+  if (known != tenant_forwarding_targets_.end()) return known->second;
+  auto order = balancing::order_near(serving_[group], here, zone, regions_);
+  return tenant_forwarding_targets_.emplace(TenantOrderKey{group, no_tenant, zone}, std::move(order))
+      .first->second;
+}
+
 const std::vector<subset::ProxyPointer>& FleetView::also_serving(const GroupName& group) {
   return also_serving_[group];
 }
--- a/src/registered/proxy/group/backend_standing.h
+++ b/src/registered/proxy/group/backend_standing.h
@@ -17,12 +17,6 @@
 
 /// Longest time for which a leaving primary is still used.
 inline constexpr Duration kLeavingPrimaryGrace = std::chrono::seconds(5);
-/// Cost in milliseconds added to a backend in another zone: traffic between zones is billed and takes a
-/// longer round trip.
-inline constexpr double kOtherZoneCostMs = 30.0;
-/// Cost in milliseconds added to the primary, so that reads go to replicas unless these are slower by more
-/// than this.
-inline constexpr double kPrimaryReadCostMs = 12.0;
 
 /// The statement for which facts are built. Members that are not set do not affect them.
 struct PlacementRequest {
@@ -60,8 +54,13 @@
   [[nodiscard]] bool has_other_reader(const PlacementRequest& request, const BackendState& backend) const;
   /// Records that a statement of this group took `took` at `backend`.
   void record_latency(BackendState& backend, Duration took);
+  /// Records whether a statement failed at `backend`. Reads prefer other backends for a while if it fails
+  /// distinctly more often than they do.
+  void record_outcome(BackendState& backend, bool failed);
 
  private:
+  /// Passes over `backend` for a while if at least half of the group stays in use.
+  void eject(BackendState& backend, const balancing::OutcomeCounts& peers);
   /// Cost of a read at `backend`, in milliseconds.
   [[nodiscard]] double cost_of(const BackendState& backend) const;
 
--- a/src/registered/proxy/group/backend_use.h
+++ b/src/registered/proxy/group/backend_use.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <utility>
 
+#include "registered/balancing/outlier_detection.h"
 #include "registered/capacity/backend_room.h"
 #include "registered/capacity/connection_budget.h"
 #include "registered/proxy/group/backend_latency.h"
@@ -44,12 +45,19 @@
   StatementGate gate;
   capacity::BackendRoom room;              ///< this proxy's part of the slots
   capacity::ConnectionBudget connections;  ///< and of the connections
+  /// Whether a link is opened before the first statement. Otherwise proxies nearer to it serve most
+  /// statements.
+  bool opens_links_ahead = true;
+  /// Whether the connections are divided by region and it is in another one than this proxy.
+  bool in_other_region = false;
   TimePoint avoid_until{};                 ///< set after a failure
   std::optional<TimePoint> leaving_since;  ///< when this proxy learned that it is leaving
   RestartDetector restart_detector;
   TimePoint cold_until{};                ///< after its zone's evacuation, whatever it reports
   TimePoint cold_limit_reached_until{};  ///< no token is available before then
   BackendLatency latency;
+  balancing::OutcomeHistory outcomes;  ///< of statements that this proxy sent it
+  balancing::Ejection ejection;        ///< reads prefer other backends meanwhile
   ReplicaLag lag;
   LogRegressionDetector log_regression;
 
--- a/src/registered/proxy/group/group_backends.cpp
+++ b/src/registered/proxy/group/group_backends.cpp
@@ -67,6 +67,11 @@
   for (const auto& [name, backend] : backends_) apply_link_limits(*backend, runtime_.now());
 }
 
+void GroupBackends::share_connections(balancing::RegionalServing serving) {
+  shares_.divide(std::move(serving));
+  for (const auto& [name, backend] : backends_) shares_.apply_to(*backend, runtime_.now());
+}
+
 std::vector<std::uint64_t> GroupBackends::slots() const {
   std::vector<std::uint64_t> slots;
   for (const auto& [name, backend] : backends_) slots.push_back(backend->entry.slots);
--- a/src/registered/proxy/group/group_backends.h
+++ b/src/registered/proxy/group/group_backends.h
@@ -55,6 +55,8 @@
   /// `serving`: the proxies that serve the group, in the order of subset::SubsetTable::serving(). `self`:
   /// this proxy.
   void share_connections(std::vector<subset::ProxyPointer> serving, const NodeName& self);
+  /// Divides them by region: most go to the proxies in the backend's region.
+  void share_connections(balancing::RegionalServing serving);
   /// To be called from time to time: the limits on links grow some seconds after a change of owners.
   void refresh_link_limits();
   /// The proxies that own the backends in the zone; empty without tenants.
--- a/tests/registered/proxy/group/group_access_test.cpp
+++ b/tests/registered/proxy/group/group_access_test.cpp
@@ -66,6 +66,7 @@
   CPPUNIT_TEST(evacuated_primary_serves_for_half_of_bound);
   CPPUNIT_TEST(uses_zone_again_after_evacuation);
   CPPUNIT_TEST(opens_no_links_ahead_to_evacuated_zone);
+  CPPUNIT_TEST(opens_no_links_ahead_to_distant_backends);
   CPPUNIT_TEST(facts_default_to_neutral);
   CPPUNIT_TEST(facts_reflect_observations);
   CPPUNIT_TEST(full_backend_is_last_choice);
@@ -78,6 +79,7 @@
   CPPUNIT_TEST(detects_shorter_log_within_term);
   CPPUNIT_TEST(opens_no_links_to_removed_backend);
   CPPUNIT_TEST(most_links_go_to_local_backend);
+  CPPUNIT_TEST(most_links_go_to_backends_of_the_region);
   CPPUNIT_TEST(reading_zones_exclude_leaving_backends);
   CPPUNIT_TEST_SUITE_END();
 
@@ -167,6 +169,13 @@
     CPPUNIT_ASSERT(!warm_one(*runtime_, *group_));
   }
 
+  void opens_no_links_ahead_to_distant_backends() {
+    for (const auto& [name, backend] : group_->backends.all()) backend->opens_links_ahead = false;
+    CPPUNIT_ASSERT(!warm_one(*runtime_, *group_));
+    state("replica-1").opens_links_ahead = true;
+    CPPUNIT_ASSERT(warm_one(*runtime_, *group_));
+  }
+
   void joining_member_ends_member_lease() {
     const std::uint64_t asked = group_->leadership.membership();
     const TimePoint until = runtime_->now() + milliseconds(500);
@@ -367,6 +376,37 @@
                                  state("replica-1").pool.limit());
   }
 
+  void most_links_go_to_backends_of_the_region() {
+    const locality::RegionMap regions({{ZoneName("a"), RegionName("north")},
+                                       {ZoneName("b"), RegionName("north")},
+                                       {ZoneName("c"), RegionName("south")}});
+    registry::GroupRule rule;
+    rule.max_connections = 49;
+    group_->rule = rule;
+    registry::BackendEntry near = backend("replica-3", 4);
+    near.zone = ZoneName("b");
+    group_->put_backend(near);
+    registry::BackendEntry remote = backend("replica-4", 5);
+    remote.zone = ZoneName("c");
+    group_->put_backend(remote);
+    std::vector<subset::ProxyPointer> serving;
+    for (const char* zone : {"a", "a", "b", "b", "c", "c", "c"})
+      serving.push_back(
+          std::make_shared<subset::ProxyView>(subset::ProxyView{NodeName("p"), ZoneName(zone), Endpoint{}}));
+    group_->backends.share_connections({serving, regions});
+    // 45 usable, 6 reserved for the other region and 4 for the other zone.
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("bounded", kMaxConnections, state("replica-1").pool.limit());
+    CPPUNIT_ASSERT_EQUAL(balancing::kOtherZoneLinks, state("replica-3").pool.limit());
+    CPPUNIT_ASSERT_EQUAL(balancing::kRemoteRegionLinks, state("replica-4").pool.limit());
+    CPPUNIT_ASSERT(state("replica-4").in_other_region && !state("replica-3").in_other_region);
+    CPPUNIT_ASSERT_MESSAGE("links are opened ahead to backends of the zone only",
+                           state("replica-1").opens_links_ahead && !state("replica-3").opens_links_ahead);
+    group_->backends.share_connections(std::uint64_t{15});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, state("replica-4").pool.limit());
+    CPPUNIT_ASSERT(state("replica-3").opens_links_ahead);
+    CPPUNIT_ASSERT(!state("replica-4").in_other_region);
+  }
+
   void reading_zones_exclude_leaving_backends() {
     registry::BackendEntry remote = backend("replica-3", 4);
     remote.zone = ZoneName("b");
--- a/tests/registered/proxy/session_stand.cpp
+++ b/tests/registered/proxy/session_stand.cpp
@@ -176,8 +176,8 @@
   link_ = std::make_unique<FleetLink>(*runtime_, settings, *view_);
   forwarder_ = std::make_unique<Forwarder>(*runtime_, settings.node, settings.zone);
   limits_ = std::make_unique<LimitClient>(*runtime_, *view_, *forwarder_, metrics_);
-  owners_ =
-      std::make_unique<Forwarder>(*runtime_, settings.node, settings.zone, wire::Conversation::kBackendRoom);
+  owners_ = std::make_unique<Forwarder>(*runtime_, settings.node, settings.zone, locality::RegionMap(),
+                                        wire::Conversation::kBackendRoom);
   demands_ = std::make_unique<DemandExchange>(*runtime_, *view_, *owners_);
   overload_ = std::make_unique<OverloadControl>(*runtime_, 0);
   registry::FleetDelta first = delta();
