--- a/tests/registered/capacity/backend_owners_test.cpp
+++ b/tests/registered/capacity/backend_owners_test.cpp
@@ -13,6 +13,7 @@
 
 std::vector<subset::ProxyPointer> proxies(int count) {
   std::vector<subset::ProxyPointer> result;
+  result.reserve(static_cast<std::size_t>(count));
   for (int number = 0; number < count; ++number) {
     result.push_back(std::make_shared<subset::ProxyView>(subset::ProxyView{
         NodeName(fmt::format("proxy-{}", number)), ZoneName(fmt::format("zone-{}", number % 4)), {"", 1}}));
--- a/tests/registered/capacity/backend_room_test.cpp
+++ b/tests/registered/capacity/backend_room_test.cpp
@@ -21,6 +21,7 @@
 
 std::vector<subset::ProxyPointer> owners(const std::set<int>& numbers) {
   std::vector<subset::ProxyPointer> result;
+  result.reserve(numbers.size());
   for (const int number : numbers) {
     result.push_back(std::make_shared<subset::ProxyView>(
         subset::ProxyView{NodeName(fmt::format("proxy-{}", number)), ZoneName("a"), {"", 1}}));
