--- a/src/registered/proxy/fleet/fleet_view.h
+++ b/src/registered/proxy/fleet/fleet_view.h
@@ -133,6 +133,11 @@
   /// Whether work is placed and links are divided by region: the settings name several regions and links
   /// belong to no tenant.
   [[nodiscard]] bool divides_by_region() const { return spans_regions_ && !requires_keys_; }
+  /// The proxies that serve the group in the order of preference for the tenant's work in the zone: the
+  /// owners of the zone's backends first.
+  [[nodiscard]] std::vector<subset::ProxyPointer> order_for_tenant(const GroupName& group,
+                                                                   const TenantName& tenant,
+                                                                   const ZoneName& zone);
   /// For a group that this proxy serves, the other proxies that serve it, in order of preference.
   [[nodiscard]] const std::vector<subset::ProxyPointer>& also_serving(const GroupName& group);
   /// All other proxies that accept new work, those of this zone first.
@@ -177,11 +182,6 @@
   /// proxy holds a lease but no primary may be used.
   [[nodiscard]] std::optional<ZoneName> work_zone(const GroupName& group, const TenantName& tenant,
                                                   GroupWork work) const;
-  /// The proxies that serve the group in the order of preference for the tenant's work in the zone: the
-  /// owners of the zone's backends first.
-  [[nodiscard]] std::vector<subset::ProxyPointer> order_for_tenant(const GroupName& group,
-                                                                   const TenantName& tenant,
-                                                                   const ZoneName& zone);
   /// The order for the group's work if it is placed by region.
   const std::vector<subset::ProxyPointer>& regional_targets(const GroupName& group, GroupWork work);
   /// The proxies that serve the group, `size` of those in the table.
--- a/src/registered/proxy/limits/limit_client.cpp
+++ b/src/registered/proxy/limits/limit_client.cpp
@@ -119,7 +119,7 @@
 bool LimitClient::is_owner_likely(const TokenAccount& account, TokenWait wait) const {
   if (account.last.outcome == AdmissionOutcome::kAdmitted) return true;
   // Without a lease this proxy can't run the operation either.
-  const bool expects_lease = view_.lease_valid() || view_.expects_lease();
+  const bool expects_lease = view_.lease_valid() || view_.expects_lease(false);
   const bool may_wait = wait.beyond_round && account.last.outcome == AdmissionOutcome::kNotAuthorized;
   const bool in_time = account.authorized_in < limits::kAuthorityUnlikely &&
                        runtime_.now() + account.authorized_in < wait.until;
