A statement is refused at the gate for good only while its backend is the current one

Cause: found in review: a statement that waited at the gate of a primary that was replaced meanwhile was refused instead of choosing again, and a refusal for want of a cold token named the gate. Change: the refusal is final only if the group still knows this incarnation and its primary may be used; the gate is logged only where it refused.

--- a/src/registered/proxy/statement/statement_runner.cpp
+++ b/src/registered/proxy/statement/statement_runner.cpp
@@ -63,8 +63,7 @@
   const Answer& answer = attempt->result.answer;
   if (!answer.refusal && runtime.now() - attempt->request.arrived > kSlowStatementThreshold)
     log_.slow(*attempt);
-  const bool had_no_slot = attempt->progress.attempts > 0 && !attempt->gate.admitted();
-  if (had_no_slot) attempt->local_refusal.gate = attempt->gate;
+  if (attempt->had_no_slot) attempt->refusal.gate = attempt->gate;
   if (answer.refusal)
     log_.refusal(attempt->request, answer, attempt->reason, attempt->progress.attempts, attempt->refusal);
   attempt->result.nothing_run = !attempt->request.may_have_run;
@@ -271,7 +270,14 @@
                           "no slot at the backend is free, or expected to be free, in time"};
   const bool has_other = !attempt.needs_primary && attempt.request.group->evaluator.has_other_reader(
                                                        attempt.placement_request(), *attempt.backend);
-  const bool is_final = attempt.backend->gate.is_shared_room() && !has_other;
+  attempt.had_no_slot = true;
+  // After a change of primary or of the backend's incarnation another one may have room.
+  const auto& known = attempt.request.group->backends.all();
+  const auto found = known.find(attempt.backend->entry.name);
+  const bool is_current =
+      found != known.end() && found->second == attempt.backend &&
+      (!attempt.needs_primary || services_.view.may_use_primary(*attempt.request.group, attempt.epoch));
+  const bool is_final = attempt.backend->gate.is_shared_room() && is_current && !has_other;
   if (!is_final) return apply(placement::make_retry(attempt.needs_primary), attempt);
   refuse(attempt, RejectionReason::kBackendsBusy, retry_after_gate(gate));
   return NextStep::kAnswer;
@@ -280,6 +286,7 @@
 Awaitable<NextStep> StatementRunner::try_backend(AttemptPointer attempt) {
   const std::shared_ptr<BackendState> backend = attempt->backend;
   attempt->pre_send_check = {};
+  attempt->had_no_slot = false;
   const bool admitted = co_await acquire_cold_token(attempt);
   if (!admitted) co_return NextStep::kReselectBackend;
   bool begun = false;
--- a/src/registered/proxy/statement/statement_runner.h
+++ b/src/registered/proxy/statement/statement_runner.h
@@ -45,9 +45,6 @@
   /// Chooses a backend for the attempt, waiting if necessary. Returns false if it is refused or to be
   /// forwarded.
   Awaitable<bool> choose(AttemptPointer attempt);
-  /// Waits for a slot at the attempt's backend. Without a link at hand or room for a new one it gives the
-  /// slot back, waits for room, and queues again. Returns false if there was no slot with room by `deadline`.
-  Awaitable<bool> enter_gate(AttemptPointer attempt, std::uint8_t priority, TimePoint deadline);
   Awaitable<placement::NextStep> try_backend(AttemptPointer attempt);
   /// Acquires a token if the attempt's backend is cold. Returns false if none is available.
   Awaitable<bool> acquire_cold_token(AttemptPointer attempt);
