The test of a full primary meets the limit

The keeper asked the primary over a connection from before, so that the test passed without the rule: its mutation was not caught. The idle connection is closed before each suspicion.

--- a/tests/registered/control/failover/group_keeper_test.cpp
+++ b/tests/registered/control/failover/group_keeper_test.cpp
@@ -50,6 +50,8 @@
   void keeps_a_primary_at_its_connection_limit() {
     stand_->members["primary"].is_full = true;
     for (int second = 0; second < 3; ++second) {
+      // A reused connection would not meet the limit.
+      stand_->prober().close_idle(BackendName("primary"));
       suspect_primary();
       stand_->run_for(seconds(1));
     }
