--- a/src/registered/balancing/outlier_detection.cpp
+++ b/src/registered/balancing/outlier_detection.cpp
@@ -23,7 +23,7 @@
   return excess > kOutlierShare && excess > kOutlierDeviations * std::sqrt(variance);
 }
 
-bool may_eject(std::size_t ejected, std::size_t size) { return 2 * (ejected + 1) <= size; }
+bool may_eject(std::size_t ejected, std::size_t members) { return 2 * (ejected + 1) <= members; }
 
 void Ejection::begin(TimePoint now) {
   const bool follows = length_ > Duration(0) && now < until_ + kEjectionMemory;
--- a/src/registered/balancing/outlier_detection.h
+++ b/src/registered/balancing/outlier_detection.h
@@ -63,9 +63,9 @@
 /// Whether the backend fails distinctly more often than its peers together. False without outcomes of peers:
 /// then there is nothing to compare with.
 bool is_outlier(const OutcomeCounts& backend, const OutcomeCounts& peers);
-/// Whether one more backend of a group of `size` backends may be passed over while `ejected` of them are: at
-/// least half of the group stays in use.
-bool may_eject(std::size_t ejected, std::size_t size);
+/// Whether one more backend of a group of `members` backends may be passed over while `ejected` of them are:
+/// at least half of the group stays in use.
+bool may_eject(std::size_t ejected, std::size_t members);
 
 /// Until when a backend is passed over.
 class Ejection {
--- a/src/registered/proxy/fleet/fleet_view.cpp
+++ b/src/registered/proxy/fleet/fleet_view.cpp
@@ -206,11 +206,10 @@
 std::vector<subset::ProxyPointer> FleetView::select_serving(const GroupAccess& group,
                                                             const subset::SubsetTable& table,
                                                             std::size_t size) const {
-  const auto count = static_cast<std::uint32_t>(size);
-  if (!divides_by_region()) return table.serving(group.name, count);
+  if (!divides_by_region()) return table.serving(group.name, static_cast<std::uint32_t>(size));
   std::vector<ZoneName> zones;
   for (const auto& [name, backend] : group.backends.all()) zones.push_back(backend->entry.zone);
-  return table.serving_near(group.name, count, zones);
+  return table.serving_near(group.name, static_cast<std::uint32_t>(size), zones);
 }
 
 void FleetView::share_connections(GroupAccess& group,
@@ -279,9 +278,7 @@
     // The next primary may be in any region.
     if (!primary && holds_lease_for(access)) return no_proxies();
   } else {
-    zone = access.backends.has_readers_in(zone_)
-               ? zone_
-               : balancing::zone_for_reads(access.backends.reading_zones(), here, regions_);
+    zone = balancing::zone_for_reads(access.backends.reading_zones(), here, regions_);
   }
   if (zone.empty()) return forwarding_targets(group);
   const TenantName no_tenant;
--- a/tests/registered/balancing/region_division_test.cpp
+++ b/tests/registered/balancing/region_division_test.cpp
@@ -187,6 +187,7 @@
   }
   [[nodiscard]] std::string reads(const std::vector<std::string>& zones, const NodeAndZone& from) const {
     std::vector<ZoneName> reading;
+    reading.reserve(zones.size());
     for (const std::string& zone : zones) reading.emplace_back(zone);
     return zone_for_reads(reading, {NodeName(from.first), ZoneName(from.second)}, regions_).value;
   }
