--- a/src/registered/proxy/statement/statement_attempt.h
+++ b/src/registered/proxy/statement/statement_attempt.h
@@ -36,8 +36,8 @@
   scheduling::SlotRequest slot;         ///< what the gate was told
   GateOutcome gate;                     ///< what it decided
   TimePoint admitted_at{};
-  bool lacks_link = false;  ///< all links were in use, and none could be opened
-  bool had_no_slot = false;             ///< the gate of the last backend tried refused it
+  bool lacks_link = false;   ///< all links were in use, and none could be opened
+  bool had_no_slot = false;  ///< the gate of the last backend tried refused it
   placement::SendDecision pre_send_check;
   TimePoint sent_at{};
   runtime::SendState sent = runtime::SendState::kNotSent;
