--- a/src/registered/proxy/overload/overload_control.h
+++ b/src/registered/proxy/overload/overload_control.h
@@ -17,7 +17,7 @@
 /// `runtime` is not owned and must outlive this object, which lives until the process ends.
 class OverloadControl {
  public:
-  /// `link_rate`: rate of the machine's link in Mbit/s; 0: not known, and everything is admitted.
+  /// `link_rate`: rate of the machine's link in megabits a second; 0: not known, and everything is admitted.
   OverloadControl(runtime::Runtime& runtime, double link_rate);
 
   void start();
