Mend what the review of limits, waits and outliers found

Cause, by reading: a stable revision was announced in the later format after shared limits were switched off, and without a deferred delta; a primary that hangs but refuses connections at its limit was kept for ever; a waiting statement larger than the room evicted all others; a statement that may have run started further rounds of forwarding; a session with an unknown key could be held beyond the time after which callers close; failing writes and lost writes made outliers of primaries; a forwarded statement's target counted anew.

Change: announcements only with shared limits and with the membership; the limit is tolerated for 6 s and not after a failed check; a statement that cannot fit takes no places; no further rounds after a possible run; one bound for both waits of a session; outcomes of reads only; the target counts from where the caller asked; a grant ends the pause of an account.

Tests: announces_nothing_after_shared_limits_are_off, replaces_a_primary_that_stays_at_its_connection_limit, one_that_cannot_fit_takes_no_places; the others have none of their own. Left, found and not mended: pauses between attempts hold no place among waiting statements; a patient read first sent after three attempts without a slot cannot leave a silent replica; outcomes do not age.

--- a/src/registered/control/failover/group_prober.cpp
+++ b/src/registered/control/failover/group_prober.cpp
@@ -76,7 +76,7 @@
   if (!answer) co_return std::nullopt;
   idle_[entry.name] = IdleLink{entry.incarnation(), link};
   if (answer->refusal) {
-    reason = Reason{ReasonCode::kOverloaded, "ask_status", link->peer(), refusal_name(*answer->refusal)};
+    reason = Reason{ReasonCode::kOverloaded, kAskStatusStep, link->peer(), refusal_name(*answer->refusal)};
     co_return std::nullopt;
   }
   co_return link->read_status(*answer, reason);
--- a/src/registered/control/failover/group_prober.h
+++ b/src/registered/control/failover/group_prober.h
@@ -16,6 +16,9 @@
 
 namespace cairnhollow::registered::control {
 
+/// Step of the reason with which a member answered that it is too busy to report its status.
+inline constexpr const char* kAskStatusStep = "ask_status";
+
 /// Timeout of a backend's status query.
 inline constexpr Duration kStatusTimeout = std::chrono::milliseconds(300);
 
--- a/src/registered/control/failover/primary_check.cpp
+++ b/src/registered/control/failover/primary_check.cpp
@@ -56,12 +56,26 @@
     if (check > 0) co_await runtime_.sleep_for(kFailedCheckDelay);
     const TimePoint deadline = runtime_.now() + kStatusTimeout;
     const auto status = co_await prober_.query(primary, deadline, reason);
-    const bool busy = !status && reason.code == ReasonCode::kOverloaded;
-    failed = !busy && !is_primary_of(status, term);
+    if (status) full_since_.erase(term.group);
+    const bool is_overloaded = !status && reason.code == ReasonCode::kOverloaded;
+    const bool is_busy =
+        is_overloaded && (reason.step == kAskStatusStep || tolerates_full_primary(term, check));
+    failed = !is_busy && !is_primary_of(status, term);
   }
   co_return failed;
 }
 
+bool PrimaryCheck::tolerates_full_primary(const GroupTerm& term, int failures) {
+  const TimePoint now = runtime_.now();
+  auto& [epoch, since] = full_since_[term.group];
+  if (since == TimePoint{} || epoch != term.epoch) {
+    epoch = term.epoch;
+    since = now;
+  }
+  // A backend may still refuse connections while all that it accepted earlier hang.
+  return failures == 0 && now - since < kFullPrimaryTolerance;
+}
+
 Awaitable<bool> PrimaryCheck::has_stalled_commits(GroupTerm term) {
   const TimePoint started_at = runtime_.now();
   std::optional<Position> first;
--- a/src/registered/control/failover/primary_check.h
+++ b/src/registered/control/failover/primary_check.h
@@ -10,8 +10,10 @@
 #pragma once
 
 #include <cstddef>
+#include <map>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "registered/control/failover/group_prober.h"
 #include "registered/control/failover/group_terms.h"
@@ -27,6 +29,9 @@
 inline constexpr Duration kFailedCheckDelay = std::chrono::milliseconds(60);
 /// A primary whose commits reach no replica for this long is replaced.
 inline constexpr Duration kCommitStallTimeout = std::chrono::milliseconds(900);
+/// A primary that is at its connection limit whenever it is checked is taken to run for this long after the
+/// first such check: twice the time for which backends count the connections of processes that are gone.
+inline constexpr Duration kFullPrimaryTolerance = std::chrono::seconds(6);
 
 /// Whether the status shows the primary of exactly this term. False if there is no status.
 bool is_primary_of(const std::optional<BackendStatus>& status, const registry::GroupTerm& term);
@@ -52,6 +57,9 @@
   /// `reason` is set to the failure of the last check, if it got no answer.
   Awaitable<bool> has_failed(registry::GroupTerm term, registry::BackendEntry primary,
                              std::size_t suspecting_proxies, Reason& reason);
+  /// Whether a check that met the connection limit, after `failures` that failed, shows that the primary
+  /// runs.
+  bool tolerates_full_primary(const registry::GroupTerm& term, int failures);
   Awaitable<bool> has_stalled_commits(registry::GroupTerm term);
   [[nodiscard]] std::size_t serving_proxies(const GroupName& group) const;
 
@@ -61,6 +69,8 @@
   GroupProber& prober_;
   LogComparison& log_comparison_;
   const PrimarySuspicions& suspicions_;
+  /// When a group's primary of an epoch was first met at its connection limit, until it shows its status.
+  std::map<GroupName, std::pair<std::uint64_t, TimePoint>> full_since_;
 };
 
 }  // namespace cairnhollow::registered::control
--- a/src/registered/control/leases/proxy_updates.cpp
+++ b/src/registered/control/leases/proxy_updates.cpp
@@ -66,9 +66,12 @@
   pushed_revision_ = fleet_.revision();
 }
 
+bool ProxyUpdates::lacks_stable_revision(const Follower& follower) const {
+  return fleet_.has_shared_limits() && follower.stable_revision_sent < announced_stable_revision_;
+}
+
 bool ProxyUpdates::has_pending_update(const Follower& follower) const {
-  const bool lacks_news = follower.revision_sent < fleet_.revision() ||
-                          follower.stable_revision_sent < announced_stable_revision_;
+  const bool lacks_news = follower.revision_sent < fleet_.revision() || lacks_stable_revision(follower);
   return follower.answer_nonce > 0 || (follower.admitted && lacks_news);
 }
 
@@ -94,8 +97,10 @@
   update.report_interval = report_interval(followers_.size(), serving_lease_);
   if (update.lease > Duration(0) && fleet_.has_shared_limits()) update.stable_revision = stable_revision_();
   // What was announced remains true, also if this node has become leader anew and has not heard from all.
-  if (follower.stable_revision_sent < announced_stable_revision_)
+  if (lacks_stable_revision(follower))
     update.stable_revision = std::max(update.stable_revision, announced_stable_revision_);
+  // Owners drop what they lost with the membership, so it must not come after the revision that settles it.
+  if (lacks_something && !with_delta) update.stable_revision = 0;
   follower.stable_revision_sent = std::max(follower.stable_revision_sent, update.stable_revision);
   if (endpoints() != follower.endpoints_sent) {
     follower.endpoints_sent = endpoints();
--- a/src/registered/control/leases/proxy_updates.h
+++ b/src/registered/control/leases/proxy_updates.h
@@ -80,6 +80,9 @@
   Awaitable<void> delay_push();
   Awaitable<void> send(std::shared_ptr<Follower> follower);
   [[nodiscard]] bool has_pending_update(const Follower& follower) const;
+  /// Whether a stable revision was announced that the proxy was not told. False without shared limits, whose
+  /// absence lets builds follow that do not read it.
+  [[nodiscard]] bool lacks_stable_revision(const Follower& follower) const;
   registry::ProxyUpdate make_update(Follower& follower, bool with_delta);
   /// Returns true if the follower's delta is small or fits within the limit on bytes in flight.
   [[nodiscard]] bool fits_in_flight(const Follower& follower);
--- a/src/registered/placement/waiting_room.h
+++ b/src/registered/placement/waiting_room.h
@@ -34,10 +34,10 @@
   /// urgent ones lose their places as needed.
   std::optional<Place> enter(std::uint64_t priority, std::size_t bytes) {
     const Place place{priority, next_arrival_++};
+    if (!has_room_beside_more_urgent(place, bytes)) return std::nullopt;
     sizes_.emplace(place, bytes);
     bytes_ += bytes;
     while (sizes_.size() > max_statements_ || bytes_ > max_bytes_) leave(sizes_.rbegin()->first);
-    if (!holds(place)) return std::nullopt;
     return place;
   }
   /// Whether the statement still has its place.
@@ -52,6 +52,18 @@
   [[nodiscard]] std::size_t size() const { return sizes_.size(); }
 
  private:
+  /// Whether the statement fits once all that are less urgent have left.
+  [[nodiscard]] bool has_room_beside_more_urgent(const Place& place, std::size_t bytes) const {
+    if (sizes_.size() < max_statements_ && bytes_ + bytes <= max_bytes_) return true;
+    std::size_t statements = 1;
+    const auto end = sizes_.lower_bound(place);
+    for (auto entry = sizes_.begin(); entry != end; ++entry) {
+      ++statements;
+      bytes += entry->second;
+    }
+    return statements <= max_statements_ && bytes <= max_bytes_;
+  }
+
   std::size_t max_statements_;
   std::size_t max_bytes_;
   std::map<Place, std::size_t> sizes_;
--- a/src/registered/proxy/callers/caller_session.h
+++ b/src/registered/proxy/callers/caller_session.h
@@ -61,7 +61,7 @@
   [[nodiscard]] bool may_open() const;
   /// Returns std::nullopt if the caller may open a session, otherwise why not. A key that is missing in
   /// this proxy's document may be newer than the document, so control is asked before the key is refused.
-  Awaitable<std::optional<placement::RejectionReason>> check_key();
+  Awaitable<std::optional<placement::RejectionReason>> check_key(TimePoint asked_at);
   /// Sets the request's key and tenant if the route requires a key. Returns false and sets `refusal` if the
   /// key does not prove a tenant now; the session is then closed after that answer.
   [[nodiscard]] bool authenticate(StatementRequest& request, Answer& refusal);
--- a/src/registered/proxy/callers/session_opening.cpp
+++ b/src/registered/proxy/callers/session_opening.cpp
@@ -35,7 +35,8 @@
   std::string detail =
       has_lease ? "no route names this database" : "this proxy holds no serving lease; retry later";
   if (services_.view.find_route(database_) != nullptr) {
-    const auto fault = co_await check_key();
+    const auto fault = co_await check_key(arrived);
+    waited_to_open_ = services_.runtime.now() - arrived;
     if (!fault) {
       services_.view.record_step(ReturnStep::kSession);
       co_return co_await caller_->accept(reason);
@@ -79,9 +80,11 @@
   }
 }
 
-Awaitable<std::optional<RejectionReason>> CallerSession::check_key() {
+Awaitable<std::optional<RejectionReason>> CallerSession::check_key(TimePoint asked_at) {
   const TimePoint arrived = services_.runtime.now();
-  const TimePoint give_up_at = arrived + kKeyConfirmationWait;
+  const TimePoint give_up_at =
+      std::min(arrived + kKeyConfirmationWait,
+               asked_at + placement::kSessionOpenLimit - placement::kSessionOpenMargin);
   FleetView& view = services_.view;
   const auto proves_tenant = [&] {
     const registry::RouteRule* route = view.find_route(database_);
--- a/src/registered/proxy/limits/limit_client.cpp
+++ b/src/registered/proxy/limits/limit_client.cpp
@@ -183,6 +183,7 @@
   ++account.rounds;
   account.last = AdmissionAnswer{outcome_of(inquiry.round.outcome()), Duration(0), {}, {}};
   if (account.last.outcome == AdmissionOutcome::kAdmitted) account.refusal_pause = kMinRefusalPause;
+  if (account.last.outcome == AdmissionOutcome::kAdmitted) account.refused_until = TimePoint{};
   if (account.last.outcome == AdmissionOutcome::kAdmitted) return;
   account.authorized_in = inquiry.authorized_in.value_or(Duration(0));
   account.last.retry_after =
--- a/src/registered/proxy/statement/slot_admission.cpp
+++ b/src/registered/proxy/statement/slot_admission.cpp
@@ -15,7 +15,8 @@
   if (tenant != nullptr) slot.tenant_priority = tenant->priority;
   slot.tenant = request.tenant;
   slot.arrived = request.arrived;
-  slot.target_end = request.arrived + std::chrono::milliseconds(request.route.target_latency_ms);
+  slot.target_end =
+      request.arrived - request.waited_before + std::chrono::milliseconds(request.route.target_latency_ms);
   slot.wait_end = request.deadline;
   slot.deadline = request.deadline;
   return slot;
--- a/src/registered/proxy/statement/statement_forwarding.cpp
+++ b/src/registered/proxy/statement/statement_forwarding.cpp
@@ -84,7 +84,9 @@
   WaitingPlace place(services_.waiting);
   while (true) {
     const TimePoint now = services_.runtime.now();
-    const auto allowance = placement::attempt_allowance_at(progress, now);
+    auto allowance = placement::attempt_allowance_at(progress, now);
+    // Further rounds would run it again and again.
+    if (request.may_have_run) allowance.may_wait_longer = false;
     const auto facts = proxy_facts(services_.view, *request.group, progress.wait_budget());
     auto placed = placement::place_after_forwarding(outcome, facts, allowance);
     if (placed.action != placement::Action::kWait) co_return placed;
--- a/src/registered/proxy/statement/statement_runner.cpp
+++ b/src/registered/proxy/statement/statement_runner.cpp
@@ -351,7 +351,7 @@
                                   reason.code == ReasonCode::kConnectionLost};
   const auto outcome = placement::after_loss(attempt.facts(false), loss);
   attempt.backend->avoid_until = services_.runtime.now() + placement::kBackendAvoidanceTime;
-  group.evaluator.record_outcome(*attempt.backend, true);
+  if (attempt.request.reads()) group.evaluator.record_outcome(*attempt.backend, true);
   if (outcome.may_have_restarted) attempt.backend->restart_detector.mark_unreachable();
   if (outcome.suspect_primary) {
     const bool is_of_no_use = outcome.counts_as_disconnect && group.primary_health.record_dropped_statement();
@@ -376,7 +376,7 @@
   const bool current = services_.view.may_use_primary(group, attempt.epoch);
   if (attempt.at_primary) group.primary_health.record_answered();
   const bool failed = answer.refusal == Refusal::kFailed;
-  if (answer.succeeded() || failed) group.evaluator.record_outcome(backend, failed);
+  if (request.reads() && (answer.succeeded() || failed)) group.evaluator.record_outcome(backend, failed);
   const Duration took = services_.runtime.now() - attempt.sent_at;
   if (answer.succeeded()) group.evaluator.record_latency(backend, took);
   if (answer.succeeded()) group.run_time.record(took);
--- a/tests/registered/control/failover/group_keeper_test.cpp
+++ b/tests/registered/control/failover/group_keeper_test.cpp
@@ -22,6 +22,7 @@
   CPPUNIT_TEST_SUITE(GroupKeeperTest);
   CPPUNIT_TEST(replaces_a_failed_primary);
   CPPUNIT_TEST(keeps_a_primary_at_its_connection_limit);
+  CPPUNIT_TEST(replaces_a_primary_that_stays_at_its_connection_limit);
   CPPUNIT_TEST(waits_for_leases_from_control);
   CPPUNIT_TEST(waits_for_member_leases_of_an_unresponsive_proxy);
   CPPUNIT_TEST(does_not_promote_an_unpaused_member);
@@ -63,6 +64,19 @@
     CPPUNIT_ASSERT_MESSAGE("one that does not answer is replaced", stand_->first("promote") != nullptr);
   }
 
+  void replaces_a_primary_that_stays_at_its_connection_limit() {
+    stand_->members["primary"].is_full = true;
+    const TimePoint begun_at = stand_->now();
+    while (stand_->first("promote") == nullptr && stand_->now() < begun_at + 2 * kFullPrimaryTolerance) {
+      stand_->prober().close_idle(BackendName("primary"));
+      suspect_primary();
+      stand_->run_for(seconds(1));
+    }
+    const auto* promoted = stand_->first("promote");
+    CPPUNIT_ASSERT(promoted != nullptr);
+    CPPUNIT_ASSERT(promoted->at >= begun_at + kFullPrimaryTolerance);
+  }
+
   void waits_for_leases_from_control() {
     const auto proxy = stand_->connect("proxy");
     report(*proxy);
--- a/tests/registered/control/leases/lease_keeper_test.cpp
+++ b/tests/registered/control/leases/lease_keeper_test.cpp
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(announces_stable_revision);
   CPPUNIT_TEST(announcement_ends_when_leadership_begins_anew);
   CPPUNIT_TEST(announces_nothing_without_shared_limits);
+  CPPUNIT_TEST(announces_nothing_after_shared_limits_are_off);
   CPPUNIT_TEST(waits_out_lease_of_this_leader);
   CPPUNIT_TEST(waits_out_lease_of_previous_leader);
   CPPUNIT_TEST(counts_answers_only_of_current_close_and_incarnation);
@@ -147,6 +148,22 @@
     for (const auto& update : first->updates) CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, update.stable_revision);
   }
 
+  void announces_nothing_after_shared_limits_are_off() {
+    require_keys();
+    const auto first = stand_->connect("first");
+    report(*first);
+    report(*first, 0, stand_->fleet().revision());
+    stand_->run_for(milliseconds(300));
+    CPPUNIT_ASSERT_MESSAGE("announced before", first->updates.back().stable_revision > 0);
+    require_keys(false);
+    // A build that does not read the field may follow now.
+    const auto second = stand_->connect("second");
+    report(*second);
+    stand_->run_for(milliseconds(300));
+    CPPUNIT_ASSERT(!second->updates.empty());
+    for (const auto& update : second->updates) CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, update.stable_revision);
+  }
+
   void waits_out_lease_of_this_leader() {
     stand_->run_for(ControlStand::kLease * 2);
     const auto proxy = stand_->connect("proxy");
@@ -186,10 +203,10 @@
   }
 
  private:
-  void require_keys() {
+  void require_keys(bool required = true) {
     registry::ConfigurationDocument document;
-    document.version = 2;
-    document.requires_keys = true;
+    document.version = required ? 2 : 3;
+    document.requires_keys = required;
     stand_->consensus().commit(registry::ReplaceDocument{document});
   }
 
--- a/tests/registered/placement/waiting_room_test.cpp
+++ b/tests/registered/placement/waiting_room_test.cpp
@@ -9,6 +9,7 @@
   CPPUNIT_TEST_SUITE(WaitingRoomTest);
   CPPUNIT_TEST(urgent_statements_take_the_places_of_others);
   CPPUNIT_TEST(bounds_the_bytes_held);
+  CPPUNIT_TEST(one_that_cannot_fit_takes_no_places);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -38,6 +39,16 @@
     CPPUNIT_ASSERT(room.enter(0, 60));
     CPPUNIT_ASSERT(room.holds(*small) && !room.holds(*other));
   }
+
+  void one_that_cannot_fit_takes_no_places() {
+    WaitingRoom room(100, 100);
+    const auto lowest = room.enter(2, 40);
+    const auto urgent = room.enter(0, 50);
+    CPPUNIT_ASSERT_MESSAGE("larger than the room", !room.enter(0, 101));
+    CPPUNIT_ASSERT_MESSAGE("larger than what more urgent ones leave", !room.enter(1, 60));
+    CPPUNIT_ASSERT(room.holds(*lowest) && room.holds(*urgent));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, room.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(WaitingRoomTest);
