Waiters at a gate are admitted when a dial pause that began during their wait ends

Cause: a waiter read the end of the pause once before it slept. If all links were in use then, nothing woke it when a dial refused later began a pause and the pause ended.

Change: the gate has one timer. Whenever statements are left waiting after an admission, and the links tell when they may be opened, it admits once at that time; the waiters themselves only wait for their verdict.

--- a/src/registered/proxy/links/statement_gate.cpp
+++ b/src/registered/proxy/links/statement_gate.cpp
@@ -94,11 +94,24 @@
 }
 
 Awaitable<void> StatementGate::await_verdict(std::shared_ptr<ScheduledWaiter> waiter, TimePoint wait_end) {
-  while (!waiter->verdict && runtime_.now() < wait_end) {
-    const TimePoint next_opening = links_ == nullptr ? TimePoint::max() : links_->next_opening();
-    co_await waiter->woken.wait_until(std::min(wait_end, next_opening));
-    if (!waiter->verdict && runtime_.now() < wait_end) admit_waiting();
-  }
+  while (!waiter->verdict && runtime_.now() < wait_end) co_await waiter->woken.wait_until(wait_end);
+}
+
+void StatementGate::watch_opening() {
+  if (watches_opening_ || links_ == nullptr || scheduler_.waiting() == 0) return;
+  const TimePoint opening = links_->next_opening();
+  if (opening == TimePoint::max() || opening <= runtime_.now()) return;
+  watches_opening_ = true;
+  runtime_.spawn("admit_at_opening", admit_at_opening(runtime_, self_, opening));
+}
+
+Awaitable<void> StatementGate::admit_at_opening(runtime::Runtime& runtime, std::weak_ptr<StatementGate*> gate,
+                                                TimePoint opening) {
+  co_await runtime.sleep_for(opening - runtime.now());
+  const auto present = gate.lock();
+  if (!present) co_return;
+  (*present)->watches_opening_ = false;
+  (*present)->admit_waiting();
 }
 
 void StatementGate::leave(Duration latency) {
@@ -159,6 +172,7 @@
     ++running_;
     decide(*ticket, GateVerdict::kAdmitted);
   }
+  watch_opening();
 }
 
 void StatementGate::decide(Ticket ticket, GateVerdict verdict) {
--- a/src/registered/proxy/links/statement_gate.h
+++ b/src/registered/proxy/links/statement_gate.h
@@ -42,7 +42,9 @@
  public:
   /// `links`: the links to the backend; null: a link is always at hand.
   explicit StatementGate(runtime::Runtime& runtime, const scheduling::LinkRoom* links = nullptr)
-      : runtime_(runtime), links_(links) {}
+      : runtime_(runtime), links_(links), self_(std::make_shared<StatementGate*>(this)) {}
+  StatementGate(const StatementGate&) = delete;
+  StatementGate& operator=(const StatementGate&) = delete;
 
   /// `share`: this proxy's share of the backend's slots; `maximum`: number of its connections.
   void set_bounds(std::uint32_t share, std::uint32_t maximum) { limit_.set_bounds(share, maximum); }
@@ -111,13 +113,19 @@
   void decide(Ticket ticket, GateVerdict verdict);
   void admit_unscheduled();
   void admit_scheduled();
+  /// While statements wait, calls admit_waiting() once at the time at which links may be opened again.
+  void watch_opening();
+  static Awaitable<void> admit_at_opening(runtime::Runtime& runtime, std::weak_ptr<StatementGate*> gate,
+                                          TimePoint opening);
 
   runtime::Runtime& runtime_;
   const scheduling::LinkRoom* links_;
+  std::shared_ptr<StatementGate*> self_;  ///< expires with the gate, which admit_at_opening() may outlive
   admission::ConcurrencyLimit limit_;
   admission::AdmissionQueue<Waiter> queue_;
   scheduling::StatementScheduler scheduler_;
   std::map<Ticket, std::shared_ptr<ScheduledWaiter>> scheduled_;  ///< those that wait in scheduler_
+  bool watches_opening_ = false;
   bool shared_room_ = false;
   std::uint32_t capacity_ = 1;
   std::uint32_t running_ = 0;
--- a/tests/registered/proxy/links/statement_gate_test.cpp
+++ b/tests/registered/proxy/links/statement_gate_test.cpp
@@ -32,11 +32,15 @@
 class GateLinks : public scheduling::LinkRoom {
  public:
   [[nodiscard]] bool has_idle(const TenantName& tenant) const override { return idle.count(tenant) > 0; }
-  [[nodiscard]] bool may_open() const override { return opens; }
+  [[nodiscard]] bool may_open() const override {
+    ++asked;
+    return opens;
+  }
   [[nodiscard]] TimePoint next_opening() const override { return opening_at; }
 
   std::map<TenantName, int> idle;
   bool opens = true;
+  mutable int asked = 0;  ///< calls of may_open()
   TimePoint opening_at = TimePoint::max();
 };
 
@@ -66,6 +70,8 @@
   CPPUNIT_TEST(shared_room_refuses_beyond_the_queue);
   CPPUNIT_TEST(slot_never_waits_for_link);
   CPPUNIT_TEST(wakes_when_links_may_open_again);
+  CPPUNIT_TEST(wakes_after_a_pause_that_began_during_the_wait);
+  CPPUNIT_TEST(gate_may_end_before_links_may_open);
   CPPUNIT_TEST(change_of_room_loses_no_waiter);
   CPPUNIT_TEST(capacity_admits_waiting_at_once);
   CPPUNIT_TEST(link_setup_takes_no_slot);
@@ -295,6 +301,37 @@
     CPPUNIT_ASSERT_MESSAGE("without a statement that ends", entry->admitted());
   }
 
+  void wakes_after_a_pause_that_began_during_the_wait() {
+    links_.opens = false;
+    share_room(2);
+    std::array<std::shared_ptr<ScheduledEntry>, 8> entries;
+    for (auto& entry : entries) entry = schedule(0, 0, "a", seconds(1));
+    world_->run_for(milliseconds(20));
+    const TimePoint opening = runtime_->now() + milliseconds(150);
+    links_.opening_at = opening;
+    gate_->admit_waiting();
+    world_->run_for(milliseconds(149));
+    CPPUNIT_ASSERT_EQUAL(0U, gate_->running());
+    links_.opens = true;
+    links_.opening_at = TimePoint::max();
+    links_.asked = 0;
+    world_->run_for(milliseconds(2));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("without a statement that ends", 2U, gate_->running());
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("admitted in one pass, not one for each waiter", 2, links_.asked);
+    CPPUNIT_ASSERT(entries[0]->outcome->waited <= milliseconds(172));
+  }
+
+  void gate_may_end_before_links_may_open() {
+    links_.opens = false;
+    links_.opening_at = runtime_->now() + milliseconds(150);
+    share_room(1);
+    const auto entry = schedule(0, 0, "a", milliseconds(50));
+    world_->run_for(milliseconds(60));
+    CPPUNIT_ASSERT(entry->outcome && entry->outcome->verdict == GateVerdict::kDeadline);
+    gate_.reset();
+    world_->run_for(milliseconds(200));
+  }
+
   void change_of_room_loses_no_waiter() {
     Entry before;
     Entry running;
