Only a link that needs an exchange lets others pass while it is set up

Found in review.

Change: StatefulLink::needs_setup() tells whether apply_session_state() would send anything; otherwise the gate is not told of a setup.

Tests: ScheduledAdmissionTest prepared_link_admits_nobody_else (fails where a setup is always announced), StatementGateTest at_most_twice_the_capacity_runs_after_setups, StatefulPoolTest tells_whether_setup_sends_anything.

--- a/src/registered/proxy/links/stateful_pool.cpp
+++ b/src/registered/proxy/links/stateful_pool.cpp
@@ -20,6 +20,15 @@
   return found == prepared_.end() ? std::string() : found->second;
 }
 
+bool StatefulLink::needs_reset(const SessionValues& values) const {
+  return !can_extend(values_, values) || prepared_.size() >= kMaxPreparedOnLink;
+}
+
+bool StatefulLink::needs_setup(const SessionValues& values,
+                               const std::optional<PreparedShape>& prepared) const {
+  return needs_reset(values) || values != values_ || (prepared && prepared_.count(*prepared) == 0);
+}
+
 Awaitable<bool> StatefulLink::run_setup(BackendRequest request, TimePoint deadline, Reason& reason) {
   runtime::SendState sent = runtime::SendState::kNotSent;
   const auto answer = co_await link_->run(std::move(request), deadline, sent, reason);
@@ -31,7 +40,7 @@
 
 Awaitable<bool> StatefulLink::apply_session_state(SessionValues values, std::optional<PreparedShape> prepared,
                                                   TimePoint deadline, Reason& reason) {
-  if (!can_extend(values_, values) || prepared_.size() >= kMaxPreparedOnLink) {
+  if (needs_reset(values)) {
     BackendRequest request = ResetState{};
     const bool reset = co_await run_setup(std::move(request), deadline, reason);
     if (!reset) co_return false;
--- a/src/registered/proxy/links/stateful_pool.h
+++ b/src/registered/proxy/links/stateful_pool.h
@@ -55,6 +55,9 @@
   /// cannot be used any more.
   Awaitable<bool> apply_session_state(SessionValues values, std::optional<PreparedShape> prepared,
                                       TimePoint deadline, Reason& reason);
+  /// Whether apply_session_state() would send anything.
+  [[nodiscard]] bool needs_setup(const SessionValues& values,
+                                 const std::optional<PreparedShape>& prepared) const;
   /// Returns the name of a prepared statement on this link; empty if it is not prepared.
   [[nodiscard]] std::string prepared_name(const PreparedShape& shape) const;
   /// To be called when the backend does not know a statement that was prepared on this link.
@@ -72,6 +75,8 @@
   std::shared_ptr<BackendLink> shared_link() { return link_; }
 
  private:
+  /// Whether its values or prepared statements have to be discarded before `values` can be set.
+  [[nodiscard]] bool needs_reset(const SessionValues& values) const;
   Awaitable<bool> run_setup(BackendRequest request, TimePoint deadline, Reason& reason);
 
   std::shared_ptr<BackendLink> link_;
--- a/src/registered/proxy/links/statement_gate.h
+++ b/src/registered/proxy/links/statement_gate.h
@@ -80,7 +80,8 @@
   [[nodiscard]] std::uint32_t limit() const { return shared_room_ ? capacity_ : limit_.limit(); }
   /// To be called while an admitted statement exchanges only what takes no slot at the backend: values,
   /// prepared statements, begin. Where the room is shared, as many others as the capacity may be admitted
-  /// meanwhile.
+  /// meanwhile. They keep their slots, so up to twice the capacity run after end_setup(); nobody is admitted
+  /// until fewer than the capacity do.
   void begin_setup();
   void end_setup() { --in_setup_; }
   /// Whether a slot is free for a statement that arrives now, and none waits.
--- a/src/registered/proxy/statement/statement_runner.cpp
+++ b/src/registered/proxy/statement/statement_runner.cpp
@@ -185,11 +185,12 @@
   // Applying the session state already sends requests to the backend, so check first.
   bool ready = check_.may_proceed(*attempt);
   const TimePoint deadline = std::min(request.deadline, services_.runtime.now() + kLinkSetupTimeout);
-  attempt->backend->gate.begin_setup();
+  const bool is_exchanged = ready && attempt->link->needs_setup(request.values, request.prepared);
+  if (is_exchanged) attempt->backend->gate.begin_setup();
   if (ready)
     ready = co_await attempt->link->apply_session_state(request.values, request.prepared, deadline,
                                                         attempt->reason);
-  attempt->backend->gate.end_setup();
+  if (is_exchanged) attempt->backend->gate.end_setup();
   if (ready && request.opens_transaction) ready = check_.may_proceed(*attempt);
   if (!ready) attempt->backend->pool.release(attempt->link);
   co_return ready;
--- a/tests/registered/proxy/links/stateful_pool_test.cpp
+++ b/tests/registered/proxy/links/stateful_pool_test.cpp
@@ -106,6 +106,7 @@
 class StatefulPoolTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(StatefulPoolTest);
   CPPUNIT_TEST(applies_session_state);
+  CPPUNIT_TEST(tells_whether_setup_sends_anything);
   CPPUNIT_TEST(resets_values_of_other_sessions);
   CPPUNIT_TEST(prefers_link_with_same_values);
   CPPUNIT_TEST(waits_at_limit_for_released_link);
@@ -155,6 +156,20 @@
     CPPUNIT_ASSERT(again.link == result.link);
   }
 
+  void tells_whether_setup_sends_anything() {
+    const PreparedShape shape{true, "q2c"};
+    const auto link = acquire_one({{"tag", "a"}}, shape).link;
+    CPPUNIT_ASSERT(!link->needs_setup({{"tag", "a"}}, shape));
+    CPPUNIT_ASSERT(!link->needs_setup({{"tag", "a"}}, std::nullopt));
+    CPPUNIT_ASSERT_MESSAGE("another value", link->needs_setup({{"tag", "b"}}, std::nullopt));
+    CPPUNIT_ASSERT_MESSAGE("a further value",
+                           link->needs_setup({{"locale", "mi"}, {"tag", "a"}}, std::nullopt));
+    CPPUNIT_ASSERT_MESSAGE("a reset", link->needs_setup({}, std::nullopt));
+    CPPUNIT_ASSERT_MESSAGE("another shape", link->needs_setup({{"tag", "a"}}, PreparedShape{true, "q3"}));
+    link->forget_prepared();
+    CPPUNIT_ASSERT(link->needs_setup({{"tag", "a"}}, shape));
+  }
+
   void resets_values_of_other_sessions() {
     pool_->release(acquire_one({{"tag", "a"}, {"locale", "mi"}}).link);
     const AcquireResult other = acquire_one({{"tag", "b"}});
--- a/tests/registered/proxy/links/statement_gate_test.cpp
+++ b/tests/registered/proxy/links/statement_gate_test.cpp
@@ -75,6 +75,7 @@
   CPPUNIT_TEST(change_of_room_loses_no_waiter);
   CPPUNIT_TEST(capacity_admits_waiting_at_once);
   CPPUNIT_TEST(link_setup_takes_no_slot);
+  CPPUNIT_TEST(at_most_twice_the_capacity_runs_after_setups);
   CPPUNIT_TEST(demand_counts_by_class);
   CPPUNIT_TEST_SUITE_END();
 
@@ -173,6 +174,24 @@
     CPPUNIT_ASSERT(entries[2]->admitted());
   }
 
+  void at_most_twice_the_capacity_runs_after_setups() {
+    constexpr std::uint32_t kCapacity = 3;
+    share_room(kCapacity);
+    std::array<std::shared_ptr<ScheduledEntry>, 10> entries;
+    for (auto& entry : entries) entry = schedule(1, 0, "a", seconds(1));
+    for (std::uint32_t setup = 0; setup < 2 * kCapacity; ++setup) gate_->begin_setup();
+    CPPUNIT_ASSERT_EQUAL(2 * kCapacity, gate_->running());
+    for (std::uint32_t setup = 0; setup < 2 * kCapacity; ++setup) gate_->end_setup();
+    CPPUNIT_ASSERT_EQUAL(2 * kCapacity, gate_->running());
+    CPPUNIT_ASSERT_EQUAL(2 * kCapacity, gate_->demand().running);
+    for (std::uint32_t left = 2 * kCapacity; left > kCapacity; --left) {
+      gate_->leave_unanswered();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE("nobody is admitted above the capacity", left - 1, gate_->running());
+    }
+    gate_->leave_unanswered();
+    CPPUNIT_ASSERT_EQUAL(kCapacity, gate_->running());
+  }
+
   void demand_counts_by_class() {
     share_room(1);
     schedule(1, 0, "a", seconds(1));
--- a/tests/registered/proxy/statement/scheduled_admission_test.cpp
+++ b/tests/registered/proxy/statement/scheduled_admission_test.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(read_leaves_for_another_backend);
   CPPUNIT_TEST(waits_for_a_link_without_a_slot);
   CPPUNIT_TEST(loser_of_a_link_waits_again_without_a_slot);
+  CPPUNIT_TEST(prepared_link_admits_nobody_else);
   CPPUNIT_TEST(tenant_priority_of_the_document_counts);
   CPPUNIT_TEST(answers_teach_the_service_time);
   CPPUNIT_TEST_SUITE_END();
@@ -104,6 +105,32 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stand_->dialled_tenants().size());
   }
 
+  void prepared_link_admits_nobody_else() {
+    const std::uint32_t slots = primary().gate.limit();
+    const auto link = take_link(SessionStand::kTenant);
+    CPPUNIT_ASSERT(link);
+    CPPUNIT_ASSERT(stand_->finish(prepare(link, stand_->write("like"))));
+    primary().pool.release(link);
+    const auto hold = [](StatementGate& gate, TimePoint deadline) -> Awaitable<void> {
+      const bool entered = co_await gate.enter(0, deadline);
+      CPPUNIT_ASSERT(entered);
+    };
+    for (std::uint32_t slot = 0; slot < slots; ++slot)
+      CPPUNIT_ASSERT(stand_->finish(hold(primary().gate, stand_->now() + seconds(1))));
+    const auto first = start(stand_->write("first"));
+    const auto second = start(stand_->write("second"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, primary().gate.waiting());
+    stand_->during(Step::kStatement, [] {});
+    primary().gate.leave_unanswered();
+    stand_->run_for(milliseconds(2));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("the first runs on the prepared link", slots, primary().gate.running());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, primary().gate.waiting());
+    stand_->run_for(kEventStepDuration * 2);
+    CPPUNIT_ASSERT(first->has_value() && (*first)->answer.succeeded());
+    CPPUNIT_ASSERT(second->has_value() && (*second)->answer.succeeded());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stand_->dialled_tenants().size());
+  }
+
   void tenant_priority_of_the_document_counts() {
     registry::FleetDelta changed = stand_->delta();
     registry::TenantRule tenant;
@@ -156,6 +183,13 @@
     CPPUNIT_ASSERT(stand_->finish(learn(backend, slot, service)));
   }
 
+  Awaitable<void> prepare(std::shared_ptr<StatefulLink> link, const StatementRequest& like) {
+    Reason reason;
+    const bool prepared =
+        co_await link->apply_session_state(like.values, like.prepared, stand_->now() + seconds(1), reason);
+    CPPUNIT_ASSERT(prepared);
+  }
+
   std::shared_ptr<StatefulLink> take_link(const char* tenant) {
     auto link = std::make_shared<std::shared_ptr<StatefulLink>>();
     const auto take = [](StatefulPool& pool, TimePoint deadline, std::string name,
