An owner that already follows a backend tells and counts a further statement at once

Found in review. Cause: announce_wait() did nothing where the backend was followed, so a statement that found no room waited for the next tick of 50 ms until this proxy's part was worked out again and the others were told.

Change: the announcement wakes follow(), which tells, rate-limited as before, and applies the capacity once the statement waits. The next tick moves only when all owners were told, so that the interval between messages stays 50 ms.

Tests: DemandExchangeTest burst_while_followed_is_told_at_once, burst_while_followed_uses_the_room_at_once, bursts_raise_no_number_of_messages (at least 50 ms between messages, and no tick left out).

--- a/src/registered/proxy/capacity/demand_exchange.h
+++ b/src/registered/proxy/capacity/demand_exchange.h
@@ -3,12 +3,12 @@
 
 #include <map>
 #include <memory>
-#include <set>
 #include <utility>
 
 #include "registered/proxy/fleet/fleet_view.h"
 #include "registered/proxy/forwarding/forwarder.h"
 #include "runtime/runtime.h"
+#include "runtime/signal.h"
 
 namespace cairnhollow::registered::proxy {
 
@@ -21,8 +21,9 @@
   DemandExchange(runtime::Runtime& runtime, FleetView& view, Forwarder& owners)
       : runtime_(runtime), view_(view), owners_(owners) {}
 
-  /// To be called before a statement enters the gate. If it will wait there, the other owners are told now
-  /// and each kDemandInterval, as long as any statement waits.
+  /// To be called before a statement enters the gate. If it will wait there, this proxy's part is worked out
+  /// again as soon as it waits, and the other owners are told then and each kDemandInterval, as long as any
+  /// statement waits. Each owner is told at most once in kDemandInterval.
   void announce_wait(const std::shared_ptr<GroupAccess>& group, const std::shared_ptr<BackendState>& backend);
   /// Applies what another owner tells.
   void receive(const ForwardDemand& told);
@@ -32,17 +33,21 @@
   using Backend = std::shared_ptr<BackendState>;
 
   /// Keeps this proxy's part up to date until nobody waits and all that was told has expired.
-  void start_following(const Group& group, const Backend& backend);
-  Awaitable<void> follow(Group group, Backend backend);
-  void tell_others(const GroupAccess& group, const Backend& backend);
-  void start_telling(const GroupName& group, const Backend& backend, const subset::ProxyPointer& owner,
+  /// Returns the signal that makes it do so at once.
+  std::shared_ptr<runtime::Signal> start_following(const Group& group, const Backend& backend);
+  Awaitable<void> follow(Group group, Backend backend, std::shared_ptr<runtime::Signal> announced);
+  /// Returns whether all are told; false if one was told within kDemandInterval.
+  bool tell_others(const GroupAccess& group, const Backend& backend);
+  /// Returns false if the owner was told within kDemandInterval.
+  bool start_telling(const GroupName& group, const Backend& backend, const subset::ProxyPointer& owner,
                      bool wants_reply);
   Awaitable<void> tell(GroupName group, Backend backend, subset::ProxyPointer owner, bool wants_reply);
 
   runtime::Runtime& runtime_;
   FleetView& view_;
   Forwarder& owners_;
-  std::set<const BackendState*> followed_;  ///< kept alive by follow()
+  /// The signals for follow(), which keeps the backends alive.
+  std::map<const BackendState*, std::shared_ptr<runtime::Signal>> followed_;
   /// When an owner was last told about a backend, within kDemandInterval.
   std::map<std::pair<BackendName, NodeName>, TimePoint> told_at_;
 };
--- a/tests/registered/proxy/capacity/demand_exchange_test.cpp
+++ b/tests/registered/proxy/capacity/demand_exchange_test.cpp
@@ -66,6 +66,9 @@
   CPPUNIT_TEST(waiting_owner_uses_what_the_other_does_not_need);
   CPPUNIT_TEST(silent_owner_counts_with_its_static_part);
   CPPUNIT_TEST(tells_at_most_once_each_interval);
+  CPPUNIT_TEST(burst_while_followed_is_told_at_once);
+  CPPUNIT_TEST(burst_while_followed_uses_the_room_at_once);
+  CPPUNIT_TEST(bursts_raise_no_number_of_messages);
   CPPUNIT_TEST(asked_owner_replies_once_and_gives_up_slots);
   CPPUNIT_TEST(demand_of_a_proxy_that_is_no_owner_is_ignored);
   CPPUNIT_TEST_SUITE_END();
@@ -127,6 +130,42 @@
                      capacity::kDemandInterval - milliseconds(2));
   }
 
+  void burst_while_followed_is_told_at_once() {
+    // News of another owner makes this proxy follow the backend, and nobody waits here yet.
+    tell({});
+    stand_->run_for(capacity::kDemandInterval / 5);
+    CPPUNIT_ASSERT(other_->told.empty());
+    const TimePoint burst_at = stand_->now();
+    enter(9);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, other_->told.size());
+    CPPUNIT_ASSERT(other_->told_at.front() - burst_at < milliseconds(15));
+    CPPUNIT_ASSERT(other_->told.front().demand.total_waiting() > 0);
+  }
+
+  void burst_while_followed_uses_the_room_at_once() {
+    scheduling::SlotDemand busy;
+    busy.running = kSlots;
+    tell(busy);
+    stand_->run_for(capacity::kDemandInterval / 5);
+    const std::uint32_t before = backend()->gate.limit();
+    enter(9);
+    const std::uint32_t part = backend()->room.capacity(backend()->gate.demand(), stand_->now());
+    CPPUNIT_ASSERT_MESSAGE("the statements that wait here have a claim", part > before);
+    CPPUNIT_ASSERT_EQUAL(part, backend()->gate.limit());
+    CPPUNIT_ASSERT_EQUAL(part, backend()->gate.running());
+  }
+
+  void bursts_raise_no_number_of_messages() {
+    enter(9);
+    for (int burst = 0; burst < 20; ++burst) enter(1);
+    CPPUNIT_ASSERT(other_->told.size() >= 4);
+    for (std::size_t index = 1; index < other_->told_at.size(); ++index) {
+      const Duration between = other_->told_at[index] - other_->told_at[index - 1];
+      CPPUNIT_ASSERT(between >= capacity::kDemandInterval - milliseconds(2));
+      CPPUNIT_ASSERT_MESSAGE("no tick is left out", between < capacity::kDemandInterval + milliseconds(5));
+    }
+  }
+
   void asked_owner_replies_once_and_gives_up_slots() {
     enter(1);
     scheduling::SlotDemand urgent;
