A retired pool lets all waiting statements of its gate go at once

Found in review. Cause: StatementScheduler::next() returns first where the capacity is used, so statements that waited for a backend whose incarnation had ended, or which was removed, left one by one as slots were given back.

Change: the gate asks whether its links are retired, and then ends the wait of each scheduled statement with the verdict retired; the runner places it again, also at the next incarnation of the same name, and reports no suspicion. Statements that wait where the room is not shared leave as before.

Tests: StatementGateTest retired_links_let_all_waiters_go, ScheduledAdmissionTest retired_pool_lets_waiting_statements_choose_again.

--- a/src/registered/proxy/links/stateful_pool.h
+++ b/src/registered/proxy/links/stateful_pool.h
@@ -148,6 +148,7 @@
   /// Also true where acquire() fails at once, so that a statement learns so without a wait.
   [[nodiscard]] bool may_open() const override { return retired_ || is_refused() || may_dial(); }
   [[nodiscard]] TimePoint next_opening() const override;
+  [[nodiscard]] bool is_retired() const override { return retired_; }
   /// Sets a function that is called whenever a link was released or another one may be opened.
   void set_room_listener(std::function<void()> listener) { room_listener_ = std::move(listener); }
 
--- a/src/registered/proxy/links/statement_gate.cpp
+++ b/src/registered/proxy/links/statement_gate.cpp
@@ -21,7 +21,8 @@
 }  // namespace
 
 const char* gate_verdict_name(GateVerdict verdict) {
-  constexpr std::array<const char*, kGateVerdicts> kNames{"admitted", "hopeless", "deadline", "queue_full"};
+  constexpr std::array<const char*, kGateVerdicts> kNames{"admitted", "hopeless", "deadline", "queue_full",
+                                                          "retired"};
   return kNames.at(static_cast<std::size_t>(verdict));
 }
 
@@ -73,8 +74,12 @@
   if (!shared_room_) co_return co_await enter_unscheduled(std::move(request));
   const TimePoint begun_at = runtime_.now();
   const TimePoint wait_end = request.wait_end;
-  const auto enqueued = scheduler_.enqueue(std::move(request), begun_at, room());
   GateOutcome outcome;
+  if (is_retired() && !request.in_transaction) {
+    outcome.verdict = GateVerdict::kRetired;
+    co_return outcome;
+  }
+  const auto enqueued = scheduler_.enqueue(std::move(request), begun_at, room());
   outcome.forecast = enqueued.forecast;
   outcome.verdict =
       enqueued.verdict == Verdict::kQueueFull ? GateVerdict::kQueueFull : GateVerdict::kHopeless;
@@ -163,6 +168,9 @@
 
 void StatementGate::admit_scheduled() {
   if (scheduler_.waiting() == 0) return;
+  if (is_retired()) {
+    for (const Ticket ticket : scheduler_.take_movable()) decide(ticket, GateVerdict::kRetired);
+  }
   const TimePoint now = runtime_.now();
   for (const auto& refused : scheduler_.take_hopeless(now, room())) {
     scheduled_.at(refused.ticket)->forecast = refused.forecast;
--- a/src/registered/proxy/links/statement_gate.h
+++ b/src/registered/proxy/links/statement_gate.h
@@ -24,8 +24,9 @@
   kHopeless,   ///< it cannot be admitted before its wait ends, or not answered by its deadline
   kDeadline,   ///< its wait ended
   kQueueFull,  ///< too many statements wait that go first
+  kRetired,    ///< the backend's links are retired: the caller chooses again
 };
-inline constexpr std::size_t kGateVerdicts = 4;
+inline constexpr std::size_t kGateVerdicts = 5;
 /// The verdict's name in logs and metrics.
 const char* gate_verdict_name(GateVerdict verdict);
 
@@ -57,7 +58,9 @@
   /// false if `deadline` passes first, or at once if the expected wait exceeds it.
   Awaitable<bool> enter(std::uint8_t priority, TimePoint deadline);
   /// The same. Where the room is shared, the statement is admitted only when a link is at hand or may be
-  /// opened, and is refused as soon as it is known that it cannot be served by its deadline.
+  /// opened, and is refused as soon as it is known that it cannot be served by its deadline. Once the links
+  /// are retired, all are refused but statements of open transactions, which have their links and no other
+  /// backend to go to.
   Awaitable<GateOutcome> enter(scheduling::SlotRequest request);
   /// Ends a statement that was answered after `latency`.
   void leave(Duration latency);
@@ -112,6 +115,7 @@
   Awaitable<void> await_verdict(std::shared_ptr<ScheduledWaiter> waiter, TimePoint wait_end);
   /// Ends the wait of the statement.
   void decide(Ticket ticket, GateVerdict verdict);
+  [[nodiscard]] bool is_retired() const { return links_ != nullptr && links_->is_retired(); }
   void admit_unscheduled();
   void admit_scheduled();
   /// While statements wait, calls admit_waiting() once at the time at which links may be opened again.
--- a/src/registered/proxy/statement/statement_runner.cpp
+++ b/src/registered/proxy/statement/statement_runner.cpp
@@ -267,6 +267,12 @@
 
 NextStep StatementRunner::refuse_slot(StatementAttempt& attempt) {
   const GateOutcome& gate = attempt.gate;
+  if (gate.verdict == GateVerdict::kRetired) {
+    attempt.reason = Reason{ReasonCode::kUnreachable, "enter_gate", attempt.backend->entry.name.value,
+                            "the backend has restarted or was removed"};
+    // The backend's next incarnation, which has the same name, may be chosen.
+    return placement::make_retry(attempt.needs_primary).next;
+  }
   attempt.reason = Reason{ReasonCode::kOverloaded, "enter_gate", attempt.backend->entry.name.value,
                           "no slot at the backend is free, or expected to be free, in time"};
   const bool has_other = !attempt.needs_primary && attempt.request.group->evaluator.has_other_reader(
--- a/src/registered/scheduling/link_room.h
+++ b/src/registered/scheduling/link_room.h
@@ -18,6 +18,8 @@
   [[nodiscard]] virtual bool may_open() const = 0;
   /// When may_open() may become true without a link being released; TimePoint::max() if it will not.
   [[nodiscard]] virtual TimePoint next_opening() const = 0;
+  /// Whether no link is handed out any more: the backend's incarnation has ended, or it was removed.
+  [[nodiscard]] virtual bool is_retired() const = 0;
 };
 
 }  // namespace cairnhollow::registered::scheduling
--- a/src/registered/scheduling/statement_scheduler.cpp
+++ b/src/registered/scheduling/statement_scheduler.cpp
@@ -188,6 +188,15 @@
   return refused;
 }
 
+std::vector<StatementScheduler::Ticket> StatementScheduler::take_movable() {
+  std::vector<Ticket> taken;
+  for (const Entry& entry : waiting_) {
+    if (!entry.request.in_transaction) taken.push_back(entry.ticket);
+  }
+  for (const Ticket ticket : taken) remove(ticket);
+  return taken;
+}
+
 void StatementScheduler::remove(Ticket ticket) {
   const auto found = std::find_if(waiting_.begin(), waiting_.end(),
                                   [&](const Entry& entry) { return entry.ticket == ticket; });
--- a/src/registered/scheduling/statement_scheduler.h
+++ b/src/registered/scheduling/statement_scheduler.h
@@ -76,6 +76,8 @@
   std::optional<Ticket> next(TimePoint now, const SlotRoom& room);
   /// Removes and returns the statements that have become hopeless.
   std::vector<Refused> take_hopeless(TimePoint now, const SlotRoom& room);
+  /// Removes and returns the statements that do not belong to an open transaction.
+  std::vector<Ticket> take_movable();
   /// Removes a statement that waits no longer. No effect if it does not wait.
   void remove(Ticket ticket);
   /// To be called for a statement that next() returned and that gave its slot back unused.
--- a/tests/registered/proxy/links/statement_gate_test.cpp
+++ b/tests/registered/proxy/links/statement_gate_test.cpp
@@ -38,8 +38,11 @@
   }
   [[nodiscard]] TimePoint next_opening() const override { return opening_at; }
 
+  [[nodiscard]] bool is_retired() const override { return retired; }
+
   std::map<TenantName, int> idle;
   bool opens = true;
+  bool retired = false;
   mutable int asked = 0;  ///< calls of may_open()
   TimePoint opening_at = TimePoint::max();
 };
@@ -72,6 +75,7 @@
   CPPUNIT_TEST(wakes_when_links_may_open_again);
   CPPUNIT_TEST(wakes_after_a_pause_that_began_during_the_wait);
   CPPUNIT_TEST(gate_may_end_before_links_may_open);
+  CPPUNIT_TEST(retired_links_let_all_waiters_go);
   CPPUNIT_TEST(change_of_room_loses_no_waiter);
   CPPUNIT_TEST(capacity_admits_waiting_at_once);
   CPPUNIT_TEST(link_setup_takes_no_slot);
@@ -351,6 +355,26 @@
     world_->run_for(milliseconds(200));
   }
 
+  void retired_links_let_all_waiters_go() {
+    share_room(1);
+    const auto running = schedule(1, 0, "a", seconds(1));
+    std::array<std::shared_ptr<ScheduledEntry>, 5> waiting;
+    for (auto& entry : waiting) entry = schedule(1, 0, "a", seconds(1));
+    const auto in_transaction = schedule(1, 0, "a", seconds(1), true);
+    links_.retired = true;
+    gate_->admit_waiting();
+    world_->run_for(Duration(0));
+    for (const auto& entry : waiting)
+      CPPUNIT_ASSERT(entry->outcome && entry->outcome->verdict == GateVerdict::kRetired);
+    CPPUNIT_ASSERT_EQUAL(1U, gate_->running());
+    const auto late = schedule(1, 0, "a", seconds(1));
+    CPPUNIT_ASSERT(late->outcome && late->outcome->verdict == GateVerdict::kRetired);
+    CPPUNIT_ASSERT_MESSAGE("it has its link and waits for the slot", !in_transaction->outcome);
+    gate_->leave_unanswered();
+    world_->run_for(Duration(0));
+    CPPUNIT_ASSERT(in_transaction->admitted());
+  }
+
   void change_of_room_loses_no_waiter() {
     Entry before;
     Entry running;
@@ -376,8 +400,10 @@
 
   /// Enters with these priorities; the target is half of `timeout`.
   std::shared_ptr<ScheduledEntry> schedule(std::uint64_t route_priority, std::uint64_t tenant_priority,
-                                           const char* tenant, Duration timeout) {
+                                           const char* tenant, Duration timeout,
+                                           bool in_transaction = false) {
     auto entry = std::make_shared<ScheduledEntry>();
+    entry->request.in_transaction = in_transaction;
     entry->request.route_priority = route_priority;
     entry->request.tenant_priority = tenant_priority;
     entry->request.tenant = TenantName(tenant);
--- a/tests/registered/proxy/statement/scheduled_admission_test.cpp
+++ b/tests/registered/proxy/statement/scheduled_admission_test.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(waits_for_a_link_without_a_slot);
   CPPUNIT_TEST(loser_of_a_link_waits_again_without_a_slot);
   CPPUNIT_TEST(prepared_link_admits_nobody_else);
+  CPPUNIT_TEST(retired_pool_lets_waiting_statements_choose_again);
   CPPUNIT_TEST(tenant_priority_of_the_document_counts);
   CPPUNIT_TEST(answers_teach_the_service_time);
   CPPUNIT_TEST_SUITE_END();
@@ -131,6 +132,28 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stand_->dialled_tenants().size());
   }
 
+  void retired_pool_lets_waiting_statements_choose_again() {
+    const std::shared_ptr<BackendState> kept =
+        stand_->group()->backends.all().at(BackendName(SessionStand::kPrimary));
+    stand_->occupy_gate(SessionStand::kPrimary);
+    std::vector<std::shared_ptr<std::optional<RunResult>>> results;
+    for (int number = 0; number < 6; ++number)
+      results.push_back(start(stand_->write(std::to_string(number))));
+    CPPUNIT_ASSERT_EQUAL(results.size(), kept->gate.waiting());
+    registry::FleetDelta removed = stand_->delta();
+    removed.removed_backends = {kept->entry.name};
+    stand_->view().apply(removed);
+    stand_->run_for(milliseconds(1));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("all left at once", std::size_t{0}, kept->gate.waiting());
+    CPPUNIT_ASSERT_MESSAGE("while its slots are held", kept->gate.running() >= kept->gate.limit());
+    registry::FleetDelta added = stand_->delta();
+    added.backends = {kept->entry};
+    stand_->view().apply(added);
+    stand_->run_for(kEventStepDuration / 2);
+    CPPUNIT_ASSERT_MESSAGE("the slots of before are still held", kept->gate.running() > 0);
+    for (const auto& result : results) CPPUNIT_ASSERT(result->has_value() && (*result)->answer.succeeded());
+  }
+
   void tenant_priority_of_the_document_counts() {
     registry::FleetDelta changed = stand_->delta();
     registry::TenantRule tenant;
--- a/tests/registered/scheduling/scheduler_play.h
+++ b/tests/registered/scheduling/scheduler_play.h
@@ -24,6 +24,7 @@
   }
   [[nodiscard]] bool may_open() const override { return opens; }
   [[nodiscard]] TimePoint next_opening() const override { return TimePoint::max(); }
+  [[nodiscard]] bool is_retired() const override { return false; }
 
   std::map<TenantName, int> idle;
   bool opens = true;
