The conversation kBackendRoom takes demands of its own node and the liveness probe only

Found in review. Cause: the server of forwarded statements accepted every request on both conversations, and applied a demand whatever owner it named.

Change: on kBackendRoom only ForwardDemand, with the node of the Hello as its owner, and the liveness probe are taken; ForwardDemand is taken on no other conversation, as wire/hello.h states and DemandExchange sends it. Anything else closes the connection.

Tests: ForwardServerTest room_conversation_takes_demands_and_probes, room_conversation_takes_no_statements, demand_of_another_node_is_refused, demand_belongs_to_the_room_conversation.

--- a/src/registered/proxy/forwarding/forward_messages.h
+++ b/src/registered/proxy/forwarding/forward_messages.h
@@ -71,12 +71,16 @@
 /// Ends the transaction: it is rolled back unless its commit was answered.
 struct ForwardEnd {
   std::uint64_t pin = 0;
+  bool operator==(const ForwardEnd&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
     archive(pin);
   }
 };
 
+/// Liveness probe: ends transaction 0, which never exists, so the other proxy answers immediately.
+inline constexpr ForwardEnd kLivenessProbe{0};
+
 /// Requests tokens from a quota owner of the tenant, or of `cold_backend` if it is set: one token per
 /// operation of the tenant or statement to the backend.
 struct ForwardTokens {
--- a/src/registered/proxy/forwarding/forward_server.cpp
+++ b/src/registered/proxy/forwarding/forward_server.cpp
@@ -16,6 +16,19 @@
   return conversation == wire::Conversation::kForwarding || conversation == wire::Conversation::kBackendRoom;
 }
 
+bool is_probe(const ForwardRequest& request) {
+  const auto* end = std::get_if<ForwardEnd>(&request.body);
+  return end != nullptr && *end == kLivenessProbe;
+}
+
+/// Whether the conversation that `hello` began allows the request.
+bool is_allowed(const wire::Hello& hello, const ForwardRequest& request) {
+  const auto* told = std::get_if<ForwardDemand>(&request.body);
+  const bool is_room = hello.conversation == wire::Conversation::kBackendRoom;
+  if (told != nullptr) return is_room && told->owner == hello.node;
+  return !is_room || is_probe(request);
+}
+
 }  // namespace
 
 bool ForwardServer::start(const Endpoint& endpoint, Reason& reason) {
@@ -56,7 +69,7 @@
     const auto frame = co_await frames->receive(reason);
     std::optional<ForwardRequest> request;
     if (frame) request = wire::decode<ForwardRequest>(*frame, reason);
-    if (!request) break;
+    if (!request || !is_allowed(*hello, *request)) break;
     services_.runtime.spawn("forward_handle", handle(connection, std::move(*request)));
   }
   connection->ended = true;
--- a/src/registered/proxy/forwarding/forwarder.cpp
+++ b/src/registered/proxy/forwarding/forwarder.cpp
@@ -9,10 +9,9 @@
 
 namespace {
 
-/// Liveness probe: ends transaction 0, which never exists, so the other proxy answers immediately.
 ForwardRequest make_probe() {
   ForwardRequest request;
-  request.body = ForwardEnd{0};
+  request.body = kLivenessProbe;
   return request;
 }
 
--- a/tests/registered/proxy/forwarding/forward_server_test.cpp
+++ b/tests/registered/proxy/forwarding/forward_server_test.cpp
@@ -26,6 +26,10 @@
   CPPUNIT_TEST(refuses_immediately_without_lease);
   CPPUNIT_TEST(transaction_fails_once_key_is_removed);
   CPPUNIT_TEST(rolls_back_transactions_of_lost_connection);
+  CPPUNIT_TEST(room_conversation_takes_demands_and_probes);
+  CPPUNIT_TEST(room_conversation_takes_no_statements);
+  CPPUNIT_TEST(demand_of_another_node_is_refused);
+  CPPUNIT_TEST(demand_belongs_to_the_room_conversation);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -34,8 +38,8 @@
     server_ = std::make_unique<ForwardServer>(stand_->services());
     Reason reason;
     CPPUNIT_ASSERT(server_->start(kEndpoint, reason));
-    runtime::Runtime& other = stand_->start_process("other", "10.0.0.2");
-    forwarder_ = std::make_unique<Forwarder>(other, NodeName("other"), ZoneName("a"));
+    other_ = &stand_->start_process("other", "10.0.0.2");
+    forwarder_ = std::make_unique<Forwarder>(*other_, NodeName("other"), ZoneName("a"));
   }
   void tearDown() override {
     // The world must outlive the connections.
@@ -99,7 +103,60 @@
     CPPUNIT_ASSERT(rolled_back);
   }
 
+  void room_conversation_takes_demands_and_probes() {
+    share_room();
+    CPPUNIT_ASSERT(try_call(demand("other")).has_value());
+    CPPUNIT_ASSERT(replica()->room.has_news(stand_->now()));
+    CPPUNIT_ASSERT(try_call(kLivenessProbe).has_value());
+  }
+
+  void room_conversation_takes_no_statements() {
+    share_room();
+    CPPUNIT_ASSERT(!try_call(ForwardRun{statement("w")}));
+    CPPUNIT_ASSERT_MESSAGE("closed", !connection_->is_open());
+    CPPUNIT_ASSERT(stand_->sent_to(SessionStand::kPrimary).empty());
+    connection_.reset();
+    CPPUNIT_ASSERT(!try_call(ForwardTokens{TenantName(SessionStand::kTenant), 1, 0, {}}));
+    connection_.reset();
+    CPPUNIT_ASSERT_MESSAGE("no probe", !try_call(ForwardEnd{1}));
+  }
+
+  void demand_of_another_node_is_refused() {
+    share_room();
+    CPPUNIT_ASSERT(!try_call(demand("third")));
+    CPPUNIT_ASSERT(!replica()->room.has_news(stand_->now()));
+  }
+
+  void demand_belongs_to_the_room_conversation() {
+    share_room();
+    forwarder_ = std::make_unique<Forwarder>(*other_, NodeName("other"), ZoneName("a"));
+    CPPUNIT_ASSERT(!try_call(demand("other")));
+    CPPUNIT_ASSERT(!replica()->room.has_news(stand_->now()));
+  }
+
  private:
+  std::shared_ptr<BackendState> replica() {
+    return stand_->group()->backends.all().at(BackendName(SessionStand::kReplica));
+  }
+  static ForwardDemand demand(const char* owner) {
+    return {GroupName("group"), BackendName(SessionStand::kReplica), NodeName(owner), {}, false};
+  }
+  /// Makes this proxy, `other` and `third` owners of the replica, and connects as `other` for its room.
+  void share_room() {
+    registry::FleetDelta delta = stand_->delta();
+    registry::BackendEntry entry = replica()->entry;
+    entry.slots = 4;
+    delta.backends = {entry};
+    delta.proxies = {{NodeName("other"), 1, ZoneName("a"), {"10.0.0.2", 7440}, false},
+                     {NodeName("third"), 1, ZoneName("a"), {"10.0.0.3", 7440}, false}};
+    stand_->view().apply(delta);
+    stand_->confirm(seconds(60), seconds(60));
+    CPPUNIT_ASSERT(replica()->room.is_owner(NodeName("other")) &&
+                   replica()->room.is_owner(NodeName("third")));
+    forwarder_ = std::make_unique<Forwarder>(*other_, NodeName("other"), ZoneName("a"), locality::RegionMap(),
+                                             wire::Conversation::kBackendRoom);
+  }
+
   static ForwardedStatement statement(const std::string& id) {
     ForwardedStatement statement;
     statement.route.database = DatabaseName("database");
@@ -114,6 +171,12 @@
 
   template <class Body>
   ForwardAnswer call(Body body) {
+    const std::optional<ForwardAnswer> answer = try_call(std::move(body));
+    CPPUNIT_ASSERT(answer.has_value());
+    return *answer;
+  }
+  template <class Body>
+  std::optional<ForwardAnswer> try_call(Body body) {
     const auto task = [](ForwardServerTest& test, ForwardRequest request,
                          std::optional<ForwardAnswer>& result) -> Awaitable<void> {
       Reason reason;
@@ -127,11 +190,11 @@
     request.body = std::move(body);
     std::optional<ForwardAnswer> answer;
     CPPUNIT_ASSERT(stand_->finish(task(*this, std::move(request), answer)));
-    CPPUNIT_ASSERT(answer.has_value());
-    return *answer;
+    return answer;
   }
 
   std::unique_ptr<SessionStand> stand_;
+  runtime::Runtime* other_ = nullptr;
   std::unique_ptr<ForwardServer> server_;
   std::unique_ptr<Forwarder> forwarder_;
   std::shared_ptr<ForwardConnection> connection_;
