A slot that is given back unused refunds what was charged for it

Found in review. Cause: the refund was worked out anew from the service time expected at that moment, so a tenant got back more or less than it was charged; and where a token had expired during the wait at the gate, nothing was refunded.

Change: next() returns the cost with the ticket, the outcome of the gate keeps it, and leave_unused() refunds it, also in ColdTokens.

Tests: StatementSchedulerTest refund_is_what_was_charged, StatementGateTest outcome_tells_what_was_charged; unused_admission_is_not_charged passes the cost.

--- a/src/registered/proxy/links/statement_gate.cpp
+++ b/src/registered/proxy/links/statement_gate.cpp
@@ -95,6 +95,7 @@
   outcome.forecast = waiter->forecast;
   outcome.verdict = waiter->verdict.value_or(GateVerdict::kDeadline);
   outcome.waited = runtime_.now() - begun_at;
+  outcome.charged = waiter->charged;
   co_return outcome;
 }
 
@@ -134,8 +135,8 @@
   leave_unanswered();
 }
 
-void StatementGate::leave_without_link(const scheduling::SlotRequest& request) {
-  scheduler_.refund(request, runtime_.now());
+void StatementGate::leave_unused(const scheduling::SlotRequest& request, const GateOutcome& outcome) {
+  scheduler_.refund(request, outcome.charged);
   leave_unanswered();
 }
 
@@ -176,9 +177,10 @@
     scheduled_.at(refused.ticket)->forecast = refused.forecast;
     decide(refused.ticket, GateVerdict::kHopeless);
   }
-  while (const auto ticket = scheduler_.next(now, room())) {
+  while (const auto admitted = scheduler_.next(now, room())) {
     ++running_;
-    decide(*ticket, GateVerdict::kAdmitted);
+    scheduled_.at(admitted->ticket)->charged = admitted->cost;
+    decide(admitted->ticket, GateVerdict::kAdmitted);
   }
   watch_opening();
 }
--- a/src/registered/proxy/links/statement_gate.h
+++ b/src/registered/proxy/links/statement_gate.h
@@ -34,6 +34,7 @@
 struct GateOutcome {
   GateVerdict verdict = GateVerdict::kDeadline;
   Duration waited{0};
+  Duration charged{0};  ///< its tenant's share was charged this; 0 unless it was scheduled and admitted
   scheduling::WaitForecast forecast;  ///< when it came, or when it was refused as hopeless
   [[nodiscard]] bool admitted() const { return verdict == GateVerdict::kAdmitted; }
 };
@@ -67,8 +68,8 @@
   /// Ends a statement that was answered, or given up without an answer, after holding its slot for `held`.
   void leave_answered(const scheduling::SlotRequest& request, Duration held);
   void leave_given_up(const scheduling::SlotRequest& request, Duration held);
-  /// Ends a statement that found no link, which then enters again. Its tenant is charged nothing.
-  void leave_without_link(const scheduling::SlotRequest& request);
+  /// Ends a statement that was not run, and enters again. Its tenant is charged nothing.
+  void leave_unused(const scheduling::SlotRequest& request, const GateOutcome& outcome);
   /// Ends a statement that was not run, since the backend's slots were taken.
   void leave_busy();
   /// Ends a statement that got no answer, which gives no information about the backend's capacity.
@@ -99,6 +100,7 @@
   struct ScheduledWaiter {
     explicit ScheduledWaiter(runtime::Runtime& runtime) : woken(runtime) {}
     std::optional<GateVerdict> verdict;  ///< empty while it waits
+    Duration charged{0};
     scheduling::WaitForecast forecast;
     runtime::Signal woken;
   };
--- a/src/registered/proxy/statement/cold_tokens.cpp
+++ b/src/registered/proxy/statement/cold_tokens.cpp
@@ -57,7 +57,7 @@
     if (!entered) refusal.gate = outcome;
     if (!entered) co_return false;
     // The token expired during the wait, or the backend became cold.
-    backend->gate.leave_unanswered();
+    backend->gate.leave_unused(slot, outcome);
   }
 }
 
--- a/src/registered/proxy/statement/statement_runner.cpp
+++ b/src/registered/proxy/statement/statement_runner.cpp
@@ -259,7 +259,7 @@
     attempt->pool_time += services_.runtime.now() - attempt->admitted_at;
     if (!attempt->lacks_link) break;
     // Another statement took the link meanwhile. It arrived as before, so its place in the queue is the same.
-    backend->gate.leave_without_link(attempt->slot);
+    backend->gate.leave_unused(attempt->slot, attempt->gate);
     entered = co_await enter_gate(attempt);
   }
   co_return entered;
--- a/src/registered/scheduling/statement_scheduler.cpp
+++ b/src/registered/scheduling/statement_scheduler.cpp
@@ -154,16 +154,16 @@
   return &*regular;
 }
 
-std::optional<StatementScheduler::Ticket> StatementScheduler::next(TimePoint now, const SlotRoom& room) {
+std::optional<StatementScheduler::Admitted> StatementScheduler::next(TimePoint now, const SlotRoom& room) {
   if (waiting_.empty() || room.running >= std::max(room.capacity, 1U)) return std::nullopt;
   const Plan order = plan(now, room);
   const Planned* chosen = choose(order, now, may_open_link(room));
   if (chosen == nullptr) return std::nullopt;
   const Entry& entry = waiting_[chosen->index];
-  const Ticket ticket = entry.ticket;
+  const Admitted admitted{entry.ticket, chosen->cost};
   shares_.charge(chosen->level, entry.request.tenant, chosen->cost);
   erase(chosen->index);
-  return ticket;
+  return admitted;
 }
 
 std::vector<StatementScheduler::Refused> StatementScheduler::take_hopeless(TimePoint now,
@@ -211,8 +211,8 @@
   if (is_last) shares_.forget(level);
 }
 
-void StatementScheduler::refund(const SlotRequest& request, TimePoint now) {
-  shares_.refund(level_of(request), request.tenant, service_times_.expected(request, now));
+void StatementScheduler::refund(const SlotRequest& request, Duration cost) {
+  shares_.refund(level_of(request), request.tenant, cost);
 }
 
 SlotDemand StatementScheduler::demand(std::uint32_t running) const {
--- a/src/registered/scheduling/statement_scheduler.h
+++ b/src/registered/scheduling/statement_scheduler.h
@@ -64,6 +64,11 @@
     WaitForecast forecast;
   };
 
+  struct Admitted {
+    Ticket ticket = 0;
+    Duration cost{0};  ///< charged to its tenant
+  };
+
   struct Refused {
     Ticket ticket = 0;
     WaitForecast forecast;
@@ -73,15 +78,16 @@
   Enqueued enqueue(SlotRequest request, TimePoint now, const SlotRoom& room);
   /// Removes and returns the statement that runs next. Empty if no slot is free, or no waiting statement has
   /// a link or may open one.
-  std::optional<Ticket> next(TimePoint now, const SlotRoom& room);
+  std::optional<Admitted> next(TimePoint now, const SlotRoom& room);
   /// Removes and returns the statements that have become hopeless.
   std::vector<Refused> take_hopeless(TimePoint now, const SlotRoom& room);
   /// Removes and returns the statements that do not belong to an open transaction.
   std::vector<Ticket> take_movable();
   /// Removes a statement that waits no longer. No effect if it does not wait.
   void remove(Ticket ticket);
-  /// To be called for a statement that next() returned and that gave its slot back unused.
-  void refund(const SlotRequest& request, TimePoint now);
+  /// To be called for a statement that next() returned and that gave its slot back unused. `cost`: what it
+  /// was charged.
+  void refund(const SlotRequest& request, Duration cost);
 
   [[nodiscard]] ServiceTimes& service_times() { return service_times_; }
   [[nodiscard]] std::size_t waiting() const { return waiting_.size(); }
--- a/tests/registered/proxy/links/statement_gate_test.cpp
+++ b/tests/registered/proxy/links/statement_gate_test.cpp
@@ -80,6 +80,7 @@
   CPPUNIT_TEST(capacity_admits_waiting_at_once);
   CPPUNIT_TEST(link_setup_takes_no_slot);
   CPPUNIT_TEST(at_most_twice_the_capacity_runs_after_setups);
+  CPPUNIT_TEST(outcome_tells_what_was_charged);
   CPPUNIT_TEST(demand_counts_by_class);
   CPPUNIT_TEST_SUITE_END();
 
@@ -196,6 +197,18 @@
     CPPUNIT_ASSERT_EQUAL(kCapacity, gate_->running());
   }
 
+  void outcome_tells_what_was_charged() {
+    share_room(1);
+    const auto first = schedule(1, 0, "a", seconds(1));
+    const auto second = schedule(1, 0, "a", seconds(1));
+    CPPUNIT_ASSERT(first->outcome->charged == Duration(scheduling::kAssumedService));
+    gate_->leave_answered(first->request, milliseconds(30));
+    world_->run_for(Duration(0));
+    CPPUNIT_ASSERT(second->admitted() && second->outcome->charged == Duration(milliseconds(30)));
+    gate_->leave_unused(second->request, *second->outcome);
+    CPPUNIT_ASSERT_EQUAL(0U, gate_->running());
+  }
+
   void demand_counts_by_class() {
     share_room(1);
     schedule(1, 0, "a", seconds(1));
@@ -307,7 +320,7 @@
     CPPUNIT_ASSERT(without->admitted());
     // It finds no link after all and comes again.
     links_.idle.clear();
-    gate_->leave_without_link(without->request);
+    gate_->leave_unused(without->request, *without->outcome);
     CPPUNIT_ASSERT_EQUAL(0U, gate_->running());
   }
 
--- a/tests/registered/scheduling/scheduler_play.h
+++ b/tests/registered/scheduling/scheduler_play.h
@@ -96,7 +96,7 @@
       statements[waiting_.at(refused.ticket)].refused_at = now;
       waiting_.erase(refused.ticket);
     }
-    while (const auto ticket = scheduler.next(now, room)) admit(*ticket);
+    while (const auto next = scheduler.next(now, room)) admit(next->ticket);
     most_waiting = std::max(most_waiting, scheduler.waiting());
     was_idle_in_vain = was_idle_in_vain || (room.running < room.capacity && is_any_admissible());
   }
--- a/tests/registered/scheduling/statement_scheduler_test.cpp
+++ b/tests/registered/scheduling/statement_scheduler_test.cpp
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(full_queue_refuses_the_last_in_order);
   CPPUNIT_TEST(demand_counts_by_class);
   CPPUNIT_TEST(unused_admission_is_not_charged);
+  CPPUNIT_TEST(refund_is_what_was_charged);
   CPPUNIT_TEST(random_load_keeps_slots_busy);
   CPPUNIT_TEST_SUITE_END();
 
@@ -98,7 +99,7 @@
     CPPUNIT_ASSERT_MESSAGE("it, and the one that runs", enqueued.forecast.wait == 2 * kAssumedService);
     CPPUNIT_ASSERT_MESSAGE("all, and the one that runs", enqueued.forecast.drain == 12 * kAssumedService);
     CPPUNIT_ASSERT(scheduler.next(kPlayStart, SlotRoom{1, 0, nullptr}));
-    CPPUNIT_ASSERT(scheduler.next(kPlayStart, SlotRoom{1, 0, nullptr}) == enqueued.ticket);
+    CPPUNIT_ASSERT(scheduler.next(kPlayStart, SlotRoom{1, 0, nullptr})->ticket == enqueued.ticket);
   }
 
   void hot_tenant_of_low_priority_yields() {
@@ -287,7 +288,7 @@
     scheduler.remove(first.ticket);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, scheduler.waiting());
     CPPUNIT_ASSERT(!scheduler.next(kPlayStart, room));
-    CPPUNIT_ASSERT(scheduler.next(kPlayStart, SlotRoom{1, 0, nullptr}) == second.ticket);
+    CPPUNIT_ASSERT(scheduler.next(kPlayStart, SlotRoom{1, 0, nullptr})->ticket == second.ticket);
     CPPUNIT_ASSERT(!scheduler.next(kPlayStart, SlotRoom{1, 0, nullptr}));
   }
 
@@ -328,11 +329,42 @@
     const auto other = play_statement(Duration(0), 0, "b", {}, milliseconds(2000), seconds(9));
     scheduler.enqueue(one.request, kPlayStart, room);
     scheduler.enqueue(other.request, kPlayStart, room);
-    CPPUNIT_ASSERT(scheduler.next(kPlayStart, room));
+    const auto admitted = scheduler.next(kPlayStart, room);
+    CPPUNIT_ASSERT(admitted);
     // It gives its slot back and comes again: it goes before the tenant whose target ends later.
-    scheduler.refund(one.request, kPlayStart);
+    scheduler.refund(one.request, admitted->cost);
     const auto again = scheduler.enqueue(one.request, kPlayStart, room);
-    CPPUNIT_ASSERT(scheduler.next(kPlayStart, room) == again.ticket);
+    CPPUNIT_ASSERT(scheduler.next(kPlayStart, room)->ticket == again.ticket);
+  }
+
+  void refund_is_what_was_charged() {
+    StatementScheduler scheduler;
+    PlayedLinks links;
+    links.opens = false;
+    links.idle = {{TenantName("a"), 1}, {TenantName("b"), 1}};
+    const SlotRoom room{1, 0, &links};
+    const auto enqueue = [&](const char* tenant, Duration target) {
+      const auto statement = play_statement(Duration(0), 0, tenant, {}, target, seconds(90));
+      return scheduler.enqueue(statement.request, kPlayStart, room).ticket;
+    };
+    const SlotRequest request = play_statement(Duration(0), 0, "a", {}, seconds(10), seconds(90)).request;
+    scheduler.service_times().record(request, milliseconds(10), kPlayStart);
+    // Without a link it waits on, so that the level's shares are kept.
+    enqueue("c", seconds(80));
+    enqueue("a", seconds(10));
+    const auto unused = scheduler.next(kPlayStart, room);
+    CPPUNIT_ASSERT(unused && unused->cost == milliseconds(10));
+    // Statements become slower, and another one of the tenant runs before the slot is given back.
+    for (int sample = 0; sample < 100; ++sample)
+      scheduler.service_times().record(request, milliseconds(500), kPlayStart);
+    enqueue("a", seconds(10));
+    const auto used = scheduler.next(kPlayStart, room);
+    CPPUNIT_ASSERT(used && used->cost > milliseconds(400));
+    scheduler.refund(request, unused->cost);
+    enqueue("a", seconds(5));
+    const auto other = enqueue("b", seconds(6));
+    CPPUNIT_ASSERT_MESSAGE("the statement that ran is still charged",
+                           scheduler.next(kPlayStart, room)->ticket == other);
   }
 
   void random_load_keeps_slots_busy() {
