The test of the connection budget plays without it, and has the cases that were dropped

Found in review. Cause: play_rejects_limits_that_apply_at_once computed a sum and did not play; two cases of the links per proxy (8 usable and 11 reserved; no proxy in the backend's zone) were lost when the division was replaced.

Change: Play can run without the budget, and is over the limit until the lost connections count no longer. The two cases hold for what replaced the division: one link each, and the owners of another zone share.

Tests: ConnectionBudgetTest play_rejects_limits_that_apply_at_once, fewer_connections_than_reserved_leave_one_link_each, proxies_of_other_zones_share_where_the_zone_has_none.

--- a/tests/registered/capacity/connection_budget_test.cpp
+++ b/tests/registered/capacity/connection_budget_test.cpp
@@ -6,8 +6,11 @@
 #include <fmt/format.h>
 
 #include <map>
+#include <memory>
 #include <set>
 
+#include "registered/capacity/backend_owners.h"
+
 namespace cairnhollow::registered::capacity {
 
 using std::chrono::milliseconds;
@@ -27,7 +30,10 @@
 /// The proxies that serve a group, and what the backend counts while each opens as many links as it may.
 class Play {
  public:
-  explicit Play(std::set<int> owners) : owners_(std::move(owners)) {
+  /// `budgeted`: whether the proxies count the connections of lost owners; else their settled limits apply at
+  /// once.
+  explicit Play(std::set<int> owners, bool budgeted = true)
+      : owners_(std::move(owners)), budgeted_(budgeted) {
     change(owners_, kStart - seconds(100));
     open(kStart);
   }
@@ -45,12 +51,15 @@
   /// Each owner opens or closes links up to its maximum. Returns how many count at the backend.
   std::uint64_t open(TimePoint now) {
     std::uint64_t counted = 0;
-    for (const int owner : owners_) open_[owner] = budgets_[owner].limits(now).maximum;
+    for (const int owner : owners_) open_[owner] = limits(owner, now).maximum;
     for (const auto& [process, links] : open_) counted += links;
     for (const auto& [until, links] : ghosts_) counted += now < until ? links : 0;
     return counted + (kServing - owners_.size()) * kReservedGuestLinks;
   }
-  [[nodiscard]] LinkLimits limits(int owner, TimePoint now) const { return budgets_.at(owner).limits(now); }
+  [[nodiscard]] LinkLimits limits(int owner, TimePoint now) const {
+    if (!budgeted_) return settled_limits(users(owners_.size(), owners_.count(owner) > 0));
+    return budgets_.at(owner).limits(now);
+  }
 
  private:
   void change(std::set<int> owners, TimePoint now) {
@@ -63,6 +72,7 @@
   }
 
   std::set<int> owners_;
+  bool budgeted_ = true;
   std::map<int, ConnectionBudget> budgets_;
   std::map<int, std::uint64_t> open_;
   std::vector<std::pair<TimePoint, std::uint64_t>> ghosts_;
@@ -80,6 +90,8 @@
   CPPUNIT_TEST(started_process_leaves_room_for_what_was_lost);
   CPPUNIT_TEST(guest_has_few_links);
   CPPUNIT_TEST(few_connections_leave_one_link_each);
+  CPPUNIT_TEST(fewer_connections_than_reserved_leave_one_link_each);
+  CPPUNIT_TEST(proxies_of_other_zones_share_where_the_zone_has_none);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -122,9 +134,13 @@
   }
 
   void play_rejects_limits_that_apply_at_once() {
-    // The same loss where the owners do not count the lost links.
-    const std::uint64_t part = settled_limits(users(4, true)).maximum;
-    CPPUNIT_ASSERT(4 * part + part + (kServing - 4) * kReservedGuestLinks > kUsable);
+    Play play({0, 1, 2, 3}, false);
+    CPPUNIT_ASSERT(play.open(kStart) <= kUsable);
+    play.lose({0}, {1, 2, 3, 4}, kStart);
+    CPPUNIT_ASSERT(play.open(kStart) > kUsable);
+    CPPUNIT_ASSERT(play.open(kStart + kLostConnectionsCounted - milliseconds(1)) > kUsable);
+    CPPUNIT_ASSERT_MESSAGE("the lost ones count no longer",
+                           play.open(kStart + kLostConnectionsCounted) <= kUsable);
   }
 
   void limits_settle_once_lost_connections_are_gone() {
@@ -158,6 +174,32 @@
     CPPUNIT_ASSERT(settled_limits({3, 3, 9, true}) == (LinkLimits{1, 1}));
     CPPUNIT_ASSERT_MESSAGE("unlimited", settled_limits({0, 3, 9, true}).kept >= 9);
   }
+
+  void fewer_connections_than_reserved_leave_one_link_each() {
+    constexpr std::uint64_t kFew = 8;
+    constexpr std::uint64_t kGuests = 11;
+    CPPUNIT_ASSERT(settled_limits({kFew, 4, kGuests, true}) == (LinkLimits{1, 1}));
+    ConnectionBudget budget;
+    budget.set_users({kFew, 4, kGuests, true}, 0, kStart);
+    budget.set_users({kFew, 4, kGuests, true}, 1, kStart + seconds(10));
+    CPPUNIT_ASSERT(budget.limits(kStart + seconds(10)) == (LinkLimits{1, 1}));
+  }
+
+  void proxies_of_other_zones_share_where_the_zone_has_none() {
+    std::vector<subset::ProxyPointer> serving;
+    for (int number = 0; number < 15; ++number) {
+      serving.push_back(std::make_shared<subset::ProxyView>(
+          subset::ProxyView{NodeName(fmt::format("proxy-{}", number)), ZoneName("zone-0"), {"", 1}}));
+    }
+    const std::uint64_t owners = owners_of(serving, ZoneName("zone-9"), owner_count(kSlots)).size();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, owners);
+    const std::uint64_t guests = serving.size() - owners;
+    const LinkLimits limits = settled_limits({kUsable, owners, guests, true});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, limits.maximum);
+    CPPUNIT_ASSERT(owners * limits.maximum + guests * kReservedGuestLinks <= kUsable);
+    CPPUNIT_ASSERT(settled_limits({kUsable, owners, guests, false}) ==
+                   (LinkLimits{kGuestLinks, kGuestLinks}));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ConnectionBudgetTest);
