Wording: busy backends, and what a new link occupies

Found in review. Cause: kBackendsBusy named only statements that were already sent, and it is also given at the gate; SlotRequest did not say which slot a new link occupies.

Change: comments only.

--- a/src/registered/placement/rejection_reason.h
+++ b/src/registered/placement/rejection_reason.h
@@ -25,7 +25,7 @@
   kPrimaryUnreachable,  ///< this proxy can't connect to the primary
   kPrimaryFull,         ///< the primary rejects further connections, and this proxy has none
   kCommitsStall,        ///< earlier commits have no answer
-  kBackendsBusy,        ///< the statement was already sent to a backend, and none can run it now
+  kBackendsBusy,        ///< none can run it now: it was already sent to one, or has no slot there in time
   kNoBackend,           ///< no suitable backend is known, or no attempt got as far as sending the statement
   // Concerning this proxy and its peers.
   kNoLease,      ///< this proxy holds no serving lease, so it may use no primary
--- a/src/registered/scheduling/slot_request.h
+++ b/src/registered/scheduling/slot_request.h
@@ -20,8 +20,9 @@
   TimePoint target_end{};
   TimePoint wait_end{};  ///< it waits no longer: the rest of its time is needed to run, here or elsewhere
   TimePoint deadline{};  ///< an answer after this is of no use
-  /// An idle link for the tenant was at hand when the statement arrived. One without needs a new connection,
-  /// which occupies a slot for the handshake.
+  /// An idle link for the tenant was at hand when the statement arrived. One without needs a new connection:
+  /// it holds its slot at the gate during the handshake, in which the backend's slot is idle, and its link
+  /// takes one of the backend's connections.
   bool has_link = true;
 };
 
