--- a/src/registered/proxy/links/statement_gate.cpp
+++ b/src/registered/proxy/links/statement_gate.cpp
@@ -21,7 +21,8 @@
 }  // namespace
 
 const char* gate_verdict_name(GateVerdict verdict) {
-  constexpr std::array<const char*, kGateVerdicts> kNames{"admitted", "hopeless", "deadline", "queue_full"};
+  constexpr std::array<const char*, kGateVerdicts> kNames{"admitted", "hopeless", "deadline", "queue_full",
+                                                          "retired"};
   return kNames.at(static_cast<std::size_t>(verdict));
 }
 
@@ -73,8 +74,12 @@
   if (!shared_room_) co_return co_await enter_unscheduled(std::move(request));
   const TimePoint begun_at = runtime_.now();
   const TimePoint wait_end = request.wait_end;
-  const auto enqueued = scheduler_.enqueue(std::move(request), begun_at, room());
   GateOutcome outcome;
+  if (is_retired() && !request.in_transaction) {
+    outcome.verdict = GateVerdict::kRetired;
+    co_return outcome;
+  }
+  const auto enqueued = scheduler_.enqueue(std::move(request), begun_at, room());
   outcome.forecast = enqueued.forecast;
   outcome.verdict =
       enqueued.verdict == Verdict::kQueueFull ? GateVerdict::kQueueFull : GateVerdict::kHopeless;
@@ -90,15 +95,29 @@
   outcome.forecast = waiter->forecast;
   outcome.verdict = waiter->verdict.value_or(GateVerdict::kDeadline);
   outcome.waited = runtime_.now() - begun_at;
+  outcome.charged = waiter->charged;
   co_return outcome;
 }
 
 Awaitable<void> StatementGate::await_verdict(std::shared_ptr<ScheduledWaiter> waiter, TimePoint wait_end) {
-  while (!waiter->verdict && runtime_.now() < wait_end) {
-    const TimePoint next_opening = links_ == nullptr ? TimePoint::max() : links_->next_opening();
-    co_await waiter->woken.wait_until(std::min(wait_end, next_opening));
-    if (!waiter->verdict && runtime_.now() < wait_end) admit_waiting();
-  }
+  while (!waiter->verdict && runtime_.now() < wait_end) co_await waiter->woken.wait_until(wait_end);
+}
+
+void StatementGate::watch_opening() {
+  if (watches_opening_ || links_ == nullptr || scheduler_.waiting() == 0) return;
+  const TimePoint opening = links_->next_opening();
+  if (opening == TimePoint::max() || opening <= runtime_.now()) return;
+  watches_opening_ = true;
+  runtime_.spawn("admit_at_opening", admit_at_opening(runtime_, self_, opening));
+}
+
+Awaitable<void> StatementGate::admit_at_opening(runtime::Runtime& runtime, std::weak_ptr<StatementGate*> gate,
+                                                TimePoint opening) {
+  co_await runtime.sleep_for(opening - runtime.now());
+  const auto present = gate.lock();
+  if (!present) co_return;
+  (*present)->watches_opening_ = false;
+  (*present)->admit_waiting();
 }
 
 void StatementGate::leave(Duration latency) {
@@ -116,8 +135,8 @@
   leave_unanswered();
 }
 
-void StatementGate::leave_without_link(const scheduling::SlotRequest& request) {
-  scheduler_.refund(request, runtime_.now());
+void StatementGate::leave_unused(const scheduling::SlotRequest& request, const GateOutcome& outcome) {
+  scheduler_.refund(request, outcome.charged);
   leave_unanswered();
 }
 
@@ -150,15 +169,20 @@
 
 void StatementGate::admit_scheduled() {
   if (scheduler_.waiting() == 0) return;
+  if (is_retired()) {
+    for (const Ticket ticket : scheduler_.take_movable()) decide(ticket, GateVerdict::kRetired);
+  }
   const TimePoint now = runtime_.now();
   for (const auto& refused : scheduler_.take_hopeless(now, room())) {
     scheduled_.at(refused.ticket)->forecast = refused.forecast;
     decide(refused.ticket, GateVerdict::kHopeless);
   }
-  while (const auto ticket = scheduler_.next(now, room())) {
+  while (const auto admitted = scheduler_.next(now, room())) {
     ++running_;
-    decide(*ticket, GateVerdict::kAdmitted);
+    scheduled_.at(admitted->ticket)->charged = admitted->cost;
+    decide(admitted->ticket, GateVerdict::kAdmitted);
   }
+  watch_opening();
 }
 
 void StatementGate::decide(Ticket ticket, GateVerdict verdict) {
--- a/src/registered/proxy/links/statement_gate.h
+++ b/src/registered/proxy/links/statement_gate.h
@@ -24,8 +24,9 @@
   kHopeless,   ///< it cannot be admitted before its wait ends, or not answered by its deadline
   kDeadline,   ///< its wait ended
   kQueueFull,  ///< too many statements wait that go first
+  kRetired,    ///< the backend's links are retired: the caller chooses again
 };
-inline constexpr std::size_t kGateVerdicts = 4;
+inline constexpr std::size_t kGateVerdicts = 5;
 /// The verdict's name in logs and metrics.
 const char* gate_verdict_name(GateVerdict verdict);
 
@@ -33,6 +34,7 @@
 struct GateOutcome {
   GateVerdict verdict = GateVerdict::kDeadline;
   Duration waited{0};
+  Duration charged{0};  ///< its tenant's share was charged this; 0 unless it was scheduled and admitted
   scheduling::WaitForecast forecast;  ///< when it came, or when it was refused as hopeless
   [[nodiscard]] bool admitted() const { return verdict == GateVerdict::kAdmitted; }
 };
@@ -42,7 +44,9 @@
  public:
   /// `links`: the links to the backend; null: a link is always at hand.
   explicit StatementGate(runtime::Runtime& runtime, const scheduling::LinkRoom* links = nullptr)
-      : runtime_(runtime), links_(links) {}
+      : runtime_(runtime), links_(links), self_(std::make_shared<StatementGate*>(this)) {}
+  StatementGate(const StatementGate&) = delete;
+  StatementGate& operator=(const StatementGate&) = delete;
 
   /// `share`: this proxy's share of the backend's slots; `maximum`: number of its connections.
   void set_bounds(std::uint32_t share, std::uint32_t maximum) { limit_.set_bounds(share, maximum); }
@@ -55,15 +59,17 @@
   /// false if `deadline` passes first, or at once if the expected wait exceeds it.
   Awaitable<bool> enter(std::uint8_t priority, TimePoint deadline);
   /// The same. Where the room is shared, the statement is admitted only when a link is at hand or may be
-  /// opened, and is refused as soon as it is known that it cannot be served by its deadline.
+  /// opened, and is refused as soon as it is known that it cannot be served by its deadline. Once the links
+  /// are retired, all are refused but statements of open transactions, which have their links and no other
+  /// backend to go to.
   Awaitable<GateOutcome> enter(scheduling::SlotRequest request);
   /// Ends a statement that was answered after `latency`.
   void leave(Duration latency);
   /// Ends a statement that was answered, or given up without an answer, after holding its slot for `held`.
   void leave_answered(const scheduling::SlotRequest& request, Duration held);
   void leave_given_up(const scheduling::SlotRequest& request, Duration held);
-  /// Ends a statement that found no link, which then enters again. Its tenant is charged nothing.
-  void leave_without_link(const scheduling::SlotRequest& request);
+  /// Ends a statement that was not run, and enters again. Its tenant is charged nothing.
+  void leave_unused(const scheduling::SlotRequest& request, const GateOutcome& outcome);
   /// Ends a statement that was not run, since the backend's slots were taken.
   void leave_busy();
   /// Ends a statement that got no answer, which gives no information about the backend's capacity.
@@ -78,7 +84,8 @@
   [[nodiscard]] std::uint32_t limit() const { return shared_room_ ? capacity_ : limit_.limit(); }
   /// To be called while an admitted statement exchanges only what takes no slot at the backend: values,
   /// prepared statements, begin. Where the room is shared, as many others as the capacity may be admitted
-  /// meanwhile.
+  /// meanwhile. They keep their slots, so up to twice the capacity run after end_setup(); nobody is admitted
+  /// until fewer than the capacity do.
   void begin_setup();
   void end_setup() { --in_setup_; }
   /// Whether a slot is free for a statement that arrives now, and none waits.
@@ -93,6 +100,7 @@
   struct ScheduledWaiter {
     explicit ScheduledWaiter(runtime::Runtime& runtime) : woken(runtime) {}
     std::optional<GateVerdict> verdict;  ///< empty while it waits
+    Duration charged{0};
     scheduling::WaitForecast forecast;
     runtime::Signal woken;
   };
@@ -109,15 +117,22 @@
   Awaitable<void> await_verdict(std::shared_ptr<ScheduledWaiter> waiter, TimePoint wait_end);
   /// Ends the wait of the statement.
   void decide(Ticket ticket, GateVerdict verdict);
+  [[nodiscard]] bool is_retired() const { return links_ != nullptr && links_->is_retired(); }
   void admit_unscheduled();
   void admit_scheduled();
+  /// While statements wait, calls admit_waiting() once at the time at which links may be opened again.
+  void watch_opening();
+  static Awaitable<void> admit_at_opening(runtime::Runtime& runtime, std::weak_ptr<StatementGate*> gate,
+                                          TimePoint opening);
 
   runtime::Runtime& runtime_;
   const scheduling::LinkRoom* links_;
+  std::shared_ptr<StatementGate*> self_;  ///< expires with the gate, which admit_at_opening() may outlive
   admission::ConcurrencyLimit limit_;
   admission::AdmissionQueue<Waiter> queue_;
   scheduling::StatementScheduler scheduler_;
   std::map<Ticket, std::shared_ptr<ScheduledWaiter>> scheduled_;  ///< those that wait in scheduler_
+  bool watches_opening_ = false;
   bool shared_room_ = false;
   std::uint32_t capacity_ = 1;
   std::uint32_t running_ = 0;
--- a/src/registered/proxy/statement/statement_runner.cpp
+++ b/src/registered/proxy/statement/statement_runner.cpp
@@ -185,11 +185,12 @@
   // Applying the session state already sends requests to the backend, so check first.
   bool ready = check_.may_proceed(*attempt);
   const TimePoint deadline = std::min(request.deadline, services_.runtime.now() + kLinkSetupTimeout);
-  attempt->backend->gate.begin_setup();
+  const bool is_exchanged = ready && attempt->link->needs_setup(request.values, request.prepared);
+  if (is_exchanged) attempt->backend->gate.begin_setup();
   if (ready)
     ready = co_await attempt->link->apply_session_state(request.values, request.prepared, deadline,
                                                         attempt->reason);
-  attempt->backend->gate.end_setup();
+  if (is_exchanged) attempt->backend->gate.end_setup();
   if (ready && request.opens_transaction) ready = check_.may_proceed(*attempt);
   if (!ready) attempt->backend->pool.release(attempt->link);
   co_return ready;
@@ -258,7 +259,7 @@
     attempt->pool_time += services_.runtime.now() - attempt->admitted_at;
     if (!attempt->lacks_link) break;
     // Another statement took the link meanwhile. It arrived as before, so its place in the queue is the same.
-    backend->gate.leave_without_link(attempt->slot);
+    backend->gate.leave_unused(attempt->slot, attempt->gate);
     entered = co_await enter_gate(attempt);
   }
   co_return entered;
@@ -266,6 +267,12 @@
 
 NextStep StatementRunner::refuse_slot(StatementAttempt& attempt) {
   const GateOutcome& gate = attempt.gate;
+  if (gate.verdict == GateVerdict::kRetired) {
+    attempt.reason = Reason{ReasonCode::kUnreachable, "enter_gate", attempt.backend->entry.name.value,
+                            "the backend has restarted or was removed"};
+    // The backend's next incarnation, which has the same name, may be chosen.
+    return placement::make_retry(attempt.needs_primary).next;
+  }
   attempt.reason = Reason{ReasonCode::kOverloaded, "enter_gate", attempt.backend->entry.name.value,
                           "no slot at the backend is free, or expected to be free, in time"};
   const bool has_other = !attempt.needs_primary && attempt.request.group->evaluator.has_other_reader(
--- a/tests/registered/proxy/links/statement_gate_test.cpp
+++ b/tests/registered/proxy/links/statement_gate_test.cpp
@@ -32,11 +32,18 @@
 class GateLinks : public scheduling::LinkRoom {
  public:
   [[nodiscard]] bool has_idle(const TenantName& tenant) const override { return idle.count(tenant) > 0; }
-  [[nodiscard]] bool may_open() const override { return opens; }
+  [[nodiscard]] bool may_open() const override {
+    ++asked;
+    return opens;
+  }
   [[nodiscard]] TimePoint next_opening() const override { return opening_at; }
 
+  [[nodiscard]] bool is_retired() const override { return retired; }
+
   std::map<TenantName, int> idle;
   bool opens = true;
+  bool retired = false;
+  mutable int asked = 0;  ///< calls of may_open()
   TimePoint opening_at = TimePoint::max();
 };
 
@@ -66,9 +73,14 @@
   CPPUNIT_TEST(shared_room_refuses_beyond_the_queue);
   CPPUNIT_TEST(slot_never_waits_for_link);
   CPPUNIT_TEST(wakes_when_links_may_open_again);
+  CPPUNIT_TEST(wakes_after_a_pause_that_began_during_the_wait);
+  CPPUNIT_TEST(gate_may_end_before_links_may_open);
+  CPPUNIT_TEST(retired_links_let_all_waiters_go);
   CPPUNIT_TEST(change_of_room_loses_no_waiter);
   CPPUNIT_TEST(capacity_admits_waiting_at_once);
   CPPUNIT_TEST(link_setup_takes_no_slot);
+  CPPUNIT_TEST(at_most_twice_the_capacity_runs_after_setups);
+  CPPUNIT_TEST(outcome_tells_what_was_charged);
   CPPUNIT_TEST(demand_counts_by_class);
   CPPUNIT_TEST_SUITE_END();
 
@@ -167,6 +179,36 @@
     CPPUNIT_ASSERT(entries[2]->admitted());
   }
 
+  void at_most_twice_the_capacity_runs_after_setups() {
+    constexpr std::uint32_t kCapacity = 3;
+    share_room(kCapacity);
+    std::array<std::shared_ptr<ScheduledEntry>, 10> entries;
+    for (auto& entry : entries) entry = schedule(1, 0, "a", seconds(1));
+    for (std::uint32_t setup = 0; setup < 2 * kCapacity; ++setup) gate_->begin_setup();
+    CPPUNIT_ASSERT_EQUAL(2 * kCapacity, gate_->running());
+    for (std::uint32_t setup = 0; setup < 2 * kCapacity; ++setup) gate_->end_setup();
+    CPPUNIT_ASSERT_EQUAL(2 * kCapacity, gate_->running());
+    CPPUNIT_ASSERT_EQUAL(2 * kCapacity, gate_->demand().running);
+    for (std::uint32_t left = 2 * kCapacity; left > kCapacity; --left) {
+      gate_->leave_unanswered();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE("nobody is admitted above the capacity", left - 1, gate_->running());
+    }
+    gate_->leave_unanswered();
+    CPPUNIT_ASSERT_EQUAL(kCapacity, gate_->running());
+  }
+
+  void outcome_tells_what_was_charged() {
+    share_room(1);
+    const auto first = schedule(1, 0, "a", seconds(1));
+    const auto second = schedule(1, 0, "a", seconds(1));
+    CPPUNIT_ASSERT(first->outcome->charged == Duration(scheduling::kAssumedService));
+    gate_->leave_answered(first->request, milliseconds(30));
+    world_->run_for(Duration(0));
+    CPPUNIT_ASSERT(second->admitted() && second->outcome->charged == Duration(milliseconds(30)));
+    gate_->leave_unused(second->request, *second->outcome);
+    CPPUNIT_ASSERT_EQUAL(0U, gate_->running());
+  }
+
   void demand_counts_by_class() {
     share_room(1);
     schedule(1, 0, "a", seconds(1));
@@ -278,7 +320,7 @@
     CPPUNIT_ASSERT(without->admitted());
     // It finds no link after all and comes again.
     links_.idle.clear();
-    gate_->leave_without_link(without->request);
+    gate_->leave_unused(without->request, *without->outcome);
     CPPUNIT_ASSERT_EQUAL(0U, gate_->running());
   }
 
@@ -295,6 +337,57 @@
     CPPUNIT_ASSERT_MESSAGE("without a statement that ends", entry->admitted());
   }
 
+  void wakes_after_a_pause_that_began_during_the_wait() {
+    links_.opens = false;
+    share_room(2);
+    std::array<std::shared_ptr<ScheduledEntry>, 8> entries;
+    for (auto& entry : entries) entry = schedule(0, 0, "a", seconds(1));
+    world_->run_for(milliseconds(20));
+    const TimePoint opening = runtime_->now() + milliseconds(150);
+    links_.opening_at = opening;
+    gate_->admit_waiting();
+    world_->run_for(milliseconds(149));
+    CPPUNIT_ASSERT_EQUAL(0U, gate_->running());
+    links_.opens = true;
+    links_.opening_at = TimePoint::max();
+    links_.asked = 0;
+    world_->run_for(milliseconds(2));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("without a statement that ends", 2U, gate_->running());
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("admitted in one pass, not one for each waiter", 2, links_.asked);
+    CPPUNIT_ASSERT(entries[0]->outcome->waited <= milliseconds(172));
+  }
+
+  void gate_may_end_before_links_may_open() {
+    links_.opens = false;
+    links_.opening_at = runtime_->now() + milliseconds(150);
+    share_room(1);
+    const auto entry = schedule(0, 0, "a", milliseconds(50));
+    world_->run_for(milliseconds(60));
+    CPPUNIT_ASSERT(entry->outcome && entry->outcome->verdict == GateVerdict::kDeadline);
+    gate_.reset();
+    world_->run_for(milliseconds(200));
+  }
+
+  void retired_links_let_all_waiters_go() {
+    share_room(1);
+    const auto running = schedule(1, 0, "a", seconds(1));
+    std::array<std::shared_ptr<ScheduledEntry>, 5> waiting;
+    for (auto& entry : waiting) entry = schedule(1, 0, "a", seconds(1));
+    const auto in_transaction = schedule(1, 0, "a", seconds(1), true);
+    links_.retired = true;
+    gate_->admit_waiting();
+    world_->run_for(Duration(0));
+    for (const auto& entry : waiting)
+      CPPUNIT_ASSERT(entry->outcome && entry->outcome->verdict == GateVerdict::kRetired);
+    CPPUNIT_ASSERT_EQUAL(1U, gate_->running());
+    const auto late = schedule(1, 0, "a", seconds(1));
+    CPPUNIT_ASSERT(late->outcome && late->outcome->verdict == GateVerdict::kRetired);
+    CPPUNIT_ASSERT_MESSAGE("it has its link and waits for the slot", !in_transaction->outcome);
+    gate_->leave_unanswered();
+    world_->run_for(Duration(0));
+    CPPUNIT_ASSERT(in_transaction->admitted());
+  }
+
   void change_of_room_loses_no_waiter() {
     Entry before;
     Entry running;
@@ -320,8 +413,10 @@
 
   /// Enters with these priorities; the target is half of `timeout`.
   std::shared_ptr<ScheduledEntry> schedule(std::uint64_t route_priority, std::uint64_t tenant_priority,
-                                           const char* tenant, Duration timeout) {
+                                           const char* tenant, Duration timeout,
+                                           bool in_transaction = false) {
     auto entry = std::make_shared<ScheduledEntry>();
+    entry->request.in_transaction = in_transaction;
     entry->request.route_priority = route_priority;
     entry->request.tenant_priority = tenant_priority;
     entry->request.tenant = TenantName(tenant);
