--- a/tests/registered/proxy/links/stateful_pool_test.cpp
+++ b/tests/registered/proxy/links/stateful_pool_test.cpp
@@ -3,6 +3,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
+
 #include "simulation/world.h"
 
 namespace cairnhollow::registered::proxy {
@@ -377,9 +379,9 @@
   void keeps_some_idle_links_longer() {
     pool_->set_limit(4);
     pool_->set_lasting(3, seconds(20));
-    std::vector<AcquireResult> links;
-    for (int link = 0; link < 4; ++link) links.push_back(acquire_one({}));
-    for (int link = 1; link < 4; ++link) pool_->release(links[link].link);
+    std::array<AcquireResult, 4> links;
+    for (AcquireResult& link : links) link = acquire_one({});
+    for (std::size_t link = 1; link < links.size(); ++link) pool_->release(links.at(link).link);
     world_->run_for(seconds(3));
     pool_->trim(runtime_->now(), 1);
     CPPUNIT_ASSERT_EQUAL_MESSAGE("the fourth goes, though one is in use", 2, open_links() - 1);
--- a/tests/registered/proxy/statement/refusal_reasons_test.cpp
+++ b/tests/registered/proxy/statement/refusal_reasons_test.cpp
@@ -1,5 +1,4 @@
 // Every refusal of a statement is logged and counted with its reason and its step.
-#include <regex>
 #include <string>
 #include <vector>
 
@@ -107,17 +106,28 @@
   }
   /// "SINCE at STEP" of the last refused statement.
   [[nodiscard]] std::string last_refusal() const {
-    for (auto line = lines_.rbegin(); line != lines_.rend(); ++line) {
-      if (line->find(" statement_refused ") == std::string::npos) continue;
-      const std::string step = field(*line, " step=(\\S*)");
-      return field(*line, " since=(\\S*)") + " at " +
-             (step.empty() ? field(*line, "\"\\S* at (\\S*) ") : step);
+    std::string refusal;
+    for (const std::string& line : lines_) {
+      if (line.find(" statement_refused ") == std::string::npos) continue;
+      const std::string step = word_after(line, " step=");
+      refusal = word_after(line, " since=") + " at " + (step.empty() ? failed_step(line) : step);
     }
-    return {};
+    return refusal;
+  }
+  /// The characters up to the next blank after the first `prefix`; empty if the line lacks it.
+  static std::string word_after(const std::string& line, const std::string& prefix, std::size_t from = 0) {
+    const std::size_t found = line.find(prefix, from);
+    if (found == std::string::npos) return {};
+    const std::size_t begin = found + prefix.size();
+    return line.substr(begin, line.find(' ', begin) - begin);
   }
-  static std::string field(const std::string& line, const std::string& pattern) {
-    std::smatch found;
-    return std::regex_search(line, found, std::regex(pattern)) ? found[1].str() : std::string();
+  /// The step of a line whose failure is printed as "REASON at STEP ".
+  static std::string failed_step(const std::string& line) {
+    for (std::size_t quote = line.find('"'); quote != std::string::npos; quote = line.find('"', quote + 1)) {
+      const std::size_t end = line.find(' ', quote);
+      if (end != std::string::npos && line.compare(end, 4, " at ") == 0) return word_after(line, " at ", end);
+    }
+    return {};
   }
 
   std::vector<std::string> lines_;
