--- a/tests/registered/capacity/connection_budget_test.cpp
+++ b/tests/registered/capacity/connection_budget_test.cpp
@@ -186,8 +186,10 @@
   }
 
   void proxies_of_other_zones_share_where_the_zone_has_none() {
+    constexpr int kServing = 15;
     std::vector<subset::ProxyPointer> serving;
-    for (int number = 0; number < 15; ++number) {
+    serving.reserve(kServing);
+    for (int number = 0; number < kServing; ++number) {
       serving.push_back(std::make_shared<subset::ProxyView>(
           subset::ProxyView{NodeName(fmt::format("proxy-{}", number)), ZoneName("zone-0"), {"", 1}}));
     }
--- a/tests/registered/proxy/statement/scheduled_admission_test.cpp
+++ b/tests/registered/proxy/statement/scheduled_admission_test.cpp
@@ -136,8 +136,10 @@
     const std::shared_ptr<BackendState> kept =
         stand_->group()->backends.all().at(BackendName(SessionStand::kPrimary));
     stand_->occupy_gate(SessionStand::kPrimary);
+    constexpr int kWaiting = 6;
     std::vector<std::shared_ptr<std::optional<RunResult>>> results;
-    for (int number = 0; number < 6; ++number)
+    results.reserve(kWaiting);
+    for (int number = 0; number < kWaiting; ++number)
       results.push_back(start(stand_->write(std::to_string(number))));
     CPPUNIT_ASSERT_EQUAL(results.size(), kept->gate.waiting());
     registry::FleetDelta removed = stand_->delta();
