Refused classes follow the load in proportion, and another proxy is asked

The level rose by a fifth of a class whatever the excess and fell by a twentieth; the refusal of a forwarded statement was final though other owners had room.

Change: both steps in proportion to how far the load is off; the next proxy is asked when one refuses for its own load. Tests: admits_all_within_two_seconds_of_an_overload, refuses_no_more_than_the_load_asks_for, one_measurement_refuses_little.

--- a/src/registered/overload/class_admission.cpp
+++ b/src/registered/overload/class_admission.cpp
@@ -7,8 +7,8 @@
 
 void ClassAdmission::update(double load, TimePoint now) {
   std::erase_if(classes_, [&](const auto& entry) { return now - entry.second.last_seen > kClassMemory; });
-  if (load > kHighLoad) refused_ += kRefuseStep;
-  if (load < kLowLoad) refused_ -= kAdmitStep;
+  if (load > kHighLoad) refused_ += std::min(kRefuseGain * (load - kHighLoad), kMaxRefuseStep);
+  if (load < kLowLoad) refused_ -= kAdmitGain * (kLowLoad - load);
   const double limit = std::max(static_cast<double>(classes_.size()) - kAlwaysAdmitted, 0.0);
   refused_ = std::clamp(refused_, 0.0, limit);
 }
--- a/src/registered/overload/class_admission.h
+++ b/src/registered/overload/class_admission.h
@@ -2,7 +2,7 @@
 // small a part as keeps the load below saturation. Pure: the caller passes load and time.
 //
 // Priority admission by measured load as in "Overload Control for Scaling WeChat Microservices" (Zhou et al.,
-// 2018): the level moves up quickly while the machine is overloaded and down slowly afterwards.
+// 2018), with a level that moves in proportion to how far the load is off.
 #pragma once
 
 #include <cstdint>
@@ -19,10 +19,13 @@
 inline constexpr double kHighLoad = 0.8;
 /// Below this load more work is admitted again.
 inline constexpr double kLowLoad = 0.65;
-/// Part of a class by which the refused part grows with each measurement above kHighLoad, and shrinks with
-/// each below kLowLoad: a class is refused whole within half a second, and admitted within two seconds.
-inline constexpr double kRefuseStep = 0.2;
-inline constexpr double kAdmitStep = 0.05;
+/// How much of a class the refused part grows by for each measurement, per part of the link above kHighLoad,
+/// and shrinks by, per part below kLowLoad: in proportion, so that it settles between both.
+inline constexpr double kRefuseGain = 1.5;
+inline constexpr double kAdmitGain = 1.0;
+/// Longest step upwards, in classes: a class is refused whole within half a second. Messages that were queued
+/// at once may show many times the link's rate.
+inline constexpr double kMaxRefuseStep = 0.2;
 /// Part of the highest class that is admitted whatever the load: only answers show that the load has ended.
 inline constexpr double kAlwaysAdmitted = 0.1;
 /// A class counts as present for this long after its last statement.
--- a/src/registered/proxy/forwarding/forward_server.cpp
+++ b/src/registered/proxy/forwarding/forward_server.cpp
@@ -178,7 +178,8 @@
   forwarded.nothing_run = result.nothing_run;
   forwarded.at_primary = result.served_by == ServedBy::kPrimary;
   const bool cannot_serve = placement::may_other_proxy_serve(proxy_facts(services_.view, *group));
-  forwarded.may_try_another = cannot_serve && forwarded.answer.refusal == Refusal::kBusy;
+  // Another proxy may be less loaded than this one.
+  forwarded.may_try_another = (cannot_serve || !is_admitted) && forwarded.answer.refusal == Refusal::kBusy;
   if (!result.pinned) co_return forwarded;
   if (connection->ended) {
     co_await runner_.transactions().roll_back(*result.pinned);
--- a/tests/registered/overload/class_admission_test.cpp
+++ b/tests/registered/overload/class_admission_test.cpp
@@ -74,6 +74,9 @@
   CPPUNIT_TEST(refuses_the_next_class_when_the_lowest_is_not_enough);
   CPPUNIT_TEST(some_of_the_highest_class_is_always_admitted);
   CPPUNIT_TEST(admits_all_again_after_overload);
+  CPPUNIT_TEST(admits_all_within_two_seconds_of_an_overload);
+  CPPUNIT_TEST(refuses_no_more_than_the_load_asks_for);
+  CPPUNIT_TEST(one_measurement_refuses_little);
   CPPUNIT_TEST(a_class_that_is_gone_counts_no_more);
   CPPUNIT_TEST(load_counts_payload_and_headers);
   CPPUNIT_TEST_SUITE_END();
@@ -126,6 +129,32 @@
     CPPUNIT_ASSERT_EQUAL(0.0, play.admission().refused_classes());
   }
 
+  void admits_all_within_two_seconds_of_an_overload() {
+    Play play(true);
+    play.run({200, 200, 200}, 100, seconds(5));
+    CPPUNIT_ASSERT(play.admission().refused_classes() > 2);
+    play.run({13, 13, 14}, 100, seconds(2));
+    CPPUNIT_ASSERT_EQUAL(0.0, play.admission().refused_classes());
+  }
+
+  void refuses_no_more_than_the_load_asks_for() {
+    Play play(true);
+    play.run({20, 40, 50}, 100, seconds(5));
+    for (std::size_t one = 0; one < kClasses; ++one) play.take_admitted(one);
+    play.run({20, 40, 50}, 100, seconds(20));
+    CPPUNIT_ASSERT_EQUAL(1.0, play.take_admitted(0));
+    CPPUNIT_ASSERT_EQUAL(1.0, play.take_admitted(1));
+    CPPUNIT_ASSERT_MESSAGE("there is room for a tenth of it at the least", play.take_admitted(2) >= 0.1);
+  }
+
+  void one_measurement_refuses_little() {
+    ClassAdmission admission;
+    const TimePoint start{seconds(100)};
+    for (const std::uint64_t priority : {0, 1, 2}) admission.admits(priority, start);
+    admission.update(20, start);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(kMaxRefuseStep, admission.refused_classes(), 1e-9);
+  }
+
   void a_class_that_is_gone_counts_no_more() {
     ClassAdmission admission;
     const TimePoint start{seconds(100)};
