Comments of the parts under load in plain terms

Cause: read through as a newcomer: 'tell' for reports between owners, and three figurative phrases found in review. Conclusion: the code is token by token the same.

--- a/src/registered/balancing/expected_completion.h
+++ b/src/registered/balancing/expected_completion.h
@@ -11,7 +11,7 @@
 inline constexpr double kOtherZoneCostMs = 30.0;
 /// Milliseconds added for a backend of another region: the longest round trip between regions. Reads spill
 /// over only while the wait in their own region exceeds the way to the other one. The observed latency alone
-/// does not keep them: without reads it decays to the group's average and forgets the way.
+/// does not keep them: without reads it decays to the group's average and no longer shows the distance.
 inline constexpr double kOtherRegionCostMs = 80.0;
 /// Milliseconds added to the primary, so that reads go to replicas unless these are slower by more than this.
 inline constexpr double kPrimaryReadCostMs = 12.0;
--- a/src/registered/balancing/outlier_detection.h
+++ b/src/registered/balancing/outlier_detection.h
@@ -26,7 +26,7 @@
 inline constexpr double kOutlierDeviations = 3;
 /// Time for which an outlier is passed over. Doubled if it ends less than kEjectionMemory before the next, up
 /// to kMaxEjectionTime. Between two of them the backend is judged by at least kMinOutcomes new outcomes, so a
-/// failing one gets a small part of the reads, and a mended one is back soon.
+/// failing one gets a small part of the reads, and a recovered one is used again soon.
 inline constexpr Duration kEjectionTime = std::chrono::seconds(1);
 inline constexpr Duration kMaxEjectionTime = std::chrono::seconds(8);
 inline constexpr Duration kEjectionMemory = std::chrono::seconds(10);
--- a/src/registered/balancing/region_division.cpp
+++ b/src/registered/balancing/region_division.cpp
@@ -78,7 +78,7 @@
   if (!are_in_one_region(backend, proxy)) return kRemoteRegionLinks;
   const std::uint64_t in_zone = count_in(backend);
   if (in_zone > 0 && proxy != backend) return kOtherZoneLinks;
-  // Without a proxy in the backend's zone, those of its region stand in for it.
+  // Without a proxy in the backend's zone, those of its region share its links.
   const std::uint64_t sharing = in_zone > 0 ? in_zone : in_region;
   const std::uint64_t reserved =
       (all_ - in_region) * kRemoteRegionLinks + (in_region - sharing) * kOtherZoneLinks;
--- a/src/registered/capacity/backend_owners.h
+++ b/src/registered/capacity/backend_owners.h
@@ -1,5 +1,5 @@
-// Selects the proxies that own a backend: they alone keep links to it in calm and divide its slots among
-// themselves. Pure functions: every proxy with the same membership selects the same owners.
+// Selects the proxies that own a backend: they alone keep links to it while no owner changes, and divide its
+// slots among themselves. Pure functions: every proxy with the same membership selects the same owners.
 #pragma once
 
 #include <cstddef>
--- a/src/registered/capacity/backend_room.h
+++ b/src/registered/capacity/backend_room.h
@@ -1,5 +1,5 @@
-// This proxy's part of a backend's slots, worked out from what the backend's owners have told each other.
-// Pure: the caller passes the time.
+// This proxy's part of a backend's slots, computed from the demands that the backend's owners have reported
+// to each other. Pure: the caller passes the time.
 #pragma once
 
 #include <chrono>
@@ -17,11 +17,11 @@
 /// kDemandLifetime, so that one lost message changes nothing: a message and its answer take some 400 bytes of
 /// the machines' links, which statements need.
 inline constexpr Duration kDemandInterval = std::chrono::milliseconds(50);
-/// An owner that has told nothing for this long counts with its static part. Two lost messages in a row, and
-/// as long as a healthy process may be stopped by CPU throttling.
+/// An owner that has reported nothing for this long counts with its static part. Two lost messages in a row,
+/// and as long as a healthy process may be stopped by CPU throttling.
 inline constexpr Duration kDemandLifetime = std::chrono::milliseconds(100);
 /// Statements that an owner sends beyond its part, so that a slot is not idle while answers and the next
-/// statements are on their way, and a burst does not wait until the others have told what they need.
+/// statements are on their way, and a burst does not wait until the others have reported their demands.
 inline constexpr std::uint32_t kBacklogPerOwner = 2;
 /// Statements that a proxy that owns no part of the backend may run there at once.
 inline constexpr std::uint32_t kGuestStatements = 2;
--- a/src/registered/proxy/forwarding/forward_messages.h
+++ b/src/registered/proxy/forwarding/forward_messages.h
@@ -95,13 +95,13 @@
   }
 };
 
-/// Tells another owner of the backend what this one needs of its slots.
+/// Reports to another owner of the backend what this one needs of its slots.
 struct ForwardDemand {
   GroupName group;
   BackendName backend;
-  NodeName owner;  ///< the proxy that tells
+  NodeName owner;  ///< the reporting proxy
   scheduling::SlotDemand demand;
-  bool wants_reply = false;  ///< the other owner tells its demand, too
+  bool wants_reply = false;  ///< the other owner is to report its demand, too
   template <class Archive>
   void serialize(Archive& archive) {
     archive(group, backend, owner, demand, wants_reply);
--- a/src/registered/proxy/links/stateful_pool.h
+++ b/src/registered/proxy/links/stateful_pool.h
@@ -158,7 +158,7 @@
   /// Called when the backend refused a connection at its limit. For kDialPause, may_dial() then permits a
   /// connection only in exchange for an idle one.
   void pause_dialling();
-  /// Tells those who wait for a link that there is room.
+  /// Notifies those who wait for a link that there is room.
   void announce_room();
   /// Logs at debug level that a link was released and whether it was newly opened.
   void log_release(const StatefulLink& link) const;
