--- a/tests/registered/proxy/capacity/demand_exchange_test.cpp
+++ b/tests/registered/proxy/capacity/demand_exchange_test.cpp
@@ -27,6 +27,9 @@
   }
 
   std::vector<ForwardDemand> told;
+  /// Ends accepting connections; to be called before the network ends.
+  void stop_listening() { listener_->close(); }
+
   std::vector<TimePoint> told_at;
   bool frozen = false;
 
@@ -87,6 +90,8 @@
     stand_->confirm(seconds(60), seconds(60));
   }
   void tearDown() override {
+    // The listener closes through the stand's network; coroutines refer to the rest until the stand ends.
+    other_->stop_listening();
     stand_.reset();
     other_.reset();
   }
