Gate metrics are computed when they are fetched

Cause: found in reading the whole change: a loop over all groups and backends ran on each watch tick for two gauges, beside another that runs when metrics are fetched. Change: both run when metrics are fetched. Build and CallerSessionTest (14) pass; the whole suite was not run on it.

--- a/src/registered/proxy/session_proxy.cpp
+++ b/src/registered/proxy/session_proxy.cpp
@@ -313,7 +313,6 @@
     log_return();
     watch_primaries(now);
     trim_links(now);
-    report_gates();
     end_evacuated_work();
     const Duration idle_limit = view_.transaction_idle();
     if (idle_limit == Duration(0)) continue;
@@ -336,6 +335,7 @@
 }
 
 std::string SessionProxy::render_metrics() {
+  report_gates();
   measure_owned_backends();
   metrics_.set_sessions(sessions_.size());
   return metrics_.render();
