--- a/simulation/virtual_network.cpp
+++ b/simulation/virtual_network.cpp
@@ -77,9 +77,9 @@
   if (dial->done && dial->stream) co_return dial->stream;
   dial->given_up = true;
   const bool refused = dial->done;
-  reason =
-      Reason{refused ? ReasonCode::kUnreachable : ReasonCode::kDeadlineExceeded, "open_connection",
-             endpoint.to_string(), refused ? "connection refused" : "no answer to the connection attempt"};
+  reason = Reason{refused ? ReasonCode::kUnreachable : ReasonCode::kDeadlineExceeded, "open_connection",
+                  endpoint.to_string(),
+                  refused ? "connection refused" : "no answer to the connection attempt", refused};
   co_return nullptr;
 }
 
--- a/src/base/reason.h
+++ b/src/base/reason.h
@@ -49,6 +49,8 @@
   std::string step;    ///< what was being done, e.g. "fence", "open_connection"
   std::string peer;    ///< node name or address:port at the other end; empty for local steps
   std::string detail;  ///< one plain sentence; names the field for bad input
+  /// With kUnreachable: the peer's machine answered that no process listens at the endpoint. Not serialized.
+  bool is_connection_refused = false;
 
   /// True once a failure was recorded.
   [[nodiscard]] bool failed() const { return code != ReasonCode::kNone; }
--- a/src/registered/control/control_metrics.cpp
+++ b/src/registered/control/control_metrics.cpp
@@ -35,6 +35,8 @@
         fleet_.groups().size());
   gauge("cairnhollow_registry_groups_open", "Open database groups, whose primary may be used.", open_groups);
   gauge("cairnhollow_registry_backends", "Registered backends.", fleet_.backends().size());
+  gauge("cairnhollow_registry_departed_members",
+        "Former members of groups whose logs no other member is known to hold.", fleet_.departed().size());
   gauge("cairnhollow_registry_proxies", "Admitted proxies, which may hold a lease.", fleet_.proxies().size());
   gauge("cairnhollow_registry_followers", "Proxies connected to this node.", leases_.followers());
   for (std::size_t place = 0; place < registry::kRegistrationFaults; ++place) {
--- a/src/registered/control/failover/group_keeper.cpp
+++ b/src/registered/control/failover/group_keeper.cpp
@@ -18,8 +18,8 @@
       wake_(runtime),
       terms_(runtime, consensus, fleet, calls),
       pauses_(runtime, fleet, prober),
-      members_(runtime, fleet, terms_, prober, wake_),
-      log_comparison_(runtime, fleet, leases, prober, members_, pauses_, std::move(settings.regions)),
+      settlement_(runtime, fleet, terms_, prober, wake_),
+      log_comparison_(fleet, leases, prober, pauses_, std::move(settings.regions)),
       primary_check_(runtime, fleet, terms_, prober, log_comparison_, suspicions_),
       planned_change_(runtime, fleet, prober),
       fence_wait_(runtime, terms_, leases, pauses_),
@@ -43,7 +43,7 @@
 Awaitable<void> GroupKeeper::run() {
   while (!stopping_) {
     pauses_.record_members();
-    members_.update_all();
+    settlement_.settle_all();
     if (!terms_.leads()) {
       idle_revision_.reset();
       release_.clear();
@@ -59,7 +59,7 @@
   for (const auto& group : fleet_.groups()) check(group.name);
   // The group checks can be skipped until the fleet changes or a proxy suspects a primary.
   idle_revision_.reset();
-  if (busy_.empty() && !members_.is_comparing()) idle_revision_ = revision;
+  if (busy_.empty() && !settlement_.is_running()) idle_revision_ = revision;
 }
 
 void GroupKeeper::check(const GroupName& group) {
--- a/src/registered/control/failover/group_keeper.h
+++ b/src/registered/control/failover/group_keeper.h
@@ -30,7 +30,7 @@
 #include "registered/control/failover/group_prober.h"
 #include "registered/control/failover/group_terms.h"
 #include "registered/control/failover/log_comparison.h"
-#include "registered/control/failover/membership_watch.h"
+#include "registered/control/failover/member_settlement.h"
 #include "registered/control/failover/pause_release.h"
 #include "registered/control/failover/planned_change.h"
 #include "registered/control/failover/primary_check.h"
@@ -108,7 +108,7 @@
   GroupTerms terms_;
   PrimarySuspicions suspicions_;
   ReplicationPauses pauses_;
-  MembershipWatch members_;
+  MemberSettlement settlement_;
   LogComparison log_comparison_;
   PrimaryCheck primary_check_;
   PlannedChange planned_change_;
--- a/src/registered/control/failover/group_prober.cpp
+++ b/src/registered/control/failover/group_prober.cpp
@@ -42,6 +42,19 @@
   co_return refusal == Refusal::kWrongBackend;
 }
 
+Awaitable<bool> GroupProber::has_ended(registry::BackendEntry entry) {
+  // An idle connection that still answers spares a new one.
+  Reason reason;
+  const auto status = co_await query(entry, runtime_.now() + kStatusTimeout, reason);
+  if (status || reason.is_connection_refused) co_return !status;
+  Reason dial_reason;
+  std::optional<Refusal> refusal;
+  const BackendAddress address{entry.endpoint, entry.group, entry.name};
+  const auto link = co_await dialer_.open(address, runtime_.now() + kStatusTimeout, refusal, dial_reason);
+  if (link) link->close();
+  co_return refusal == Refusal::kWrongBackend || (!link && dial_reason.is_connection_refused);
+}
+
 std::shared_ptr<BackendLink> GroupProber::take_idle(const registry::BackendEntry& entry) {
   const auto idle = idle_.find(entry.name);
   if (idle == idle_.end()) return nullptr;
@@ -86,8 +99,10 @@
   Reason reason;
   const registry::BackendEntry entry = group_query->findings[index].entry;
   const TimePoint deadline = runtime_.now() + kStatusTimeout;
-  const auto status = co_await query(entry, deadline, reason);
-  group_query->findings[index].status = status;
+  if (!group_query->findings[index].has_ended) {
+    const auto status = co_await query(entry, deadline, reason);
+    group_query->findings[index].status = status;
+  }
   --group_query->unanswered;
   group_query->answered.notify_all();
 }
--- a/src/registered/control/failover/group_prober.h
+++ b/src/registered/control/failover/group_prober.h
@@ -42,8 +42,11 @@
   /// Returns true if a backend with another name answers at the entry's address, false if there is no
   /// definite answer.
   Awaitable<bool> is_address_reused(registry::BackendEntry entry, TimePoint deadline);
-  /// Queries all members concurrently. Returns when all have answered or timed out, or as soon as
-  /// `stop_early` returns true for the findings so far.
+  /// Whether the backend has certainly ended: its machine refuses connections at the entry's address, or
+  /// another backend answers there. False if there is no definite answer.
+  Awaitable<bool> has_ended(registry::BackendEntry entry);
+  /// Queries all members concurrently, except those that have ended. Returns when all have answered or timed
+  /// out, or as soon as `stop_early` returns true for the findings so far.
   using StopCondition = std::function<bool(const std::vector<MemberFinding>&)>;
   Awaitable<std::vector<MemberFinding>> query_all(std::vector<MemberFinding> members,
                                                   StopCondition stop_early = nullptr);
--- a/src/registered/control/failover/group_terms.cpp
+++ b/src/registered/control/failover/group_terms.cpp
@@ -45,6 +45,17 @@
   co_return done;
 }
 
+Awaitable<bool> GroupTerms::settle(GroupTerm term, std::vector<registry::DepartedMember> departed) {
+  std::string names;
+  for (const registry::DepartedMember& member : departed)
+    names += (names.empty() ? "" : " ") + member.incarnation.name.value;
+  Reason reason;
+  registry::SingleCommand command = registry::SettleDeparted{term.group, std::move(departed)};
+  const bool done = co_await calls_.submit_batched(std::move(command), reason);
+  if (done) log("members_settled", term, "another member holds the logs of departed members: " + names);
+  co_return done;
+}
+
 void GroupTerms::log(const char* event, const GroupTerm& term, const std::string& why) {
   runtime_.logger().log(runtime::LogLevel::kInfo, event,
                         {{"group", term.group.value},
--- a/src/registered/control/failover/group_terms.h
+++ b/src/registered/control/failover/group_terms.h
@@ -43,6 +43,8 @@
   /// Opens the group with `primary`, which is primary of `term`. Returns as close().
   Awaitable<bool> open(registry::GroupTerm closed, registry::BackendIncarnation primary, std::uint64_t term,
                        std::string why);
+  /// Records that a remaining member holds what the departed members held. Returns as close().
+  Awaitable<bool> settle(registry::GroupTerm term, std::vector<registry::DepartedMember> departed);
   /// Logs a failover event with the fields of the term.
   void log(const char* event, const registry::GroupTerm& term, const std::string& why);
 
--- a/src/registered/control/failover/log_comparison.cpp
+++ b/src/registered/control/failover/log_comparison.cpp
@@ -1,6 +1,7 @@
 #include "registered/control/failover/log_comparison.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cairnhollow::registered::control {
 
@@ -17,9 +18,6 @@
   facts.min_unresponsive_revision = progress.min_unresponsive_revision;
   facts.highest_acknowledged = progress.highest_acknowledged;
   facts.allowing_routes = regions_.allowing_routes(closed.group, fleet_.backends_of(closed.group));
-  const Membership& membership = members_.update(closed.group);
-  facts.members_are_stable = membership.is_stable(runtime_.now());
-  facts.replaced_incarnation_is_unsettled = membership.is_unsettled && membership.was_replaced;
   return facts;
 }
 
@@ -31,6 +29,9 @@
         entry.has_start_time() && fleet_.backend_revision(entry.name) >= closed.opened_at;
     members.push_back({std::move(entry), std::nullopt, joined_in_term});
   }
+  for (const registry::DepartedMember& departed : departed_replicas(fleet_, closed))
+    members.push_back(
+        {departed_entry(departed, closed.group), std::nullopt, false, false, true, departed.has_ended});
   return members;
 }
 
@@ -50,17 +51,21 @@
 Awaitable<PromotionFacts> LogComparison::gather_facts(GroupTerm closed) {
   PromotionFacts facts = facts_without_members(closed);
   const auto suffices = [this, facts](const std::vector<MemberFinding>& findings) mutable {
-    facts.members = findings;
-    mark_evacuated(facts.members);
+    set_findings(facts, findings);
     return facts_suffice(facts);
   };
-  facts.members = co_await prober_.query_all(members_to_query(closed), suffices);
-  mark_evacuated(facts.members);
+  auto findings = co_await prober_.query_all(members_to_query(closed), suffices);
+  set_findings(facts, std::move(findings));
   co_return facts;
 }
 
-void LogComparison::mark_evacuated(std::vector<MemberFinding>& members) const {
-  for (MemberFinding& member : members) member.evacuated = fleet_.is_evacuated(member.entry.zone);
+void LogComparison::set_findings(PromotionFacts& facts, std::vector<MemberFinding> findings) const {
+  facts.members.clear();
+  facts.departed.clear();
+  for (MemberFinding& finding : findings) {
+    finding.evacuated = fleet_.is_evacuated(finding.entry.zone);
+    (finding.has_departed ? facts.departed : facts.members).push_back(std::move(finding));
+  }
 }
 
 PromotionChoice LogComparison::choose(const PromotionFacts& facts) const {
--- a/src/registered/control/failover/log_comparison.h
+++ b/src/registered/control/failover/log_comparison.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "registered/control/failover/group_prober.h"
-#include "registered/control/failover/membership_watch.h"
+#include "registered/control/failover/member_settlement.h"
 #include "registered/control/failover/promotion_choice.h"
 #include "registered/control/failover/region_preference.h"
 #include "registered/control/failover/replication_pauses.h"
@@ -23,14 +23,11 @@
 /// Referenced objects are not owned and must outlive this object, which must live until the process exits.
 class LogComparison {
  public:
-  LogComparison(runtime::Runtime& runtime, const registry::FleetStateMachine& fleet, LeaseKeeper& leases,
-                GroupProber& prober, MembershipWatch& members, const ReplicationPauses& pauses,
-                locality::RegionMap regions)
-      : runtime_(runtime),
-        fleet_(fleet),
+  LogComparison(const registry::FleetStateMachine& fleet, LeaseKeeper& leases, GroupProber& prober,
+                const ReplicationPauses& pauses, locality::RegionMap regions)
+      : fleet_(fleet),
         leases_(leases),
         prober_(prober),
-        members_(members),
         pauses_(pauses),
         regions_(fleet, std::move(regions)) {}
 
@@ -44,17 +41,17 @@
 
  private:
   [[nodiscard]] PromotionFacts facts_without_members(const registry::GroupTerm& closed);
+  /// The members, followed by the departed ones.
   [[nodiscard]] std::vector<MemberFinding> members_to_query(const registry::GroupTerm& closed) const;
+  /// Sets the findings of members_to_query().
+  void set_findings(PromotionFacts& facts, std::vector<MemberFinding> findings) const;
   /// Whether the facts prove a replica outside evacuated zones, regardless of what the old primary would
   /// answer.
   [[nodiscard]] bool facts_suffice(const PromotionFacts& facts) const;
-  void mark_evacuated(std::vector<MemberFinding>& members) const;
 
-  runtime::Runtime& runtime_;
   const registry::FleetStateMachine& fleet_;
   LeaseKeeper& leases_;
   GroupProber& prober_;
-  MembershipWatch& members_;
   const ReplicationPauses& pauses_;
   RegionPreference regions_;
 };
--- a/src/registered/control/failover/promotion_choice.cpp
+++ b/src/registered/control/failover/promotion_choice.cpp
@@ -125,6 +125,15 @@
   });
 }
 
+/// Returns a departed member that may hold more than the candidate, or null if each has been compared.
+const MemberFinding* find_departed_ahead(const MemberFinding& candidate, const PromotionFacts& facts) {
+  const auto found =
+      std::find_if(facts.departed.begin(), facts.departed.end(), [&](const MemberFinding& departed) {
+        return !is_comparable(departed, facts) || departed.status->received > candidate.status->received;
+      });
+  return found == facts.departed.end() ? nullptr : &*found;
+}
+
 std::size_t count_allowing_routes(const MemberFinding& member, const PromotionFacts& facts) {
   const auto found = facts.allowing_routes.find(member.entry.name);
   return found == facts.allowing_routes.end() ? 0 : found->second;
@@ -151,13 +160,12 @@
 Proof prove(const MemberFinding& candidate, const PromotionFacts& facts) {
   Proof by_position = prove_by_position(candidate, facts);
   if (by_position.holds_all || may_have_lost_log(candidate, facts)) return by_position;
-  const Position& position = candidate.status->received;
-  const bool reaches_highest_known =
-      !facts.replaced_incarnation_is_unsettled && position >= facts.highest_acknowledged;
-  const bool departed_held_no_more = facts.members_are_stable || reaches_highest_known;
-  const bool is_furthest = is_furthest_of_all(candidate, facts);
-  if (is_furthest && all_replicas_compared(facts) && facts.synchronous_replicas > 0 && departed_held_no_more)
-    return {true, "its log is the furthest of all replicas"};
+  if (!is_furthest_of_all(candidate, facts) || !all_replicas_compared(facts) ||
+      facts.synchronous_replicas == 0)
+    return by_position;
+  const MemberFinding* unproved = find_departed_ahead(candidate, facts);
+  if (unproved == nullptr) return {true, "its log is the furthest of all replicas"};
+  by_position.why += fmt::format("; {}, a former member, may hold more", unproved->entry.name.value);
   return by_position;
 }
 
--- a/src/registered/control/failover/promotion_choice.h
+++ b/src/registered/control/failover/promotion_choice.h
@@ -18,19 +18,18 @@
   std::optional<BackendStatus> status;  ///< empty if it did not answer
   /// It was registered or changed since the closed term opened, so its incarnation may have started since.
   bool joined_in_term = false;
-  bool evacuated = false;  ///< its zone is evacuated, so it could not serve as primary
+  bool evacuated = false;     ///< its zone is evacuated, so it could not serve as primary
+  bool has_departed = false;  ///< it is no longer registered
+  bool has_ended = false;     ///< it cannot be queried: what answers in its place is another incarnation
 };
 
 struct PromotionFacts {
   registry::GroupTerm closed;  ///< the term whose primary is replaced
   std::uint64_t synchronous_replicas = 0;
   std::vector<MemberFinding> members;
-  /// No incarnation has left the group for long enough that the remaining members have received everything it
-  /// held.
-  bool members_are_stable = false;
-  /// An incarnation that was replaced under the same name may have been the only one besides the primary to
-  /// hold acknowledged commits, and no other member has been seen to hold as much as the primary since.
-  bool replaced_incarnation_is_unsettled = false;
+  /// Former members that may be the only ones besides the primary to hold acknowledged commits, as no
+  /// remaining member is known to hold what they held. They are compared, but are no candidates.
+  std::vector<MemberFinding> departed;
   /// Every proxy that may have acknowledged commits in that term has reported its highest position.
   bool all_acknowledgers_answered = false;
   /// Every admitted proxy has acknowledged the close, so none uses the closed term's primary.
@@ -69,8 +68,10 @@
 bool has_lost_log(const MemberFinding& member, const PromotionFacts& facts);
 
 /// Invariant: with one synchronous replica, an acknowledged commit is on the primary and on at least one
-/// replica, each in one incarnation. The furthest log therefore holds it if all replicas were compared, if
-/// the old primary was compared, or if the log reaches the highest position that any proxy acknowledged.
+/// replica, each in one incarnation. The furthest log therefore holds it if all replicas were compared, those
+/// that departed included; if the old primary was compared; or if the log reaches the highest position that
+/// any proxy acknowledged and every proxy that may have acknowledged commits has answered. What the proxies
+/// that did answer acknowledged is no bound on what the others did.
 ///
 /// Rules:
 /// - A candidate outside evacuated zones that is proved to hold every acknowledged commit is preferred, even
--- a/src/registered/registry/commands.h
+++ b/src/registered/registry/commands.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "registered/registry/departed_members.h"
 #include "registered/registry/model.h"
 
 namespace cairnhollow::registered::registry {
@@ -99,9 +100,20 @@
   }
 };
 
+/// A remaining member is known to hold what these departed members of the group held.
+struct SettleDeparted {
+  GroupName group;
+  std::vector<DepartedMember> departed;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(group, departed);
+  }
+};
+
 /// The index of each alternative is part of the log format; append new alternatives at the end.
-using SingleCommand = std::variant<ReplaceDocument, RegisterBackend, DeregisterBackend, AdmitProxy,
-                                   ForgetProxy, CloseGroup, OpenGroup, BeginEvacuation, EndEvacuation>;
+using SingleCommand =
+    std::variant<ReplaceDocument, RegisterBackend, DeregisterBackend, AdmitProxy, ForgetProxy, CloseGroup,
+                 OpenGroup, BeginEvacuation, EndEvacuation, SettleDeparted>;
 
 /// Commands that are applied in order as one change of the state.
 struct CommandBatch {
@@ -113,8 +125,9 @@
 };
 
 /// The index of each alternative is part of the log format; append new alternatives at the end.
-using Command = std::variant<ReplaceDocument, RegisterBackend, DeregisterBackend, AdmitProxy, ForgetProxy,
-                             CloseGroup, OpenGroup, CommandBatch, BeginEvacuation, EndEvacuation>;
+using Command =
+    std::variant<ReplaceDocument, RegisterBackend, DeregisterBackend, AdmitProxy, ForgetProxy, CloseGroup,
+                 OpenGroup, CommandBatch, BeginEvacuation, EndEvacuation, SettleDeparted>;
 
 /// A log entry.
 struct LoggedCommand {
--- a/src/registered/registry/state_machine.cpp
+++ b/src/registered/registry/state_machine.cpp
@@ -71,7 +71,8 @@
   // An address belongs to the backend that started there last or, if neither reports a start time, registered
   // there last.
   if (entry.is_older_incarnation_than(*other)) return false;
-  remove_backend(BackendName(found->second));
+  // A leaving backend whose deregistration did not arrive passes its log on as well.
+  remove_backend(BackendName(found->second), !other->leaving);
   return true;
 }
 
@@ -80,7 +81,7 @@
   // The command refers to an earlier incarnation; the registered one remains.
   if (held != nullptr && command.start_time_ms != 0 && command.start_time_ms < held->start_time_ms)
     return false;
-  return remove_backend(command.name);
+  return remove_backend(command.name, false);
 }
 
 bool FleetStateMachine::execute(BeginEvacuation& command) {
@@ -93,6 +94,12 @@
   return state_.evacuations.remove(command.zone, next_revision());
 }
 
+bool FleetStateMachine::execute(SettleDeparted& command) {
+  state_.departed.settle(command.group, command.departed);
+  // Proxies are not sent the departed members, so the revision remains.
+  return false;
+}
+
 bool FleetStateMachine::execute(CommandBatch& command) {
   bool effective = false;
   for (SingleCommand& single : command.commands) {
@@ -116,18 +123,31 @@
 void FleetStateMachine::put_backend(BackendEntry entry) {
   const BackendEntry* held = state_.backends.find(entry.name);
   if (held != nullptr) {
+    if (held->incarnation() != entry.incarnation() || held->group != entry.group)
+      record_departure(*held, true);
     members_[held->group].erase(entry.name);
     backend_at_endpoint_.erase(held->endpoint);
   }
+  state_.departed.record_registration(entry, next_revision());
   index_backend(entry);
   const BackendName name = entry.name;
   state_.ended_start_times.erase(name);
   state_.backends.put(name, std::move(entry), next_revision());
 }
 
-bool FleetStateMachine::remove_backend(const BackendName& name) {
+void FleetStateMachine::record_departure(const BackendEntry& held, bool has_ended) {
+  // Nothing is acknowledged before the first primary is known.
+  const GroupTerm* term = find_term(held.group);
+  if (term == nullptr) return;
+  const std::uint64_t led_term = term->is_led_by(held) ? term->term : 0;
+  state_.departed.record(held.group,
+                         {held.incarnation(), held.endpoint, next_revision(), led_term, has_ended});
+}
+
+bool FleetStateMachine::remove_backend(const BackendName& name, bool has_ended) {
   const BackendEntry* held = state_.backends.find(name);
   if (held == nullptr) return false;
+  record_departure(*held, has_ended);
   members_[held->group].erase(name);
   backend_at_endpoint_.erase(held->endpoint);
   if (held->has_start_time()) state_.ended_start_times[name] = held->start_time_ms;
@@ -209,6 +229,7 @@
   if (!state) return false;
   state_ = std::move(*state);
   proxies_revision_ = state_.revision;
+  if (!state_.records_departed) assume_departed();
   members_.clear();
   backend_at_endpoint_.clear();
   for (const BackendEntry& entry : state_.backends.all()) index_backend(entry);
@@ -217,6 +238,12 @@
   return true;
 }
 
+void FleetStateMachine::assume_departed() {
+  state_.records_departed = true;
+  for (const GroupTerm& term : state_.terms.all())
+    state_.departed.record(term.group, {BackendIncarnation{}, Endpoint{}, state_.revision, 0, true});
+}
+
 std::vector<BackendEntry> FleetStateMachine::backends_of(const GroupName& group) const {
   std::vector<BackendEntry> members;
   for (const BackendName& name : members_of(group)) members.push_back(*state_.backends.find(name));
--- a/src/registered/registry/state_machine.h
+++ b/src/registered/registry/state_machine.h
@@ -11,6 +11,7 @@
 #include "consensus/consensus.h"
 #include "registered/registry/commands.h"
 #include "registered/registry/delta.h"
+#include "registered/registry/departed_members.h"
 #include "registered/registry/revised_table.h"
 #include "runtime/signal.h"
 
@@ -72,6 +73,8 @@
   [[nodiscard]] std::set<BackendIncarnation> incarnations_of(const GroupName& group) const;
   [[nodiscard]] std::vector<BackendEntry> backends() const { return state_.backends.all(); }
   [[nodiscard]] const GroupTerm* find_term(const GroupName& group) const { return state_.terms.find(group); }
+  /// Former members whose logs no remaining member is known to hold.
+  [[nodiscard]] const DepartedMembers& departed() const { return state_.departed; }
   [[nodiscard]] std::vector<Evacuation> evacuations() const { return state_.evacuations.all(); }
   [[nodiscard]] bool is_evacuated(const ZoneName& zone) const {
     return state_.evacuations.find(zone) != nullptr;
@@ -118,6 +121,9 @@
     /// stale.
     std::map<BackendName, std::uint64_t> ended_start_times;
     RevisedTable<ZoneName, Evacuation> evacuations;
+    DepartedMembers departed;
+    /// False in snapshots of builds that did not record departed members.
+    bool records_departed = true;
 
     template <class Archive>
     void serialize(Archive& archive) {
@@ -127,6 +133,8 @@
       wire::since(archive, wire::kTenantsFormat, tenants, RevisedTable<TenantName, TenantRule>());
       wire::since(archive, wire::kPlacementFormat, ended_start_times, std::map<BackendName, std::uint64_t>());
       wire::since(archive, wire::kPlacementFormat, evacuations, RevisedTable<ZoneName, Evacuation>());
+      wire::since(archive, wire::kEvidenceFormat, departed, DepartedMembers());
+      wire::since(archive, wire::kEvidenceFormat, records_departed, false);
     }
   };
 
@@ -139,10 +147,15 @@
   bool execute(OpenGroup& command);
   bool execute(BeginEvacuation& command);
   bool execute(EndEvacuation& command);
+  bool execute(SettleDeparted& command);
   bool execute(CommandBatch& command);
   void put_term(const GroupTerm& term);
   void put_backend(BackendEntry entry);
-  bool remove_backend(const BackendName& name);
+  /// `has_ended`: it is known not to run any more.
+  bool remove_backend(const BackendName& name, bool has_ended);
+  void record_departure(const BackendEntry& held, bool has_ended);
+  /// Assumes a departed member in each group after the snapshot of a build that recorded none.
+  void assume_departed();
   /// Removes the backend previously registered at the entry's address. Returns false if the entry is stale
   /// because another backend started there after it.
   bool claim_address(const BackendEntry& entry);
--- a/src/runtime/asio/tcp.cpp
+++ b/src/runtime/asio/tcp.cpp
@@ -52,7 +52,8 @@
   }
   if (!error) socket.set_option(tcp::no_delay(true), error);
   if (error) {
-    reason = Reason{ReasonCode::kUnreachable, "open_connection", endpoint.to_string(), error.message()};
+    reason = Reason{ReasonCode::kUnreachable, "open_connection", endpoint.to_string(), error.message(),
+                    error == asio::error::connection_refused};
     co_return std::nullopt;
   }
   co_return std::move(socket);
--- a/src/wire/format.h
+++ b/src/wire/format.h
@@ -25,8 +25,11 @@
 /// tenants.
 inline constexpr Format kPlacementFormat = 5;
 
+/// Adds evidence for promotions to the state of a registered fleet: the departed members of its groups.
+inline constexpr Format kEvidenceFormat = 6;
+
 /// The latest format that this build can read.
-inline constexpr Format kNewestFormat = kPlacementFormat;
+inline constexpr Format kNewestFormat = kEvidenceFormat;
 /// The format written unless another one was negotiated. Must be readable by the previous build, so that
 /// builds can be mixed and an upgrade can be rolled back.
 inline constexpr Format kWrittenFormat = kReplicaWaitFormat;
--- a/tests/consensus/file_formats_test.cpp
+++ b/tests/consensus/file_formats_test.cpp
@@ -108,24 +108,24 @@
     for (const auto& payload : {wire::encode(command), wire::encode(make_entry(2), kLaterFormat)}) {
       const std::string content = before + make_record(payload, before.size());
       CPPUNIT_ASSERT(!recover_log(content));
-      assert_newer(fmt::format("raft.log at offset {}: written in format 6", before.size()));
+      assert_newer(fmt::format("raft.log at offset {}: written in format {}", before.size(), kLaterFormat));
       CPPUNIT_ASSERT(content_of("raft.log") == content);
     }
     CPPUNIT_ASSERT(!recover_log(make_record(wire::encode(LogBase{}, kLaterFormat), 0)));
-    assert_newer("raft.log at offset 0: written in format 6");
+    assert_newer(fmt::format("raft.log at offset 0: written in format {}", kLaterFormat));
   }
 
   void a_snapshot_of_a_newer_build_is_refused_and_kept() {
     const std::string content = make_record(wire::encode(Snapshot{}, kLaterFormat), 0);
     CPPUNIT_ASSERT(!read_snapshot(content));
-    assert_newer("raft.snapshot at offset 0: written in format 6");
+    assert_newer(fmt::format("raft.snapshot at offset 0: written in format {}", kLaterFormat));
     CPPUNIT_ASSERT(content_of("raft.snapshot") == content);
   }
 
   void metadata_of_a_newer_build_is_refused_and_kept() {
     const std::string content = make_record(wire::encode(Metadata{}, kLaterFormat), 0);
     CPPUNIT_ASSERT(!recover_metadata(content));
-    assert_newer("raft.metadata at offset 0: written in format 6");
+    assert_newer(fmt::format("raft.metadata at offset 0: written in format {}", kLaterFormat));
     CPPUNIT_ASSERT(content_of("raft.metadata") == content);
   }
 
@@ -157,7 +157,8 @@
   void assert_newer(const std::string& start) const {
     CPPUNIT_ASSERT(reason_.code == ReasonCode::kUnsupported);
     CPPUNIT_ASSERT_MESSAGE(reason_.detail, reason_.detail.starts_with(start));
-    CPPUNIT_ASSERT(reason_.detail.ends_with("reads formats up to 5: run the newer build"));
+    CPPUNIT_ASSERT(reason_.detail.ends_with(
+        fmt::format("reads formats up to {}: run the newer build", wire::kNewestFormat)));
   }
 
   std::unique_ptr<simulation::World> world_;
--- a/tests/consensus/newer_entry_test.cpp
+++ b/tests/consensus/newer_entry_test.cpp
@@ -1,5 +1,6 @@
 // An entry written by a newer build: servers halt at it without skipping or losing it, and report the reason.
 #include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
 
 #include "tests/consensus/cluster.h"
 
@@ -38,7 +39,8 @@
     const std::string& fault = cluster.world().faults().front();
     const bool tells =
         fault.find("raft.log at offset ") != std::string::npos &&
-        fault.find("written in format 6, and this build reads formats up to 5") != std::string::npos;
+        fault.find(fmt::format("written in format {}, and this build reads formats up to {}",
+                               wire::kNewestFormat + 1, wire::kNewestFormat)) != std::string::npos;
     CPPUNIT_ASSERT_MESSAGE(fault, tells);
     CPPUNIT_ASSERT(log_of(cluster, "node-2") == kept);
   }
--- a/tests/registered/control/control_stand.cpp
+++ b/tests/registered/control/control_stand.cpp
@@ -23,6 +23,11 @@
                                        Reason& reason) override {
     sent = runtime::SendState::kMaybeSent;
     ControlStand::Member& member = stand_.members[member_];
+    if (member.has_ended) {
+      close();
+      reason = Reason{ReasonCode::kConnectionLost, "ask_status", member_, "connection closed"};
+      co_return std::nullopt;
+    }
     if (std::holds_alternative<GetStatus>(request)) ++member.questions;
     if (!member.answers) {
       co_await stand_.runtime().sleep_for(deadline - stand_.now());
@@ -217,6 +222,11 @@
                     "another backend answers at this address"};
     co_return nullptr;
   }
+  if (members[address.backend.value].has_ended) {
+    reason = Reason{ReasonCode::kUnreachable, "open_connection", address.backend.value, "connection refused",
+                    true};
+    co_return nullptr;
+  }
   if (members[address.backend.value].is_full) {
     refusal = Refusal::kConnectionLimit;
     reason = Reason{ReasonCode::kUnreachable, "open_session", address.backend.value, "connection limit"};
--- a/tests/registered/control/control_stand.h
+++ b/tests/registered/control/control_stand.h
@@ -110,8 +110,9 @@
     BackendStatus status;
     bool answers = true;
     bool forgets_pauses = false;
-    bool is_full = false;  ///< rejects connections at its limit
-    int questions = 0;     ///< number of status queries received
+    bool is_full = false;    ///< rejects connections at its limit
+    bool has_ended = false;  ///< its machine refuses connections
+    int questions = 0;       ///< number of status queries received
   };
   std::map<std::string, Member> members;
   bool refuses_promotions = false;  ///< rejects promotion orders with kOverloaded
--- a/tests/registered/control/failover/group_keeper_incarnations_test.cpp
+++ b/tests/registered/control/failover/group_keeper_incarnations_test.cpp
@@ -121,7 +121,7 @@
   CPPUNIT_TEST(makes_no_unproved_choice_before_all_members_answer);
   CPPUNIT_TEST(waits_for_the_primary_after_a_replica_was_replaced);
   CPPUNIT_TEST(counts_unproved_promotions);
-  CPPUNIT_TEST(new_keeper_assumes_an_unseen_replacement);
+  CPPUNIT_TEST(new_keeper_knows_of_a_replacement);
   CPPUNIT_TEST(treats_a_returning_member_as_replaced);
   CPPUNIT_TEST(counts_a_member_registered_in_the_opening_batch_as_joined);
   CPPUNIT_TEST_SUITE_END();
@@ -254,13 +254,14 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, leader_->keeper.unproved_promotions());
   }
 
-  /// The control node starts after "a" restarted, whose former incarnation may have been the only replica
-  /// with the newest commits.
-  void new_keeper_assumes_an_unseen_replacement() {
+  /// The keeper starts after "a" restarted, whose former incarnation may have been the only replica with the
+  /// newest commits.
+  void new_keeper_knows_of_a_replacement() {
     admit_and_forget_proxy();
-    leader_->statuses[BackendName("a")] = BackendStatus{false, kTerm, {kTerm, 4}};
+    leader_->keeper.stop();
+    put("a", 2, 2000, BackendStatus{false, kTerm, {kTerm, 4}});
     replace_keeper();
-    world_->run_for(seconds(4));
+    world_->run_for(seconds(60));
     leader_->statuses.erase(BackendName("p"));
     apply(registry::CloseGroup{kGroup, term().epoch});
     world_->run_for(seconds(5));
--- a/tests/registered/control/failover/group_keeper_test.cpp
+++ b/tests/registered/control/failover/group_keeper_test.cpp
@@ -32,7 +32,8 @@
   CPPUNIT_TEST(does_not_promote_for_a_superseded_close);
   CPPUNIT_TEST(does_not_query_members_for_a_close_that_ended_while_waiting);
   CPPUNIT_TEST(retries_a_rejected_promotion_after_a_delay);
-  CPPUNIT_TEST(follower_compares_members);
+  CPPUNIT_TEST(new_leader_relies_on_recorded_evidence);
+  CPPUNIT_TEST(new_leader_does_not_rely_on_elapsed_time);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -185,24 +186,25 @@
 
   /// Incarnations are replaced while this node is a follower; it becomes leader after the primary and a proxy
   /// are gone.
-  void follower_compares_members() {
-    stand_->consensus().is_leader = false;
-    std::uint16_t port = 9001;
-    for (const char* name : {"primary", "replica-1", "replica-2"}) {
-      registry::BackendEntry incarnation = ControlStand::entry(name, port++);
-      incarnation.start_time_ms = 1000;
-      stand_->consensus().commit(registry::RegisterBackend{incarnation});
-    }
-    stand_->run_for(seconds(5));
-    stand_->admit("proxy");
-    stand_->consensus().commit(registry::ForgetProxy{NodeName("proxy"), 1});
-    stand_->consensus().is_leader = true;
-    kill_primary();
+  void new_leader_relies_on_recorded_evidence() {
+    replace_incarnations_as_follower();
+    stand_->consensus().commit(registry::SettleDeparted{kGroup, stand_->fleet().departed().of(kGroup)});
+    lead_without_the_primary();
     stand_->run_for(seconds(3));
     CPPUNIT_ASSERT(stand_->first("promote") != nullptr);
     CPPUNIT_ASSERT(stand_->term().open);
   }
 
+  /// The same without evidence of the former leader: time alone is none.
+  void new_leader_does_not_rely_on_elapsed_time() {
+    replace_incarnations_as_follower();
+    stand_->run_for(seconds(60));
+    lead_without_the_primary();
+    stand_->run_for(seconds(10));
+    CPPUNIT_ASSERT(stand_->first("promote") == nullptr);
+    CPPUNIT_ASSERT(!stand_->term().open);
+  }
+
  private:
   /// Starts a keeper on the leader, and waits until leases from before have expired and the members have
   /// settled.
@@ -218,6 +220,25 @@
     stand_->run_for(seconds(20));
   }
 
+  void replace_incarnations_as_follower() {
+    stand_->consensus().is_leader = false;
+    std::uint16_t port = 9001;
+    for (const char* name : {"primary", "replica-1", "replica-2"}) {
+      registry::BackendEntry incarnation = ControlStand::entry(name, port++);
+      incarnation.start_time_ms = 1000;
+      stand_->consensus().commit(registry::RegisterBackend{incarnation});
+    }
+    stand_->run_for(seconds(5));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("the primary and the replicas; followers leave them to the leader",
+                                 std::size_t{2}, stand_->fleet().departed().of(kGroup).size());
+  }
+  void lead_without_the_primary() {
+    stand_->admit("proxy");
+    stand_->consensus().commit(registry::ForgetProxy{NodeName("proxy"), 1});
+    stand_->consensus().is_leader = true;
+    kill_primary();
+  }
+
   void open_with(const char* backend) {
     const registry::GroupTerm closed = stand_->term();
     stand_->consensus().commit(
--- a/tests/registered/control/failover/promotion_choice_test.cpp
+++ b/tests/registered/control/failover/promotion_choice_test.cpp
@@ -15,6 +15,12 @@
   return member;
 }
 
+MemberFinding departed(const std::string& name, std::optional<BackendStatus> status) {
+  MemberFinding member = finding(name, status, true);
+  member.has_departed = true;
+  return member;
+}
+
 MemberFinding evacuated(MemberFinding member) {
   member.evacuated = true;
   return member;
@@ -45,10 +51,12 @@
 class PromotionChoiceTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PromotionChoiceTest);
   CPPUNIT_TEST(promotes_the_furthest_of_all_replicas);
+  CPPUNIT_TEST(compares_departed_members);
+  CPPUNIT_TEST(does_not_promote_departed_members);
   CPPUNIT_TEST(does_not_promote_with_an_unreachable_replica);
   CPPUNIT_TEST(promotes_at_the_acknowledged_position_with_an_unreachable_replica);
   CPPUNIT_TEST(does_not_promote_below_the_acknowledged_position);
-  CPPUNIT_TEST(promotes_the_furthest_of_stable_members_below_the_reported_position);
+  CPPUNIT_TEST(promotes_the_furthest_of_all_replicas_below_the_reported_position);
   CPPUNIT_TEST(promotes_a_replica_that_reaches_the_old_primary);
   CPPUNIT_TEST(reopens_the_old_primary_without_a_successor);
   CPPUNIT_TEST(adopts_a_primary_of_a_newer_term);
@@ -82,6 +90,38 @@
     CPPUNIT_ASSERT_EQUAL(std::string("b"), choice.backend.value);
   }
 
+  /// Guards against a promotion without commits that only a departed replica holds besides the primary.
+  void compares_departed_members() {
+    auto known = facts({finding("old", std::nullopt), finding("a", replica(7))});
+    known.departed = {departed("b", std::nullopt)};
+    CPPUNIT_ASSERT_MESSAGE("its log is unknown",
+                           choose_promotion(known, true).verdict == PromotionVerdict::kNotYet);
+    known.highest_acknowledged = {3, 7};
+    CPPUNIT_ASSERT_MESSAGE("a proxy that did not answer may have acknowledged more",
+                           choose_promotion(known, true).verdict == PromotionVerdict::kNotYet);
+    known.departed = {departed("b", replica(8))};
+    const auto behind = choose_promotion(known, true);
+    CPPUNIT_ASSERT(behind.verdict == PromotionVerdict::kNotYet);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("a at 3.7 may lack acknowledged commits; b, a former member, may hold more"), behind.why);
+    known.departed = {departed("b", replica(7))};
+    CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kPromote);
+    known.departed.push_back(departed("c", std::nullopt));
+    CPPUNIT_ASSERT_MESSAGE("each must be compared",
+                           choose_promotion(known, true).verdict == PromotionVerdict::kNotYet);
+    known.all_acknowledgers_answered = true;
+    CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kPromote);
+  }
+
+  void does_not_promote_departed_members() {
+    auto known = facts({finding("old", std::nullopt), finding("a", replica(7))});
+    known.departed = {departed("b", replica(9)), departed("c", leading(9, 4))};
+    CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kNotYet);
+    known.all_acknowledgers_answered = true;
+    known.highest_acknowledged = {3, 7};
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), choose_promotion(known, true).backend.value);
+  }
+
   void prefers_candidates_outside_evacuated_zones() {
     const auto equal = choose_promotion(
         facts({finding("old", std::nullopt), evacuated(finding("a", replica(9))), finding("b", replica(9))}),
@@ -99,7 +139,6 @@
   void does_not_promote_a_lagging_candidate_outside_evacuated_zones() {
     auto known =
         facts({finding("old", leading(9)), evacuated(finding("a", replica(9))), finding("b", replica(7))});
-    known.members_are_stable = true;
     const auto choice = choose_promotion(known, false);
     CPPUNIT_ASSERT(choice.verdict == PromotionVerdict::kNotYet);
   }
@@ -107,7 +146,6 @@
   void promotes_inside_an_evacuated_zone_after_a_primary_failure() {
     auto known =
         facts({finding("old", std::nullopt), evacuated(finding("a", replica(9))), finding("b", replica(7))});
-    known.members_are_stable = true;
     const auto choice = choose_promotion(known, true);
     CPPUNIT_ASSERT(choice.verdict == PromotionVerdict::kPromote);
     CPPUNIT_ASSERT_EQUAL_MESSAGE("no commit is lost", std::string("a"), choice.backend.value);
@@ -123,7 +161,7 @@
   void does_not_reopen_an_evacuated_primary_while_a_successor_catches_up() {
     auto known =
         facts({evacuated(finding("old", leading(9))), finding("a", replica(8)), finding("b", replica(7))});
-    known.highest_acknowledged = {3, 9};
+    known.departed = {departed("c", std::nullopt)};
     CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kNotYet);
     known.members.front().evacuated = false;
     CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kReopen);
@@ -155,20 +193,20 @@
     known.all_acknowledgers_answered = true;
     known.highest_acknowledged = {3, 8};
     CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kNotYet);
-    // Nor if all replicas answer: the commit may be on one that has been replaced.
     known.members.back().status = replica(6);
-    CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kNotYet);
+    known.departed = {departed("c", std::nullopt)};
+    CPPUNIT_ASSERT_MESSAGE("nor if all replicas answer: the commit may be on one that has departed",
+                           choose_promotion(known, true).verdict == PromotionVerdict::kNotYet);
   }
 
   /// A proxy records the end of the primary's log after a commit, which includes concurrent commits in
   /// progress.
-  void promotes_the_furthest_of_stable_members_below_the_reported_position() {
+  void promotes_the_furthest_of_all_replicas_below_the_reported_position() {
     auto known = facts({finding("old", leading(9)), finding("a", replica(7)), finding("b", replica(6))});
     known.all_acknowledgers_answered = true;
     known.highest_acknowledged = {3, 8};
-    known.members_are_stable = true;
     CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kPromote);
-    known.members_are_stable = false;
+    known.departed = {departed("c", std::nullopt)};
     CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kReopen);
   }
 
@@ -242,7 +280,6 @@
   void does_not_compare_a_replica_that_lost_its_log() {
     auto known = facts({incarnation("old", 1000, std::nullopt), incarnation("a", 1000, replica(7)),
                         incarnation("b", 1000, replica(0))});
-    known.members_are_stable = true;
     CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kNotYet);
     for (MemberFinding& member : known.members) member.entry.start_time_ms = 0;
     CPPUNIT_ASSERT_MESSAGE("a backend without a start time keeps its log",
@@ -254,7 +291,7 @@
                         incarnation("b", 2000, replica(5))});
     known.highest_acknowledged = {3, 6};  // a proxy did not answer
     CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kPromote);
-    known.replaced_incarnation_is_unsettled = true;
+    known.departed = {incarnation("b", 1000, std::nullopt)};
     CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kNotYet);
     known.all_acknowledgers_answered = true;
     CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kPromote);
@@ -265,7 +302,7 @@
     auto known = facts({incarnation("old", 2000, replica(0)), incarnation("a", 1000, replica(7)),
                         incarnation("b", 2000, replica(0))});
     known.closed.primary_start_time_ms = 1000;
-    known.replaced_incarnation_is_unsettled = true;
+    known.departed = {incarnation("b", 1000, std::nullopt)};
     known.highest_acknowledged = {3, 9};
     const auto choice = choose_promotion(known, true);
     CPPUNIT_ASSERT(choice.verdict == PromotionVerdict::kPromote && choice.is_unproved);
@@ -283,7 +320,7 @@
     auto known = facts({incarnation("old", 2000, std::nullopt), incarnation("a", 1000, replica(7)),
                         incarnation("b", 2000, replica(5))});
     known.closed.primary_start_time_ms = 1000;
-    known.replaced_incarnation_is_unsettled = true;
+    known.departed = {incarnation("b", 1000, std::nullopt)};
     known.highest_acknowledged = {3, 9};
     CPPUNIT_ASSERT_MESSAGE("its log position is unknown",
                            choose_promotion(known, true).verdict == PromotionVerdict::kNotYet);
@@ -336,7 +373,6 @@
   void promotes_in_a_group_without_commits() {
     auto known = facts({incarnation("old", 1000, std::nullopt), incarnation("a", 1000, replica(0)),
                         incarnation("b", 1000, std::nullopt)});
-    known.members_are_stable = true;
     known.closed.epoch = 2;
     known.all_acknowledgers_answered = true;
     CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kPromote);
--- a/tests/registered/control/failover/promotion_model_test.cpp
+++ b/tests/registered/control/failover/promotion_model_test.cpp
@@ -1,9 +1,11 @@
 // Exhaustive search of a small failover model that uses the real choose_promotion(): a primary P, its
 // replicas A and B, one proxy that acknowledges commits, and the leader that closes the group, queries the
 // members, promotes and opens. Each backend may restart under its name between any two steps, with an empty
-// log, and registers some time later. Safety: the backend that the group is opened with holds every
-// acknowledged commit, unless no log has it any more. Liveness: a backend is opened once no further event can
-// improve the choice.
+// log, and registers some time later. A replica may deregister; it then serves on, and ends some time later.
+// The proxy may be replaced by one that knows nothing. All that the leader knows of former members is
+// recorded, so that control nodes that restart change nothing. Safety: the backend that the group is opened
+// with holds every acknowledged commit, unless no log has it any more. Liveness: a backend is opened once no
+// further event can improve the choice.
 //
 // Assumption of the design: until it has registered, a restarted incarnation receives the primary's log
 // completely or not at all.
@@ -27,6 +29,7 @@
 constexpr std::size_t kPrimary = 0;
 constexpr std::uint64_t kMaxCommits = 2;
 constexpr int kMaxRestarts = 2;
+constexpr int kMaxDeregistrations = 1;
 constexpr std::uint64_t kClosedTerm = 2;
 const std::array<std::string, kMembers> kNames{"P", "A", "B"};
 
@@ -34,9 +37,10 @@
 struct Guards {
   bool backends_report_incarnations = true;      ///< a backend with an empty log is known to have lost it
   bool term_records_primary_incarnation = true;  ///< another incarnation of the primary is not the old one
-  bool replaced_incarnation_unsettles =
-      true;                                ///< a restarted member counts as departed with everything it held
-  bool left_incarnation_unsettles = true;  ///< after a departure the group is not stable until compared
+  bool replaced_incarnation_is_recorded = true;  ///< a restarted member departed with everything it held
+  bool deregistered_member_is_recorded = true;
+  bool settles_only_after_the_end = true;    ///< a deregistered member may receive commits until it ends
+  bool lost_acknowledgers_are_known = true;  ///< the answers of the remaining proxies are no bound
   bool joined_incarnation_needs_entries = true;
   bool opens_only_with_chosen_log = true;
 };
@@ -47,6 +51,8 @@
   int incarnation = 1;
   int registered = 1;  ///< incarnation according to the registry
   bool joined = false;
+  bool deregistered = false;
+  bool ended = false;  ///< after its deregistration
   auto operator<=>(const Member&) const = default;
 };
 
@@ -57,10 +63,11 @@
   std::uint64_t acknowledged = 0;
   std::uint64_t known_to_proxy = 0;  ///< highest commit that the proxy knows of
   bool proxy_restarted = false;
-  bool unsettled = false;
-  bool replaced = false;
+  bool replacement_is_unsettled = false;  ///< of a replica's incarnation
+  bool deregistration_is_unsettled = false;
   bool closed = false;
   int restarts = 0;
+  int deregistrations = 0;
   int promotion_target = -1;
   std::uint64_t chosen_length = 0;
   auto operator<=>(const State&) const = default;
@@ -97,13 +104,16 @@
     std::string text;
     for (std::size_t index = 0; index < kMembers; ++index) {
       const Member& member = state.members[index];
-      text += fmt::format("{} holds {}{} incarnation {} registered {}{}, ", kNames[index], member.length,
+      text += fmt::format("{} holds {}{} incarnation {} registered {}{}{}, ", kNames[index], member.length,
                           member.answers ? "" : " unreachable", member.incarnation, member.registered,
-                          member.joined ? " joined" : "");
+                          member.joined ? " joined" : "",
+                          member.ended ? " ended" : (member.deregistered ? " deregistered" : ""));
     }
-    return text + fmt::format("acknowledged {} known {} closed {} unsettled {} replaced {} ordered {}\n",
-                              state.acknowledged, state.known_to_proxy, state.closed, state.unsettled,
-                              state.replaced, state.promotion_target);
+    return text +
+           fmt::format(
+               "acknowledged {} known {} closed {} unsettled: {} replaced, {} deregistered, ordered {}\n",
+               state.acknowledged, state.known_to_proxy, state.closed, state.replacement_is_unsettled,
+               state.deregistration_is_unsettled, state.promotion_target);
   }
 
   void report_violation(const State& state, const std::string& why) {
@@ -122,6 +132,8 @@
       toggle_reachability(state, index);
       restart(state, index);
       register_incarnation(state, index);
+      deregister(state, index);
+      end(state, index);
     }
     commit(state);
     acknowledge(state);
@@ -143,7 +155,7 @@
     const Member& primary = state.members[kPrimary];
     State next = state;
     Member& member = next.members[index];
-    if (member.length >= primary.length) return;
+    if (member.ended || member.length >= primary.length) return;
     // One entry at a time, or the whole log for an unregistered incarnation.
     member.length = member.registered == member.incarnation ? member.length + 1 : primary.length;
     next.replicated = std::max(next.replicated, member.length);
@@ -163,12 +175,13 @@
     visit(next);
   }
   void toggle_reachability(const State& state, std::size_t index) {
+    if (state.members[index].ended) return;
     State next = state;
     next.members[index].answers = !next.members[index].answers;
     visit(next);
   }
   void restart(const State& state, std::size_t index) {
-    if (state.restarts >= kMaxRestarts) return;
+    if (state.restarts >= kMaxRestarts || state.members[index].deregistered) return;
     State next = state;
     ++next.restarts;
     ++next.members[index].incarnation;
@@ -177,24 +190,47 @@
   }
   void register_incarnation(const State& state, std::size_t index) {
     State next = state;
-    if (next.members[index].registered == next.members[index].incarnation) return;
-    next.members[index].registered = next.members[index].incarnation;
-    next.members[index].joined = true;
-    next.unsettled = true;
-    next.replaced = true;
+    Member& member = next.members[index];
+    if (member.registered == member.incarnation) return;
+    member.registered = member.incarnation;
+    member.joined = true;
+    // Of the primary's incarnations only the first one leads, and it is not compared with the replicas.
+    next.replacement_is_unsettled = next.replacement_is_unsettled || index != kPrimary;
+    visit(next);
+  }
+  void deregister(const State& state, std::size_t index) {
+    const Member& member = state.members[index];
+    const bool is_registered = member.registered == member.incarnation && !member.deregistered;
+    if (index == kPrimary || !is_registered || state.deregistrations >= kMaxDeregistrations) return;
+    State next = state;
+    ++next.deregistrations;
+    next.members[index].deregistered = true;
+    next.deregistration_is_unsettled = true;
+    visit(next);
+  }
+  void end(const State& state, std::size_t index) {
+    if (!state.members[index].deregistered || state.members[index].ended) return;
+    State next = state;
+    next.members[index].ended = true;
+    next.members[index].answers = false;
+    next.members[index].length = 0;
     visit(next);
   }
   /// The leader finds another member that holds everything the primary holds.
   void settle(const State& state) {
     const Member& primary = state.members[kPrimary];
-    if (!leads(state) || !primary.answers || state.closed || !state.unsettled) return;
+    if (!leads(state) || !primary.answers || state.closed) return;
     const bool caught_up =
-        std::any_of(state.members.begin() + 1, state.members.end(),
-                    [&](const Member& member) { return member.answers && member.length >= primary.length; });
+        std::any_of(state.members.begin() + 1, state.members.end(), [&](const Member& member) {
+          return !member.deregistered && member.answers && member.length >= primary.length;
+        });
     if (!caught_up) return;
+    const bool still_runs = std::any_of(state.members.begin(), state.members.end(), [](const Member& member) {
+      return member.deregistered && !member.ended;
+    });
     State next = state;
-    next.unsettled = false;
-    next.replaced = false;
+    next.replacement_is_unsettled = false;
+    if (!still_runs || !guards_.settles_only_after_the_end) next.deregistration_is_unsettled = false;
     visit(next);
   }
   void close(const State& state) {
@@ -215,12 +251,9 @@
     facts.closed.primary_start_time_ms =
         guards_.term_records_primary_incarnation && guards_.backends_report_incarnations ? 1 : 0;
     facts.synchronous_replicas = 1;
-    facts.all_acknowledgers_answered = !state.proxy_restarted;
+    facts.all_acknowledgers_answered = !state.proxy_restarted || !guards_.lost_acknowledgers_are_known;
     facts.highest_acknowledged =
         state.known_to_proxy == 0 ? Position{} : position_of(state, state.known_to_proxy);
-    facts.members_are_stable = !(state.unsettled && guards_.left_incarnation_unsettles);
-    facts.replaced_incarnation_is_unsettled =
-        state.unsettled && state.replaced && guards_.replaced_incarnation_unsettles;
     for (std::size_t index = 0; index < kMembers; ++index) {
       const Member& member = state.members[index];
       MemberFinding finding;
@@ -228,10 +261,18 @@
       if (guards_.backends_report_incarnations)
         finding.entry.start_time_ms = static_cast<std::uint64_t>(member.registered);
       finding.joined_in_term = member.joined && guards_.joined_incarnation_needs_entries;
+      finding.has_departed = member.deregistered;
       const bool is_primary = index == kPrimary && leads(state);
       if (member.answers)
         finding.status = BackendStatus{is_primary, kClosedTerm, position_of(state, member.length)};
-      facts.members.push_back(std::move(finding));
+      if (!member.deregistered)
+        facts.members.push_back(std::move(finding));
+      else if (state.deregistration_is_unsettled && guards_.deregistered_member_is_recorded)
+        facts.departed.push_back(std::move(finding));
+    }
+    if (state.replacement_is_unsettled && guards_.replaced_incarnation_is_recorded) {
+      facts.departed.emplace_back();
+      facts.departed.back().has_departed = true;
     }
     return facts;
   }
@@ -249,17 +290,19 @@
     visit(next);
   }
 
-  /// Whether some log, of a member that answers or not, has every acknowledged commit.
+  /// Whether some log, of a member that answers or not, has every acknowledged commit. A member that
+  /// deregistered cannot be promoted any more, and its next incarnation would hold nothing.
   static bool is_recoverable(const State& state) {
-    return std::any_of(state.members.begin(), state.members.end(),
-                       [&](const Member& member) { return member.length >= state.acknowledged; });
+    return std::any_of(state.members.begin(), state.members.end(), [&](const Member& member) {
+      return !member.deregistered && member.length >= state.acknowledged;
+    });
   }
 
   /// If no backend is chosen, a member that does not answer or has not registered must still be able to
   /// change that.
   void expect_progress_possible(const State& state) {
     const bool all_known = std::all_of(state.members.begin(), state.members.end(), [](const Member& member) {
-      return member.answers && member.registered == member.incarnation;
+      return member.ended || (member.answers && member.registered == member.incarnation);
     });
     if (all_known) report_violation(state, "no backend is chosen and no event can change that");
   }
@@ -304,8 +347,10 @@
     expect_violation("incarnations", [](Guards& guards) { guards.backends_report_incarnations = false; });
     expect_violation("primary's incarnation",
                      [](Guards& guards) { guards.term_records_primary_incarnation = false; });
-    expect_violation("replaced", [](Guards& guards) { guards.replaced_incarnation_unsettles = false; });
-    expect_violation("left", [](Guards& guards) { guards.left_incarnation_unsettles = false; });
+    expect_violation("replaced", [](Guards& guards) { guards.replaced_incarnation_is_recorded = false; });
+    expect_violation("deregistered", [](Guards& guards) { guards.deregistered_member_is_recorded = false; });
+    expect_violation("ended", [](Guards& guards) { guards.settles_only_after_the_end = false; });
+    expect_violation("acknowledgers", [](Guards& guards) { guards.lost_acknowledgers_are_known = false; });
     expect_violation("joined", [](Guards& guards) { guards.joined_incarnation_needs_entries = false; });
     expect_violation("chosen", [](Guards& guards) { guards.opens_only_with_chosen_log = false; });
   }
--- a/tests/registered/registry/state_machine_test.cpp
+++ b/tests/registered/registry/state_machine_test.cpp
@@ -58,6 +58,11 @@
   CPPUNIT_TEST(removal_ends_one_incarnation);
   CPPUNIT_TEST(entry_without_start_time_displaces_none_with_one);
   CPPUNIT_TEST(last_started_backend_owns_address);
+  CPPUNIT_TEST(records_members_that_depart);
+  CPPUNIT_TEST(records_no_departure_before_the_first_primary);
+  CPPUNIT_TEST(leaving_backend_passes_its_log_to_its_successor);
+  CPPUNIT_TEST(departed_members_survive_a_snapshot);
+  CPPUNIT_TEST(settling_leaves_the_revision);
   CPPUNIT_TEST(discards_ended_incarnations_with_removed_rows);
   CPPUNIT_TEST(last_evacuation_order_wins);
   CPPUNIT_TEST(evacuations_are_in_deltas_and_snapshots);
@@ -378,7 +383,69 @@
     CPPUNIT_ASSERT(!other.restore_snapshot(snapshot.substr(1), reason));
   }
 
+  /// Guards against a departure that only some control nodes know of: the command that removes the member
+  /// records it.
+  void records_members_that_depart() {
+    open_with_members();
+    apply(DeregisterBackend{BackendName("b2")});
+    CPPUNIT_ASSERT_EQUAL(std::string("b2"), departed().at(0).incarnation.name.value);
+    CPPUNIT_ASSERT(!departed().at(0).has_ended);
+    apply(RegisterBackend{incarnation("b3", 3, 1, 1000)});
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("replaced under its name", std::size_t{2}, departed().size());
+    CPPUNIT_ASSERT(departed().at(1).incarnation == (BackendIncarnation{BackendName("b3"), 0}));
+    CPPUNIT_ASSERT(departed().at(1).has_ended);
+    apply(RegisterBackend{backend("b4", 1, 1)});
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("displaced from its address", std::size_t{3}, departed().size());
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("as primary", std::uint64_t{3}, departed().at(2).led_term);
+  }
+
+  void records_no_departure_before_the_first_primary() {
+    apply(RegisterBackend{backend("b1", 1, 1)});
+    apply(DeregisterBackend{BackendName("b1")});
+    CPPUNIT_ASSERT(departed().empty());
+  }
+
+  void leaving_backend_passes_its_log_to_its_successor() {
+    open_with_members();
+    apply(DeregisterBackend{BackendName("b2")});
+    apply(RegisterBackend{backend("b4", 2, 1)});
+    CPPUNIT_ASSERT_MESSAGE("deregistered", departed().empty());
+    BackendEntry leaving = backend("b3", 3, 2);
+    leaving.leaving = true;
+    apply(RegisterBackend{leaving});
+    apply(RegisterBackend{backend("b5", 3, 1)});
+    CPPUNIT_ASSERT_MESSAGE("its deregistration was lost", departed().empty());
+    apply(RegisterBackend{backend("b6", 3, 1)});
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("it was not leaving", std::size_t{1}, departed().size());
+  }
+
+  void departed_members_survive_a_snapshot() {
+    open_with_members();
+    apply(DeregisterBackend{BackendName("b2")});
+    FleetStateMachine other(world_->runtime("node"));
+    Reason reason;
+    CPPUNIT_ASSERT(other.restore_snapshot(machine_->take_snapshot(), reason));
+    CPPUNIT_ASSERT(other.departed() == machine_->departed());
+  }
+
+  void settling_leaves_the_revision() {
+    open_with_members();
+    apply(DeregisterBackend{BackendName("b2")});
+    const std::uint64_t revision = machine_->revision();
+    apply(SettleDeparted{GroupName("records"), departed()});
+    CPPUNIT_ASSERT(departed().empty());
+    CPPUNIT_ASSERT_EQUAL(revision, machine_->revision());
+  }
+
  private:
+  /// Three backends; b1 leads term 3.
+  void open_with_members() {
+    std::uint16_t port = 1;
+    for (const char* name : {"b1", "b2", "b3"}) apply(RegisterBackend{backend(name, port++, 1)});
+    apply(OpenGroup{GroupName("records"), 0, 3, BackendName("b1")});
+  }
+  std::vector<DepartedMember> departed() { return machine_->departed().of(GroupName("records")); }
+
   static BackendEntry incarnation(const std::string& name, std::uint16_t port, std::uint64_t sequence,
                                   std::uint64_t start_time_ms) {
     BackendEntry entry = backend(name, port, sequence);
--- a/tests/wire/format_test.cpp
+++ b/tests/wire/format_test.cpp
@@ -3,6 +3,7 @@
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
 
 #include <filesystem>
 #include <fstream>
@@ -11,6 +12,8 @@
 #include "declared/config/state_machine.h"
 #include "declared/control/follow/change_command.h"
 #include "declared/follow/messages.h"
+#include "registered/registry/state_machine.h"
+#include "simulation/world.h"
 #include "tests/wire/format_samples.h"
 #include "wire/codec.h"
 #include "wire/hello.h"
@@ -64,6 +67,7 @@
   CPPUNIT_TEST(samples_are_encoded_as_committed);
   CPPUNIT_TEST(committed_bytes_round_trip);
   CPPUNIT_TEST(records_without_replica_wait_are_read_with_its_default);
+  CPPUNIT_TEST(snapshots_without_departed_members_are_read_as_unknown);
   CPPUNIT_TEST(updates_are_written_as_an_earlier_build_reads_them);
   CPPUNIT_TEST(resend_is_recognized_from_an_earlier_builds_snapshot);
   CPPUNIT_TEST(an_added_field_is_written_from_its_format_on);
@@ -116,6 +120,26 @@
     CPPUNIT_ASSERT(declared::control::encode_change(*request, kReplicaWaitFormat, reason));
   }
 
+  /// An earlier build did not record departures, so one is assumed in each group that had a primary.
+  void snapshots_without_departed_members_are_read_as_unknown() {
+    const std::string folder = kFixtures + "before_departed_members/";
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, names_in(folder).size());
+    for (const std::string& name : names_in(folder)) {
+      simulation::World world({});
+      registered::registry::FleetStateMachine machine(world.start_bare({"node", "10.0.0.1", ZoneName("a")}));
+      Reason reason;
+      CPPUNIT_ASSERT_MESSAGE(name + ": " + reason.to_string(),
+                             machine.restore_snapshot(from_hex_file(folder + name + ".hex"), reason));
+      const auto& departed = machine.departed().of(GroupName("group-1"));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::size_t{1}, departed.size());
+      CPPUNIT_ASSERT(departed[0].has_ended && departed[0].led_term == 0);
+      registered::registry::FleetStateMachine restored(
+          world.start_bare({"other", "10.0.0.2", ZoneName("a")}));
+      CPPUNIT_ASSERT(restored.restore_snapshot(machine.take_snapshot(), reason));
+      CPPUNIT_ASSERT_MESSAGE(name, restored.departed() == machine.departed());
+    }
+  }
+
   /// Updates to proxies of an earlier build, at feature level 1.
   void updates_are_written_as_an_earlier_build_reads_them() {
     for (const char* name : {"follow_update_changes", "follow_update_snapshot"}) {
@@ -163,7 +187,9 @@
     CPPUNIT_ASSERT(!decode<ExtendedMessage>(bytes, reason));
     CPPUNIT_ASSERT(reason.code == ReasonCode::kUnsupported);
     CPPUNIT_ASSERT_EQUAL(
-        std::string("written in format 9, and this build reads formats up to 5: run the newer build"),
+        fmt::format("written in format {}, and this build reads formats up to {}: run the newer "
+                    "build",
+                    kNewestFormat + 4, kNewestFormat),
         reason.detail);
   }
 };
--- a/tests/wire/registered_samples.cpp
+++ b/tests/wire/registered_samples.cpp
@@ -214,6 +214,13 @@
   samples.push_back({"registry_snapshot_with_lives", snapshot_with_incarnations(), round_trip});
 }
 
+/// Messages that builds without departed members cannot read.
+void add_departed_members(Samples& samples) {
+  const DepartedMember departed{
+      {BackendName("b-1"), any_incarnation().start_time_ms}, {"10.0.0.9", 9000}, 21, 4, true};
+  add(samples, "registry_settle_departed", LoggedCommand{SettleDeparted{GroupName("group-1"), {departed}}});
+}
+
 void add_snapshot(Samples& samples) {
   const auto round_trip = [](const std::string& bytes, Reason& reason) -> std::optional<std::string> {
     simulation::World world({});
@@ -301,6 +308,7 @@
   add_forwarding(samples);
   add_tenants(samples);
   add_incarnations(samples);
+  add_departed_members(samples);
   return samples;
 }
 
