Promotion: a term records what its primary held, so that earlier commits count

What callers would see: acknowledged writes are gone after two changes of primary (LOST).

Cause: "the log reaches the highest position that any proxy acknowledged" asks the proxies of the closed term only, and took every member that had registered before the term opened to hold all commits of earlier terms. A replica that receives nothing holds no more of those than of the present term; the proxies that acknowledged them may have restarted since, which knows_all_acknowledgers() does not see, as it counts from the opening on. Reopening with the old primary resets the count in the same way. docs/design/incarnations.md had listed it as open for members that registered lately; it held for all.

Change: OpenGroup carries TermStart, what the primary held when it was chosen and the fleet revision before it was asked. A candidate must reach that position, or have entries of the term; proxies that were lost after that revision count as lost in the term. MemberFinding::joined_in_term, the earlier guard, is gone: a member that joined is held to the same position as all others.

PromotionModelTest finds it when the start is left out.

requires_entries_of_the_term_from_members_that_joined_in_it became requires_the_start_of_the_term: the same refusals, for any member instead of one that joined.

--- a/src/registered/control/failover/group_keeper.cpp
+++ b/src/registered/control/failover/group_keeper.cpp
@@ -88,6 +88,7 @@
 }
 
 Awaitable<void> GroupKeeper::discover(GroupName group) {
+  const std::uint64_t revision = fleet_.revision();
   const auto findings = co_await prober_.query_all(fleet_.backends_of(group));
   const MemberFinding* leader = nullptr;
   for (const MemberFinding& member : findings) {
@@ -98,7 +99,8 @@
     GroupTerm none;
     none.group = group;
     std::string why = "backend is already primary";
-    co_await terms_.open(none, leader->entry.incarnation(), leader->status->term, std::move(why));
+    const registry::TermStart start{leader->status->received, revision};
+    co_await terms_.open(none, leader->entry.incarnation(), leader->status->term, start, std::move(why));
   } else {
     co_await runtime_.sleep_for(kFailoverRetryDelay);
   }
@@ -189,7 +191,9 @@
   suspicions_.clear_unable_to_connect(closed.group);
   // Commits on the new primary need a replica, so replicas resume while the group is being opened.
   runtime_.spawn("resume_members", release_.release(closed.group));
-  const bool opened = co_await terms_.open(closed, chosen.entry.incarnation(), term, decision.choice.why);
+  const registry::TermStart start{chosen.status->received, decision.facts.revision};
+  const bool opened =
+      co_await terms_.open(closed, chosen.entry.incarnation(), term, start, decision.choice.why);
   if (opened && decision.choice.is_unproved) report_unproved(decision.facts, chosen);
   if (opened && decision.choice.backend != closed.primary)
     runtime_.spawn("step_down", promotion_.step_down(closed.group, closed.primary, term));
--- a/src/registered/control/failover/group_prober.cpp
+++ b/src/registered/control/failover/group_prober.cpp
@@ -122,7 +122,7 @@
 Awaitable<std::vector<MemberFinding>> GroupProber::query_all(std::vector<registry::BackendEntry> entries) {
   std::vector<MemberFinding> members;
   members.reserve(entries.size());
-  for (registry::BackendEntry& entry : entries) members.push_back({std::move(entry), std::nullopt, false});
+  for (registry::BackendEntry& entry : entries) members.push_back({std::move(entry), std::nullopt});
   co_return co_await query_all(std::move(members));
 }
 
--- a/src/registered/control/failover/group_terms.cpp
+++ b/src/registered/control/failover/group_terms.cpp
@@ -33,10 +33,10 @@
 }
 
 Awaitable<bool> GroupTerms::open(GroupTerm closed, registry::BackendIncarnation primary, std::uint64_t term,
-                                 std::string why) {
+                                 registry::TermStart start, std::string why) {
   Reason reason;
   registry::SingleCommand command =
-      registry::OpenGroup{closed.group, closed.epoch, term, primary.name, primary.start_time_ms};
+      registry::OpenGroup{closed.group, closed.epoch, term, primary.name, primary.start_time_ms, start};
   const bool done = co_await calls_.submit_batched(std::move(command), reason);
   GroupTerm opened = closed;
   opened.term = term;
--- a/src/registered/control/failover/group_terms.h
+++ b/src/registered/control/failover/group_terms.h
@@ -42,7 +42,7 @@
   Awaitable<bool> close(registry::GroupTerm term, std::string why);
   /// Opens the group with `primary`, which is primary of `term`. Returns as close().
   Awaitable<bool> open(registry::GroupTerm closed, registry::BackendIncarnation primary, std::uint64_t term,
-                       std::string why);
+                       registry::TermStart start, std::string why);
   /// Records that a remaining member holds what the departed members held. Returns as close().
   Awaitable<bool> settle(registry::GroupTerm term, std::vector<registry::DepartedMember> departed);
   /// Logs a failover event with the fields of the term.
--- a/src/registered/control/failover/log_comparison.cpp
+++ b/src/registered/control/failover/log_comparison.cpp
@@ -10,6 +10,9 @@
 PromotionFacts LogComparison::facts_without_members(const GroupTerm& closed) {
   PromotionFacts facts;
   facts.closed = closed;
+  facts.revision = fleet_.revision();
+  const auto start = fleet_.term_start(closed.group);
+  if (start) facts.term_start = start->position;
   const registry::GroupRule* rule = fleet_.find_group(closed.group);
   if (rule != nullptr) facts.synchronous_replicas = rule->synchronous_replicas;
   const FenceProgress progress = leases_.fence_progress(closed.group, closed.epoch);
@@ -23,15 +26,11 @@
 
 std::vector<MemberFinding> LogComparison::members_to_query(const GroupTerm& closed) const {
   std::vector<MemberFinding> members;
-  for (registry::BackendEntry& entry : fleet_.backends_of(closed.group)) {
-    // Commands committed in one batch share a revision, hence >=.
-    const bool joined_in_term =
-        entry.has_start_time() && fleet_.backend_revision(entry.name) >= closed.opened_at;
-    members.push_back({std::move(entry), std::nullopt, joined_in_term});
-  }
+  for (registry::BackendEntry& entry : fleet_.backends_of(closed.group))
+    members.push_back({std::move(entry), std::nullopt});
   for (const registry::DepartedMember& departed : departed_replicas(fleet_, closed))
     members.push_back(
-        {departed_entry(departed, closed.group), std::nullopt, false, false, true, departed.has_ended});
+        {departed_entry(departed, closed.group), std::nullopt, false, true, departed.has_ended});
   return members;
 }
 
--- a/src/registered/control/failover/promotion_choice.cpp
+++ b/src/registered/control/failover/promotion_choice.cpp
@@ -72,15 +72,19 @@
   return member.status && !has_lost_log(member, facts);
 }
 
+/// Whether the log holds all commits of the terms before the closed one. The proxies that acknowledged those
+/// may be gone. A log with entries of the closed term includes them.
+bool holds_earlier_terms(const MemberFinding& candidate, const PromotionFacts& facts) {
+  const Position& position = candidate.status->received;
+  if (facts.term_start && position >= *facts.term_start) return true;
+  return position.term >= facts.closed.term;
+}
+
 /// Whether the log reaches the highest position that any proxy acknowledged in the closed term and holds all
 /// earlier commits.
 bool reaches_acknowledged(const MemberFinding& candidate, const PromotionFacts& facts) {
   if (!facts.all_acknowledgers_answered) return false;
-  const Position& position = candidate.status->received;
-  // Proxies that started after the term opened do not know of commits in earlier terms. A log with entries of
-  // this term includes those; the log of an incarnation that joined since may lack them.
-  const bool has_earlier = !candidate.joined_in_term || position.term >= facts.closed.term;
-  return has_earlier && position >= facts.highest_acknowledged;
+  return holds_earlier_terms(candidate, facts) && candidate.status->received >= facts.highest_acknowledged;
 }
 
 /// Whether the group provably never had a commit: it had only one term, and every proxy that may have
--- a/src/registered/control/failover/promotion_choice.h
+++ b/src/registered/control/failover/promotion_choice.h
@@ -16,11 +16,9 @@
 struct MemberFinding {
   registry::BackendEntry entry;
   std::optional<BackendStatus> status;  ///< empty if it did not answer
-  /// It was registered or changed since the closed term opened, so its incarnation may have started since.
-  bool joined_in_term = false;
-  bool evacuated = false;     ///< its zone is evacuated, so it could not serve as primary
-  bool has_departed = false;  ///< it is no longer registered
-  bool has_ended = false;     ///< it cannot be queried: what answers in its place is another incarnation
+  bool evacuated = false;               ///< its zone is evacuated, so it could not serve as primary
+  bool has_departed = false;            ///< it is no longer registered
+  bool has_ended = false;  ///< it cannot be queried: what answers in its place is another incarnation
 };
 
 struct PromotionFacts {
@@ -30,6 +28,9 @@
   /// Former members that may be the only ones besides the primary to hold acknowledged commits, as no
   /// remaining member is known to hold what they held. They are compared, but are no candidates.
   std::vector<MemberFinding> departed;
+  std::uint64_t revision = 0;  ///< fleet revision when the members were queried
+  /// Commits of earlier terms are at or before this position of the closed term's primary; empty: unknown.
+  std::optional<Position> term_start;
   /// Every proxy that may have acknowledged commits in that term has reported its highest position.
   bool all_acknowledgers_answered = false;
   /// Every admitted proxy has acknowledged the close, so none uses the closed term's primary.
--- a/src/registered/registry/commands.h
+++ b/src/registered/registry/commands.h
@@ -3,6 +3,7 @@
 
 #include <cereal/types/variant.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -75,10 +76,12 @@
   std::uint64_t term = 0;
   BackendName primary;
   std::uint64_t primary_start_time_ms = 0;  ///< start time of the primary's incarnation; 0: unknown
+  std::optional<TermStart> start{};         ///< empty: unknown
   template <class Archive>
   void serialize(Archive& archive) {
     archive(group, epoch, term, primary);
     wire::since(archive, wire::kPlacementFormat, primary_start_time_ms, std::uint64_t{0});
+    wire::since(archive, wire::kEvidenceFormat, start, std::optional<TermStart>());
   }
 };
 
--- a/src/registered/registry/model.h
+++ b/src/registered/registry/model.h
@@ -182,6 +182,19 @@
   }
 };
 
+/// What a group's primary held when it was confirmed: every commit that was acknowledged in an earlier term,
+/// or by a proxy that was replaced or removed up to `revision`, is at or before `position`.
+struct TermStart {
+  Position position;
+  std::uint64_t revision = 0;  ///< fleet revision before the primary was asked for its position
+  bool operator==(const TermStart&) const = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(position, revision);
+  }
+};
+
 /// An operator's order to send nothing more to a zone's backends.
 struct Evacuation {
   ZoneName zone;
--- a/src/registered/registry/state_machine.cpp
+++ b/src/registered/registry/state_machine.cpp
@@ -196,6 +196,8 @@
   if (held != nullptr && command.term < held->term) return false;
   put_term(GroupTerm{command.group, command.term, command.primary, true, epoch + 1, next_revision(),
                      command.primary_start_time_ms});
+  state_.term_starts.erase(command.group);
+  if (command.start) state_.term_starts.emplace(command.group, *command.start);
   return true;
 }
 
@@ -250,6 +252,12 @@
   return members;
 }
 
+std::optional<TermStart> FleetStateMachine::term_start(const GroupName& group) const {
+  const auto found = state_.term_starts.find(group);
+  if (found == state_.term_starts.end()) return std::nullopt;
+  return found->second;
+}
+
 const BackendEntry* FleetStateMachine::find_backend_at(const Endpoint& endpoint) const {
   const auto found = backend_at_endpoint_.find(endpoint);
   return found == backend_at_endpoint_.end() ? nullptr : find_backend(found->second);
--- a/src/registered/registry/state_machine.h
+++ b/src/registered/registry/state_machine.h
@@ -89,10 +89,13 @@
     return state_.proxies.find(node);
   }
 
-  /// Returns true if every proxy that may have acknowledged commits since the group's primary was confirmed
-  /// is still admitted.
+  /// Where the group's term began; empty if a build before opened it.
+  [[nodiscard]] std::optional<TermStart> term_start(const GroupName& group) const;
+  /// Returns true if every proxy that may have acknowledged commits since the group's term began is still
+  /// admitted.
   [[nodiscard]] bool knows_all_acknowledgers(const GroupTerm& term) const {
-    return state_.proxy_lost_at <= term.opened_at;
+    const auto start = term_start(term.group);
+    return state_.proxy_lost_at <= (start ? start->revision : term.opened_at);
   }
 
   /// The changes since `revision`; the full state if `revision` is 0 or too old for the removed rows to be
@@ -122,6 +125,7 @@
     std::map<BackendName, std::uint64_t> ended_start_times;
     RevisedTable<ZoneName, Evacuation> evacuations;
     DepartedMembers departed;
+    std::map<GroupName, TermStart> term_starts;
     /// False in snapshots of builds that did not record departed members.
     bool records_departed = true;
 
@@ -134,6 +138,7 @@
       wire::since(archive, wire::kPlacementFormat, ended_start_times, std::map<BackendName, std::uint64_t>());
       wire::since(archive, wire::kPlacementFormat, evacuations, RevisedTable<ZoneName, Evacuation>());
       wire::since(archive, wire::kEvidenceFormat, departed, DepartedMembers());
+      wire::since(archive, wire::kEvidenceFormat, term_starts, std::map<GroupName, TermStart>());
       wire::since(archive, wire::kEvidenceFormat, records_departed, false);
     }
   };
--- a/tests/registered/control/failover/group_keeper_incarnations_test.cpp
+++ b/tests/registered/control/failover/group_keeper_incarnations_test.cpp
@@ -123,7 +123,7 @@
   CPPUNIT_TEST(counts_unproved_promotions);
   CPPUNIT_TEST(new_keeper_knows_of_a_replacement);
   CPPUNIT_TEST(treats_a_returning_member_as_replaced);
-  CPPUNIT_TEST(counts_a_member_registered_in_the_opening_batch_as_joined);
+  CPPUNIT_TEST(does_not_promote_a_member_registered_in_the_opening_batch);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -288,7 +288,7 @@
   }
 
   /// The registration and the opening are committed in one batch.
-  void counts_a_member_registered_in_the_opening_batch_as_joined() {
+  void does_not_promote_a_member_registered_in_the_opening_batch() {
     apply(registry::CloseGroup{kGroup, term().epoch});
     registry::BackendEntry next = entry("a", 2, 2000);
     leader_->statuses[next.name] = BackendStatus{false, kTerm, {kTerm - 1, 4}};
--- a/tests/registered/control/failover/promotion_choice_test.cpp
+++ b/tests/registered/control/failover/promotion_choice_test.cpp
@@ -68,7 +68,7 @@
   CPPUNIT_TEST(does_not_promote_the_furthest_after_an_unsettled_replacement);
   CPPUNIT_TEST(promotes_the_furthest_unproved_when_no_better_log_can_appear);
   CPPUNIT_TEST(waits_for_the_log_of_a_restarted_primary);
-  CPPUNIT_TEST(requires_entries_of_the_term_from_members_that_joined_in_it);
+  CPPUNIT_TEST(requires_the_start_of_the_term);
   CPPUNIT_TEST(does_not_adopt_a_newer_primary_without_a_log);
   CPPUNIT_TEST(does_not_compare_with_an_old_primary_that_lost_its_log);
   CPPUNIT_TEST(promotes_in_a_group_without_commits);
@@ -334,18 +334,23 @@
     CPPUNIT_ASSERT_EQUAL(std::string("a"), without_log.backend.value);
   }
 
-  void requires_entries_of_the_term_from_members_that_joined_in_it() {
-    // No proxy acknowledged anything in this term, and the proxies of earlier terms have restarted since.
+  /// Guards against a replica that lacks commits of earlier terms: no proxy acknowledged anything in this
+  /// term, and the proxies of earlier terms have restarted since.
+  void requires_the_start_of_the_term() {
     auto known = facts({incarnation("old", 1000, std::nullopt),
-                        incarnation("a", 2000, BackendStatus{false, 3, {2, 5}}),
+                        incarnation("a", 1000, BackendStatus{false, 3, {2, 5}}),
                         incarnation("b", 1000, std::nullopt)});
     known.all_acknowledgers_answered = true;
-    CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kPromote);
-    known.members[1].joined_in_term = true;
+    CPPUNIT_ASSERT_MESSAGE("the start is unknown",
+                           choose_promotion(known, true).verdict == PromotionVerdict::kNotYet);
+    known.term_start = Position{2, 6};
     CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kNotYet);
-    known.members[1].status = replica(6);
+    known.term_start = Position{2, 5};
     CPPUNIT_ASSERT(choose_promotion(known, true).verdict == PromotionVerdict::kPromote);
-    known.members[1].joined_in_term = false;
+    known.term_start.reset();
+    known.members[1].status = replica(6);
+    CPPUNIT_ASSERT_MESSAGE("entries of the term follow all earlier ones",
+                           choose_promotion(known, true).verdict == PromotionVerdict::kPromote);
     known.members[1].status = replica(0);
     known.closed.epoch = 4;
     CPPUNIT_ASSERT_MESSAGE("it may have joined before it registered",
--- a/tests/registered/control/failover/promotion_model_test.cpp
+++ b/tests/registered/control/failover/promotion_model_test.cpp
@@ -41,7 +41,7 @@
   bool deregistered_member_is_recorded = true;
   bool settles_only_after_the_end = true;    ///< a deregistered member may receive commits until it ends
   bool lost_acknowledgers_are_known = true;  ///< the answers of the remaining proxies are no bound
-  bool joined_incarnation_needs_entries = true;
+  bool term_start_is_known = true;
   bool opens_only_with_chosen_log = true;
 };
 
@@ -50,7 +50,6 @@
   bool answers = true;
   int incarnation = 1;
   int registered = 1;  ///< incarnation according to the registry
-  bool joined = false;
   bool deregistered = false;
   bool ended = false;  ///< after its deregistration
   auto operator<=>(const Member&) const = default;
@@ -104,9 +103,8 @@
     std::string text;
     for (std::size_t index = 0; index < kMembers; ++index) {
       const Member& member = state.members[index];
-      text += fmt::format("{} holds {}{} incarnation {} registered {}{}{}, ", kNames[index], member.length,
+      text += fmt::format("{} holds {}{} incarnation {} registered {}{}, ", kNames[index], member.length,
                           member.answers ? "" : " unreachable", member.incarnation, member.registered,
-                          member.joined ? " joined" : "",
                           member.ended ? " ended" : (member.deregistered ? " deregistered" : ""));
     }
     return text +
@@ -193,7 +191,6 @@
     Member& member = next.members[index];
     if (member.registered == member.incarnation) return;
     member.registered = member.incarnation;
-    member.joined = true;
     // Of the primary's incarnations only the first one leads, and it is not compared with the replicas.
     next.replacement_is_unsettled = next.replacement_is_unsettled || index != kPrimary;
     visit(next);
@@ -251,6 +248,7 @@
     facts.closed.primary_start_time_ms =
         guards_.term_records_primary_incarnation && guards_.backends_report_incarnations ? 1 : 0;
     facts.synchronous_replicas = 1;
+    facts.term_start = position_of(state, guards_.term_start_is_known ? state.previous_term_commits : 0);
     facts.all_acknowledgers_answered = !state.proxy_restarted || !guards_.lost_acknowledgers_are_known;
     facts.highest_acknowledged =
         state.known_to_proxy == 0 ? Position{} : position_of(state, state.known_to_proxy);
@@ -260,7 +258,6 @@
       finding.entry.name = BackendName(kNames[index]);
       if (guards_.backends_report_incarnations)
         finding.entry.start_time_ms = static_cast<std::uint64_t>(member.registered);
-      finding.joined_in_term = member.joined && guards_.joined_incarnation_needs_entries;
       finding.has_departed = member.deregistered;
       const bool is_primary = index == kPrimary && leads(state);
       if (member.answers)
@@ -351,7 +348,7 @@
     expect_violation("deregistered", [](Guards& guards) { guards.deregistered_member_is_recorded = false; });
     expect_violation("ended", [](Guards& guards) { guards.settles_only_after_the_end = false; });
     expect_violation("acknowledgers", [](Guards& guards) { guards.lost_acknowledgers_are_known = false; });
-    expect_violation("joined", [](Guards& guards) { guards.joined_incarnation_needs_entries = false; });
+    expect_violation("term start", [](Guards& guards) { guards.term_start_is_known = false; });
     expect_violation("chosen", [](Guards& guards) { guards.opens_only_with_chosen_log = false; });
   }
 
--- a/tests/registered/registry/state_machine_test.cpp
+++ b/tests/registered/registry/state_machine_test.cpp
@@ -350,6 +350,13 @@
     CPPUNIT_ASSERT(machine_->knows_all_acknowledgers(*machine_->find_term(GroupName("records"))));
     apply(AdmitProxy{{NodeName("p1"), 2, ZoneName("a"), {}, false}});
     CPPUNIT_ASSERT(!machine_->knows_all_acknowledgers(*machine_->find_term(GroupName("records"))));
+    // It was lost after the position was read, and before the group opened with it.
+    const std::uint64_t before = machine_->revision();
+    apply(CloseGroup{GroupName("records"), 1});
+    apply(AdmitProxy{{NodeName("p1"), 3, ZoneName("a"), {}, false}});
+    apply(OpenGroup{GroupName("records"), 2, 1, BackendName("b1"), 0, TermStart{{1, 7}, before}});
+    CPPUNIT_ASSERT(machine_->term_start(GroupName("records")) == (TermStart{{1, 7}, before}));
+    CPPUNIT_ASSERT(!machine_->knows_all_acknowledgers(*machine_->find_term(GroupName("records"))));
   }
 
   void delta_contains_missing_changes() {
--- a/tests/simulation/departed_replica_test.cpp
+++ b/tests/simulation/departed_replica_test.cpp
@@ -60,6 +60,7 @@
   CPPUNIT_TEST(a_lagging_replica_is_not_promoted_after_another_left_and_the_proxies_were_killed);
   CPPUNIT_TEST(a_lagging_replica_is_not_promoted_after_another_left_and_control_restarted);
   CPPUNIT_TEST(a_deregistered_replica_that_serves_on_counts_until_it_ends);
+  CPPUNIT_TEST(commits_of_an_earlier_term_count_when_their_proxies_are_gone);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -103,6 +104,28 @@
       expect_the_primary_is_waited_for(fleet, primary);
     });
   }
+
+  /// Guards against a replica that lacks commits of earlier terms, which no remaining proxy has acknowledged.
+  void commits_of_an_earlier_term_count_when_their_proxies_are_gone() {
+    check([](RegisteredFleet& fleet) {
+      fleet.run_for(seconds(4));
+      fleet.group().member(kDeaf).deaf = true;
+      fleet.run_for(seconds(1));
+      fleet.kill("g1-b1");
+      restart_all(fleet, kProxies);
+      fleet.run_for(seconds(4));
+      CPPUNIT_ASSERT_EQUAL(std::string(kLeaving), fleet.primary());
+      fleet.kill(kLeaving);
+      fleet.run_for(seconds(6));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE("nobody follows", std::uint64_t{1}, fleet.group().promotions());
+      fleet.group().member(kDeaf).deaf = false;
+      fleet.restart(kLeaving);
+      fleet.restart("g1-b1");
+      const std::uint64_t acknowledged = fleet.acknowledged();
+      fleet.run_for(seconds(6));
+      CPPUNIT_ASSERT(fleet.acknowledged() > acknowledged);
+    });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DepartedReplicaTest);
