A transaction keeps the scope that it was opened with

Cause: the forward server places a transaction's first statement by the route of its own document, and took the group, the route and the tenant of each later one from the forwarding proxy's. PinnedTransactions then asked may_use_primary(group A, epoch of group B). Epochs are counted by group from 1 on, so the check passed while A was open, although B was closed and this proxy had confirmed it. Ruled out: the fence and the lease (control did get the confirmation), the link (the commit went to the right backend).

Change: a transaction keeps the StatementScope of its first statement (route, group, key, tenant, regions); PinnedTransactions takes a StatementContent, which has none of these. An epoch names its group (GroupEpoch), so that two groups' epochs never compare equal. A session's transaction keeps its scope from BEGIN on, and its key must still prove that tenant.

Why it works: no later statement carries anything that could be looked up in another document; the remaining comparison of epochs includes the group.

--- a/src/registered/proxy/callers/caller_session.cpp
+++ b/src/registered/proxy/callers/caller_session.cpp
@@ -49,8 +49,9 @@
   const FleetView& view = services_.view;
   if (!view.needs_key(request.route)) return true;
   const registry::TenantRule* tenant = view.tenants().find_by_key(key_);
-  const placement::KeyFacts key{true, tenant != nullptr,
-                                view.keys_confirmed().allows(services_.runtime.now())};
+  // An open transaction belongs to the tenant that the key proved when it began.
+  const bool proves_tenant = tenant != nullptr && (!transaction_ || tenant->name == request.tenant);
+  const placement::KeyFacts key{true, proves_tenant, view.keys_confirmed().allows(services_.runtime.now())};
   const auto rejection = placement::key_rejection(key);
   if (rejection == RejectionReason::kNone) {
     request.key = key_;
@@ -59,7 +60,7 @@
   }
   const bool unknown = rejection == RejectionReason::kKeyUnauthorized;
   refusal = refuse(refusal_of(rejection),
-                   unknown ? "the key no longer belongs to any tenant"
+                   unknown ? "the key no longer belongs to the tenant"
                            : "keys can't be confirmed without control; reconnect through another proxy");
   services_.metrics.count_unplaced(rejection);
   services_.runtime.logger().log(
@@ -186,8 +187,7 @@
 std::optional<StatementRequest> CallerSession::make_request(const Statement& statement, Answer& refusal) {
   StatementRequest request;
   if (transaction_) {
-    request.route = transaction_->route;
-    request.group = transaction_->group;
+    static_cast<StatementScope&>(request) = transaction_->scope;
   } else {
     const registry::RouteRule* route = services_.view.find_route(database_);
     if (route == nullptr) {
@@ -209,8 +209,7 @@
   }
   request.id = statement.id;
   if (!authenticate(request, refusal)) return std::nullopt;
-  request.allowed =
-      transaction_ ? transaction_->allowed : services_.view.allowed_regions(request.route, request.tenant);
+  if (!transaction_) request.allowed = services_.view.allowed_regions(request.route, request.tenant);
   request.text = statement.text;
   request.values = values_;
   if (committed_group_ == request.group->name) request.committed = committed_;
@@ -229,9 +228,7 @@
   if (!request) return refusal;
   Transaction transaction;
   transaction.read_only = statement.kind == StatementKind::kBeginReadOnly;
-  transaction.route = request->route;
-  transaction.group = request->group;
-  transaction.allowed = request->allowed;
+  transaction.scope = *request;
   transaction.last_used = services_.runtime.now();
   transaction_ = std::move(transaction);
   return success_answer();
--- a/src/registered/proxy/callers/caller_session.h
+++ b/src/registered/proxy/callers/caller_session.h
@@ -46,10 +46,8 @@
     bool read_only = false;
     bool failed = false;
     bool wrote = false;
-    registry::RouteRule route;
-    std::shared_ptr<GroupAccess> group;
-    locality::PermittedRegions allowed;  ///< as of the begin; document changes apply to later transactions
-    std::optional<PinnedLink> pinned;    ///< set by the first statement
+    StatementScope scope;              ///< as of the begin; document changes apply to later transactions
+    std::optional<PinnedLink> pinned;  ///< set by the first statement
     TimePoint last_used{};
     std::string failure;  ///< why it was aborted; empty once the caller has been told
   };
--- a/src/registered/proxy/fleet/fleet_view.h
+++ b/src/registered/proxy/fleet/fleet_view.h
@@ -150,10 +150,10 @@
   [[nodiscard]] std::vector<registry::ClosedGroup> closed_groups() const;
 
   /// Whether statements may be sent to the primary of `epoch`, and its answers be passed on, at this moment.
-  /// False once another incarnation has registered under the primary's name.
-  [[nodiscard]] bool may_use_primary(const GroupAccess& group, std::uint64_t epoch) const {
+  /// False once another incarnation has registered under the primary's name, and for another group's epoch.
+  [[nodiscard]] bool may_use_primary(const GroupAccess& group, const registry::GroupEpoch& epoch) const {
     const bool is_same =
-        group.term().open && group.term().epoch == epoch && !group.backends.is_primary_restarted();
+        group.term().open && group.epoch() == epoch && !group.backends.is_primary_restarted();
     return is_same && holds_lease_for(group);
   }
   /// Notified whenever control's lease or a lease of group members is extended.
--- a/src/registered/proxy/forwarding/forward_server.cpp
+++ b/src/registered/proxy/forwarding/forward_server.cpp
@@ -81,18 +81,26 @@
   }
 }
 
-std::optional<StatementRequest> ForwardServer::to_statement_request(ForwardedStatement forwarded) {
-  StatementRequest statement;
-  statement.group = services_.view.find_group(forwarded.route.group);
-  if (!statement.group) return std::nullopt;
-  if (services_.view.needs_key(forwarded.route)) {
+std::optional<StatementScope> ForwardServer::scope_of(const ForwardedStatement& forwarded) {
+  const registry::RouteRule* route = services_.view.find_route(forwarded.route.database);
+  if (route == nullptr) return std::nullopt;
+  StatementScope scope;
+  scope.route = *route;
+  scope.group = services_.view.find_group(route->group);
+  if (!scope.group) return std::nullopt;
+  if (services_.view.needs_key(*route)) {
     const registry::TenantRule* tenant = services_.view.tenants().find_by_key(forwarded.key);
     if (tenant == nullptr) return std::nullopt;
-    statement.key = std::move(forwarded.key);
-    statement.tenant = tenant->name;
+    scope.key = forwarded.key;
+    scope.tenant = tenant->name;
   }
-  statement.route = std::move(forwarded.route);
-  statement.allowed = services_.view.allowed_regions(statement.route, statement.tenant);
+  scope.allowed = services_.view.allowed_regions(*route, scope.tenant);
+  scope.committed = SessionCommit{forwarded.committed, services_.runtime.now() - forwarded.committed_ago};
+  return scope;
+}
+
+StatementContent ForwardServer::content_of(ForwardedStatement forwarded, const registry::RouteRule& route) {
+  StatementContent statement;
   statement.id = std::move(forwarded.id);
   statement.text = std::move(forwarded.text);
   statement.prepared = std::move(forwarded.prepared);
@@ -100,10 +108,9 @@
   statement.writes = forwarded.writes;
   statement.values = std::move(forwarded.values);
   statement.arrived = services_.runtime.now();
-  statement.committed = SessionCommit{forwarded.committed, statement.arrived - forwarded.committed_ago};
   statement.deadline = statement.arrived + forwarded.time_left;
-  statement.waited_before = std::max<Duration>(
-      std::chrono::milliseconds(statement.route.timeout_ms) - forwarded.time_left, Duration(0));
+  statement.waited_before =
+      std::max<Duration>(std::chrono::milliseconds(route.timeout_ms) - forwarded.time_left, Duration(0));
   statement.opens_transaction = forwarded.opens_transaction;
   statement.read_only_transaction = forwarded.read_only_transaction;
   statement.is_forwarded = true;
@@ -156,24 +163,22 @@
 
 Awaitable<ForwardAnswer> ForwardServer::run(std::shared_ptr<Connection> connection, ForwardRun request) {
   ForwardAnswer forwarded;
-  // The route of this proxy's document applies: the forwarding proxy's document may be older.
-  const registry::RouteRule* route = services_.view.find_route(request.statement.route.database);
-  if (route != nullptr) request.statement.route = *route;
-  std::optional<StatementRequest> statement;
-  if (route != nullptr) statement = to_statement_request(std::move(request.statement));
-  if (!statement || !services_.view.holds_lease_for(*statement->group)) {
+  std::optional<StatementScope> scope = scope_of(request.statement);
+  if (!scope || !services_.view.holds_lease_for(*scope->group)) {
     forwarded.answer.refusal = Refusal::kBusy;
-    forwarded.answer.detail = statement ? "the proxy holds no serving lease"
-                                        : "the database, its group or the key is unknown to the proxy";
+    forwarded.answer.detail = scope ? "the proxy holds no serving lease"
+                                    : "the database, its group or the key is unknown to the proxy";
     forwarded.may_try_another = true;
     forwarded.nothing_run = true;
     co_return forwarded;
   }
-  const auto group = statement->group;
-  const bool is_admitted = services_.overload.admits(statement->route.priority);
+  const auto group = scope->group;
+  const bool is_admitted = services_.overload.admits(scope->route.priority);
+  StatementContent content = content_of(std::move(request.statement), scope->route);
+  StatementRequest statement{std::move(*scope), std::move(content)};
   RunResult result;
-  if (is_admitted) result = co_await runner_.run(std::move(*statement));
-  if (!is_admitted) result = runner_.refuse_overloaded(std::move(*statement));
+  if (is_admitted) result = co_await runner_.run(std::move(statement));
+  if (!is_admitted) result = runner_.refuse_overloaded(std::move(statement));
   forwarded.answer = std::move(result.answer);
   forwarded.nothing_run = result.nothing_run;
   forwarded.at_primary = result.served_by == ServedBy::kPrimary;
@@ -196,8 +201,7 @@
                                                            ForwardInTransaction request) {
   ForwardAnswer forwarded;
   const auto found = connection->pins.find(request.pin);
-  auto statement = to_statement_request(std::move(request.statement));
-  if (found == connection->pins.end() || found->second->running || !statement) {
+  if (found == connection->pins.end() || found->second->running) {
     forwarded.answer.refusal = Refusal::kAborted;
     forwarded.answer.state = TransactionState::kFailed;
     forwarded.answer.detail = "the transaction can't be continued at this proxy and is rolled back";
@@ -207,8 +211,9 @@
   const PinnedLink pinned = pin->link;
   forwarded.at_primary = pinned.at_primary;
   pin->running = true;
+  StatementContent statement = content_of(std::move(request.statement), pinned.scope->route);
   forwarded.answer =
-      co_await runner_.transactions().run(pinned, std::move(*statement), request.commits, request.wrote);
+      co_await runner_.transactions().run(pinned, std::move(statement), request.commits, request.wrote);
   pin->running = false;
   if (pin->ended) co_await runner_.transactions().end(pinned);
   co_return forwarded;
--- a/src/registered/proxy/forwarding/forward_server.h
+++ b/src/registered/proxy/forwarding/forward_server.h
@@ -49,8 +49,12 @@
   /// Grants tokens if this proxy owns the quota of the requested tenant or cold backend.
   limits::Grant grant(const ForwardTokens& request);
   Awaitable<void> send_answers(std::shared_ptr<Connection> connection);
-  /// Returns std::nullopt if this proxy does not know the group, or no tenant with the caller's key.
-  std::optional<StatementRequest> to_statement_request(ForwardedStatement forwarded);
+  /// The scope of a statement according to this proxy's document, as the forwarding proxy's may be older.
+  /// Returns std::nullopt if this proxy does not know the database or its group, or no tenant with the
+  /// caller's key.
+  std::optional<StatementScope> scope_of(const ForwardedStatement& forwarded);
+  /// The statement itself. `route`: that of its scope.
+  StatementContent content_of(ForwardedStatement forwarded, const registry::RouteRule& route);
 
   SessionServices services_;
   StatementRunner runner_;
--- a/src/registered/proxy/group/group_access.h
+++ b/src/registered/proxy/group/group_access.h
@@ -26,6 +26,7 @@
               const tenancy::KeyConfirmation* confirmation = nullptr);
 
   [[nodiscard]] const registry::GroupTerm& term() const { return leadership.term(); }
+  [[nodiscard]] registry::GroupEpoch epoch() const { return {name, term().epoch}; }
   /// If the term ends an epoch, callers that wait for answers of its primary fail at once.
   void set_term(const registry::GroupTerm& term);
   void put_backend(const registry::BackendEntry& entry);
--- a/src/registered/proxy/group/position_keeper.cpp
+++ b/src/registered/proxy/group/position_keeper.cpp
@@ -27,12 +27,13 @@
 Awaitable<void> PositionRefresher::query_primary(std::shared_ptr<GroupAccess> group,
                                                  std::shared_ptr<BackendState> primary) {
   const registry::GroupTerm term = group->term();
+  const registry::GroupEpoch epoch = group->epoch();
   const TimePoint deadline = runtime_.now() + kLinkSetupTimeout;
   Reason reason;
   const auto answer = co_await query_status(runtime_, primary, deadline, reason);
   const bool leads = answer && answer->status.is_primary && answer->status.term == term.term;
   // The answer covers everything acknowledged before the query only while the term is open.
-  if (leads && answer->position && view_.may_use_primary(*group, term.epoch))
+  if (leads && answer->position && view_.may_use_primary(*group, epoch))
     group->positions.record(answer->sent_at, *answer->position);
   queried_groups_.erase(group->name);
 }
--- a/src/registered/proxy/group/position_question.cpp
+++ b/src/registered/proxy/group/position_question.cpp
@@ -10,7 +10,7 @@
 Awaitable<void> query_primary(runtime::Runtime* runtime, FleetView* view,
                               std::shared_ptr<GroupAccess> group) {
   const auto primary = group->evaluator.primary();
-  const std::uint64_t epoch = group->term().epoch;
+  const registry::GroupEpoch epoch = group->epoch();
   const TimePoint asked_at = runtime->now();
   std::optional<StatusAnswer> answer;
   Reason reason;
--- a/src/registered/proxy/statement/pinned_transactions.cpp
+++ b/src/registered/proxy/statement/pinned_transactions.cpp
@@ -41,8 +41,9 @@
   return placement::rejection_in_transaction(facts, group.evaluator.facts_of(*pinned.backend, {}));
 }
 
-Awaitable<Answer> PinnedTransactions::run(PinnedLink pinned, StatementRequest request, bool commits,
+Awaitable<Answer> PinnedTransactions::run(PinnedLink pinned, StatementContent statement, bool commits,
                                           bool wrote) {
+  StatementRequest request{*pinned.scope, std::move(statement)};
   if (pinned.remote) co_return co_await forward(*pinned.remote, std::move(request), commits, wrote);
   GroupAccess& group = *request.group;
   runtime::Runtime& runtime = services_.runtime;
@@ -91,7 +92,7 @@
     services_.metrics.count_lost_answer();
     const placement::LossFacts loss{sent == SendState::kMaybeSent,
                                     reason.code == ReasonCode::kConnectionLost};
-    if (placement::may_have_restarted(loss, group.term().epoch == pinned.epoch))
+    if (placement::may_have_restarted(loss, group.epoch() == pinned.epoch))
       pinned.backend->restart_detector.mark_unreachable();
     if (pinned.at_primary && current) services_.link.report_suspicion(group, SuspicionKind::kSilent);
     const bool in_doubt = placement::is_in_doubt(commits && wrote, loss.may_have_arrived);
--- a/src/registered/proxy/statement/pinned_transactions.h
+++ b/src/registered/proxy/statement/pinned_transactions.h
@@ -15,9 +15,9 @@
   explicit PinnedTransactions(SessionServices services)
       : services_(services), cold_tokens_(services), log_(services) {}
 
-  /// Runs a further statement of a transaction, or its commit. `wrote`: the transaction contains writes. The
-  /// link is closed if no answer arrives.
-  Awaitable<Answer> run(PinnedLink pinned, StatementRequest request, bool commits, bool wrote);
+  /// Runs a further statement of a transaction, or its commit, under the scope that the transaction was
+  /// opened with. `wrote`: the transaction contains writes. The link is closed if no answer arrives.
+  Awaitable<Answer> run(PinnedLink pinned, StatementContent statement, bool commits, bool wrote);
   /// Rolls the transaction back and returns the link to its pool. A transaction at another proxy is ended
   /// there.
   Awaitable<void> roll_back(PinnedLink pinned);
--- a/src/registered/proxy/statement/statement_attempt.h
+++ b/src/registered/proxy/statement/statement_attempt.h
@@ -29,7 +29,7 @@
   // Current attempt.
   std::shared_ptr<BackendState> backend;
   std::shared_ptr<StatefulLink> link;
-  std::uint64_t epoch = 0;
+  registry::GroupEpoch epoch;
   bool at_primary = false;
   bool needs_primary = false;           ///< the answer is valid only while the primary of `epoch` may be used
   std::optional<TimePoint> cold_token;  ///< expiry of a token that is not used yet
@@ -51,7 +51,8 @@
   [[nodiscard]] PlacementRequest placement_request() const { return {&need, &excluded, &request.allowed}; }
   /// The transaction that the statement has opened.
   [[nodiscard]] PinnedLink pinned() const {
-    return PinnedLink{backend, link, std::nullopt, epoch, at_primary};
+    return PinnedLink{backend, link,      std::nullopt, std::make_shared<const StatementScope>(request),
+                      epoch,   at_primary};
   }
   /// Input for attempt_outcome.h. `may_use_primary`: the primary of `epoch` may still be used.
   [[nodiscard]] placement::AttemptFacts facts(bool may_use_primary) const {
@@ -61,7 +62,7 @@
     facts.needs_primary = needs_primary;
     facts.primary_only = need.primary_only;
     facts.at_primary = at_primary;
-    facts.term_is_current = request.group->term().epoch == epoch;
+    facts.term_is_current = request.group->epoch() == epoch;
     facts.may_use_primary = may_use_primary;
     facts.attempts = progress.attempts;
     return facts;
--- a/src/registered/proxy/statement/statement_forwarding.cpp
+++ b/src/registered/proxy/statement/statement_forwarding.cpp
@@ -138,6 +138,7 @@
   if (answer->pin > 0) {
     PinnedLink pinned;
     pinned.remote = RemotePin{connection, answer->pin};
+    pinned.scope = std::make_shared<const StatementScope>(request);
     pinned.at_primary = answer->at_primary;
     result.pinned = pinned;
   }
--- a/src/registered/proxy/statement/statement_log.cpp
+++ b/src/registered/proxy/statement/statement_log.cpp
@@ -26,7 +26,7 @@
       {{"id", attempt.request.id},
        {"backend", attempt.backend->entry.name.value},
        {"at_primary", attempt.at_primary ? "true" : "false"},
-       {"epoch", std::to_string(attempt.epoch)},
+       {"epoch", std::to_string(attempt.epoch.epoch)},
        {"writes", attempt.request.writes ? "true" : "false"},
        {"waited_ms", std::to_string(in_ms(services_.runtime.now() - attempt.sent_at))}});
 }
--- a/src/registered/proxy/statement/statement_placer.cpp
+++ b/src/registered/proxy/statement/statement_placer.cpp
@@ -63,7 +63,7 @@
       need, proxy_facts(services_.view, group, attempt.progress.wait_budget()), backends, allowance);
   if (placed.action != Action::kRun) return placed;
   attempt.backend = group.backends.at(placed.backend);
-  attempt.epoch = group.term().epoch;
+  attempt.epoch = group.epoch();
   attempt.at_primary = placement::may_lead(backends[placed.backend]);
   attempt.needs_primary = need.needs_primary();
   return placed;
--- a/src/registered/proxy/statement/statement_request.h
+++ b/src/registered/proxy/statement/statement_request.h
@@ -14,21 +14,25 @@
 
 namespace cairnhollow::registered::proxy {
 
-/// A statement with everything needed to run it.
-struct StatementRequest {
+/// What a statement runs under. A transaction keeps the scope that its first statement was placed under.
+struct StatementScope {
   registry::RouteRule route;
   std::shared_ptr<GroupAccess> group;
-  ApiKey key;         ///< the caller's API key; empty if the route requires none
-  TenantName tenant;  ///< tenant that the key proved when the statement arrived
-  /// Regions in which it may run. For a transaction they are fixed when it begins.
-  locality::PermittedRegions allowed;
+  ApiKey key;                          ///< the caller's API key; empty if the route requires none
+  TenantName tenant;                   ///< tenant that the key proved
+  locality::PermittedRegions allowed;  ///< regions in which it may run
+  SessionCommit committed;             ///< the session's last commit in the group
+};
+
+/// A statement without its scope. Further statements of a transaction carry nothing else, so that they can't
+/// be checked against another group, route or tenant than those of the transaction.
+struct StatementContent {
   std::string id;
   std::string text;                       ///< sent unchanged, unless a prepared statement is executed
   std::optional<PreparedShape> prepared;  ///< prepared statement to execute with `argument`
   std::string argument;
   bool writes = false;
   SessionValues values;
-  SessionCommit committed;  ///< the session's last commit
   TimePoint arrived{};
   TimePoint deadline{};
   /// True for the first statement of a transaction, or for the commit of a transaction without statements.
@@ -40,6 +44,10 @@
   Duration waited_before{0};  ///< before `arrived`: while its session opened, or at another proxy
   /// A backend may already have run it; a rerun needs another token of the tenant's rate limit.
   bool may_have_run = false;
+};
+
+/// A statement with everything needed to run it.
+struct StatementRequest : StatementScope, StatementContent {
   /// Whether the statement, or the transaction that it opens, is read-only.
   [[nodiscard]] bool reads() const { return opens_transaction ? read_only_transaction : !writes; }
   /// Whether its success alone makes changes durable: a write outside a transaction, which may have run if
@@ -67,7 +75,8 @@
   std::shared_ptr<BackendState> backend;  ///< null if `remote` is set
   std::shared_ptr<StatefulLink> link;     ///< null if `remote` is set
   std::optional<RemotePin> remote;
-  std::uint64_t epoch = 0;  ///< the group's epoch when it was opened
+  std::shared_ptr<const StatementScope> scope;  ///< never null
+  registry::GroupEpoch epoch;                   ///< when it was opened; unused if `remote` is set
   bool at_primary = false;  ///< its answers are valid only while the primary of `epoch` may be used
 };
 
--- a/src/registered/proxy/statement/statement_sending.h
+++ b/src/registered/proxy/statement/statement_sending.h
@@ -30,7 +30,7 @@
 
 /// The context in which a primary reported success.
 struct PrimaryExchange {
-  std::uint64_t epoch = 0;  ///< the group's epoch when the statement was sent
+  registry::GroupEpoch epoch;  ///< when the statement was sent
   TimePoint sent_at{};
   bool commits = false;
 };
--- a/src/registered/registry/model.h
+++ b/src/registered/registry/model.h
@@ -154,6 +154,13 @@
   }
 };
 
+/// An epoch together with the group that counts it: epochs of different groups are unrelated.
+struct GroupEpoch {
+  GroupName group;
+  std::uint64_t epoch = 0;
+  bool operator==(const GroupEpoch&) const = default;
+};
+
 /// The primary of a group as known to the fleet. A group is closed from the time at which its primary is
 /// given up until the next primary is confirmed; a closed group accepts and acknowledges no writes.
 struct GroupTerm {
--- a/tests/registered/proxy/callers/caller_session_test.cpp
+++ b/tests/registered/proxy/callers/caller_session_test.cpp
@@ -89,6 +89,7 @@
   CPPUNIT_TEST(closes_session_when_key_was_removed);
   CPPUNIT_TEST(transaction_fails_when_key_confirmation_expires);
   CPPUNIT_TEST(commit_is_not_sent_without_key_confirmation);
+  CPPUNIT_TEST(transaction_fails_when_key_was_given_to_another_tenant);
   CPPUNIT_TEST(refuses_operation_that_no_owner_counts);
   CPPUNIT_TEST(returns_token_of_statement_not_run);
   CPPUNIT_TEST_SUITE_END();
@@ -243,6 +244,22 @@
     CPPUNIT_ASSERT(stand_->sent_to(SessionStand::kPrimary) == (std::vector<std::string>{"begin", "w"}));
   }
 
+  /// Guards against a transaction that goes on under a tenant other than the one that began it.
+  void transaction_fails_when_key_was_given_to_another_tenant() {
+    for (const bool is_opened : {true, false}) {
+      tearDown();
+      setUp();
+      stand_->confirm(kLong, kLong);
+      open(SessionStand::kKey);
+      CPPUNIT_ASSERT(ask(StatementKind::kBegin, "begin").succeeded());
+      if (is_opened) CPPUNIT_ASSERT(ask(StatementKind::kWrite, "w").succeeded());
+      const std::size_t sent = stand_->sent_to(SessionStand::kPrimary).size();
+      stand_->reassign_key();
+      CPPUNIT_ASSERT(ask(StatementKind::kCommit, "commit").refusal == Refusal::kUnauthorized);
+      CPPUNIT_ASSERT_EQUAL(sent, stand_->sent_to(SessionStand::kPrimary).size());
+    }
+  }
+
   void refuses_operation_that_no_owner_counts() {
     // The confirmation is too old for this proxy to grant tokens.
     stand_->confirm(kLong, milliseconds(500));
--- a/tests/registered/proxy/fleet/fleet_view_guards_test.cpp
+++ b/tests/registered/proxy/fleet/fleet_view_guards_test.cpp
@@ -30,13 +30,16 @@
   void uses_primary_only_under_lease_for_its_epoch() {
     FleetView& view = stand_->view();
     const GroupAccess& group = *stand_->group();
-    const std::uint64_t epoch = group.term().epoch;
+    const registry::GroupEpoch epoch = group.epoch();
+    const registry::GroupEpoch next{epoch.group, epoch.epoch + 1};
     CPPUNIT_ASSERT_MESSAGE("without a lease", !view.may_use_primary(group, epoch));
     stand_->confirm(std::chrono::seconds(1), std::chrono::seconds(1));
     CPPUNIT_ASSERT(view.may_use_primary(group, epoch));
-    CPPUNIT_ASSERT_MESSAGE("for another epoch", !view.may_use_primary(group, epoch + 1));
+    CPPUNIT_ASSERT_MESSAGE("for another epoch", !view.may_use_primary(group, next));
+    const registry::GroupEpoch other{GroupName("other"), epoch.epoch};
+    CPPUNIT_ASSERT_MESSAGE("for the same epoch of another group", !view.may_use_primary(group, other));
     stand_->close_group();
-    CPPUNIT_ASSERT_MESSAGE("for a closed group", !view.may_use_primary(group, epoch + 1));
+    CPPUNIT_ASSERT_MESSAGE("for a closed group", !view.may_use_primary(group, next));
   }
 
   void does_not_use_restarted_primary() {
@@ -47,9 +50,9 @@
     stand_->view().apply(restarted);
     set_primary_birth(1000);
     stand_->confirm(std::chrono::seconds(1), std::chrono::seconds(1));
-    CPPUNIT_ASSERT(stand_->view().may_use_primary(group, group.term().epoch));
+    CPPUNIT_ASSERT(stand_->view().may_use_primary(group, group.epoch()));
     set_primary_birth(2000);
-    CPPUNIT_ASSERT(!stand_->view().may_use_primary(group, group.term().epoch));
+    CPPUNIT_ASSERT(!stand_->view().may_use_primary(group, group.epoch()));
   }
 
  private:
--- a/tests/registered/proxy/forwarding/forward_server_test.cpp
+++ b/tests/registered/proxy/forwarding/forward_server_test.cpp
@@ -25,6 +25,9 @@
   CPPUNIT_TEST(unknown_key_may_be_tried_at_another_proxy);
   CPPUNIT_TEST(refuses_immediately_without_lease);
   CPPUNIT_TEST(transaction_fails_once_key_is_removed);
+  CPPUNIT_TEST(transaction_fails_once_key_belongs_to_another_tenant);
+  CPPUNIT_TEST(commit_is_refused_once_the_transactions_group_is_closed);
+  CPPUNIT_TEST(transaction_outlives_a_change_of_its_route);
   CPPUNIT_TEST(rolls_back_transactions_of_lost_connection);
   CPPUNIT_TEST(room_conversation_takes_demands_and_probes);
   CPPUNIT_TEST(room_conversation_takes_no_statements);
@@ -91,6 +94,53 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, stand_->sent_to(SessionStand::kPrimary).size());
   }
 
+  /// Guards against a transaction that goes on under a tenant other than the one that opened it.
+  void transaction_fails_once_key_belongs_to_another_tenant() {
+    stand_->confirm(kLong, kLong);
+    ForwardedStatement first = statement("first");
+    first.opens_transaction = true;
+    const ForwardAnswer opened = call(ForwardRun{first});
+    CPPUNIT_ASSERT(opened.pin > 0);
+    stand_->reassign_key();
+    const ForwardAnswer late = call(ForwardInTransaction{opened.pin, statement("commit"), true, true});
+    CPPUNIT_ASSERT(late.answer.refusal == Refusal::kAborted);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, stand_->sent_to(SessionStand::kPrimary).size());
+  }
+
+  /// Guards against a commit that is checked against the group of the forwarding proxy's route, which is open
+  /// in the same epoch, although the transaction's own group is closed.
+  void commit_is_refused_once_the_transactions_group_is_closed() {
+    add_other_group();
+    stand_->confirm(kLong, kLong);
+    ForwardedStatement first = statement_for_other_group("first");
+    first.opens_transaction = true;
+    const ForwardAnswer opened = call(ForwardRun{first});
+    CPPUNIT_ASSERT(opened.pin > 0);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("by the route of this proxy", std::size_t{2},
+                                 stand_->sent_to(SessionStand::kPrimary).size());
+    stand_->close_group();
+    const ForwardAnswer late =
+        call(ForwardInTransaction{opened.pin, statement_for_other_group("commit"), true, true});
+    CPPUNIT_ASSERT(late.answer.refusal == Refusal::kAborted);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("not sent", std::size_t{2}, stand_->sent_to(SessionStand::kPrimary).size());
+  }
+
+  /// Its positions count for the group that it runs in, whatever group the forwarding proxy names.
+  void transaction_outlives_a_change_of_its_route() {
+    add_other_group();
+    stand_->confirm(kLong, kLong);
+    ForwardedStatement first = statement_for_other_group("first");
+    first.opens_transaction = true;
+    const ForwardAnswer opened = call(ForwardRun{first});
+    CPPUNIT_ASSERT(opened.pin > 0);
+    const ForwardAnswer committed =
+        call(ForwardInTransaction{opened.pin, statement_for_other_group("commit"), true, true});
+    CPPUNIT_ASSERT(committed.answer.succeeded());
+    CPPUNIT_ASSERT(stand_->group()->positions.highest_acknowledged() == committed.answer.position);
+    const auto other = stand_->view().find_group(GroupName("other"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, other->positions.highest_acknowledged().index);
+  }
+
   void rolls_back_transactions_of_lost_connection() {
     stand_->confirm(kLong, kLong);
     ForwardedStatement first = statement("first");
@@ -157,6 +207,30 @@
                                              wire::Conversation::kBackendRoom);
   }
 
+  /// Another group with an open primary in the same epoch.
+  void add_other_group() {
+    registry::FleetDelta delta = stand_->delta();
+    registry::GroupRule rule;
+    rule.name = GroupName("other");
+    delta.groups = {rule};
+    registry::BackendEntry entry = replica()->entry;
+    entry.name = BackendName("other-primary");
+    entry.group = rule.name;
+    entry.endpoint.port = 9100;
+    delta.backends = {entry};
+    registry::GroupTerm term = stand_->group()->term();
+    term.group = rule.name;
+    term.primary = entry.name;
+    delta.terms = {term};
+    stand_->view().apply(delta);
+  }
+  /// As sent by a proxy whose document leads the database to the other group.
+  static ForwardedStatement statement_for_other_group(const std::string& id) {
+    ForwardedStatement other = statement(id);
+    other.route.group = GroupName("other");
+    return other;
+  }
+
   static ForwardedStatement statement(const std::string& id) {
     ForwardedStatement statement;
     statement.route.database = DatabaseName("database");
