The position of a forwarded commit belongs to the group that ran it

Change: the answer to a forwarded statement names the group that ran it if it is another one (format 6, written only then), and the session records the commit there. A position of another group is not required; a read that must show the session's writes then runs at the primary.

Also: samples of the new fields of format 6; the settlement of departed members walks the groups that have some, not all.

--- a/src/registered/control/failover/member_settlement.cpp
+++ b/src/registered/control/failover/member_settlement.cpp
@@ -30,13 +30,13 @@
 }
 
 void MemberSettlement::settle_all() {
-  if (!terms_.leads() || fleet_.departed().size() == 0) return;
-  for (const registry::GroupRule& rule : fleet_.groups()) {
+  if (!terms_.leads()) return;
+  for (const GroupName& group : fleet_.departed().groups()) {
+    const registry::GroupRule* rule = fleet_.find_group(group);
     // Without synchronous replicas, the logs of the replicas prove nothing in any case.
-    if (rule.synchronous_replicas == 0 || fleet_.departed().of(rule.name).empty()) continue;
-    const auto term = terms_.find(rule.name);
-    if (term && term->open && running_.insert(rule.name).second)
-      runtime_.spawn("settle_members", settle(rule.name));
+    if (rule == nullptr || rule->synchronous_replicas == 0) continue;
+    const auto term = terms_.find(group);
+    if (term && term->open && running_.insert(group).second) runtime_.spawn("settle_members", settle(group));
   }
 }
 
--- a/src/registered/control/failover/member_settlement.h
+++ b/src/registered/control/failover/member_settlement.h
@@ -8,7 +8,6 @@
 // been silent.
 #pragma once
 
-#include <map>
 #include <set>
 #include <vector>
 
--- a/src/registered/proxy/callers/caller_session.cpp
+++ b/src/registered/proxy/callers/caller_session.cpp
@@ -234,10 +234,10 @@
   return success_answer();
 }
 
-void CallerSession::record_committed(const StatementRequest& request, const Answer& answer) {
+void CallerSession::record_committed(const GroupName& group, const Answer& answer) {
   if (!answer.succeeded() || !answer.position) return;
   committed_ = SessionCommit{answer.position, services_.runtime.now()};
-  committed_group_ = request.group->name;
+  committed_group_ = group;
 }
 
 Awaitable<bool> CallerSession::admit(const StatementRequest& request, std::optional<TimePoint>& token,
@@ -286,9 +286,8 @@
   auto request = make_request(statement, refusal);
   if (!request) co_return refusal;
   const bool writes = request->writes;
-  const StatementRequest sent_request = *request;
   RunResult result = co_await run_admitted(std::move(*request));
-  if (writes) record_committed(sent_request, result.answer);
+  if (writes) record_committed(result.group, result.answer);
   served_by_ = result.served_by;
   co_return std::move(result.answer);
 }
@@ -350,10 +349,9 @@
   }
   const PinnedLink pinned = *transaction_->pinned;
   const bool wrote = transaction_->wrote;
-  const StatementRequest sent_request = *request;
   Answer answer = co_await runner_.transactions().run(pinned, std::move(*request), true, wrote);
   served_by_ = pinned.at_primary ? ServedBy::kPrimary : ServedBy::kReplica;
-  if (wrote) record_committed(sent_request, answer);
+  if (wrote) record_committed(pinned.group(), answer);
   if (answer.state == TransactionState::kIdle) {
     runner_.transactions().release(pinned);
   } else {
--- a/src/registered/proxy/callers/caller_session.h
+++ b/src/registered/proxy/callers/caller_session.h
@@ -95,7 +95,8 @@
   [[nodiscard]] Answer success_answer() const;
   [[nodiscard]] TransactionState state() const;
   Awaitable<void> end_transaction();
-  void record_committed(const StatementRequest& request, const Answer& answer);
+  /// Records a commit in the group that produced the answer, which another proxy's document may have chosen.
+  void record_committed(const GroupName& group, const Answer& answer);
 
   SessionServices services_;
   StatementRunner runner_;
--- a/src/registered/proxy/forwarding/forward_messages.h
+++ b/src/registered/proxy/forwarding/forward_messages.h
@@ -126,11 +126,14 @@
   bool may_try_another = false;  ///< not run, for a reason specific to the answering proxy
   bool nothing_run = false;      ///< no backend can have run the statement, in any attempt
   limits::Grant grant;           ///< the answer to ForwardTokens
+  /// The group that ran the statement, if it is another one than the forwarding proxy's route leads to.
+  GroupName other_group;
   template <class Archive>
   void serialize(Archive& archive) {
     archive(correlation, answer, pin, at_primary, may_try_another);
     wire::since(archive, wire::kTenantsFormat, nothing_run, false);
     wire::since(archive, wire::kTenantsFormat, grant, limits::Grant());
+    wire::since(archive, wire::kEvidenceFormat, other_group, GroupName());
   }
 };
 
--- a/src/registered/proxy/forwarding/forward_server.cpp
+++ b/src/registered/proxy/forwarding/forward_server.cpp
@@ -95,7 +95,12 @@
     scope.tenant = tenant->name;
   }
   scope.allowed = services_.view.allowed_regions(*route, scope.tenant);
-  scope.committed = SessionCommit{forwarded.committed, services_.runtime.now() - forwarded.committed_ago};
+  if (scope.group->name == forwarded.route.group) {
+    scope.committed = SessionCommit{forwarded.committed, services_.runtime.now() - forwarded.committed_ago};
+  } else if (route->reads == registry::ReadPolicy::kReadYourWrites) {
+    // The session's commits in this group are unknown here, and the primary has them all.
+    scope.route.reads = registry::ReadPolicy::kPrimary;
+  }
   return scope;
 }
 
@@ -136,7 +141,8 @@
   }
   answer.correlation = request.correlation;
   if (connection->ended) co_return;
-  const wire::Format format = wire::format_with_tenants(is_grant || services_.view.requires_keys());
+  wire::Format format = wire::format_with_tenants(is_grant || services_.view.requires_keys());
+  if (!answer.other_group.empty()) format = std::max(format, wire::kEvidenceFormat);
   connection->outgoing.push_back(wire::encode(answer, format));
   if (std::exchange(connection->sending, true)) co_return;
   co_await send_answers(connection);
@@ -173,6 +179,7 @@
     co_return forwarded;
   }
   const auto group = scope->group;
+  const GroupName forwarding_group = request.statement.route.group;
   const bool is_admitted = services_.overload.admits(scope->route.priority);
   StatementContent content = content_of(std::move(request.statement), scope->route);
   StatementRequest statement{std::move(*scope), std::move(content)};
@@ -182,6 +189,7 @@
   forwarded.answer = std::move(result.answer);
   forwarded.nothing_run = result.nothing_run;
   forwarded.at_primary = result.served_by == ServedBy::kPrimary;
+  if (group->name != forwarding_group) forwarded.other_group = group->name;
   const bool cannot_serve = placement::may_other_proxy_serve(proxy_facts(services_.view, *group));
   // Another proxy may be less loaded than this one.
   forwarded.may_try_another = (cannot_serve || !is_admitted) && forwarded.answer.refusal == Refusal::kBusy;
--- a/src/registered/proxy/statement/statement_attempt.h
+++ b/src/registered/proxy/statement/statement_attempt.h
@@ -51,8 +51,8 @@
   [[nodiscard]] PlacementRequest placement_request() const { return {&need, &excluded, &request.allowed}; }
   /// The transaction that the statement has opened.
   [[nodiscard]] PinnedLink pinned() const {
-    return PinnedLink{backend, link,      std::nullopt, std::make_shared<const StatementScope>(request),
-                      epoch,   at_primary};
+    auto scope = std::make_shared<const StatementScope>(request);
+    return PinnedLink{backend, link, std::nullopt, std::move(scope), epoch, at_primary};
   }
   /// Input for attempt_outcome.h. `may_use_primary`: the primary of `epoch` may still be used.
   [[nodiscard]] placement::AttemptFacts facts(bool may_use_primary) const {
--- a/src/registered/proxy/statement/statement_forwarding.cpp
+++ b/src/registered/proxy/statement/statement_forwarding.cpp
@@ -135,9 +135,10 @@
   result.answer = std::move(answer->answer);
   result.nothing_run = answer->nothing_run;
   result.served_by = answer->at_primary ? ServedBy::kPrimary : ServedBy::kReplica;
+  result.group = answer->other_group.empty() ? request.group->name : answer->other_group;
   if (answer->pin > 0) {
     PinnedLink pinned;
-    pinned.remote = RemotePin{connection, answer->pin};
+    pinned.remote = RemotePin{connection, answer->pin, result.group};
     pinned.scope = std::make_shared<const StatementScope>(request);
     pinned.at_primary = answer->at_primary;
     result.pinned = pinned;
--- a/src/registered/proxy/statement/statement_request.h
+++ b/src/registered/proxy/statement/statement_request.h
@@ -68,6 +68,7 @@
 struct RemotePin {
   std::shared_ptr<ForwardConnection> connection;
   std::uint64_t pin = 0;
+  GroupName group;  ///< in which it is open, by the other proxy's document
 };
 
 /// Where a transaction is open: a link reserved for it until the link is released, or another proxy.
@@ -78,12 +79,15 @@
   std::shared_ptr<const StatementScope> scope;  ///< never null
   registry::GroupEpoch epoch;                   ///< when it was opened; unused if `remote` is set
   bool at_primary = false;  ///< its answers are valid only while the primary of `epoch` may be used
+  /// The group whose log the answers' positions belong to.
+  [[nodiscard]] const GroupName& group() const { return remote ? remote->group : scope->group->name; }
 };
 
 struct RunResult {
   Answer answer;
   std::optional<PinnedLink> pinned;  ///< set if a transaction was opened: where
   ServedBy served_by = ServedBy::kProxy;
+  GroupName group;           ///< that ran it, according to the document of the proxy that ran it
   bool nothing_run = false;  ///< certainly no backend has run it, in any attempt
 };
 
--- a/src/registered/proxy/statement/statement_runner.cpp
+++ b/src/registered/proxy/statement/statement_runner.cpp
@@ -419,6 +419,7 @@
     attempt.refusal = StatementRefusal{RejectionReason::kRefusedByBackend, kRunStep};
   }
   attempt.result.served_by = attempt.at_primary ? ServedBy::kPrimary : ServedBy::kReplica;
+  attempt.result.group = group.name;
   if (request.opens_transaction) {
     attempt.result.pinned = attempt.pinned();
   } else {
--- a/src/registered/registry/departed_members.cpp
+++ b/src/registered/registry/departed_members.cpp
@@ -17,6 +17,13 @@
   return size;
 }
 
+std::vector<GroupName> DepartedMembers::groups() const {
+  std::vector<GroupName> groups;
+  groups.reserve(departed_.size());
+  for (const auto& [group, members] : departed_) groups.push_back(group);
+  return groups;
+}
+
 void DepartedMembers::record(const GroupName& group, DepartedMember departed) {
   std::vector<DepartedMember>& members = departed_[group];
   members.push_back(std::move(departed));
--- a/src/registered/registry/departed_members.h
+++ b/src/registered/registry/departed_members.h
@@ -42,6 +42,8 @@
   /// The group's departed members; empty if the registered members are known to hold all that they held.
   [[nodiscard]] const std::vector<DepartedMember>& of(const GroupName& group) const;
   [[nodiscard]] std::size_t size() const;
+  /// The groups that have departed members.
+  [[nodiscard]] std::vector<GroupName> groups() const;
   void record(const GroupName& group, DepartedMember departed);
   /// Records that `entry` registered at `revision`, so that what ran at its address before has ended. A
   /// backend that deregistered passes its log to the group's next backend at its address, which then stands
--- a/src/wire/format.h
+++ b/src/wire/format.h
@@ -25,7 +25,8 @@
 /// tenants.
 inline constexpr Format kPlacementFormat = 5;
 
-/// Adds evidence for promotions to the state of a registered fleet: the departed members of its groups.
+/// Adds evidence for promotions: departed members and the start of a term. Adds the group that ran a
+/// forwarded statement to its answer.
 inline constexpr Format kEvidenceFormat = 6;
 
 /// The latest format that this build can read.
--- a/tests/registered/proxy/callers/caller_session_test.cpp
+++ b/tests/registered/proxy/callers/caller_session_test.cpp
@@ -5,7 +5,9 @@
 
 #include <deque>
 
+#include "registered/proxy/forwarding/forward_messages.h"
 #include "tests/registered/proxy/session_stand.h"
+#include "wire/codec.h"
 
 namespace cairnhollow::registered::proxy {
 
@@ -73,6 +75,36 @@
   bool open_ = true;
 };
 
+/// Another proxy. It answers each forwarded statement with a commit of `group`; empty: of the group of the
+/// sender's route.
+struct OtherProxy {
+  GroupName group;
+  std::vector<ForwardedStatement> received;
+  std::shared_ptr<runtime::FrameConnection> connection;
+
+  static Awaitable<void> serve(runtime::Runtime& runtime, Endpoint endpoint,
+                               std::shared_ptr<OtherProxy> self) {
+    Reason reason;
+    const auto listener = runtime.network().listen(endpoint, reason);
+    self->connection = co_await listener->accept(reason);
+    while (self->connection) {
+      const auto frame = co_await self->connection->receive(reason);
+      if (!frame) co_return;
+      const auto request = wire::decode<ForwardRequest>(*frame, reason);
+      const auto* run = request ? std::get_if<ForwardRun>(&request->body) : nullptr;
+      if (run != nullptr) self->received.push_back(run->statement);
+      ForwardAnswer answer;
+      answer.correlation = request ? request->correlation : 0;
+      answer.answer.signature = "signature";
+      answer.answer.position = Position{1, 77};
+      answer.at_primary = true;
+      answer.other_group = self->group;
+      std::string bytes = wire::encode(answer, wire::kEvidenceFormat);
+      co_await self->connection->send(std::move(bytes), reason);
+    }
+  }
+};
+
 }  // namespace
 
 class CallerSessionTest : public CppUnit::TestFixture {
@@ -90,6 +122,7 @@
   CPPUNIT_TEST(transaction_fails_when_key_confirmation_expires);
   CPPUNIT_TEST(commit_is_not_sent_without_key_confirmation);
   CPPUNIT_TEST(transaction_fails_when_key_was_given_to_another_tenant);
+  CPPUNIT_TEST(remembers_a_commit_in_the_group_that_ran_it);
   CPPUNIT_TEST(refuses_operation_that_no_owner_counts);
   CPPUNIT_TEST(returns_token_of_statement_not_run);
   CPPUNIT_TEST_SUITE_END();
@@ -260,6 +293,35 @@
     }
   }
 
+  /// Guards against the position of a forwarded commit that is kept for the group of this proxy's older
+  /// route.
+  void remembers_a_commit_in_the_group_that_ran_it() {
+    for (const bool is_elsewhere : {true, false}) {
+      tearDown();
+      setUp();
+      const auto other = std::make_shared<OtherProxy>();
+      if (is_elsewhere) other->group = GroupName("elsewhere");
+      const Endpoint endpoint{"10.0.0.2", 7440};
+      auto& process = stand_->start_process("other", endpoint.address);
+      process.spawn("serve", OtherProxy::serve(process, endpoint, other));
+      registry::FleetDelta delta = stand_->delta();
+      delta.proxies = {{NodeName("other"), 1, ZoneName("a"), endpoint, false}};
+      stand_->view().apply(delta);
+      stand_->confirm(milliseconds(50), kLong);
+      open(SessionStand::kKey);
+      stand_->run_for(milliseconds(100));
+      CPPUNIT_ASSERT_MESSAGE("forwarded for want of a lease", ask(StatementKind::kWrite, "w").succeeded());
+      CPPUNIT_ASSERT(ask(StatementKind::kRead, "r").succeeded());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, other->received.size());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(other->received[1].route.group.value, !is_elsewhere,
+                                   other->received[1].committed.has_value());
+      // The connection must end before the stand's network.
+      other->connection->close();
+      stand_->run_for(milliseconds(10));
+      other->connection.reset();
+    }
+  }
+
   void refuses_operation_that_no_owner_counts() {
     // The confirmation is too old for this proxy to grant tokens.
     stand_->confirm(kLong, milliseconds(500));
--- a/tests/registered/proxy/forwarding/forward_server_test.cpp
+++ b/tests/registered/proxy/forwarding/forward_server_test.cpp
@@ -28,6 +28,8 @@
   CPPUNIT_TEST(transaction_fails_once_key_belongs_to_another_tenant);
   CPPUNIT_TEST(commit_is_refused_once_the_transactions_group_is_closed);
   CPPUNIT_TEST(transaction_outlives_a_change_of_its_route);
+  CPPUNIT_TEST(names_the_group_that_ran_a_statement);
+  CPPUNIT_TEST(position_of_another_group_is_not_required);
   CPPUNIT_TEST(rolls_back_transactions_of_lost_connection);
   CPPUNIT_TEST(room_conversation_takes_demands_and_probes);
   CPPUNIT_TEST(room_conversation_takes_no_statements);
@@ -141,6 +143,33 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, other->positions.highest_acknowledged().index);
   }
 
+  /// Guards against a session that keeps the position of its commit for another group than the one that ran
+  /// it.
+  void names_the_group_that_ran_a_statement() {
+    add_other_group();
+    stand_->confirm(kLong, kLong);
+    CPPUNIT_ASSERT(call(ForwardRun{statement("same")}).other_group.empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("group"),
+                         call(ForwardRun{statement_for_other_group("moved")}).other_group.value);
+  }
+
+  /// What a session committed in the group of the forwarding proxy's route says nothing about this one. Its
+  /// reads run at the primary, which has whatever it committed here.
+  void position_of_another_group_is_not_required() {
+    add_other_group();
+    registry::FleetDelta delta = stand_->delta();
+    delta.routes = {*stand_->view().find_route(DatabaseName("database"))};
+    delta.routes[0].reads = registry::ReadPolicy::kReadYourWrites;
+    delta.routes[0].max_staleness_ms = 60'000;
+    stand_->view().apply(delta);
+    stand_->confirm(seconds(60), seconds(60));
+    ForwardedStatement read = statement_for_other_group("read");
+    read.writes = false;
+    read.committed = Position{900, 900};
+    const ForwardAnswer answer = call(ForwardRun{read});
+    CPPUNIT_ASSERT(answer.answer.succeeded() && answer.at_primary);
+  }
+
   void rolls_back_transactions_of_lost_connection() {
     stand_->confirm(kLong, kLong);
     ForwardedStatement first = statement("first");
--- a/tests/wire/registered_samples.cpp
+++ b/tests/wire/registered_samples.cpp
@@ -103,26 +103,26 @@
   add(samples, "registry_batch", LoggedCommand{batch});
 }
 
-/// Messages that builds without cold backends cannot read.
 template <class Message>
-void add_with_placement(Samples& samples, const std::string& name, const Message& message) {
-  const auto round_trip = [](const std::string& bytes, Reason& reason) -> std::optional<std::string> {
+void add_in_format(Samples& samples, wire::Format format, const std::string& name, const Message& message) {
+  const auto round_trip = [format](const std::string& bytes, Reason& reason) -> std::optional<std::string> {
     const auto read = wire::decode<Message>(bytes, reason);
     if (!read) return std::nullopt;
-    return wire::encode(*read, wire::kPlacementFormat);
+    return wire::encode(*read, format);
   };
-  samples.push_back({name, wire::encode(message, wire::kPlacementFormat), round_trip});
+  samples.push_back({name, wire::encode(message, format), round_trip});
+}
+
+/// Messages that builds without cold backends cannot read.
+template <class Message>
+void add_with_placement(Samples& samples, const std::string& name, const Message& message) {
+  add_in_format(samples, wire::kPlacementFormat, name, message);
 }
 
 /// Messages that builds without tenants cannot read.
 template <class Message>
 void add_with_tenants(Samples& samples, const std::string& name, const Message& message) {
-  const auto round_trip = [](const std::string& bytes, Reason& reason) -> std::optional<std::string> {
-    const auto read = wire::decode<Message>(bytes, reason);
-    if (!read) return std::nullopt;
-    return wire::encode(*read, wire::kTenantsFormat);
-  };
-  samples.push_back({name, wire::encode(message, wire::kTenantsFormat), round_trip});
+  add_in_format(samples, wire::kTenantsFormat, name, message);
 }
 
 void add_tenants(Samples& samples) {
@@ -162,12 +162,7 @@
 /// Messages with backend incarnations, which earlier builds cannot read.
 template <class Message>
 void add_with_incarnations(Samples& samples, const std::string& name, const Message& message) {
-  const auto round_trip = [](const std::string& bytes, Reason& reason) -> std::optional<std::string> {
-    const auto read = wire::decode<Message>(bytes, reason);
-    if (!read) return std::nullopt;
-    return wire::encode(*read, wire::kPlacementFormat);
-  };
-  samples.push_back({name, wire::encode(message, wire::kPlacementFormat), round_trip});
+  add_in_format(samples, wire::kPlacementFormat, name, message);
 }
 
 BackendEntry any_incarnation() {
@@ -214,10 +209,23 @@
   samples.push_back({"registry_snapshot_with_lives", snapshot_with_incarnations(), round_trip});
 }
 
-/// Messages that builds without departed members cannot read.
+/// Messages that builds without evidence for promotions cannot read.
+template <class Message>
+void add_with_evidence(Samples& samples, const std::string& name, const Message& message) {
+  add_in_format(samples, wire::kEvidenceFormat, name, message);
+}
+
 void add_departed_members(Samples& samples) {
   const DepartedMember departed{
       {BackendName("b-1"), any_incarnation().start_time_ms}, {"10.0.0.9", 9000}, 21, 4, true};
+  OpenGroup open{GroupName("group-1"), 0, 4, BackendName("b-1"), any_incarnation().start_time_ms};
+  open.start = TermStart{{3, 120}, 17};
+  add_with_evidence(samples, "registry_open_group_with_start", LoggedCommand{open});
+  registered::proxy::ForwardAnswer answer;
+  answer.correlation = 4;
+  answer.answer.position = Position{4, 121};
+  answer.other_group = GroupName("group-2");
+  add_with_evidence(samples, "session_forward_answer_with_group", answer);
   add(samples, "registry_settle_departed", LoggedCommand{SettleDeparted{GroupName("group-1"), {departed}}});
 }
 
