--- a/src/registered/proxy/forwarding/forward_server.cpp
+++ b/src/registered/proxy/forwarding/forward_server.cpp
@@ -184,8 +184,11 @@
   StatementContent content = content_of(std::move(request.statement), scope->route);
   StatementRequest statement{std::move(*scope), std::move(content)};
   RunResult result;
-  if (is_admitted) result = co_await runner_.run(std::move(statement));
-  if (!is_admitted) result = runner_.refuse_overloaded(std::move(statement));
+  if (is_admitted) {
+    result = co_await runner_.run(std::move(statement));
+  } else {
+    result = runner_.refuse_overloaded(std::move(statement));
+  }
   forwarded.answer = std::move(result.answer);
   forwarded.nothing_run = result.nothing_run;
   forwarded.at_primary = result.served_by == ServedBy::kPrimary;
