--- a/src/registered/registry/departed_members.cpp
+++ b/src/registered/registry/departed_members.cpp
@@ -32,13 +32,14 @@
 
 void DepartedMembers::record_registration(const BackendEntry& entry, std::uint64_t revision) {
   for (auto& [group, members] : departed_) {
-    const bool is_successor = group == entry.group && !entry.has_start_time();
+    const bool is_same_group = group == entry.group;
+    const bool is_successor = is_same_group && !entry.has_start_time();
     std::erase_if(members, [&](const DepartedMember& departed) {
       const bool passes_log = is_successor && departed.endpoint == entry.endpoint && !departed.has_ended &&
                               departed.incarnation.start_time_ms == 0;
       // The same incarnation has registered again, with its log.
       const bool is_back =
-          group == entry.group && departed.incarnation == entry.incarnation() && !departed.has_ended;
+          is_same_group && departed.incarnation == entry.incarnation() && !departed.has_ended;
       return passes_log || is_back;
     });
     for (DepartedMember& departed : members) {
