--- a/src/registered/proxy/statement/statement_sending.cpp
+++ b/src/registered/proxy/statement/statement_sending.cpp
@@ -10,7 +10,7 @@
   return Execute{request.id, link.prepared_name(*request.prepared), request.argument, required};
 }
 
-void apply_primary_answer(const SessionServices& services, GroupAccess& group, PrimaryExchange primary,
+void apply_primary_answer(const SessionServices& services, GroupAccess& group, const PrimaryExchange& primary,
                           Answer& answer) {
   if (primary.commits) group.primary_health.record_commit_answered(primary.sent_at);
   const bool current = services.view.may_use_primary(group, primary.epoch);
--- a/src/registered/proxy/statement/statement_sending.h
+++ b/src/registered/proxy/statement/statement_sending.h
@@ -36,7 +36,7 @@
 };
 /// Records the primary's log position and, for a commit, what is acknowledged. Turns `answer` into "in doubt"
 /// for a commit that can't be acknowledged, e.g. because its primary may not be used any more.
-void apply_primary_answer(const SessionServices& services, GroupAccess& group, PrimaryExchange primary,
+void apply_primary_answer(const SessionServices& services, GroupAccess& group, const PrimaryExchange& primary,
                           Answer& answer);
 
 }  // namespace cairnhollow::registered::proxy
