Tests of forwarded positions: fail where the guard is missing

Ruled out: a fault of the product. The guards work; no source of the product changes.

A position that the replica holds makes the read run there when it is of the group's own, and at the primary when it is of another group; the old assertion is kept as its last.

--- a/tests/registered/proxy/callers/caller_session_test.cpp
+++ b/tests/registered/proxy/callers/caller_session_test.cpp
@@ -310,15 +310,16 @@
       stand_->confirm(milliseconds(50), kLong);
       open(SessionStand::kKey);
       stand_->run_for(milliseconds(100));
-      CPPUNIT_ASSERT_MESSAGE("forwarded for want of a lease", ask(StatementKind::kWrite, "w").succeeded());
-      CPPUNIT_ASSERT(ask(StatementKind::kRead, "r").succeeded());
-      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, other->received.size());
-      CPPUNIT_ASSERT_EQUAL_MESSAGE(other->received[1].route.group.value, !is_elsewhere,
-                                   other->received[1].committed.has_value());
-      // The connection must end before the stand's network.
+      const bool wrote = ask(StatementKind::kWrite, "w").succeeded();
+      const bool has_read = ask(StatementKind::kRead, "r").succeeded();
+      // The connection must end before the stand's network, also when an assertion fails.
       other->connection->close();
       stand_->run_for(milliseconds(10));
       other->connection.reset();
+      CPPUNIT_ASSERT_MESSAGE("forwarded for want of a lease", wrote && has_read);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, other->received.size());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(other->received[1].route.group.value, !is_elsewhere,
+                                   other->received[1].committed.has_value());
     }
   }
 
--- a/tests/registered/proxy/forwarding/forward_server_test.cpp
+++ b/tests/registered/proxy/forwarding/forward_server_test.cpp
@@ -29,7 +29,7 @@
   CPPUNIT_TEST(commit_is_refused_once_the_transactions_group_is_closed);
   CPPUNIT_TEST(transaction_outlives_a_change_of_its_route);
   CPPUNIT_TEST(names_the_group_that_ran_a_statement);
-  CPPUNIT_TEST(position_of_another_group_is_not_required);
+  CPPUNIT_TEST(position_of_another_group_lets_no_replica_serve);
   CPPUNIT_TEST(rolls_back_transactions_of_lost_connection);
   CPPUNIT_TEST(room_conversation_takes_demands_and_probes);
   CPPUNIT_TEST(room_conversation_takes_no_statements);
@@ -155,7 +155,7 @@
 
   /// What a session committed in the group of the forwarding proxy's route says nothing about this one. Its
   /// reads run at the primary, which has whatever it committed here.
-  void position_of_another_group_is_not_required() {
+  void position_of_another_group_lets_no_replica_serve() {
     add_other_group();
     registry::FleetDelta delta = stand_->delta();
     delta.routes = {*stand_->view().find_route(DatabaseName("database"))};
@@ -163,11 +163,18 @@
     delta.routes[0].max_staleness_ms = 60'000;
     stand_->view().apply(delta);
     stand_->confirm(seconds(60), seconds(60));
-    ForwardedStatement read = statement_for_other_group("read");
+    CPPUNIT_ASSERT(call(ForwardRun{statement("w")}).answer.succeeded());
+    stand_->run_for(kLong);
+    ForwardedStatement read = statement("read");
     read.writes = false;
+    read.committed = Position{1, 1};
+    const ForwardAnswer own = call(ForwardRun{read});
+    CPPUNIT_ASSERT_MESSAGE("its own group's position", own.answer.succeeded() && !own.at_primary);
+    read.route.group = GroupName("other");
+    const ForwardAnswer other = call(ForwardRun{read});
+    CPPUNIT_ASSERT_MESSAGE("another group's position", other.answer.succeeded() && other.at_primary);
     read.committed = Position{900, 900};
-    const ForwardAnswer answer = call(ForwardRun{read});
-    CPPUNIT_ASSERT(answer.answer.succeeded() && answer.at_primary);
+    CPPUNIT_ASSERT(call(ForwardRun{read}).at_primary);
   }
 
   void rolls_back_transactions_of_lost_connection() {
