Registry: record promotion requests whose outcome is not known

A promotion request that got no answer may still take effect. The replicated state did not know of it, so that a later leader could promote another backend.

UnsettledPromotions, part of the fleet's state machine, holds each attempt from BeginPromotion, which is committed before a request is sent, to SettlePromotions, which is committed on evidence that it cannot take effect. All attempts of a group name one backend: BeginPromotion for another one has no effect, nor has an OpenGroup.

Both commands raise the revision when they change something, unlike SettleDeparted; deltas to proxies stay empty.

--- a/src/registered/registry/commands.h
+++ b/src/registered/registry/commands.h
@@ -10,6 +10,7 @@
 
 #include "registered/registry/departed_members.h"
 #include "registered/registry/model.h"
+#include "registered/registry/unsettled_promotions.h"
 
 namespace cairnhollow::registered::registry {
 
@@ -70,6 +71,7 @@
 };
 
 /// Opens the group with `primary` leading `term`. Follows a close, or is the first command of a group.
+/// Without effect while an unsettled promotion attempt of the group names another backend.
 struct OpenGroup {
   GroupName group;
   std::uint64_t epoch = 0;  ///< epoch seen by the sender; without effect if the current epoch differs
@@ -113,10 +115,29 @@
   }
 };
 
+/// Committed before a promotion is requested. Takes effect only if the group is closed with the attempt's
+/// epoch and UnsettledPromotions::begin() accepts the attempt.
+struct BeginPromotion {
+  PromotionAttempt attempt;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(attempt);
+  }
+};
+
+/// These attempts, of any group, cannot take effect any more.
+struct SettlePromotions {
+  std::vector<PromotionAttempt> attempts;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(attempts);
+  }
+};
+
 /// The index of each alternative is part of the log format; append new alternatives at the end.
 using SingleCommand =
     std::variant<ReplaceDocument, RegisterBackend, DeregisterBackend, AdmitProxy, ForgetProxy, CloseGroup,
-                 OpenGroup, BeginEvacuation, EndEvacuation, SettleDeparted>;
+                 OpenGroup, BeginEvacuation, EndEvacuation, SettleDeparted, BeginPromotion, SettlePromotions>;
 
 /// Commands that are applied in order as one change of the state.
 struct CommandBatch {
@@ -128,9 +149,9 @@
 };
 
 /// The index of each alternative is part of the log format; append new alternatives at the end.
-using Command =
-    std::variant<ReplaceDocument, RegisterBackend, DeregisterBackend, AdmitProxy, ForgetProxy, CloseGroup,
-                 OpenGroup, CommandBatch, BeginEvacuation, EndEvacuation, SettleDeparted>;
+using Command = std::variant<ReplaceDocument, RegisterBackend, DeregisterBackend, AdmitProxy, ForgetProxy,
+                             CloseGroup, OpenGroup, CommandBatch, BeginEvacuation, EndEvacuation,
+                             SettleDeparted, BeginPromotion, SettlePromotions>;
 
 /// A log entry.
 struct LoggedCommand {
--- a/src/registered/registry/state_machine.cpp
+++ b/src/registered/registry/state_machine.cpp
@@ -100,6 +100,16 @@
   return false;
 }
 
+bool FleetStateMachine::execute(BeginPromotion& command) {
+  const GroupTerm* held = find_term(command.attempt.group);
+  if (held == nullptr || held->open || held->epoch != command.attempt.epoch) return false;
+  return state_.unsettled_promotions.begin(command.attempt);
+}
+
+bool FleetStateMachine::execute(SettlePromotions& command) {
+  return state_.unsettled_promotions.settle(command.attempts);
+}
+
 bool FleetStateMachine::execute(CommandBatch& command) {
   bool effective = false;
   for (SingleCommand& single : command.commands) {
@@ -194,6 +204,7 @@
   const std::uint64_t epoch = held == nullptr ? 0 : held->epoch;
   if (epoch != command.epoch || (held != nullptr && held->open)) return false;
   if (held != nullptr && command.term < held->term) return false;
+  if (state_.unsettled_promotions.excludes(command.group, command.primary)) return false;
   put_term(GroupTerm{command.group, command.term, command.primary, true, epoch + 1, next_revision(),
                      command.primary_start_time_ms});
   state_.term_starts.erase(command.group);
--- a/src/registered/registry/state_machine.h
+++ b/src/registered/registry/state_machine.h
@@ -13,6 +13,7 @@
 #include "registered/registry/delta.h"
 #include "registered/registry/departed_members.h"
 #include "registered/registry/revised_table.h"
+#include "registered/registry/unsettled_promotions.h"
 #include "runtime/signal.h"
 
 namespace cairnhollow::registered::registry {
@@ -75,6 +76,10 @@
   [[nodiscard]] const GroupTerm* find_term(const GroupName& group) const { return state_.terms.find(group); }
   /// Former members whose logs no remaining member is known to hold.
   [[nodiscard]] const DepartedMembers& departed() const { return state_.departed; }
+  /// Promotion requests that may still take effect.
+  [[nodiscard]] const UnsettledPromotions& unsettled_promotions() const {
+    return state_.unsettled_promotions;
+  }
   [[nodiscard]] std::vector<Evacuation> evacuations() const { return state_.evacuations.all(); }
   [[nodiscard]] bool is_evacuated(const ZoneName& zone) const {
     return state_.evacuations.find(zone) != nullptr;
@@ -128,6 +133,7 @@
     std::map<GroupName, TermStart> term_starts;
     /// False in snapshots of builds that did not record departed members.
     bool records_departed = true;
+    UnsettledPromotions unsettled_promotions;
 
     template <class Archive>
     void serialize(Archive& archive) {
@@ -140,6 +146,7 @@
       wire::since(archive, wire::kEvidenceFormat, departed, DepartedMembers());
       wire::since(archive, wire::kEvidenceFormat, term_starts, std::map<GroupName, TermStart>());
       wire::since(archive, wire::kEvidenceFormat, records_departed, false);
+      wire::since(archive, wire::kPromotionsFormat, unsettled_promotions, UnsettledPromotions());
     }
   };
 
@@ -153,6 +160,8 @@
   bool execute(BeginEvacuation& command);
   bool execute(EndEvacuation& command);
   bool execute(SettleDeparted& command);
+  bool execute(BeginPromotion& command);
+  bool execute(SettlePromotions& command);
   bool execute(CommandBatch& command);
   void put_term(const GroupTerm& term);
   void put_backend(BackendEntry entry);
--- a/src/wire/format.h
+++ b/src/wire/format.h
@@ -29,8 +29,11 @@
 /// forwarded statement to its answer.
 inline constexpr Format kEvidenceFormat = 6;
 
+/// Adds promotion requests whose outcome is not known.
+inline constexpr Format kPromotionsFormat = 7;
+
 /// The latest format that this build can read.
-inline constexpr Format kNewestFormat = kEvidenceFormat;
+inline constexpr Format kNewestFormat = kPromotionsFormat;
 /// The format written unless another one was negotiated. Must be readable by the previous build, so that
 /// builds can be mixed and an upgrade can be rolled back.
 inline constexpr Format kWrittenFormat = kReplicaWaitFormat;
