Promotion requests: two steps, on a connection that is reset on every end

Cause: a promotion takes effect when it arrives, and an ordinary close leaves what a cut holds up to be delivered after the heal. The caller also had no place between connecting and sending to check that it still leads.

Change: PromotionCaller::connect() returns a PromotionChannel, on which one promotion can be requested and whose outcome tells "rejected" and "not sent" from "unknown". HttpConnection::reset_on_close() makes every end of a connection discard what was not delivered: SO_LINGER {1, 0}, set past Asio, which takes the option back when it destroys a socket; TCP_USER_TIMEOUT and keep-alive probes for the time in which the process is stopped. promote() is now connect() and request() in one step.

The simulator notes the wish and does not act on it yet.

--- a/simulation/virtual_http.cpp
+++ b/simulation/virtual_http.cpp
@@ -38,6 +38,14 @@
 
   [[nodiscard]] bool is_open() const override { return stream_->is_open(); }
   void close() override { stream_->close(); }
+  bool reset_on_close(Reason& reason) override {
+    if (stream_->is_open()) {
+      stream_->reset_on_close();
+      return true;
+    }
+    reason = Reason{ReasonCode::kConnectionLost, "reset_on_close", peer_, "the connection is closed"};
+    return false;
+  }
   [[nodiscard]] std::string peer() const override { return peer_; }
 
  private:
--- a/simulation/virtual_stream.h
+++ b/simulation/virtual_stream.h
@@ -51,6 +51,8 @@
   Awaitable<std::optional<StreamMessage>> receive_until(TimePoint deadline, bool& timed_out);
   /// Ends the stream here at once and at the peer after what was sent has arrived.
   void close();
+  /// From now on, close() and the end of the process discard what is held up, and what meets a cut later.
+  void reset_on_close() { resets_ = true; }
   [[nodiscard]] bool is_open() const { return open_; }
   /// Runs once when the stream ends, by either side.
   void on_end(Action action) { on_end_ = std::move(action); }
@@ -78,6 +80,7 @@
   Suspension reader_;
   Action on_end_;
   bool open_ = true;
+  bool resets_ = false;  ///< see reset_on_close()
 };
 
 }  // namespace cairnhollow::simulation
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -34,6 +34,12 @@
   stream_->close({ReasonCode::kConnectionLost, "exchange", stream_->peer(), "closed on this side"});
 }
 
+bool ClientConnection::reset_on_close(Reason& reason) {
+  if (stream_->reset_on_close()) return true;
+  reason = stream_->close_reason();
+  return false;
+}
+
 void ClientConnection::fail(ReasonCode code, std::string detail) {
   stream_->close({code, "exchange", stream_->peer(), std::move(detail)});
 }
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -22,6 +22,7 @@
                                                            runtime::SendState& sent, Reason& reason) override;
   [[nodiscard]] bool is_open() const override;
   void close() override;
+  bool reset_on_close(Reason& reason) override;
   [[nodiscard]] std::string peer() const override { return stream_->peer(); }
 
  private:
--- a/src/registered/registry/control_service.h
+++ b/src/registered/registry/control_service.h
@@ -2,8 +2,11 @@
 // promotion calls it makes.
 #pragma once
 
+#include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "base/reason.h"
 #include "registered/registry/model.h"
@@ -66,13 +69,45 @@
   std::uint64_t fencing = 0;  ///< fencing token; grows whenever the holder changes
 };
 
-/// Promotes a replica to primary of its group's next term.
+/// Outcome of a promotion request.
+enum class PromotionOutcome : std::uint8_t {
+  kAccepted,  ///< the platform accepted it
+  kRejected,  ///< the platform rejected it; reason code kConflict (the backend is not running) or kOverloaded
+              ///< (rate limit)
+  kNotSent,   ///< nothing was sent
+  kUnknown,   ///< it may have been accepted, now or later: no answer, or an answer that does not tell
+};
+
+/// A connection to the platform on which one promotion can be requested. However it ends, it is reset, so
+/// that what the network holds up is not delivered later.
+class PromotionChannel {
+ public:
+  virtual ~PromotionChannel() = default;
+  /// Requests the promotion, at most once per channel. Waits for the answer until `deadline`;
+  /// TimePoint::max() waits until the connection ends. Sets `reason` unless the outcome is kAccepted. The
+  /// connection has ended when the request returns.
+  virtual Awaitable<PromotionOutcome> request(PromotionOrder order, TimePoint deadline, Reason& reason) = 0;
+  /// Resets the connection. A request in progress ends with kUnknown, or with kNotSent if nothing of it was
+  /// written.
+  virtual void reset() = 0;
+  [[nodiscard]] virtual bool is_open() const = 0;
+};
+
+/// Opens connections for promoting a replica to primary of its group's next term.
 class PromotionCaller {
  public:
   virtual ~PromotionCaller() = default;
-  /// Returns true if the order was accepted. Fails with kConflict if the backend is not running, and with
-  /// kOverloaded if the order was rejected by a rate limit. With any other code it may have been accepted.
-  virtual Awaitable<bool> promote(PromotionOrder order, TimePoint deadline, Reason& reason) = 0;
+  /// Returns null on failure; nothing is requested then.
+  virtual Awaitable<std::shared_ptr<PromotionChannel>> connect(TimePoint deadline, Reason& reason) = 0;
+  /// Connects and requests in one step. Returns true if the order was accepted. Fails with kConflict if the
+  /// backend is not running, and with kOverloaded if the order was rejected by a rate limit. With any other
+  /// code it may have been accepted.
+  virtual Awaitable<bool> promote(PromotionOrder order, TimePoint deadline, Reason& reason) {
+    const auto channel = co_await connect(deadline, reason);
+    if (!channel) co_return false;
+    const PromotionOutcome outcome = co_await channel->request(std::move(order), deadline, reason);
+    co_return outcome == PromotionOutcome::kAccepted;
+  }
 };
 
 }  // namespace cairnhollow::registered::registry
--- a/src/runtime/asio/byte_stream.cpp
+++ b/src/runtime/asio/byte_stream.cpp
@@ -99,6 +99,13 @@
   }
 }
 
+bool ByteStream::reset_on_close() {
+  if (!is_open()) return false;
+  const error_code error = enable_reset_on_close(socket_);
+  if (error) close({ReasonCode::kUnreachable, "reset_on_close", peer_, error.message()});
+  return is_open();
+}
+
 void ByteStream::close(Reason why) {
   if (!is_open()) return;
   close_reason_ = std::move(why);
--- a/src/runtime/asio/byte_stream.h
+++ b/src/runtime/asio/byte_stream.h
@@ -42,6 +42,9 @@
   /// Shuts down sending and discards incoming bytes until the peer closes or the deadline passes.
   Awaitable<void> finish();
   void close(Reason why);
+  /// Makes every later end of the stream on this side a reset, as enable_reset_on_close() does. Returns false
+  /// if the stream is closed; closes it if the socket does not allow that.
+  bool reset_on_close();
   [[nodiscard]] bool is_open() const { return !close_reason_.failed(); }
   /// The reason for which the stream was closed.
   [[nodiscard]] const Reason& close_reason() const { return close_reason_; }
--- a/src/runtime/asio/tcp.cpp
+++ b/src/runtime/asio/tcp.cpp
@@ -1,10 +1,16 @@
 #include "runtime/asio/tcp.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <cerrno>
 
 #include "runtime/asio/asio_timer.h"
 #include "runtime/asio/lazy_deadline.h"
+#include "runtime/http.h"
 
 namespace cairnhollow::runtime {
 
@@ -14,6 +20,8 @@
 
 namespace {
 
+constexpr std::chrono::seconds kKeepAliveInterval{1};
+
 std::optional<tcp::endpoint> to_tcp(const Endpoint& endpoint) {
   error_code error;
   const auto address = asio::ip::make_address(endpoint.address, error);
@@ -25,6 +33,14 @@
   return Reason{ReasonCode::kInvalidArgument, std::move(step), endpoint.to_string(), "not an IP address"};
 }
 
+/// Sets a socket option past Asio, whose sockets take back an SO_LINGER that they know of when they are
+/// destroyed.
+template <class Value>
+void set_native_option(tcp::socket& socket, int level, int name, const Value& value, error_code& error) {
+  if (error || ::setsockopt(socket.native_handle(), level, name, &value, sizeof value) == 0) return;
+  error.assign(errno, boost::system::system_category());
+}
+
 }  // namespace
 
 Awaitable<std::optional<tcp::socket>> connect_tcp(asio::any_io_executor executor, Endpoint endpoint,
@@ -96,6 +112,24 @@
   co_return std::nullopt;
 }
 
+error_code enable_reset_on_close(tcp::socket& socket) {
+  using std::chrono::duration_cast;
+  using std::chrono::milliseconds;
+  constexpr linger kDiscard{1, 0};
+  constexpr auto kUserTimeout =
+      static_cast<unsigned>(duration_cast<milliseconds>(kResetUnacknowledgedAfter).count());
+  constexpr auto kInterval = static_cast<int>(kKeepAliveInterval.count());
+  constexpr auto kProbes = static_cast<int>(kResetUnacknowledgedAfter / kKeepAliveInterval);
+  error_code error;
+  set_native_option(socket, SOL_SOCKET, SO_LINGER, kDiscard, error);
+  set_native_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeout, error);
+  set_native_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, kInterval, error);
+  set_native_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, kInterval, error);
+  set_native_option(socket, IPPROTO_TCP, TCP_KEEPCNT, kProbes, error);
+  set_native_option(socket, SOL_SOCKET, SO_KEEPALIVE, 1, error);
+  return error;
+}
+
 Endpoint to_endpoint(const tcp::endpoint& endpoint) {
   return Endpoint{endpoint.address().to_string(), endpoint.port()};
 }
--- a/src/runtime/asio/tcp.h
+++ b/src/runtime/asio/tcp.h
@@ -31,6 +31,11 @@
 Awaitable<std::optional<boost::asio::ip::tcp::socket>> accept_tcp(boost::asio::ip::tcp::acceptor& acceptor,
                                                                   Reason& reason);
 
+/// Makes the kernel reset the connection and discard unsent and unacknowledged data whenever the socket is
+/// closed, including by the end of the process, and once data or a keep-alive probe has been unacknowledged
+/// for kResetUnacknowledgedAfter. Returns the error of the first option that could not be set.
+boost::system::error_code enable_reset_on_close(boost::asio::ip::tcp::socket& socket);
+
 Endpoint to_endpoint(const boost::asio::ip::tcp::endpoint& endpoint);
 
 /// Returns "address:port" of the peer, or "unknown" if the connection is closed already.
--- a/src/runtime/http.h
+++ b/src/runtime/http.h
@@ -43,6 +43,10 @@
 /// Whether the peer may have received a request whose exchange failed. Determines whether a retry is safe.
 enum class SendState : std::uint8_t { kNotSent, kMaybeSent };
 
+/// A connection that is reset on close is also reset once data that it sent, or a probe that it sends while
+/// idle, has not been acknowledged by the peer's machine for this long, even while the process is stopped.
+inline constexpr Duration kResetUnacknowledgedAfter = std::chrono::seconds(4);
+
 /// A keep-alive connection to a server, with one exchange at a time.
 class HttpConnection {
  public:
@@ -53,6 +57,11 @@
                                                           SendState& sent, Reason& reason) = 0;
   [[nodiscard]] virtual bool is_open() const = 0;
   virtual void close() = 0;
+  /// From now on, however the connection ends on this side (close(), destruction, a failed exchange, a passed
+  /// deadline, the end of the process, kResetUnacknowledgedAfter), what the peer's machine has not received
+  /// is discarded instead of delivered later, and the connection is reset. Returns false and closes the
+  /// connection if that cannot be arranged or the connection is closed already.
+  virtual bool reset_on_close(Reason& reason) = 0;
   [[nodiscard]] virtual std::string peer() const = 0;
 };
 
--- a/tests/registered/control/control_stand.cpp
+++ b/tests/registered/control/control_stand.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "tests/registered/control/promotion_double.h"
 #include "wire/codec.h"
 
 namespace cairnhollow::registered::control {
@@ -235,16 +236,23 @@
   co_return std::make_shared<MemberLink>(*this, address.backend.value);
 }
 
-Awaitable<bool> ControlStand::promote(registry::PromotionOrder order, TimePoint /*deadline*/,
-                                      Reason& reason) {
+Awaitable<std::shared_ptr<registry::PromotionChannel>> ControlStand::connect(TimePoint /*deadline*/,
+                                                                             Reason& /*reason*/) {
+  co_return std::make_shared<PromotionDouble>([this](const registry::PromotionOrder& order, Reason& reason) {
+    return answer_promotion(order, reason);
+  });
+}
+
+registry::PromotionOutcome ControlStand::answer_promotion(const registry::PromotionOrder& order,
+                                                          Reason& reason) {
   events.push_back({"promote " + order.backend.value, now()});
   if (refuses_promotions) {
     reason = Reason{ReasonCode::kOverloaded, "promote", order.backend.value, "promotion rate limit reached"};
-    co_return false;
+    return registry::PromotionOutcome::kRejected;
   }
   Member& member = members[order.backend.value];
   member.status = {true, member.status.term + 1, member.status.received, 0};
-  co_return true;
+  return registry::PromotionOutcome::kAccepted;
 }
 
 const ControlStand::Event* ControlStand::first(const std::string& what) const {
--- a/tests/registered/control/control_stand.h
+++ b/tests/registered/control/control_stand.h
@@ -104,7 +104,8 @@
   // Simulated backend behavior.
   Awaitable<std::shared_ptr<BackendLink>> open(BackendAddress address, TimePoint deadline,
                                                std::optional<Refusal>& refusal, Reason& reason) override;
-  Awaitable<bool> promote(registry::PromotionOrder order, TimePoint deadline, Reason& reason) override;
+  Awaitable<std::shared_ptr<registry::PromotionChannel>> connect(TimePoint deadline, Reason& reason) override;
+  registry::PromotionOutcome answer_promotion(const registry::PromotionOrder& order, Reason& reason);
 
   struct Member {
     BackendStatus status;
--- a/tests/registered/control/failover/group_keeper_incarnations_test.cpp
+++ b/tests/registered/control/failover/group_keeper_incarnations_test.cpp
@@ -5,6 +5,7 @@
 
 #include "registered/control/failover/group_keeper.h"
 #include "simulation/world.h"
+#include "tests/registered/control/promotion_double.h"
 #include "tests/support/applied_log.h"
 #include "wire/codec.h"
 
@@ -68,19 +69,24 @@
 class FakePromotionCaller : public registry::PromotionCaller {
  public:
   explicit FakePromotionCaller(Statuses& statuses) : statuses_(statuses) {}
-  Awaitable<bool> promote(registry::PromotionOrder order, TimePoint /*deadline*/,
-                          Reason& /*reason*/) override {
+  Awaitable<std::shared_ptr<registry::PromotionChannel>> connect(TimePoint /*deadline*/,
+                                                                 Reason& /*reason*/) override {
+    co_return std::make_shared<PromotionDouble>(
+        [this](const registry::PromotionOrder& order, Reason& /*reason*/) { return accept(order); });
+  }
+  int orders = 0;
+  BackendName loses_log;
+
+ private:
+  registry::PromotionOutcome accept(const registry::PromotionOrder& order) {
     ++orders;
     BackendStatus& status = statuses_[order.backend];
     status.is_primary = true;
     status.term = kTerm + 1;
     if (order.backend == loses_log) status.received = {1, 0};
-    co_return true;
+    return registry::PromotionOutcome::kAccepted;
   }
-  int orders = 0;
-  BackendName loses_log;
 
- private:
   Statuses& statuses_;
 };
 
--- a/tests/registered/control/registration_refusal_test.cpp
+++ b/tests/registered/control/registration_refusal_test.cpp
@@ -88,9 +88,9 @@
 
 class NoPromotions : public registry::PromotionCaller {
  public:
-  Awaitable<bool> promote(registry::PromotionOrder /*order*/, TimePoint /*deadline*/,
-                          Reason& /*reason*/) override {
-    co_return false;
+  Awaitable<std::shared_ptr<registry::PromotionChannel>> connect(TimePoint /*deadline*/,
+                                                                 Reason& /*reason*/) override {
+    co_return nullptr;
   }
 };
 
