Promotion log: when a request was sent, in which term, and how old its read barrier was

promotion_ordered and promotion_unclear were logged when the call had ended, so that no line told a request that was sent in time and arrived late from one that was sent late. promotion_sent is logged between connecting and sending, promotion_ended with its outcome; both carry the term of the decision, the present consensus term and the age of the read barrier. What is sent, and when, is unchanged.

--- a/src/registered/control/failover/promotion_steps.cpp
+++ b/src/registered/control/failover/promotion_steps.cpp
@@ -15,11 +15,15 @@
   registry::PromotionOrder order{closed.group, chosen.name, node_, consensus_.term()};
   const TimePoint deadline = runtime_.now() + kPromotionCallTimeout;
   Reason reason;
-  const bool taken = co_await caller_.promote(order, deadline, reason);
-  GroupTerm ordered = closed;
-  ordered.primary = chosen.name;
-  terms_.log(taken ? "promotion_ordered" : "promotion_unclear", ordered,
-             taken ? "accepted by the platform" : reason.to_string());
+  const auto channel = co_await caller_.connect(deadline, reason);
+  log("promotion_sent", order, closed.epoch, barrier_started_at, channel ? "" : "not sent: no connection");
+  bool taken = false;
+  if (channel) {
+    const auto outcome = co_await channel->request(order, deadline, reason);
+    taken = outcome == registry::PromotionOutcome::kAccepted;
+  }
+  log("promotion_ended", order, closed.epoch, barrier_started_at,
+      taken ? "accepted by the platform" : reason.to_string());
   // Without a definite answer the promotion may have been accepted; the backend's status will show it.
   const bool refused =
       !taken && (reason.code == ReasonCode::kConflict || reason.code == ReasonCode::kOverloaded);
@@ -27,6 +31,20 @@
   co_return !refused;
 }
 
+void Promotion::log(const char* event, const registry::PromotionOrder& order, std::uint64_t epoch,
+                    TimePoint barrier_started_at, const std::string& why) {
+  const auto barrier_age =
+      std::chrono::duration_cast<std::chrono::milliseconds>(runtime_.now() - barrier_started_at);
+  runtime_.logger().log(runtime::LogLevel::kInfo, event,
+                        {{"group", order.group.value},
+                         {"primary", order.backend.value},
+                         {"epoch", std::to_string(epoch)},
+                         {"fencing", std::to_string(order.fencing)},
+                         {"consensus_term", std::to_string(consensus_.term())},
+                         {"barrier_age_ms", std::to_string(barrier_age.count())},
+                         {"why", why}});
+}
+
 Awaitable<std::optional<std::uint64_t>> Promotion::wait_until_leading(GroupTerm closed,
                                                                       MemberFinding chosen) {
   const TimePoint give_up_at = runtime_.now() + kPromotionTimeout;
--- a/src/registered/control/failover/promotion_steps.h
+++ b/src/registered/control/failover/promotion_steps.h
@@ -59,6 +59,11 @@
   Awaitable<void> step_down(GroupName group, BackendName old_primary, std::uint64_t term);
 
  private:
+  /// Logs one step of a request: the term in which it was decided, the present one, and the age of the read
+  /// barrier that confirmed this node as the leader.
+  void log(const char* event, const registry::PromotionOrder& order, std::uint64_t epoch,
+           TimePoint barrier_started_at, const std::string& why);
+
   runtime::Runtime& runtime_;
   consensus::Consensus& consensus_;
   const registry::FleetStateMachine& fleet_;
