--- /dev/null
+++ b/tests/registered/registry/unsettled_promotions_test.cpp
@@ -0,0 +1,123 @@
+// Tests which promotion attempts are recorded: those of a group always name one backend.
+#include "registered/registry/unsettled_promotions.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace cairnhollow::registered::registry {
+
+namespace {
+
+const GroupName kGroup("records");
+const GroupName kOther("decks");
+const BackendName kBackend("b1");
+
+PromotionAttempt attempt(std::uint64_t number, const BackendName& backend = kBackend,
+                         const GroupName& group = kGroup) {
+  return {group, backend, NodeName("control-1"), 7, number, 2};
+}
+
+}  // namespace
+
+class UnsettledPromotionsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(UnsettledPromotionsTest);
+  CPPUNIT_TEST(attempts_of_a_group_name_one_backend);
+  CPPUNIT_TEST(groups_are_independent);
+  CPPUNIT_TEST(identity_is_recorded_once);
+  CPPUNIT_TEST(attempts_of_a_group_are_limited);
+  CPPUNIT_TEST(settles_attempts_of_any_group);
+  CPPUNIT_TEST(settles_only_what_is_recorded);
+  CPPUNIT_TEST(groups_without_attempts_are_not_kept);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void attempts_of_a_group_name_one_backend() {
+    UnsettledPromotions promotions;
+    CPPUNIT_ASSERT(promotions.backend_of(kGroup) == nullptr);
+    CPPUNIT_ASSERT(!promotions.excludes(kGroup, kBackend));
+    CPPUNIT_ASSERT(promotions.begin(attempt(1)));
+    CPPUNIT_ASSERT(!promotions.begin(attempt(2, BackendName("b2"))));
+    CPPUNIT_ASSERT(promotions.begin(attempt(3)));
+    CPPUNIT_ASSERT(promotions.of(kGroup) == (std::vector{attempt(1), attempt(3)}));
+    CPPUNIT_ASSERT(*promotions.backend_of(kGroup) == kBackend);
+    CPPUNIT_ASSERT(promotions.excludes(kGroup, BackendName("b2")));
+    CPPUNIT_ASSERT(!promotions.excludes(kGroup, kBackend));
+    promotions.settle({attempt(1)});
+    CPPUNIT_ASSERT_MESSAGE("another attempt is left", !promotions.begin(attempt(2, BackendName("b2"))));
+    promotions.settle({attempt(3)});
+    CPPUNIT_ASSERT(promotions.begin(attempt(2, BackendName("b2"))));
+  }
+
+  void groups_are_independent() {
+    UnsettledPromotions promotions;
+    CPPUNIT_ASSERT(promotions.begin(attempt(1)));
+    CPPUNIT_ASSERT(promotions.begin(attempt(1, BackendName("b9"), kOther)));
+    CPPUNIT_ASSERT(*promotions.backend_of(kOther) == BackendName("b9"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, promotions.size());
+    CPPUNIT_ASSERT_MESSAGE(
+        "ordered by group",
+        promotions.all() == (std::vector{attempt(1, BackendName("b9"), kOther), attempt(1)}));
+    CPPUNIT_ASSERT(promotions.of(GroupName("nobody")).empty());
+  }
+
+  void identity_is_recorded_once() {
+    UnsettledPromotions promotions;
+    CPPUNIT_ASSERT(promotions.begin(attempt(1)));
+    PromotionAttempt next = attempt(1);
+    next.epoch = 4;
+    CPPUNIT_ASSERT(next.has_same_identity(attempt(1)));
+    CPPUNIT_ASSERT(!promotions.begin(attempt(1)));
+    CPPUNIT_ASSERT_MESSAGE("the same request after another close", !promotions.begin(next));
+    next = attempt(1);
+    next.fencing = 8;
+    CPPUNIT_ASSERT_MESSAGE("in another consensus term", promotions.begin(next));
+    next = attempt(1);
+    next.holder = NodeName("control-2");
+    CPPUNIT_ASSERT_MESSAGE("of another holder", promotions.begin(next));
+    CPPUNIT_ASSERT(!attempt(1).has_same_identity(attempt(1, kBackend, kOther)));
+  }
+
+  void attempts_of_a_group_are_limited() {
+    UnsettledPromotions promotions;
+    const std::uint64_t limit = UnsettledPromotions::kMaxAttemptsPerGroup;
+    for (std::uint64_t number = 1; number <= limit; ++number)
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(number), promotions.begin(attempt(number)));
+    CPPUNIT_ASSERT(!promotions.begin(attempt(limit + 1)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{limit}, promotions.size());
+    CPPUNIT_ASSERT_MESSAGE("the limit of another group", promotions.begin(attempt(1, kBackend, kOther)));
+    promotions.settle({attempt(5)});
+    CPPUNIT_ASSERT(promotions.begin(attempt(limit + 1)));
+  }
+
+  void settles_attempts_of_any_group() {
+    UnsettledPromotions promotions;
+    const PromotionAttempt other = attempt(1, BackendName("b9"), kOther);
+    for (const PromotionAttempt& each : {attempt(1), attempt(2), other}) promotions.begin(each);
+    CPPUNIT_ASSERT(promotions.settle({attempt(1), other, attempt(8)}));
+    CPPUNIT_ASSERT(promotions.all() == std::vector{attempt(2)});
+    CPPUNIT_ASSERT(promotions.contains(attempt(2)) && !promotions.contains(attempt(1)));
+    CPPUNIT_ASSERT_MESSAGE("again", !promotions.settle({attempt(1), other, attempt(8)}));
+    CPPUNIT_ASSERT(!promotions.settle({}));
+  }
+
+  /// Guards against evidence for a rejected attempt that removes the recorded one.
+  void settles_only_what_is_recorded() {
+    UnsettledPromotions promotions;
+    promotions.begin(attempt(1));
+    PromotionAttempt rejected = attempt(1);
+    rejected.epoch = 4;
+    CPPUNIT_ASSERT(!promotions.contains(rejected));
+    CPPUNIT_ASSERT(!promotions.settle({rejected, attempt(1, BackendName("b2"))}));
+    CPPUNIT_ASSERT(promotions.contains(attempt(1)));
+  }
+
+  void groups_without_attempts_are_not_kept() {
+    UnsettledPromotions promotions;
+    promotions.begin(attempt(1));
+    promotions.settle({attempt(1)});
+    CPPUNIT_ASSERT(promotions == UnsettledPromotions());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(UnsettledPromotionsTest);
+
+}  // namespace cairnhollow::registered::registry
--- a/tests/wire/format_test.cpp
+++ b/tests/wire/format_test.cpp
@@ -68,6 +68,7 @@
   CPPUNIT_TEST(committed_bytes_round_trip);
   CPPUNIT_TEST(records_without_replica_wait_are_read_with_its_default);
   CPPUNIT_TEST(snapshots_without_departed_members_are_read_as_unknown);
+  CPPUNIT_TEST(snapshots_without_promotions_are_read_as_none);
   CPPUNIT_TEST(updates_are_written_as_an_earlier_build_reads_them);
   CPPUNIT_TEST(resend_is_recognized_from_an_earlier_builds_snapshot);
   CPPUNIT_TEST(an_added_field_is_written_from_its_format_on);
@@ -140,6 +141,23 @@
     }
   }
 
+  /// An earlier build's state replaces the attempts that were recorded before.
+  void snapshots_without_promotions_are_read_as_none() {
+    simulation::World world({});
+    registered::registry::FleetStateMachine machine(world.start_bare({"node", "10.0.0.1", ZoneName("a")}));
+    const auto restore = [&](const std::string& name) {
+      Reason reason;
+      CPPUNIT_ASSERT_MESSAGE(name,
+                             machine.restore_snapshot(from_hex_file(kFixtures + name + ".hex"), reason));
+    };
+    for (const char* name : {"registry_snapshot", "before_departed_members/registry_snapshot"}) {
+      restore("registry_snapshot_with_promotions");
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, machine.unsettled_promotions().size());
+      restore(name);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::size_t{0}, machine.unsettled_promotions().size());
+    }
+  }
+
   /// Updates to proxies of an earlier build, at feature level 1.
   void updates_are_written_as_an_earlier_build_reads_them() {
     for (const char* name : {"follow_update_changes", "follow_update_snapshot"}) {
--- a/tests/wire/registered_samples.cpp
+++ b/tests/wire/registered_samples.cpp
@@ -229,6 +229,30 @@
   add(samples, "registry_settle_departed", LoggedCommand{SettleDeparted{GroupName("group-1"), {departed}}});
 }
 
+PromotionAttempt any_attempt() {
+  return {GroupName("group-1"), BackendName("b-2"), NodeName("10.0.0.1"), 11, 5, 2};
+}
+
+/// Messages that builds without a record of promotion requests cannot read.
+void add_promotions(Samples& samples) {
+  const LoggedCommand begin{BeginPromotion{any_attempt()}};
+  add_in_format(samples, wire::kPromotionsFormat, "registry_begin_promotion", begin);
+  add_in_format(samples, wire::kPromotionsFormat, "registry_settle_promotions",
+                LoggedCommand{SettlePromotions{{any_attempt()}}});
+  const auto round_trip = [](const std::string& bytes, Reason& reason) -> std::optional<std::string> {
+    simulation::World world({});
+    FleetStateMachine machine(world.start_bare({"node", "10.0.0.1", ZoneName("a")}));
+    if (!machine.restore_snapshot(bytes, reason)) return std::nullopt;
+    return machine.take_snapshot();
+  };
+  simulation::World world({});
+  FleetStateMachine machine(world.start_bare({"node", "10.0.0.1", ZoneName("a")}));
+  std::uint64_t index = 0;
+  for (const Command& command : any_commands()) machine.apply(++index, wire::encode(LoggedCommand{command}));
+  machine.apply(++index, wire::encode(begin, wire::kPromotionsFormat));
+  samples.push_back({"registry_snapshot_with_promotions", machine.take_snapshot(), round_trip});
+}
+
 void add_snapshot(Samples& samples) {
   const auto round_trip = [](const std::string& bytes, Reason& reason) -> std::optional<std::string> {
     simulation::World world({});
@@ -317,6 +341,7 @@
   add_tenants(samples);
   add_incarnations(samples);
   add_departed_members(samples);
+  add_promotions(samples);
   return samples;
 }
 
