Simulator: what a cut holds up is lost by a reset, by a loss of power and by giving up

An ordinary close and a kill drop nothing, as before. A stream that is reset on close also probes its peer and breaks after kResetUnacknowledgedAfter without a path, as keep-alive and TCP_USER_TIMEOUT do.

BytePeer tells how its stream ended.

--- a/simulation/virtual_http.cpp
+++ b/simulation/virtual_http.cpp
@@ -15,10 +15,11 @@
   Awaitable<std::optional<runtime::HttpResponse>> exchange(runtime::HttpRequest request, TimePoint deadline,
                                                            runtime::SendState& sent,
                                                            Reason& reason) override {
-    const auto stream = stream_;
+    const auto stream = stream_;  // the connection may be destroyed during the exchange
+    const std::string peer = peer_;
     sent = runtime::SendState::kNotSent;
     if (!stream->send(std::move(request))) {
-      reason = Reason{ReasonCode::kConnectionLost, "exchange", peer_, "the connection is closed"};
+      reason = Reason{ReasonCode::kConnectionLost, "exchange", peer, "the connection is closed"};
       co_return std::nullopt;
     }
     sent = runtime::SendState::kMaybeSent;
@@ -31,8 +32,8 @@
       co_return response;
     }
     stream->close();
-    reason = timed_out ? Reason{ReasonCode::kDeadlineExceeded, "exchange", peer_, "no answer in time"}
-                       : Reason{ReasonCode::kConnectionLost, "exchange", peer_, "the connection ended"};
+    reason = timed_out ? Reason{ReasonCode::kDeadlineExceeded, "exchange", peer, "no answer in time"}
+                       : Reason{ReasonCode::kConnectionLost, "exchange", peer, "the connection ended"};
     co_return std::nullopt;
   }
 
--- a/simulation/virtual_network.cpp
+++ b/simulation/virtual_network.cpp
@@ -32,6 +32,8 @@
   std::erase_if(listeners_, [&](const auto& entry) { return entry.second.process == &process; });
   for (const auto& [id, ends] : streams_) {
     for (const auto& end : {ends.first, ends.second}) {
+      // With its power the machine also loses what earlier processes on it have left to the kernel.
+      if (process.vanished() && end->place_.address == process.settings().address) end->stop_retransmitting();
       if (&end->process() != &process || !end->is_open()) continue;
       if (!process.vanished()) end->close();
       end->open_ = false;
--- a/simulation/virtual_stream.cpp
+++ b/simulation/virtual_stream.cpp
@@ -6,9 +6,11 @@
 
 namespace {
 
-/// A sender gives up on a stream whose data has not moved for this long (in the range of Linux's
+/// A sender gives up on an open stream whose data has not moved for this long (in the range of Linux's
 /// tcp_retries2 with a user timeout set; RFC 5482).
 constexpr Duration kHeldUpLimit = std::chrono::seconds(20);
+/// Time between keep-alive probes (RFC 9293, section 3.8.4) of a stream that is reset on close.
+constexpr Duration kProbeInterval = std::chrono::seconds(1);
 constexpr std::size_t kHttpHeadSize = 120;
 constexpr std::size_t kFrameHeadSize = 4;
 
@@ -72,19 +74,61 @@
 
 void StreamEnd::deliver_next() {
   if (outgoing_.in_transit.empty() || outgoing_.held_up) return;
-  Scheduler& scheduler = process_.scheduler();
   if (network_.unreachable(place_, peer_place_)) {
-    outgoing_.held_up = true;
-    outgoing_.held_up_since = scheduler.now();
-    scheduler.schedule_after(kHeldUpLimit, [self = shared_from_this(), since = scheduler.now()] {
-      if (self->outgoing_.held_up && self->outgoing_.held_up_since == since) self->break_here();
-    });
+    hold_up();
     return;
   }
   arrive();
   if (!outgoing_.in_transit.empty()) schedule_head();
 }
 
+void StreamEnd::hold_up() {
+  if (!outgoing_.is_retransmitted) {
+    outgoing_.in_transit.clear();
+    return;
+  }
+  Scheduler& scheduler = process_.scheduler();
+  outgoing_.held_up = true;
+  outgoing_.held_up_since = scheduler.now();
+  scheduler.schedule_after(kHeldUpLimit, [self = shared_from_this(), since = scheduler.now()] {
+    if (self->outgoing_.held_up && self->outgoing_.held_up_since == since) self->give_up();
+  });
+}
+
+/// An end that was closed in the ordinary way goes on sending instead: the kernel retries for an orphaned
+/// socket.
+void StreamEnd::give_up() {
+  if (!open_) return;
+  stop_retransmitting();
+  break_here();
+}
+
+void StreamEnd::stop_retransmitting() {
+  outgoing_.is_retransmitted = false;
+  if (!outgoing_.held_up) return;
+  outgoing_.held_up = false;
+  outgoing_.in_transit.clear();
+}
+
+void StreamEnd::reset_on_close() {
+  if (std::exchange(resets_, true)) return;
+  probe(Duration(0));
+}
+
+void StreamEnd::probe(Duration silent_for) {
+  if (!open_) return;
+  if (!network_.unreachable(place_, peer_place_) && !network_.unreachable(peer_place_, place_)) {
+    silent_for = Duration(0);
+    const auto peer = peer_.lock();
+    const bool is_peer_gone = !peer || (!peer->open_ && peer->outgoing_.in_transit.empty());
+    if (is_peer_gone) break_here();
+  }
+  if (silent_for >= runtime::kResetUnacknowledgedAfter) give_up();
+  if (!open_) return;
+  process_.scheduler().schedule_after(
+      kProbeInterval, [self = shared_from_this(), silent_for] { self->probe(silent_for + kProbeInterval); });
+}
+
 void StreamEnd::arrive() {
   StreamDirection::InTransit arrived = std::move(outgoing_.in_transit.front());
   outgoing_.in_transit.pop_front();
@@ -134,6 +178,7 @@
 
 void StreamEnd::close() {
   if (!open_) return;
+  if (resets_) stop_retransmitting();
   const Duration delay = network_.faults_.delay(place_, peer_place_);
   const TimePoint arrival = std::max(outgoing_.last_arrival, process_.scheduler().now() + delay);
   outgoing_.in_transit.push_back({arrival, std::nullopt});
--- a/simulation/virtual_stream.h
+++ b/simulation/virtual_stream.h
@@ -1,7 +1,8 @@
 // A reliable, ordered stream between two simulated processes, with the behaviour of TCP that matters to
-// its users: data is held up while the path is cut and delivered after the heal; a stream whose data
-// cannot be delivered for long breaks at the sender; the peer of a killed process sees the end of the
-// stream, the peer of a machine that vanished sees nothing.
+// its users: data is held up while the path is cut and delivered after the heal, even if the sender has
+// closed the stream or was killed meanwhile. It is lost if the sender resets the stream, gives up on it
+// because nothing moved for long, or loses power. The peer of a killed process sees the end of the stream,
+// the peer of a machine that vanished sees nothing.
 #pragma once
 
 #include <deque>
@@ -35,6 +36,7 @@
   TimePoint last_arrival{};
   bool held_up = false;  ///< the path is blocked; waits for resume_held_up()
   TimePoint held_up_since{};
+  bool is_retransmitted = true;  ///< false: nobody sends again what meets a cut
   std::uint64_t bytes = 0;
 };
 
@@ -51,8 +53,9 @@
   Awaitable<std::optional<StreamMessage>> receive_until(TimePoint deadline, bool& timed_out);
   /// Ends the stream here at once and at the peer after what was sent has arrived.
   void close();
-  /// From now on, close() and the end of the process discard what is held up, and what meets a cut later.
-  void reset_on_close() { resets_ = true; }
+  /// From now on, close() and the end of the process discard what is held up, and what was sent before and
+  /// meets a cut; and this end breaks after runtime::kResetUnacknowledgedAfter without a path to the peer.
+  void reset_on_close();
   [[nodiscard]] bool is_open() const { return open_; }
   /// Runs once when the stream ends, by either side.
   void on_end(Action action) { on_end_ = std::move(action); }
@@ -67,6 +70,10 @@
   void arrive();
   void break_here();
   void schedule_head();
+  void hold_up();
+  void give_up();
+  void stop_retransmitting();
+  void probe(Duration silent_for);
 
   VirtualNetwork& network_;
   VirtualProcess& process_;
--- a/tests/http/client_connection_test.cpp
+++ b/tests/http/client_connection_test.cpp
@@ -39,6 +39,11 @@
   CPPUNIT_TEST(a_passed_deadline_sends_nothing);
   CPPUNIT_TEST(a_target_that_would_forge_a_request_is_not_sent);
   CPPUNIT_TEST(nobody_listening_is_unreachable);
+  CPPUNIT_TEST(an_ordinary_close_ends_the_stream);
+  CPPUNIT_TEST(a_close_resets_a_connection_set_to_reset);
+  CPPUNIT_TEST(a_deadline_resets_a_connection_set_to_reset);
+  CPPUNIT_TEST(destruction_resets_a_connection_set_to_reset);
+  CPPUNIT_TEST(a_closed_connection_cannot_be_set_to_reset);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -161,6 +166,37 @@
     CPPUNIT_ASSERT_EQUAL(endpoint.to_string(), reason_.peer);
   }
 
+  void an_ordinary_close_ends_the_stream() {
+    loopback_->run(close_while_waiting());
+    CPPUNIT_ASSERT(end_at_server_ == boost::asio::error::eof);
+  }
+
+  void a_close_resets_a_connection_set_to_reset() {
+    sets_to_reset_ = true;
+    loopback_->run(close_while_waiting());
+    CPPUNIT_ASSERT(end_at_server_ == boost::asio::error::connection_reset);
+  }
+
+  void a_deadline_resets_a_connection_set_to_reset() {
+    sets_to_reset_ = true;
+    loopback_->run(end_by_deadline());
+    CPPUNIT_ASSERT(reason_.code == ReasonCode::kDeadlineExceeded);
+    CPPUNIT_ASSERT(end_at_server_ == boost::asio::error::connection_reset);
+  }
+
+  void destruction_resets_a_connection_set_to_reset() {
+    sets_to_reset_ = true;
+    loopback_->run(destroy());
+    CPPUNIT_ASSERT(end_at_server_ == boost::asio::error::connection_reset);
+  }
+
+  void a_closed_connection_cannot_be_set_to_reset() {
+    loopback_->run(connect_to_listener());
+    connection_->close();
+    CPPUNIT_ASSERT(!connection_->reset_on_close(reason_));
+    CPPUNIT_ASSERT(reason_.code == ReasonCode::kConnectionLost);
+  }
+
  private:
   /// Connects to a server that answers one request with each text and then, if server_closes_, closes.
   void answer_with(std::vector<std::string> answers) {
@@ -219,12 +255,41 @@
     }
   }
 
+  /// Connects, and sets the connection to reset if sets_to_reset_.
+  Awaitable<BytePeer> connect_and_accept() {
+    co_await connect_to_listener();
+    if (sets_to_reset_) CPPUNIT_ASSERT(connection_->reset_on_close(reason_));
+    co_return co_await listener_->accept();
+  }
+
+  Awaitable<void> close_while_waiting() {
+    BytePeer peer = co_await connect_and_accept();
+    loopback_->runtime().spawn("exchange", exchange_until(loopback_->limit()));
+    co_await peer.receive_until("\r\n\r\n");
+    connection_->close();
+    end_at_server_ = co_await peer.wait_for_end();
+  }
+
+  Awaitable<void> end_by_deadline() {
+    BytePeer peer = co_await connect_and_accept();
+    co_await exchange_until(loopback_->runtime().now() + kShort);
+    end_at_server_ = co_await peer.wait_for_end();
+  }
+
+  Awaitable<void> destroy() {
+    BytePeer peer = co_await connect_and_accept();
+    connection_.reset();
+    end_at_server_ = co_await peer.wait_for_end();
+  }
+
   std::unique_ptr<Loopback> loopback_;
   std::unique_ptr<ByteListener> listener_;
   std::shared_ptr<runtime::HttpConnection> connection_;
   HttpRequest request_{runtime::HttpMethod::kGet, "/v1/status", {}, ""};
   std::optional<HttpResponse> response_;
   bool server_closes_ = true;
+  bool sets_to_reset_ = false;
+  boost::system::error_code end_at_server_;
   SendState sent_ = SendState::kNotSent;
   Reason reason_;
 };
--- a/tests/support/byte_peer.cpp
+++ b/tests/support/byte_peer.cpp
@@ -33,11 +33,10 @@
 
 Awaitable<bool> BytePeer::receive_more() {
   std::array<char, 4096> chunk{};
-  error_code error;
   const std::size_t count =
-      co_await socket_.async_read_some(asio::buffer(chunk), asio::redirect_error(asio::use_awaitable, error));
+      co_await socket_.async_read_some(asio::buffer(chunk), asio::redirect_error(asio::use_awaitable, end_));
   unread_.append(chunk.data(), count);
-  co_return !error;
+  co_return !end_;
 }
 
 Awaitable<std::string> BytePeer::receive_until(std::string_view marker) {
@@ -56,6 +55,13 @@
   co_return std::exchange(unread_, "");
 }
 
+Awaitable<error_code> BytePeer::wait_for_end() {
+  bool more = true;
+  while (more) more = co_await receive_more();
+  unread_.clear();
+  co_return end_;
+}
+
 void BytePeer::shut_down_sending() {
   error_code ignored;
   socket_.shutdown(tcp::socket::shutdown_send, ignored);
--- a/tests/support/byte_peer.h
+++ b/tests/support/byte_peer.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/system/error_code.hpp>
 #include <string>
 #include <string_view>
 
@@ -25,6 +26,9 @@
   Awaitable<std::string> receive_until(std::string_view marker);
   /// Everything until the other end closes or resets the connection.
   Awaitable<std::string> receive_all();
+  /// Discards everything until the other end closes or resets the connection; the error by which that shows:
+  /// end of file or a reset.
+  Awaitable<boost::system::error_code> wait_for_end();
   /// Ends this side's stream; the other side's still comes.
   void shut_down_sending();
   void close();
@@ -35,6 +39,7 @@
 
   boost::asio::ip::tcp::socket socket_;
   std::string unread_;
+  boost::system::error_code end_;
 };
 
 /// Accepts connections on an ephemeral port of 127.0.0.1.
