--- a/simulation/registered_fleet.cpp
+++ b/simulation/registered_fleet.cpp
@@ -17,9 +17,7 @@
 
 namespace {
 
-constexpr const char* kPromotionAddress = "10.9.0.1";
 constexpr std::size_t kBackendsPerGroup = 3;
-constexpr Duration kPromotionTakes = milliseconds(300);
 constexpr Duration kCallTimeout = milliseconds(900);
 /// An order waits at a control node for the next leader.
 constexpr Duration kOrderTimeout = milliseconds(2500);
@@ -35,6 +33,7 @@
       world_(WorldSettings{settings_.seed, {}, milliseconds(1), settings_.print_log}) {}
 
 std::string RegisteredFleet::address_of(const std::string& name) const {
+  if (name == kPromotionCall) return kPromotionAddress;
   const bool is_control = name.starts_with("control");
   const bool is_proxy = name.starts_with("proxy");
   if (is_control || is_proxy) return fmt::format("10.{}.0.{}", is_control ? 1 : 2, number_of(name));
@@ -89,14 +88,12 @@
 }
 
 void RegisteredFleet::start_databases() {
-  std::vector<GroupModel*> models;
   for (std::size_t group = 1; group <= settings_.groups; ++group) {
     std::vector<BackendName> names;
     for (std::size_t backend = 1; backend <= kBackendsPerGroup; ++backend)
       names.emplace_back(fmt::format("g{}-b{}", group, backend));
     models_.push_back(std::make_unique<GroupModel>(GroupName(fmt::format("group-{}", group)), names,
                                                    settings_.replica_lag));
-    models.push_back(models_.back().get());
     for (std::size_t place = 0; place < names.size(); ++place) {
       const std::string name = names[place].value;
       DatabaseSettings database;
@@ -110,8 +107,8 @@
       database.tells_birth = settings_.backends_tell_birth;
       database.zones = &zone_history_;
       database.regions = &region_history_;
-      members_[name] = {models.back(), names[place]};
-      GroupModel* model = models.back();
+      GroupModel* model = models_.back().get();
+      members_[name] = {model, names[place]};
       world_.start({name, address_of(name), database.zone},
                    [this, model, database, name](runtime::Runtime& runtime) {
                      auto role = make_database(runtime, *model, database);
@@ -120,9 +117,6 @@
                    });
     }
   }
-  world_.start({"promotion", kPromotionAddress, ZoneName(kZones[0])}, [models](runtime::Runtime& runtime) {
-    return make_promotion_call(runtime, models, {kPromotionAddress, kOperatorPort}, kPromotionTakes);
-  });
 }
 
 void RegisteredFleet::start_callers() {
@@ -285,6 +279,7 @@
   for (std::size_t number = 1; number <= settings_.control_nodes; ++number) start_control(number);
   for (std::size_t number = 1; number <= settings_.proxies; ++number) start_proxy(number);
   start_databases();
+  start_promotion_call();
   world_.start_bare({"operator", "10.5.0.1", ZoneName(kZones[0])});
   if (!send_document()) return false;
   start_callers();
@@ -304,6 +299,8 @@
       final_tokens.push_back(entry.record + " " + entry.token);
   }
   std::vector<std::string> violations = find_violations(history_, final_tokens);
+  for (std::string& violation : find_promotion_violations(promotion_history_))
+    violations.push_back(std::move(violation));
   if (!settings_.tenants.empty()) {
     const TenantBounds bounds{settings_.key_bound, kLimitSettles, {}};
     for (std::string& violation : find_tenant_violations(tenant_history_, bounds))
--- a/simulation/registered_fleet.h
+++ b/simulation/registered_fleet.h
@@ -12,6 +12,7 @@
 #include "standins/registered/caller.h"
 #include "standins/registered/database.h"
 #include "standins/registered/group_model.h"
+#include "standins/registered/promotion_call.h"
 #include "standins/registered/region_history.h"
 
 namespace cairnhollow::simulation {
@@ -81,7 +82,7 @@
   /// The newest document's version as some control node reads it back; 0: none answers.
   std::uint64_t read_back_version();
 
-  // Names: "control-1", "proxy-1", "g1-b1" (backend 1 of group 1).
+  // Names: "control-1", "proxy-1", "g1-b1" (backend 1 of group 1), "promotion" (the promotion call).
   void kill(const std::string& name);
   void vanish(const std::string& name);
   void restart(const std::string& name);
@@ -93,6 +94,8 @@
   void wipe(const std::string& name);
   void cut(const std::string& one, const std::string& other);
   void cut_from_all_control(const std::string& name);
+  /// Cuts a control node off from the promotion call. What is under way is held up until heal().
+  void cut_from_platform(const std::string& control);
   void heal();
 
   /// The first group's primary by its own account, e.g. "g1-b1".
@@ -118,6 +121,11 @@
   std::size_t working_proxies();
   standins::registered::GroupModel& group(std::size_t number = 1) { return *models_[number - 1]; }
   standins::registered::Database& database(const std::string& name);
+  /// The promotion call, which may be told to be slow.
+  standins::registered::PromotionCall& promotion_call() { return *promotion_call_; }
+  [[nodiscard]] const standins::registered::PromotionHistory& promotion_history() const {
+    return promotion_history_;
+  }
   World& world() { return world_; }
 
   [[nodiscard]] std::uint64_t acknowledged() const;
@@ -134,6 +142,7 @@
   void start_control(std::size_t number);
   void start_proxy(std::size_t number);
   void start_databases();
+  void start_promotion_call();
   void start_callers();
   std::string document(std::uint64_t version) const;
   /// The status of the answer; 0: there was none.
@@ -151,6 +160,8 @@
   World world_;
   std::vector<std::unique_ptr<standins::registered::GroupModel>> models_;
   std::map<std::string, standins::registered::Database*> databases_;
+  standins::registered::PromotionCall* promotion_call_ = nullptr;
+  standins::registered::PromotionHistory promotion_history_;
   std::map<std::string, std::pair<standins::registered::GroupModel*, BackendName>> members_;
   std::map<std::string, bool> wiped_;
   std::vector<standins::registered::Attempt> history_;
--- a/standins/programs/cairnhollow_environment.cpp
+++ b/standins/programs/cairnhollow_environment.cpp
@@ -41,13 +41,16 @@
   --lag-ms=N            from a commit to its appearance at a replica [default: 8]
   --seed=N              of the backends' faults and the callers' choices [default: 1]
   --faults=WHICH        none, primaries (they crash, one after the other) or all [default: all]
+  --slow-promotions     for some seconds at random times, promotion orders are held for up to 6 s, then answered
   --tenants             callers have keys, which are removed and given back; the proxies' key_bound is 5 s
   --foreign=ENDPOINT    malformed registrations are sent there
   --report=FILE         writes the report there, too
   -h --help             prints this
 
-Exit code: 0 when nothing was lost, doubled or stale and the newest acknowledged document is read back; 1 otherwise;
-2 for a wrong command line.
+Each promotion order, once it is answered, and each promotion, once it takes effect, is logged as a JSON line.
+
+Exit code: 0 when nothing was lost, doubled or stale, no promotion order came with a fencing token that is too low or
+another holder's, and the newest acknowledged document is read back; 1 otherwise; 2 for a wrong command line.
 )";
 
 constexpr int kPassed = 0;
@@ -114,6 +117,7 @@
   settings.groups = static_cast<std::size_t>(std::max(1L, options["--groups"].asLong()));
   settings.duration = std::chrono::seconds(options["--seconds"].asLong());
   settings.replica_lag = std::chrono::milliseconds(options["--lag-ms"].asLong());
+  settings.slow_promotions = options["--slow-promotions"].asBool();
   settings.tenants = options["--tenants"].asBool();
   const std::string faults = options["--faults"].asString();
   if (faults == "none") settings.faults = registered::BackendFaults::kNone;
@@ -131,7 +135,7 @@
   host::AsioRuntimeSettings runtime_settings;
   runtime_settings.program = "cairnhollow-environment";
   runtime_settings.random_seed = seed;
-  runtime_settings.log_level = runtime::LogLevel::kWarning;
+  runtime_settings.log_level = runtime::LogLevel::kInfo;  // promotion orders are logged
   boost::asio::io_context context{1};
   const auto runtime = host::make_asio_runtime(context, runtime_settings);
   registered::Environment environment(*runtime, settings);
--- a/standins/registered/database.cpp
+++ b/standins/registered/database.cpp
@@ -354,46 +354,6 @@
   bool breaks_off_ = false;
 };
 
-class PromotionCall : public runtime::Role, public runtime::HttpHandler {
- public:
-  PromotionCall(runtime::Runtime& runtime, std::vector<GroupModel*> models, Endpoint endpoint, Duration takes)
-      : runtime_(runtime), models_(std::move(models)), endpoint_(std::move(endpoint)), takes_(takes) {}
-
-  Awaitable<bool> start(Reason& reason) override {
-    server_ = runtime_.http().serve(endpoint_, *this, reason);
-    co_return server_ != nullptr;
-  }
-  Awaitable<void> drain() override {
-    server_->close();
-    co_return;
-  }
-  Awaitable<runtime::HttpResponse> handle(runtime::HttpRequest request, runtime::HttpConnectionId) override {
-    runtime::HttpResponse response;
-    response.status = 409;
-    const boost::json::value body = boost::json::parse(request.body);
-    const BackendName backend(std::string(body.at("Id").as_string()));
-    for (GroupModel* model : models_) {
-      if (model->name().value != body.at("Service").as_string()) continue;
-      if (!model->member(backend).running) continue;
-      response.status = 200;
-      runtime_.spawn("promotion", promote(model, backend));
-    }
-    co_return response;
-  }
-
- private:
-  Awaitable<void> promote(GroupModel* model, BackendName backend) {
-    co_await runtime_.sleep_for(takes_);
-    model->promote(backend, runtime_.now());
-  }
-
-  runtime::Runtime& runtime_;
-  std::vector<GroupModel*> models_;
-  Endpoint endpoint_;
-  Duration takes_;
-  std::unique_ptr<runtime::HttpServer> server_;
-};
-
 }  // namespace
 
 runtime::HttpRequest print_heartbeat(const DatabaseSettings& settings, const GroupName& group,
@@ -420,9 +380,4 @@
   return std::make_unique<DatabaseRole>(runtime, model, std::move(settings));
 }
 
-std::unique_ptr<runtime::Role> make_promotion_call(runtime::Runtime& runtime, std::vector<GroupModel*> models,
-                                                   Endpoint endpoint, Duration takes) {
-  return std::make_unique<PromotionCall>(runtime, std::move(models), std::move(endpoint), takes);
-}
-
 }  // namespace cairnhollow::standins::registered
--- a/standins/registered/database.h
+++ b/standins/registered/database.h
@@ -66,8 +66,4 @@
 std::unique_ptr<Database> make_database(runtime::Runtime& runtime, GroupModel& model,
                                         DatabaseSettings settings);
 
-/// The platform's call that makes a backend the primary of its group, for the groups of `models`.
-std::unique_ptr<runtime::Role> make_promotion_call(runtime::Runtime& runtime, std::vector<GroupModel*> models,
-                                                   Endpoint endpoint, Duration takes);
-
 }  // namespace cairnhollow::standins::registered
--- a/standins/registered/environment.cpp
+++ b/standins/registered/environment.cpp
@@ -24,6 +24,13 @@
 constexpr Duration kLongestPause = seconds(3);
 constexpr Duration kLongestFault = seconds(5);
 constexpr Duration kSettleTime = seconds(8);
+/// How long, and how far apart, the promotion call is slow, and for how long it then holds an order. A held
+/// order is over within kSettleTime.
+constexpr Duration kLongestSlowPause = seconds(8);
+constexpr Duration kShortestSlowTime = seconds(2);
+constexpr Duration kLongestSlowTime = seconds(6);
+constexpr Duration kShortestHold = milliseconds(500);
+constexpr Duration kLongestHold = seconds(6);
 constexpr Duration kStartLimit = seconds(20);
 /// A primary's crash is over for the callers within this time, or its gap counts as this long.
 constexpr Duration kGapWindow = seconds(6);
@@ -232,6 +239,16 @@
   }
 }
 
+Awaitable<void> Environment::slow_promotions() {
+  while (true) {
+    co_await runtime_.sleep_for(runtime_.random().between(kShortestPause, kLongestSlowPause));
+    if (!settings_.slow_promotions) co_return;
+    promotions_->hold_orders(kShortestHold, kLongestHold);
+    co_await runtime_.sleep_for(runtime_.random().between(kShortestSlowTime, kLongestSlowTime));
+    promotions_->hold_orders(Duration(0), Duration(0));
+  }
+}
+
 Awaitable<void> Environment::wait_until_writable() {
   const TimePoint limit = runtime_.now() + kStartLimit;
   const auto is_writable = [this](const Group& group) {
@@ -279,6 +296,8 @@
     for (std::string& violation : find_tenant_violations(tenant_history_, bounds))
       report.violations.push_back(std::move(violation));
   }
+  for (std::string& violation : find_promotion_violations(promotion_history_))
+    report.violations.push_back(std::move(violation));
   for (const Group& group : groups_) {
     report.promotions += group.model->promotions();
     for (const TimePoint at : group.crashes)
@@ -296,10 +315,11 @@
 }
 
 Awaitable<EnvironmentReport> Environment::run() {
-  std::vector<GroupModel*> models;
-  for (Group& group : groups_) models.push_back(group.model.get());
+  std::vector<PromotedGroup> promoted;
+  for (Group& group : groups_) promoted.push_back({group.model.get(), &group.history});
   promotions_ =
-      make_promotion_call(runtime_, models, settings_.promotion_endpoint, settings_.promotion_takes);
+      make_promotion_call(runtime_, std::move(promoted),
+                          {settings_.promotion_endpoint, settings_.promotion_takes}, promotion_history_);
   Reason reason;
   bool started = co_await promotions_->start(reason);
   for (const auto& [name, backend] : backends_) {
@@ -316,8 +336,11 @@
   for (std::size_t number = 1; number <= groups_.size(); ++number) start_callers(number);
   co_await wait_until_writable();
   if (settings_.faults != BackendFaults::kNone) runtime_.spawn("break_backends", break_backends());
+  if (settings_.slow_promotions) runtime_.spawn("slow_promotions", slow_promotions());
   co_await runtime_.sleep_for(settings_.duration);
   settings_.faults = BackendFaults::kNone;
+  settings_.slow_promotions = false;
+  promotions_->hold_orders(Duration(0), Duration(0));
   co_await heal();
   stopped_ = true;
   co_await heal();
--- a/standins/registered/environment.h
+++ b/standins/registered/environment.h
@@ -15,6 +15,7 @@
 #include "standins/registered/database.h"
 #include "standins/registered/foreign_writer.h"
 #include "standins/registered/group_model.h"
+#include "standins/registered/promotion_call.h"
 
 namespace cairnhollow::standins::registered {
 
@@ -30,6 +31,7 @@
   std::string database_network = "127.0.3";  ///< group N's backends listen on 127.0.3.N
   Duration replica_lag = std::chrono::milliseconds(8);
   Duration promotion_takes = std::chrono::milliseconds(300);
+  bool slow_promotions = false;  ///< for some seconds at random times, promotion orders are held for seconds
   BackendFaults faults = BackendFaults::kAll;
   /// Callers have keys of tenants, of whom one is limited and one changes its key with each document.
   bool tenants = false;
@@ -83,6 +85,7 @@
   /// Status of the answer; 0: none.
   Awaitable<unsigned> call_control(runtime::HttpRequest request, std::string& body);
   Awaitable<void> break_backends();
+  Awaitable<void> slow_promotions();
   Awaitable<void> break_one(Group& group);
   Awaitable<void> crash(BackendName name, Duration longest);
   Awaitable<void> wait_until_writable();
@@ -95,7 +98,8 @@
   std::deque<Group> groups_;
   std::map<BackendName, Backend> backends_;
   std::vector<std::unique_ptr<Database>> databases_;  ///< ended ones, too: their coroutines refer to them
-  std::unique_ptr<runtime::Role> promotions_;
+  std::unique_ptr<PromotionCall> promotions_;
+  PromotionHistory promotion_history_;
   std::deque<CallerCounts> counts_;
   TenantHistory tenant_history_;
   ForeignHistory foreign_history_;
--- a/standins/registered/group_model.cpp
+++ b/standins/registered/group_model.cpp
@@ -71,7 +71,7 @@
 
 void GroupModel::promote(const BackendName& name, TimePoint now) {
   MemberState& member = members_.at(name);
-  if (!member.running || (member.primary && member.term == newest_term_)) return;
+  if (!member.running || is_present_primary(name)) return;
   member.primary = true;
   member.pause_term = 0;
   member.term = ++newest_term_;
@@ -79,6 +79,11 @@
   ++promotions_;
 }
 
+bool GroupModel::is_present_primary(const BackendName& name) const {
+  const MemberState& member = members_.at(name);
+  return member.primary && member.term == newest_term_;
+}
+
 void GroupModel::demote(const BackendName& name, std::uint64_t term) {
   MemberState& member = members_.at(name);
   if (member.term < term) member.primary = false;
--- a/standins/registered/group_model.h
+++ b/standins/registered/group_model.h
@@ -56,6 +56,8 @@
   void replicate(const BackendName& name, TimePoint now);
   /// Leads the next term from now on.
   void promote(const BackendName& name, TimePoint now);
+  /// Whether the member leads the group's newest term, by its own account; it may be down.
+  [[nodiscard]] bool is_present_primary(const BackendName& name) const;
   void demote(const BackendName& name, std::uint64_t term);
   /// Keeps a replica from receiving until resume(), its promotion or its restart; `term` is above the newest.
   void pause(const BackendName& name, std::uint64_t term);
