--- a/simulation/registered_fleet.cpp
+++ b/simulation/registered_fleet.cpp
@@ -298,8 +298,9 @@
     for (const LogEntry& entry : model->member(*leader).log)
       final_tokens.push_back(entry.record + " " + entry.token);
   }
-  std::vector<std::string> violations = find_violations(history_, final_tokens);
-  for (std::string& violation : find_promotion_violations(promotion_history_))
+  // What explains the others comes first.
+  std::vector<std::string> violations = find_promotion_violations(promotion_history_);
+  for (std::string& violation : find_violations(history_, final_tokens))
     violations.push_back(std::move(violation));
   if (!settings_.tenants.empty()) {
     const TenantBounds bounds{settings_.key_bound, kLimitSettles, {}};
