Promotion: a request that has no answer counts as possible until there is evidence

Cause: a promotion takes effect when it arrives, cannot be taken back and is not checked against a term by the platform. The leader took a request without an answer for void after 3 s, closed its connection in the ordinary way, which delivers what the kernel holds, and nothing told its successor of it. Class: silence and elapsed time taken as evidence about a request that cannot be fenced by its receiver. Ruled out: two leaders at once (read barriers, votes and voter changes were read and hold); an order sent late explains at most 1.2 s.

Change: - The leader commits the attempt (BeginPromotion) before it sends the request. While it may still arrive, every leader may choose, reopen or adopt only its backend; OpenGroup and BeginPromotion enforce that in the state machine. - The connection is opened first; record, read barrier and sending follow. It is reset on every end and as soon as the node no longer leads in that term; the attempt is then withdrawn: nothing more of it arrives. The holder's next process withdraws those of its earlier processes. - A withdrawn attempt may have been received. It is settled by the platform's answer to a later request of the group: the next promotion, or the present primary's once more, which changes nothing. - An accepted attempt is settled when its effect was seen, not with the answer. - Members stay paused while an attempt of their closed group is unsettled. - A node outside the consensus group reports through the leader that it knows from its presence reports.

--- a/src/registered/control/control_metrics.cpp
+++ b/src/registered/control/control_metrics.cpp
@@ -57,6 +57,17 @@
           "Registrations that replaced another incarnation of the same backend.", counts.replaced);
   counter("cairnhollow_registry_unproved_promotions_total",
           "Promotions after which acknowledged commits may be missing.", groups_.unproved_promotions());
+  gauge("cairnhollow_registry_unsettled_promotions",
+        "Recorded promotion requests that may still take effect.", fleet_.unsettled_promotions().size());
+  gauge("cairnhollow_registry_promotions_in_progress",
+        "Promotion requests of this process without an outcome.", groups_.promotion_requests().in_progress());
+  for (std::size_t outcome = 0; outcome < kPromotionOutcomes; ++outcome) {
+    const auto kind = static_cast<registry::PromotionOutcome>(outcome);
+    metrics
+        .counter("cairnhollow_registry_promotion_requests_total",
+                 "Promotion requests of this node, by outcome.", {{"outcome", outcome_name(kind)}})
+        .Increment(static_cast<double>(groups_.promotion_requests().count(kind)));
+  }
   gauge("cairnhollow_registry_evacuated_zones", "Zones with an evacuation in effect.",
         fleet_.evacuations().size());
   for (std::size_t outcome = 0; outcome < kOrderOutcomes; ++outcome) {
--- a/src/registered/control/failover/group_keeper.cpp
+++ b/src/registered/control/failover/group_keeper.cpp
@@ -24,14 +24,19 @@
       planned_change_(runtime, fleet, prober),
       fence_wait_(runtime, terms_, leases, pauses_),
       promotion_turns_(runtime, settings.promotion_rate),
-      promotion_(runtime, consensus, fleet, terms_, prober, promotions, std::move(settings.node)),
+      promotion_requests_(runtime, consensus, fleet, terms_, calls, promotions, std::move(settings.node)),
+      promotion_(runtime, fleet, terms_, prober, promotion_requests_),
       release_(runtime, fleet, terms_, pauses_) {}
 
-void GroupKeeper::start() { runtime_.spawn("group_keeper", run()); }
+void GroupKeeper::start() {
+  runtime_.spawn("group_keeper", run());
+  promotion_requests_.start();
+}
 
 void GroupKeeper::stop() {
   stopping_ = true;
   terms_.stop();
+  promotion_requests_.stop();
   wake_.notify_all();
 }
 
@@ -44,6 +49,7 @@
   while (!stopping_) {
     pauses_.record_members();
     settlement_.settle_all();
+    promotion_requests_.settle_withdrawn();
     if (!terms_.leads()) {
       idle_revision_.reset();
       release_.clear();
@@ -166,23 +172,40 @@
   terms_.log("promotion_chosen", chosen, decision->choice.why);
   if (!terms_.leads()) co_return;
   if (decision->choice.verdict == PromotionVerdict::kNotYet) {
-    // Members that lag can catch up only after their pause ends.
-    co_await release_.release(closed.group);
+    // Members that lag can catch up only after their pause ends. While a requested promotion may still take
+    // effect, they stay paused: a proxy cut off from control could use the old primary through them.
+    if (fleet_.unsettled_promotions().of(closed.group).empty()) co_await release_.release(closed.group);
     co_await runtime_.sleep_for(kFailoverRetryDelay);
     co_return;
   }
   const MemberFinding member = find_member(decision->facts, decision->choice.backend);
+  if (decision->choice.verdict != PromotionVerdict::kPromote &&
+      awaits_settlement(closed.group, chosen.primary))
+    co_return co_await request_settlement(closed, member);
   std::optional<std::uint64_t> term = decision->choice.term;
   if (decision->choice.verdict == PromotionVerdict::kPromote) term = co_await promote(closed, member);
   if (!term && !terms_.is_still_closed(closed)) co_return co_await release_.release(closed.group);
   // The promotion may still take effect, so the members stay paused.
   if (!term) co_return;
+  // The state machine would reject the opening. The next attempt adopts the promoted backend.
+  if (awaits_settlement(closed.group, chosen.primary))
+    co_return co_await runtime_.sleep_for(kFailoverRetryDelay);
   co_await open(closed, *decision, member, *term);
 }
 
+bool GroupKeeper::awaits_settlement(const GroupName& group, const BackendName& primary) const {
+  return fleet_.unsettled_promotions().excludes(group, primary);
+}
+
+Awaitable<void> GroupKeeper::request_settlement(GroupTerm closed, MemberFinding chosen) {
+  if (fleet_.unsettled_promotions().awaits_answer(closed.group))
+    co_await promotion_requests_.request(closed, chosen.entry.incarnation());
+  co_await runtime_.sleep_for(kFailoverRetryDelay);
+}
+
 Awaitable<std::optional<std::uint64_t>> GroupKeeper::promote(GroupTerm closed, MemberFinding chosen) {
-  const bool ordered = co_await promotion_.order(closed, chosen.entry.incarnation());
-  if (!ordered) co_return std::nullopt;
+  const bool requested = co_await promotion_requests_.request(closed, chosen.entry.incarnation());
+  if (!requested) co_return std::nullopt;
   co_return co_await promotion_.wait_until_leading(closed, chosen);
 }
 
--- a/src/registered/control/failover/group_keeper.h
+++ b/src/registered/control/failover/group_keeper.h
@@ -11,8 +11,8 @@
 // - wait (FenceWait): no proxy uses the primary under a lease from control. One serving lease.
 // - compare logs (LogComparison::gather): the log ends and the acknowledged position are known. 300 ms.
 // - choose (choose_promotion): the chosen backend holds every acknowledged commit. Pure.
-// - promote (Promotion::order): a node that is certainly the leader has requested the promotion. 200 ms, and
-//   1 s for the call.
+// - promote (PromotionRequests): a node that is certainly the leader has recorded and requested the
+//   promotion. 1 s each to connect, for the record, the read barrier and the answer.
 // - confirm (wait_until_leading): the chosen incarnation is primary and still has its log. 3 s, then retried.
 // - open (GroupTerms::open): proxies may use the new primary. 800 ms.
 // - release (PauseRelease, Promotion::step_down): paused members resume and the old primary steps down. 30 s.
@@ -35,6 +35,7 @@
 #include "registered/control/failover/planned_change.h"
 #include "registered/control/failover/primary_check.h"
 #include "registered/control/failover/primary_suspicions.h"
+#include "registered/control/failover/promotion_requests.h"
 #include "registered/control/failover/promotion_steps.h"
 #include "registered/control/failover/promotion_turns.h"
 #include "registered/control/failover/replication_pauses.h"
@@ -66,6 +67,7 @@
   /// Returns the number of promotions without proof that the backend holds every acknowledged commit, made
   /// because the incarnations that held the newest commits had ended.
   [[nodiscard]] std::uint64_t unproved_promotions() const { return unproved_promotions_; }
+  [[nodiscard]] const PromotionRequests& promotion_requests() const { return promotion_requests_; }
   /// Records that `proxy` suspects a primary.
   void record_suspicion(const NodeName& proxy, const registry::PrimarySuspicion& suspicion);
 
@@ -95,6 +97,12 @@
   /// Chooses the next primary. Repeats the choice if it waited for a turn to promote, as the facts may have
   /// changed. Returns std::nullopt if the close is no longer current.
   Awaitable<std::optional<Decision>> choose(registry::GroupTerm closed);
+  /// Whether the group cannot be opened with `primary` yet, because an earlier request may have promoted
+  /// another backend.
+  [[nodiscard]] bool awaits_settlement(const GroupName& group, const BackendName& primary) const;
+  /// Requests the promotion of a backend that leads already, so that the platform's answer settles withdrawn
+  /// requests for other backends.
+  Awaitable<void> request_settlement(registry::GroupTerm closed, MemberFinding chosen);
   Awaitable<std::optional<std::uint64_t>> promote(registry::GroupTerm closed, MemberFinding chosen);
   Awaitable<void> open(registry::GroupTerm closed, Decision decision, MemberFinding chosen,
                        std::uint64_t term);
@@ -114,6 +122,7 @@
   PlannedChange planned_change_;
   FenceWait fence_wait_;
   PromotionTurns promotion_turns_;
+  PromotionRequests promotion_requests_;
   Promotion promotion_;
   PauseRelease release_;
   std::set<GroupName> busy_;
--- a/src/registered/control/failover/log_comparison.cpp
+++ b/src/registered/control/failover/log_comparison.cpp
@@ -20,6 +20,8 @@
   facts.all_proxies_answered = progress.all_answered;
   facts.min_unresponsive_revision = progress.min_unresponsive_revision;
   facts.highest_acknowledged = progress.highest_acknowledged;
+  const BackendName* requested = fleet_.unsettled_promotions().backend_of(closed.group);
+  if (requested != nullptr) facts.requested = *requested;
   facts.allowing_routes = regions_.allowing_routes(closed.group, fleet_.backends_of(closed.group));
   return facts;
 }
--- a/src/registered/control/failover/promotion_choice.cpp
+++ b/src/registered/control/failover/promotion_choice.cpp
@@ -249,7 +249,10 @@
   });
 }
 
-PromotionChoice choose_promotion(const PromotionFacts& facts, bool reopen_allowed) {
+namespace {
+
+/// Chooses regardless of requests that may still take effect.
+PromotionChoice choose_by_logs(const PromotionFacts& facts, bool reopen_allowed) {
   if (const MemberFinding* newer = find_newer_primary(facts))
     return {PromotionVerdict::kAdopt, newer->entry.name, newer->status->term,
             "it is already primary of a higher term"};
@@ -280,4 +283,26 @@
   return {PromotionVerdict::kNotYet, {}, 0, proof.why};
 }
 
+/// Chooses the backend that an earlier request may still promote, if it is proved.
+PromotionChoice choose_requested(const PromotionFacts& facts) {
+  const MemberFinding requested = find_member(facts, *facts.requested);
+  const std::string pending = fmt::format("an earlier request may still promote {}", facts.requested->value);
+  if (!is_candidate(requested, facts)) return {PromotionVerdict::kNotYet, {}, 0, pending};
+  const Proof proof = prove(requested, facts);
+  const MemberFinding* old = find_old_primary(facts);
+  const bool old_leads = old != nullptr && reports_old_log(*old, facts) && old->status->is_primary;
+  const bool is_allowed = proof.holds_all && !(requested.evacuated && old_leads);
+  if (!is_allowed) return {PromotionVerdict::kNotYet, {}, 0, fmt::format("{}: {}", pending, proof.why)};
+  return choose_candidate(requested, facts, fmt::format("{}; {}", proof.why, pending));
+}
+
+}  // namespace
+
+PromotionChoice choose_promotion(const PromotionFacts& facts, bool reopen_allowed) {
+  PromotionChoice choice = choose_by_logs(facts, reopen_allowed);
+  const bool is_free = !facts.requested || choice.backend == *facts.requested;
+  if (is_free || choice.verdict == PromotionVerdict::kNotYet) return choice;
+  return choose_requested(facts);
+}
+
 }  // namespace cairnhollow::registered::control
--- a/src/registered/control/failover/promotion_choice.h
+++ b/src/registered/control/failover/promotion_choice.h
@@ -39,6 +39,9 @@
   /// Maximum over the proxies that answered. May exceed the last acknowledged commit: a backend reports the
   /// end of its log, which includes concurrent commits in progress.
   Position highest_acknowledged;
+  /// The backend that an earlier request may still promote; empty if there is none. Whenever such a request
+  /// takes effect, it is harmless only if this backend is the primary already.
+  std::optional<BackendName> requested;
   /// Number of the group's routes that may write at each member. Empty if all may write everywhere, or if it
   /// is unknown.
   std::map<BackendName, std::size_t> allowing_routes;
@@ -82,6 +85,7 @@
 /// - While an old primary in an evacuated zone is running, the choice waits for a candidate outside.
 /// - A candidate that is not the furthest is chosen because more of the group's routes allow its region only
 ///   if its own position proves it, without comparison to the others.
+/// - While a request may still promote a backend, no other is chosen, reopened or adopted.
 ///
 /// `reopen_allowed` means that the old primary may be opened again.
 PromotionChoice choose_promotion(const PromotionFacts& facts, bool reopen_allowed);
--- a/src/registered/control/leader_calls.cpp
+++ b/src/registered/control/leader_calls.cpp
@@ -45,6 +45,12 @@
   co_return co_await submit_to_leader(std::move(command), reason);
 }
 
+Awaitable<bool> LeaderCalls::propose_as_leader(registry::Command command, Reason& reason) {
+  if (leads()) co_return co_await propose(std::move(command), reason);
+  reason = not_leader();
+  co_return false;
+}
+
 Awaitable<bool> LeaderCalls::submit_batched(registry::SingleCommand command, Reason& reason) {
   const bool is_first = !open_batch_;
   if (is_first) open_batch_ = std::make_shared<Batch>(runtime_);
@@ -83,7 +89,9 @@
 }
 
 Awaitable<bool> LeaderCalls::submit_to_leader(registry::Command command, Reason& reason) {
-  const auto leader = leader_endpoint();
+  // A node that is not a member of the consensus group knows the leader from its presence reports only.
+  auto leader = leader_endpoint();
+  if (!leader) leader = hinted_leader_;
   if (!leader) {
     reason = Reason{ReasonCode::kNoQuorum, "submit", "",
                     "no leader is known to this control node; command not submitted"};
--- a/src/registered/control/leader_calls.h
+++ b/src/registered/control/leader_calls.h
@@ -29,6 +29,9 @@
   /// Submits a command to the log, directly or through the leader. Returns true once it is committed and
   /// applied on the node that proposed it; its effect is visible in the state machine.
   Awaitable<bool> submit(registry::Command command, Reason& reason);
+  /// Like submit(), but never through another leader: fails with kNotLeader if this node does not lead.
+  /// For commands that must not be committed later than a command that this node submits afterwards.
+  Awaitable<bool> propose_as_leader(registry::Command command, Reason& reason);
   /// Like submit(), but batches commands that arrive within 20 ms of each other into one log entry. For
   /// commands that many backends and proxies may send at the same time.
   Awaitable<bool> submit_batched(registry::SingleCommand command, Reason& reason);
--- a/src/registered/registry/commands.h
+++ b/src/registered/registry/commands.h
@@ -115,8 +115,8 @@
   }
 };
 
-/// Committed before a promotion is requested. Takes effect only if the group is closed with the attempt's
-/// epoch and UnsettledPromotions::begin() accepts the attempt.
+/// Committed before a promotion is requested. Takes effect only if the group is in the attempt's epoch, is
+/// closed or led by the attempt's backend, and UnsettledPromotions::begin() accepts the attempt.
 struct BeginPromotion {
   PromotionAttempt attempt;
   template <class Archive>
@@ -127,6 +127,17 @@
 
 /// These attempts, of any group, cannot take effect any more.
 struct SettlePromotions {
+  std::vector<PromotionAttempt> attempts;
+  /// The platform answered each of them, and so has handled what it had received before.
+  bool answered = false;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(attempts, answered);
+  }
+};
+
+/// The connections of these attempts, of any group, were reset.
+struct WithdrawPromotions {
   std::vector<PromotionAttempt> attempts;
   template <class Archive>
   void serialize(Archive& archive) {
@@ -134,10 +145,26 @@
   }
 };
 
+/// The attempts that earlier processes of `holder` made in terms up to `last_fencing` are withdrawn: the end
+/// of a process resets its connections. The limit keeps a command that is delivered late, from a process
+/// that has ended itself, from withdrawing attempts of a later process.
+struct WithdrawEarlierPromotions {
+  NodeName holder;
+  std::uint64_t process = 0;       ///< the holder's present process; never 0
+  std::uint64_t last_fencing = 0;  ///< the latest consensus term known to that process
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(holder, last_fencing);
+    // Every process has an identity, so none is written in a format that earlier builds read.
+    wire::since(archive, wire::kPromotionsFormat, process, std::uint64_t{0});
+  }
+};
+
 /// The index of each alternative is part of the log format; append new alternatives at the end.
 using SingleCommand =
     std::variant<ReplaceDocument, RegisterBackend, DeregisterBackend, AdmitProxy, ForgetProxy, CloseGroup,
-                 OpenGroup, BeginEvacuation, EndEvacuation, SettleDeparted, BeginPromotion, SettlePromotions>;
+                 OpenGroup, BeginEvacuation, EndEvacuation, SettleDeparted, BeginPromotion, SettlePromotions,
+                 WithdrawPromotions, WithdrawEarlierPromotions>;
 
 /// Commands that are applied in order as one change of the state.
 struct CommandBatch {
@@ -149,9 +176,10 @@
 };
 
 /// The index of each alternative is part of the log format; append new alternatives at the end.
-using Command = std::variant<ReplaceDocument, RegisterBackend, DeregisterBackend, AdmitProxy, ForgetProxy,
-                             CloseGroup, OpenGroup, CommandBatch, BeginEvacuation, EndEvacuation,
-                             SettleDeparted, BeginPromotion, SettlePromotions>;
+using Command =
+    std::variant<ReplaceDocument, RegisterBackend, DeregisterBackend, AdmitProxy, ForgetProxy, CloseGroup,
+                 OpenGroup, CommandBatch, BeginEvacuation, EndEvacuation, SettleDeparted, BeginPromotion,
+                 SettlePromotions, WithdrawPromotions, WithdrawEarlierPromotions>;
 
 /// A log entry.
 struct LoggedCommand {
--- a/src/registered/registry/control_service.h
+++ b/src/registered/registry/control_service.h
@@ -99,15 +99,6 @@
   virtual ~PromotionCaller() = default;
   /// Returns null on failure; nothing is requested then.
   virtual Awaitable<std::shared_ptr<PromotionChannel>> connect(TimePoint deadline, Reason& reason) = 0;
-  /// Connects and requests in one step. Returns true if the order was accepted. Fails with kConflict if the
-  /// backend is not running, and with kOverloaded if the order was rejected by a rate limit. With any other
-  /// code it may have been accepted.
-  virtual Awaitable<bool> promote(PromotionOrder order, TimePoint deadline, Reason& reason) {
-    const auto channel = co_await connect(deadline, reason);
-    if (!channel) co_return false;
-    const PromotionOutcome outcome = co_await channel->request(std::move(order), deadline, reason);
-    co_return outcome == PromotionOutcome::kAccepted;
-  }
 };
 
 }  // namespace cairnhollow::registered::registry
--- a/src/registered/registry/state_machine.cpp
+++ b/src/registered/registry/state_machine.cpp
@@ -100,14 +100,30 @@
   return false;
 }
 
+// Proxies are not sent the promotion attempts, so these commands leave the revision as it is.
+
 bool FleetStateMachine::execute(BeginPromotion& command) {
-  const GroupTerm* held = find_term(command.attempt.group);
-  if (held == nullptr || held->open || held->epoch != command.attempt.epoch) return false;
-  return state_.unsettled_promotions.begin(command.attempt);
+  const PromotionAttempt& attempt = command.attempt;
+  const GroupTerm* held = find_term(attempt.group);
+  const bool is_current = held != nullptr && held->epoch == attempt.epoch;
+  if (is_current && (!held->open || held->primary == attempt.backend))
+    state_.unsettled_promotions.begin(attempt);
+  return false;
 }
 
 bool FleetStateMachine::execute(SettlePromotions& command) {
-  return state_.unsettled_promotions.settle(command.attempts);
+  state_.unsettled_promotions.settle(command.attempts, command.answered);
+  return false;
+}
+
+bool FleetStateMachine::execute(WithdrawPromotions& command) {
+  state_.unsettled_promotions.withdraw(command.attempts);
+  return false;
+}
+
+bool FleetStateMachine::execute(WithdrawEarlierPromotions& command) {
+  state_.unsettled_promotions.withdraw_earlier(command.holder, command.process, command.last_fencing);
+  return false;
 }
 
 bool FleetStateMachine::execute(CommandBatch& command) {
@@ -158,6 +174,7 @@
   const BackendEntry* held = state_.backends.find(name);
   if (held == nullptr) return false;
   record_departure(*held, has_ended);
+  if (has_ended) state_.unsettled_promotions.settle_ended(held->group, name);
   members_[held->group].erase(name);
   backend_at_endpoint_.erase(held->endpoint);
   if (held->has_start_time()) state_.ended_start_times[name] = held->start_time_ms;
--- a/src/registered/registry/state_machine.h
+++ b/src/registered/registry/state_machine.h
@@ -162,6 +162,8 @@
   bool execute(SettleDeparted& command);
   bool execute(BeginPromotion& command);
   bool execute(SettlePromotions& command);
+  bool execute(WithdrawPromotions& command);
+  bool execute(WithdrawEarlierPromotions& command);
   bool execute(CommandBatch& command);
   void put_term(const GroupTerm& term);
   void put_backend(BackendEntry entry);
--- a/tests/registered/control/control_stand.cpp
+++ b/tests/registered/control/control_stand.cpp
@@ -64,6 +64,7 @@
 
 Awaitable<std::optional<std::uint64_t>> ScriptedConsensus::propose(std::string command, TimePoint deadline,
                                                                    Reason& reason) {
+  ++proposals;
   co_await runtime_.sleep_for(milliseconds(1));
   if (!has_quorum) {
     co_await runtime_.sleep_for(deadline - runtime_.now());
--- a/tests/registered/control/control_stand.h
+++ b/tests/registered/control/control_stand.h
@@ -48,6 +48,7 @@
   Duration barrier_takes = std::chrono::milliseconds(1);
   std::function<void()> during_barrier;  ///< called once, halfway through the next barrier
   int barriers = 0;                      ///< number of barriers requested
+  int proposals = 0;                     ///< number of commands proposed
 
  private:
   runtime::Runtime& runtime_;
