tools/soak: links through a relay, held promotion calls, overlapping faults

The soak of a registered fleet could kill, freeze and wipe one process at a time, but cut no link, so no run of real processes could bring about what happens when a promotion call is held up on its way while its sender is replaced.

A preloaded library leads the connections of control nodes, proxies and the environment to a relay, each from an address of its own, so that the relay knows who sends. It cuts links in silence, one way or both, holds promotion calls back, and drops what waits when its sender resets the connection (a FIN still delivers it).

--- a/tools/fleetlib/http_calls.py
+++ b/tools/fleetlib/http_calls.py
@@ -6,10 +6,10 @@
 CALL_SECONDS = 1.0
 
 
-def call(endpoint, method, target, body=None):
+def call(endpoint, method, target, body=None, seconds=CALL_SECONDS):
     """(status, decoded JSON or text); None when there was no answer in time."""
     host, _, port = endpoint.rpartition(":")
-    connection = http.client.HTTPConnection(host, int(port), timeout=CALL_SECONDS)
+    connection = http.client.HTTPConnection(host, int(port), timeout=seconds)
     try:
         payload = None if body is None else json.dumps(body)
         connection.request(method, target, payload, {"content-type": "application/json"})
--- a/tools/fleetlib/processes.py
+++ b/tools/fleetlib/processes.py
@@ -30,12 +30,13 @@
     def __init__(self, path):
         self.path = path
 
-    def start(self, command, folder, log_file):
+    def start(self, command, folder, log_file, environment=None):
+        """`environment`: variables added to this process's own."""
         self.path.parent.mkdir(parents=True, exist_ok=True)
         log_file.parent.mkdir(parents=True, exist_ok=True)
         with open(log_file, "ab") as log:
             process = subprocess.Popen(command, cwd=folder, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
-                                       start_new_session=True)
+                                       start_new_session=True, env=os.environ | (environment or {}))
         stat = read_stat(process.pid)
         start_time = stat[1] if stat else "0"
         self.path.write_text(f"{process.pid} {start_time}\n")
--- /dev/null
+++ b/tools/fleetlib/registered_node.py
@@ -0,0 +1,123 @@
+"""Processes of a registered fleet on loopback, each with an address of its own."""
+
+import shutil
+import signal
+import threading
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from fleetlib import http_calls
+from fleetlib.processes import ProcessFile
+
+ZONES = ["kelburn", "petone", "porirua"]
+PEER_PORT, OPERATOR_PORT, SESSION_PORT, READY_PORT, METRICS_PORT = 7440, 8782, 8784, 8785, 8786
+PROMOTION_ENDPOINT = ("127.0.4.1", 8790)
+END_SECONDS = 8
+METRICS_SECONDS = 0.2
+LEADS = "cairnhollow_registry_is_leader 1"
+
+
+@dataclass
+class FleetSettings:
+    """What all nodes of a fleet share."""
+
+    folder: Path
+    programs: Path
+    lost_disks: int = 1
+    links: object = None  # Links, or None: the processes are connected directly
+
+    @property
+    def seeds(self):
+        """Addresses of the control nodes that found the fleet: as many as vote."""
+        return [address_of("control", number) for number in range(1, 2 * self.lost_disks + 2)]
+
+
+def address_of(role, number):
+    return f"127.0.{1 if role == 'control' else 2}.{number}"
+
+
+@dataclass
+class Node:
+    """One process of the fleet."""
+
+    fleet: FleetSettings
+    role: str
+    number: int
+    starting: threading.Lock = field(default_factory=threading.Lock)
+    busy: threading.Lock = field(default_factory=threading.Lock)
+
+    @property
+    def name(self):
+        return f"{self.role}-{self.number}"
+
+    @property
+    def address(self):
+        return address_of(self.role, self.number)
+
+    @property
+    def zone(self):
+        return ZONES[(self.number - 1) % len(ZONES)]
+
+    @property
+    def process(self):
+        return ProcessFile(self.fleet.folder / "pids" / self.name)
+
+    @property
+    def data(self):
+        return self.fleet.folder / "data" / self.name
+
+    @property
+    def log_file(self):
+        return self.fleet.folder / "logs" / f"{self.name}.log"
+
+    def settings(self, first_start):
+        seeds = ", ".join(f"{address}:{OPERATOR_PORT}" for address in self.fleet.seeds)
+        lines = ["fleet: registered", f"node: {self.name}", f"zone: {self.zone}", f"seeds: [{seeds}]",
+                 f"peer_endpoint: {self.address}:{PEER_PORT}"]
+        if self.role == "control":
+            lines += [f"data_folder: {self.data}", f"operator_endpoint: {self.address}:{OPERATOR_PORT}",
+                      f"first_start: {'true' if first_start else 'false'}",
+                      f"metrics_endpoint: {self.address}:{METRICS_PORT}",
+                      "promotion_endpoint: {}:{}".format(*PROMOTION_ENDPOINT),
+                      f"lost_disks_tolerated: {self.fleet.lost_disks}"]
+        else:
+            lines += [f"session_endpoint: {self.address}:{SESSION_PORT}", f"control_port: {PEER_PORT}",
+                      f"readiness_endpoint: {self.address}:{READY_PORT}", "drain_limit: 6s", "key_bound: 5s"]
+        return "\n".join(lines) + "\n"
+
+    def start(self, first_start=False):
+        """Unless it runs."""
+        with self.starting:
+            if self.process.process_id() is not None:
+                return
+            file = self.fleet.folder / "settings" / f"{self.name}.yaml"
+            file.parent.mkdir(parents=True, exist_ok=True)
+            file.write_text(self.settings(first_start))
+            program = self.fleet.programs / f"cairnhollow-{self.role}"
+            variables = self.fleet.links.variables_for(self.name, self.address) if self.fleet.links else None
+            self.process.start([str(program), f"--settings={file}"], self.fleet.folder, self.log_file, variables)
+
+    @contextmanager
+    def reserved(self):
+        """Whether nobody else is breaking this node; reserved for this block then."""
+        free = self.busy.acquire(blocking=False)
+        try:
+            yield free
+        finally:
+            if free:
+                self.busy.release()
+
+    def kill(self):
+        self.process.send(signal.SIGKILL)
+        self.process.wait_until_ended(END_SECONDS)
+
+    def lose_disk(self):
+        with self.starting:
+            self.kill()
+            shutil.rmtree(self.data, ignore_errors=True)
+
+    def leads(self):
+        """By its own word."""
+        answer = http_calls.call(f"{self.address}:{METRICS_PORT}", "GET", "/metrics", seconds=METRICS_SECONDS)
+        return answer is not None and LEADS in str(answer[1])
--- a/tools/fleetlib/relay.py
+++ b/tools/fleetlib/relay.py
@@ -3,87 +3,26 @@
 Started by the fleet with its run folder. Listens on the published endpoints of control nodes and databases and
 passes bytes on to where these listen. cuts.json in the run folder lists [from, to] pairs of nodes. As in a network
 that drops and retransmits, all that is sent on a cut link waits until it is healed: bytes, the end of a connection,
-and its beginning. Who connected is told by the process that holds the other end of the socket; that is looked up
-only while links are cut, and stalls no connection that is known already.
+and its beginning; what waits is lost when its sender resets the connection (held_links.py). Who connected is told by
+the process that holds the other end of the socket; that is looked up only while links are cut, and stalls no
+connection that is known already.
 """
 
 import asyncio
 import json
-import socket
-import struct
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
+from fleetlib.held_links import End, open_other_end  # noqa: E402
 from fleetlib.socket_owners import owners_of_ports  # noqa: E402
 
 CUTS_FILE = "cuts.json"
 LINKS_FILE = "links.json"
 POLL_SECONDS = 0.02
 SLOW_LOOK_UP_SECONDS = 0.1
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER without waiting (socket(7))
-
-
-class End(asyncio.Protocol):
-    """One end of a connection: what it sends goes to the other end, and waits while `cut`."""
-
-    def __init__(self, on_made=None):
-        self.on_made = on_made
-        self.transport = None
-        self.other = None
-        self.cut = True  # until it is known who connected
-        self.other_full = False
-        self.finished = False  # said that it sends no more
-        self.lost = False
-
-    def connection_made(self, transport):
-        self.transport = transport
-        transport.pause_reading()
-        if self.on_made:
-            self.on_made(self)
-
-    def data_received(self, data):
-        self.other.transport.write(data)
-
-    def eof_received(self):
-        """Passed on as what it is: the other direction may still be in use."""
-        self.finished = True
-        if self.other.finished:
-            self.other.transport.close()
-            return False
-        self.other.transport.write_eof()
-        return True
-
-    def connection_lost(self, _error):
-        self.lost = True
-        self.update()
-
-    def pause_writing(self):
-        self.other.other_full = True
-        self.other.update()
-
-    def resume_writing(self):
-        self.other.other_full = False
-        self.other.update()
-
-    def update(self):
-        """Reads unless there is a cause to wait; a loss is passed on when the link is whole."""
-        if self.lost:
-            if self.other and not self.cut:
-                reset(self.other.transport)
-        elif self.cut or self.other_full:
-            self.transport.pause_reading()
-        elif not self.finished:
-            self.transport.resume_reading()
-
-
-def reset(transport):
-    """Ends a connection at once, as the kernel does for a process that was killed or does not listen."""
-    if not transport.is_closing():
-        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        transport.abort()
 
 
 class Connection:
@@ -106,6 +45,7 @@
         """Known owners only, or no cuts."""
         inward = (self.owner, self.node) in cuts
         outward = (self.node, self.owner) in cuts
+        self.drop_what_was_reset()
         if self.server:
             self.client.cut, self.server.cut = inward, outward
             self.client.update()
@@ -113,17 +53,13 @@
         elif not (inward or outward or self.opening or self.client.lost):
             self.opening = asyncio.create_task(self.open())
 
+    def drop_what_was_reset(self):
+        for end in (self.client, self.server):
+            if end and end.waits:
+                end.drop_if_reset()
+
     async def open(self):
-        try:
-            _, server = await asyncio.get_running_loop().create_connection(End, "127.0.0.1", self.own_port)
-        except OSError:
-            reset(self.client.transport)
-            return
-        server.other, self.client.other = self.client, server
-        server.cut = self.client.cut = False
-        self.server = server
-        self.client.update()
-        server.update()
+        self.server = await open_other_end(self.client, End, "127.0.0.1", self.own_port)
 
 
 def note_look_up(seconds, asked, connections):
@@ -149,6 +85,8 @@
         last = None
         while True:
             last = self.read_cuts(last)
+            for connection in self.connections:
+                connection.drop_what_was_reset()
             await asyncio.sleep(POLL_SECONDS)
 
     def acceptor(self, node, own_port):
