--- a/tools/fleetlib/links.py
+++ b/tools/fleetlib/links.py
@@ -54,6 +54,7 @@
         self.holds = []  # a list of nodes for each hold that is in force
         self.listening = threading.Event()
         self.process = None
+        self.reader = None
 
     def add(self, node, address, port, orders=False, only_for=""):
         """An endpoint that others reach through the relay. `orders`: it takes promotion calls. `only_for`: nodes whose
@@ -84,7 +85,8 @@
             self.process = subprocess.Popen([sys.executable, str(Path(__file__).with_name("soak_relay.py")), str(file)],
                                             stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=log, text=True,
                                             start_new_session=True)
-        threading.Thread(target=self._read_events, daemon=True).start()
+        self.reader = threading.Thread(target=self._read_events, daemon=True)
+        self.reader.start()
         if not self.listening.wait(START_SECONDS):
             self.stop()
             raise LinksError(f"the relay does not listen; see {self.folder / 'relay.log'}")
@@ -102,6 +104,7 @@
         except subprocess.TimeoutExpired:
             self.process.kill()
             self.process.wait()
+        self.reader.join(START_SECONDS)
 
     @property
     def running(self):
@@ -157,8 +160,8 @@
             pass  # the relay has ended, which `running` tells
 
     def _read_events(self):
-        with open(self.folder / "orders.jsonl", "w", encoding="utf-8") as copy:
-            for line in self.process.stdout:
+        with open(self.folder / "orders.jsonl", "w", encoding="utf-8") as copy, self.process.stdout as events:
+            for line in events:
                 copy.write(line)
                 copy.flush()
                 self._take(json.loads(line))
