--- a/tools/fleetlib/soak_faults.py
+++ b/tools/fleetlib/soak_faults.py
@@ -36,12 +36,13 @@
         super().__init__(name=self.name_of_series, daemon=True)
         self.soak = soak
         self.numbers = random.Random(f"{soak.seed}/{self.name_of_series}")
+        self.pace = self.numbers.choice([0.5, 1, 3])  # of its pauses: some runs are quiet in one series and not in another
 
     def run(self):
         self.soak.pause(WARM_UP_SECONDS)
         while not self.soak.is_over():
             name, fault = self.draw()
-            pause = self.numbers.uniform(self.shortest_pause, self.longest_pause)
+            pause = self.pace * self.numbers.uniform(self.shortest_pause, self.longest_pause)
             try:
                 done = fault()
             except Exception as error:  # the others go on; the run fails
@@ -274,9 +275,9 @@
         numbers = self.numbers
         plan = {
             "sender": numbers.choice(["goes on", "is cut from peers", "is cut with its zone", "is cut with its zone",
-                                      "is frozen", "is frozen", "is killed", "is terminated"]),
+                                      "is frozen", "is frozen", "is killed", "is terminated", "loses the answer"]),
             "seconds": draw_seconds(numbers),
-            "until": numbers.choice(["time", "another decided", "backend is behind", "backend is behind"]),
+            "until": numbers.choice(["time", "another decided", "backend is behind", "backend is behind", "backend is behind"]),
             "after": numbers.uniform(0.1, 2),
             "heals_after": numbers.uniform(0, 3),
             "backend is cut": numbers.random() < 0.6,
@@ -301,7 +302,7 @@
             soak.links.release(order)
             soak.release_held_orders()
             soak.say(f"order {order.number} {'was taken back' if order.taken_back_at else 'let through'}")
-            soak.pause(plan["heals_after"])
+            soak.pause(plan["seconds"] if plan["sender"] == "loses the answer" else plan["heals_after"])
         for thread in threads:
             thread.join()
         return True
@@ -316,6 +317,8 @@
             cuts += both_ways([sender.name], soak.names_of("peers") + soak.names_of("proxies"))
         if plan["sender"] == "is cut with its zone":
             cuts += [pair for pair in soak.pairs_of_zone(sender.zone) if PROMOTION not in pair]
+        if plan["sender"] == "loses the answer":
+            cuts.append((PROMOTION, sender.name))
         if plan["backend is cut"]:
             cuts += both_ways([order.backend], [node.name for node in others])
         until_healed.enter_context(soak.links.cut(cuts))
@@ -336,6 +339,8 @@
 
     def wait(self, order, plan):
         soak = self.soak
+        if plan["sender"] == "loses the answer":
+            return
         if plan["until"] == "time":
             soak.pause_until(lambda: order.taken_back_at > 0, plan["seconds"])
             return
