tools/soak: draws do not depend on how far a run has come

A sender that is frozen is reserved like any other frozen node: terminated meanwhile it would not have ended in time. SIGHUP spares processes that have just been started and don't take it yet.

--- a/tools/fleetlib/registered_node.py
+++ b/tools/fleetlib/registered_node.py
@@ -3,6 +3,7 @@
 import shutil
 import signal
 import threading
+import time
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -46,6 +47,7 @@
     number: int
     starting: threading.Lock = field(default_factory=threading.Lock)
     busy: threading.Lock = field(default_factory=threading.Lock)
+    started_at: float = 0.0  # of the monotonic clock
 
     @property
     def name(self):
@@ -96,6 +98,7 @@
             file.write_text(self.settings(first_start))
             program = self.fleet.programs / f"cairnhollow-{self.role}"
             variables = self.fleet.links.variables_for(self.name, self.address) if self.fleet.links else None
+            self.started_at = time.monotonic()
             self.process.start([str(program), f"--settings={file}"], self.fleet.folder, self.log_file, variables)
 
     @contextmanager
--- a/tools/fleetlib/soak_faults.py
+++ b/tools/fleetlib/soak_faults.py
@@ -7,12 +7,14 @@
 import random
 import signal
 import threading
+import time
 from contextlib import ExitStack
 
 from fleetlib.registered_node import END_SECONDS
 
 WARM_UP_SECONDS = 4
 WIPE_SETTLES_SECONDS = 6
+START_SECONDS = 2
 ENVIRONMENT, PROMOTION = "environment", "promotion"
 
 
@@ -112,9 +114,12 @@
             node.start()
         return True
 
-    def reread_settings(self, node):
-        self.soak.say(f"SIGHUP {node.name}")
-        node.process.send(signal.SIGHUP)
+    def reread_settings(self):
+        """Of all processes but those that have not got as far as to take the signal."""
+        self.soak.say("SIGHUP all")
+        for node in self.soak.controls + self.soak.proxies:
+            if time.monotonic() - node.started_at > START_SECONDS:
+                node.process.send(signal.SIGHUP)
 
 
 class ProcessFaults(Series):
@@ -124,7 +129,7 @@
 
     def draw(self):
         numbers, soak = self.numbers, self.soak
-        proxy, control = numbers.choice(soak.proxies), numbers.choice(soak.controls)
+        proxy, control = numbers.choice(soak.proxies), numbers.choice(soak.founders)
         some, all_proxies = numbers.sample(soak.proxies, max(1, len(soak.proxies) // 2)), list(soak.proxies)
         numbers.shuffle(all_proxies)
         short, power, moment = numbers.uniform(0.1, 4), numbers.uniform(0.5, 2.5), numbers.uniform(0.1, 1)
@@ -189,7 +194,7 @@
 
     def draw(self):
         numbers, soak = self.numbers, self.soak
-        first, second = numbers.sample(soak.controls, 2)
+        first, second = numbers.sample(soak.founders, 2)
         leader = numbers.random() < 0.6
         seconds, other_seconds, gap = draw_seconds(numbers), draw_seconds(numbers), numbers.uniform(0, 3)
         long = numbers.uniform(6, 30)
@@ -202,7 +207,7 @@
             ("two controls at once", lambda: self.two(first, second, leader, (kind, seconds), (other_kind, other_seconds), gap)),
             ("wipe control", lambda: self.wipe(first, seconds)),
             ("terminate controls in turn", lambda: self.in_turn(gap)),
-            ("reread settings", lambda: [self.reread_settings(node) for node in soak.controls + soak.proxies] and None),
+            ("reread settings", self.reread_settings),
             ("another control node joins", soak.add_control)])
 
     def two(self, first, second, leader, fault, other_fault, gap):
@@ -232,7 +237,7 @@
 
     def draw(self):
         numbers, soak = self.numbers, self.soak
-        chosen = numbers.sample(soak.controls, numbers.choice([1, 1, 2]))
+        chosen = numbers.sample(soak.founders, numbers.choice([1, 1, 2]))
         leader = numbers.random() < 0.6
         seconds = draw_seconds(numbers)
         kinds = [kind for kind, share in (("peers", 0.8), ("promotion", 0.5), ("backends", 0.4), ("proxies", 0.4),
@@ -323,7 +328,7 @@
             cuts += both_ways([order.backend], [node.name for node in others])
         until_healed.enter_context(soak.links.cut(cuts))
         threads = []
-        if plan["sender"] == "is frozen":
+        if plan["sender"] == "is frozen" and until_healed.enter_context(sender.reserved()):
             sender.process.send(signal.SIGSTOP)
             until_healed.callback(sender.process.send, signal.SIGCONT)
         if plan["sender"] == "is killed":
