--- a/tools/fleetlib/memory.py
+++ b/tools/fleetlib/memory.py
@@ -44,8 +44,9 @@
         needed = processes * PROCESS_MEGABYTES * MEGABYTE
         room = min(int(total * PART_OF_MACHINE), available)
         if needed > room:
-            raise MemoryError(f"--controls, --proxies: {processes} processes of {PROCESS_MEGABYTES} MB need {needed // MEGABYTE} MB; "
-                              f"half of the machine's memory, or what is free of it, is {room // MEGABYTE} MB")
+            raise MemoryError(f"--controls, --proxies: {processes} processes of {PROCESS_MEGABYTES} MB need "
+                              f"{needed // MEGABYTE} MB; half of the machine's memory, or what is free of it, is "
+                              f"{room // MEGABYTE} MB")
 
     def run(self):
         limit = int(machine_memory()[0] * PART_OF_MACHINE)
