tools/soak: a node that loses its power loses what it has under way

The soak kills the processes of a node that loses its power after some silence. Its kernel then still ended their connections in the ordinary way, and the relay delivered what a cut or a hold kept back: a machine without power would have lost it. The relay drops it now, at the beginning of the silence.

--- a/tools/fleetlib/held_links.py
+++ b/tools/fleetlib/held_links.py
@@ -87,9 +87,13 @@
     def drop_if_reset(self):
         """To be asked of an end that waits, now and then, and before it waits no more."""
         if not self.lost and self.transport and was_reset(self.transport):
-            self.transport.abort()
-            self.lost = True
-            self.update()
+            self.drop()
+
+    def drop(self):
+        """What its sender has sent and what waits is lost, as is the connection."""
+        self.transport.abort()
+        self.lost = True
+        self.update()
 
     def update(self):
         """Reads unless there is a cause to wait; a loss is passed on when the link is whole."""
--- a/tools/fleetlib/links.py
+++ b/tools/fleetlib/links.py
@@ -142,6 +142,11 @@
         with self.lock:
             self._send({"release": order.number})
 
+    def lose_power_of(self, nodes):
+        """What they have sent and what still waits is lost."""
+        with self.lock:
+            self._send({"power_lost": list(nodes)})
+
     def all_orders(self):
         with self.lock:
             return list(self.orders.values())
--- a/tools/fleetlib/soak_faults.py
+++ b/tools/fleetlib/soak_faults.py
@@ -163,6 +163,7 @@
         self.soak.say(f"power lost: {', '.join(node.name for node in nodes)}")
         for node in nodes:
             node.process.send(signal.SIGSTOP)
+        self.soak.links.lose_power_of(node.name for node in nodes)
         self.soak.pause(seconds)
         self.kill_together(nodes)
         self.start_all(nodes)
--- a/tools/fleetlib/soak_relay.py
+++ b/tools/fleetlib/soak_relay.py
@@ -6,9 +6,10 @@
   {"cuts": [[FROM, TO], ...]}   all that FROM sends to TO waits from now on, and on no other link
   {"hold": [NODE, ...]}         orders (promotion calls) of these nodes wait, each until it is released
   {"release": ORDER}            by its number
+  {"power_lost": [NODE, ...]}   what waits of these nodes is lost, as it is with the memory of their machines
 
-Each order is told of when it is whole ("order"), passed on ("passed"), taken back by a reset ("taken_back") and
-answered ("answer", with the HTTP status). The end of the standard input ends the relay.
+Each order is told of when it is whole ("order"), passed on ("passed"), taken back by a reset or a loss of power
+("taken_back") and answered ("answer", with the HTTP status). The end of the standard input ends the relay.
 """
 
 import asyncio
@@ -151,6 +152,11 @@
             if end and end.waits:
                 end.drop_if_reset()
 
+    def lose_power_of(self, nodes):
+        for end, node in ((self.client, self.source), (self.server, self.link["node"])):
+            if end and node in nodes and end.waits and not end.lost:
+                end.drop()
+
     async def open(self):
         make_end = AnswerEnd if self.link["orders"] else End
         self.server = await open_other_end(self.client, make_end, self.link["address"], self.link["port"])
@@ -211,6 +217,8 @@
             self.cuts = {tuple(pair) for pair in command["cuts"]}
             for connection in list(self.connections):
                 connection.apply_cuts()
+        for connection in list(self.connections) if "power_lost" in command else []:
+            connection.lose_power_of(command["power_lost"])
         if "hold" in command:
             self.holds = set(command["hold"])
         end = self.waiting.get(command.get("release"))
