--- a/standins/programs/cairnhollow_environment.cpp
+++ b/standins/programs/cairnhollow_environment.cpp
@@ -38,6 +38,7 @@
   --promotion=ENDPOINT  where to listen for promotion calls
   --groups=N            database groups, of three backends each [default: 2]
   --seconds=N           how long the callers work [default: 60]
+  --databases=NETWORK   group N's backends listen on NETWORK.N [default: 127.0.3]
   --lag-ms=N            from a commit to its appearance at a replica [default: 8]
   --seed=N              of the backends' faults and the callers' choices [default: 1]
   --faults=WHICH        none, primaries (they crash, one after the other) or all [default: all]
@@ -115,6 +116,7 @@
   settings.proxy_endpoints = *proxies;
   settings.promotion_endpoint = promotion->front();
   settings.groups = static_cast<std::size_t>(std::max(1L, options["--groups"].asLong()));
+  settings.database_network = options["--databases"].asString();
   settings.duration = std::chrono::seconds(options["--seconds"].asLong());
   settings.replica_lag = std::chrono::milliseconds(options["--lag-ms"].asLong());
   settings.slow_promotions = options["--slow-promotions"].asBool();
--- a/tools/fleetlib/backend_status.py
+++ b/tools/fleetlib/backend_status.py
@@ -21,9 +21,9 @@
     received: Position
 
 
-def endpoint_of(group, place):
-    """Of the backend at this place (from 1) of the group (from 1)."""
-    return f"127.0.3.{group}", FIRST_PORT + place - 1
+def endpoint_of(databases, group, place):
+    """Of the backend at this place (from 1) of the group (from 1); `databases`: their addresses but the last number."""
+    return f"{databases}.{group}", FIRST_PORT + place - 1
 
 
 def backend_name(group, place):
@@ -34,10 +34,10 @@
     return f"group-{group}"
 
 
-def read_status(group, place):
+def read_status(databases, group, place):
     """None when it does not answer in time."""
     try:
-        with socket.create_connection(endpoint_of(group, place), CALL_SECONDS) as connection:
+        with socket.create_connection(endpoint_of(databases, group, place), CALL_SECONDS) as connection:
             connection.sendall(f"START {group_name(group)} - {backend_name(group, place)}\r\n".encode())
             connection.sendall(b"QUERY - STATUS\r\n")
             with connection.makefile("r", encoding="utf-8", newline="\r\n") as lines:
@@ -53,9 +53,9 @@
     return BackendStatus(role == "primary", int(term), Position(int(received_term), int(received_index)))
 
 
-def lacks_commits(group, place):
+def lacks_commits(databases, group, place):
     """Whether a backend has received less than the group's newest primary, both by their own word."""
-    statuses = {other: read_status(group, other) for other in range(1, BACKENDS_PER_GROUP + 1)}
+    statuses = {other: read_status(databases, group, other) for other in range(1, BACKENDS_PER_GROUP + 1)}
     primaries = [status for other, status in statuses.items() if other != place and status and status.primary]
     own = statuses[place]
     return own is not None and bool(primaries) and own.received < max(status.received for status in primaries)
--- a/tools/fleetlib/registered_node.py
+++ b/tools/fleetlib/registered_node.py
@@ -13,29 +13,58 @@
 
 ZONES = ["kelburn", "petone", "porirua"]
 PEER_PORT, OPERATOR_PORT, SESSION_PORT, READY_PORT, METRICS_PORT = 7440, 8782, 8784, 8785, 8786
-PROMOTION_ENDPOINT = ("127.0.4.1", 8790)
+PROMOTION_PORT = 8790
 END_SECONDS = 8
 METRICS_SECONDS = 0.2
 LEADS = "cairnhollow_registry_is_leader 1"
 
 
+@dataclass(frozen=True)
+class Network:
+    """The loopback addresses of a run, so that several stand side by side; 127.0 is left to other tools."""
+
+    second: int
+    third: int  # the first of four
+
+    @classmethod
+    def of_seed(cls, seed):
+        """Seeds share their addresses only when they are a multiple of 16002 apart."""
+        return cls(1 + seed % 254, 4 * (seed // 254 % 63))
+
+    def part(self, place):
+        return f"127.{self.second}.{self.third + place}"
+
+    def node(self, role, number):
+        return f"{self.part(0 if role == 'control' else 1)}.{number}"
+
+    @property
+    def databases(self):
+        """All but the last number, which is the group's."""
+        return self.part(2)
+
+    @property
+    def environment(self):
+        return f"{self.part(3)}.1"
+
+    @property
+    def promotion(self):
+        return f"{self.part(3)}.2", PROMOTION_PORT
+
+
 @dataclass
 class FleetSettings:
     """What all nodes of a fleet share."""
 
     folder: Path
     programs: Path
+    network: Network
     lost_disks: int = 1
     links: object = None  # Links, or None: the processes are connected directly
 
     @property
     def seeds(self):
         """Addresses of the control nodes that found the fleet: as many as vote."""
-        return [address_of("control", number) for number in range(1, 2 * self.lost_disks + 2)]
-
-
-def address_of(role, number):
-    return f"127.0.{1 if role == 'control' else 2}.{number}"
+        return [self.network.node("control", number) for number in range(1, 2 * self.lost_disks + 2)]
 
 
 @dataclass
@@ -55,7 +84,7 @@
 
     @property
     def address(self):
-        return address_of(self.role, self.number)
+        return self.fleet.network.node(self.role, self.number)
 
     @property
     def zone(self):
@@ -81,7 +110,7 @@
             lines += [f"data_folder: {self.data}", f"operator_endpoint: {self.address}:{OPERATOR_PORT}",
                       f"first_start: {'true' if first_start else 'false'}",
                       f"metrics_endpoint: {self.address}:{METRICS_PORT}",
-                      "promotion_endpoint: {}:{}".format(*PROMOTION_ENDPOINT),
+                      "promotion_endpoint: {}:{}".format(*self.fleet.network.promotion),
                       f"lost_disks_tolerated: {self.fleet.lost_disks}"]
         else:
             lines += [f"session_endpoint: {self.address}:{SESSION_PORT}", f"control_port: {PEER_PORT}",
--- a/tools/fleetlib/soak_relay.py
+++ b/tools/fleetlib/soak_relay.py
@@ -1,7 +1,7 @@
 """Relays the links between a registered fleet's processes, each of which connects from an address of its own.
 
-Started by links.py with a file that says where to listen and who connects from which address. Commands come as JSON
-lines on the standard input, events go as JSON lines to the standard output:
+Started by tests/soak/links.py with a file that says where to listen and who connects from which address. Commands come
+as JSON lines on the standard input, events go as JSON lines to the standard output:
 
   {"cuts": [[FROM, TO], ...]}   all that FROM sends to TO waits from now on, and on no other link
   {"hold": [NODE, ...]}         orders (promotion calls) of these nodes wait, each until it is released
@@ -23,7 +23,7 @@
 
 from fleetlib.held_links import End, open_other_end  # noqa: E402
 
-LINK_PORT_OFFSET = 10000  # as in link_shim.c
+LINK_PORT_OFFSET = 10000  # as in tests/soak/link_shim.c
 POLL_SECONDS = 0.02
 CONTENT_LENGTH = re.compile(rb"^content-length:\s*(\d+)", re.IGNORECASE | re.MULTILINE)
 FENCING = re.compile(rb"^x-fencing-token:\s*(\d+)", re.IGNORECASE | re.MULTILINE)
