Tests of when a promotion is requested and on what evidence its record is removed

GroupKeeperPromotionsTest: which backend is chosen, and when a group is opened, while another node's request is unsettled.

--- a/tests/registered/control/control_stand.cpp
+++ b/tests/registered/control/control_stand.cpp
@@ -252,7 +252,8 @@
     return registry::PromotionOutcome::kRejected;
   }
   Member& member = members[order.backend.value];
-  member.status = {true, member.status.term + 1, member.status.received, 0};
+  // The present primary's promotion changes nothing.
+  if (!member.status.is_primary) member.status = {true, member.status.term + 1, member.status.received, 0};
   return registry::PromotionOutcome::kAccepted;
 }
 
--- /dev/null
+++ b/tests/registered/control/failover/group_keeper_promotions_test.cpp
@@ -0,0 +1,89 @@
+// Tests what a group keeper does while promotion requests of other control nodes are unsettled.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "registered/control/failover/group_keeper.h"
+#include "tests/registered/control/control_stand.h"
+
+namespace cairnhollow::registered::control {
+
+using registry::PromotionAttempt;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const GroupName kGroup("group");
+
+}  // namespace
+
+class GroupKeeperPromotionsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(GroupKeeperPromotionsTest);
+  CPPUNIT_TEST(chooses_only_the_backend_that_a_request_may_still_promote);
+  CPPUNIT_TEST(does_not_open_before_a_withdrawn_request_is_settled);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  /// Starts a keeper on the leader, and waits until leases from before have expired and the members have
+  /// settled.
+  void setUp() override {
+    stand_ = std::make_unique<ControlStand>();
+    stand_->leases().start();
+    stand_->open_group();
+    keeper_ = std::make_unique<GroupKeeper>(stand_->runtime(), stand_->consensus(), stand_->fleet(),
+                                            stand_->calls(), stand_->leases(), stand_->prober(), *stand_,
+                                            GroupKeeperSettings{NodeName("10.0.0.1")});
+    keeper_->start();
+    stand_->run_for(seconds(20));
+  }
+  void tearDown() override { stand_.reset(); }
+
+  /// Guards against a request of a former leader that arrives after this one has promoted another backend.
+  void chooses_only_the_backend_that_a_request_may_still_promote() {
+    stand_->members["replica-2"].answers = false;
+    close_group();
+    begin("replica-2");
+    stand_->run_for(seconds(5));
+    CPPUNIT_ASSERT(stand_->first("promote") == nullptr);
+    stand_->members["replica-2"].answers = true;
+    stand_->run_for(seconds(2));
+    CPPUNIT_ASSERT(stand_->first("promote replica-2") != nullptr);
+    CPPUNIT_ASSERT(stand_->term().open && stand_->term().primary == BackendName("replica-2"));
+  }
+
+  /// Guards against a withdrawn request that takes effect after the group was opened with another backend.
+  void does_not_open_before_a_withdrawn_request_is_settled() {
+    stand_->members["replica-2"].answers = false;
+    close_group();
+    withdraw(begin("replica-2"));
+    stand_->members["primary"].answers = true;
+    stand_->members["primary"].status = {false, 1, Position{1, 10}, 0};
+    stand_->run_for(kPromotionEffectTimeout - milliseconds(500));
+    CPPUNIT_ASSERT(stand_->first("promote replica-1") != nullptr);
+    CPPUNIT_ASSERT(!stand_->term().open);
+    stand_->run_for(seconds(2));
+    CPPUNIT_ASSERT(stand_->term().open && stand_->term().primary == BackendName("replica-1"));
+  }
+
+ private:
+  void close_group() {
+    stand_->members["primary"].answers = false;
+    stand_->consensus().commit(registry::CloseGroup{kGroup, stand_->term().epoch});
+  }
+  /// Records a request of another control node.
+  PromotionAttempt begin(const char* backend) {
+    PromotionAttempt attempt{kGroup, BackendName(backend), NodeName("10.0.0.2"), 1, 1, stand_->term().epoch,
+                             7};
+    stand_->consensus().commit(registry::BeginPromotion{attempt});
+    CPPUNIT_ASSERT(stand_->fleet().unsettled_promotions().contains(attempt));
+    return attempt;
+  }
+  void withdraw(const PromotionAttempt& attempt) {
+    stand_->consensus().commit(registry::WithdrawPromotions{{attempt}});
+  }
+  std::unique_ptr<ControlStand> stand_;
+  std::unique_ptr<GroupKeeper> keeper_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GroupKeeperPromotionsTest);
+
+}  // namespace cairnhollow::registered::control
--- a/tests/registered/registry/unsettled_promotions_test.cpp
+++ b/tests/registered/registry/unsettled_promotions_test.cpp
@@ -1,4 +1,4 @@
-// Tests which promotion attempts are recorded: those of a group always name one backend.
+// Tests which promotion attempts are recorded: those of a group that may still arrive name one backend.
 #include "registered/registry/unsettled_promotions.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -10,12 +10,19 @@
 const GroupName kGroup("records");
 const GroupName kOther("decks");
 const BackendName kBackend("b1");
+const BackendName kBackendOther("b2");
 
 PromotionAttempt attempt(std::uint64_t number, const BackendName& backend = kBackend,
                          const GroupName& group = kGroup) {
   return {group, backend, NodeName("control-1"), 7, number, 2};
 }
 
+PromotionAttempt withdrawn(std::uint64_t number, const BackendName& backend = kBackend) {
+  PromotionAttempt withdrawn = attempt(number, backend);
+  withdrawn.is_withdrawn = true;
+  return withdrawn;
+}
+
 }  // namespace
 
 class UnsettledPromotionsTest : public CppUnit::TestFixture {
@@ -27,6 +34,8 @@
   CPPUNIT_TEST(settles_attempts_of_any_group);
   CPPUNIT_TEST(settles_only_what_is_recorded);
   CPPUNIT_TEST(groups_without_attempts_are_not_kept);
+  CPPUNIT_TEST(withdrawn_attempt_binds_no_choice_but_the_opening);
+  CPPUNIT_TEST(answer_settles_only_what_was_withdrawn_before_it_was_recorded);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -116,6 +125,36 @@
     promotions.settle({attempt(1)});
     CPPUNIT_ASSERT(promotions == UnsettledPromotions());
   }
+
+  void withdrawn_attempt_binds_no_choice_but_the_opening() {
+    UnsettledPromotions promotions;
+    promotions.begin(attempt(1));
+    CPPUNIT_ASSERT(!promotions.awaits_answer(kGroup));
+    promotions.withdraw({attempt(1)});
+    CPPUNIT_ASSERT(promotions.backend_of(kGroup) == nullptr);
+    CPPUNIT_ASSERT(promotions.excludes(kGroup, kBackendOther));
+    CPPUNIT_ASSERT(promotions.awaits_answer(kGroup));
+    CPPUNIT_ASSERT(promotions.begin(attempt(2, kBackendOther)));
+    CPPUNIT_ASSERT(!promotions.awaits_answer(kGroup));
+    CPPUNIT_ASSERT(*promotions.backend_of(kGroup) == kBackendOther);
+  }
+
+  /// Guards against an answer that settles an attempt whose request may have been received after the answered
+  /// one.
+  void answer_settles_only_what_was_withdrawn_before_it_was_recorded() {
+    UnsettledPromotions promotions;
+    for (const std::uint64_t number : {1, 2, 3}) promotions.begin(attempt(number));
+    promotions.withdraw({attempt(1)});
+    promotions.begin(attempt(4));
+    promotions.settle({attempt(3)}, true);
+    CPPUNIT_ASSERT_MESSAGE("withdrawn after it was recorded",
+                           promotions.of(kGroup) == (std::vector{attempt(2), withdrawn(1), attempt(4)}));
+    promotions.settle({attempt(4)});
+    CPPUNIT_ASSERT_MESSAGE("not answered", promotions.of(kGroup) == (std::vector{attempt(2), withdrawn(1)}));
+    promotions.begin(attempt(5));
+    promotions.settle({attempt(5)}, true);
+    CPPUNIT_ASSERT_MESSAGE("not withdrawn", promotions.of(kGroup) == std::vector{attempt(2)});
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UnsettledPromotionsTest);
