control: a rejection settles a withdrawn request for another backend only after its effect

What callers would see: acknowledged writes gone after a change of primary, if the platform accepts a request whose connection is reset before its answer, and rejects the next one, for another backend, because that one is not running.

Cause: the rejection shows that the platform has handled the earlier request, and settled it at once. A promotion takes effect some hundred milliseconds after it is accepted: in between, a third backend could be chosen and opened.

Change: an answer that settles withdrawn attempts for another backend waits kPromotionEffectTimeout, as after an acceptance.

--- a/src/registered/control/failover/promotion_requests.cpp
+++ b/src/registered/control/failover/promotion_requests.cpp
@@ -190,7 +190,10 @@
   }
   // The present primary's promotion changes nothing.
   const bool has_effect = *request->outcome == PromotionOutcome::kAccepted && request->chosen;
-  if (has_effect) co_await wait_for_effect(request);
+  // A withdrawn request for another backend may have been accepted just before this one was answered.
+  const bool settles_others =
+      answered && fleet_.unsettled_promotions().excludes(attempt.group, attempt.backend);
+  if (has_effect || settles_others) co_await wait_for_effect(request);
   registry::SettlePromotions settlement;
   settlement.attempts.push_back(attempt);
   settlement.answered = answered;
--- a/tests/registered/control/failover/promotion_settlement_test.cpp
+++ b/tests/registered/control/failover/promotion_settlement_test.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST_SUITE(PromotionSettlementTest);
   CPPUNIT_TEST(rate_limit_settles_only_its_own_attempt);
   CPPUNIT_TEST(conflict_settles_withdrawn_attempts);
+  CPPUNIT_TEST(conflict_awaits_the_effect_of_a_withdrawn_attempt_for_another_backend);
   CPPUNIT_TEST(acceptance_settles_withdrawn_attempts);
   CPPUNIT_TEST(acceptance_awaits_the_effect_of_a_withdrawn_attempt_for_another_backend);
   CPPUNIT_TEST(acceptance_settles_nothing_before_its_effect);
@@ -42,6 +43,17 @@
     CPPUNIT_ASSERT(attempts().empty());
   }
 
+  /// Guards against an opening with a third backend just before the accepted one leads a later term.
+  void conflict_awaits_the_effect_of_a_withdrawn_attempt_for_another_backend() {
+    withdraw(foreign(1, "replica-2"));
+    answer(PromotionOutcome::kRejected, ReasonCode::kConflict);
+    request("replica-1");
+    stand_->run_for(kPromotionEffectTimeout - milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, attempts().size());
+    stand_->run_for(milliseconds(500) + kReportTime);
+    CPPUNIT_ASSERT(attempts().empty());
+  }
+
   void acceptance_settles_withdrawn_attempts() {
     withdraw(foreign(1, "replica-1"));
     request("replica-1");
