control: groups with withdrawn requests are settled in turn

What callers would see: a group whose withdrawn requests stay unsettled, and which is opened with no other backend after the next failure, while the requests of a group in front of it fail.

Cause: the leader settles one group at a time and always began with the first. If the platform rejects that group's requests, or answers none, the others had no turn.

Change: the turn goes to the group after the one that had it last.

Checks: PromotionSettlementTest::group_whose_requests_fail_does_not_keep_others_waiting; without the change the second group's attempt was still there after 5 s.

--- a/src/registered/control/failover/promotion_requests.cpp
+++ b/src/registered/control/failover/promotion_requests.cpp
@@ -241,13 +241,17 @@
 void PromotionRequests::settle_withdrawn() {
   if (settles_withdrawn_ || stopping_ || !terms_.leads()) return;
   const registry::UnsettledPromotions& unsettled = fleet_.unsettled_promotions();
-  for (const GroupName& group : unsettled.groups()) {
+  std::vector<GroupName> groups = unsettled.groups();
+  std::erase_if(groups, [&](const GroupName& group) {
     const auto term = terms_.find(group);
-    if (!term || !term->open || !unsettled.awaits_answer(group)) continue;
-    settles_withdrawn_ = true;
-    runtime_.spawn("settle_withdrawn_promotions", settle_withdrawn_of(*term));
-    return;
-  }
+    return !term || !term->open || !unsettled.awaits_answer(group);
+  });
+  if (groups.empty()) return;
+  // In turn, so that a group whose requests fail does not keep the others waiting.
+  const auto next = std::upper_bound(groups.begin(), groups.end(), last_settled_);
+  last_settled_ = next == groups.end() ? groups.front() : *next;
+  settles_withdrawn_ = true;
+  runtime_.spawn("settle_withdrawn_promotions", settle_withdrawn_of(*terms_.find(last_settled_)));
 }
 
 Awaitable<void> PromotionRequests::settle_withdrawn_of(GroupTerm term) {
--- a/src/registered/control/failover/promotion_requests.h
+++ b/src/registered/control/failover/promotion_requests.h
@@ -139,6 +139,7 @@
   std::vector<RequestPointer> accepted_;  ///< whose effect is awaited
   std::array<std::uint64_t, kPromotionOutcomes> counts_{};
   bool settles_withdrawn_ = false;  ///< a group's withdrawn attempts are being settled
+  GroupName last_settled_;          ///< the group whose turn it was
   bool stopping_ = false;
 };
 
--- a/tests/registered/control/failover/promotion_settlement_test.cpp
+++ b/tests/registered/control/failover/promotion_settlement_test.cpp
@@ -8,6 +8,12 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+namespace {
+
+const GroupName kFirstGroup("first");
+
+}  // namespace
+
 class PromotionSettlementTest : public PromotionRequestsStand {
   CPPUNIT_TEST_SUITE(PromotionSettlementTest);
   CPPUNIT_TEST(rate_limit_settles_only_its_own_attempt);
@@ -21,6 +27,7 @@
   CPPUNIT_TEST(reports_are_repeated_until_they_are_committed);
   CPPUNIT_TEST(answer_for_the_present_primary_settles_withdrawn_attempts);
   CPPUNIT_TEST(present_primary_is_not_requested_while_an_attempt_may_arrive);
+  CPPUNIT_TEST(group_whose_requests_fail_does_not_keep_others_waiting);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -144,11 +151,40 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, attempts().size());
   }
 
+  /// Guards against withdrawn attempts that stay because the requests of the group in front are rejected.
+  void group_whose_requests_fail_does_not_keep_others_waiting() {
+    withdraw(foreign(1, "replica-1"));
+    open("replica-1");
+    open_first_group();
+    platform_->reply = [](const registry::PromotionOrder& order) {
+      return order.group == kFirstGroup ? PromotionOutcome::kRejected : PromotionOutcome::kAccepted;
+    };
+    settle_for(seconds(5));
+    CPPUNIT_ASSERT(attempts().empty());
+    CPPUNIT_ASSERT(unsettled().awaits_answer(kFirstGroup));
+    platform_->reply = nullptr;
+    settle_for(seconds(2));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, unsettled().size());
+  }
+
  private:
   void answer(PromotionOutcome outcome, ReasonCode rejection) {
     platform_->rejection = rejection;
     platform_->reply = [outcome](const registry::PromotionOrder&) { return outcome; };
   }
+  /// Opens a group that precedes the other one and has a withdrawn attempt.
+  void open_first_group() {
+    registry::ConfigurationDocument document;
+    document.version = 2;
+    document.groups = {*stand_->fleet().find_group(kGroup), *stand_->fleet().find_group(kGroup)};
+    document.groups.front().name = kFirstGroup;
+    commit(registry::ReplaceDocument{document});
+    commit(registry::OpenGroup{kFirstGroup, 0, 1, BackendName("first-primary"), 0});
+    PromotionAttempt attempt = foreign(1, "first-primary");
+    attempt.group = kFirstGroup;
+    attempt.epoch = 1;
+    withdraw(attempt);
+  }
   /// Runs for the time with the calls that a group keeper makes.
   void settle_for(Duration duration) {
     const TimePoint end = stand_->now() + duration;
