registry: withdrawn attempts do not use up a group's limit of attempts

What callers would see: a group that stays closed after the platform has answered nothing for some time, also once it answers again.

Cause: each request without an answer leaves a withdrawn attempt, and a group records 32 attempts. At the limit no further one is recorded, so that nothing is requested whose answer would settle the others.

Change: of a group's withdrawn attempts for one backend, the one that was withdrawn last is kept; what settles it settles those before it. Withdrawing an attempt again does not move it.

Checks: UnsettledPromotionsTest.

--- a/src/registered/registry/unsettled_promotions.cpp
+++ b/src/registered/registry/unsettled_promotions.cpp
@@ -92,11 +92,15 @@
 void UnsettledPromotions::withdraw_one(const PromotionAttempt& attempt) {
   const auto found = attempts_.find(attempt.group);
   if (found == attempts_.end()) return;
-  const auto withdrawn = std::find(found->second.begin(), found->second.end(), attempt);
-  if (withdrawn == found->second.end() || withdrawn->is_withdrawn) return;
-  withdrawn->is_withdrawn = true;
+  std::vector<PromotionAttempt>& recorded = found->second;
+  if (attempt.is_withdrawn || std::erase(recorded, attempt) == 0) return;
+  // What settles the one that was withdrawn last settles those before it as well.
+  std::erase_if(recorded, [&](const PromotionAttempt& other) {
+    return other.is_withdrawn && other.backend == attempt.backend;
+  });
   // Behind the attempts whose requests may have been handled before it arrived.
-  std::rotate(withdrawn, withdrawn + 1, found->second.end());
+  recorded.push_back(attempt);
+  recorded.back().is_withdrawn = true;
 }
 
 void UnsettledPromotions::withdraw_earlier(const NodeName& holder, std::uint64_t process,
--- a/src/registered/registry/unsettled_promotions.h
+++ b/src/registered/registry/unsettled_promotions.h
@@ -48,7 +48,8 @@
   }
 };
 
-/// Part of the replicated state: deterministic. Bounded by kMaxAttemptsPerGroup for each group.
+/// Part of the replicated state: deterministic. Bounded by kMaxAttemptsPerGroup for each group. Of the
+/// withdrawn attempts for one backend, the one that was withdrawn last stands for all.
 class UnsettledPromotions {
  public:
   /// Maximum number of unsettled attempts of one group. Reached only if their outcomes stay unknown while new
--- a/tests/registered/registry/unsettled_promotions_test.cpp
+++ b/tests/registered/registry/unsettled_promotions_test.cpp
@@ -36,6 +36,10 @@
   CPPUNIT_TEST(groups_without_attempts_are_not_kept);
   CPPUNIT_TEST(withdrawn_attempt_binds_no_choice_but_the_opening);
   CPPUNIT_TEST(answer_settles_only_what_was_withdrawn_before_it_was_recorded);
+  CPPUNIT_TEST(withdrawn_attempts_do_not_use_up_the_limit);
+  CPPUNIT_TEST(withdrawn_attempts_for_other_backends_are_kept);
+  CPPUNIT_TEST(attempt_that_is_withdrawn_twice_is_settled_by_an_answer_in_between);
+  CPPUNIT_TEST(later_process_does_not_move_withdrawn_attempts);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -155,6 +159,67 @@
     promotions.settle({attempt(5)}, true);
     CPPUNIT_ASSERT_MESSAGE("not withdrawn", promotions.of(kGroup) == std::vector{attempt(2)});
   }
+
+  /// Guards against a group that records no further attempt, and so can settle none, after a time in which
+  /// the platform answered nothing.
+  void withdrawn_attempts_do_not_use_up_the_limit() {
+    UnsettledPromotions promotions;
+    const std::uint64_t attempts = 3 * UnsettledPromotions::kMaxAttemptsPerGroup;
+    for (std::uint64_t number = 1; number <= attempts; ++number) {
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(number), promotions.begin(attempt(number)));
+      promotions.withdraw({attempt(number)});
+    }
+    CPPUNIT_ASSERT_MESSAGE("the last one stands for all",
+                           promotions.of(kGroup) == std::vector{withdrawn(attempts)});
+    promotions.begin(attempt(attempts + 1, kBackendOther));
+    promotions.settle({attempt(attempts + 1, kBackendOther)}, true);
+    CPPUNIT_ASSERT(promotions == UnsettledPromotions());
+  }
+
+  /// Guards against a group that is opened with one backend while a withdrawn request may promote another.
+  void withdrawn_attempts_for_other_backends_are_kept() {
+    UnsettledPromotions promotions;
+    promotions.begin(attempt(1));
+    promotions.withdraw({attempt(1)});
+    promotions.begin(attempt(2, kBackendOther));
+    promotions.withdraw({attempt(2, kBackendOther)});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, promotions.size());
+    CPPUNIT_ASSERT(promotions.excludes(kGroup, kBackend));
+    CPPUNIT_ASSERT(promotions.excludes(kGroup, kBackendOther));
+    promotions.begin(attempt(3));
+    promotions.begin(attempt(4));
+    promotions.withdraw({attempt(4)});
+    CPPUNIT_ASSERT_MESSAGE(
+        "of one backend the last, behind what was recorded before it was withdrawn",
+        promotions.of(kGroup) == (std::vector{withdrawn(2, kBackendOther), attempt(3), withdrawn(4)}));
+  }
+
+  /// Guards against a withdrawal that is committed twice, as its first outcome was unknown, and moves the
+  /// attempt behind a request that its own one precedes.
+  void attempt_that_is_withdrawn_twice_is_settled_by_an_answer_in_between() {
+    for (const PromotionAttempt& repeated : {attempt(1), withdrawn(1)}) {
+      UnsettledPromotions promotions;
+      promotions.begin(attempt(1));
+      promotions.withdraw({attempt(1)});
+      promotions.begin(attempt(2));
+      promotions.withdraw({repeated});
+      CPPUNIT_ASSERT(promotions.of(kGroup) == (std::vector{withdrawn(1), attempt(2)}));
+      promotions.settle({attempt(2)}, true);
+      CPPUNIT_ASSERT(promotions == UnsettledPromotions());
+    }
+  }
+
+  /// Guards against the same by the report of the holder's next process.
+  void later_process_does_not_move_withdrawn_attempts() {
+    UnsettledPromotions promotions;
+    promotions.begin(attempt(1));
+    promotions.withdraw({attempt(1)});
+    PromotionAttempt of_another_holder = attempt(2);
+    of_another_holder.holder = NodeName("control-2");
+    promotions.begin(of_another_holder);
+    promotions.withdraw_earlier(NodeName("control-1"), 9, 7);
+    CPPUNIT_ASSERT(promotions.of(kGroup) == (std::vector{withdrawn(1), of_another_holder}));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UnsettledPromotionsTest);
