control: a planned change waits until the group's promotion requests are settled

What callers would see: a group without a primary from the moment at which its leaving or evacuated primary is to be replaced, until the holder of an earlier promotion request is back in touch.

Cause: while a request may still promote the present primary, no other backend may be chosen, and a leaving primary is not reopened. The planned change closed the group nevertheless.

Change: it waits for the settling. Settling leaves the fleet's revision as it is, at which the checks of all groups would rest, so they go on while any attempt is unsettled.

Checks: GroupKeeperPromotionsTest::planned_change_waits_for_a_request_that_may_arrive and ..._for_a_withdrawn_request. Without the change the group was closed in the first, and in the second the request for the present primary was not the first thing done. With the wait alone both failed as well: the primary was not replaced 2 s after the settling, or 4 s after the withdrawal.

--- a/src/registered/control/failover/group_keeper.cpp
+++ b/src/registered/control/failover/group_keeper.cpp
@@ -63,9 +63,11 @@
 void GroupKeeper::check_all() {
   const std::uint64_t revision = fleet_.revision();
   for (const auto& group : fleet_.groups()) check(group.name);
-  // The group checks can be skipped until the fleet changes or a proxy suspects a primary.
+  // The group checks can be skipped until the fleet changes or a proxy suspects a primary. Settling a
+  // promotion, which a planned change may wait for, leaves the revision as it is.
   idle_revision_.reset();
-  if (busy_.empty() && !settlement_.is_running()) idle_revision_ = revision;
+  const bool is_settled = fleet_.unsettled_promotions().size() == 0;
+  if (is_settled && busy_.empty() && !settlement_.is_running()) idle_revision_ = revision;
 }
 
 void GroupKeeper::check(const GroupName& group) {
@@ -77,7 +79,10 @@
   const registry::BackendEntry* primary = fleet_.find_backend(term->primary);
   if (primary != nullptr && term->is_restarted_primary(*primary))
     return start_task(group, close_restarted(group));
-  if (!planned_change_cause(*term, fleet_).empty()) return start_task(group, switch_over(group));
+  // A close that follows while a promotion of the leaving primary is unsettled could be opened with nobody.
+  const bool is_settled = fleet_.unsettled_promotions().of(group).empty();
+  if (is_settled && !planned_change_cause(*term, fleet_).empty())
+    return start_task(group, switch_over(group));
   const auto suspected = suspicions_.take(*term, runtime_.now());
   if (suspected) start_task(group, check_primary(group, *suspected));
 }
--- a/tests/registered/control/failover/group_keeper_promotions_test.cpp
+++ b/tests/registered/control/failover/group_keeper_promotions_test.cpp
@@ -20,6 +20,8 @@
   CPPUNIT_TEST_SUITE(GroupKeeperPromotionsTest);
   CPPUNIT_TEST(chooses_only_the_backend_that_a_request_may_still_promote);
   CPPUNIT_TEST(does_not_open_before_a_withdrawn_request_is_settled);
+  CPPUNIT_TEST(planned_change_waits_for_a_request_that_may_arrive);
+  CPPUNIT_TEST(planned_change_waits_for_a_withdrawn_request);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -64,6 +66,30 @@
     CPPUNIT_ASSERT(stand_->term().open && stand_->term().primary == BackendName("replica-1"));
   }
 
+  /// Guards against a group that is closed to replace a leaving primary, but can be opened with nobody else,
+  /// as a request may still promote that one.
+  void planned_change_waits_for_a_request_that_may_arrive() {
+    const PromotionAttempt attempt = begin("primary");
+    let_primary_leave();
+    stand_->run_for(seconds(3));
+    CPPUNIT_ASSERT(stand_->term().open && stand_->term().primary == BackendName("primary"));
+    stand_->consensus().commit(registry::SettlePromotions{{attempt}});
+    stand_->run_for(seconds(2));
+    CPPUNIT_ASSERT_MESSAGE("it follows the settling, which leaves the fleet's revision as it is",
+                           stand_->term().open && stand_->term().primary != BackendName("primary"));
+  }
+
+  /// Guards against a group that is closed while the effect of a withdrawn request is awaited.
+  void planned_change_waits_for_a_withdrawn_request() {
+    withdraw(begin("primary"));
+    let_primary_leave();
+    stand_->run_for(seconds(4));
+    CPPUNIT_ASSERT(stand_->term().open && stand_->term().primary != BackendName("primary"));
+    CPPUNIT_ASSERT_MESSAGE("settled while the group was open",
+                           stand_->events.front().what == "promote primary");
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("closed once", std::uint64_t{3}, stand_->term().epoch);
+  }
+
  private:
   void close_group() {
     stand_->members["primary"].answers = false;
@@ -80,6 +106,13 @@
   void withdraw(const PromotionAttempt& attempt) {
     stand_->consensus().commit(registry::WithdrawPromotions{{attempt}});
   }
+  void let_primary_leave() {
+    registry::BackendEntry leaving = ControlStand::entry("primary", 9001);
+    leaving.leaving = true;
+    leaving.sequence = 2;
+    stand_->consensus().commit(registry::RegisterBackend{leaving});
+  }
+
   std::unique_ptr<ControlStand> stand_;
   std::unique_ptr<GroupKeeper> keeper_;
 };
