control: members are resumed despite unsettled promotions once no proxy uses the old primary

What callers would see: a group that stays closed although its members could catch up, after a promotion request had no answer.

Cause: paused members stayed paused while the group had an unsettled attempt, because a proxy that is cut off from control could use the old primary through them. A member that lags then never becomes provable, so nothing is requested whose answer would settle a withdrawn attempt.

Change: they are resumed as well once every proxy has acknowledged the close: none uses the old primary then. Whether an attempt is withdrawn makes no difference: the platform may have received it, and its backend would lack what the old primary and a resumed member acknowledge until it takes effect.

Checks: GroupKeeperPromotionsTest::members_are_resumed_once_no_proxy_uses_the_old_primary; without the change the member was still paused 1 s after the proxy's acknowledgement. members_stay_paused_while_a_request_may_take_effect passed before, and failed when withdrawn attempts did not count.

--- a/src/registered/control/failover/group_keeper.cpp
+++ b/src/registered/control/failover/group_keeper.cpp
@@ -178,8 +178,9 @@
   if (!terms_.leads()) co_return;
   if (decision->choice.verdict == PromotionVerdict::kNotYet) {
     // Members that lag can catch up only after their pause ends. While a requested promotion may still take
-    // effect, they stay paused: a proxy cut off from control could use the old primary through them.
-    if (fleet_.unsettled_promotions().of(closed.group).empty()) co_await release_.release(closed.group);
+    // effect, they stay paused for a proxy that may not know of the close: it could use the old primary.
+    const bool is_settled = fleet_.unsettled_promotions().of(closed.group).empty();
+    if (is_settled || decision->facts.all_proxies_answered) co_await release_.release(closed.group);
     co_await runtime_.sleep_for(kFailoverRetryDelay);
     co_return;
   }
--- a/tests/registered/control/failover/group_keeper_promotions_test.cpp
+++ b/tests/registered/control/failover/group_keeper_promotions_test.cpp
@@ -1,6 +1,8 @@
 // Tests what a group keeper does while promotion requests of other control nodes are unsettled.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 #include "registered/control/failover/group_keeper.h"
 #include "tests/registered/control/control_stand.h"
 
@@ -22,6 +24,8 @@
   CPPUNIT_TEST(does_not_open_before_a_withdrawn_request_is_settled);
   CPPUNIT_TEST(planned_change_waits_for_a_request_that_may_arrive);
   CPPUNIT_TEST(planned_change_waits_for_a_withdrawn_request);
+  CPPUNIT_TEST(members_stay_paused_while_a_request_may_take_effect);
+  CPPUNIT_TEST(members_are_resumed_once_no_proxy_uses_the_old_primary);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -90,6 +94,33 @@
     CPPUNIT_ASSERT_EQUAL_MESSAGE("closed once", std::uint64_t{3}, stand_->term().epoch);
   }
 
+  /// Guards against commits that a proxy without contact to control gets acknowledged by the old primary and
+  /// a resumed member, before a withdrawn request that the platform has received promotes the other one.
+  void members_stay_paused_while_a_request_may_take_effect() {
+    const auto proxy = close_without_an_answer_of_a_proxy();
+    stand_->run_for(seconds(10));
+    CPPUNIT_ASSERT(stand_->members["replica-1"].status.pause_term != 0);
+    const auto pauses =
+        std::count_if(stand_->events.begin(), stand_->events.end(),
+                      [](const ControlStand::Event& event) { return event.what == "pause replica-1"; });
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("never resumed", std::ptrdiff_t{1}, static_cast<std::ptrdiff_t>(pauses));
+    CPPUNIT_ASSERT(stand_->first("promote") == nullptr);
+  }
+
+  /// Guards against a group that stays closed because its paused members cannot catch up, and that makes no
+  /// request whose answer would settle the withdrawn one.
+  void members_are_resumed_once_no_proxy_uses_the_old_primary() {
+    const auto proxy = close_without_an_answer_of_a_proxy();
+    stand_->run_for(seconds(5));
+    report(*proxy, stand_->fleet().revision(), {{kGroup, stand_->term().epoch, Position{1, 20}}});
+    stand_->run_for(seconds(1));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("resumed", std::uint64_t{0}, stand_->members["replica-1"].status.pause_term);
+    CPPUNIT_ASSERT(stand_->first("promote") == nullptr);
+    stand_->members["replica-1"].status.received = Position{1, 20};
+    stand_->run_for(kPromotionEffectTimeout + seconds(1));
+    CPPUNIT_ASSERT(stand_->term().open && stand_->term().primary == BackendName("replica-1"));
+  }
+
  private:
   void close_group() {
     stand_->members["primary"].answers = false;
@@ -113,8 +144,31 @@
     stand_->consensus().commit(registry::RegisterBackend{leaving});
   }
 
+  /// Closes the group while a proxy may still use its primary, replica-2 does not answer, and a withdrawn
+  /// request may have promoted it.
+  std::shared_ptr<ProxyFrames> close_without_an_answer_of_a_proxy() {
+    auto proxy = stand_->connect("proxy");
+    for (int reports = 0; reports < 2; ++reports) report(*proxy, stand_->fleet().revision(), {});
+    stand_->run_for(ControlStand::kLease + milliseconds(100));
+    stand_->members["replica-2"].answers = false;
+    close_group();
+    withdraw(begin("replica-2"));
+    return proxy;
+  }
+  void report(ProxyFrames& proxy, std::uint64_t revision, std::vector<registry::ClosedGroup> closed) {
+    registry::ProxyReport report;
+    report.nonce = ++nonce_;
+    report.incarnation = 1;
+    report.revision = revision;
+    report.closed = std::move(closed);
+    report.peer_endpoint = {"10.0.0.9", 7440};
+    proxy.report(report);
+    stand_->run_for(milliseconds(50));
+  }
+
   std::unique_ptr<ControlStand> stand_;
   std::unique_ptr<GroupKeeper> keeper_;
+  std::uint64_t nonce_ = 0;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GroupKeeperPromotionsTest);
