registry: a promotion attempt ends with a backend that left, not only with a displaced one

What callers would see: a group that stays closed for good after its primary was replaced as planned, if the control node that once requested that primary's promotion was removed before it had recorded the outcome.

Cause: the attempts for a backend were removed when another one registered at its address, but only if the former one was registered and not leaving. One that says that it leaves, or deregisters, is the usual case of a planned end.

Change: a backend that takes an address settles the attempts of whoever had it, also of those that deregistered. A name that is registered again elsewhere keeps them: a late request would promote its next incarnation.

--- a/src/registered/registry/state_machine.cpp
+++ b/src/registered/registry/state_machine.cpp
@@ -68,11 +68,14 @@
   const auto found = backend_at_endpoint_.find(entry.endpoint);
   if (found == backend_at_endpoint_.end() || found->second == entry.name) return true;
   const BackendEntry* other = state_.backends.find(found->second);
+  const GroupName group = other->group;
+  const BackendName name = other->name;
   // An address belongs to the backend that started there last or, if neither reports a start time, registered
   // there last.
   if (entry.is_older_incarnation_than(*other)) return false;
   // A leaving backend whose deregistration did not arrive passes its log on as well.
-  remove_backend(BackendName(found->second), !other->leaving);
+  remove_backend(name, !other->leaving);
+  state_.unsettled_promotions.settle_ended(group, name);
   return true;
 }
 
@@ -154,6 +157,7 @@
     members_[held->group].erase(entry.name);
     backend_at_endpoint_.erase(held->endpoint);
   }
+  settle_promotions_at(entry);
   state_.departed.record_registration(entry, next_revision());
   index_backend(entry);
   const BackendName name = entry.name;
@@ -161,6 +165,16 @@
   state_.backends.put(name, std::move(entry), next_revision());
 }
 
+void FleetStateMachine::settle_promotions_at(const BackendEntry& entry) {
+  for (const GroupName& group : state_.departed.groups()) {
+    for (const DepartedMember& departed : state_.departed.of(group)) {
+      const BackendName& name = departed.incarnation.name;
+      if (departed.endpoint != entry.endpoint || name == entry.name) continue;
+      if (state_.backends.find(name) == nullptr) state_.unsettled_promotions.settle_ended(group, name);
+    }
+  }
+}
+
 void FleetStateMachine::record_departure(const BackendEntry& held, bool has_ended) {
   // Nothing is acknowledged before the first primary is known.
   const GroupTerm* term = find_term(held.group);
@@ -174,7 +188,6 @@
   const BackendEntry* held = state_.backends.find(name);
   if (held == nullptr) return false;
   record_departure(*held, has_ended);
-  if (has_ended) state_.unsettled_promotions.settle_ended(held->group, name);
   members_[held->group].erase(name);
   backend_at_endpoint_.erase(held->endpoint);
   if (held->has_start_time()) state_.ended_start_times[name] = held->start_time_ms;
--- a/src/registered/registry/state_machine.h
+++ b/src/registered/registry/state_machine.h
@@ -170,6 +170,8 @@
   /// `has_ended`: it is known not to run any more.
   bool remove_backend(const BackendName& name, bool has_ended);
   void record_departure(const BackendEntry& held, bool has_ended);
+  /// Settles the promotions of deregistered backends at the address that the entry takes: they have ended.
+  void settle_promotions_at(const BackendEntry& entry);
   /// Assumes a departed member in each group after the snapshot of a build that recorded none.
   void assume_departed();
   /// Removes the backend previously registered at the entry's address. Returns false if the entry is stale
--- a/tests/registered/registry/state_machine_promotions_test.cpp
+++ b/tests/registered/registry/state_machine_promotions_test.cpp
@@ -35,6 +35,9 @@
   CPPUNIT_TEST(an_answer_settles_attempts_that_were_withdrawn_before);
   CPPUNIT_TEST(a_later_process_withdraws_attempts_of_its_holder);
   CPPUNIT_TEST(attempts_end_with_their_backend);
+  CPPUNIT_TEST(attempts_end_with_a_leaving_backend);
+  CPPUNIT_TEST(attempts_end_with_a_deregistered_backend);
+  CPPUNIT_TEST(attempts_outlive_a_restart_of_their_backend);
   CPPUNIT_TEST(an_open_group_records_attempts_for_its_primary);
   CPPUNIT_TEST(snapshot_restores_attempts);
   CPPUNIT_TEST(snapshot_without_attempts_is_read_by_earlier_builds);
@@ -200,18 +203,49 @@
   }
 
   void attempts_end_with_their_backend() {
-    BackendEntry entry;
-    entry.name = kNext;
-    entry.group = kGroup;
-    entry.endpoint = Endpoint{"10.0.1.1", 7000};
-    apply(RegisterBackend{entry});
-    close_first_term();
-    apply(BeginPromotion{attempt(1)});
+    BackendEntry entry = begin_with_registered_backend();
     entry.name = kOther;
     apply(RegisterBackend{entry});
     CPPUNIT_ASSERT_EQUAL_MESSAGE("another backend has its address", std::size_t{0}, unsettled().size());
   }
 
+  /// Guards against a group that stays bound to a backend that left and whose deregistration did not arrive.
+  void attempts_end_with_a_leaving_backend() {
+    BackendEntry entry = begin_with_registered_backend();
+    entry.leaving = true;
+    ++entry.sequence;
+    apply(RegisterBackend{entry});
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("it still runs", std::size_t{1}, unsettled().size());
+    entry.name = kOther;
+    entry.leaving = false;
+    apply(RegisterBackend{entry});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, unsettled().size());
+  }
+
+  /// Guards against a group that stays bound to a backend that left, by a request whose holder is gone.
+  void attempts_end_with_a_deregistered_backend() {
+    BackendEntry entry = begin_with_registered_backend();
+    apply(DeregisterBackend{kNext});
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("it may still run", std::size_t{1}, unsettled().size());
+    entry.name = kOther;
+    apply(RegisterBackend{entry});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, unsettled().size());
+  }
+
+  /// Guards against a late request that promotes the next incarnation of its backend, which has its name.
+  void attempts_outlive_a_restart_of_their_backend() {
+    BackendEntry entry = begin_with_registered_backend(1000);
+    apply(DeregisterBackend{kNext});
+    const Endpoint former = entry.endpoint;
+    entry.endpoint = Endpoint{"10.0.1.2", 7000};
+    entry.start_time_ms = 2000;
+    apply(RegisterBackend{entry});
+    entry.name = kOther;
+    entry.endpoint = former;
+    apply(RegisterBackend{entry});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, unsettled().size());
+  }
+
   void an_open_group_records_attempts_for_its_primary() {
     apply(OpenGroup{kGroup, 0, 3, kFormer});
     check_without_effect("another backend", BeginPromotion{attempt(1, kNext, 1)});
@@ -256,6 +290,20 @@
   }
 
  private:
+  /// Records an attempt for a backend that is registered, and returns its entry.
+  BackendEntry begin_with_registered_backend(std::uint64_t start_time_ms = 0) {
+    BackendEntry entry;
+    entry.start_time_ms = start_time_ms;
+    entry.name = kNext;
+    entry.group = kGroup;
+    entry.endpoint = Endpoint{"10.0.1.1", 7000};
+    apply(RegisterBackend{entry});
+    close_first_term();
+    apply(BeginPromotion{attempt(1)});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, unsettled().size());
+    return entry;
+  }
+
   /// The term of kFormer, closed with epoch 2.
   void close_first_term() {
     apply(OpenGroup{kGroup, 0, 3, kFormer});
