control: the backend of a withdrawn request is preferred

What callers would see: 3 s more without a primary, and acknowledged writes gone if the platform handles two requests of a group in another order than it received them.

Cause: after a request was withdrawn, the choice began anew and could fall on another backend of the same proof, whose opening then has to wait for the answer and for the effect of both, and relies on the order of handling.

Change: the backend of the last withdrawn request is chosen again if it is proved, neither leaving nor evacuated, and as many routes may write there. Whenever the withdrawn request takes effect, it changes nothing then.

Checks: PromotionChoiceTest, two tests. The order of handling stays an assumption where that backend is gone (docs/design/platform.md, question 5).

--- a/src/registered/control/failover/log_comparison.cpp
+++ b/src/registered/control/failover/log_comparison.cpp
@@ -22,6 +22,8 @@
   facts.highest_acknowledged = progress.highest_acknowledged;
   const BackendName* requested = fleet_.unsettled_promotions().backend_of(closed.group);
   if (requested != nullptr) facts.requested = *requested;
+  const std::vector<registry::PromotionAttempt>& unsettled = fleet_.unsettled_promotions().of(closed.group);
+  if (requested == nullptr && !unsettled.empty()) facts.withdrawn = unsettled.back().backend;
   facts.allowing_routes = regions_.allowing_routes(closed.group, fleet_.backends_of(closed.group));
   return facts;
 }
--- a/src/registered/control/failover/promotion_choice.cpp
+++ b/src/registered/control/failover/promotion_choice.cpp
@@ -284,9 +284,9 @@
 }
 
 /// Chooses the backend that an earlier request may still promote, if it is proved.
-PromotionChoice choose_requested(const PromotionFacts& facts) {
-  const MemberFinding requested = find_member(facts, *facts.requested);
-  const std::string pending = fmt::format("an earlier request may still promote {}", facts.requested->value);
+PromotionChoice choose_requested(const BackendName& backend, const PromotionFacts& facts) {
+  const MemberFinding requested = find_member(facts, backend);
+  const std::string pending = fmt::format("an earlier request may still promote {}", backend.value);
   if (!is_candidate(requested, facts)) return {PromotionVerdict::kNotYet, {}, 0, pending};
   const Proof proof = prove(requested, facts);
   const MemberFinding* old = find_old_primary(facts);
@@ -296,13 +296,25 @@
   return choose_candidate(requested, facts, fmt::format("{}; {}", proof.why, pending));
 }
 
+/// Returns the backend of a withdrawn request instead of `choice` if it is proved and as suitable.
+PromotionChoice prefer_withdrawn(PromotionChoice choice, const PromotionFacts& facts) {
+  if (choice.verdict != PromotionVerdict::kPromote || choice.backend == *facts.withdrawn) return choice;
+  const MemberFinding withdrawn = find_member(facts, *facts.withdrawn);
+  const MemberFinding chosen = find_member(facts, choice.backend);
+  const bool is_as_suitable = !withdrawn.entry.leaving && !withdrawn.evacuated &&
+                              count_allowing_routes(withdrawn, facts) >= count_allowing_routes(chosen, facts);
+  if (!is_as_suitable) return choice;
+  PromotionChoice preferred = choose_requested(*facts.withdrawn, facts);
+  return preferred.verdict == PromotionVerdict::kPromote ? preferred : choice;
+}
+
 }  // namespace
 
 PromotionChoice choose_promotion(const PromotionFacts& facts, bool reopen_allowed) {
   PromotionChoice choice = choose_by_logs(facts, reopen_allowed);
-  const bool is_free = !facts.requested || choice.backend == *facts.requested;
-  if (is_free || choice.verdict == PromotionVerdict::kNotYet) return choice;
-  return choose_requested(facts);
+  if (choice.verdict == PromotionVerdict::kNotYet) return choice;
+  if (facts.requested && choice.backend != *facts.requested) return choose_requested(*facts.requested, facts);
+  return facts.withdrawn ? prefer_withdrawn(std::move(choice), facts) : choice;
 }
 
 }  // namespace cairnhollow::registered::control
--- a/src/registered/control/failover/promotion_choice.h
+++ b/src/registered/control/failover/promotion_choice.h
@@ -42,6 +42,9 @@
   /// The backend that an earlier request may still promote; empty if there is none. Whenever such a request
   /// takes effect, it is harmless only if this backend is the primary already.
   std::optional<BackendName> requested;
+  /// The backend that an earlier request may have promoted although nothing more of it arrives; empty if
+  /// there is none, or if `requested` is set.
+  std::optional<BackendName> withdrawn;
   /// Number of the group's routes that may write at each member. Empty if all may write everywhere, or if it
   /// is unknown.
   std::map<BackendName, std::size_t> allowing_routes;
@@ -86,6 +89,8 @@
 /// - A candidate that is not the furthest is chosen because more of the group's routes allow its region only
 ///   if its own position proves it, without comparison to the others.
 /// - While a request may still promote a backend, no other is chosen, reopened or adopted.
+/// - The backend of a withdrawn request is preferred to another one if it is proved and as suitable: its
+///   promotion then changes nothing if it takes effect later.
 ///
 /// `reopen_allowed` means that the old primary may be opened again.
 PromotionChoice choose_promotion(const PromotionFacts& facts, bool reopen_allowed);
--- a/tests/registered/control/failover/promotion_choice_test.cpp
+++ b/tests/registered/control/failover/promotion_choice_test.cpp
@@ -51,6 +51,8 @@
 class PromotionChoiceTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PromotionChoiceTest);
   CPPUNIT_TEST(promotes_the_furthest_of_all_replicas);
+  CPPUNIT_TEST(prefers_the_backend_of_a_withdrawn_request);
+  CPPUNIT_TEST(promotes_another_backend_than_a_withdrawn_request_if_that_is_less_suitable);
   CPPUNIT_TEST(compares_departed_members);
   CPPUNIT_TEST(does_not_promote_departed_members);
   CPPUNIT_TEST(does_not_promote_with_an_unreachable_replica);
@@ -90,6 +92,33 @@
     CPPUNIT_ASSERT_EQUAL(std::string("b"), choice.backend.value);
   }
 
+  /// Guards against a withdrawn request that takes effect although another backend was promoted since.
+  void prefers_the_backend_of_a_withdrawn_request() {
+    auto known = facts({finding("old", std::nullopt), finding("a", replica(9)), finding("b", replica(9))});
+    CPPUNIT_ASSERT(choose_promotion(known, false).backend == BackendName("a"));
+    known.withdrawn = BackendName("b");
+    const PromotionChoice choice = choose_promotion(known, false);
+    CPPUNIT_ASSERT(choice.verdict == PromotionVerdict::kPromote);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), choice.backend.value);
+  }
+
+  void promotes_another_backend_than_a_withdrawn_request_if_that_is_less_suitable() {
+    const auto choose_with = [](const MemberFinding& withdrawn) {
+      auto known = facts({finding("old", std::nullopt), finding("a", replica(9)), withdrawn});
+      known.withdrawn = BackendName("b");
+      return choose_promotion(known, false).backend.value;
+    };
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("not proved", std::string("a"), choose_with(finding("b", replica(8))));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("leaving", std::string("a"), choose_with(finding("b", replica(9), true)));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("evacuated", std::string("a"),
+                                 choose_with(evacuated(finding("b", replica(9)))));
+    auto known = facts_with_regions();
+    known.members[1].status = known.members[2].status;
+    known.withdrawn = BackendName("b");
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("fewer routes may write there", std::string("a"),
+                                 choose_promotion(known, false).backend.value);
+  }
+
   /// Guards against a promotion without commits that only a departed replica holds besides the primary.
   void compares_departed_members() {
     auto known = facts({finding("old", std::nullopt), finding("a", replica(7))});
