control: a group is closed when its primary is gone, also while a promotion of it is unsettled

What callers would see: statements that fail slowly at a primary that is gone, instead of a rejection at once.

Cause: a planned change waits until the group's promotion requests are settled, since the closed group could be opened with nobody else. If the primary has deregistered meanwhile, there is nothing to wait for, and the check of a suspected primary passes over one that is not registered.

Change: only a registered primary's planned change waits.

Checks: GroupKeeperPromotionsTest::closes_a_group_whose_primary_is_gone_while_a_request_may_arrive.

--- a/src/registered/control/failover/group_keeper.cpp
+++ b/src/registered/control/failover/group_keeper.cpp
@@ -80,9 +80,8 @@
   if (primary != nullptr && term->is_restarted_primary(*primary))
     return start_task(group, close_restarted(group));
   // A close that follows while a promotion of the leaving primary is unsettled could be opened with nobody.
-  const bool is_settled = fleet_.unsettled_promotions().of(group).empty();
-  if (is_settled && !planned_change_cause(*term, fleet_).empty())
-    return start_task(group, switch_over(group));
+  const bool waits = primary != nullptr && !fleet_.unsettled_promotions().of(group).empty();
+  if (!waits && !planned_change_cause(*term, fleet_).empty()) return start_task(group, switch_over(group));
   const auto suspected = suspicions_.take(*term, runtime_.now());
   if (suspected) start_task(group, check_primary(group, *suspected));
 }
--- a/tests/registered/control/failover/group_keeper_promotions_test.cpp
+++ b/tests/registered/control/failover/group_keeper_promotions_test.cpp
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(does_not_open_before_a_withdrawn_request_is_settled);
   CPPUNIT_TEST(planned_change_waits_for_a_request_that_may_arrive);
   CPPUNIT_TEST(planned_change_waits_for_a_withdrawn_request);
+  CPPUNIT_TEST(closes_a_group_whose_primary_is_gone_while_a_request_may_arrive);
   CPPUNIT_TEST(members_stay_paused_while_a_request_may_take_effect);
   CPPUNIT_TEST(members_are_resumed_once_no_proxy_uses_the_old_primary);
   CPPUNIT_TEST_SUITE_END();
@@ -94,6 +95,15 @@
     CPPUNIT_ASSERT_EQUAL_MESSAGE("closed once", std::uint64_t{3}, stand_->term().epoch);
   }
 
+  /// Guards against a group that stays open with a primary that nobody can use.
+  void closes_a_group_whose_primary_is_gone_while_a_request_may_arrive() {
+    begin("primary");
+    stand_->consensus().commit(registry::DeregisterBackend{BackendName("primary")});
+    stand_->run_for(seconds(2));
+    CPPUNIT_ASSERT(!stand_->term().open);
+    CPPUNIT_ASSERT(stand_->first("promote") == nullptr);
+  }
+
   /// Guards against commits that a proxy without contact to control gets acknowledged by the old primary and
   /// a resumed member, before a withdrawn request that the platform has received promotes the other one.
   void members_stay_paused_while_a_request_may_take_effect() {
