control: a node that stops records that its promotion requests are withdrawn

What callers would see: a group that can be opened with one backend only, until the control node that was stopped is back, or for good if it was removed.

Cause: SIGTERM reset the connections, but the consensus module stopped in the same step, so that the withdrawal was never committed. Accepted requests whose effect had not been seen stayed recorded as well.

Change: the node waits up to 1 s until its attempts are concluded, before it hands over its leadership. An accepted one is withdrawn: nothing more of it arrives, and the next leader's request settles it.

Checks: PromotionSettlementTest::stopping_process_* (three).

--- a/src/registered/control/failover/group_keeper.cpp
+++ b/src/registered/control/failover/group_keeper.cpp
@@ -40,6 +40,8 @@
   wake_.notify_all();
 }
 
+Awaitable<void> GroupKeeper::conclude() { co_await promotion_requests_.conclude_all(); }
+
 void GroupKeeper::record_suspicion(const NodeName& proxy, const registry::PrimarySuspicion& suspicion) {
   suspicions_.record(proxy, suspicion, runtime_.now());
   if (terms_.leads()) check(suspicion.group);
--- a/src/registered/control/failover/group_keeper.h
+++ b/src/registered/control/failover/group_keeper.h
@@ -66,6 +66,9 @@
 
   void start();
   void stop();
+  /// After stop(), returns once the promotion attempts in progress are recorded as withdrawn or settled, or
+  /// after kPromotionConclusionTimeout.
+  Awaitable<void> conclude();
   /// Returns the number of promotions without proof that the backend holds every acknowledged commit, made
   /// because the incarnations that held the newest commits had ended.
   [[nodiscard]] std::uint64_t unproved_promotions() const { return unproved_promotions_; }
--- a/src/registered/control/failover/promotion_requests.cpp
+++ b/src/registered/control/failover/promotion_requests.cpp
@@ -41,7 +41,8 @@
       calls_(calls),
       caller_(caller),
       node_(std::move(node)),
-      process_(runtime.random().next() | 1U) {}
+      process_(runtime.random().next() | 1U),
+      concluded_(runtime) {}
 
 void PromotionRequests::start() {
   runtime_.spawn("withdraw_earlier_promotions", withdraw_earlier_processes());
@@ -51,6 +52,15 @@
   stopping_ = true;
   const std::vector<RequestPointer> requests = requests_;
   for (const RequestPointer& request : requests) reset(*request, "this process is stopping");
+  for (const RequestPointer& request : accepted_) request->ended.notify_all();
+}
+
+Awaitable<void> PromotionRequests::conclude_all() {
+  const TimePoint give_up_at = runtime_.now() + kPromotionConclusionTimeout;
+  while (!requests_.empty() || concluding_ > 0) {
+    const bool concluded = co_await concluded_.wait_until(give_up_at);
+    if (!concluded) co_return;
+  }
 }
 
 Awaitable<bool> PromotionRequests::request(GroupTerm closed, registry::BackendIncarnation chosen) {
@@ -175,39 +185,38 @@
   // A rate limit may reject a request ahead of those that were received before it.
   const bool was_handled = outcome == PromotionOutcome::kAccepted ||
                            (outcome == PromotionOutcome::kRejected && reason.code == ReasonCode::kConflict);
+  ++concluding_;
   runtime_.spawn("conclude_promotion", conclude(request, was_handled));
 }
 
 Awaitable<void> PromotionRequests::conclude(RequestPointer request, bool answered) {
-  const PromotionAttempt attempt = request->attempt;
-  if (*request->outcome == PromotionOutcome::kUnknown) {
-    registry::WithdrawPromotions withdrawal;
-    withdrawal.attempts.push_back(attempt);
-    registry::SingleCommand command = std::move(withdrawal);
-    co_await report(std::move(command));
-    log(runtime::LogLevel::kInfo, "promotion_withdrawn", *request, {});
-    co_return;
+  bool is_settled = *request->outcome != PromotionOutcome::kUnknown;
+  if (is_settled && may_take_effect(*request, answered)) is_settled = co_await wait_for_effect(request);
+  registry::SingleCommand command;
+  if (is_settled) {
+    command = registry::SettlePromotions{{request->attempt}, answered};
+  } else {
+    command = registry::WithdrawPromotions{{request->attempt}};
   }
+  co_await report(std::move(command));
+  log(runtime::LogLevel::kInfo, is_settled ? "promotion_settled" : "promotion_withdrawn", *request, {});
+  --concluding_;
+  concluded_.notify_all();
+}
+
+bool PromotionRequests::may_take_effect(const Request& request, bool answered) const {
   // The present primary's promotion changes nothing.
-  const bool has_effect = *request->outcome == PromotionOutcome::kAccepted && request->chosen;
+  if (*request.outcome == PromotionOutcome::kAccepted && request.chosen) return true;
   // A withdrawn request for another backend may have been accepted just before this one was answered.
-  const bool settles_others =
-      answered && fleet_.unsettled_promotions().excludes(attempt.group, attempt.backend);
-  if (has_effect || settles_others) co_await wait_for_effect(request);
-  registry::SettlePromotions settlement;
-  settlement.attempts.push_back(attempt);
-  settlement.answered = answered;
-  registry::SingleCommand command = std::move(settlement);
-  co_await report(std::move(command));
-  log(runtime::LogLevel::kInfo, "promotion_settled", *request, {});
+  return answered && fleet_.unsettled_promotions().excludes(request.attempt.group, request.attempt.backend);
 }
 
-Awaitable<void> PromotionRequests::wait_for_effect(RequestPointer request) {
+Awaitable<bool> PromotionRequests::wait_for_effect(RequestPointer request) {
   const TimePoint give_up_at = runtime_.now() + kPromotionEffectTimeout;
   const PromotionAttempt& attempt = request->attempt;
   accepted_.push_back(request);
   bool is_over = false;
-  while (!is_over && runtime_.now() < give_up_at) {
+  while (!is_over && !stopping_ && runtime_.now() < give_up_at) {
     co_await request->ended.wait_until(give_up_at);
     const auto term = terms_.find(attempt.group);
     // A withdrawn request for another backend may have been accepted just before this one.
@@ -215,6 +224,7 @@
     is_over = !term || term->epoch != attempt.epoch || (request->took_effect && is_only_backend);
   }
   std::erase(accepted_, request);
+  co_return is_over || !stopping_;
 }
 
 Awaitable<void> PromotionRequests::report(registry::SingleCommand command) {
--- a/src/registered/control/failover/promotion_requests.h
+++ b/src/registered/control/failover/promotion_requests.h
@@ -41,6 +41,9 @@
 inline constexpr Duration kPromotionEffectTimeout = std::chrono::seconds(3);
 /// Delay before the state of an attempt is reported again, after a report that was not committed.
 inline constexpr Duration kPromotionReportRetryDelay = std::chrono::milliseconds(200);
+/// How long a stopping process takes to record that its attempts are withdrawn. Those that it does not record
+/// bind their groups until its next process has started.
+inline constexpr Duration kPromotionConclusionTimeout = std::chrono::seconds(1);
 /// Delay between requests that settle withdrawn attempts.
 inline constexpr Duration kWithdrawnSettleInterval = std::chrono::milliseconds(500);
 /// Maximum number of requests of one group without an outcome.
@@ -62,6 +65,9 @@
   void start();
   /// Resets the connections of all requests in progress.
   void stop();
+  /// After stop(), returns once the attempts of this process are withdrawn or settled, or after
+  /// kPromotionConclusionTimeout.
+  Awaitable<void> conclude_all();
   /// Requests the promotion of `chosen`. Returns true if it was requested or may have been. Returns false,
   /// after a delay, if it was rejected or not sent: the platform cannot be reached, this node is not
   /// certainly the leader, another incarnation of the backend has registered, or the close is no longer
@@ -117,8 +123,12 @@
   void end(const RequestPointer& request, registry::PromotionOutcome outcome, const Reason& reason);
   /// Settles or withdraws the attempt, as its outcome allows.
   Awaitable<void> conclude(RequestPointer request, bool answered);
-  /// Returns when the promotion has taken effect or cannot any more.
-  Awaitable<void> wait_for_effect(RequestPointer request);
+  /// Whether a promotion that the platform has accepted, this one or an earlier one that its answer settles,
+  /// may not have taken effect yet.
+  [[nodiscard]] bool may_take_effect(const Request& request, bool answered) const;
+  /// Returns true when the promotion has taken effect or cannot any more, and false if this process stops
+  /// before.
+  Awaitable<bool> wait_for_effect(RequestPointer request);
   /// Submits the command until it is committed.
   Awaitable<void> report(registry::SingleCommand command);
   Awaitable<void> withdraw_earlier_processes();
@@ -138,6 +148,8 @@
   std::vector<RequestPointer> requests_;  ///< without an outcome
   std::vector<RequestPointer> accepted_;  ///< whose effect is awaited
   std::array<std::uint64_t, kPromotionOutcomes> counts_{};
+  std::size_t concluding_ = 0;  ///< attempts with an outcome that is not recorded yet
+  runtime::Signal concluded_;
   bool settles_withdrawn_ = false;  ///< a group's withdrawn attempts are being settled
   GroupName last_settled_;          ///< the group whose turn it was
   bool stopping_ = false;
--- a/src/registered/control/registered_control_node.cpp
+++ b/src/registered/control/registered_control_node.cpp
@@ -113,6 +113,7 @@
     groups_.stop();
     voters_.stop();
     calls_.stop();
+    co_await groups_.conclude();
     co_await raft_->stop();
     leases_.stop();
   }
--- a/tests/registered/control/failover/promotion_settlement_test.cpp
+++ b/tests/registered/control/failover/promotion_settlement_test.cpp
@@ -24,6 +24,9 @@
   CPPUNIT_TEST(acceptance_settles_nothing_before_its_effect);
   CPPUNIT_TEST(acceptance_without_effect_settles_after_a_timeout);
   CPPUNIT_TEST(next_process_withdraws_earlier_attempts);
+  CPPUNIT_TEST(stopping_process_withdraws_a_request_without_an_answer);
+  CPPUNIT_TEST(stopping_process_withdraws_an_accepted_request_without_effect);
+  CPPUNIT_TEST(stopping_process_does_not_wait_for_a_leader);
   CPPUNIT_TEST(reports_are_repeated_until_they_are_committed);
   CPPUNIT_TEST(answer_for_the_present_primary_settles_withdrawn_attempts);
   CPPUNIT_TEST(present_primary_is_not_requested_while_an_attempt_may_arrive);
@@ -118,6 +121,29 @@
       CPPUNIT_ASSERT(unsettled().contains(attempt));
   }
 
+  /// Guards against a group that stays bound by the request of a node that is stopped and does not return.
+  void stopping_process_withdraws_a_request_without_an_answer() {
+    hold_answers();
+    request("replica-1");
+    stop_within(milliseconds(200));
+    CPPUNIT_ASSERT(attempts().size() == 1 && attempts().front().is_withdrawn);
+  }
+
+  /// Guards against the same after an acceptance, and against a leader that takes it for settled.
+  void stopping_process_withdraws_an_accepted_request_without_effect() {
+    request("replica-1");
+    stop_within(milliseconds(200));
+    CPPUNIT_ASSERT(attempts().size() == 1 && attempts().front().is_withdrawn);
+  }
+
+  void stopping_process_does_not_wait_for_a_leader() {
+    hold_answers();
+    request("replica-1");
+    log().is_leader = false;
+    stop_within(kPromotionConclusionTimeout);
+    CPPUNIT_ASSERT(attempts().size() == 1 && !attempts().front().is_withdrawn);
+  }
+
   /// Guards against a record that stays for ever because its holder had no leader to report to.
   void reports_are_repeated_until_they_are_committed() {
     hold_answers();
@@ -168,6 +194,13 @@
   }
 
  private:
+  /// Stops, and expects the attempts to be concluded within the time.
+  void stop_within(Duration limit) {
+    const TimePoint begun_at = stand_->now();
+    requests_->stop();
+    CPPUNIT_ASSERT(stand_->finish(requests_->conclude_all()));
+    CPPUNIT_ASSERT(stand_->now() - begun_at <= limit);
+  }
   void answer(PromotionOutcome outcome, ReasonCode rejection) {
     platform_->rejection = rejection;
     platform_->reply = [outcome](const registry::PromotionOrder&) { return outcome; };
