control: a request that only settles others ends when its group is closed

What callers would see: up to 10 s more without a primary, if the primary fails while a slow platform has not answered the request for it that was to settle withdrawn ones.

Cause: such a request names the present primary and binds the group to it until it is answered or given up.

Change: its connection is reset when the group has been closed since; it is withdrawn then, and others may be requested.

Checks: PromotionSettlementTest::request_for_the_present_primary_ends_with_its_term.

--- a/src/registered/control/failover/promotion_requests.cpp
+++ b/src/registered/control/failover/promotion_requests.cpp
@@ -163,10 +163,16 @@
 Awaitable<void> PromotionRequests::watch(RequestPointer request) {
   while (!request->outcome) {
     if (!holds_duty(*request)) co_return reset(*request, "this node no longer leads");
+    if (is_superseded(*request)) co_return reset(*request, "the group has been closed");
     co_await request->ended.wait_until(runtime_.now() + kPromotionAuthorityCheckInterval);
   }
 }
 
+bool PromotionRequests::is_superseded(const Request& request) const {
+  const auto term = terms_.find(request.attempt.group);
+  return !request.chosen && (!term || term->epoch != request.attempt.epoch);
+}
+
 void PromotionRequests::reset(Request& request, const char* why) {
   if (request.outcome || request.was_reset) return;
   request.was_reset = true;
--- a/src/registered/control/failover/promotion_requests.h
+++ b/src/registered/control/failover/promotion_requests.h
@@ -117,8 +117,11 @@
   /// Whether this node still leads in the term of the attempt, as far as it knows.
   [[nodiscard]] bool holds_duty(const Request& request) const;
   Awaitable<void> send(RequestPointer request);
-  /// Resets the connection once this node no longer leads.
+  /// Resets the connection once this node no longer leads or the request has lost its purpose.
   Awaitable<void> watch(RequestPointer request);
+  /// Whether the request was to settle attempts of an open group that has been closed since. It would bind
+  /// the group to its former primary.
+  [[nodiscard]] bool is_superseded(const Request& request) const;
   void reset(Request& request, const char* why);
   void end(const RequestPointer& request, registry::PromotionOutcome outcome, const Reason& reason);
   /// Settles or withdraws the attempt, as its outcome allows.
--- a/tests/registered/control/failover/promotion_settlement_test.cpp
+++ b/tests/registered/control/failover/promotion_settlement_test.cpp
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(reports_are_repeated_until_they_are_committed);
   CPPUNIT_TEST(answer_for_the_present_primary_settles_withdrawn_attempts);
   CPPUNIT_TEST(present_primary_is_not_requested_while_an_attempt_may_arrive);
+  CPPUNIT_TEST(request_for_the_present_primary_ends_with_its_term);
   CPPUNIT_TEST(group_whose_requests_fail_does_not_keep_others_waiting);
   CPPUNIT_TEST_SUITE_END();
 
@@ -177,6 +178,20 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, attempts().size());
   }
 
+  /// Guards against a group that can be opened with its failed primary only, until the platform answers.
+  void request_for_the_present_primary_ends_with_its_term() {
+    withdraw(foreign(1, "replica-1"));
+    open("replica-1");
+    hold_answers();
+    settle_for(seconds(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, platform_->received());
+    CPPUNIT_ASSERT(unsettled().backend_of(kGroup) != nullptr);
+    commit(registry::CloseGroup{kGroup, stand_->term().epoch});
+    stand_->run_for(2 * kPromotionAuthorityCheckInterval + kReportTime);
+    CPPUNIT_ASSERT(platform_->orders.front()->reset_at.has_value());
+    CPPUNIT_ASSERT(unsettled().awaits_answer(kGroup));
+  }
+
   /// Guards against withdrawn attempts that stay because the requests of the group in front are rejected.
   void group_whose_requests_fail_does_not_keep_others_waiting() {
     withdraw(foreign(1, "replica-1"));
