control: a process withdraws the requests of earlier ones up to the term on its disk

What callers would see: acknowledged writes gone, in a rare case: a process reports that earlier ones have ended, with a term that it has only heard of, dies, and its next process leads that term; the late report withdraws that one's request, which may still arrive.

Cause: the limit of the report was the term in memory at each attempt to send it.

Change: it is the term recovered at the start, in which or before which every earlier process led. Only a node with an empty disk waits until it has learned of a term.

Checks: PromotionSettlementTest::next_process_withdraws_no_attempts_of_terms_that_it_learns_of.

--- a/src/registered/control/failover/promotion_requests.cpp
+++ b/src/registered/control/failover/promotion_requests.cpp
@@ -244,11 +244,13 @@
 
 Awaitable<void> PromotionRequests::withdraw_earlier_processes() {
   bool committed = false;
+  // Earlier processes led no later term than the one recovered from disk. A node with an empty disk has to
+  // learn of a term first.
+  std::uint64_t term = consensus_.term();
   while (!committed && !stopping_) {
     Reason reason;
-    const std::uint64_t term = consensus_.term();
+    if (term == 0) term = consensus_.term();
     registry::SingleCommand command = registry::WithdrawEarlierPromotions{node_, process_, term};
-    // A node with an empty disk does not know up to which term to withdraw.
     if (term > 0) committed = co_await calls_.submit_batched(std::move(command), reason);
     if (!committed) co_await runtime_.sleep_for(kPromotionReportRetryDelay);
   }
--- a/tests/registered/control/failover/promotion_settlement_test.cpp
+++ b/tests/registered/control/failover/promotion_settlement_test.cpp
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(acceptance_settles_nothing_before_its_effect);
   CPPUNIT_TEST(acceptance_without_effect_settles_after_a_timeout);
   CPPUNIT_TEST(next_process_withdraws_earlier_attempts);
+  CPPUNIT_TEST(next_process_withdraws_no_attempts_of_terms_that_it_learns_of);
   CPPUNIT_TEST(stopping_process_withdraws_a_request_without_an_answer);
   CPPUNIT_TEST(stopping_process_withdraws_an_accepted_request_without_effect);
   CPPUNIT_TEST(stopping_process_does_not_wait_for_a_leader);
@@ -122,6 +123,22 @@
       CPPUNIT_ASSERT(unsettled().contains(attempt));
   }
 
+  /// Guards against a report of an earlier process that withdraws the attempts of a later one, which led a
+  /// term that the earlier one had only heard of.
+  void next_process_withdraws_no_attempts_of_terms_that_it_learns_of() {
+    log().is_leader = false;
+    requests_->start();
+    stand_->run_for(seconds(1));
+    PromotionAttempt later = foreign(11, "replica-1");
+    later.holder = kNode;
+    later.fencing = 2;
+    commit(registry::BeginPromotion{later});
+    log().led_term = 2;
+    log().is_leader = true;
+    stand_->run_for(seconds(2));
+    CPPUNIT_ASSERT(unsettled().contains(later));
+  }
+
   /// Guards against a group that stays bound by the request of a node that is stopped and does not return.
   void stopping_process_withdraws_a_request_without_an_answer() {
     hold_answers();
