Late promotion: a stopped holder's request binds the group no longer

The test of the node's stop as a whole: a slow platform holds an order, its backend goes, and the holder is stopped and does not return. The group opens with another backend and is served again.

--- a/tests/simulation/late_promotion_test.cpp
+++ b/tests/simulation/late_promotion_test.cpp
@@ -80,6 +80,11 @@
   return **watch;
 }
 
+void await_arrival(RegisteredFleet& fleet) {
+  const auto arrived = [&] { return !fleet.promotion_history().arrivals.empty(); };
+  fleet.world().run_until(arrived, seconds(1), milliseconds(1));
+}
+
 /// The same, and the order is held up: a cut isolates its sender while it is being sent.
 SentOrder order_into_a_cut(RegisteredFleet& fleet) {
   fleet.run_for(kCalm);
@@ -182,6 +187,7 @@
   CPPUNIT_TEST(an_order_of_a_sender_without_power_displaces_no_later_primary);
   CPPUNIT_TEST(a_group_opens_soon_after_the_holder_of_its_order_restarts);
   CPPUNIT_TEST(a_group_opens_with_another_backend_soon_after_the_holder_is_back);
+  CPPUNIT_TEST(a_group_opens_with_another_backend_after_the_holder_was_stopped);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -209,8 +215,7 @@
       fleet.run_for(kCalm);
       fleet.promotion_call().hold_orders(kShortestHold, kLongestHold);
       const SentOrder order = order_after_crash(fleet, watch_orders(fleet));
-      fleet.world().run_until([&] { return !fleet.promotion_history().arrivals.empty(); }, seconds(1),
-                              milliseconds(1));
+      await_arrival(fleet);
       fleet.promotion_call().hold_orders(Duration(0), Duration(0));
       lose(fleet, order.backend);
       serve_without(fleet, order.backend);
@@ -262,6 +267,23 @@
     });
   }
 
+  /// Guards against a group that stays closed because the holder of its order was stopped and does not
+  /// return.
+  void a_group_opens_with_another_backend_after_the_holder_was_stopped() {
+    check([](RegisteredFleet& fleet) {
+      fleet.run_for(kCalm);
+      fleet.promotion_call().hold_orders(kShortestHold, kLongestHold);
+      const SentOrder order = order_after_crash(fleet, watch_orders(fleet));
+      await_arrival(fleet);
+      fleet.promotion_call().hold_orders(Duration(0), Duration(0));
+      lose(fleet, order.backend);
+      fleet.terminate(order.holder);
+      serve_without(fleet, order.backend);
+      expect_service(fleet);
+      CPPUNIT_ASSERT(fleet.is_open(kGroup) && fleet.primary() != order.backend);
+    });
+  }
+
   /// Guards against callers that wait, and a group that stays closed, for an order that can't take effect any
   /// more.
   void a_group_opens_with_another_backend_soon_after_the_holder_is_back() {
