--- a/standins/registered/caller.cpp
+++ b/standins/registered/caller.cpp
@@ -107,13 +107,17 @@
     std::string set = "SET tag " + name_;
     const Reply reply = co_await session.run(std::move(set));
     bool sound = reply.done;
-    for (int operation = 0; operation < kOperationsPerSession && sound && !stopped; ++operation) {
+    for (int operation = 0; sound && !stopped && goes_on(operation); ++operation) {
       sound = co_await run_operation(session);
       co_await runtime_.sleep_for(settings_.pause);
       sound = sound && session.is_open();
     }
   }
 
+  [[nodiscard]] bool goes_on(int operations) const {
+    return settings_.keeps_sessions || operations < kOperationsPerSession;
+  }
+
   Awaitable<bool> run_operation(Session& session) {
     session.begin_operation();
     Attempt attempt;
--- a/standins/registered/caller.h
+++ b/standins/registered/caller.h
@@ -20,6 +20,7 @@
   Duration staleness{0};
   Duration pause = std::chrono::milliseconds(20);  ///< between operations
   std::uint32_t records = 4;
+  bool keeps_sessions = false;       ///< until they are lost; else it ends each after some operations
   ApiKey key;                        ///< empty: the caller has none
   TenantHistory* tenants = nullptr;  ///< what is sent is noted there; null: nowhere
 };
--- a/standins/registered/environment.cpp
+++ b/standins/registered/environment.cpp
@@ -108,6 +108,7 @@
     caller.policy = policy.policy;
     caller.staleness = milliseconds(policy.staleness_ms);
     caller.records = kRecords;
+    caller.keeps_sessions = place % 2 == 0;  // of each policy one, and not only those whose key changes
     if (settings_.tenants) caller.key = ApiKey(kKeys[place % kKeys.size()]);
     if (settings_.tenants) caller.tenants = &tenant_history_;
     Group& group = groups_[number - 1];
--- a/tools/fleetlib/registered_node.py
+++ b/tools/fleetlib/registered_node.py
@@ -2,6 +2,7 @@
 
 import shutil
 import signal
+import socket
 import threading
 import time
 from contextlib import contextmanager
@@ -14,6 +15,8 @@
 ZONES = ["kelburn", "petone", "porirua"]
 PEER_PORT, OPERATOR_PORT, SESSION_PORT, READY_PORT, METRICS_PORT = 7440, 8782, 8784, 8785, 8786
 PROMOTION_PORT = 8790
+CLAIM_PORT = 8791
+NETWORKS = 254 * 63
 END_SECONDS = 8
 METRICS_SECONDS = 0.2
 LEADS = "cairnhollow_registry_is_leader 1"
@@ -31,6 +34,19 @@
         """Seeds share their addresses only when they are a multiple of 16002 apart."""
         return cls(1 + seed % 254, 4 * (seed // 254 % 63))
 
+    @classmethod
+    def claim(cls, seed):
+        """(the seed's addresses, or the next ones that no other run has; a socket that claims them until it is closed)"""
+        for distance in range(NETWORKS):
+            network = cls.of_seed(seed + distance)
+            claim = socket.socket()
+            try:
+                claim.bind((f"{network.part(3)}.3", CLAIM_PORT))
+                return network, claim
+            except OSError:
+                claim.close()
+        raise OSError("all addresses of runs are taken")
+
     def part(self, place):
         return f"127.{self.second}.{self.third + place}"
 
--- a/tools/fleetlib/soak_faults.py
+++ b/tools/fleetlib/soak_faults.py
@@ -32,6 +32,7 @@
     """Faults one after another; a subclass draws them."""
 
     name_of_series = ""
+    is_certain = True  # some fault of it comes about in each run that lasts long enough
     shortest_pause, longest_pause = 0.5, 3.0
 
     def __init__(self, soak):
@@ -39,6 +40,7 @@
         self.soak = soak
         self.numbers = random.Random(f"{soak.seed}/{self.name_of_series}")
         self.pace = self.numbers.choice([0.5, 1, 3])  # of its pauses: some runs are quiet in one series and not in another
+        self.came_about = 0
 
     def run(self):
         self.soak.pause(WARM_UP_SECONDS)
@@ -50,7 +52,9 @@
             except Exception as error:  # the others go on; the run fails
                 self.soak.note_problem(f"{name}: {error!r}")
                 done = True
-            self.soak.count(name if done is None or done else f"{name} (not possible)")
+            possible = done is None or done
+            self.came_about += bool(possible)
+            self.soak.count(name if possible else f"{name} (not possible)")
             self.soak.pause(pause)
 
     def draw(self):
@@ -97,12 +101,17 @@
                 return False
             self.soak.say(f"SIGTERM {node.name}")
             node.process.send(signal.SIGTERM)
-            if not node.process.wait_until_ended(END_SECONDS):
-                raise RuntimeError(f"{node.name} did not end within {END_SECONDS} s of SIGTERM")
+            self.await_end(node)
             self.soak.pause(seconds)
             node.start()
         return True
 
+    def await_end(self, node):
+        """After its SIGTERM."""
+        limit = self.soak.end_limit
+        if not node.process.wait_until_ended(limit):
+            raise RuntimeError(f"{node.name} did not end within {limit} s of SIGTERM")
+
     def wipe(self, node, seconds):
         """Only while the fleet has no more disks lost than it tolerates."""
         with node.reserved() as free:
@@ -115,9 +124,12 @@
         return True
 
     def reread_settings(self):
-        """Of all processes but those that have not got as far as to take the signal."""
         self.soak.say("SIGHUP all")
-        for node in self.soak.controls + self.soak.proxies:
+        self.reread_settings_of(self.soak.controls + self.soak.proxies)
+
+    def reread_settings_of(self, nodes):
+        """Of all but those that have not got as far as to take the signal."""
+        for node in nodes:
             if time.monotonic() - node.started_at > START_SECONDS:
                 node.process.send(signal.SIGHUP)
 
@@ -230,6 +242,71 @@
             self.terminate(node, gap / 4)
 
 
+class SignalFaults(Series):
+    """Signals soon after one another: settings reread again and again, also while a process ends; several processes
+    terminated at once, or one again as soon as it runs; SIGKILL when a process's time to end is over."""
+
+    name_of_series = "signals"
+
+    def draw(self):
+        numbers, soak = self.numbers, self.soak
+        gaps = [numbers.uniform(0.02, 1.5) for _ in range(numbers.randint(2, 8))]
+        proxies = numbers.sample(soak.proxies, max(1, len(soak.proxies) // 2))
+        controls = numbers.sample(soak.founders, 2)
+        node = numbers.choice([*soak.proxies, *soak.founders])
+        grace = numbers.uniform(0.2, 6)
+        return numbers.choice([
+            ("SIGHUP in series", lambda: self.reread_again(gaps)),
+            ("SIGHUP around SIGTERM", lambda: self.terminate_while_rereading(node, gaps)),
+            ("terminate proxies at once", lambda: self.terminate_together(proxies)),
+            ("terminate controls at once", lambda: self.terminate_together(controls)),
+            ("SIGTERM in series", lambda: self.terminate_again(node, gaps)),
+            ("SIGTERM twice", lambda: self.terminate_hard(node, signal.SIGTERM, grace / 3)),
+            ("SIGTERM, then SIGKILL", lambda: self.terminate_hard(node, signal.SIGKILL, grace)),
+            ("another control node joins", soak.add_control)])
+
+    def reread_again(self, gaps):
+        for gap in gaps:
+            self.reread_settings()
+            self.soak.pause(gap)
+
+    def terminate_while_rereading(self, node, gaps):
+        """All are told to reread before, while it ends and when it has."""
+        thread = None
+        for gap in gaps:
+            self.reread_settings()
+            thread = thread or self.beside(self.terminate, node)
+            self.soak.pause(gap)
+        thread.join()
+
+    def terminate_together(self, nodes):
+        for thread in [self.beside(self.terminate, node) for node in nodes]:
+            thread.join()
+
+    def terminate_again(self, node, gaps):
+        """It is terminated again soon after it has started, or while it starts."""
+        done = False
+        for gap in gaps:
+            if self.soak.is_over():
+                break
+            done = self.terminate(node) or done
+            self.soak.pause(gap)
+        return done
+
+    def terminate_hard(self, node, last_signal, seconds):
+        """It is left this time to end."""
+        with node.reserved() as free:
+            if not free:
+                return False
+            self.soak.say(f"SIGTERM {node.name}, {signal.Signals(last_signal).name} after {seconds:.1f} s")
+            node.process.send(signal.SIGTERM)
+            self.soak.pause_until(lambda: node.process.process_id() is None, seconds)
+            node.process.send(last_signal)
+            self.await_end(node)
+            node.start()
+        return True
+
+
 class LinkFaults(Series):
     """Links of one or two control nodes or of a zone, cut in silence, one way or both."""
 
@@ -275,6 +352,7 @@
     later: after a time, or when a successor has decided otherwise."""
 
     name_of_series = "orders"
+    is_certain = False
     longest_pause = 2.0
 
     def draw(self):
@@ -354,3 +432,7 @@
         soak.pause(plan["after"])
         if decided and plan["until"] == "backend is behind":
             soak.pause_until(lambda: order.taken_back_at > 0 or soak.lacks_commits(order), 15)
+
+
+SERIES = {series.name_of_series: series
+          for series in (ProcessFaults, ControlFaults, SignalFaults, LinkFaults, OrderFaults)}
