tools/soak: who waits for the end of a process is not misled by its successor

The proxy was terminated by one series while another had cut its power; both restart it. Who waited looked only every 50 ms whether the file named a process that runs, and another one had been started within that time (30 ms), so that it waited for the new one's end.

Change: ProcessFile.current() tells the process; terminate, SIGTERM with a second signal, kill and kill of many wait for the one that they signalled.

--- a/tools/fleetlib/processes.py
+++ b/tools/fleetlib/processes.py
@@ -4,6 +4,7 @@
 import signal
 import subprocess
 import time
+from dataclasses import dataclass
 from pathlib import Path
 
 POLL_SECONDS = 0.05
@@ -24,8 +25,34 @@
     return fields[STATE_FIELD], fields[START_TIME_FIELD]
 
 
+@dataclass(frozen=True)
+class StartedProcess:
+    number: int
+    start_time: str
+
+    def state(self):
+        """Its letter; None when it has ended."""
+        stat = read_stat(self.number)
+        return stat[0] if stat and stat[1] == self.start_time else None
+
+    def send(self, signal_number):
+        if self.state() is None:
+            return False
+        os.kill(self.number, signal_number)
+        return True
+
+    def wait_until_ended(self, limit_seconds):
+        deadline = time.monotonic() + limit_seconds
+        while self.state() is not None:
+            if time.monotonic() > deadline:
+                return False
+            time.sleep(POLL_SECONDS)
+        return True
+
+
 class ProcessFile:
-    """One started process, kept in a file."""
+    """The newest started process, kept in a file. Who waits for the end of one that others may start again holds on to
+    current()."""
 
     def __init__(self, path):
         self.path = path
@@ -43,40 +70,32 @@
 
     def process_id(self):
         """The id of the process if it is still the one that was started, else None."""
-        stat = self._stat()
-        return stat[0] if stat else None
+        process = self.current()
+        return process.number if process else None
 
     def is_frozen(self):
-        stat = self._stat()
-        return bool(stat) and stat[1] == "T"
+        process = self.current()
+        return bool(process) and process.state() == "T"
 
     def send(self, signal_number):
-        process_id = self.process_id()
-        if process_id is None:
-            return False
-        os.kill(process_id, signal_number)
-        return True
+        process = self.current()
+        return bool(process) and process.send(signal_number)
 
     def wait_until_ended(self, limit_seconds):
-        deadline = time.monotonic() + limit_seconds
-        while self.process_id() is not None:
-            if time.monotonic() > deadline:
-                return False
-            time.sleep(POLL_SECONDS)
-        return True
+        process = self.current()
+        return process is None or process.wait_until_ended(limit_seconds)
 
     def forget(self):
         self.path.unlink(missing_ok=True)
 
-    def _stat(self):
+    def current(self):
+        """None when it has ended."""
         try:
-            process_id, start_time = self.path.read_text().split()
+            number, start_time = self.path.read_text().split()
         except (OSError, ValueError):
             return None
-        stat = read_stat(process_id)
-        if stat is None or stat[1] != start_time:
-            return None
-        return int(process_id), stat[0]
+        process = StartedProcess(int(number), start_time)
+        return process if process.state() else None
 
 
 def end_all(files, limit_seconds):
--- a/tools/fleetlib/registered_node.py
+++ b/tools/fleetlib/registered_node.py
@@ -157,8 +157,10 @@
                 self.busy.release()
 
     def kill(self):
-        self.process.send(signal.SIGKILL)
-        self.process.wait_until_ended(END_SECONDS)
+        process = self.process.current()
+        if process:
+            process.send(signal.SIGKILL)
+            process.wait_until_ended(END_SECONDS)
 
     def lose_disk(self):
         with self.starting:
--- a/tools/fleetlib/soak_faults.py
+++ b/tools/fleetlib/soak_faults.py
@@ -100,16 +100,18 @@
             if not free:
                 return False
             self.soak.say(f"SIGTERM {node.name}")
-            node.process.send(signal.SIGTERM)
-            self.await_end(node)
+            process = node.process.current()
+            if process:
+                process.send(signal.SIGTERM)
+                self.await_end(node, process)
             self.soak.pause(seconds)
             node.start()
         return True
 
-    def await_end(self, node):
-        """After its SIGTERM."""
+    def await_end(self, node, process):
+        """After its SIGTERM; another series may start the node again meanwhile."""
         limit = self.soak.end_limit
-        if not node.process.wait_until_ended(limit):
+        if not process.wait_until_ended(limit):
             raise RuntimeError(f"{node.name} did not end within {limit} s of SIGTERM")
 
     def wipe(self, node, seconds):
@@ -181,10 +183,11 @@
         self.start_all(nodes)
 
     def kill_together(self, nodes):
-        for node in nodes:
-            node.process.send(signal.SIGKILL)
-        for node in nodes:
-            node.process.wait_until_ended(END_SECONDS)
+        processes = [process for process in (node.process.current() for node in nodes) if process]
+        for process in processes:
+            process.send(signal.SIGKILL)
+        for process in processes:
+            process.wait_until_ended(END_SECONDS)
 
     def start_all(self, nodes):
         for node in nodes:
@@ -299,10 +302,12 @@
             if not free:
                 return False
             self.soak.say(f"SIGTERM {node.name}, {signal.Signals(last_signal).name} after {seconds:.1f} s")
-            node.process.send(signal.SIGTERM)
-            self.soak.pause_until(lambda: node.process.process_id() is None, seconds)
-            node.process.send(last_signal)
-            self.await_end(node)
+            process = node.process.current()
+            if process:
+                process.send(signal.SIGTERM)
+                self.soak.pause_until(lambda: process.state() is None, seconds)
+                process.send(last_signal)
+                self.await_end(node, process)
             node.start()
         return True
 
