Calls to backends and to the leader: what has no answer is discarded

What callers saw: reads at a proxy without control lacked commits that were acknowledged at the next primary (STALE), and a zone was evacuated after the order to end its evacuation had been acknowledged.

Cause: RESUME carries no term, and an evacuation order no version. A control node gave up such a call after 300 or 800 ms and closed its connection in the ordinary way, which delivers what the kernel holds once a cut ends. A RESUME of an earlier leader ended the pause of its successor's candidate between the comparison of the logs and the promotion, so that the members granted the proxy a lease for the old primary.

No probes: an idle connection costs nothing.

--- a/simulation/virtual_frames.cpp
+++ b/simulation/virtual_frames.cpp
@@ -21,6 +21,16 @@
   co_return std::nullopt;
 }
 
+bool VirtualFrameConnection::discard_on_close(Reason& reason) {
+  if (stream_->is_open()) {
+    stream_->discard_on_close();
+    return true;
+  }
+  reason = Reason{ReasonCode::kConnectionLost, "discard_on_close", stream_->peer_name(),
+                  "the connection is closed"};
+  return false;
+}
+
 Awaitable<std::shared_ptr<runtime::FrameConnection>> VirtualFrameListener::accept(Reason& reason) {
   auto stream = co_await streams_->accept(reason);
   if (!stream) co_return nullptr;
--- a/simulation/virtual_frames.h
+++ b/simulation/virtual_frames.h
@@ -4,12 +4,13 @@
 #include <deque>
 #include <memory>
 
+#include "runtime/discards_on_close.h"
 #include "runtime/network.h"
 #include "simulation/virtual_stream_listener.h"
 
 namespace cairnhollow::simulation {
 
-class VirtualFrameConnection : public runtime::FrameConnection {
+class VirtualFrameConnection : public runtime::FrameConnection, public runtime::DiscardsOnClose {
  public:
   explicit VirtualFrameConnection(std::shared_ptr<StreamEnd> stream) : stream_(std::move(stream)) {}
   ~VirtualFrameConnection() override { stream_->close(); }
@@ -17,6 +18,7 @@
   Awaitable<bool> send(std::string frame, Reason& reason) override;
   Awaitable<std::optional<std::string>> receive(Reason& reason) override;
   void close() override { stream_->close(); }
+  bool discard_on_close(Reason& reason) override;
   [[nodiscard]] std::string peer() const override { return stream_->peer_name(); }
 
  private:
--- a/simulation/virtual_lines.cpp
+++ b/simulation/virtual_lines.cpp
@@ -3,6 +3,7 @@
 #include <string_view>
 #include <utility>
 
+#include "runtime/discards_on_close.h"
 #include "simulation/virtual_stream_listener.h"
 
 namespace cairnhollow::simulation {
@@ -12,7 +13,7 @@
 constexpr std::string_view kLineEnd = "\r\n";
 
 /// What is written in one step travels as one message of the stream.
-class VirtualLineConnection : public runtime::LineConnection {
+class VirtualLineConnection : public runtime::LineConnection, public runtime::DiscardsOnClose {
  public:
   explicit VirtualLineConnection(std::shared_ptr<StreamEnd> stream) : stream_(std::move(stream)) {}
   ~VirtualLineConnection() override { stream_->close(); }
@@ -20,6 +21,15 @@
   Awaitable<std::optional<std::string>> read_line(TimePoint deadline, Reason& reason) override;
   Awaitable<bool> write(std::string lines, Reason& reason) override;
   void close() override { stream_->close(); }
+  bool discard_on_close(Reason& reason) override {
+    if (stream_->is_open()) {
+      stream_->discard_on_close();
+      return true;
+    }
+    reason = Reason{ReasonCode::kConnectionLost, "discard_on_close", stream_->peer_name(),
+                    "the connection is closed"};
+    return false;
+  }
   [[nodiscard]] bool is_open() const override { return stream_->is_open(); }
   [[nodiscard]] std::string peer() const override { return stream_->peer_name(); }
 
--- a/simulation/virtual_stream.h
+++ b/simulation/virtual_stream.h
@@ -56,6 +56,8 @@
   /// From now on, close() and the end of the process discard what is held up, and what was sent before and
   /// meets a cut; and this end breaks after runtime::kResetUnacknowledgedAfter without a path to the peer.
   void reset_on_close();
+  /// The same without breaking: close() and the end of the process discard.
+  void discard_on_close() { resets_ = true; }
   [[nodiscard]] bool is_open() const { return open_; }
   /// Runs once when the stream ends, by either side.
   void on_end(Action action) { on_end_ = std::move(action); }
@@ -87,7 +89,7 @@
   Suspension reader_;
   Action on_end_;
   bool open_ = true;
-  bool resets_ = false;  ///< see reset_on_close()
+  bool resets_ = false;  ///< see discard_on_close()
 };
 
 }  // namespace cairnhollow::simulation
--- a/src/registered/control/leader_calls.cpp
+++ b/src/registered/control/leader_calls.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "runtime/discards_on_close.h"
 #include "wire/codec.h"
 
 namespace cairnhollow::registered::control {
@@ -115,7 +116,8 @@
                                                                           TimePoint deadline,
                                                                           Reason& reason) {
   auto connection = co_await runtime_.network().connect(endpoint, deadline, reason);
-  if (!connection) co_return nullptr;
+  // A command whose answer did not come must not reach the leader after a later one.
+  if (!connection || !runtime::discard_on_close(*connection, reason)) co_return nullptr;
   wire::Hello hello;
   hello.conversation = wire::Conversation::kLeader;
   hello.node = node_;
--- a/src/runtime/asio/asio_lines.cpp
+++ b/src/runtime/asio/asio_lines.cpp
@@ -4,6 +4,7 @@
 
 #include "runtime/asio/byte_stream.h"
 #include "runtime/asio/tcp.h"
+#include "runtime/discards_on_close.h"
 
 namespace cairnhollow::runtime {
 
@@ -14,7 +15,7 @@
 
 constexpr std::string_view kLineEnd = "\r\n";
 
-class AsioLineConnection : public LineConnection {
+class AsioLineConnection : public LineConnection, public DiscardsOnClose {
  public:
   AsioLineConnection(tcp::socket socket, Traffic* traffic)
       : stream_(std::make_shared<ByteStream>(std::move(socket))), traffic_(traffic) {
@@ -27,6 +28,11 @@
   void close() override {
     stream_->close(Reason{ReasonCode::kCancelled, "close", stream_->peer(), "connection closed locally"});
   }
+  bool discard_on_close(Reason& reason) override {
+    if (stream_->discard_on_close()) return true;
+    reason = stream_->close_reason();
+    return false;
+  }
   [[nodiscard]] bool is_open() const override { return stream_->is_open(); }
   [[nodiscard]] std::string peer() const override { return stream_->peer(); }
 
--- a/src/runtime/asio/asio_network.cpp
+++ b/src/runtime/asio/asio_network.cpp
@@ -10,6 +10,7 @@
 
 #include "runtime/asio/read_buffer.h"
 #include "runtime/asio/tcp.h"
+#include "runtime/discards_on_close.h"
 
 namespace cairnhollow::runtime {
 
@@ -28,7 +29,9 @@
   return boost::endian::load_big_u32(reinterpret_cast<const unsigned char*>(header.data()));
 }
 
-class AsioFrameConnection : public FrameConnection, public std::enable_shared_from_this<AsioFrameConnection> {
+class AsioFrameConnection : public FrameConnection,
+                            public DiscardsOnClose,
+                            public std::enable_shared_from_this<AsioFrameConnection> {
  public:
   AsioFrameConnection(tcp::socket socket, Traffic* traffic)
       : socket_(std::move(socket)), peer_(peer_name(socket_)), traffic_(traffic) {}
@@ -39,6 +42,11 @@
     error_code ignored;
     socket_.close(ignored);
   }
+  bool discard_on_close(Reason& reason) override {
+    const error_code error = enable_discard_on_close(socket_);
+    if (error) reason = lost("discard_on_close", error.message());
+    return !error;
+  }
   [[nodiscard]] std::string peer() const override { return peer_; }
   [[nodiscard]] std::uint64_t bytes_received() const override { return bytes_received_; }
 
--- a/src/runtime/asio/byte_stream.cpp
+++ b/src/runtime/asio/byte_stream.cpp
@@ -106,6 +106,13 @@
   return is_open();
 }
 
+bool ByteStream::discard_on_close() {
+  if (!is_open()) return false;
+  const error_code error = enable_discard_on_close(socket_);
+  if (error) close({ReasonCode::kUnreachable, "discard_on_close", peer_, error.message()});
+  return is_open();
+}
+
 void ByteStream::close(Reason why) {
   if (!is_open()) return;
   close_reason_ = std::move(why);
--- a/src/runtime/asio/byte_stream.h
+++ b/src/runtime/asio/byte_stream.h
@@ -45,6 +45,8 @@
   /// Makes every later end of the stream on this side a reset, as enable_reset_on_close() does. Returns false
   /// if the stream is closed; closes it if the socket does not allow that.
   bool reset_on_close();
+  /// As reset_on_close(), but as enable_discard_on_close() does.
+  bool discard_on_close();
   [[nodiscard]] bool is_open() const { return !close_reason_.failed(); }
   /// The reason for which the stream was closed.
   [[nodiscard]] const Reason& close_reason() const { return close_reason_; }
--- a/src/runtime/asio/tcp.cpp
+++ b/src/runtime/asio/tcp.cpp
@@ -112,17 +112,22 @@
   co_return std::nullopt;
 }
 
-error_code enable_reset_on_close(tcp::socket& socket) {
+error_code enable_discard_on_close(tcp::socket& socket) {
   using std::chrono::duration_cast;
   using std::chrono::milliseconds;
   constexpr linger kDiscard{1, 0};
   constexpr auto kUserTimeout =
       static_cast<unsigned>(duration_cast<milliseconds>(kResetUnacknowledgedAfter).count());
-  constexpr auto kInterval = static_cast<int>(kKeepAliveInterval.count());
-  constexpr auto kProbes = static_cast<int>(kResetUnacknowledgedAfter / kKeepAliveInterval);
   error_code error;
   set_native_option(socket, SOL_SOCKET, SO_LINGER, kDiscard, error);
   set_native_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeout, error);
+  return error;
+}
+
+error_code enable_reset_on_close(tcp::socket& socket) {
+  constexpr auto kInterval = static_cast<int>(kKeepAliveInterval.count());
+  constexpr auto kProbes = static_cast<int>(kResetUnacknowledgedAfter / kKeepAliveInterval);
+  error_code error = enable_discard_on_close(socket);
   set_native_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, kInterval, error);
   set_native_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, kInterval, error);
   set_native_option(socket, IPPROTO_TCP, TCP_KEEPCNT, kProbes, error);
--- a/src/runtime/asio/tcp.h
+++ b/src/runtime/asio/tcp.h
@@ -36,6 +36,9 @@
 /// for kResetUnacknowledgedAfter. Returns the error of the first option that could not be set.
 boost::system::error_code enable_reset_on_close(boost::asio::ip::tcp::socket& socket);
 
+/// The same without probes, so that a connection without unacknowledged data stays open.
+boost::system::error_code enable_discard_on_close(boost::asio::ip::tcp::socket& socket);
+
 Endpoint to_endpoint(const boost::asio::ip::tcp::endpoint& endpoint);
 
 /// Returns "address:port" of the peer, or "unknown" if the connection is closed already.
--- a/tests/runtime/reset_on_close_test.cpp
+++ b/tests/runtime/reset_on_close_test.cpp
@@ -62,6 +62,7 @@
   CPPUNIT_TEST_SUITE(ResetOnCloseTest);
   CPPUNIT_TEST(ordinary_close_ends_the_stream);
   CPPUNIT_TEST(close_resets);
+  CPPUNIT_TEST(discarding_close_resets);
   CPPUNIT_TEST(destruction_resets);
   CPPUNIT_TEST(killed_process_resets);
   CPPUNIT_TEST(kernel_drops_unacknowledged_data);
@@ -92,6 +93,17 @@
     CPPUNIT_ASSERT(end_at_peer() == boost::asio::error::connection_reset);
   }
 
+  /// Guards against a call that is delivered after its sender gave it up, on a connection without probes.
+  void discarding_close_resets() {
+    CPPUNIT_ASSERT(!enable_discard_on_close(*socket_));
+    CPPUNIT_ASSERT_EQUAL(0, option_of<int>(*socket_, SOL_SOCKET, SO_KEEPALIVE));
+    const std::chrono::milliseconds user_timeout(
+        option_of<unsigned>(*socket_, IPPROTO_TCP, TCP_USER_TIMEOUT));
+    CPPUNIT_ASSERT(user_timeout == kResetUnacknowledgedAfter);
+    socket_->close();
+    CPPUNIT_ASSERT(end_at_peer() == boost::asio::error::connection_reset);
+  }
+
   void destruction_resets() {
     CPPUNIT_ASSERT(!enable_reset_on_close(*socket_));
     socket_.reset();
