Leader's decisions: a former leader does not pass them on to its successor

What callers could see: nothing in a calm group; a group closed at that moment would have been promoted without the proxies that its control nodes had just forgotten (suspected from the code, not brought about).

Cause: a leader that was frozen for 16 s took the silence of its own freeze for that of the proxies. The removals waited in a batch, the node stepped down meanwhile, and submit() relayed them to the new leader, which forgot proxies that held its leases. Closing, opening and settling a group went the same way, though their epochs and revisions fence them.

Change: what a node decides as the leader is proposed to its own log only (LeaderCalls::propose_batched): removals and admissions of proxies, and the close, the opening and the settlement of a group.

--- a/src/registered/control/failover/group_terms.cpp
+++ b/src/registered/control/failover/group_terms.cpp
@@ -25,7 +25,7 @@
   log("group_closing", term, why);
   Reason reason;
   registry::SingleCommand command = registry::CloseGroup{term.group, term.epoch};
-  const bool closed = co_await calls_.submit_batched(std::move(command), reason);
+  const bool closed = co_await calls_.propose_batched(std::move(command), reason);
   if (!closed)
     runtime_.logger().log(runtime::LogLevel::kWarning, "group_not_closed", reason,
                           {{"group", term.group.value}});
@@ -37,7 +37,7 @@
   Reason reason;
   registry::SingleCommand command =
       registry::OpenGroup{closed.group, closed.epoch, term, primary.name, primary.start_time_ms, start};
-  const bool done = co_await calls_.submit_batched(std::move(command), reason);
+  const bool done = co_await calls_.propose_batched(std::move(command), reason);
   GroupTerm opened = closed;
   opened.term = term;
   opened.primary = primary.name;
@@ -51,7 +51,7 @@
     names += (names.empty() ? "" : " ") + member.incarnation.name.value;
   Reason reason;
   registry::SingleCommand command = registry::SettleDeparted{term.group, std::move(departed)};
-  const bool done = co_await calls_.submit_batched(std::move(command), reason);
+  const bool done = co_await calls_.propose_batched(std::move(command), reason);
   if (done) log("members_settled", term, "another member holds the logs of departed members: " + names);
   co_return done;
 }
--- a/src/registered/control/leader_calls.cpp
+++ b/src/registered/control/leader_calls.cpp
@@ -53,22 +53,33 @@
 }
 
 Awaitable<bool> LeaderCalls::submit_batched(registry::SingleCommand command, Reason& reason) {
-  const bool is_first = !open_batch_;
-  if (is_first) open_batch_ = std::make_shared<Batch>(runtime_);
-  const auto batch = open_batch_;
+  co_return co_await add_to_batch(Proposer::kAnyNode, std::move(command), reason);
+}
+
+Awaitable<bool> LeaderCalls::propose_batched(registry::SingleCommand command, Reason& reason) {
+  co_return co_await add_to_batch(Proposer::kThisNode, std::move(command), reason);
+}
+
+Awaitable<bool> LeaderCalls::add_to_batch(Proposer proposer, registry::SingleCommand command,
+                                          Reason& reason) {
+  std::shared_ptr<Batch>& open = open_batch(proposer).batch;
+  const bool is_first = !open;
+  if (is_first) open = std::make_shared<Batch>(runtime_);
+  const auto batch = open;
   batch->commands.push_back(std::move(command));
-  if (batch->commands.size() >= kMaxBatchCommands) open_batch_.reset();
-  if (is_first) runtime_.spawn("submit_batch", submit_batch(batch));
+  if (batch->commands.size() >= kMaxBatchCommands) open.reset();
+  if (is_first) runtime_.spawn("submit_batch", submit_batch(proposer, batch));
   while (!batch->is_complete) co_await batch->completion.wait();
   reason = batch->reason;
   co_return batch->done;
 }
 
-Awaitable<void> LeaderCalls::submit_batch(std::shared_ptr<Batch> batch) {
-  const TimePoint next = last_batch_at_ + kBatchInterval;
+Awaitable<void> LeaderCalls::submit_batch(Proposer proposer, std::shared_ptr<Batch> batch) {
+  OpenBatch& open = open_batch(proposer);
+  const TimePoint next = open.last_submitted_at + kBatchInterval;
   if (next > runtime_.now()) co_await runtime_.sleep_for(next - runtime_.now());
-  last_batch_at_ = runtime_.now();
-  if (open_batch_ == batch) open_batch_.reset();
+  open.last_submitted_at = runtime_.now();
+  if (open.batch == batch) open.batch.reset();
   registry::Command command;
   if (batch->commands.size() == 1) {
     command = std::visit([](auto& single) { return registry::Command(std::move(single)); },
@@ -76,7 +87,11 @@
   } else {
     command = registry::CommandBatch{std::move(batch->commands)};
   }
-  batch->done = co_await submit(std::move(command), batch->reason);
+  if (proposer == Proposer::kThisNode) {
+    batch->done = co_await propose_as_leader(std::move(command), batch->reason);
+  } else {
+    batch->done = co_await submit(std::move(command), batch->reason);
+  }
   batch->is_complete = true;
   batch->completion.notify_all();
 }
--- a/src/registered/control/leader_calls.h
+++ b/src/registered/control/leader_calls.h
@@ -1,6 +1,8 @@
 // RPCs from control nodes to the leader: log commands and presence reports.
 #pragma once
 
+#include <array>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -35,6 +37,9 @@
   /// Like submit(), but batches commands that arrive within 20 ms of each other into one log entry. For
   /// commands that many backends and proxies may send at the same time.
   Awaitable<bool> submit_batched(registry::SingleCommand command, Reason& reason);
+  /// Like submit_batched(), but never through another leader: fails with kNotLeader if this node does not
+  /// lead. For what this node decided as the leader, since its successor decides by what it knows itself.
+  Awaitable<bool> propose_batched(registry::SingleCommand command, Reason& reason);
   /// Starts periodic presence reports to the current leader. `self` carries this node's identity.
   void announce(consensus::Member self);
   void stop() { stopping_ = true; }
@@ -60,7 +65,16 @@
     runtime::Signal completion;
   };
 
-  Awaitable<void> submit_batch(std::shared_ptr<Batch> batch);
+  /// Commands for the leader, whichever node it is, or for this node while it leads.
+  enum class Proposer : std::uint8_t { kAnyNode, kThisNode };
+  struct OpenBatch {
+    std::shared_ptr<Batch> batch;  ///< accepts further commands; null if none
+    TimePoint last_submitted_at{};
+  };
+
+  Awaitable<bool> add_to_batch(Proposer proposer, registry::SingleCommand command, Reason& reason);
+  Awaitable<void> submit_batch(Proposer proposer, std::shared_ptr<Batch> batch);
+  OpenBatch& open_batch(Proposer proposer) { return open_batches_[static_cast<std::size_t>(proposer)]; }
   Awaitable<bool> propose(registry::Command command, Reason& reason);
   Awaitable<bool> submit_to_leader(registry::Command command, Reason& reason);
   Awaitable<std::optional<registry::ControlAnswer>> call(Endpoint endpoint, registry::ControlCall call,
@@ -80,8 +94,7 @@
   ControlNodeDirectory& directory_;
   NodeName node_;
   Endpoint own_endpoint_;
-  std::shared_ptr<Batch> open_batch_;  ///< batch that accepts further commands; null if none
-  TimePoint last_batch_at_{};
+  std::array<OpenBatch, 2> open_batches_;  ///< by Proposer
   std::deque<Link> idle_links_;
   std::optional<Endpoint> hinted_leader_;
   std::size_t next_endpoint_ = 0;
--- a/src/registered/control/leases/lease_keeper.cpp
+++ b/src/registered/control/leases/lease_keeper.cpp
@@ -114,7 +114,7 @@
   const registry::AdmittedProxy* held = fleet_.find_proxy(follower->node);
   if (held != nullptr && *held == proxy) co_return true;
   registry::SingleCommand command = registry::AdmitProxy{proxy};
-  co_return co_await calls_.submit_batched(std::move(command), reason);
+  co_return co_await calls_.propose_batched(std::move(command), reason);
 }
 
 void LeaseKeeper::record_acknowledgements(const Follower& follower,
@@ -176,7 +176,7 @@
 Awaitable<void> LeaseKeeper::submit_removal(registry::SingleCommand command, NodeName node,
                                             std::string event) {
   Reason reason;
-  const bool done = co_await calls_.submit_batched(std::move(command), reason);
+  const bool done = co_await calls_.propose_batched(std::move(command), reason);
   if (done) runtime_.logger().log(runtime::LogLevel::kInfo, event, {{"proxy", node.value}});
 }
 
--- a/tests/simulation/late_group_calls_test.cpp
+++ b/tests/simulation/late_group_calls_test.cpp
@@ -73,6 +73,7 @@
 class LateGroupCallsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LateGroupCallsTest);
   CPPUNIT_TEST(a_resume_of_an_earlier_leader_ends_no_later_pause);
+  CPPUNIT_TEST(a_leader_that_was_frozen_removes_no_proxy);
   CPPUNIT_TEST(a_relayed_order_is_not_taken_after_a_later_one);
   CPPUNIT_TEST_SUITE_END();
 
@@ -115,6 +116,26 @@
     });
   }
 
+  /// Guards against a former leader whose clock went on while it was frozen: it takes the proxies for lost,
+  /// and its successor, to which it passes that on, no longer waits for them when it closes a group.
+  void a_leader_that_was_frozen_removes_no_proxy() {
+    check([](RegisteredFleet& fleet) {
+      fleet.run_for(seconds(2));
+      const std::string leader = fleet.leader();
+      fleet.world().freeze(leader);
+      fleet.run_for(seconds(16));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{3}, fleet.working_proxies());
+      fleet.world().thaw(leader);
+      for (int step = 0; step < 1000; ++step) {
+        fleet.run_for(milliseconds(1));
+        if (fleet.leader() == leader) continue;
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(fmt::format("{} ms after the thaw", step), std::size_t{3},
+                                     fleet.working_proxies());
+      }
+      CPPUNIT_ASSERT_MESSAGE("another one leads", fleet.leader() != leader);
+    });
+  }
+
   /// Guards against an order that its relaying node gave up, and that reaches the leader after a later order
   /// was acknowledged.
   void a_relayed_order_is_not_taken_after_a_later_one() {
