Pauses: members are asked until each has shown that it receives again

What callers could see: a replica stays deaf, and once the other replica is gone commits wait for it (the test saw the deaf replica; the hang itself was not run without the change).

Cause: RESUME was sent once, at the opening or after an election. A member that did not answer then stayed paused until the next election, and so did the members of a group that was closed when its leader was elected. The barrier of the release after an election preceded up to 300 ms of queries for each group.

Change: while it leads and the group is open, a leader asks members that may still be paused every 0.5 to 4 s until each has answered that it is not, and completes a read barrier between the question and the RESUME. A PAUSE without an answer counts as one that may have taken effect.

--- a/src/registered/control/failover/pause_release.cpp
+++ b/src/registered/control/failover/pause_release.cpp
@@ -1,11 +1,16 @@
 #include "registered/control/failover/pause_release.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace cairnhollow::registered::control {
 
 Awaitable<void> PauseRelease::release(GroupName group) {
   if (!pauses_.has_paused(group)) co_return;
   const bool confirmed = co_await terms_.complete_read_barrier();
-  if (confirmed && terms_.leads()) co_await pauses_.resume(group);
+  bool released = false;
+  if (confirmed && terms_.leads()) released = co_await pauses_.resume(group);
+  if (!released) start_retries(group);
 }
 
 bool PauseRelease::release_leftover() {
@@ -16,16 +21,42 @@
 }
 
 Awaitable<void> PauseRelease::release_leftover_members() {
-  const bool confirmed = co_await terms_.complete_read_barrier();
-  if (!confirmed) {
-    leftover_released_ = false;
-    co_return;
-  }
   for (const auto& group : fleet_.groups()) {
-    const auto term = terms_.find(group.name);
     if (!terms_.leads()) co_return;
-    if (term && term->open) co_await pauses_.resume_leftover(group.name);
+    const bool released = co_await release_leftover_of(group.name);
+    if (!released) start_retries(group.name);
+  }
+}
+
+Awaitable<bool> PauseRelease::release_leftover_of(GroupName group) {
+  const auto is_open = [&] {
+    const auto term = terms_.find(group);
+    return term && term->open && !pauses_.has_paused(group);
+  };
+  if (!is_open()) co_return false;
+  ReplicationPauses::PausedMembers paused = co_await pauses_.find_paused(group);
+  if (paused.entries.empty()) co_return paused.all_answered&& is_open();
+  const bool confirmed = co_await terms_.complete_read_barrier();
+  if (confirmed && terms_.leads() && is_open()) co_await pauses_.resume_members(std::move(paused.entries));
+  co_return false;
+}
+
+void PauseRelease::start_retries(const GroupName& group) {
+  if (retrying_.insert(group).second) runtime_.spawn("resume_left_members", retry_leftover(group));
+}
+
+Awaitable<void> PauseRelease::retry_leftover(GroupName group) {
+  Duration delay = kLeftoverRetryDelay;
+  bool released = false;
+  while (!released && terms_.leads()) {
+    co_await runtime_.sleep_for(delay);
+    const auto term = terms_.find(group);
+    const bool is_open = term && term->open;
+    if (is_open) co_await release(group);
+    if (is_open) released = co_await release_leftover_of(group);
+    delay = is_open ? std::min(2 * delay, kMaxLeftoverRetryDelay) : kLeftoverRetryDelay;
   }
+  retrying_.erase(group);
 }
 
 void PauseRelease::clear() {
--- a/src/registered/control/failover/replication_pauses.cpp
+++ b/src/registered/control/failover/replication_pauses.cpp
@@ -21,6 +21,7 @@
 struct ReplicationPauses::PendingAnswers {
   explicit PendingAnswers(runtime::Runtime& runtime) : changed(runtime) {}
   std::size_t missing = 0;
+  bool all_succeeded = true;
   runtime::Signal changed;
 };
 
@@ -59,6 +60,7 @@
   if (!status) status = co_await prober_.query(member, deadline, reason);
   const bool paused = status && status->pause_term >= pause_term(closed);
   GroupPauses& pauses = paused_[closed.group];
+  if (!status && pauses.epoch == closed.epoch) pauses.has_unanswered = true;
   if (paused && pauses.epoch == closed.epoch) pauses.since[member.incarnation()] = runtime_.now();
   runtime_.logger().log(paused ? runtime::LogLevel::kInfo : runtime::LogLevel::kWarning,
                         paused ? "member_paused" : "member_not_paused", reason,
@@ -109,18 +111,26 @@
   return runtime_.now() >= earliest_promotion(paused_member, since->second, min_unresponsive_revision);
 }
 
-Awaitable<void> ReplicationPauses::resume(GroupName group) {
+Awaitable<bool> ReplicationPauses::resume(GroupName group) {
   const auto found = paused_.find(group);
-  if (found == paused_.end()) co_return;
+  if (found == paused_.end()) co_return true;
+  const bool has_unanswered = found->second.has_unanswered;
   const std::map<BackendIncarnation, TimePoint> since = std::move(found->second.since);
   paused_.erase(found);
+  std::vector<BackendEntry> members = fleet_.backends_of(group);
+  std::erase_if(members, [&](const BackendEntry& member) { return since.count(member.incarnation()) == 0; });
+  const bool resumed = co_await resume_members(std::move(members));
+  co_return resumed && !has_unanswered;
+}
+
+Awaitable<bool> ReplicationPauses::resume_members(std::vector<BackendEntry> members) {
   const auto answers = std::make_shared<PendingAnswers>(runtime_);
-  for (const BackendEntry& member : fleet_.backends_of(group)) {
-    if (since.count(member.incarnation()) == 0) continue;
+  for (const BackendEntry& member : members) {
     ++answers->missing;
     runtime_.spawn("resume_member", resume_one(answers, member));
   }
   while (answers->missing > 0) co_await answers->changed.wait();
+  co_return answers->all_succeeded;
 }
 
 Awaitable<void> ReplicationPauses::resume_one(std::shared_ptr<PendingAnswers> answers, BackendEntry member) {
@@ -128,6 +138,7 @@
   const TimePoint deadline = runtime_.now() + kStatusTimeout;
   const auto status = co_await prober_.resume(member, deadline, reason);
   const bool resumed = status && status->pause_term == 0;
+  if (!resumed) answers->all_succeeded = false;
   runtime_.logger().log(resumed ? runtime::LogLevel::kInfo : runtime::LogLevel::kWarning,
                         resumed ? "member_resumed" : "member_not_resumed", reason,
                         {{"group", member.group.value}, {"backend", member.name.value}});
@@ -135,17 +146,15 @@
   answers->changed.notify_all();
 }
 
-Awaitable<void> ReplicationPauses::resume_leftover(GroupName group) {
+Awaitable<ReplicationPauses::PausedMembers> ReplicationPauses::find_paused(GroupName group) {
   const auto findings = co_await prober_.query_all(fleet_.backends_of(group));
-  const GroupTerm* term = fleet_.find_term(group);
-  if (term == nullptr || !term->open || paused_.count(group) > 0) co_return;
-  const auto answers = std::make_shared<PendingAnswers>(runtime_);
+  PausedMembers paused;
+  paused.all_answered = true;
   for (const MemberFinding& member : findings) {
-    if (!member.status || member.status->pause_term == 0) continue;
-    ++answers->missing;
-    runtime_.spawn("resume_member", resume_one(answers, member.entry));
+    if (!member.status) paused.all_answered = false;
+    if (member.status && member.status->pause_term > 0) paused.entries.push_back(member.entry);
   }
-  while (answers->missing > 0) co_await answers->changed.wait();
+  co_return paused;
 }
 
 }  // namespace cairnhollow::registered::control
--- a/src/registered/control/failover/replication_pauses.h
+++ b/src/registered/control/failover/replication_pauses.h
@@ -42,11 +42,16 @@
                                         std::uint64_t min_unresponsive_revision,
                                         const std::vector<MemberFinding>& findings,
                                         const BackendName& candidate) const;
-  /// Resumes all members of the group that this node paused. Those that do not answer stay paused until
-  /// resume_leftover(), which runs once after each election, or until a later pause of the group ends.
-  Awaitable<void> resume(GroupName group);
-  /// Resumes the members of an open group that are still paused, by whichever leader.
-  Awaitable<void> resume_leftover(GroupName group);
+  /// Resumes all members of the group that this node paused. Returns false if any may still be paused. Those
+  /// that do not answer stay paused until resume_members(), or until a later pause of the group ends.
+  Awaitable<bool> resume(GroupName group);
+  /// Members that are paused, by whichever leader.
+  struct PausedMembers {
+    std::vector<registry::BackendEntry> entries;
+    bool all_answered = false;  ///< false: further members may be paused
+  };
+  Awaitable<PausedMembers> find_paused(GroupName group);
+  Awaitable<bool> resume_members(std::vector<registry::BackendEntry> members);
   /// Whether this node has paused members of the group and not resumed them.
   [[nodiscard]] bool has_paused(const GroupName& group) const { return paused_.count(group) > 0; }
   /// Drops the record of pauses when this node is no longer the leader; its successor takes care of them.
@@ -57,6 +62,7 @@
     std::uint64_t epoch = 0;
     /// Time of each member's answer to the pause. The next incarnation of a member is not paused.
     std::map<registry::BackendIncarnation, TimePoint> since;
+    bool has_unanswered = false;  ///< a member that did not answer may be paused all the same
   };
   struct PendingAnswers;
 
--- a/tests/simulation/late_group_calls_test.cpp
+++ b/tests/simulation/late_group_calls_test.cpp
@@ -32,6 +32,10 @@
   tests::play_registered(nullptr, scenario);
 }
 
+std::uint64_t pause_term(RegisteredFleet& fleet, const std::string& backend) {
+  return fleet.group().member(BackendName(backend)).pause_term;
+}
+
 /// proxy-1 is without control and reaches everything else; control and the other proxies don't reach the
 /// primary.
 void divide(RegisteredFleet& fleet, const std::string& primary) {
@@ -73,6 +77,7 @@
 class LateGroupCallsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LateGroupCallsTest);
   CPPUNIT_TEST(a_resume_of_an_earlier_leader_ends_no_later_pause);
+  CPPUNIT_TEST(a_member_whose_resume_was_lost_receives_again);
   CPPUNIT_TEST(a_leader_that_was_frozen_removes_no_proxy);
   CPPUNIT_TEST(a_relayed_order_is_not_taken_after_a_later_one);
   CPPUNIT_TEST_SUITE_END();
@@ -116,6 +121,32 @@
     });
   }
 
+  /// Guards against a replica that stays deaf because the one call that lets it receive again did not reach
+  /// it: with the other replica gone, commits would hang.
+  void a_member_whose_resume_was_lost_receives_again() {
+    check([](RegisteredFleet& fleet) {
+      fleet.run_for(seconds(2));
+      // As a leader that was lost right before it let them receive again leaves them.
+      const std::string replica = fleet.primary() == "g1-b3" ? "g1-b2" : "g1-b3";
+      fleet.group().pause(BackendName(replica), 2);
+      const std::string leader = fleet.leader();
+      fleet.kill(leader);
+      fleet.cut_from_all_control(replica);
+      fleet.run_for(seconds(5));
+      fleet.heal();
+      fleet.restart(leader);
+      fleet.run_for(seconds(5));
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, pause_term(fleet, replica));
+      for (const std::string& backend : kBackends) {
+        if (backend != replica && backend != fleet.primary()) {
+          fleet.kill(backend);
+          break;
+        }
+      }
+      expect_service(fleet);
+    });
+  }
+
   /// Guards against a former leader whose clock went on while it was frozen: it takes the proxies for lost,
   /// and its successor, to which it passes that on, no longer waits for them when it closes a group.
   void a_leader_that_was_frozen_removes_no_proxy() {
