--- a/src/registered/control/failover/pause_release.cpp
+++ b/src/registered/control/failover/pause_release.cpp
@@ -35,7 +35,10 @@
   };
   if (!is_open()) co_return false;
   ReplicationPauses::PausedMembers paused = co_await pauses_.find_paused(group);
-  if (paused.entries.empty()) co_return paused.all_answered&& is_open();
+  if (paused.entries.empty()) {
+    if (!paused.all_answered) co_return false;
+    co_return is_open();
+  }
   const bool confirmed = co_await terms_.complete_read_barrier();
   if (confirmed && terms_.leads() && is_open()) co_await pauses_.resume_members(std::move(paused.entries));
   co_return false;
--- a/src/registered/control/failover/replication_pauses.h
+++ b/src/registered/control/failover/replication_pauses.h
@@ -51,6 +51,7 @@
     bool all_answered = false;  ///< false: further members may be paused
   };
   Awaitable<PausedMembers> find_paused(GroupName group);
+  /// Returns true if each of the members has shown that it is not paused.
   Awaitable<bool> resume_members(std::vector<registry::BackendEntry> members);
   /// Whether this node has paused members of the group and not resumed them.
   [[nodiscard]] bool has_paused(const GroupName& group) const { return paused_.count(group) > 0; }
--- a/src/registered/registry/commands.h
+++ b/src/registered/registry/commands.h
@@ -151,7 +151,7 @@
 struct WithdrawEarlierPromotions {
   NodeName holder;
   std::uint64_t process = 0;       ///< the holder's present process; never 0
-  std::uint64_t last_fencing = 0;  ///< the latest consensus term known to that process
+  std::uint64_t last_fencing = 0;  ///< the consensus term recovered by that process
   template <class Archive>
   void serialize(Archive& archive) {
     archive(holder, last_fencing);
