tools/soak: a process has not ended while one of its threads holds its files

Its start failed with "in use by another process", as the tool took the process before it for ended when its first thread was a zombie, while another one still wrote to the disk and held the folder's lock. That order follows from the logs; the new test shows the flaw in the check.

Change: a zombie counts as ended only when no other thread of it is left.

Check: tools/test-relays, the new test failed without the change (a trial on a scratch copy) and passed three of three with it.

--- a/tools/fleetlib/processes.py
+++ b/tools/fleetlib/processes.py
@@ -8,19 +8,22 @@
 from pathlib import Path
 
 POLL_SECONDS = 0.05
-# Fields of /proc/PID/stat behind the command's closing bracket (proc(5)): state is the first, starttime the 20th.
+# Fields of /proc/PID/stat behind the command's closing bracket (proc(5)): state is the first, num_threads the 18th,
+# starttime the 20th.
 STATE_FIELD = 0
+THREADS_FIELD = 17
 START_TIME_FIELD = 19
 
 
 def read_stat(process_id):
-    """State letter and start time of a process; None when there is none or it is a zombie."""
+    """State letter and start time of a process; None when there is none or it is a zombie and all its threads have ended:
+    until then it holds its files and their locks."""
     try:
         text = Path(f"/proc/{process_id}/stat").read_text()
     except OSError:
         return None
     fields = text.rpartition(")")[2].split()
-    if fields[STATE_FIELD] in "ZX":
+    if fields[STATE_FIELD] in "ZX" and int(fields[THREADS_FIELD]) <= 1:
         return None
     return fields[STATE_FIELD], fields[START_TIME_FIELD]
 
